--- /dev/null
+++ b/include/dragonflymill/core/assert.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace dragonflymill::detail {
+
+[[noreturn]] inline void assertion_failed(const char* condition, const char* why, const char* file, int line)
+{
+    std::fprintf(stderr, "%s:%d: invariant broken: %s (%s)\n", file, line, condition, why);
+    std::abort();
+}
+
+} // namespace dragonflymill::detail
+
+/// Ends the program when an invariant is broken. On in every build: a decision part that goes on with a
+/// broken invariant could double a booking.
+#define DRAGONFLYMILL_ASSERT(condition, why)                                                                 \
+    do {                                                                                                     \
+        if (!(condition)) {                                                                                  \
+            ::dragonflymill::detail::assertion_failed(#condition, why, __FILE__, __LINE__);                  \
+        }                                                                                                    \
+    } while (false)
--- /dev/null
+++ b/src/core/refusal.cpp
@@ -0,0 +1,43 @@
+#include "dragonflymill/core/refusal.h"
+
+namespace dragonflymill {
+
+auto to_string(refusal_code code) -> const char*
+{
+    switch (code) {
+    case refusal_code::account_limit:
+        return "account_limit";
+    case refusal_code::overloaded:
+        return "overloaded";
+    case refusal_code::upstream_cold:
+        return "upstream_cold";
+    case refusal_code::upstream_gone:
+        return "upstream_gone";
+    case refusal_code::draining:
+        return "draining";
+    case refusal_code::stopping:
+        return "stopping";
+    case refusal_code::deadline:
+        return "deadline";
+    case refusal_code::ticket_unknown:
+        return "ticket_unknown";
+    case refusal_code::not_ready:
+        return "not_ready";
+    case refusal_code::no_route:
+        return "no_route";
+    case refusal_code::too_large:
+        return "too_large";
+    case refusal_code::cancelled:
+        return "cancelled";
+    case refusal_code::internal:
+        return "internal";
+    }
+    return "internal";
+}
+
+auto to_string(ran_state ran) -> const char*
+{
+    return ran == ran_state::no ? "no" : "unknown";
+}
+
+} // namespace dragonflymill
