Add the caller's side of HTTP, server-sent events and duty threads

Cause: callers reach a gateway over HTTP, with callers that are slow, silent, oversized or gone. Change: a Beast server whose sessions bound header, body, unsent bytes, connections and waiting times; each answer names its exchange, so a late one can't reach the next request of a connection; a stream that breaks lacks its last chunk. A duty thread takes its events from a bounded ring. Conclusion: the gateway's intake can be built on it.

--- /dev/null
+++ b/src/http/http_request.cpp
@@ -0,0 +1,32 @@
+#include "http/http_request.h"
+
+#include <boost/beast/core/string.hpp>
+
+namespace dragonflymill::http {
+
+auto http_request::field(const std::string& name) const -> std::string
+{
+    for (const auto& f : fields) {
+        if (boost::beast::iequals(f.name, name)) {
+            return f.value;
+        }
+    }
+    return {};
+}
+
+auto http_request::path() const -> std::string
+{
+    return target.substr(0, target.find('?'));
+}
+
+auto http_request::bearer_token() const -> std::string
+{
+    constexpr std::string_view scheme = "bearer ";
+    const auto value = field("Authorization");
+    if (value.size() <= scheme.size() || !boost::beast::iequals(value.substr(0, scheme.size()), scheme)) {
+        return {};
+    }
+    return value.substr(scheme.size());
+}
+
+} // namespace dragonflymill::http
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,104 @@
+#include "http/http_server.h"
+
+#include "http/address.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill::http {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+http_server::http_server(boost::asio::io_context& context, http_limits limits, request_handlers handlers)
+    : context_(context)
+    , limits_(limits)
+    , handlers_(std::move(handlers))
+    , acceptor_(context)
+{
+}
+
+auto http_server::listen(const std::string& address) -> result<void>
+{
+    const auto endpoint = parse_address(address);
+    if (!endpoint) {
+        return endpoint.error();
+    }
+    error_code failure;
+    // NOLINTBEGIN(bugprone-unused-return-value): each call's failure is kept in `failure`
+    acceptor_.open(endpoint.value().protocol(), failure);
+    if (!failure) {
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), failure);
+        acceptor_.bind(endpoint.value(), failure);
+    }
+    if (!failure) {
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, failure);
+    }
+    // NOLINTEND(bugprone-unused-return-value)
+    if (failure) {
+        return error(error_kind::unavailable, "can't listen on " + address + ": " + failure.message(),
+                     "choose a free port of this host or stop what holds it");
+    }
+    accept_next();
+    return success();
+}
+
+auto http_server::local_address() const -> std::string
+{
+    error_code ignored;
+    return address_text(acceptor_.local_endpoint(ignored));
+}
+
+void http_server::stop_accepting()
+{
+    stopping_ = true;
+    error_code ignored;
+    acceptor_.close(ignored); // NOLINT(bugprone-unused-return-value): it is closed either way
+    for (const auto& weak : sessions_) {
+        if (const auto session = weak.lock()) {
+            session->stop_when_idle();
+        }
+    }
+}
+
+auto http_server::connection_count() -> std::size_t
+{
+    forget_closed();
+    return sessions_.size();
+}
+
+void http_server::accept_next()
+{
+    acceptor_.async_accept([this](error_code failure, tcp::socket socket) {
+        if (stopping_ || failure == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!failure) {
+            error_code ignored;
+            socket.set_option(tcp::no_delay(true),
+                              ignored); // NOLINT(bugprone-unused-return-value): only slower
+            const auto session =
+                std::make_shared<http_session>(std::move(socket), limits_, handlers_, numbers_);
+            if (sessions_.size() >= limits_.max_connections) {
+                forget_closed();
+            }
+            if (sessions_.size() >= limits_.max_connections) {
+                session->refuse_connection();
+            }
+            else {
+                sessions_.push_back(session);
+                session->start();
+            }
+        }
+        accept_next();
+    });
+}
+
+void http_server::forget_closed()
+{
+    const auto gone = std::remove_if(sessions_.begin(), sessions_.end(),
+                                     [](const std::weak_ptr<http_session>& s) { return s.expired(); });
+    sessions_.erase(gone, sessions_.end());
+}
+
+} // namespace dragonflymill::http
--- /dev/null
+++ b/src/runtime/clock.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "dragonflymill/core/time.h"
+
+namespace dragonflymill::runtime {
+
+/// Monotonic time of this process. Only the daemons' shells call it; decision parts are given the time.
+[[nodiscard]] inline auto now() -> instant
+{
+    return instant(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/// Civil time of this host.
+[[nodiscard]] inline auto wall_now() -> wall_instant
+{
+    return wall_instant(
+        std::chrono::duration_cast<duration>(std::chrono::system_clock::now().time_since_epoch()));
+}
+
+} // namespace dragonflymill::runtime
