Give the comparison operators of ids their return type

Change: the return type is written out, and the linter's misreading of a rewritten comparison is named beside it.

--- a/include/dragonflymill/core/deadline_budget.h
+++ b/include/dragonflymill/core/deadline_budget.h
@@ -28,7 +28,8 @@
     /// When it runs out on this process's clock.
     [[nodiscard]] auto end() const -> instant { return end_; }
 
-    friend auto operator<=>(const deadline_budget&, const deadline_budget&) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the zero of a rewritten a < b for a pointer
+    friend auto operator<=>(const deadline_budget&, const deadline_budget&) -> std::strong_ordering = default;
 
 private:
     instant end_;
--- a/include/dragonflymill/core/strong_id.h
+++ b/include/dragonflymill/core/strong_id.h
@@ -25,7 +25,8 @@
     /// Whether no name was given.
     [[nodiscard]] auto empty() const -> bool { return text_.empty(); }
 
-    friend auto operator<=>(const name_id&, const name_id&) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the zero of a rewritten a < b for a pointer
+    friend auto operator<=>(const name_id&, const name_id&) -> std::strong_ordering = default;
 
 private:
     std::string text_;
@@ -46,7 +47,8 @@
     /// The number itself.
     [[nodiscard]] constexpr auto value() const -> std::uint64_t { return value_; }
 
-    friend constexpr auto operator<=>(const number_id&, const number_id&) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the zero of a rewritten a < b for a pointer
+    friend constexpr auto operator<=>(const number_id&, const number_id&) -> std::strong_ordering = default;
 
 private:
     std::uint64_t value_ = 0;
