--- a/include/dragonflymill/bundle/bundle.h
+++ b/include/dragonflymill/bundle/bundle.h
@@ -89,6 +89,15 @@
     friend auto operator==(const account_entry&, const account_entry&) -> bool = default;
 };
 
+/// One partner of the joint venture and the key it signs bundles with.
+struct partner_entry
+{
+    std::string name;       ///< Its name, as accounts carry it.
+    std::string public_key; ///< Ed25519 public key, 64 lower-case hexadecimal digits; empty while unsigned.
+
+    friend auto operator==(const partner_entry&, const partner_entry&) -> bool = default;
+};
+
 /// The configuration that both partners signed, as one value. How it is written, signed, cut into sections
 /// and spread is the business of the other files of this folder.
 struct bundle
@@ -100,6 +109,7 @@
     std::vector<model_entry> models;           ///< Models.
     std::vector<service_route_entry> service_routes; ///< Routes to plain services.
     std::vector<account_entry> accounts;             ///< Client accounts.
+    std::vector<partner_entry> partners;             ///< Who has to sign.
 
     friend auto operator==(const bundle&, const bundle&) -> bool = default;
 };
