Give the comparison operators trailing return types

Cause: the linter's trailing-return check stops at every file that includes the ids. Change: the defaulted three-way operators name std::strong_ordering. Conclusion: files that include core/strong_id.h lint clean.

--- a/include/dragonflymill/core/deadline_budget.h
+++ b/include/dragonflymill/core/deadline_budget.h
@@ -28,7 +28,7 @@
     /// When it runs out on this process's clock.
     [[nodiscard]] auto end() const -> instant { return end_; }
 
-    friend auto operator<=>(const deadline_budget&, const deadline_budget&) = default;
+    friend auto operator<=>(const deadline_budget&, const deadline_budget&) -> std::strong_ordering = default;
 
 private:
     instant end_;
--- a/include/dragonflymill/core/strong_id.h
+++ b/include/dragonflymill/core/strong_id.h
@@ -25,7 +25,7 @@
     /// Whether no name was given.
     [[nodiscard]] auto empty() const -> bool { return text_.empty(); }
 
-    friend auto operator<=>(const name_id&, const name_id&) = default;
+    friend auto operator<=>(const name_id&, const name_id&) -> std::strong_ordering = default;
 
 private:
     std::string text_;
@@ -46,7 +46,7 @@
     /// The number itself.
     [[nodiscard]] constexpr auto value() const -> std::uint64_t { return value_; }
 
-    friend constexpr auto operator<=>(const number_id&, const number_id&) = default;
+    friend constexpr auto operator<=>(const number_id&, const number_id&) -> std::strong_ordering = default;
 
 private:
     std::uint64_t value_ = 0;
