Log numbered events from a closed catalogue

Cause: an operator needs to find what a log line means and what to do about it. Change: events.inc lists every event once; the logger writes text or JSON lines over Boost.Log's asynchronous sink with a bounded queue that drops and counts instead of waiting; docs/events.md is held against the list.

--- /dev/null
+++ b/src/log/logger.cpp
@@ -0,0 +1,161 @@
+#include "log/logger.h"
+
+#include "dragonflymill/core/assert.h"
+#include "log/log_line.h"
+
+#include <atomic>
+#include <boost/log/attributes/attribute_value_impl.hpp>
+#include <boost/log/attributes/value_extraction.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/make_shared.hpp>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr std::size_t queue_bound = 8192;
+constexpr int level_off = 1000;
+constexpr const char* record_attribute = "Record";
+
+// The process's one logger; Boost.Log's core is global as well, so there can't be two.
+std::atomic<int> enabled_level{level_off};
+std::atomic<std::uint64_t> dropped_count{0};
+
+/// Drops an event when the queue is full. A request must not wait for a slow disk or terminal: it would miss
+/// its time limit because of its own log.
+class count_on_overflow
+{
+public:
+    template <typename Lock>
+    static auto on_overflow(const boost::log::record_view& /*record*/, Lock& /*lock*/) -> bool
+    {
+        dropped_count.fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+    static void on_queue_space_available() {}
+    static void interrupt() {}
+};
+
+using backend = boost::log::sinks::text_ostream_backend;
+using frontend = boost::log::sinks::asynchronous_sink<
+    backend, boost::log::sinks::bounded_fifo_queue<queue_bound, count_on_overflow>>;
+
+auto wall_now() -> wall_instant
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return wall_instant(std::chrono::duration_cast<duration>(since_epoch));
+}
+
+auto open_stream(const std::string& file) -> result<boost::shared_ptr<std::ostream>>
+{
+    if (file.empty()) {
+        return boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {});
+    }
+    auto stream = boost::make_shared<std::ofstream>(file, std::ios::app);
+    if (!*stream) {
+        return error(error_kind::unavailable, "the log file '" + file + "' can't be opened",
+                     "check that its folder exists and may be written to");
+    }
+    return boost::shared_ptr<std::ostream>(std::move(stream));
+}
+
+} // namespace
+
+struct logger::state
+{
+    boost::shared_ptr<frontend> sink;
+};
+
+auto logger::start(const log_settings& settings) -> result<logger>
+{
+    if (enabled_level.load() != level_off) {
+        return error(error_kind::conflict, "logging is already started", "start one logger a process");
+    }
+    auto stream = open_stream(settings.file);
+    if (!stream) {
+        return std::move(stream).error();
+    }
+    auto writer = boost::make_shared<backend>();
+    writer->add_stream(stream.value());
+    writer->auto_flush(true);
+    auto opened = std::make_unique<state>();
+    opened->sink = boost::make_shared<frontend>(writer);
+    opened->sink->set_formatter(
+        [process = settings.process, format = settings.format](const boost::log::record_view& view,
+                                                               boost::log::formatting_ostream& out) {
+            const auto record = boost::log::extract<log_record>(record_attribute, view);
+            if (record) {
+                out << log_line(record.get(), process, format);
+            }
+        });
+    boost::log::core::get()->add_sink(opened->sink);
+    dropped_count.store(0);
+    enabled_level.store(static_cast<int>(settings.level));
+    return logger(std::move(opened));
+}
+
+logger::logger(std::unique_ptr<state> opened)
+    : state_(std::move(opened))
+{
+}
+
+logger::logger(logger&& other) noexcept = default;
+
+auto logger::operator=(logger&& other) noexcept -> logger&
+{
+    DRAGONFLYMILL_ASSERT(state_ == nullptr || state_ == other.state_, "at most one logger is alive");
+    state_ = std::move(other.state_);
+    return *this;
+}
+
+logger::~logger()
+{
+    if (state_ == nullptr) {
+        return;
+    }
+    enabled_level.store(level_off);
+    try {
+        boost::log::core::get()->remove_sink(state_->sink);
+        state_->sink->stop();
+        state_->sink->flush();
+    }
+    catch (...) {
+        std::fputs("the log could not be closed; its last lines may be missing\n", stderr);
+    }
+}
+
+void logger::flush()
+{
+    state_->sink->flush();
+}
+
+auto logger::dropped() const -> std::uint64_t
+{
+    return dropped_count.load();
+}
+
+auto log_enabled(log_level level) -> bool
+{
+    return static_cast<int>(level) >= enabled_level.load(std::memory_order_relaxed);
+}
+
+void detail::queue_event(event id, std::vector<log_field> fields)
+{
+    thread_local boost::log::sources::logger source;
+    boost::log::record record = source.open_record();
+    if (!record) {
+        return;
+    }
+    record.attribute_values().insert(record_attribute, boost::log::attributes::make_attribute_value(
+                                                           log_record{id, wall_now(), std::move(fields)}));
+    source.push_record(std::move(record));
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/tests/log/event_catalogue_test.cpp
@@ -0,0 +1,58 @@
+#include "log/event_catalogue.h"
+
+#include <criterion/criterion.h>
+#include <fstream>
+#include <string>
+
+namespace dragonflymill {
+
+namespace {
+
+auto docs_row(const event_entry& entry) -> std::string
+{
+    const std::string remedy = entry.remedy[0] == '\0' ? "-" : entry.remedy;
+    return "| " + std::to_string(entry.number()) + " | `" + entry.name + "` | " + to_string(entry.level) +
+           " | " + entry.text + " | " + remedy + " |";
+}
+
+} // namespace
+
+Test(event_catalogue, numbers_rise_and_stay_in_their_ranges)
+{
+    int last = 0;
+    for (const event_entry& entry : event_catalogue()) {
+        cr_assert(entry.number() > last, "%s: numbers rise", entry.name);
+        cr_assert(entry.number() >= 1000 && entry.number() < 5000, "%s: range", entry.name);
+        last = entry.number();
+    }
+}
+
+Test(event_catalogue, problems_name_a_remedy)
+{
+    for (const event_entry& entry : event_catalogue()) {
+        const bool has_remedy = entry.remedy[0] != '\0';
+        cr_assert(entry.level != log_level::error || has_remedy, "%s: an error needs a remedy", entry.name);
+    }
+}
+
+Test(event_catalogue, docs_hold_the_same_rows)
+{
+    std::ifstream docs(DRAGONFLYMILL_SOURCE_DIR "/docs/events.md");
+    cr_assert(docs.good(), "docs/events.md is there");
+    std::string line;
+    std::size_t next = 0;
+    const auto entries = event_catalogue();
+    while (std::getline(docs, line)) {
+        if (line.size() < 3 || line[0] != '|' || line[2] < '0' || line[2] > '9') {
+            continue;
+        }
+        cr_assert(next < entries.size(), "docs/events.md has a row without an event: %s", line.c_str());
+        const std::string expected = docs_row(entries[next]);
+        cr_assert(line == expected, "docs/events.md has '%s', expected '%s'", line.c_str(), expected.c_str());
+        ++next;
+    }
+    cr_assert(next == entries.size(), "docs/events.md lacks %s",
+              next < entries.size() ? docs_row(entries[next]).c_str() : "");
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/tests/log/logger_test.cpp
@@ -0,0 +1,146 @@
+#include "log/log_line.h"
+#include "log/logger.h"
+
+#include "dragonflymill/core/ids.h"
+
+#include <atomic>
+#include <boost/json/parse.hpp>
+#include <criterion/criterion.h>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sys/stat.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace dragonflymill {
+
+namespace {
+
+auto temporary_file() -> std::string
+{
+    std::string name = (std::filesystem::temp_directory_path() / "dragonflymill-log-XXXXXX").string();
+    const int descriptor = mkstemp(name.data());
+    cr_assert(descriptor >= 0);
+    close(descriptor);
+    return name;
+}
+
+auto lines_of(const std::string& file) -> std::vector<std::string>
+{
+    std::ifstream in(file);
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(in, line);) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
+} // namespace
+
+Test(log_line, text_has_number_name_fields_and_remedy)
+{
+    const log_record record{
+        event::request_refused,
+        wall_instant(duration(1'700'000'000'000'001)),
+        {field("request", request_id("r-1")), field("ran", "no"), field("retry_after_us", 5ms)}};
+    const std::string line = log_line(record, "gw-1", log_format::text);
+    cr_assert(line.starts_with("2023-11-14T22:13:20.000001Z info 1021 request_refused gw-1: "), "%s",
+              line.c_str());
+    cr_assert(line.find(" request=r-1 ran=no retry_after_us=5000 (see the code;") != std::string::npos, "%s",
+              line.c_str());
+}
+
+Test(log_line, hostile_text_stays_within_its_field)
+{
+    const log_record record{event::caller_malformed, {}, {field("target", "/a\n2026 error 9999 x=1")}};
+    const std::string line = log_line(record, "gw-1", log_format::text);
+    cr_assert(line.find('\n') == std::string::npos);
+    cr_assert(line.find("target=\"/a\\n2026 error 9999 x=1\"") != std::string::npos, "%s", line.c_str());
+}
+
+Test(log_line, json_keeps_types)
+{
+    const log_record record{
+        event::request_refused, {}, {field("count", 3), field("hot", true), field("share", 0.5)}};
+    const auto line = boost::json::parse(log_line(record, "gw-1", log_format::json)).as_object();
+    cr_assert(line.at("event").as_int64() == 1021);
+    const auto& fields = line.at("fields").as_object();
+    cr_assert(fields.at("count").as_int64() == 3);
+    cr_assert(fields.at("hot").as_bool());
+    cr_assert(fields.at("share").as_double() == 0.5);
+}
+
+Test(logger, writes_events_of_its_level_from_all_threads)
+{
+    const std::string file = temporary_file();
+    {
+        auto started = logger::start({"sc-1", log_level::info, log_format::json, file});
+        cr_assert(started.has_value());
+        std::vector<std::thread> threads;
+        threads.reserve(4);
+        for (int t = 0; t < 4; ++t) {
+            threads.emplace_back([t] {
+                for (int i = 0; i < 100; ++i) {
+                    log_event(event::lease_expired, field("thread", t), field("lease", i));
+                    log_event(event::memory_released);
+                }
+            });
+        }
+        for (auto& thread : threads) {
+            thread.join();
+        }
+        cr_assert(started.value().dropped() == 0);
+    }
+    cr_assert(lines_of(file).size() == 400, "debug events are below the level");
+    log_event(event::lease_expired);
+    cr_assert(lines_of(file).size() == 400, "nothing is logged without a logger");
+    std::filesystem::remove(file);
+}
+
+Test(logger, a_full_queue_drops_and_counts)
+{
+    // A pipe that nobody reads stands for a log file system that hangs.
+    const std::string pipe = temporary_file();
+    std::filesystem::remove(pipe);
+    cr_assert(mkfifo(pipe.c_str(), 0600) == 0);
+    const int reader = open(pipe.c_str(), O_RDONLY | O_NONBLOCK);
+    auto started = logger::start({"sc-1", log_level::info, log_format::text, pipe});
+    cr_assert(started.has_value());
+    constexpr int sent = 20'000;
+    for (int i = 0; i < sent; ++i) {
+        log_event(event::lease_expired, field("lease", i));
+    }
+    cr_assert(started.value().dropped() > 0, "the writer hangs, the callers don't");
+    std::filesystem::remove(pipe);
+    std::atomic<bool> written{false};
+    std::thread drain([&written, reader] {
+        std::vector<char> buffer(65'536);
+        while (!written) {
+            if (read(reader, buffer.data(), buffer.size()) <= 0) {
+                std::this_thread::yield();
+            }
+        }
+    });
+    started.value().flush();
+    written = true;
+    drain.join();
+    close(reader);
+}
+
+Test(logger, one_at_a_time_and_unusable_files_are_named)
+{
+    const auto bad = logger::start({"p", log_level::info, log_format::text, "/nonexistent/x.log"});
+    cr_assert(bad.has_error());
+    cr_assert(bad.error().message().find("/nonexistent/x.log") != std::string::npos);
+    const std::string file = temporary_file();
+    const auto first = logger::start({"p", log_level::info, log_format::text, file});
+    cr_assert(first.has_value());
+    cr_assert(logger::start({"p", log_level::info, log_format::text, file}).error().kind() ==
+              error_kind::conflict);
+    std::filesystem::remove(file);
+}
+
+} // namespace dragonflymill
