Grant permits for an upstream under a cold-start ramp

Cause: an upstream in cold start falls over when every gateway sends it a little, and permits of a dead gateway would keep its capacity for ever.

Permits are leases.

--- /dev/null
+++ b/src/admission/permit_gate.cpp
@@ -0,0 +1,394 @@
+#include "dragonflymill/admission/permit_gate.h"
+
+#include "dragonflymill/core/assert.h"
+#include "dragonflymill/core/guard.h"
+#include "dragonflymill/core/stable_hash.h"
+
+#include <algorithm>
+
+namespace dragonflymill {
+namespace {
+
+/// Refusals are counted over this time to spread the retries of all who were refused.
+constexpr duration refusal_window = 1s;
+/// A warm-up request is wanted for this long after a request was refused for its size.
+constexpr duration warm_up_interest = 10s;
+
+auto remedy_of(refusal_code code) -> const char*
+{
+    switch (code) {
+    case refusal_code::draining:
+        return "use another upstream; this one is being taken out of service";
+    case refusal_code::too_large:
+        return "raise max_outstanding of the upstream or split the prompt over a gang";
+    case refusal_code::upstream_cold:
+        return "try another upstream, or this one after retry_after; it is warming up";
+    default:
+        return "try another upstream, or this one after retry_after";
+    }
+}
+
+} // namespace
+
+permit_gate::permit_gate(instant now, permit_gate_options options, std::uint64_t seed)
+    : options_(options)
+    , seed_(seed)
+    , ramp_(now, options.ramp)
+    , model_(options.first_token)
+    , load_step_(options.load_step)
+    , refusal_window_(now)
+{
+}
+
+auto permit_gate::ask(instant now, const permit_ask& request) -> permit_answer
+{
+    DRAGONFLYMILL_ASSERT(request.cost > 0, "work has a cost");
+    advance(now);
+    if (guard_holds(guard::drain) && draining_) {
+        return refuse(now, request, refusal_code::draining);
+    }
+    if (request.cost > largest(request.size_class)) {
+        return refuse(now, request, refusal_code::too_large);
+    }
+    if (permits_.size() >= options_.max_permits) {
+        return refuse(now, request, refusal_code::overloaded);
+    }
+    // Guarded failure: 410 gateways that each send "just one" request to a cold upstream knock it over. They
+    // are counted here, at the one place that all of their work passes, and not at the gateways.
+    if (guard_holds(guard::cold_ramp) && request.cost > room_for(request.size_class)) {
+        const bool never_fits_now = request.cost > ramp_.allowed();
+        (never_fits_now ? last_size_refusal_ : last_room_refusal_) = now;
+        const auto code = ramp_.warm() ? refusal_code::overloaded : refusal_code::upstream_cold;
+        return refuse(now, request, code);
+    }
+    const permit granted = grant(now, request);
+    DRAGONFLYMILL_ASSERT(!guard_holds(guard::cold_ramp) || outstanding_ <= ramp_.allowed(),
+                         "a grant stays under the ramp");
+    return granted;
+}
+
+auto permit_gate::grant(instant now, const permit_ask& request) -> permit
+{
+    const lease_id lease(next_lease_++);
+    outstanding_ += request.cost;
+    outstanding_by_class_[index_of(request.size_class)] += request.cost;
+    load_step_.own_work(now, outstanding_);
+    entry held;
+    held.request = request;
+    held.granted = now;
+    held.until = now + options_.lease_term;
+    held.epoch = ramp_.epoch();
+    held.peak = outstanding_;
+    ends_.emplace(held.until, lease);
+    const permit granted{lease, held.until};
+    permits_.emplace(lease, std::move(held));
+    return granted;
+}
+
+auto permit_gate::begin(instant now, lease_id lease) -> bool
+{
+    advance(now);
+    const auto found = permits_.find(lease);
+    if (found == permits_.end() || found->second.began || (guard_holds(guard::drain) && draining_)) {
+        return false;
+    }
+    found->second.began = now;
+    return true;
+}
+
+auto permit_gate::renew(instant now, lease_id lease) -> bool
+{
+    advance(now);
+    const auto found = permits_.find(lease);
+    if (found == permits_.end() || found->second.orphaned) {
+        return false;
+    }
+    set_until(lease, found->second, now + options_.lease_term);
+    return true;
+}
+
+void permit_gate::first_token(instant now, lease_id lease)
+{
+    advance(now);
+    const auto found = permits_.find(lease);
+    if (found == permits_.end() || !found->second.began || found->second.answered) {
+        return;
+    }
+    measure(now, found->second);
+}
+
+void permit_gate::measure(instant now, entry& held)
+{
+    held.answered = true;
+    const duration elapsed = now - *held.began;
+    const double leniency = options_.leniency[index_of(held.request.size_class)];
+    const first_token_verdict verdict = model_.judge(held.request.prefill, elapsed, leniency);
+    if (verdict != first_token_verdict::unjudged) {
+        held.stretch = model_.stretch(held.request.prefill, elapsed);
+    }
+    model_.learn(now, held.request.prefill, elapsed);
+    if (verdict == first_token_verdict::cold) {
+        turned_cold(now);
+        return;
+    }
+    credit(now, held);
+}
+
+void permit_gate::credit(instant now, const entry& held)
+{
+    const bool refused_beside = last_room_refusal_ && *last_room_refusal_ >= held.granted;
+    const work_cost peak = std::max(held.peak, outstanding_);
+    ramp_.succeeded(now, {held.epoch, held.request.cost, peak, refused_beside, held.stretch});
+}
+
+void permit_gate::done(instant now, lease_id lease, work_outcome outcome)
+{
+    advance(now);
+    const auto found = permits_.find(lease);
+    if (found == permits_.end()) {
+        return;
+    }
+    entry& held = found->second;
+    if (outcome == work_outcome::success && held.began && !held.answered) {
+        measure(now, held);
+    }
+    const bool overloaded = outcome == work_outcome::overloaded;
+    remove(found);
+    if (overloaded) {
+        turned_cold(now);
+    }
+}
+
+void permit_gate::report(instant now, const upstream_report& word)
+{
+    advance(now);
+    const bool restarted = upstream_start_ && *upstream_start_ != word.start;
+    upstream_start_ = word.start;
+    if (restarted) {
+        // What the upstream held is gone with its former start, so nothing of it counts any more.
+        while (!permits_.empty()) {
+            end(permits_.begin(), permit_end::upstream_started);
+        }
+        turned_cold(now);
+        return;
+    }
+    const bool stepped = load_step_.report(now, word.queued_prefill, word.age);
+    if (word.cold || stepped) {
+        turned_cold(now);
+    }
+}
+
+void permit_gate::turned_cold(instant now)
+{
+    ramp_.fall(now);
+    load_step_.forget();
+    if (outstanding_ > ramp_.allowed()) {
+        end_unbegun(permit_end::turned_cold);
+    }
+}
+
+void permit_gate::set_draining(instant now, bool draining)
+{
+    advance(now);
+    if (draining_ == draining) {
+        return;
+    }
+    draining_ = draining;
+    if (!guard_holds(guard::drain)) {
+        return;
+    }
+    if (draining_) {
+        end_unbegun(permit_end::drained);
+    }
+    else {
+        ramp_.fall(now);
+    }
+}
+
+void permit_gate::resize(instant now, work_cost floor, work_cost ceiling)
+{
+    advance(now);
+    ramp_.resize(now, floor, ceiling);
+}
+
+void permit_gate::upstream_changed(instant now)
+{
+    advance(now);
+    model_.forget();
+    turned_cold(now);
+}
+
+auto permit_gate::tick(instant now) -> std::vector<ended_permit>
+{
+    advance(now);
+    find_overdue(now);
+    return std::exchange(ended_, {});
+}
+
+void permit_gate::advance(instant now)
+{
+    // Guarded failure: this process was paused, and the renewals that its holders sent meanwhile are still in
+    // its sockets. Ending every lease on wake-up would cut off healthy streams, so the pause doesn't count.
+    if (last_call_ && now - *last_call_ > options_.own_pause) {
+        const duration gap = now - *last_call_;
+        for (auto& [lease, held] : permits_) {
+            if (held.began && !held.orphaned) {
+                set_until(lease, held, held.until + gap);
+            }
+        }
+    }
+    last_call_ = now;
+    end_expired(now);
+}
+
+void permit_gate::end_expired(instant now)
+{
+    // Guarded failure: a gateway dies with permits in hand and the upstream's capacity shrinks for good.
+    while (guard_holds(guard::lease_end) && !ends_.empty() && ends_.begin()->first <= now) {
+        const auto found = permits_.find(ends_.begin()->second);
+        if (!found->second.began) {
+            end(found, permit_end::never_used);
+            continue;
+        }
+        ends_.erase(ends_.begin());
+        found->second.orphaned = true;
+        ended_.push_back({found->first, found->second.request.asker, permit_end::not_renewed, true});
+    }
+}
+
+void permit_gate::find_overdue(instant now)
+{
+    // Guarded failure: an upstream that turned cold answers nothing at all, so no slow first token is ever
+    // measured. The wait itself is the sign; each request gives it once.
+    bool overdue = false;
+    for (auto& [lease, held] : permits_) {
+        if (!held.began || held.answered) {
+            continue;
+        }
+        const double leniency = options_.leniency[index_of(held.request.size_class)];
+        const auto limit = model_.overdue_after(held.request.prefill, leniency);
+        if (limit && now - *held.began > *limit) {
+            held.answered = true;
+            overdue = true;
+        }
+    }
+    if (overdue) {
+        turned_cold(now);
+    }
+}
+
+void permit_gate::set_until(lease_id lease, entry& held, instant until)
+{
+    ends_.erase({held.until, lease});
+    held.until = until;
+    ends_.emplace(until, lease);
+}
+
+void permit_gate::end(entries::iterator held, permit_end why)
+{
+    ended_.push_back({held->first, held->second.request.asker, why, held->second.began.has_value()});
+    remove(held);
+}
+
+void permit_gate::end_unbegun(permit_end why)
+{
+    for (auto next = permits_.begin(); next != permits_.end();) {
+        const auto held = next++;
+        if (!held->second.began) {
+            end(held, why);
+        }
+    }
+}
+
+void permit_gate::remove(entries::iterator held)
+{
+    const permit_ask& request = held->second.request;
+    outstanding_ -= request.cost;
+    outstanding_by_class_[index_of(request.size_class)] -= request.cost;
+    DRAGONFLYMILL_ASSERT(outstanding_ >= 0, "what is given back was granted");
+    ends_.erase({held->second.until, held->first});
+    permits_.erase(held);
+}
+
+auto permit_gate::reserved_for(length_class size_class, work_cost allowed) const -> work_cost
+{
+    return static_cast<work_cost>(options_.reserved[index_of(size_class)] * static_cast<double>(allowed));
+}
+
+auto permit_gate::room_for(length_class size_class) const -> work_cost
+{
+    work_cost room = ramp_.allowed() - outstanding_;
+    for (const length_class other : all_length_classes) {
+        const work_cost unused =
+            reserved_for(other, ramp_.allowed()) - outstanding_by_class_[index_of(other)];
+        room -= other == size_class ? 0 : std::max<work_cost>(0, unused);
+    }
+    return room;
+}
+
+auto permit_gate::largest(length_class size_class) const -> work_cost
+{
+    const work_cost ceiling = ramp_.options().ceiling;
+    work_cost room = ceiling;
+    for (const length_class other : all_length_classes) {
+        room -= other == size_class ? 0 : reserved_for(other, ceiling);
+    }
+    return room;
+}
+
+auto permit_gate::refuse(instant now, const permit_ask& request, refusal_code code) -> refusal
+{
+    // Nothing has left for the upstream and this answer carries no permit, so `no` is certain.
+    const bool hopeless = code == refusal_code::too_large;
+    const duration after = hopeless ? duration::zero() : retry_after(now, request.asker);
+    return {code, ran_state::no, after, remedy_of(code)};
+}
+
+auto permit_gate::retry_after(instant now, const process_id& asker) -> duration
+{
+    if (now - refusal_window_ >= refusal_window) {
+        const bool adjoining = now - refusal_window_ < 2 * refusal_window;
+        refusals_before_ = adjoining ? refusals_in_window_ : 0;
+        refusals_in_window_ = 0;
+        refusal_window_ = now;
+    }
+    ++refusals_in_window_;
+    const auto askers = static_cast<duration::rep>(std::max(refusals_before_, refusals_in_window_));
+    const duration spread = std::min(options_.retry_per_asker * askers, options_.retry_spread_limit);
+    // Salted with the window: two askers whose hashes lie close don't meet again at every retry.
+    const auto salt = seed_ + static_cast<std::uint64_t>(refusal_window_.time_since_epoch().count());
+    const std::uint64_t hash = stable_hash(asker.text(), salt);
+    const auto places = static_cast<std::uint64_t>(std::max<duration::rep>(1, spread.count()));
+    return options_.retry_base + duration(static_cast<duration::rep>(hash % places));
+}
+
+auto permit_gate::load() const -> gate_load
+{
+    return {outstanding_, ramp_.allowed(), ramp_.options().ceiling, permits_.size(), draining_};
+}
+
+auto permit_gate::over_allowance() const -> std::vector<lease_id>
+{
+    std::vector<lease_id> chosen;
+    work_cost left = outstanding_;
+    for (auto c = all_length_classes.rbegin(); c != all_length_classes.rend(); ++c) {
+        for (auto held = permits_.rbegin(); held != permits_.rend() && left > ramp_.allowed(); ++held) {
+            if (held->second.request.size_class == *c && !held->second.orphaned) {
+                chosen.push_back(held->first);
+                left -= held->second.request.cost;
+            }
+        }
+    }
+    return chosen;
+}
+
+auto permit_gate::warm_up_cost(instant now) const -> work_cost
+{
+    const bool wanted = last_size_refusal_ && now - *last_size_refusal_ < warm_up_interest;
+    if (!wanted || ramp_.warm() || outstanding_ > 0 || draining_) {
+        return 0;
+    }
+    return room_for(length_class::interactive);
+}
+
+} // namespace dragonflymill
