Choose upstreams by predicted first-token time

Cause: a gateway has to send prompts of very unlike lengths to engines whose word on their load is old.

--- /dev/null
+++ b/src/route/first_token_model.cpp
@@ -0,0 +1,40 @@
+#include "dragonflymill/route/first_token_model.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr double microseconds = 1e6;
+constexpr double longest_prediction = 3.6e9;
+
+} // namespace
+
+auto class_on(const upstream_record& record, const route_request& request, token_count prefill)
+    -> length_class
+{
+    const token_count memory = record.description().memory;
+    const token_count bound = memory == 0 ? std::numeric_limits<token_count>::max() : memory;
+    return classify(prefill, request.prompt_tokens + request.max_tokens, bound);
+}
+
+auto predict_first_token(const upstream_record& record, length_class size, token_count prefill) -> duration
+{
+    const auto& description = record.description();
+    const double rate = std::max(1.0, description.prefill_rate);
+    const auto chunk = static_cast<double>(std::max<token_count>(1, description.prefill_chunk));
+    const auto work = static_cast<double>(record.queue_ahead(size) + prefill);
+    const double growth = static_cast<double>(description.decode_step_growth.count());
+    const double step =
+        static_cast<double>(description.decode_step.count()) + growth * static_cast<double>(record.running());
+    const token_count queued = record.queue_ahead(length_class::gang);
+    const double begun_chunk = std::min(chunk, static_cast<double>(queued)) / rate * microseconds;
+    const double steps = std::max(1.0, work / chunk);
+    const double busy = queued > 0 || record.running() > 0 ? 0.5 : 0.0;
+    const double time = work / rate * microseconds + steps * step + busy * (step + begun_chunk);
+    return duration(static_cast<duration::rep>(std::min(time, longest_prediction)));
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/route/predicted_first_token.cpp
@@ -0,0 +1,177 @@
+#include "dragonflymill/route/predicted_first_token.h"
+
+#include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/route/first_token_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr double microseconds = 1e6;
+
+auto mix(std::uint64_t key, std::uint64_t name_hash) -> std::uint64_t
+{
+    std::uint64_t z = key ^ (name_hash * 0x9e3779b97f4a7c15ULL);
+    z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27U)) * 0x94d049bb133111ebULL;
+    return z ^ (z >> 31U);
+}
+
+auto work_on(const upstream_record& record) -> double
+{
+    return static_cast<double>(record.queue_ahead(length_class::gang));
+}
+
+} // namespace
+
+predicted_first_token::predicted_first_token(predicted_first_token_settings settings)
+    : settings_(std::move(settings))
+{
+}
+
+auto predicted_first_token::choose(instant now, const route_request& request, const upstream_table& table,
+                                   const prefix_map& prefixes) -> route_decision
+{
+    table.candidates(request, list_);
+    if (list_.upstreams.empty()) {
+        return refuse_route(list_);
+    }
+    prefixes.lookup(request.blocks, matches_);
+    keep_bulk_apart(request);
+    cost_all(now, request);
+    const upstream_record* home = home_of(request);
+    const bool credit = home != nullptr && home_has_room(*home, request);
+    if (credit) {
+        const auto of_home = [home](const costed& each) { return each.record == home; };
+        auto& entry = *std::find_if(costs_.begin(), costs_.end(), of_home);
+        const auto blocks = static_cast<double>(std::min(settings_.home_blocks, request.blocks.size()));
+        const auto assumed = static_cast<token_count>(blocks * settings_.home_credit * double(block_tokens));
+        entry.cost = std::min(entry.cost, cost_of(now, request, *home, std::max(entry.cached, assumed)));
+    }
+    const costed& best = pick(request);
+    route_reason reason =
+        home != nullptr && !credit ? route_reason::left_home : route_reason::least_predicted;
+    if (list_.upstreams.size() == 1) {
+        reason = route_reason::only_candidate;
+    }
+    else if (best.cached > 0) {
+        reason = route_reason::prefix_cached;
+    }
+    else if (credit && best.record == home) {
+        reason = route_reason::prefix_home;
+    }
+    else if (best.record->load().cold) {
+        reason = route_reason::cold_upstream;
+    }
+    return choose_route(*best.record, request, best.cached, reason);
+}
+
+void predicted_first_token::keep_bulk_apart(const route_request& request)
+{
+    const token_count prefill = request.prompt_tokens;
+    const auto reserved = [&](const upstream_record* record) {
+        const auto left = std::max<token_count>(1, prefill - cached_on(*record));
+        return !record->description().takes_bulk && class_on(*record, request, left) >= length_class::bulk;
+    };
+    auto& upstreams = list_.upstreams;
+    if (prefill > medium_limit && !std::all_of(upstreams.begin(), upstreams.end(), reserved)) {
+        std::erase_if(upstreams, reserved);
+    }
+}
+
+void predicted_first_token::cost_all(instant now, const route_request& request)
+{
+    costs_.clear();
+    for (const auto* record : list_.upstreams) {
+        const token_count cached = cached_on(*record);
+        costs_.push_back({record, cached, cost_of(now, request, *record, cached)});
+    }
+}
+
+auto predicted_first_token::cost_of(instant now, const route_request& request, const upstream_record& record,
+                                    token_count cached) const -> double
+{
+    const auto& description = record.description();
+    const token_count prefill = std::max<token_count>(1, request.prompt_tokens - cached);
+    const length_class size = class_on(record, request, prefill);
+    double time = static_cast<double>(predict_first_token(record, size, prefill).count()) * record.slowness();
+    if (record.load().cold) {
+        time *= settings_.cold_factor;
+    }
+    if (!record.has_load() || record.load_age(now) > settings_.load_stale) {
+        time += static_cast<double>(settings_.unknown_penalty.count());
+    }
+    const auto running = static_cast<double>(record.running());
+    const double own = static_cast<double>(prefill) / std::max(1.0, description.prefill_rate) * microseconds;
+    const double slower = static_cast<double>(description.decode_step_growth.count()) * running;
+    const double harm = settings_.harm_weight * running * own;
+    const double decode = settings_.decode_weight * slower * static_cast<double>(request.max_tokens);
+    const bool fits = record.memory_free() >= request.prompt_tokens + request.max_tokens;
+    const double wait_for_memory =
+        fits ? 0.0 : work_on(record) / description.prefill_rate * microseconds + own;
+    return time + harm + decode + wait_for_memory + static_cast<double>(distance(record).count());
+}
+
+auto predicted_first_token::distance(const upstream_record& record) const -> duration
+{
+    if (record.description().failure_domain == settings_.failure_domain) {
+        return settings_.same_domain;
+    }
+    return record.description().region == settings_.region ? settings_.same_region : settings_.other_region;
+}
+
+auto predicted_first_token::cached_on(const upstream_record& record) const -> token_count
+{
+    for (const auto& match : matches_) {
+        if (match.upstream_hash == record.name_hash()) {
+            return match.tokens;
+        }
+    }
+    return 0;
+}
+
+auto predicted_first_token::home_of(const route_request& request) const -> const upstream_record*
+{
+    if (settings_.home_blocks == 0 || request.blocks.size() < settings_.home_blocks) {
+        return nullptr;
+    }
+    const std::uint64_t key = request.blocks[settings_.home_blocks - 1];
+    const auto lower = [key](const costed& a, const costed& b) {
+        return mix(key, a.record->name_hash()) < mix(key, b.record->name_hash());
+    };
+    return std::max_element(costs_.begin(), costs_.end(), lower)->record;
+}
+
+auto predicted_first_token::home_has_room(const upstream_record& home, const route_request& request) const
+    -> bool
+{
+    double sum = static_cast<double>(request.prompt_tokens);
+    for (const auto& each : costs_) {
+        sum += work_on(*each.record);
+    }
+    const double bound = settings_.home_load_bound * sum / static_cast<double>(costs_.size());
+    return work_on(home) <= std::max(bound, static_cast<double>(interactive_limit));
+}
+
+auto predicted_first_token::pick(const route_request& request) const -> const costed&
+{
+    double least = costs_.front().cost;
+    for (const auto& each : costs_) {
+        least = std::min(least, each.cost);
+    }
+    const double limit = least * (1.0 + settings_.tie);
+    const std::uint64_t key = stable_hash(request.id.text());
+    const costed* best = nullptr;
+    for (const auto& each : costs_) {
+        const bool near = each.cost <= limit;
+        const bool better =
+            best == nullptr || mix(key, each.record->name_hash()) > mix(key, best->record->name_hash());
+        best = near && better ? &each : best;
+    }
+    return *best;
+}
+
+} // namespace dragonflymill
