--- /dev/null
+++ b/src/retry/retry_rules.cpp
@@ -0,0 +1,103 @@
+#include "dragonflymill/retry/retry_rules.h"
+
+#include <algorithm>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr std::uint64_t most_doublings = 20;
+
+/// Whether another try could end differently.
+auto is_passing(refusal_code code) -> bool
+{
+    switch (code) {
+    case refusal_code::overloaded:
+    case refusal_code::upstream_cold:
+    case refusal_code::upstream_gone:
+    case refusal_code::draining:
+    case refusal_code::stopping:
+    case refusal_code::not_ready:
+        return true;
+    default:
+        return false;
+    }
+}
+
+auto remedy_for(const failed_attempt& attempt) -> const char*
+{
+    if (attempt.ran == ran_state::unknown && attempt.kind == call_kind::non_repeatable) {
+        return "it may have been run: ask for its status before you send it again";
+    }
+    return is_passing(attempt.code) ? "send it again after the time given" : "sending it again can't help";
+}
+
+} // namespace
+
+retry_rules::retry_rules(std::uint64_t seed, retry_settings settings)
+    : settings_(settings)
+    , random_(seed)
+    , retries_(settings.retry_share, settings.retry_burst)
+    , resumes_(settings.resume_share, settings.resume_burst)
+{
+}
+
+void retry_rules::succeeded()
+{
+    retries_.succeeded();
+    resumes_.succeeded();
+}
+
+auto retry_rules::failed(instant now, const failed_attempt& attempt, const deadline_budget& limit)
+    -> retry_decision
+{
+    const duration wait = wait_before(attempt);
+    if (limit.remaining(now) < wait + settings_.least_useful) {
+        refusal answer = final_answer(attempt, wait);
+        answer.code = limit.expired(now) ? refusal_code::deadline : answer.code;
+        return answer;
+    }
+    if (!may_repeat(attempt)) {
+        return final_answer(attempt, wait);
+    }
+    const bool running_stream = attempt.kind == call_kind::stream && attempt.ran == ran_state::unknown;
+    retry_budget& budget = running_stream ? resumes_ : retries_;
+    if (!budget.take()) {
+        return final_answer(attempt, std::max(wait, settings_.longest_backoff));
+    }
+    return retry_at{now + wait};
+}
+
+auto retry_rules::may_repeat(const failed_attempt& attempt) const -> bool
+{
+    // Guards against a booking made twice: a call whose fate is unknown and that does harm when run twice is
+    // never sent again, whoever asks. What was surely not run may be.
+    if (attempt.ran == ran_state::unknown && attempt.kind == call_kind::non_repeatable) {
+        return false;
+    }
+    return is_passing(attempt.code) && attempt.attempts < settings_.max_attempts;
+}
+
+auto retry_rules::wait_before(const failed_attempt& attempt) -> duration
+{
+    if (attempt.others_left) {
+        return duration::zero();
+    }
+    const std::uint64_t doublings =
+        std::min(std::max<std::uint64_t>(attempt.attempts, 1) - 1, most_doublings);
+    const auto longest = static_cast<double>(settings_.longest_backoff.count());
+    const double grown =
+        static_cast<double>(settings_.first_backoff.count()) * static_cast<double>(1ULL << doublings);
+    // A random half of the wait keeps calls that failed together from coming back together.
+    const double spread = std::min(grown, longest) * (0.5 + 0.5 * random_.unit());
+    return std::max(attempt.retry_after, duration(static_cast<duration::rep>(spread)));
+}
+
+auto retry_rules::final_answer(const failed_attempt& attempt, duration wait) const -> refusal
+{
+    const duration asked = std::max({attempt.retry_after, wait, settings_.first_backoff});
+    const bool can_help = is_passing(attempt.code);
+    return {attempt.code, attempt.ran, can_help ? asked : duration::zero(), remedy_for(attempt)};
+}
+
+} // namespace dragonflymill
