--- a/include/dragonflymill/admission/cold_start_ramp.h
+++ b/include/dragonflymill/admission/cold_start_ramp.h
@@ -76,7 +76,7 @@
     instant epoch_began_;
     work_cost evidence_cost_ = 0;
     std::optional<instant> evidence_began_;
-    double worst_stretch_ = 0;
+    double stretch_sum_ = 0;
     bool unjudged_ = false;
 };
 
--- a/include/dragonflymill/admission/first_token_model.h
+++ b/include/dragonflymill/admission/first_token_model.h
@@ -37,9 +37,16 @@
     duration relearn_after = 180s; ///< Cold signs for so long with nothing faster are the new normal.
 };
 
+/// Which measurements may move the line.
+enum class first_token_learning
+{
+    every,       ///< The upstream is known to be warm.
+    faster_only, ///< It is warming up: slow ones, and the fast side of the noise, would shift the line.
+};
+
 /// Learns how long a warm upstream takes to the first token, by prefill length, and judges new measurements
-/// against it. The fit leans to the fast side (a slow measurement weighs little), so that an upstream which
-/// is cold while the line is learned doesn't pass for warm, and the line falls quickly as it warms up.
+/// against it. The fit leans to the fast side (a slow measurement weighs little), so that the line follows at
+/// once when the upstream gets faster and hardly moves for a burst of slow answers.
 class first_token_model
 {
 public:
@@ -49,18 +56,20 @@
     /// Judges a first token after `elapsed`; `leniency` stretches the cold limit for low-priority classes.
     [[nodiscard]] auto judge(token_count prefill, duration elapsed, double leniency = 1.0) const
         -> first_token_verdict;
-    /// How many times the line's time `elapsed` is, less the slack; 1 while there is no line.
+    /// How many times the line's time `elapsed` is; 1 while there is no line.
     [[nodiscard]] auto stretch(token_count prefill, duration elapsed) const -> double;
     /// Time from which a first token that has not come is a cold sign; nothing while there is no line.
     [[nodiscard]] auto overdue_after(token_count prefill, double leniency = 1.0) const
         -> std::optional<duration>;
     /// Takes a measurement in. One beyond the cold limit moves the line only when nothing faster came for
     /// `relearn_after`: else an upstream that stays slower for good would stay at the floor for ever.
-    void learn(instant now, token_count prefill, duration elapsed);
+    void learn(instant now, token_count prefill, duration elapsed, first_token_learning which);
+    /// The settings.
+    [[nodiscard]] auto options() const -> const first_token_options& { return options_; }
     /// Forgets the measurements, as after a change of model; the expected line stays.
     void forget();
 
-    /// Whether there is a line to judge by.
+    /// Whether there is a line to judge by: an expected one, or one learned from a warm upstream.
     [[nodiscard]] auto trusted() const -> bool;
     /// The line as it stands.
     [[nodiscard]] auto line() const -> first_token_line;
@@ -84,6 +93,7 @@
     sums sums_;
     first_token_line line_;
     std::uint32_t samples_ = 0;
+    bool expected_holds_ = false;
     std::optional<instant> cold_since_;
 };
 
--- a/src/admission/cold_start_ramp.cpp
+++ b/src/admission/cold_start_ramp.cpp
@@ -7,8 +7,8 @@
 namespace dragonflymill {
 namespace {
 
-/// First-token times up to this multiple of the line say that the whole ceiling can be carried.
-constexpr double full_speed_stretch = 1.5;
+/// Part of the mean first-token time over the line that counts as noise.
+constexpr double stretch_noise = 0.05;
 
 auto share_of(work_cost whole, double share) -> work_cost
 {
@@ -40,7 +40,7 @@
     epoch_began_ = now;
     evidence_cost_ = 0;
     evidence_began_.reset();
-    worst_stretch_ = 0;
+    stretch_sum_ = 0;
     unjudged_ = false;
 }
 
@@ -63,7 +63,7 @@
     }
     evidence_began_ = evidence_began_.value_or(now);
     evidence_cost_ += evidence.cost;
-    worst_stretch_ = std::max(worst_stretch_, evidence.stretch.value_or(0));
+    stretch_sum_ += evidence.stretch.value_or(1.0) * static_cast<double>(evidence.cost);
     unjudged_ = unjudged_ || !evidence.stretch;
     const bool enough = evidence_cost_ >= std::max<work_cost>(1, share_of(allowed_, options_.evidence_share));
     const bool blind = unjudged_ && now - cold_since_ < options_.blind_hold;
@@ -76,8 +76,8 @@
 {
     const work_cost grown = std::max(allowed_ + 1, share_of(allowed_, options_.growth));
     // An upstream that takes twice its time to the first token carries at most half of its full load.
-    const double speed = worst_stretch_ <= full_speed_stretch ? 1.0 : 1.0 / worst_stretch_;
-    const work_cost carried = share_of(options_.ceiling, speed);
+    const double stretch = stretch_sum_ / static_cast<double>(evidence_cost_) - stretch_noise;
+    const work_cost carried = share_of(options_.ceiling, 1.0 / std::max(1.0, stretch));
     allowed_ = std::max(allowed_, std::min({grown, carried, options_.ceiling}));
     begin_epoch(now);
 }
--- a/src/admission/first_token_model.cpp
+++ b/src/admission/first_token_model.cpp
@@ -9,6 +9,8 @@
 constexpr double decay = 0.995;
 /// Weight of a measurement slower than the line against one that is faster.
 constexpr double slow_weight = 0.2;
+/// Below this share of the line a measurement is faster than noise would make it.
+constexpr double clearly_faster_share = 0.75;
 /// Weight of the expected line, as a number of measurements.
 constexpr double expected_weight = 32.0;
 /// Prompt length at the far end of the expected line.
@@ -32,6 +34,7 @@
     if (!options_.expected) {
         return;
     }
+    expected_holds_ = true;
     line_ = *options_.expected;
     const double near_us = us_of(line_.base);
     const double far_us = near_us + line_.us_per_token * expected_far_tokens;
@@ -83,8 +86,7 @@
 auto first_token_model::stretch(token_count prefill, duration elapsed) const -> double
 {
     const double predicted = predicted_us(prefill);
-    const double measured = us_of(elapsed - options_.slack);
-    return !trusted() || predicted < 1.0 ? 1.0 : std::max(0.0, measured / predicted);
+    return !trusted() || predicted < 1.0 ? 1.0 : us_of(elapsed) / predicted;
 }
 
 auto first_token_model::overdue_after(token_count prefill, double leniency) const -> std::optional<duration>
@@ -96,18 +98,25 @@
     return options_.slack + duration(static_cast<duration::rep>(limit));
 }
 
-void first_token_model::learn(instant now, token_count prefill, duration elapsed)
+void first_token_model::learn(instant now, token_count prefill, duration elapsed, first_token_learning which)
 {
     if (judge(prefill, elapsed) == first_token_verdict::cold) {
         cold_since_ = cold_since_.value_or(now);
         if (now - *cold_since_ < options_.relearn_after) {
             return;
         }
+        // The line is given up, and the ramp goes on without one until it is learned anew.
         sums_ = {};
         samples_ = 0;
+        expected_holds_ = false;
     }
     cold_since_.reset();
-    const bool slower = trusted() && us_of(elapsed) > predicted_us(prefill);
+    const double predicted = predicted_us(prefill);
+    const bool slower = trusted() && us_of(elapsed) > predicted;
+    const bool clearly_faster = trusted() && us_of(elapsed) < predicted * clearly_faster_share;
+    if (which == first_token_learning::faster_only && !clearly_faster) {
+        return;
+    }
     sums_.weight *= decay;
     sums_.x *= decay;
     sums_.y *= decay;
@@ -129,7 +138,7 @@
 
 auto first_token_model::trusted() const -> bool
 {
-    return options_.expected.has_value() || samples_ >= options_.samples_needed;
+    return expected_holds_ || samples_ >= options_.samples_needed;
 }
 
 auto first_token_model::line() const -> first_token_line
--- a/src/admission/permit_gate.cpp
+++ b/src/admission/permit_gate.cpp
@@ -126,7 +126,10 @@
     if (verdict != first_token_verdict::unjudged) {
         held.stretch = model_.stretch(held.request.prefill, elapsed);
     }
-    model_.learn(now, held.request.prefill, elapsed);
+    // An upstream that has been neither warm nor cold for long is at its new normal speed.
+    const bool settled = ramp_.warm() || now - ramp_.cold_since() >= model_.options().relearn_after;
+    const auto which = settled ? first_token_learning::every : first_token_learning::faster_only;
+    model_.learn(now, held.request.prefill, elapsed, which);
     if (verdict == first_token_verdict::cold) {
         turned_cold(now);
         return;
--- /dev/null
+++ b/tests/admission/permit_gate_fixture.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "dragonflymill/admission/permit_gate.h"
+
+#include <optional>
+#include <string>
+
+namespace dragonflymill::test {
+
+/// A moment of a test's virtual clock.
+inline auto at(duration since) -> instant
+{
+    return instant(since);
+}
+
+/// Settings of the tests' gate: 1,000 when cold, 10,000 when warm, 30 ms to the first token of 1,000 tokens.
+inline auto gate_options() -> permit_gate_options
+{
+    permit_gate_options options;
+    options.ramp.floor = 1'000;
+    options.ramp.ceiling = 10'000;
+    options.first_token.expected = first_token_line{10ms, 20.0};
+    return options;
+}
+
+inline auto ask_of(const std::string& gateway, work_cost cost,
+                   length_class size_class = length_class::interactive) -> permit_ask
+{
+    return {process_id(gateway), size_class, cost, cost};
+}
+
+/// The lease that an ask leads to, if it is granted.
+inline auto granted(permit_gate& gate, instant now, const permit_ask& ask) -> std::optional<lease_id>
+{
+    const auto answer = gate.ask(now, ask);
+    const auto* held = std::get_if<permit>(&answer);
+    return held == nullptr ? std::nullopt : std::optional(held->lease);
+}
+
+/// The refusal that an ask leads to, if it is refused.
+inline auto refused(permit_gate& gate, instant now, const permit_ask& ask) -> std::optional<refusal>
+{
+    const auto answer = gate.ask(now, ask);
+    const auto* said = std::get_if<refusal>(&answer);
+    return said == nullptr ? std::nullopt : std::optional(*said);
+}
+
+/// Brings the gate to its ceiling by quick successes at full load; returns when that was.
+inline auto warm_up(permit_gate& gate, instant now) -> instant
+{
+    constexpr duration quick = 20ms;
+    while (!gate.ramp().warm()) {
+        const work_cost all = gate.load().allowed - gate.load().allowed / 10;
+        const auto lease = granted(gate, now, ask_of("warmer", all));
+        if (!lease || !gate.begin(now, *lease)) {
+            return now;
+        }
+        now += quick;
+        gate.first_token(now, *lease);
+        gate.done(now, *lease, work_outcome::success);
+        now += gate.ramp().options().window;
+    }
+    return now;
+}
+
+} // namespace dragonflymill::test
--- a/tests/admission/permit_gate_test.cpp
+++ b/tests/admission/permit_gate_test.cpp
@@ -1,40 +1,180 @@
-#include "dragonflymill/admission/permit_gate.h"
+#include "admission/permit_gate_fixture.h"
 
-#include "support/fault_cell.h"
+#include <criterion/criterion.h>
 
 using namespace dragonflymill;
+using namespace dragonflymill::test;
 
-namespace {
+Test(permit_gate, a_grant_stays_under_the_floor_of_a_cold_upstream)
+{
+    permit_gate gate(at(0s), gate_options());
+    cr_assert(granted(gate, at(0s), ask_of("g1", 500)));
+    const auto second = refused(gate, at(0s), ask_of("g2", 600));
+    cr_assert(second);
+    cr_assert(second->code == refusal_code::upstream_cold);
+    cr_assert(second->ran == ran_state::no);
+    cr_assert(second->retry_after > 0us);
+}
 
-auto at(duration since) -> instant
+Test(permit_gate, quick_successes_at_full_load_open_it_to_the_ceiling)
 {
-    return instant(since);
+    permit_gate gate(at(0s), gate_options());
+    const instant warm = warm_up(gate, at(0s));
+    cr_assert(gate.ramp().warm());
+    cr_assert(warm < at(3s));
 }
 
-auto options() -> permit_gate_options
+Test(permit_gate, time_and_an_idle_upstream_open_nothing)
 {
-    permit_gate_options result;
-    result.ramp.floor = 1'000;
-    result.ramp.ceiling = 10'000;
-    result.first_token.expected = first_token_line{10ms, 10.0};
-    return result;
+    permit_gate gate(at(0s), gate_options());
+    for (duration t = 0s; t < 100s; t += 1s) {
+        const auto lease = granted(gate, at(t), ask_of("g", 100));
+        cr_assert(gate.begin(at(t), *lease));
+        gate.first_token(at(t + 10ms), *lease);
+        gate.done(at(t + 20ms), *lease, work_outcome::success);
+    }
+    cr_assert(gate.load().allowed == 1'000);
 }
 
-auto ask_of(const std::string& gateway, work_cost cost, length_class size_class = length_class::interactive)
-    -> permit_ask
+Test(permit_gate, short_requests_find_room_beside_long_ones)
 {
-    return {process_id(gateway), size_class, cost, cost};
+    permit_gate gate(at(0s), gate_options());
+    const instant now = warm_up(gate, at(0s));
+    while (granted(gate, now, ask_of("g", 500, length_class::bulk))) {
+    }
+    cr_assert(refused(gate, now, ask_of("g", 500, length_class::bulk))->code == refusal_code::overloaded);
+    cr_assert(granted(gate, now, ask_of("g", 1'000, length_class::interactive)));
+    cr_assert(gate.load().outstanding <= gate.load().allowed);
 }
 
-} // namespace
+Test(permit_gate, what_never_fits_is_told_so)
+{
+    permit_gate gate(at(0s), gate_options());
+    const auto said = refused(gate, at(0s), ask_of("g", 9'000, length_class::bulk));
+    cr_assert(said->code == refusal_code::too_large);
+    cr_assert(said->retry_after == 0us);
+}
 
-Test(permit_gate, a_grant_stays_under_the_floor_of_a_cold_upstream)
+Test(permit_gate, only_large_requests_call_for_a_warm_up_request)
+{
+    permit_gate gate(at(0s), gate_options());
+    cr_assert(gate.warm_up_cost(at(0s)) == 0);
+    cr_assert(refused(gate, at(0s), ask_of("g", 5'000, length_class::bulk)));
+    const work_cost cost = gate.warm_up_cost(at(1s));
+    cr_assert(cost > 0);
+    cr_assert(granted(gate, at(1s), ask_of("sidecar", cost)));
+    cr_assert(gate.warm_up_cost(at(1s)) == 0);
+}
+
+Test(permit_gate, at_its_bound_it_refuses)
+{
+    permit_gate_options options = gate_options();
+    options.max_permits = 2;
+    permit_gate gate(at(0s), options);
+    cr_assert(granted(gate, at(0s), ask_of("g", 1)));
+    cr_assert(granted(gate, at(0s), ask_of("g", 1)));
+    const auto third = refused(gate, at(0s), ask_of("g", 1));
+    cr_assert(third->code == refusal_code::overloaded);
+    cr_assert(third->ran == ran_state::no);
+}
+
+Test(permit_gate, the_refused_come_back_spread_out)
+{
+    permit_gate gate(at(0s), gate_options());
+    cr_assert(granted(gate, at(0s), ask_of("g", 1'000 - 50)));
+    std::array<int, 10> in_slot{};
+    constexpr int askers = 400;
+    for (int i = 0; i < askers; ++i) {
+        const auto said = refused(gate, at(0s), ask_of("gateway-" + std::to_string(i), 900));
+        cr_assert(said->retry_after < 3s);
+        ++in_slot[std::min<std::size_t>(9, static_cast<std::size_t>(said->retry_after / 300ms))];
+    }
+    for (const int count : in_slot) {
+        cr_assert(count < askers / 2);
+    }
+}
+
+Test(permit_gate, over_allowance_names_long_and_new_work_first)
+{
+    permit_gate gate(at(0s), gate_options());
+    const instant now = warm_up(gate, at(0s));
+    const auto bulk = granted(gate, now, ask_of("g", 5'000, length_class::bulk));
+    const auto small = granted(gate, now, ask_of("g", 900));
+    cr_assert(gate.begin(now, *bulk));
+    cr_assert(gate.begin(now, *small));
+    cr_assert(gate.over_allowance().empty());
+    gate.report(now, {incarnation(1), true, 0, 0us});
+    cr_assert(gate.over_allowance() == std::vector<lease_id>{*bulk});
+}
+
+Test(first_token_model, line_is_learned_from_a_warm_upstream_and_judges)
+{
+    first_token_model model({});
+    cr_assert(model.judge(1'000, 10s) == first_token_verdict::unjudged);
+    for (token_count tokens = 100; tokens <= 3'200; tokens += 100) {
+        model.learn(at(0s), tokens, 10ms + duration(tokens * 20), first_token_learning::every);
+    }
+    cr_assert(model.trusted());
+    cr_assert(std::abs(model.line().us_per_token - 20.0) < 1.0);
+    cr_assert(model.judge(1'000, 30ms) == first_token_verdict::warm);
+    cr_assert(model.judge(1'000, 150ms) == first_token_verdict::slow);
+    cr_assert(model.judge(1'000, 400ms) == first_token_verdict::cold);
+}
+
+Test(first_token_model, a_warming_upstream_does_not_move_the_line_up)
+{
+    first_token_model model({.expected = first_token_line{10ms, 20.0}});
+    const first_token_line before = model.line();
+    for (int i = 0; i < 1'000; ++i) {
+        model.learn(at(0s), 1'000, 60ms, first_token_learning::faster_only);
+    }
+    cr_assert(model.line() == before);
+}
+
+Test(first_token_model, slower_for_good_becomes_the_new_normal)
+{
+    first_token_model model({.expected = first_token_line{10ms, 20.0}});
+    for (duration t = 0s; t <= 200s; t += 1s) {
+        model.learn(at(t), 1'000, 900ms, first_token_learning::every);
+    }
+    cr_assert(model.judge(1'000, 900ms) == first_token_verdict::warm);
+}
+
+Test(cold_start_ramp, evidence_of_an_earlier_epoch_counts_for_nothing)
+{
+    cold_start_ramp ramp(at(0s), {.floor = 10, .ceiling = 100});
+    const std::uint64_t old = ramp.epoch();
+    ramp.fall(at(1s));
+    ramp.succeeded(at(2s), {old, 10, 10, false, 1.0});
+    cr_assert(ramp.allowed() == 10);
+    ramp.succeeded(at(2s), {ramp.epoch(), 10, 10, false, 1.0});
+    cr_assert(ramp.allowed() == 15);
+}
+
+Test(cold_start_ramp, a_slow_upstream_opens_only_as_far_as_it_is_fast)
+{
+    cold_start_ramp ramp(at(0s), {.floor = 10, .ceiling = 100});
+    for (int i = 1; i < 100; ++i) {
+        ramp.succeeded(at(1s * i), {ramp.epoch(), ramp.allowed(), ramp.allowed(), false, 2.05});
+    }
+    cr_assert(ramp.allowed() == 50);
+}
+
+Test(cold_start_ramp, large_requests_that_leave_a_gap_still_open_it)
+{
+    cold_start_ramp ramp(at(0s), {.floor = 100, .ceiling = 1'000});
+    ramp.succeeded(at(1s), {ramp.epoch(), 60, 60, false, 1.0});
+    cr_assert(ramp.allowed() == 100);
+    ramp.succeeded(at(1s), {ramp.epoch(), 60, 60, true, 1.0});
+    cr_assert(ramp.allowed() == 150);
+}
+
+Test(load_step_detector, a_queue_that_own_work_explains_is_no_sign)
 {
-    permit_gate gate(at(0s), options());
-    cr_assert(std::holds_alternative<permit>(gate.ask(at(0s), ask_of("g1", 500))));
-    const auto second = gate.ask(at(0s), ask_of("g2", 600));
-    cr_assert(std::holds_alternative<refusal>(second));
-    cr_assert(std::get<refusal>(second).code == refusal_code::upstream_cold);
-    cr_assert(std::get<refusal>(second).ran == ran_state::no);
-    cr_assert(std::get<refusal>(second).retry_after > 0us);
+    load_step_detector detector({});
+    detector.own_work(at(0s), 10'000);
+    cr_assert(!detector.report(at(5s), 2'000, 100ms));
+    detector.own_work(at(6s), 40'000);
+    cr_assert(!detector.report(at(6s), 20'000, 100ms));
+    cr_assert(!detector.report(at(7s), 90'000, 3s), "too old to tell anything");
 }
