--- /dev/null
+++ b/tests/standins/engine_model.cpp
@@ -0,0 +1,503 @@
+#include "standins/engine_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dragonflymill::standins {
+
+namespace {
+
+constexpr std::size_t run_limit = 20'000;
+// An imported span stays at its source; here it takes this share of its size.
+constexpr token_count import_share = 64;
+// A cold engine prefills this much slower.
+constexpr double cold_slowness = 3.0;
+constexpr token_count large_context = 100'000;
+
+template <typename T>
+auto contains(const std::vector<T>& items, const T& item) -> bool
+{
+    return std::find(items.begin(), items.end(), item) != items.end();
+}
+
+auto seconds(double value) -> duration
+{
+    return duration(static_cast<std::int64_t>(std::llround(value * 1e6)));
+}
+
+} // namespace
+
+engine_model::engine_model(engine_settings settings)
+    : settings_(std::move(settings))
+    , cache_(settings_.cache_total, settings_.event_lag, settings_.event_loss, settings_.seed)
+    , models_(settings_.models)
+    , start_id_(settings_.seed * 1'000 + 1)
+    , warmed_(settings_.starts_cold ? 0 : settings_.warm_after)
+{
+}
+
+auto engine_model::advance(instant now) -> std::vector<engine_event>
+{
+    std::vector<engine_event> out = std::move(waiting_events_);
+    waiting_events_.clear();
+    while (step_end_ && *step_end_ <= now) {
+        now_ = *step_end_;
+        finish_orders();
+        report_load();
+        finish_step(out);
+        start_step();
+    }
+    now_ = std::max(now_, now);
+    finish_orders();
+    report_load();
+    return out;
+}
+
+auto engine_model::next_wake() const -> std::optional<instant>
+{
+    if (!waiting_events_.empty()) {
+        return now_;
+    }
+    std::optional<instant> out = step_end_;
+    for (const auto& pending : pending_orders_) {
+        out = out ? std::min(*out, pending.done) : pending.done;
+    }
+    return out;
+}
+
+auto engine_model::refusal_of(const completion_order& order) const -> unsigned
+{
+    constexpr unsigned not_loaded = 404;
+    constexpr unsigned same_attempt = 409;
+    constexpr unsigned too_large = 413;
+    constexpr unsigned no_memory = 429;
+    constexpr unsigned too_much_load = 503;
+    if (!up()) {
+        return too_much_load;
+    }
+    if (!contains(models_, order.model) || (!order.adapter.empty() && !contains(adapters_, order.adapter))) {
+        return not_loaded;
+    }
+    const auto same = [&order](const auto& item) {
+        return item.second.order.request_id == order.request_id && item.second.order.attempt == order.attempt;
+    };
+    if (std::any_of(works_.begin(), works_.end(), same)) {
+        return same_attempt;
+    }
+    const auto need = order.prompt.tokens - imported_tokens(order) + order.max_tokens;
+    if (need > settings_.memory_total) {
+        return too_large;
+    }
+    if (memory_used() + need > settings_.memory_total) {
+        return no_memory;
+    }
+    return works_.size() >= settings_.stream_limit ? too_much_load : 200;
+}
+
+auto engine_model::submit(const completion_order& order) -> std::pair<unsigned, work_id>
+{
+    const auto refusal = refusal_of(order);
+    if (refusal != 200) {
+        return {refusal, 0};
+    }
+    const auto imported = imported_tokens(order);
+    const auto cached = std::max(imported, cache_.cached_tokens(order.prompt));
+    work item;
+    item.order = order;
+    item.context = order.prompt.tokens + order.resume_offset;
+    // The last token of a prompt is always computed: it yields the first token of the answer.
+    item.prefill_left = std::max<token_count>(1, item.context - cached);
+    item.memory = order.prompt.tokens - imported + order.max_tokens;
+    item.next_offset = order.resume_offset;
+    item.length = answer_length(order.model, order.prompt.hash, order.max_tokens);
+    item.run = add_run(order, item.prefill_left);
+    const auto id = ++last_work_;
+    works_.emplace(id, std::move(item));
+    check_cold_limit();
+    if (!step_end_) {
+        start_step();
+    }
+    return {200, id};
+}
+
+auto engine_model::cancel(const std::string& request_id) -> bool
+{
+    std::vector<work_id> ids;
+    for (const auto& [id, item] : works_) {
+        if (item.order.request_id == request_id) {
+            ids.push_back(id);
+        }
+    }
+    for (const auto id : ids) {
+        end(id, "cancelled", waiting_events_);
+    }
+    return false;
+}
+
+void engine_model::detach(work_id id)
+{
+    if (const auto found = works_.find(id); found != works_.end()) {
+        found->second.detached = true;
+    }
+}
+
+auto engine_model::export_span(const std::string& request_id, const std::string& span, token_count tokens)
+    -> std::pair<unsigned, work_id>
+{
+    if (!up()) {
+        return {503, 0};
+    }
+    if (spans_.count(span) != 0) {
+        return {409, 0};
+    }
+    if (memory_used() + tokens > settings_.memory_total) {
+        return {429, 0};
+    }
+    work item;
+    item.order.request_id = request_id;
+    item.order.priority = 1;
+    item.span = span;
+    item.prefill_left = std::max<token_count>(1, tokens);
+    spans_[span] = {tokens, tokens};
+    const auto id = ++last_work_;
+    works_.emplace(id, std::move(item));
+    check_cold_limit();
+    if (!step_end_) {
+        start_step();
+    }
+    return {200, id};
+}
+
+auto engine_model::import_span(const std::string& span, token_count tokens) -> unsigned
+{
+    if (!up()) {
+        return 503;
+    }
+    const auto memory = (tokens + import_share - 1) / import_share;
+    if (spans_.count(span) == 0 && memory_used() + memory > settings_.memory_total) {
+        return 429;
+    }
+    spans_.try_emplace(span, span_entry{tokens, memory});
+    return 200;
+}
+
+void engine_model::release_span(const std::string& span)
+{
+    spans_.erase(span);
+    for (auto it = works_.begin(); it != works_.end();) {
+        it = it->second.span == span && !span.empty() ? works_.erase(it) : std::next(it);
+    }
+}
+
+auto engine_model::give(const control_order& order) -> unsigned
+{
+    if (!up()) {
+        return 503;
+    }
+    if (settings_.honours_fence) {
+        if (order.fence < fence_) {
+            return 409;
+        }
+        fence_ = order.fence;
+    }
+    orders_.push_back(order);
+    if (order.kind == "load_model" && !contains(models_, order.model)) {
+        pending_orders_.push_back({now_ + settings_.order_time, order});
+    }
+    else if (order.kind == "load_adapter" && !contains(adapters_, order.adapter)) {
+        pending_orders_.push_back({now_ + settings_.order_time / 10, order});
+    }
+    else {
+        apply(order);
+    }
+    return 200;
+}
+
+void engine_model::apply(const control_order& order)
+{
+    if (order.kind == "load_model" && !contains(models_, order.model)) {
+        models_.push_back(order.model);
+    }
+    else if (order.kind == "unload_model") {
+        models_.erase(std::remove(models_.begin(), models_.end(), order.model), models_.end());
+    }
+    else if (order.kind == "load_adapter" && !contains(adapters_, order.adapter)) {
+        adapters_.push_back(order.adapter);
+    }
+    else if (order.kind == "set_role") {
+        role_ = order.role;
+    }
+}
+
+void engine_model::finish_orders()
+{
+    for (auto it = pending_orders_.begin(); it != pending_orders_.end();) {
+        if (it->done > now_) {
+            ++it;
+            continue;
+        }
+        apply(it->order);
+        it = pending_orders_.erase(it);
+    }
+}
+
+void engine_model::fall_over()
+{
+    for (auto& [id, item] : works_) {
+        if (auto* run = run_of(item)) {
+            run->outcome = "lost";
+        }
+        waiting_events_.push_back({engine_event::type::lost, id, 0, {}});
+    }
+    works_.clear();
+    spans_.clear();
+    cache_.clear();
+    pending_orders_.clear();
+    models_ = settings_.models;
+    adapters_.clear();
+    role_ = "both";
+    fence_ = 0;
+    step_end_.reset();
+    step_decodes_.clear();
+    step_prefills_.clear();
+    ++start_id_;
+    warmed_ = 0;
+    down_until_ = now_ + settings_.restart_time;
+}
+
+void engine_model::turn_cold()
+{
+    warmed_ = 0;
+    check_cold_limit();
+}
+
+// Overload of a cold engine shows as a crash of the whole engine, not as slowness: everything it held is
+// lost.
+void engine_model::check_cold_limit()
+{
+    if (!cold() || works_.size() < 2) {
+        return;
+    }
+    const auto warmth = static_cast<double>(warmed_) / static_cast<double>(settings_.warm_after);
+    const auto between = [warmth](double low, double high) { return low + (high - low) * warmth; };
+    const auto streams =
+        between(static_cast<double>(settings_.cold_streams), static_cast<double>(settings_.stream_limit));
+    const auto prefill =
+        between(static_cast<double>(settings_.cold_prefill), static_cast<double>(settings_.memory_total));
+    if (static_cast<double>(works_.size()) > streams || static_cast<double>(queued_prefill()) > prefill) {
+        ++falls_;
+        fall_over();
+    }
+}
+
+void engine_model::warm_up(token_count tokens)
+{
+    warmed_ = std::min(settings_.warm_after, warmed_ + tokens);
+}
+
+auto engine_model::by_priority() const -> std::vector<work_id>
+{
+    std::vector<work_id> ids;
+    for (const auto& [id, item] : works_) {
+        if (!item.ended) {
+            ids.push_back(id);
+        }
+    }
+    std::stable_sort(ids.begin(), ids.end(), [this](work_id a, work_id b) {
+        return works_.at(a).order.priority < works_.at(b).order.priority;
+    });
+    return ids;
+}
+
+void engine_model::plan_prefill()
+{
+    auto budget = settings_.chunk;
+    for (const auto id : by_priority()) {
+        const auto& item = works_.at(id);
+        if (item.prefill_left == 0) {
+            continue;
+        }
+        const auto tokens = std::min(budget, item.prefill_left);
+        step_prefills_.push_back({id, tokens});
+        budget -= tokens;
+        if (budget == 0) {
+            return;
+        }
+    }
+}
+
+void engine_model::start_step()
+{
+    step_decodes_.clear();
+    step_prefills_.clear();
+    token_count context = 0;
+    for (const auto id : by_priority()) {
+        const auto& item = works_.at(id);
+        if (item.prefill_left == 0 && step_decodes_.size() < settings_.batch) {
+            step_decodes_.push_back(id);
+            context += item.context;
+        }
+    }
+    plan_prefill();
+    if (step_decodes_.empty() && step_prefills_.empty()) {
+        step_end_.reset();
+        return;
+    }
+    token_count prefill = 0;
+    for (const auto& share : step_prefills_) {
+        prefill += share.tokens;
+    }
+    const auto slowness = cold() ? cold_slowness : 1.0;
+    const auto length = settings_.step_base +
+                        settings_.step_per_stream * static_cast<std::int64_t>(step_decodes_.size()) +
+                        settings_.step_per_100k_context * context / large_context +
+                        seconds(static_cast<double>(prefill) * slowness / settings_.prefill_speed);
+    step_end_ = now_ + length;
+}
+
+void engine_model::finish_step(std::vector<engine_event>& out)
+{
+    std::vector<work_id> decodes;
+    std::vector<prefill_share> prefills;
+    decodes.swap(step_decodes_);
+    prefills.swap(step_prefills_);
+    for (const auto id : decodes) {
+        if (const auto found = works_.find(id); found != works_.end()) {
+            warm_up(1);
+            decode(id, found->second, out);
+        }
+    }
+    for (const auto& share : prefills) {
+        const auto found = works_.find(share.work);
+        if (found == works_.end()) {
+            continue;
+        }
+        auto& item = found->second;
+        item.prefill_left -= share.tokens;
+        warm_up(share.tokens);
+        if (item.prefill_left > 0) {
+            continue;
+        }
+        if (!item.span.empty()) {
+            out.push_back({engine_event::type::exported, share.work, 0, item.span});
+            works_.erase(found);
+            continue;
+        }
+        cache_.store(item.order.prompt, now_);
+        decode(share.work, item, out);
+    }
+}
+
+void engine_model::decode(work_id id, work& item, std::vector<engine_event>& out)
+{
+    if (item.next_offset < item.length) {
+        if (auto* run = run_of(item)) {
+            ++run->decoded;
+        }
+        out.push_back({engine_event::type::token, id, item.next_offset,
+                       answer_token(item.order.model, item.order.prompt.hash, item.next_offset)});
+        ++item.next_offset;
+        ++item.context;
+    }
+    if (item.next_offset >= item.length) {
+        end(id, item.length == item.order.max_tokens ? "length" : "stop", out);
+    }
+}
+
+void engine_model::end(work_id id, const std::string& reason, std::vector<engine_event>& out)
+{
+    auto& item = works_.at(id);
+    if (!item.span.empty()) {
+        spans_.erase(item.span); // a span that was never computed can't be used
+    }
+    if (auto* run = run_of(item)) {
+        run->outcome = reason;
+    }
+    out.push_back({engine_event::type::end, id, item.next_offset, reason});
+    // No one read the end of a detached stream, so no one is known to have let it go.
+    if (item.detached && reason != "cancelled") {
+        item.ended = true;
+        return;
+    }
+    works_.erase(id);
+}
+
+auto engine_model::queued_prefill() const -> token_count
+{
+    token_count out = 0;
+    for (const auto& [id, item] : works_) {
+        out += item.prefill_left;
+    }
+    return out;
+}
+
+auto engine_model::imported_tokens(const completion_order& order) const -> token_count
+{
+    token_count out = 0;
+    for (const auto& name : order.kv_imports) {
+        if (const auto found = spans_.find(name); found != spans_.end()) {
+            out += found->second.tokens;
+        }
+    }
+    return std::min(out, order.prompt.tokens);
+}
+
+void engine_model::report_load()
+{
+    if (now_ < sampled_load_.taken + settings_.load_lag) {
+        return;
+    }
+    reported_load_ = sampled_load_;
+    sampled_load_ = {now_, static_cast<token_count>(works_.size()), queued_prefill(), memory_used()};
+}
+
+auto engine_model::held() const -> std::vector<held_entry>
+{
+    std::vector<held_entry> out;
+    for (const auto& [id, item] : works_) {
+        if (item.span.empty()) {
+            out.push_back({item.order.request_id, "stream", item.memory});
+        }
+    }
+    for (const auto& [name, entry] : spans_) {
+        out.push_back({name, "kv", entry.memory});
+    }
+    return out;
+}
+
+auto engine_model::memory_used() const -> token_count
+{
+    token_count out = 0;
+    for (const auto& [id, item] : works_) {
+        out += item.memory;
+    }
+    for (const auto& [name, entry] : spans_) {
+        out += entry.memory;
+    }
+    return out;
+}
+
+auto engine_model::cache_events(std::uint64_t after) const -> std::vector<cache_event>
+{
+    return cache_.events(after, now_);
+}
+
+auto engine_model::add_run(const completion_order& order, token_count prefill) -> std::size_t
+{
+    runs_.push_back({order.request_id, order.attempt, order.prompt.tokens, prefill, 0, "running"});
+    if (runs_.size() > run_limit) {
+        runs_.pop_front();
+        ++forgotten_runs_;
+    }
+    return forgotten_runs_ + runs_.size() - 1;
+}
+
+auto engine_model::run_of(const work& item) -> run_entry*
+{
+    if (!item.span.empty() || item.run < forgotten_runs_) {
+        return nullptr;
+    }
+    return &runs_[item.run - forgotten_runs_];
+}
+
+} // namespace dragonflymill::standins
--- /dev/null
+++ b/tests/standins/engine_standin.cpp
@@ -0,0 +1,439 @@
+#include "standins/engine_standin.h"
+
+#include "standins/http_server.h"
+#include "standins/json_fields.h"
+#include "standins/standin_thread.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <cstdio>
+#include <optional>
+
+namespace dragonflymill::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+auto hex(std::uint64_t value) -> std::string
+{
+    std::string out(16, '0');
+    std::snprintf(out.data(), out.size() + 1, "%016llx", static_cast<unsigned long long>(value));
+    return out;
+}
+
+auto names(const std::vector<std::string>& items) -> json::array
+{
+    json::array out;
+    for (const auto& item : items) {
+        out.emplace_back(item);
+    }
+    return out;
+}
+
+auto held_list(const engine_model& model) -> json::array
+{
+    json::array out;
+    for (const auto& item : model.held()) {
+        out.push_back({{"id", item.id}, {"kind", item.kind}, {"tokens", item.tokens}});
+    }
+    return out;
+}
+
+auto run_list(const engine_model& model) -> json::array
+{
+    json::array out;
+    for (const auto& run : model.runs()) {
+        out.push_back({{"request_id", run.request_id},
+                       {"attempt", run.attempt},
+                       {"prompt_tokens", run.prompt},
+                       {"prefilled", run.prefilled},
+                       {"decoded", run.decoded},
+                       {"outcome", run.outcome}});
+    }
+    return out;
+}
+
+auto order_list(const engine_model& model) -> json::array
+{
+    json::array out;
+    for (const auto& order : model.orders()) {
+        out.push_back({{"fence", order.fence},
+                       {"order", order.kind},
+                       {"model", order.model},
+                       {"adapter", order.adapter},
+                       {"role", order.role}});
+    }
+    return out;
+}
+
+auto completion_of(const json::object& body) -> completion_order
+{
+    completion_order out;
+    out.request_id = text_field(body, "request_id");
+    out.attempt = static_cast<std::uint64_t>(number_field(body, "attempt", 1));
+    out.model = text_field(body, "model");
+    out.adapter = text_field(body, "adapter");
+    out.priority = static_cast<int>(number_field(body, "priority"));
+    if (const auto* prompt = body.if_contains("prompt"); prompt != nullptr && prompt->is_string()) {
+        out.prompt = digest_of({prompt->get_string().data(), prompt->get_string().size()});
+    }
+    out.max_tokens = number_field(body, "max_tokens", 16);
+    out.resume_offset = number_field(body, "resume_offset");
+    if (const auto* imports = body.if_contains("kv_imports"); imports != nullptr && imports->is_array()) {
+        for (const auto& span : imports->get_array()) {
+            out.kv_imports.emplace_back(span.is_string() ? std::string(span.get_string()) : std::string());
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+class engine_standin::state
+{
+public:
+    explicit state(const engine_standin_settings& settings)
+        : settings_(settings)
+        , model_(settings.engine)
+        , begin_(std::chrono::steady_clock::now())
+        , timer_(thread_.io())
+        , restart_timer_(thread_.io())
+    {
+        thread_.run([this] {
+            server_.emplace(thread_.io(), settings_.port,
+                            [this](const auto& request, const auto& exchange) { answer(request, exchange); });
+        });
+    }
+    state(const state&) = delete;
+    auto operator=(const state&) -> state& = delete;
+
+    ~state()
+    {
+        thread_.run([this] {
+            timer_.cancel();
+            restart_timer_.cancel();
+            open_works_.clear();
+            server_.reset();
+        });
+    }
+
+    [[nodiscard]] auto port() const -> std::uint16_t { return server_->port(); }
+
+private:
+    /// A stream or export that a caller waits for.
+    struct open_work
+    {
+        http_exchange exchange;
+        std::string request_id;
+        std::uint64_t attempt = 0;
+        bool is_export = false;
+        std::int64_t drop_after = -1;
+    };
+
+    [[nodiscard]] auto model_now() const -> instant
+    {
+        const auto real = std::chrono::steady_clock::now() - begin_;
+        const auto micros = std::chrono::duration<double, std::micro>(real).count() / settings_.time_scale;
+        return instant(duration(static_cast<std::int64_t>(micros)));
+    }
+
+    [[nodiscard]] auto real_length(duration model_length) const -> duration
+    {
+        return duration(
+            static_cast<std::int64_t>(static_cast<double>(model_length.count()) * settings_.time_scale));
+    }
+
+    void answer(const http_request& request, const http_exchange& exchange)
+    {
+        catch_up();
+        route(request, exchange);
+        catch_up();
+        wait_for_model();
+    }
+
+    void route(const http_request& request, const http_exchange& exchange)
+    {
+        const auto body = parse_object(request.body.empty() ? "{}" : request.body);
+        if (!body) {
+            exchange.send(400, error_body("the body must be a JSON object"));
+        }
+        else if (request.path == "/v1/completions") {
+            complete(*body, exchange);
+        }
+        else if (request.path == "/v1/cancel") {
+            const bool held = model_.cancel(text_field(*body, "request_id"));
+            exchange.send(200, json::serialize(json::object{{"held", held}}));
+        }
+        else if (request.path == "/v1/state") {
+            exchange.send(200, json::serialize(state_answer()));
+        }
+        else if (request.path == "/v1/cache_events") {
+            exchange.send(200, json::serialize(event_answer(request.parameter("after"))));
+        }
+        else if (request.path.rfind("/v1/kv/", 0) == 0) {
+            span_call(request.path, *body, exchange);
+        }
+        else if (request.path == "/v1/orders") {
+            take_order(*body, exchange);
+        }
+        else if (request.path == "/_ledger") {
+            exchange.send(200, json::serialize(ledger()));
+        }
+        else if (request.path == "/_fault") {
+            exchange.send(200, "{}");
+            inject(*body);
+        }
+        else {
+            exchange.send(404, error_body("no such call"));
+        }
+    }
+
+    void complete(const json::object& body, const http_exchange& exchange)
+    {
+        const auto order = completion_of(body);
+        const auto [status, work] = model_.submit(order);
+        if (status != 200) {
+            exchange.send(status, error_body("not taken"));
+            return;
+        }
+        open_work open{exchange, order.request_id, order.attempt};
+        open.drop_after = std::exchange(next_drop_after_, -1);
+        if (std::exchange(next_wrong_id_, false)) {
+            open.request_id += "-of-another";
+        }
+        open_works_.emplace(work, open);
+        exchange.open_stream();
+        watch(work, exchange);
+    }
+
+    void watch(work_id work, const http_exchange& exchange)
+    {
+        exchange.on_closed([this, work] {
+            open_works_.erase(work);
+            model_.detach(work);
+        });
+    }
+
+    void span_call(const std::string& path, const json::object& body, const http_exchange& exchange)
+    {
+        const auto span = text_field(body, "span");
+        const auto tokens = number_field(body, "end") - number_field(body, "begin");
+        if (path == "/v1/kv/export") {
+            const auto [status, work] = model_.export_span(text_field(body, "request_id"), span, tokens);
+            if (status == 200) {
+                open_works_.emplace(work, open_work{exchange, span, 0, true});
+                watch(work, exchange);
+            }
+            else {
+                exchange.send(status, error_body("not exported"));
+            }
+        }
+        else if (path == "/v1/kv/import") {
+            exchange.send(model_.import_span(span, tokens), json::serialize(json::object{{"span", span}}));
+        }
+        else if (path == "/v1/kv/release") {
+            model_.release_span(span);
+            exchange.send(200, "{}");
+        }
+        else {
+            exchange.send(404, error_body("no such call"));
+        }
+    }
+
+    void take_order(const json::object& body, const http_exchange& exchange)
+    {
+        control_order order;
+        order.fence = static_cast<std::uint64_t>(number_field(body, "fence"));
+        order.kind = text_field(body, "order");
+        order.model = text_field(body, "model");
+        order.adapter = text_field(body, "adapter");
+        order.role = text_field(body, "role");
+        const auto status = model_.give(order);
+        exchange.send(status, json::serialize(json::object{{"fence", model_.fence()}}));
+    }
+
+    [[nodiscard]] auto state_answer() const -> json::object
+    {
+        const auto& load = model_.reported_load();
+        const json::object shown{{"running", load.running},
+                                 {"queued_prefill", load.queued_prefill},
+                                 {"memory_used", load.memory_used},
+                                 {"memory_total", model_.settings().memory_total},
+                                 {"age_us", real_length(model_.now() - load.taken).count()}};
+        return {{"start", model_.start_id()},
+                {"models", names(model_.models())},
+                {"adapters", names(model_.adapters())},
+                {"role", model_.role()},
+                {"fence", model_.fence()},
+                {"cold", model_.cold()},
+                {"load", shown},
+                {"held", held_list(model_)}};
+    }
+
+    [[nodiscard]] auto event_answer(const std::string& after) const -> json::object
+    {
+        json::array events;
+        for (const auto& event : model_.cache_events(std::strtoull(after.c_str(), nullptr, 10))) {
+            events.push_back({{"sequence", event.sequence},
+                              {"type", event.stored ? "stored" : "removed"},
+                              {"block", hex(event.block)},
+                              {"tokens", block_tokens}});
+        }
+        return {{"start", model_.start_id()}, {"events", events}};
+    }
+
+    [[nodiscard]] auto ledger() const -> json::object
+    {
+        return {{"name", settings_.name},      {"start", model_.start_id()},
+                {"falls", model_.falls()},     {"memory_used", model_.memory_used()},
+                {"held", held_list(model_)},   {"runs", run_list(model_)},
+                {"orders", order_list(model_)}};
+    }
+
+    void inject(const json::object& fault)
+    {
+        if (flag_field(fault, "go_silent")) {
+            server_->silence();
+        }
+        if (flag_field(fault, "turn_cold")) {
+            model_.turn_cold();
+        }
+        if (fault.contains("drop_stream_after")) {
+            next_drop_after_ = number_field(fault, "drop_stream_after");
+        }
+        if (flag_field(fault, "wrong_request_id")) {
+            next_wrong_id_ = true;
+        }
+        if (const auto pause = number_field(fault, "pause_ms"); pause > 0) {
+            server_->pause(std::chrono::milliseconds(pause));
+            pause_end_ = std::chrono::steady_clock::now() + std::chrono::milliseconds(pause);
+        }
+        if (flag_field(fault, "die")) {
+            die(number_field(fault, "restart_ms", -1));
+        }
+    }
+
+    /// The process is gone: nothing listens and all is lost. With `restart_ms` it comes back cold on its
+    /// port.
+    void die(std::int64_t restart_ms)
+    {
+        server_->close();
+        open_works_.clear();
+        model_.fall_over();
+        if (restart_ms < 0) {
+            return;
+        }
+        restart_timer_.expires_after(std::chrono::milliseconds(restart_ms));
+        restart_timer_.async_wait([this](const auto& code) {
+            if (!code) {
+                server_->reopen();
+            }
+        });
+    }
+
+    void catch_up()
+    {
+        for (const auto& event : model_.advance(model_now())) {
+            deliver(event);
+        }
+    }
+
+    void deliver(const engine_event& event)
+    {
+        const auto found = open_works_.find(event.work);
+        if (found == open_works_.end()) {
+            return;
+        }
+        auto& open = found->second;
+        switch (event.kind) {
+        case engine_event::type::token:
+            send_token(event, open);
+            return;
+        case engine_event::type::end:
+            send_end(event, open);
+            break;
+        case engine_event::type::exported:
+            open.exchange.send(200, json::serialize(json::object{{"span", event.text}}));
+            break;
+        case engine_event::type::lost:
+            open.exchange.on_closed([] {});
+            open.exchange.drop();
+            break;
+        }
+        open_works_.erase(event.work);
+    }
+
+    void send_token(const engine_event& event, open_work& open)
+    {
+        if (open.drop_after == 0) {
+            const auto exchange = open.exchange;
+            exchange.drop();
+            return;
+        }
+        --open.drop_after;
+        const json::object data{{"type", "token"},
+                                {"request_id", open.request_id},
+                                {"attempt", open.attempt},
+                                {"offset", event.offset},
+                                {"text", event.text}};
+        open.exchange.write("data: " + json::serialize(data) + "\n\n");
+    }
+
+    static void send_end(const engine_event& event, const open_work& open)
+    {
+        if (open.is_export) {
+            open.exchange.send(409, error_body("cancelled"));
+            return;
+        }
+        const json::object data{{"type", "end"},
+                                {"request_id", open.request_id},
+                                {"attempt", open.attempt},
+                                {"tokens", event.offset},
+                                {"finish_reason", event.text}};
+        open.exchange.write("data: " + json::serialize(data) + "\n\n");
+        open.exchange.end_stream();
+    }
+
+    void wait_for_model()
+    {
+        const auto next = model_.next_wake();
+        if (!next) {
+            return;
+        }
+        auto moment = begin_ + real_length(next->time_since_epoch());
+        timer_.expires_at(std::max(moment, pause_end_));
+        timer_.async_wait([this](const auto& code) {
+            if (!code) {
+                catch_up();
+                wait_for_model();
+            }
+        });
+    }
+
+    engine_standin_settings settings_;
+    engine_model model_;
+    std::chrono::steady_clock::time_point begin_;
+    std::chrono::steady_clock::time_point pause_end_{};
+    standin_thread thread_;
+    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer restart_timer_;
+    std::optional<http_server> server_;
+    std::map<work_id, open_work> open_works_;
+    std::int64_t next_drop_after_ = -1;
+    bool next_wrong_id_ = false;
+};
+
+engine_standin::engine_standin(const engine_standin_settings& settings)
+    : state_(std::make_unique<state>(settings))
+{
+}
+
+engine_standin::~engine_standin() = default;
+
+auto engine_standin::port() const -> std::uint16_t
+{
+    return state_->port();
+}
+
+} // namespace dragonflymill::standins
