Decide for a sidecar without sockets: streams, calls, cancels and stops

Cause: the sidecar is the one place where work enters its upstream; its decisions have to be testable step by step. Change: sidecar_core takes events and gives actions. A try has a permit from the grant until the engine ended it or confirmed its cancel; cancels repeat; what the engine holds and nobody here knows is cancelled; a pause longer than the own lease ends the right to run calls by key. Conclusion: the daemon around it has only to carry out actions.

--- /dev/null
+++ b/include/dragonflymill/serve/sidecar_messages.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include "dragonflymill/admission/permit_gate.h"
+#include "dragonflymill/once/once_ledger.h"
+#include "dragonflymill/route/upstream_description.h"
+#include "dragonflymill/serve/attempt_spec.h"
+#include "dragonflymill/serve/service_spec.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dragonflymill {
+
+/// Number that a sidecar's shell gives to each call it receives.
+using call_number = number_id<struct call_tag>;
+
+/// Inputs of `sidecar_core`.
+namespace sidecar_input {
+
+/// A gateway puts a try.
+struct attempt_opened
+{
+    call_number call;  ///< The call.
+    attempt_spec spec; ///< What is asked.
+};
+/// The whole prompt has come.
+struct prompt_received
+{
+    call_number call; ///< The call.
+};
+/// The gateway cancelled the call, or its connection is gone.
+struct call_cancelled
+{
+    call_number call; ///< The call.
+};
+/// A sign of life of a gateway: what it holds here is renewed.
+struct gateway_heard
+{
+    process_id gateway; ///< The gateway.
+};
+/// The engine sent tokens.
+struct engine_tokens
+{
+    call_number call;                ///< The call.
+    token_offset offset = 0;         ///< Place of the first of them.
+    std::vector<std::string> tokens; ///< Their text.
+};
+/// The engine ended the stream.
+struct engine_finished
+{
+    call_number call;        ///< The call.
+    token_offset tokens = 0; ///< Length of the whole answer.
+    std::string reason;      ///< Why it ends there.
+};
+/// The stream broke or was never taken.
+struct engine_failed
+{
+    call_number call;        ///< The call.
+    bool sent = true;        ///< Whether a byte of the request may have reached the engine.
+    bool overloaded = false; ///< Whether the engine said that it has too much load.
+    bool not_loaded = false; ///< Whether the engine said that the model or adapter is not loaded.
+};
+/// One thing that the engine holds.
+struct engine_holding
+{
+    std::string id;         ///< Engine's name for it.
+    token_count tokens = 0; ///< Memory it takes.
+
+    friend auto operator==(const engine_holding&, const engine_holding&) -> bool = default;
+};
+/// The engine's word about itself.
+struct engine_reported
+{
+    upstream_report word;             ///< Start, cold or not, queue.
+    token_count memory_used = 0;      ///< Memory held, in tokens.
+    std::vector<engine_holding> held; ///< What it holds.
+};
+/// The engine confirmed that it no longer holds a stream.
+struct cancel_confirmed
+{
+    std::string engine_request; ///< Engine's name of the stream.
+};
+/// A gateway asks for a ticket.
+struct ticket_asked
+{
+    call_number call;  ///< The call.
+    service_spec spec; ///< Route, account and remaining time.
+};
+/// A gateway calls the plain service.
+struct service_called
+{
+    call_number call;  ///< The call.
+    service_spec spec; ///< What is asked.
+};
+/// A gateway asks what became of a call.
+struct status_asked
+{
+    call_number call;  ///< The call.
+    service_spec spec; ///< Route, account, ticket or key.
+};
+/// The plain service answered.
+struct service_answered
+{
+    call_number call;   ///< The call that ran it.
+    once_answer answer; ///< The answer.
+};
+/// No answer of the plain service will come.
+struct service_broken
+{
+    call_number call; ///< The call that ran it.
+    bool sent = true; ///< Whether a byte of it may have reached the service.
+};
+/// The failure domain or the upstream was taken out, or is back.
+struct drain_changed
+{
+    bool out = false; ///< Whether it takes no new work.
+};
+/// One plain service's route as the bundle in force has it.
+struct route_view
+{
+    route_id route;                     ///< Its name.
+    std::vector<upstream_id> upstreams; ///< Upstreams that serve it.
+    duration remember_for{0};           ///< How long the outcome of a named call is kept.
+};
+/// The bundle in force changed the routes to plain services.
+struct routes_changed
+{
+    std::vector<route_view> routes; ///< All of them.
+};
+/// The bundle in force changed what the upstream carries.
+struct capacity_changed
+{
+    work_cost cold = 1; ///< Work in cold start.
+    work_cost warm = 1; ///< Work when warm.
+};
+/// The process is to stop: nothing new is taken.
+struct stop_asked
+{
+};
+/// Time passed.
+struct tick
+{
+};
+
+} // namespace sidecar_input
+
+/// Everything that `sidecar_core` takes in.
+using sidecar_event =
+    std::variant<sidecar_input::attempt_opened, sidecar_input::prompt_received, sidecar_input::call_cancelled,
+                 sidecar_input::gateway_heard, sidecar_input::engine_tokens, sidecar_input::engine_finished,
+                 sidecar_input::engine_failed, sidecar_input::engine_reported,
+                 sidecar_input::cancel_confirmed, sidecar_input::ticket_asked, sidecar_input::service_called,
+                 sidecar_input::status_asked, sidecar_input::service_answered, sidecar_input::service_broken,
+                 sidecar_input::drain_changed, sidecar_input::capacity_changed, sidecar_input::routes_changed,
+                 sidecar_input::stop_asked, sidecar_input::tick>;
+
+/// Outputs of `sidecar_core`.
+namespace sidecar_output {
+
+/// Tell the gateway to send the prompt.
+struct grant_attempt
+{
+    call_number call; ///< The call.
+    lease_id lease;   ///< Its permit.
+};
+/// End the call with a refusal.
+struct refuse_call
+{
+    call_number call; ///< The call.
+    refusal why;      ///< The refusal.
+};
+/// Put the stream to the engine, but not after `not_after`: the process may be paused in between.
+struct start_stream
+{
+    call_number call;           ///< The call, whose prompt the shell holds.
+    std::string engine_request; ///< Engine's name for it.
+    attempt_spec spec;          ///< What to run.
+    instant not_after;          ///< Last moment for the first byte to leave.
+};
+/// Pass tokens on.
+struct send_tokens
+{
+    call_number call;                ///< The call.
+    token_offset offset = 0;         ///< Place of the first of them.
+    std::vector<std::string> tokens; ///< Their text.
+};
+/// Tell the gateway that the answer is whole.
+struct finish_attempt
+{
+    call_number call;        ///< The call.
+    token_offset tokens = 0; ///< Length of the whole answer.
+    std::string reason;      ///< Why it ends there.
+};
+/// Close the connection of a stream, if there is one, and cancel it at the engine. Answered by
+/// `cancel_confirmed`; asked again until then.
+struct cancel_stream
+{
+    call_number call;           ///< The call.
+    std::string engine_request; ///< Engine's name for it.
+};
+/// Call the plain service, but not after `not_after`.
+struct run_service
+{
+    call_number call;   ///< The call.
+    service_spec spec;  ///< What to run.
+    instant not_after;  ///< Last moment for the first byte to leave.
+    duration remaining; ///< How long to wait for the answer.
+};
+/// Answer the gateway with the service's answer.
+struct answer_service
+{
+    call_number call;      ///< The call.
+    once_answer answer;    ///< The answer.
+    bool replayed = false; ///< Whether it is the remembered answer of an earlier call.
+};
+/// Give the gateway a ticket.
+struct give_ticket
+{
+    call_number call;   ///< The call.
+    std::string ticket; ///< The ticket's text.
+};
+/// Tell the gateway that the call it asks about is running, or may still be submitted.
+struct tell_running
+{
+    call_number call; ///< The call.
+};
+/// Everything is finished: the process may end.
+struct all_done
+{
+};
+
+} // namespace sidecar_output
+
+/// Everything that `sidecar_core` wants done.
+using sidecar_action =
+    std::variant<sidecar_output::grant_attempt, sidecar_output::refuse_call, sidecar_output::start_stream,
+                 sidecar_output::send_tokens, sidecar_output::finish_attempt, sidecar_output::cancel_stream,
+                 sidecar_output::run_service, sidecar_output::answer_service, sidecar_output::give_ticket,
+                 sidecar_output::tell_running, sidecar_output::all_done>;
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/serve/attempt_desk.cpp
@@ -0,0 +1,291 @@
+#include "dragonflymill/serve/attempt_desk.h"
+
+#include "dragonflymill/core/assert.h"
+#include "dragonflymill/core/guard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr duration lost_retry_hint = 50ms;
+
+auto refusal_for(refusal_code code, ran_state ran) -> refusal
+{
+    switch (code) {
+    case refusal_code::deadline:
+        return {code, ran, duration::zero(), "allow more time"};
+    case refusal_code::cancelled:
+        return {code, ran, duration::zero(), "nothing to do: the caller left"};
+    case refusal_code::overloaded:
+        return {code, ran, lost_retry_hint, "try another upstream"};
+    case refusal_code::no_route:
+        return {code, ran, duration::zero(), "the model or adapter is not loaded here; try another upstream"};
+    default:
+        return {code, ran, lost_retry_hint, "resume on another upstream"};
+    }
+}
+
+} // namespace
+
+auto engine_request_of(const attempt_spec& spec) -> std::string
+{
+    return spec.request.text() + "." + std::to_string(spec.attempt.value());
+}
+
+attempt_desk::attempt_desk(permit_gate& gate, duration cancel_backoff)
+    : gate_(gate)
+    , cancel_backoff_(cancel_backoff)
+{
+}
+
+void attempt_desk::opened(instant now, const sidecar_input::attempt_opened& input,
+                          std::vector<sidecar_action>& actions)
+{
+    const auto& spec = input.spec;
+    const deadline_budget limit(now, spec.remaining);
+    if (limit.expired(now)) {
+        actions.push_back(
+            sidecar_output::refuse_call{input.call, refusal_for(refusal_code::deadline, ran_state::no)});
+        return;
+    }
+    const auto answer = gate_.ask(
+        now, permit_ask{spec.gateway, spec.size, spec.prompt_tokens + spec.max_tokens, spec.prefill});
+    if (const auto* refused = std::get_if<refusal>(&answer)) {
+        actions.push_back(sidecar_output::refuse_call{input.call, *refused});
+        return;
+    }
+    const auto lease = std::get<permit>(answer).lease;
+    const bool is_new = attempts_.emplace(input.call, attempt{spec, lease, limit}).second;
+    DRAGONFLYMILL_ASSERT(is_new, "the shell numbers each call once");
+    by_lease_.emplace(lease, input.call);
+    by_gateway_[spec.gateway].insert(input.call);
+    deadlines_.emplace(limit.end(), input.call);
+    actions.push_back(sidecar_output::grant_attempt{input.call, lease});
+}
+
+void attempt_desk::prompt_received(instant now, call_number call, std::vector<sidecar_action>& actions)
+{
+    const auto held = attempts_.find(call);
+    if (held == attempts_.end() || held->second.now_in != phase::waiting_for_prompt) {
+        return;
+    }
+    auto& it = held->second;
+    if (it.limit.expired(now)) {
+        end_with(now, held, refusal_code::deadline, actions);
+        return;
+    }
+    if (!gate_.begin(now, it.lease)) {
+        end_with(now, held, refusal_code::upstream_cold, actions);
+        return;
+    }
+    it.now_in = phase::at_engine;
+    actions.push_back(
+        sidecar_output::start_stream{call, engine_request_of(it.spec), it.spec, it.limit.end()});
+}
+
+void attempt_desk::cancelled(instant now, call_number call, std::vector<sidecar_action>& actions)
+{
+    const auto held = attempts_.find(call);
+    if (held == attempts_.end()) {
+        return;
+    }
+    end_with(now, held, refusal_code::cancelled, actions);
+}
+
+void attempt_desk::gateway_heard(instant now, const process_id& gateway)
+{
+    const auto calls = by_gateway_.find(gateway);
+    if (calls == by_gateway_.end()) {
+        return;
+    }
+    for (const auto call : calls->second) {
+        const bool renewed = gate_.renew(now, attempts_.at(call).lease);
+        static_cast<void>(renewed); // one that has ended is reported by the gate's tick
+    }
+}
+
+void attempt_desk::tokens(instant now, const sidecar_input::engine_tokens& input,
+                          std::vector<sidecar_action>& actions)
+{
+    const auto held = attempts_.find(input.call);
+    if (held == attempts_.end()) {
+        return;
+    }
+    if (held->second.now_in == phase::at_engine) {
+        held->second.now_in = phase::decoding;
+        gate_.first_token(now, held->second.lease);
+    }
+    actions.push_back(sidecar_output::send_tokens{input.call, input.offset, input.tokens});
+}
+
+void attempt_desk::finished(instant now, const sidecar_input::engine_finished& input,
+                            std::vector<sidecar_action>& actions)
+{
+    const auto held = attempts_.find(input.call);
+    if (held == attempts_.end()) {
+        return;
+    }
+    gate_.done(now, held->second.lease, work_outcome::success);
+    actions.push_back(sidecar_output::finish_attempt{input.call, input.tokens, input.reason});
+    forget(held);
+}
+
+void attempt_desk::failed(instant now, const sidecar_input::engine_failed& input,
+                          std::vector<sidecar_action>& actions)
+{
+    const auto held = attempts_.find(input.call);
+    if (held == attempts_.end()) {
+        return;
+    }
+    const auto ran = input.sent ? ran_state::unknown : ran_state::no;
+    if (input.overloaded || input.not_loaded || !input.sent) {
+        // The engine took nothing, so there is nothing to cancel.
+        const auto outcome = input.overloaded ? work_outcome::overloaded : work_outcome::failed;
+        auto code = refusal_code::upstream_gone;
+        if (input.overloaded) {
+            code = refusal_code::overloaded;
+        }
+        else if (input.not_loaded) {
+            code = refusal_code::no_route;
+        }
+        gate_.done(now, held->second.lease, outcome);
+        actions.push_back(sidecar_output::refuse_call{input.call, refusal_for(code, ran_state::no)});
+        forget(held);
+        return;
+    }
+    actions.push_back(sidecar_output::refuse_call{input.call, refusal_for(refusal_code::upstream_gone, ran)});
+    cancel_at_engine(now, held, actions);
+}
+
+void attempt_desk::reconcile(instant now, const sidecar_input::engine_reported& report,
+                             std::vector<sidecar_action>& actions)
+{
+    const bool started_anew = engine_start_ != incarnation{} && report.word.start != engine_start_;
+    engine_start_ = report.word.start;
+    if (started_anew) {
+        cancels_.clear(); // the engine's memory is empty; the gate has taken the permits back itself
+    }
+    std::set<std::string> known;
+    for (const auto& [call, held] : attempts_) {
+        known.insert(engine_request_of(held.spec));
+    }
+    for (const auto& holding : report.held) {
+        if (known.count(holding.id) != 0 || cancels_.count(holding.id) != 0) {
+            continue;
+        }
+        // Guards against memory that is lost at the engine for good: a predecessor of this process died and
+        // left streams that no one reads. They show only here. Whatever this process has not begun is not in
+        // hand any more, since a gateway that wants it resumes under a new name.
+        cancels_.emplace(holding.id, pending_cancel{call_number{}, lease_id{}, now + cancel_backoff_, true});
+        actions.push_back(sidecar_output::cancel_stream{call_number{}, holding.id});
+    }
+}
+
+void attempt_desk::cancel_confirmed(instant now, const std::string& engine_request)
+{
+    const auto pending = cancels_.find(engine_request);
+    if (pending == cancels_.end()) {
+        return;
+    }
+    gate_.done(now, pending->second.lease, work_outcome::cancelled);
+    cancels_.erase(pending);
+}
+
+void attempt_desk::permit_ended(instant now, const ended_permit& ended, std::vector<sidecar_action>& actions)
+{
+    const auto call = by_lease_.find(ended.lease);
+    if (call == by_lease_.end()) {
+        return;
+    }
+    const auto held = attempts_.find(call->second);
+    if (ended.why == permit_end::upstream_started) {
+        actions.push_back(sidecar_output::refuse_call{
+            held->first,
+            refusal_for(refusal_code::upstream_gone, ended.begun ? ran_state::unknown : ran_state::no)});
+        forget(held);
+        return;
+    }
+    auto code = refusal_code::upstream_gone;
+    if (ended.why == permit_end::turned_cold) {
+        code = refusal_code::upstream_cold;
+    }
+    else if (ended.why == permit_end::drained) {
+        code = refusal_code::draining;
+    }
+    if (guard_holds(guard::lease_end)) {
+        end_with(now, held, code, actions);
+    }
+}
+
+void attempt_desk::tick(instant now, std::vector<sidecar_action>& actions)
+{
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        end_with(now, attempts_.find(deadlines_.begin()->second), refusal_code::deadline, actions);
+    }
+    // A cancel may be lost on its way, and then the engine would hold the stream's memory for good: it is
+    // repeated until the engine confirms it, here or by its report.
+    for (auto& [engine_request, pending] : cancels_) {
+        if (pending.next_try <= now) {
+            pending.next_try = now + cancel_backoff_;
+            actions.push_back(sidecar_output::cancel_stream{pending.call, engine_request});
+        }
+    }
+}
+
+auto attempt_desk::queued_prefill() const -> std::array<token_count, length_class_count>
+{
+    std::array<token_count, length_class_count> queued{};
+    for (const auto& [call, held] : attempts_) {
+        if (held.now_in != phase::decoding) {
+            queued[index_of(held.spec.size)] += held.spec.prefill;
+        }
+    }
+    return queued;
+}
+
+auto attempt_desk::running() const -> std::int64_t
+{
+    return std::count_if(attempts_.begin(), attempts_.end(),
+                         [](const auto& item) { return item.second.now_in == phase::decoding; });
+}
+
+void attempt_desk::end_with(instant now, attempts::iterator held, refusal_code code,
+                            std::vector<sidecar_action>& actions)
+{
+    const bool begun = held->second.now_in != phase::waiting_for_prompt;
+    const auto ran = begun ? ran_state::unknown : ran_state::no;
+    actions.push_back(sidecar_output::refuse_call{held->first, refusal_for(code, ran)});
+    if (begun) {
+        cancel_at_engine(now, held, actions);
+        return;
+    }
+    gate_.done(now, held->second.lease, work_outcome::cancelled);
+    forget(held);
+}
+
+void attempt_desk::cancel_at_engine(instant now, attempts::iterator held,
+                                    std::vector<sidecar_action>& actions)
+{
+    const auto engine_request = engine_request_of(held->second.spec);
+    cancels_.emplace(engine_request, pending_cancel{held->first, held->second.lease, now + cancel_backoff_});
+    actions.push_back(sidecar_output::cancel_stream{held->first, engine_request});
+    forget(held);
+}
+
+void attempt_desk::forget(attempts::iterator held)
+{
+    const auto call = held->first;
+    const auto gateway = by_gateway_.find(held->second.spec.gateway);
+    gateway->second.erase(call);
+    if (gateway->second.empty()) {
+        by_gateway_.erase(gateway);
+    }
+    by_lease_.erase(held->second.lease);
+    deadlines_.erase({held->second.limit.end(), call});
+    attempts_.erase(held);
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/serve/service_desk.cpp
@@ -0,0 +1,277 @@
+#include "dragonflymill/serve/service_desk.h"
+
+#include "dragonflymill/core/assert.h"
+
+#include <utility>
+
+namespace dragonflymill {
+
+namespace {
+
+/// A sidecar that has just started, or a bundle that is just spreading, settles within this time.
+constexpr duration keyed_retry_hint = 5s;
+constexpr duration default_remember_for = std::chrono::minutes(10);
+
+auto unknown_refusal(unknown_reason why) -> refusal
+{
+    constexpr auto remedy_ask =
+        "ask for its status, or look into the service's own records, before trying again";
+    switch (why) {
+    case unknown_reason::other_incarnation:
+        return {refusal_code::ticket_unknown, ran_state::unknown, duration::zero(), remedy_ask};
+    case unknown_reason::broken:
+        return {refusal_code::upstream_gone, ran_state::unknown, duration::zero(), remedy_ask};
+    case unknown_reason::not_home:
+    case unknown_reason::no_lease:
+        return {refusal_code::ticket_unknown, ran_state::unknown, keyed_retry_hint,
+                "try again with the same key"};
+    case unknown_reason::forgotten:
+    case unknown_reason::maybe_earlier:
+        return {refusal_code::ticket_unknown, ran_state::unknown, duration::zero(),
+                "take a ticket, or a key of UUID version 7, so that a retry can be told from a first try"};
+    }
+    return {refusal_code::internal, ran_state::unknown, duration::zero(), remedy_ask};
+}
+
+auto not_run_refusal() -> refusal
+{
+    return {refusal_code::cancelled, ran_state::no, duration::zero(),
+            "it never ran; use a new ticket or key"};
+}
+
+auto error_refusal(const error& failure) -> refusal
+{
+    return {refusal_code::internal, ran_state::no, duration::zero(), failure.text()};
+}
+
+} // namespace
+
+auto service_desk::once_call_of(const service_spec& spec) const -> once_call
+{
+    const auto body = digest_of({spec.method, spec.target, spec.content_type, spec.body});
+    const call_owner owner{spec.route, spec.account, remember_for(spec.route)};
+    if (!spec.ticket.empty()) {
+        return {owner, ticket_name{spec.ticket}, body};
+    }
+    const auto key = home_key(spec.route, spec.account, spec.idempotency_key);
+    const key_name name{spec.idempotency_key, homes_.home_here(spec.route, key),
+                        homes_.other_home_until(spec.route, key)};
+    return {owner, name, body};
+}
+
+auto service_desk::remember_for(const route_id& route) const -> duration
+{
+    const auto found = remember_.find(route);
+    return found == remember_.end() ? default_remember_for : found->second;
+}
+
+void service_desk::routes_changed(instant now, const std::vector<sidecar_input::route_view>& routes)
+{
+    remember_.clear();
+    for (const auto& view : routes) {
+        homes_.adopt(now, view.route, view.upstreams);
+        remember_.emplace(view.route, view.remember_for);
+    }
+}
+
+service_desk::service_desk(permit_gate& gate, once_ledger& ledger, const upstream_id& self)
+    : gate_(gate)
+    , ledger_(ledger)
+    , homes_(key_home_options{.self = self})
+{
+}
+
+void service_desk::ticket_asked(instant now, const sidecar_input::ticket_asked& input,
+                                std::vector<sidecar_action>& actions)
+{
+    auto minted = ledger_.mint(now, {input.spec.route, input.spec.account, remember_for(input.spec.route)});
+    if (auto* refused = std::get_if<refusal>(&minted)) {
+        actions.push_back(sidecar_output::refuse_call{input.call, std::move(*refused)});
+        return;
+    }
+    actions.push_back(sidecar_output::give_ticket{input.call, std::get<once_minted>(minted).text});
+}
+
+void service_desk::called(instant now, const sidecar_input::service_called& input,
+                          std::vector<sidecar_action>& actions)
+{
+    const bool named = !input.spec.ticket.empty() || !input.spec.idempotency_key.empty();
+    if (named && !input.spec.idempotent) {
+        run_once(now, input, actions);
+        return;
+    }
+    if (const auto lease = ask_permit(now, input, actions)) {
+        run(now, input, std::nullopt, *lease, actions);
+    }
+}
+
+void service_desk::run_once(instant now, const sidecar_input::service_called& input,
+                            std::vector<sidecar_action>& actions)
+{
+    const auto call = once_call_of(input.spec);
+    const auto before = ledger_.look(now, call);
+    if (const auto* join = std::get_if<once_join>(&before)) {
+        waiting_.insert_or_assign(input.call, waiting_call{join->serial, now + input.spec.remaining});
+        return;
+    }
+    if (!std::holds_alternative<once_run>(before)) {
+        tell(before, input.call, actions);
+        return;
+    }
+    // The permit comes first: without one nothing is recorded, and "not run" stays true for this name.
+    const auto lease = ask_permit(now, input, actions);
+    if (!lease) {
+        return;
+    }
+    const auto outcome = ledger_.submit(now, call);
+    const auto* granted = std::get_if<once_run>(&outcome);
+    if (granted == nullptr) {
+        gate_.done(now, *lease, work_outcome::cancelled);
+        tell(outcome, input.call, actions);
+        return;
+    }
+    run(now, input, granted->serial, *lease, actions);
+}
+
+auto service_desk::ask_permit(instant now, const sidecar_input::service_called& input,
+                              std::vector<sidecar_action>& actions) -> std::optional<lease_id>
+{
+    const auto answer = gate_.ask(now, permit_ask{input.spec.gateway, length_class::interactive, 1, 0});
+    if (const auto* refused = std::get_if<refusal>(&answer)) {
+        actions.push_back(sidecar_output::refuse_call{input.call, *refused});
+        return std::nullopt;
+    }
+    return std::get<permit>(answer).lease;
+}
+
+void service_desk::run(instant now, const sidecar_input::service_called& input,
+                       std::optional<call_serial> serial, lease_id lease,
+                       std::vector<sidecar_action>& actions)
+{
+    const deadline_budget limit(now, input.spec.remaining);
+    const bool may_send =
+        !limit.expired(now) && gate_.begin(now, lease) && (!serial || ledger_.sending(now, *serial));
+    if (!may_send) {
+        if (serial) {
+            ledger_.withdraw(now, *serial);
+        }
+        gate_.done(now, lease, work_outcome::cancelled);
+        actions.push_back(sidecar_output::refuse_call{
+            input.call, {refusal_code::deadline, ran_state::no, duration::zero(), "allow more time"}});
+        return;
+    }
+    const bool is_new = running_.emplace(input.call, running_call{lease, serial}).second;
+    DRAGONFLYMILL_ASSERT(is_new, "the shell numbers each call once");
+    actions.push_back(sidecar_output::run_service{input.call, input.spec, limit.end(), limit.remaining(now)});
+}
+
+void service_desk::status_asked(instant now, const sidecar_input::status_asked& input,
+                                std::vector<sidecar_action>& actions)
+{
+    const auto call = once_call_of(input.spec);
+    tell(ledger_.status(now, call), input.call, actions);
+}
+
+void service_desk::answered(instant now, const sidecar_input::service_answered& input,
+                            std::vector<sidecar_action>& actions)
+{
+    const auto held = running_.find(input.call);
+    if (held == running_.end()) {
+        return;
+    }
+    gate_.first_token(now, held->second.lease);
+    gate_.done(now, held->second.lease, work_outcome::success);
+    if (held->second.wanted) {
+        actions.push_back(sidecar_output::answer_service{input.call, input.answer, false});
+    }
+    if (held->second.serial) {
+        ledger_.answered(now, *held->second.serial, input.answer);
+        tell_waiting(*held->second.serial, once_replay{input.answer}, actions);
+    }
+    running_.erase(held);
+}
+
+void service_desk::broken(instant now, const sidecar_input::service_broken& input,
+                          std::vector<sidecar_action>& actions)
+{
+    const auto held = running_.find(input.call);
+    if (held == running_.end()) {
+        return;
+    }
+    gate_.done(now, held->second.lease, work_outcome::failed);
+    // A name that was given leave to send is never said not to have run, even if the shell knows that no byte
+    // left: the ledger has promised to later tries that it may have.
+    const bool once = held->second.serial.has_value();
+    const auto ran = input.sent || once ? ran_state::unknown : ran_state::no;
+    auto why = unknown_refusal(unknown_reason::broken);
+    why.ran = ran;
+    if (held->second.wanted) {
+        actions.push_back(sidecar_output::refuse_call{input.call, why});
+    }
+    if (once) {
+        ledger_.broken(now, *held->second.serial);
+        tell_waiting(*held->second.serial, once_unknown{unknown_reason::broken}, actions);
+    }
+    running_.erase(held);
+}
+
+void service_desk::cancelled(call_number call)
+{
+    waiting_.erase(call);
+    const auto held = running_.find(call);
+    if (held != running_.end()) {
+        held->second.wanted = false;
+    }
+}
+
+void service_desk::tick(instant now, std::vector<sidecar_action>& actions)
+{
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        if (it->second.until > now) {
+            ++it;
+            continue;
+        }
+        actions.push_back(
+            sidecar_output::refuse_call{it->first,
+                                        {refusal_code::deadline, ran_state::unknown, duration::zero(),
+                                         "it is still running; ask for its status"}});
+        it = waiting_.erase(it);
+    }
+}
+
+void service_desk::tell(const once_outcome& outcome, call_number call, std::vector<sidecar_action>& actions)
+{
+    if (const auto* replay = std::get_if<once_replay>(&outcome)) {
+        actions.push_back(sidecar_output::answer_service{call, replay->answer, true});
+    }
+    else if (const auto* refused = std::get_if<refusal>(&outcome)) {
+        actions.push_back(sidecar_output::refuse_call{call, *refused});
+    }
+    else if (const auto* unknown = std::get_if<once_unknown>(&outcome)) {
+        actions.push_back(sidecar_output::refuse_call{call, unknown_refusal(unknown->why)});
+    }
+    else if (std::holds_alternative<once_not_run>(outcome)) {
+        actions.push_back(sidecar_output::refuse_call{call, not_run_refusal()});
+    }
+    else if (const auto* failure = std::get_if<error>(&outcome)) {
+        actions.push_back(sidecar_output::refuse_call{call, error_refusal(*failure)});
+    }
+    else {
+        actions.push_back(sidecar_output::tell_running{call});
+    }
+}
+
+void service_desk::tell_waiting(call_serial serial, const once_outcome& outcome,
+                                std::vector<sidecar_action>& actions)
+{
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        if (it->second.serial != serial) {
+            ++it;
+            continue;
+        }
+        tell(outcome, it->first, actions);
+        it = waiting_.erase(it);
+    }
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/serve/sidecar_core.cpp
@@ -0,0 +1,199 @@
+#include "dragonflymill/serve/sidecar_core.h"
+
+namespace dragonflymill {
+
+using actions_out = std::vector<sidecar_action>;
+
+sidecar_core::sidecar_core(instant now, const sidecar_core_options& options)
+    : options_(options)
+    , gate_(now, options.gate, options.seed)
+    , ledger_(options.ledger)
+    , attempts_(gate_, options.cancel_backoff)
+    , services_(gate_, ledger_, options.ledger.upstream)
+    , last_step_(now)
+    , reported_at_(now)
+{
+    ledger_.renew_own_lease(now + options_.own_lease_term);
+}
+
+auto sidecar_core::step(instant now, const sidecar_event& event) -> std::vector<sidecar_action>
+{
+    renew_own_lease(now);
+    actions_out actions;
+    std::visit([&](const auto& input) { take(now, input, actions); }, event);
+    return actions;
+}
+
+void sidecar_core::renew_own_lease(instant now)
+{
+    // Guards against an old sidecar that was paused and wakes beside its successor: a booking might run in
+    // both. It shows as a gap between two steps that is longer than the lease. The successor waits that long
+    // before it runs calls by key, so one that was never paused for so long is the only one to run them.
+    if (now - last_step_ > options_.own_lease_term) {
+        superseded_ = true;
+    }
+    last_step_ = now;
+    if (!superseded_) {
+        ledger_.renew_own_lease(now + options_.own_lease_term);
+    }
+}
+
+auto sidecar_core::load(instant now) const -> upstream_load
+{
+    const auto gate = gate_.load();
+    upstream_load word;
+    word.queued_prefill = attempts_.queued_prefill();
+    word.running = attempts_.running();
+    word.outstanding = gate.outstanding;
+    word.allowed = gate.allowed;
+    word.memory_used = memory_used_;
+    word.age = now - reported_at_;
+    word.start = last_report_.start;
+    word.draining = gate.draining;
+    word.cold = gate.allowed < gate.ceiling;
+    return word;
+}
+
+auto sidecar_core::refuse_if_stopping(call_number call, actions_out& actions) const -> bool
+{
+    if (!stopping_) {
+        return false;
+    }
+    actions.push_back(sidecar_output::refuse_call{
+        call, {refusal_code::stopping, ran_state::no, options_.gate.retry_base, "try another upstream"}});
+    return true;
+}
+
+void sidecar_core::take(instant now, const sidecar_input::attempt_opened& input, actions_out& actions)
+{
+    if (!refuse_if_stopping(input.call, actions)) {
+        attempts_.opened(now, input, actions);
+    }
+}
+
+void sidecar_core::take(instant now, const sidecar_input::prompt_received& input, actions_out& actions)
+{
+    attempts_.prompt_received(now, input.call, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::call_cancelled& input, actions_out& actions)
+{
+    attempts_.cancelled(now, input.call, actions);
+    services_.cancelled(input.call);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::gateway_heard& input, actions_out& /*actions*/)
+{
+    attempts_.gateway_heard(now, input.gateway);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::engine_tokens& input, actions_out& actions)
+{
+    attempts_.tokens(now, input, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::engine_finished& input, actions_out& actions)
+{
+    attempts_.finished(now, input, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::engine_failed& input, actions_out& actions)
+{
+    attempts_.failed(now, input, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::engine_reported& input, actions_out& actions)
+{
+    on_report(now, input, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::cancel_confirmed& input, actions_out& /*actions*/)
+{
+    attempts_.cancel_confirmed(now, input.engine_request);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::ticket_asked& input, actions_out& actions)
+{
+    if (!refuse_if_stopping(input.call, actions)) {
+        services_.ticket_asked(now, input, actions);
+    }
+}
+
+void sidecar_core::take(instant now, const sidecar_input::service_called& input, actions_out& actions)
+{
+    if (!refuse_if_stopping(input.call, actions)) {
+        services_.called(now, input, actions);
+    }
+}
+
+void sidecar_core::take(instant now, const sidecar_input::status_asked& input, actions_out& actions)
+{
+    services_.status_asked(now, input, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::service_answered& input, actions_out& actions)
+{
+    services_.answered(now, input, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::service_broken& input, actions_out& actions)
+{
+    services_.broken(now, input, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::drain_changed& input, actions_out& /*actions*/)
+{
+    drained_ = input.out;
+    gate_.set_draining(now, drained_ || stopping_);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::capacity_changed& input, actions_out& /*actions*/)
+{
+    gate_.resize(now, input.cold, input.warm);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::routes_changed& input, actions_out& /*actions*/)
+{
+    services_.routes_changed(now, input.routes);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::stop_asked& /*input*/, actions_out& actions)
+{
+    stopping_ = true;
+    gate_.set_draining(now, true);
+    on_tick(now, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::tick& /*input*/, actions_out& actions)
+{
+    on_tick(now, actions);
+}
+
+void sidecar_core::on_tick(instant now, actions_out& actions)
+{
+    for (const auto& ended : gate_.tick(now)) {
+        attempts_.permit_ended(now, ended, actions);
+    }
+    attempts_.tick(now, actions);
+    services_.tick(now, actions);
+    ledger_.tick(now);
+    const bool idle = attempts_.size() == 0 && services_.size() == 0;
+    if (stopping_ && idle && !said_all_done_) {
+        said_all_done_ = true;
+        actions.push_back(sidecar_output::all_done{});
+    }
+}
+
+void sidecar_core::on_report(instant now, const sidecar_input::engine_reported& report, actions_out& actions)
+{
+    reported_at_ = now;
+    last_report_ = report.word;
+    memory_used_ = report.memory_used;
+    gate_.report(now, report.word);
+    for (const auto& ended : gate_.tick(now)) {
+        attempts_.permit_ended(now, ended, actions);
+    }
+    attempts_.reconcile(now, report, actions);
+}
+
+} // namespace dragonflymill
