Read sizes written 64MiB as well as 64m

Cause: settings write sizes with their binary units. Change: parse_bytes knows KiB, MiB and GiB besides k, m and g.

--- a/include/dragonflymill/core/units.h
+++ b/include/dragonflymill/core/units.h
@@ -15,7 +15,7 @@
 /// Reads a count of tokens such as `4096`, `64k` or `1m`; k is a thousand, m a million.
 [[nodiscard]] auto parse_tokens(std::string_view text) -> result<std::int64_t>;
 
-/// Reads a size such as `512`, `64k`, `8m` or `1g` bytes; k is 1,024, m and g its powers.
+/// Reads a size such as `512`, `64KiB` (or `64k`), `8MiB` (`8m`) or `1GiB` (`1g`) bytes.
 [[nodiscard]] auto parse_bytes(std::string_view text) -> result<std::int64_t>;
 
 /// Reads a rate such as `0.5/s`, `200/s`, `50k/s` or `30/m`; the answer is per second.
--- a/src/core/units.cpp
+++ b/src/core/units.cpp
@@ -30,7 +30,13 @@
                                               {"h", 3'600 * microseconds_per_second},
                                               {"d", seconds_per_day* microseconds_per_second}}};
 constexpr std::array<unit, 3> token_units{{{"k", 1'000}, {"m", 1'000'000}, {"", 1}}};
-constexpr std::array<unit, 4> byte_units{{{"k", 1 << 10U}, {"m", 1 << 20U}, {"g", 1 << 30U}, {"", 1}}};
+constexpr std::array<unit, 7> byte_units{{{"KiB", 1 << 10U},
+                                          {"MiB", 1 << 20U},
+                                          {"GiB", 1 << 30U},
+                                          {"k", 1 << 10U},
+                                          {"m", 1 << 20U},
+                                          {"g", 1 << 30U},
+                                          {"", 1}}};
 
 auto is_blank(char c) -> bool
 {
