Read settings from INI against a declared schema

Cause: an operator with five mistakes in a file should see five lines, each with its place and what to do.

--- /dev/null
+++ b/src/settings/common_settings.cpp
@@ -0,0 +1,80 @@
+#include "settings/common_settings.h"
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr std::uint64_t highest_version = 999'999'999'999'999'999;
+constexpr std::size_t most_seeds = 16;
+constexpr std::size_t most_public_keys = 8;
+
+} // namespace
+
+void bind(settings_schema& schema, process_settings& target)
+{
+    schema.name({"process", "name", "name of this process, unique in the fleet"}, target.name,
+                presence::required);
+    schema.name({"process", "host", "the host it runs on"}, target.host, presence::required);
+    schema.name({"process", "failure_domain", "the failure domain of that host"}, target.failure_domain,
+                presence::required);
+    schema.name({"process", "region", "the region of that failure domain"}, target.region,
+                presence::required);
+}
+
+void bind(settings_schema& schema, bundle_settings& target)
+{
+    schema.path({"bundle", "file", "signed bundle to start from, if no peer has a newer one"}, target.file);
+    schema.count({"bundle", "min_version", "no bundle with a lower version is ever adopted"},
+                 target.min_version, {0, highest_version});
+    schema.path_list(
+        {"bundle", "public_keys", "files with the public keys that a bundle must be signed with"},
+        target.public_keys, most_public_keys);
+}
+
+void bind(settings_schema& schema, heartbeat_settings& target)
+{
+    schema.time({"heartbeat", "interval", "time between two heartbeats of a connection"}, target.interval,
+                {10ms, 30s});
+    schema.count({"heartbeat", "misses", "missed heartbeats after which a connection is replaced"},
+                 target.misses, {2, 20});
+}
+
+void bind(settings_schema& schema, control_settings& target)
+{
+    schema.address({"control", "udp_listen", "address of the membership's datagrams"}, target.udp_listen);
+    schema.address({"control", "peer_listen", "address at which peers read bundle sections"},
+                   target.peer_listen);
+    schema.address_list({"control", "seeds", "UDP addresses of processes to join the fleet through"},
+                        target.seeds, most_seeds);
+    schema.address({"control", "configuration_service", "the platform's configuration service"},
+                   target.configuration_service);
+    schema.address({"control", "host_list", "the platform's list of live and leaving hosts"},
+                   target.host_list);
+    schema.path(
+        {"control", "key_file", "file with the key that authenticates datagrams; the same everywhere"},
+        target.key_file);
+    schema.flag({"control", "standalone", "whether it may start without having heard any peer"},
+                target.standalone);
+}
+
+void bind(settings_schema& schema, log_settings& target)
+{
+    static constexpr setting_choice<log_level> levels[] = {{"debug", log_level::debug},
+                                                           {"info", log_level::info},
+                                                           {"warning", log_level::warning},
+                                                           {"error", log_level::error}};
+    static constexpr setting_choice<log_format> formats[] = {{"text", log_format::text},
+                                                             {"json", log_format::json}};
+    schema.choice({"log", "level", "events below it are not logged"}, target.level, levels);
+    schema.choice({"log", "format", "format of the log lines"}, target.format, formats);
+    schema.path({"log", "file", "file to append to; standard error if empty"}, target.file);
+}
+
+void bind(settings_schema& schema, timeline_settings& target)
+{
+    schema.path({"timeline", "file", "file for the time line of this process; none if empty"}, target.file);
+    schema.count({"timeline", "ring", "events that wait for the writer at most; further ones are dropped"},
+                 target.ring, {64, 1'048'576});
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/settings/settings_reader.cpp
@@ -0,0 +1,185 @@
+#include "settings/settings_reader.h"
+
+#include "settings/ini_document.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <numeric>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr std::size_t largest_file = std::size_t{1} << 20U;
+/// A misspelt name differs from the one meant by few letters; further away, a hint would mislead.
+constexpr std::size_t nearest_distance = 3;
+
+/// Number of letters to change, add or leave out to get from `a` to `b`.
+auto edit_distance(std::string_view a, std::string_view b) -> std::size_t
+{
+    std::vector<std::size_t> row(b.size() + 1);
+    std::iota(row.begin(), row.end(), std::size_t{0});
+    for (std::size_t i = 0; i < a.size(); ++i) {
+        std::size_t diagonal = row[0];
+        row[0] = i + 1;
+        for (std::size_t j = 0; j < b.size(); ++j) {
+            const std::size_t replaced = diagonal + (a[i] == b[j] ? 0 : 1);
+            diagonal = row[j + 1];
+            row[j + 1] = std::min({replaced, row[j] + 1, diagonal + 1});
+        }
+    }
+    return row.back();
+}
+
+/// Reads one document against a schema and collects the mistakes.
+class settings_check
+{
+public:
+    settings_check(const std::string& file, const settings_schema& schema, ini_document document)
+        : file_(file)
+        , schema_(schema)
+        , document_(std::move(document))
+        , mistakes_(std::move(document_.mistakes))
+    {
+    }
+
+    auto run() && -> std::vector<settings_mistake>
+    {
+        for (const ini_entry& entry : document_.entries) {
+            check_entry(entry);
+        }
+        for (const setting_spec& spec : schema_.specs()) {
+            check_presence(spec);
+        }
+        if (mistakes_.empty()) {
+            check_rules();
+        }
+        std::stable_sort(
+            mistakes_.begin(), mistakes_.end(),
+            [](const settings_mistake& a, const settings_mistake& b) { return a.line < b.line; });
+        return std::move(mistakes_);
+    }
+
+private:
+    void check_entry(const ini_entry& entry)
+    {
+        const auto specs = schema_.specs();
+        const auto spec = std::find_if(specs.begin(), specs.end(), [&](const setting_spec& s) {
+            return s.section == entry.section && s.key == entry.key;
+        });
+        if (spec == specs.end()) {
+            add_unknown(entry);
+            return;
+        }
+        const auto assigned = spec->assign(entry.value);
+        if (assigned.has_error()) {
+            mistakes_.push_back({file_, entry.line, entry.section, entry.key, assigned.error().message(),
+                                 spec->allowed, assigned.error().remedy()});
+        }
+    }
+
+    void add_unknown(const ini_entry& entry)
+    {
+        std::string keys;
+        const setting_spec* nearest = nullptr;
+        std::size_t distance = nearest_distance + 1;
+        for (const setting_spec& spec : schema_.specs()) {
+            const std::size_t away =
+                edit_distance(spec.section, entry.section) + edit_distance(spec.key, entry.key);
+            if (away < distance) {
+                nearest = &spec;
+                distance = away;
+            }
+            if (spec.section == entry.section) {
+                keys += (keys.empty() ? "" : ", ") + spec.key;
+            }
+        }
+        const std::string message = keys.empty() ? "the section is not known" : "the key is not known";
+        const std::string allowed = keys.empty() ? all_sections() : keys;
+        const std::string remedy = nearest == nullptr
+                                       ? "remove the line or see docs/settings.md"
+                                       : "did you mean [" + nearest->section + "] " + nearest->key + "?";
+        mistakes_.push_back({file_, entry.line, entry.section, entry.key, message, allowed, remedy});
+    }
+
+    [[nodiscard]] auto all_sections() const -> std::string
+    {
+        std::string all;
+        std::string last;
+        for (const setting_spec& spec : schema_.specs()) {
+            if (spec.section != last) {
+                all += (all.empty() ? "[" : ", [") + spec.section + "]";
+                last = spec.section;
+            }
+        }
+        return all;
+    }
+
+    void check_presence(const setting_spec& spec)
+    {
+        if (spec.needed == presence::optional || line_of(spec.section, spec.key) > 0) {
+            return;
+        }
+        const auto section = std::find_if(document_.sections.begin(), document_.sections.end(),
+                                          [&](const ini_section& s) { return s.name == spec.section; });
+        const int line = section == document_.sections.end() ? 0 : section->line;
+        mistakes_.push_back({file_, line, spec.section, spec.key, "the key is missing", spec.allowed,
+                             "add it: " + spec.help});
+    }
+
+    void check_rules()
+    {
+        for (const setting_rule& rule : schema_.rules()) {
+            if (!rule.holds()) {
+                mistakes_.push_back({file_, line_of(rule.section, rule.key), rule.section, rule.key,
+                                     rule.message, "", rule.remedy});
+            }
+        }
+    }
+
+    [[nodiscard]] auto line_of(const std::string& section, const std::string& key) const -> int
+    {
+        const auto entry =
+            std::find_if(document_.entries.begin(), document_.entries.end(),
+                         [&](const ini_entry& e) { return e.section == section && e.key == key; });
+        return entry == document_.entries.end() ? 0 : entry->line;
+    }
+
+    const std::string& file_;
+    const settings_schema& schema_;
+    ini_document document_;
+    std::vector<settings_mistake> mistakes_;
+};
+
+auto unreadable(const std::string& file, std::string message, std::string remedy)
+    -> std::vector<settings_mistake>
+{
+    return {{file, 0, "", "", std::move(message), "", std::move(remedy)}};
+}
+
+} // namespace
+
+auto read_settings(std::string_view text, const std::string& file, const settings_schema& schema)
+    -> std::vector<settings_mistake>
+{
+    return settings_check(file, schema, parse_ini(text, file)).run();
+}
+
+auto read_settings_file(const std::string& file, const settings_schema& schema)
+    -> std::vector<settings_mistake>
+{
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+        return unreadable(file, "the file can't be opened", "check its path and permissions");
+    }
+    std::string text(largest_file + 1, '\0');
+    in.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<std::size_t>(in.gcount()));
+    if (text.size() > largest_file) {
+        return unreadable(file, "the file is larger than 1 MiB", "check that it is a settings file");
+    }
+    return read_settings(text, file, schema);
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/settings/sidecar_settings.cpp
@@ -0,0 +1,65 @@
+#include "settings/sidecar_settings.h"
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr std::uint64_t mebibyte = 1U << 20U;
+constexpr std::uint64_t gibibyte = 1U << 30U;
+
+void bind_upstream(settings_schema& schema, upstream_settings& target)
+{
+    schema.name({"upstream", "id", "name of the upstream in the bundle"}, target.id, presence::required);
+    schema.address({"upstream", "address", "the upstream's own HTTP address"}, target.address,
+                   presence::required);
+    schema.time({"upstream", "connect_timeout", "for opening a connection to the upstream"},
+                target.connect_timeout, {10ms, 30s});
+    schema.time({"upstream", "state_interval", "between two readings of the upstream's state"},
+                target.state_interval, {10ms, 30s});
+}
+
+void bind_lease(settings_schema& schema, lease_settings& target)
+{
+    schema.time({"lease", "permit", "how long a permit holds without renewal"}, target.permit, {100ms, 60s});
+    schema.time({"lease", "memory", "how long memory at the engine is held without renewal"}, target.memory,
+                {100ms, std::chrono::minutes(5)});
+    schema.time({"lease", "order", "how long the right to give orders holds; the same on all hosts"},
+                target.order, {100ms, std::chrono::minutes(5)});
+    schema.time({"lease", "cancel_retry", "between two cancels that the engine has not confirmed"},
+                target.cancel_retry, {10ms, 30s});
+}
+
+void bind_once(settings_schema& schema, once_settings& target)
+{
+    schema.size({"once", "max_bytes", "records and stored answers of calls that may not be repeated"},
+                target.max_bytes, {mebibyte, 4 * gibibyte});
+    schema.time({"once", "retention", "how long the outcome of such a call is remembered"}, target.retention,
+                {1s, std::chrono::hours(24)});
+    schema.path({"once", "key_file", "file with the key that signs tickets; a fresh one if empty"},
+                target.key_file);
+}
+
+} // namespace
+
+auto sidecar_schema(sidecar_settings& target) -> settings_schema
+{
+    settings_schema schema;
+    bind(schema, target.process);
+    bind_upstream(schema, target.upstream);
+    schema.address({"listen", "grpc", "address at which gateways connect"}, target.grpc_listen,
+                   presence::required);
+    schema.address({"listen", "admin", "address of status, drain and bundle pushes; none if missing"},
+                   target.admin_listen);
+    bind(schema, target.bundle);
+    bind(schema, target.heartbeat);
+    bind_lease(schema, target.lease);
+    bind_once(schema, target.once);
+    schema.time({"stop", "drain_lag", "time in which gateways learn that this sidecar stops"},
+                target.drain_lag, {duration::zero(), std::chrono::minutes(10)});
+    bind(schema, target.control);
+    bind(schema, target.log);
+    bind(schema, target.timeline);
+    return schema;
+}
+
+} // namespace dragonflymill
