--- a/include/dragonflymill/core/deadline_budget.h
+++ b/include/dragonflymill/core/deadline_budget.h
@@ -28,6 +28,7 @@
     /// When it runs out on this process's clock.
     [[nodiscard]] auto end() const -> instant { return end_; }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the zero of a rewritten a < b for a pointer
     friend auto operator<=>(const deadline_budget&, const deadline_budget&) -> std::strong_ordering = default;
 
 private:
--- a/include/dragonflymill/core/strong_id.h
+++ b/include/dragonflymill/core/strong_id.h
@@ -25,6 +25,7 @@
     /// Whether no name was given.
     [[nodiscard]] auto empty() const -> bool { return text_.empty(); }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the zero of a rewritten a < b for a pointer
     friend auto operator<=>(const name_id&, const name_id&) -> std::strong_ordering = default;
 
 private:
@@ -46,6 +47,7 @@
     /// The number itself.
     [[nodiscard]] constexpr auto value() const -> std::uint64_t { return value_; }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the zero of a rewritten a < b for a pointer
     friend constexpr auto operator<=>(const number_id&, const number_id&) -> std::strong_ordering = default;
 
 private:
