Prove the ledger of calls cell by cell

Cause: the ledger had one test. Writing the cells showed a hole: a key with a time in it, tried again after its outcome was forgotten, passed for new and would have run twice.

Change: such a key is answered as unknown once it is older than outcomes are remembered. Fault cells of ticket issue, send, answer and status; tests of bounds, forged tickets, voiding and key homes.

--- a/src/once/once_ledger.cpp
+++ b/src/once/once_ledger.cpp
@@ -207,7 +207,9 @@
     const bool from_the_future = made && *made > wall_now + options_.clock_skew;
     if (made && !from_the_future) {
         const wall_instant wall_since = options_.started_wall + (since - options_.started);
-        return *made > wall_since + options_.clock_skew;
+        // Made so long ago that its outcome may have been forgotten already: first or repeated, who can tell.
+        const bool still_remembered = *made > wall_now + options_.clock_skew - owner.remember_for;
+        return still_remembered && *made > wall_since + options_.clock_skew;
     }
     return now > since + owner.remember_for;
 }
--- a/tests/once/once_ledger_test.cpp
+++ b/tests/once/once_ledger_test.cpp
@@ -1,43 +1,176 @@
-#include "dragonflymill/once/once_ledger.h"
+#include "dragonflymill/once/key_home.h"
+#include "dragonflymill/once/uuid_time.h"
+#include "once/once_fixture.h"
 
-#include "support/fault_cell.h"
+#include <criterion/criterion.h>
 
 using namespace dragonflymill;
+using namespace dragonflymill::test;
 
 namespace {
 
-auto at(duration since) -> instant
+const once_answer booked{201, "application/json", R"({"slot":7})"};
+
+} // namespace
+
+Test(once_ledger, a_ticket_runs_once_and_is_then_replayed)
 {
-    return instant(since);
+    once_ledger ledger(ledger_options(1));
+    const once_call call = by_ticket(mint(ledger, at(0s)));
+    cr_assert(std::holds_alternative<once_run>(ledger.look(at(1s), call)));
+    const call_serial serial = run_serial(ledger.submit(at(1s), call));
+    cr_assert(ledger.sending(at(1s), serial));
+    cr_assert(ledger.submit(at(2s), call) == once_outcome(once_join{serial}));
+    ledger.answered(at(3s), serial, booked);
+    cr_assert(ledger.submit(at(4s), call) == once_outcome(once_replay{booked}));
+    cr_assert(ledger.status(at(4s), call) == once_outcome(once_replay{booked}));
 }
 
-auto options() -> once_ledger_options
+Test(once_ledger, a_key_runs_once_the_sidecar_has_its_lease)
 {
-    once_ledger_options result;
-    result.upstream = upstream_id("booking-1");
-    result.self = incarnation(1);
-    result.ticket_key = "key";
-    return result;
+    once_ledger ledger(ledger_options(1));
+    const once_call call = by_key(timed_key(60s, 1));
+    cr_assert(ledger.submit(at(61s), call) == unknown(unknown_reason::no_lease));
+    ledger.renew_own_lease(at(100s));
+    cr_assert(send(ledger, at(61s), call));
+    cr_assert(!send(ledger, at(62s), call));
 }
 
-auto call_of(const std::string& ticket) -> once_call
+Test(once_ledger, another_body_under_the_same_name_is_a_conflict)
 {
-    return {{route_id("slots"), client_account_id("a")}, ticket_name{ticket}, digest_of({"body"})};
+    once_ledger ledger(ledger_options(1));
+    ledger.renew_own_lease(at(100s));
+    const std::string ticket = mint(ledger, at(60s));
+    const std::string key = timed_key(60s, 1);
+    cr_assert(send(ledger, at(61s), by_ticket(ticket, "one")));
+    cr_assert(send(ledger, at(61s), by_key(key, "one")));
+    cr_assert(is_error(ledger.submit(at(62s), by_ticket(ticket, "two")), error_kind::conflict));
+    cr_assert(is_error(ledger.submit(at(62s), by_key(key, "two")), error_kind::conflict));
 }
 
-} // namespace
+Test(once_ledger, a_forged_changed_or_borrowed_ticket_runs_nothing)
+{
+    once_ledger ledger(ledger_options(1));
+    const std::string ticket = mint(ledger, at(0s));
+    for (std::size_t i = 0; i < ticket.size(); i += 7) {
+        std::string changed = ticket;
+        changed[i] = changed[i] == '0' ? '1' : '0';
+        cr_assert(is_error(ledger.submit(at(1s), by_ticket(changed)), error_kind::corrupt));
+    }
+    cr_assert(is_error(ledger.submit(at(1s), by_ticket("")), error_kind::corrupt));
+    cr_assert(is_error(ledger.submit(at(1s), by_ticket(std::string(100'000, 'a'))), error_kind::corrupt));
+    once_call borrowed = by_ticket(ticket);
+    borrowed.owner.account = client_account_id("another");
+    cr_assert(is_error(ledger.submit(at(1s), borrowed), error_kind::unauthorized));
+    cr_assert(send(ledger, at(1s), by_ticket(ticket)));
+}
 
-Test(once_ledger, a_ticket_runs_once_and_is_then_replayed)
+Test(once_ledger, voided_is_dead_for_good_and_not_run_is_true)
+{
+    once_ledger ledger(ledger_options(1));
+    const once_call call = by_ticket(mint(ledger, at(0s)));
+    cr_assert(ledger.status(at(1s), call) == once_outcome(once_pending{}));
+    cr_assert(ledger.void_call(at(1s), call) == once_outcome(once_not_run{}));
+    cr_assert(ledger.submit(at(2s), call) == once_outcome(once_not_run{}));
+}
+
+Test(once_ledger, what_was_sent_can_not_be_voided)
 {
-    once_ledger ledger(options());
-    const auto minted = ledger.mint(at(0s), {route_id("slots"), client_account_id("a")});
-    const once_call call = call_of(std::get<once_minted>(minted).text);
-    const auto first = ledger.submit(at(1s), call);
-    cr_assert(std::holds_alternative<once_run>(first));
-    const call_serial serial = std::get<once_run>(first).serial;
+    once_ledger ledger(ledger_options(1));
+    const once_call call = by_ticket(mint(ledger, at(0s)));
+    const call_serial serial = run_serial(ledger.submit(at(1s), call));
     cr_assert(ledger.sending(at(1s), serial));
+    cr_assert(ledger.void_call(at(2s), call) == once_outcome(once_join{serial}));
+    cr_assert(!ledger.withdraw(at(2s), serial));
+    ledger.broken(at(3s), serial);
+    cr_assert(ledger.void_call(at(4s), call) == unknown(unknown_reason::broken));
+}
+
+Test(once_ledger, withdrawn_before_sending_is_dead_for_good)
+{
+    once_ledger ledger(ledger_options(1));
+    const once_call call = by_ticket(mint(ledger, at(0s)));
+    const call_serial serial = run_serial(ledger.submit(at(1s), call));
+    cr_assert(ledger.withdraw(at(1s), serial));
     cr_assert(!ledger.sending(at(1s), serial));
-    cr_assert(ledger.submit(at(2s), call) == once_outcome(once_join{serial}));
-    ledger.answered(at(3s), serial, {201, "text/plain", "done"});
-    cr_assert(ledger.submit(at(4s), call) == once_outcome(once_replay{{201, "text/plain", "done"}}));
+    cr_assert(ledger.submit(at(2s), call) == once_outcome(once_not_run{}));
+}
+
+Test(once_ledger, when_full_it_refuses_and_forgets_nothing)
+{
+    once_ledger_options options = ledger_options(1);
+    options.max_calls = 2;
+    once_ledger ledger(options);
+    const once_call first = by_ticket(mint(ledger, at(0s)));
+    cr_assert(send(ledger, at(0s), first));
+    cr_assert(!mint(ledger, at(0s)).empty());
+    const auto full = ledger.mint(at(1s), owner());
+    cr_assert(std::get<refusal>(full).ran == ran_state::no);
+    cr_assert(std::get<refusal>(full).retry_after > 0us);
+    ledger.renew_own_lease(at(1'000s));
+    cr_assert(std::holds_alternative<refusal>(ledger.submit(at(20s), by_key(timed_key(19s, 1)))));
+    cr_assert(!send(ledger, at(20s), first));
+}
+
+Test(once_ledger, bytes_stay_bounded_and_long_answers_lose_their_body)
+{
+    once_ledger_options options = ledger_options(1);
+    options.max_bytes = 100'000;
+    once_ledger ledger(options);
+    std::string last;
+    for (std::string ticket = mint(ledger, at(0s)); !ticket.empty(); ticket = mint(ledger, at(0s))) {
+        const call_serial serial = run_serial(ledger.submit(at(0s), by_ticket(ticket)));
+        cr_assert(ledger.sending(at(0s), serial));
+        ledger.answered(at(0s), serial, {200, "text/plain", std::string(5'000, 'x'), true});
+        cr_assert(ledger.bytes() <= options.max_bytes);
+        last = ticket;
+    }
+    cr_assert(ledger.size() > 100);
+    const once_outcome replay = ledger.submit(at(1s), by_ticket(last));
+    cr_assert(!std::get<once_replay>(replay).answer.body_kept);
+    ledger.tick(at(3600s));
+    cr_assert(ledger.size() == 0);
+    cr_assert(ledger.bytes() == 0);
+}
+
+Test(uuid_time, version_7_tells_its_time_and_nothing_else_does)
+{
+    cr_assert(uuid_v7_time(timed_key(90s, 3)) == wall_start + 90s);
+    cr_assert(!uuid_v7_time("018bcfe5-6800-4000-8000-000000000000"), "version 4");
+    cr_assert(!uuid_v7_time("018bcfe5-6800-7000-8000-00000000000g"));
+    cr_assert(!uuid_v7_time("018bcfe5+6800-7000-8000-000000000000"));
+    cr_assert(!uuid_v7_time("order 17"));
+}
+
+Test(key_home, only_keys_that_moved_here_are_in_doubt)
+{
+    const route_id route("slots");
+    key_home home({.self = upstream_id("b1")});
+    home.adopt(at(0s), route, {upstream_id("b1"), upstream_id("b2"), upstream_id("b3")});
+    home.adopt(at(100s), route, {upstream_id("b1"), upstream_id("b2")});
+    int moved = 0;
+    int stayed = 0;
+    for (std::uint64_t i = 0; i < 300; ++i) {
+        const std::uint64_t key = home_key(route, client_account_id("a"), std::to_string(i));
+        if (!home.home_here(route, key)) {
+            continue;
+        }
+        const instant until = *home.other_home_until(route, key);
+        const auto before = home_of(key, {upstream_id("b1"), upstream_id("b2"), upstream_id("b3")});
+        cr_assert(until == (before == upstream_id("b1") ? at(11s) : at(111s)));
+        ++(before == upstream_id("b1") ? stayed : moved);
+    }
+    cr_assert(moved > 20 && stayed > 60);
+}
+
+Test(key_home, views_are_bounded_and_what_falls_out_counts_as_a_move)
+{
+    const route_id route("slots");
+    key_home home({.self = upstream_id("b1"), .max_views = 2});
+    for (int i = 0; i < 6; ++i) {
+        home.adopt(at(100s * i), route, {upstream_id("b1"), upstream_id("x" + std::to_string(i))});
+    }
+    for (std::uint64_t key = 0; key < 100; ++key) {
+        cr_assert(*home.other_home_until(route, key) >= at(311s));
+    }
 }
