--- a/include/dragonflymill/once/once_ledger.h
+++ b/include/dragonflymill/once/once_ledger.h
@@ -32,6 +32,7 @@
     std::size_t max_bytes = 32 * 1'024 * 1'024; ///< Bytes remembered at most.
     std::size_t max_answer_bytes = 4'096;       ///< Longer answers are remembered without their body.
     duration submit_term = 30s;                 ///< Time in which a ticket can be submitted.
+    duration own_pause = 1s;                    ///< A gap between two calls that tells of an own pause.
     duration clock_skew = 5s;                   ///< Bound on the error between civil clocks.
     duration predecessor_lease = 10s;           ///< Longest time for which a predecessor may still act.
 };
@@ -189,7 +190,8 @@
     /// Calls named by key are run only until then: the sidecar's own lease on its upstream, which its
     /// successor waits out (see docs/design/leases.md). Tickets don't need it.
     void renew_own_lease(instant until) { own_lease_ = until; }
-    /// Forgets what is over.
+    /// Forgets what is over. To be called more often than `own_pause`: time in which this process was paused
+    /// doesn't count, since retries sent meanwhile still wait in its sockets.
     void tick(instant now);
 
     /// Calls remembered.
@@ -242,6 +244,8 @@
     void set_due(call_serial serial, entry& held, instant due);
     void settle(instant now, call_serial serial, entry& held, call_state state);
     void forget(call_serial serial);
+    void notice_own_pause(instant now);
+    [[nodiscard]] auto awake(instant now) const -> instant { return now - paused_; }
 
     once_ledger_options options_;
     ticket_codec codec_;
@@ -251,6 +255,8 @@
     std::size_t bytes_ = 0;
     std::uint64_t next_serial_ = 1;
     std::optional<instant> own_lease_;
+    std::optional<instant> last_call_;
+    duration paused_{0};
 };
 
 } // namespace dragonflymill
--- a/src/once/once_ledger.cpp
+++ b/src/once/once_ledger.cpp
@@ -50,7 +50,7 @@
 
 auto once_ledger::refuse_full(instant now) const -> refusal
 {
-    const duration next = due_.empty() ? longest_retry : due_.top().first - now;
+    const duration next = due_.empty() ? longest_retry : due_.top().first - awake(now);
     return {refusal_code::overloaded, ran_state::no, std::clamp(next, shortest_retry, longest_retry),
             "the ledger of calls that may not be repeated is full; come back after retry_after"};
 }
@@ -72,7 +72,7 @@
     }
     const call_serial serial = add(owner.remember_for);
     const instant submit_by = now + options_.submit_term;
-    set_due(serial, calls_[serial], submit_by);
+    set_due(serial, calls_[serial], awake(submit_by));
     const ticket minted{options_.upstream, owner.route, owner.account, options_.self, serial, submit_by};
     return once_minted{codec_.encode(minted), serial, options_.submit_term};
 }
@@ -211,7 +211,8 @@
         const bool still_remembered = *made > wall_now + options_.clock_skew - owner.remember_for;
         return still_remembered && *made > wall_since + options_.clock_skew;
     }
-    return now > since + owner.remember_for;
+    // Awake time, as in notice_own_pause(): a retry may have waited in a socket for as long as the pause.
+    return awake(now) > since + owner.remember_for;
 }
 
 auto once_ledger::may_run_keys(instant now) const -> bool
@@ -334,12 +335,23 @@
     default:
         break;
     }
-    set_due(serial, held, now + held.remember_for);
+    set_due(serial, held, awake(now) + held.remember_for);
+}
+
+void once_ledger::notice_own_pause(instant now)
+{
+    // Guarded failure: this process was paused until outcomes were over, and then finds a retry in its
+    // sockets that was sent in time: the key would pass for new and run again, or be said to be not run.
+    if (last_call_ && now - *last_call_ > options_.own_pause) {
+        paused_ += now - *last_call_;
+    }
+    last_call_ = now;
 }
 
 void once_ledger::tick(instant now)
 {
-    while (!due_.empty() && due_.top().first <= now) {
+    notice_own_pause(now);
+    while (!due_.empty() && due_.top().first <= awake(now)) {
         const auto [due, serial] = due_.top();
         due_.pop();
         const auto found = calls_.find(serial);
--- a/tests/once/once_faults_test.cpp
+++ b/tests/once/once_faults_test.cpp
@@ -301,3 +301,34 @@
     ledger.answered(at(2s), serial, booked);
     cr_assert(ledger.status(at(603s), call) == unknown(unknown_reason::forgotten));
 }
+
+FAULT_CELL_MORE(ticket_status, paused_wakes_late, retry_in_the_socket)
+{
+    // The sidecar is paused until the outcome of a booking is over. The caller's wish to void it, sent in
+    // time, waits in its socket. It must find the booking still remembered, not be told that it never ran.
+    once_ledger_options options = ledger_options(1);
+    options.own_pause = 1s;
+    options.predecessor_lease = 0s;
+    once_ledger ledger(options);
+    ledger.renew_own_lease(at(100'000s));
+    const once_call call = by_key("order-17");
+    for (duration t = 0s; t < 601s; t += 500ms) {
+        ledger.tick(at(t));
+    }
+    const call_serial serial = run_serial(ledger.submit(at(601s), call));
+    cr_assert(ledger.sending(at(601s), serial));
+    ledger.answered(at(601s), serial, booked);
+    cr_assert(ledger.void_call(at(1'300s), call) == once_outcome(once_replay{booked}));
+}
+
+FAULT_CELL(ticket_send, two_faults)
+{
+    // The sidecar is replaced while a caller's retry is on its way, and the successor is paused for as long
+    // as outcomes are remembered. On waking it finds the retry in its socket: old as it looks, it is not new.
+    once_ledger_options options = ledger_options(2);
+    options.own_pause = 1s;
+    once_ledger successor(options);
+    successor.tick(at(5s));
+    successor.renew_own_lease(at(5'000s));
+    cr_assert(successor.submit(at(705s), by_key("order-17")) == unknown(unknown_reason::maybe_earlier));
+}
