--- /dev/null
+++ b/tests/lease/lease_table_test.cpp
@@ -0,0 +1,282 @@
+#include "dragonflymill/lease/lease_table.h"
+#include "dragonflymill/lease/own_lease.h"
+
+#include "support/fault_cell.h"
+
+using namespace dragonflymill;
+
+namespace {
+
+auto at(duration since) -> instant
+{
+    return instant(since);
+}
+
+auto stream(const std::string& id) -> holding
+{
+    return {{false, id}, holding_kind::stream, 100};
+}
+
+auto span(const std::string& id) -> holding
+{
+    return {{true, id}, holding_kind::exported_span, 1'000};
+}
+
+const process_id gateway("g1");
+
+/// Runs ticks a tenth of a second apart and gathers what they lead to.
+auto ticks(lease_table& table, duration from, duration to) -> lease_actions
+{
+    lease_actions all;
+    for (duration t = from; t < to; t += 100ms) {
+        const lease_actions actions = table.tick(at(t));
+        all.cancels.insert(all.cancels.end(), actions.cancels.begin(), actions.cancels.end());
+        all.ended.insert(all.ended.end(), actions.ended.begin(), actions.ended.end());
+    }
+    return all;
+}
+
+} // namespace
+
+Test(lease_table, held_renewed_released_confirmed)
+{
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, stream("r1")).value();
+    cr_assert(table.tokens() == 100);
+    cr_assert(table.renew(at(4s), lease.lease));
+    cr_assert(table.hold(at(4s), gateway, stream("r1")).value().lease == lease.lease);
+    table.release(at(5s), lease.lease);
+    cr_assert(!table.renew(at(5s), lease.lease));
+    const std::vector<cancel_request> one_cancel{{{false, "r1"}, 1}};
+    cr_assert(table.tick(at(5s)).cancels == one_cancel);
+    cr_assert(table.cancelling() == 1);
+    table.confirmed({false, "r1"});
+    cr_assert(table.cancelling() == 0 && table.owned() == 0 && table.tokens() == 0);
+}
+
+Test(lease_table, another_owner_is_refused)
+{
+    lease_table table({}, 1);
+    cr_assert(table.hold(at(0s), gateway, stream("r1")));
+    cr_assert(table.hold(at(0s), process_id("g2"), stream("r1")).error().kind() == error_kind::conflict);
+}
+
+Test(lease_table, at_its_bound_it_refuses_before_anything_is_held)
+{
+    lease_table table({.max_holdings = 1}, 1);
+    cr_assert(table.hold(at(0s), gateway, stream("r1")));
+    cr_assert(table.hold(at(0s), gateway, stream("r2")).error().kind() == error_kind::limit_reached);
+    cr_assert(!table.knows({false, "r2"}));
+}
+
+Test(lease_table, a_tick_hands_out_a_bounded_number_of_cancels)
+{
+    lease_table table({.max_cancels = 3}, 1);
+    for (int i = 0; i < 10; ++i) {
+        cr_assert(table.hold(at(0s), gateway, stream(std::to_string(i))));
+    }
+    table.owner_gone(at(1s), gateway);
+    cr_assert(table.tick(at(1s)).cancels.size() == 3);
+    cr_assert(table.tick(at(1s)).cancels.size() == 3);
+}
+
+Test(lease_table, same_inputs_same_actions)
+{
+    for (std::uint64_t seed = 1; seed < 5; ++seed) {
+        lease_table one({}, seed);
+        lease_table other({}, seed);
+        cr_assert(one.hold(at(0s), gateway, stream("r1")) && other.hold(at(0s), gateway, stream("r1")));
+        cr_assert(ticks(one, 0s, 60s) == ticks(other, 0s, 60s));
+    }
+}
+
+Test(own_lease, needs_both_confirmations_and_waits_out_the_predecessor)
+{
+    own_lease lease(at(0s), {.self = incarnation(2)});
+    cr_assert(!lease.live(at(5s)));
+    lease.confirmed(at(1s), incarnation(2));
+    lease.bundle_confirmed(at(1s));
+    cr_assert(!lease.live(at(2s)), "the predecessor may still act");
+    lease.confirmed(at(4s), incarnation(2));
+    cr_assert(lease.live(at(5s)));
+    cr_assert(!lease.live(at(7s)));
+    lease.confirmed(at(11s), incarnation(2));
+    cr_assert(!lease.live(at(12'500ms)), "no peer has confirmed the bundle for too long");
+}
+
+FAULT_CELL(request_cancel, message_lost)
+{
+    // A caller leaves, and the cancel to the engine is lost again and again. The engine would keep the memory
+    // for ever; the cancel is repeated, ever more slowly, until the engine confirms.
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, stream("r1")).value();
+    table.release(at(0s), lease.lease);
+    const std::size_t first_minute = ticks(table, 0s, 60s).cancels.size();
+    cr_assert(first_minute > 10 && first_minute < 60);
+    cr_assert(!ticks(table, 600s, 610s).cancels.empty(), "given up, and the memory is lost for good");
+    table.confirmed({false, "r1"});
+    cr_assert(ticks(table, 610s, 640s).cancels.empty());
+}
+
+FAULT_CELL(request_cancel, message_doubled)
+{
+    // The engine's confirmation arrives twice, and by then the name is in use again. The second copy may end
+    // the new lease early at the table, but the engine's inventory brings it back: nothing is lost for good.
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, stream("r1")).value();
+    table.release(at(0s), lease.lease);
+    table.confirmed({false, "r1"});
+    cr_assert(table.hold(at(1s), gateway, stream("r1")));
+    table.confirmed({false, "r1"});
+    table.reconcile(at(2s), {at(2s), incarnation(1), {stream("r1")}});
+    cr_assert(table.knows({false, "r1"}));
+    cr_assert(!ticks(table, 2s, 20s).cancels.empty());
+}
+
+FAULT_CELL(request_cancel, message_reordered)
+{
+    // The cancel overtakes the request on its way to the engine: the engine confirms that it holds nothing,
+    // and then the request arrives and runs for nobody. The next inventory shows it and it is cancelled.
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, stream("r1")).value();
+    table.release(at(10ms), lease.lease);
+    table.confirmed({false, "r1"});
+    table.reconcile(at(2s), {at(2s), incarnation(1), {stream("r1")}});
+    const auto actions = ticks(table, 2s, 13s);
+    cr_assert(!actions.cancels.empty(), "held at the engine with no owner");
+    cr_assert(actions.ended.at(0).why == lease_end::not_claimed);
+}
+
+FAULT_CELL(request_cancel, process_dies)
+{
+    // The sidecar dies with cancels pending. Its successor knows nothing; it finds the holdings at the
+    // engine, gives their owners time to claim them, and cancels the rest.
+    lease_table successor({}, 1);
+    successor.reconcile(at(0s), {at(0s), incarnation(1), {stream("orphan"), span("kept")}});
+    cr_assert(ticks(successor, 0s, 5s).cancels.empty());
+    const holding_lease kept = successor.hold(at(5s), gateway, span("kept")).value();
+    cr_assert(ticks(successor, 5s, 9'900ms).cancels.empty());
+    cr_assert(successor.renew(at(9'900ms), kept.lease));
+    const auto actions = ticks(successor, 9'900ms, 14s);
+    cr_assert(!actions.cancels.empty());
+    for (const cancel_request& cancel : actions.cancels) {
+        cr_assert(cancel.what.id == "orphan", "what was claimed is cancelled");
+    }
+}
+
+FAULT_CELL(request_stream, process_dies)
+{
+    // A gateway dies in the middle of a stream. Its lease ends, the engine gets a cancel, its memory is free.
+    lease_table table({}, 1);
+    cr_assert(table.hold(at(0s), gateway, stream("r1")));
+    const auto actions = ticks(table, 0s, 6s);
+    cr_assert(actions.ended.size() == 1, "the engine's memory is lost for good");
+    cr_assert(actions.ended[0].why == lease_end::not_renewed);
+    cr_assert(!actions.cancels.empty());
+}
+
+FAULT_CELL(request_stream, paused_wakes_late)
+{
+    // A gateway is paused for a minute and then renews a lease that has ended. It doesn't come back to life;
+    // the gateway learns it and starts its request anew.
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, stream("r1")).value();
+    cr_assert(ticks(table, 0s, 60s).ended.size() == 1);
+    cr_assert(!table.renew(at(60s), lease.lease));
+    cr_assert(table.hold(at(60s), gateway, stream("r1")).error().kind() == error_kind::conflict);
+}
+
+FAULT_CELL_MORE(request_stream, paused_wakes_late, the_sidecar_itself)
+{
+    // The sidecar is paused for a minute under a running stream, whose renewals wait in its sockets. The
+    // stream goes on when it wakes.
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, stream("r1")).value();
+    cr_assert(table.tick(at(1s)).ended.empty());
+    cr_assert(table.tick(at(60s)).ended.empty());
+    cr_assert(table.renew(at(60s), lease.lease));
+}
+
+FAULT_CELL(request_stream, upstream_cold)
+{
+    // The engine restarts. What it held is gone, so no cancel is sent for it, and its owners are told at once
+    // instead of at the end of their leases.
+    lease_table table({}, 1);
+    table.reconcile(at(0s), {at(0s), incarnation(1), {}});
+    cr_assert(table.hold(at(1s), gateway, stream("r1")));
+    table.reconcile(at(2s), {at(2s), incarnation(2), {}});
+    const auto actions = table.tick(at(2s));
+    cr_assert(actions.cancels.empty());
+    cr_assert(actions.ended.at(0).why == lease_end::engine_started);
+    cr_assert(table.owned() == 0);
+}
+
+FAULT_CELL(request_stream, message_late)
+{
+    // An old inventory arrives late, after a newer one and after the engine's restart. It must not bring the
+    // former start back and drop what is held now.
+    lease_table table({}, 1);
+    table.reconcile(at(5s), {at(5s), incarnation(2), {}});
+    cr_assert(table.hold(at(5s), gateway, stream("r1")));
+    table.reconcile(at(6s), {at(4s), incarnation(1), {}});
+    cr_assert(table.knows({false, "r1"}));
+}
+
+FAULT_CELL(request_stream, message_lost)
+{
+    // The stream's end is lost between engine and sidecar. The inventory no longer lists it; the lease is
+    // over and its owner is told.
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, stream("r1")).value();
+    cr_assert(table.renew(at(4s), lease.lease));
+    table.reconcile(at(4s), {at(4s), incarnation(1), {}});
+    cr_assert(table.knows({false, "r1"}), "it may still be on its way to the engine");
+    cr_assert(table.renew(at(8s), lease.lease));
+    table.reconcile(at(8s), {at(8s), incarnation(1), {}});
+    cr_assert(!table.knows({false, "r1"}));
+    cr_assert(table.tick(at(8s)).ended.at(0).why == lease_end::engine_dropped);
+}
+
+FAULT_CELL(request_resume, process_dies)
+{
+    // The sidecar is replaced under a running stream. The gateway comes back to the successor and claims what
+    // the engine still holds: it is resumed, not cancelled, and nobody else can claim it.
+    lease_table successor({}, 1);
+    successor.reconcile(at(0s), {at(0s), incarnation(1), {stream("r1")}});
+    cr_assert(successor.hold(at(3s), gateway, stream("r1")));
+    cr_assert(!successor.hold(at(4s), process_id("g2"), stream("r1")));
+    cr_assert(ticks(successor, 0s, 7s).cancels.empty());
+}
+
+FAULT_CELL(gang_release, process_dies)
+{
+    // A gateway dies with shares of a gang at this engine. Word of its death frees them at once.
+    lease_table table({}, 1);
+    cr_assert(table.hold(at(0s), gateway, {{true, "share-1"}, holding_kind::gang_share, 200'000}));
+    cr_assert(table.hold(at(0s), process_id("g2"), span("other")));
+    table.owner_gone(at(1s), gateway);
+    const auto actions = table.tick(at(1s));
+    cr_assert(actions.cancels.size() == 1 && actions.cancels[0].what.id == "share-1");
+    cr_assert(table.owned() == 1);
+}
+
+FAULT_CELL(gang_release, message_lost)
+{
+    // The release of a gang's span is lost on the way to the engine: 200,000 tokens of its memory. Repeated
+    // until confirmed.
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, span("span-1")).value();
+    table.release(at(0s), lease.lease);
+    cr_assert(ticks(table, 0s, 3s).cancels.size() > 2);
+    cr_assert(table.cancelling() == 1);
+}
+
+FAULT_CELL(gang_release, two_faults)
+{
+    // The gateway dies, and the sidecar is replaced before it can release the gang's span. The successor
+    // finds the span, waits for a claim that never comes, and releases it.
+    lease_table successor({}, 1);
+    successor.reconcile(at(0s), {at(0s), incarnation(1), {span("span-1")}});
+    successor.owner_gone(at(1s), gateway);
+    cr_assert(!ticks(successor, 0s, 11s).cancels.empty());
+}
