Speak to engines and plain services, and offer the sidecar's calls over gRPC

Cause: the sidecar's decisions need hands: a stream from the engine, a call of the service, a gateway's call. Change: an HTTP call opens its connection just before it sends and looks at its last moment again; the engine adapter drops a stream whose tokens name another request; heartbeats are answered by the deciding thread, so they prove it lives; tokens that wait for a slow gateway are joined.

--- a/include/dragonflymill/core/bounded_ring.h
+++ b/include/dragonflymill/core/bounded_ring.h
@@ -36,6 +36,22 @@
         return true;
     }
 
+    /// Adds an item, waiting for room: for a producer that must not lose it and may stand still meanwhile,
+    /// such as a socket reader, whose peer then waits too. False only if the ring is closed.
+    [[nodiscard]] auto push(T item) -> bool
+    {
+        {
+            std::unique_lock lock(mutex_);
+            room_.wait(lock, [this] { return closed_ || items_.size() < capacity_; });
+            if (closed_) {
+                return false;
+            }
+            items_.push_back(std::move(item));
+        }
+        ready_.notify_one();
+        return true;
+    }
+
     /// Takes the oldest item, waiting until `timeout` for one; nothing if none came or the ring is closed and
     /// empty.
     template <typename Rep, typename Period>
@@ -48,6 +64,7 @@
         }
         std::optional<T> item(std::move(items_.front()));
         items_.pop_front();
+        room_.notify_one();
         return item;
     }
 
@@ -59,6 +76,7 @@
             closed_ = true;
         }
         ready_.notify_all();
+        room_.notify_all();
     }
 
     /// Whether it was closed.
@@ -85,6 +103,7 @@
 private:
     mutable std::mutex mutex_;
     std::condition_variable ready_;
+    std::condition_variable room_;
     std::deque<T> items_;
     std::size_t capacity_;
     std::uint64_t refused_ = 0;
--- /dev/null
+++ b/src/http/http_call.cpp
@@ -0,0 +1,157 @@
+#include "http/http_call.h"
+
+#include "http/address.h"
+#include "runtime/clock.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+namespace dragonflymill::http {
+
+using boost::system::error_code;
+
+namespace {
+
+auto head_text(const http_request& request, const boost::asio::ip::tcp::endpoint& server) -> std::string
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    text += "Host: " + address_text(server) + "\r\n";
+    for (const auto& f : request.fields) {
+        text += f.name + ": " + f.value + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\nConnection: close\r\n\r\n";
+    return text;
+}
+
+} // namespace
+
+http_call::http_call(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint server,
+                     call_limits limits)
+    : stream_(context)
+    , server_(std::move(server))
+    , limits_(limits)
+{
+}
+
+void http_call::start(http_request request, instant not_after, call_handlers handlers)
+{
+    handlers_ = std::move(handlers);
+    head_ = head_text(request, server_);
+    body_ = std::move(request.body);
+    stream_.expires_after(limits_.connect_timeout);
+    stream_.async_connect(server_, [self = shared_from_this(), not_after](error_code failure) {
+        self->on_connected(failure, not_after);
+    });
+}
+
+void http_call::drop()
+{
+    over_ = true;
+    handlers_ = {};
+    stream_.close();
+}
+
+void http_call::on_connected(error_code failure, instant not_after)
+{
+    if (over_) {
+        return;
+    }
+    // Asked just before the first byte leaves: the process may have been paused since the decision, and
+    // whoever made it may have been told by now that the call was not run.
+    if (failure || runtime::now() >= not_after) {
+        end(call_end::not_sent);
+        return;
+    }
+    error_code ignored;
+    // NOLINTNEXTLINE(bugprone-unused-return-value): without it the call is only slower
+    stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    stream_.expires_after(limits_.first_byte_timeout);
+    const std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(head_),
+                                                         boost::asio::buffer(body_)};
+    boost::asio::async_write(stream_, parts,
+                             [self = shared_from_this()](error_code write_failure, std::size_t /*bytes*/) {
+                                 self->on_written(write_failure);
+                             });
+}
+
+void http_call::on_written(error_code failure)
+{
+    if (over_) {
+        return;
+    }
+    if (failure) {
+        end(call_end::broken);
+        return;
+    }
+    head_.clear();
+    body_ = {};
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+    parser_->body_limit(limits_.max_body_bytes);
+    stream_.expires_after(limits_.first_byte_timeout);
+    boost::beast::http::async_read_header(
+        stream_, buffer_, *parser_, [self = shared_from_this()](error_code read_failure, std::size_t /*n*/) {
+            self->on_header(read_failure);
+        });
+}
+
+void http_call::on_header(error_code failure)
+{
+    if (over_) {
+        return;
+    }
+    if (failure) {
+        end(call_end::broken);
+        return;
+    }
+    const auto& header = parser_->get();
+    handlers_.on_header(header.result_int(), std::string(header[boost::beast::http::field::content_type]));
+    if (!over_) {
+        read_piece();
+    }
+}
+
+void http_call::read_piece()
+{
+    if (parser_->is_done()) {
+        end(call_end::whole);
+        return;
+    }
+    parser_->get().body().data = piece_.data();
+    parser_->get().body().size = piece_.size();
+    stream_.expires_after(limits_.silence_timeout);
+    boost::beast::http::async_read_some(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](error_code failure, std::size_t /*bytes*/) { self->on_piece(failure); });
+}
+
+void http_call::on_piece(error_code failure)
+{
+    if (over_) {
+        return;
+    }
+    if (failure && failure != boost::beast::http::error::need_buffer) {
+        end(call_end::broken);
+        return;
+    }
+    const auto length = piece_.size() - parser_->get().body().size;
+    if (length > 0) {
+        handlers_.on_bytes(std::string_view(piece_.data(), length));
+    }
+    if (!over_) {
+        read_piece();
+    }
+}
+
+void http_call::end(call_end how)
+{
+    over_ = true;
+    const auto handlers = std::exchange(handlers_, {});
+    stream_.close();
+    handlers.on_end(how);
+}
+
+} // namespace dragonflymill::http
--- /dev/null
+++ b/src/rpc/wire_convert.cpp
@@ -0,0 +1,151 @@
+#include "rpc/wire_convert.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill::rpc {
+
+namespace {
+
+constexpr std::uint32_t last_refusal_code = static_cast<std::uint32_t>(refusal_code::internal);
+constexpr std::uint32_t last_length_class = length_class_count - 1;
+constexpr std::uint32_t last_priority = static_cast<std::uint32_t>(priority::overnight);
+
+auto not_negative(std::int64_t value) -> std::int64_t
+{
+    return std::max<std::int64_t>(value, 0);
+}
+
+} // namespace
+
+auto to_wire(const attempt_spec& spec) -> wire::attempt_open
+{
+    wire::attempt_open open;
+    open.set_request_id(spec.request.text());
+    open.set_attempt(spec.attempt.value());
+    open.set_gateway(spec.gateway.text());
+    open.set_model(spec.model.text());
+    open.set_adapter(spec.adapter.text());
+    open.set_client_account(spec.account.text());
+    open.set_length_class(static_cast<std::uint32_t>(spec.size));
+    open.set_priority(static_cast<std::uint32_t>(spec.standing));
+    open.set_prompt_tokens(spec.prompt_tokens);
+    open.set_max_tokens(spec.max_tokens);
+    open.set_resume_offset(spec.resume_offset);
+    open.set_remaining_us(spec.remaining.count());
+    open.set_predicted_prefill(spec.prefill);
+    return open;
+}
+
+auto from_wire(const wire::attempt_open& open) -> attempt_spec
+{
+    attempt_spec spec;
+    spec.request = request_id(open.request_id());
+    spec.attempt = attempt_number(open.attempt());
+    spec.gateway = process_id(open.gateway());
+    spec.model = model_id(open.model());
+    spec.adapter = adapter_id(open.adapter());
+    spec.account = client_account_id(open.client_account());
+    spec.size = static_cast<length_class>(std::min(open.length_class(), last_length_class));
+    spec.standing = static_cast<priority>(std::min(open.priority(), last_priority));
+    spec.prompt_tokens = not_negative(open.prompt_tokens());
+    spec.max_tokens = not_negative(open.max_tokens());
+    spec.resume_offset = not_negative(open.resume_offset());
+    spec.remaining = duration(open.remaining_us());
+    spec.prefill = not_negative(open.predicted_prefill());
+    return spec;
+}
+
+auto to_wire(const refusal& why) -> wire::attempt_refused
+{
+    wire::attempt_refused refused;
+    refused.set_code(static_cast<std::uint32_t>(why.code));
+    refused.set_may_have_run(why.ran != ran_state::no);
+    refused.set_retry_after_us(why.retry_after.count());
+    refused.set_remedy(why.remedy);
+    return refused;
+}
+
+auto from_wire(const wire::attempt_refused& refused) -> refusal
+{
+    refusal why;
+    why.code = static_cast<refusal_code>(std::min(refused.code(), last_refusal_code));
+    why.ran = refused.may_have_run() ? ran_state::unknown : ran_state::no;
+    why.retry_after = duration(not_negative(refused.retry_after_us()));
+    why.remedy = refused.remedy();
+    return why;
+}
+
+auto to_wire(const upstream_load& load) -> wire::load_report
+{
+    wire::load_report report;
+    for (const auto tokens : load.queued_prefill) {
+        report.add_queued_prefill(tokens);
+    }
+    report.set_running(load.running);
+    report.set_outstanding(load.outstanding);
+    report.set_allowed(load.allowed);
+    report.set_memory_used(load.memory_used);
+    report.set_age_us(load.age.count());
+    report.set_start(load.start.value());
+    report.set_draining(load.draining);
+    report.set_cold(load.cold);
+    return report;
+}
+
+auto from_wire(const wire::load_report& report) -> upstream_load
+{
+    upstream_load load;
+    const auto classes =
+        std::min<std::size_t>(static_cast<std::size_t>(report.queued_prefill_size()), length_class_count);
+    for (std::size_t i = 0; i < classes; ++i) {
+        load.queued_prefill[i] = not_negative(report.queued_prefill(static_cast<int>(i)));
+    }
+    load.running = not_negative(report.running());
+    load.outstanding = not_negative(report.outstanding());
+    load.allowed = not_negative(report.allowed());
+    load.memory_used = not_negative(report.memory_used());
+    load.age = duration(not_negative(report.age_us()));
+    load.start = incarnation(report.start());
+    load.draining = report.draining();
+    load.cold = report.cold();
+    return load;
+}
+
+auto to_wire(const service_spec& spec) -> wire::service_call
+{
+    wire::service_call call;
+    call.set_request_id(spec.request.text());
+    call.set_route(spec.route.text());
+    call.set_client_account(spec.account.text());
+    call.set_gateway(spec.gateway.text());
+    call.set_ticket(spec.ticket);
+    call.set_idempotency_key(spec.idempotency_key);
+    call.set_method(spec.method);
+    call.set_target(spec.target);
+    call.set_content_type(spec.content_type);
+    call.set_body(spec.body);
+    call.set_remaining_us(spec.remaining.count());
+    call.set_idempotent(spec.idempotent);
+    return call;
+}
+
+auto from_wire(wire::service_call call) -> service_spec
+{
+    service_spec spec;
+    spec.request = request_id(std::move(*call.mutable_request_id()));
+    spec.route = route_id(std::move(*call.mutable_route()));
+    spec.account = client_account_id(std::move(*call.mutable_client_account()));
+    spec.gateway = process_id(std::move(*call.mutable_gateway()));
+    spec.ticket = std::move(*call.mutable_ticket());
+    spec.idempotency_key = std::move(*call.mutable_idempotency_key());
+    spec.method = std::move(*call.mutable_method());
+    spec.target = std::move(*call.mutable_target());
+    spec.content_type = std::move(*call.mutable_content_type());
+    spec.body = std::move(*call.mutable_body());
+    spec.remaining = duration(call.remaining_us());
+    spec.idempotent = call.idempotent();
+    return spec;
+}
+
+} // namespace dragonflymill::rpc
--- a/src/runtime/duty_thread.h
+++ b/src/runtime/duty_thread.h
@@ -40,6 +40,10 @@
     /// for it.
     [[nodiscard]] auto post(Event event) -> bool { return ring_.try_push(std::move(event)); }
 
+    /// Hands over an event, waiting for room; false only if the thread is stopping. Never called from the
+    /// thread itself or from one that it waits for.
+    [[nodiscard]] auto post_waiting(Event event) -> bool { return ring_.push(std::move(event)); }
+
     /// Takes no further events, handles those in the ring and ends the thread.
     void stop()
     {
--- /dev/null
+++ b/src/sidecar/call_registry.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "dragonflymill/serve/sidecar_messages.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace dragonflymill::sidecar {
+
+/// The open calls of one kind, by number; shared by the transport's threads and the deciding thread.
+template <typename Reactor>
+class call_registry
+{
+public:
+    /// Notes an open call.
+    void add(call_number call, std::shared_ptr<Reactor> reactor)
+    {
+        const std::lock_guard lock(mutex_);
+        open_.insert_or_assign(call, std::move(reactor));
+    }
+    /// The call, or null if it is over.
+    [[nodiscard]] auto find(call_number call) const -> std::shared_ptr<Reactor>
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = open_.find(call);
+        return found == open_.end() ? nullptr : found->second;
+    }
+    /// Forgets a call that is over.
+    void remove(call_number call)
+    {
+        const std::lock_guard lock(mutex_);
+        open_.erase(call);
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::map<call_number, std::shared_ptr<Reactor>> open_;
+};
+
+} // namespace dragonflymill::sidecar
--- /dev/null
+++ b/src/sidecar/gate_service.cpp
@@ -0,0 +1,129 @@
+#include "sidecar/gate_service.h"
+
+#include "rpc/wire_convert.h"
+
+#include <utility>
+
+namespace dragonflymill::sidecar {
+
+namespace {
+
+auto ring_full() -> refusal
+{
+    return {refusal_code::overloaded, ran_state::no, 100ms, "try another upstream"};
+}
+
+} // namespace
+
+gate_service::gate_service(shell_sink sink)
+    : sink_(std::move(sink))
+{
+}
+
+auto gate_service::attempt(grpc::CallbackServerContext* context)
+    -> grpc::ServerBidiReactor<wire::attempt_request, wire::attempt_event>*
+{
+    const auto call = next_call();
+    const auto reactor =
+        attempt_reactor::open(context, call, sink_, [this](call_number gone) { attempts_.remove(gone); });
+    attempts_.add(call, reactor);
+    reactor->begin();
+    return reactor.get();
+}
+
+auto gate_service::heartbeat(grpc::CallbackServerContext* /*context*/)
+    -> grpc::ServerBidiReactor<wire::heartbeat_ping, wire::heartbeat_pong>*
+{
+    return heartbeat_reactor::open(sink_).get();
+}
+
+auto gate_service::issue_ticket(grpc::CallbackServerContext* /*context*/, const wire::service_call* request,
+                                wire::ticket_reply* reply) -> grpc::ServerUnaryReactor*
+{
+    const auto call = next_call();
+    return open_unary(ticket_calls_, reply, call,
+                      sidecar_input::ticket_asked{call, rpc::from_wire(*request)});
+}
+
+auto gate_service::call_service(grpc::CallbackServerContext* /*context*/, const wire::service_call* request,
+                                wire::service_reply* reply) -> grpc::ServerUnaryReactor*
+{
+    const auto call = next_call();
+    return open_unary(service_calls_, reply, call,
+                      sidecar_input::service_called{call, rpc::from_wire(*request)});
+}
+
+auto gate_service::call_status(grpc::CallbackServerContext* /*context*/, const wire::service_call* request,
+                               wire::service_reply* reply) -> grpc::ServerUnaryReactor*
+{
+    const auto call = next_call();
+    return open_unary(service_calls_, reply, call,
+                      sidecar_input::status_asked{call, rpc::from_wire(*request)});
+}
+
+auto gate_service::find_attempt(call_number call) const -> std::shared_ptr<attempt_reactor>
+{
+    return attempts_.find(call);
+}
+
+void gate_service::refuse(call_number call, const refusal& why, const upstream_load& load)
+{
+    if (const auto held = attempts_.find(call)) {
+        wire::attempt_event event;
+        *event.mutable_refused() = rpc::to_wire(why);
+        *event.mutable_load() = rpc::to_wire(load);
+        held->finish(std::move(event));
+        return;
+    }
+    if (const auto held = service_calls_.find(call)) {
+        wire::service_reply reply;
+        *reply.mutable_refused() = rpc::to_wire(why);
+        *reply.mutable_load() = rpc::to_wire(load);
+        held->answer(std::move(reply));
+        return;
+    }
+    if (const auto held = ticket_calls_.find(call)) {
+        wire::ticket_reply reply;
+        *reply.mutable_refused() = rpc::to_wire(why);
+        held->answer(std::move(reply));
+    }
+}
+
+void gate_service::answer(call_number call, const wire::service_reply& reply)
+{
+    if (const auto held = service_calls_.find(call)) {
+        held->answer(reply);
+    }
+}
+
+void gate_service::give_ticket(call_number call, const std::string& ticket)
+{
+    if (const auto held = ticket_calls_.find(call)) {
+        wire::ticket_reply reply;
+        reply.set_ticket(ticket);
+        held->answer(std::move(reply));
+    }
+}
+
+auto gate_service::next_call() -> call_number
+{
+    return call_number(++calls_);
+}
+
+template <typename Reply>
+auto gate_service::open_unary(call_registry<unary_reactor<Reply>>& registry, Reply* reply, call_number call,
+                              sidecar_event event) -> grpc::ServerUnaryReactor*
+{
+    const auto cancelled = [this, call] {
+        static_cast<void>(sink_(sidecar_event(sidecar_input::call_cancelled{call})));
+    };
+    const auto reactor =
+        unary_reactor<Reply>::open(reply, cancelled, [&registry, call] { registry.remove(call); });
+    registry.add(call, reactor);
+    if (!sink_(std::move(event))) {
+        refuse(call, ring_full(), upstream_load{});
+    }
+    return reactor.get();
+}
+
+} // namespace dragonflymill::sidecar
--- /dev/null
+++ b/src/sidecar/gate_service.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "gate.grpc.pb.h"
+#include "sidecar/attempt_reactor.h"
+#include "sidecar/call_registry.h"
+#include "sidecar/heartbeat_reactor.h"
+#include "sidecar/shell_event.h"
+#include "sidecar/unary_reactor.h"
+
+#include <atomic>
+#include <functional>
+
+namespace dragonflymill::sidecar {
+
+/// What a sidecar offers to gateways, over gRPC. It only carries: every decision comes from the deciding
+/// thread.
+class gate_service final : public wire::sidecar_gate::CallbackService
+{
+public:
+    /// Hands what comes in to `sink`.
+    explicit gate_service(shell_sink sink);
+
+    auto attempt(grpc::CallbackServerContext* context)
+        -> grpc::ServerBidiReactor<wire::attempt_request, wire::attempt_event>* override;
+    auto heartbeat(grpc::CallbackServerContext* context)
+        -> grpc::ServerBidiReactor<wire::heartbeat_ping, wire::heartbeat_pong>* override;
+    auto issue_ticket(grpc::CallbackServerContext* context, const wire::service_call* request,
+                      wire::ticket_reply* reply) -> grpc::ServerUnaryReactor* override;
+    auto call_service(grpc::CallbackServerContext* context, const wire::service_call* request,
+                      wire::service_reply* reply) -> grpc::ServerUnaryReactor* override;
+    auto call_status(grpc::CallbackServerContext* context, const wire::service_call* request,
+                     wire::service_reply* reply) -> grpc::ServerUnaryReactor* override;
+
+    /// An open try, or null.
+    [[nodiscard]] auto find_attempt(call_number call) const -> std::shared_ptr<attempt_reactor>;
+    /// Refuses a call of any kind.
+    void refuse(call_number call, const refusal& why, const upstream_load& load);
+    /// Answers a service call or a status.
+    void answer(call_number call, const wire::service_reply& reply);
+    /// Answers a request for a ticket.
+    void give_ticket(call_number call, const std::string& ticket);
+
+private:
+    [[nodiscard]] auto next_call() -> call_number;
+    template <typename Reply>
+    auto open_unary(call_registry<unary_reactor<Reply>>& registry, Reply* reply, call_number call,
+                    sidecar_event event) -> grpc::ServerUnaryReactor*;
+
+    shell_sink sink_;
+    std::atomic<std::uint64_t> calls_{0};
+    call_registry<attempt_reactor> attempts_;
+    call_registry<unary_reactor<wire::service_reply>> service_calls_;
+    call_registry<unary_reactor<wire::ticket_reply>> ticket_calls_;
+};
+
+} // namespace dragonflymill::sidecar
--- /dev/null
+++ b/src/sidecar/heartbeat_reactor.cpp
@@ -0,0 +1,68 @@
+#include "sidecar/heartbeat_reactor.h"
+
+#include <utility>
+
+namespace dragonflymill::sidecar {
+
+auto heartbeat_reactor::open(shell_sink sink) -> std::shared_ptr<heartbeat_reactor>
+{
+    const std::shared_ptr<heartbeat_reactor> made(new heartbeat_reactor(std::move(sink)));
+    made->self_ = made;
+    made->StartRead(&made->incoming_);
+    return made;
+}
+
+heartbeat_reactor::heartbeat_reactor(shell_sink sink)
+    : sink_(std::move(sink))
+{
+}
+
+void heartbeat_reactor::answer(wire::heartbeat_pong pong)
+{
+    const std::lock_guard lock(mutex_);
+    if (writing_ || finished_) {
+        return;
+    }
+    outgoing_ = std::move(pong);
+    writing_ = true;
+    StartWrite(&outgoing_);
+}
+
+void heartbeat_reactor::OnReadDone(bool ok)
+{
+    if (!ok) {
+        const std::lock_guard lock(mutex_);
+        finish_locked();
+        return;
+    }
+    // One that finds the ring full goes unanswered: the gateway sees a sidecar that can't keep up.
+    static_cast<void>(sink_(heartbeat_event{self_, incoming_.number(), process_id(incoming_.sender())}));
+    StartRead(&incoming_);
+}
+
+void heartbeat_reactor::OnWriteDone(bool /*ok*/)
+{
+    const std::lock_guard lock(mutex_);
+    writing_ = false;
+}
+
+void heartbeat_reactor::OnCancel()
+{
+    const std::lock_guard lock(mutex_);
+    finish_locked();
+}
+
+void heartbeat_reactor::finish_locked()
+{
+    if (!finished_) {
+        finished_ = true;
+        Finish(grpc::Status::OK);
+    }
+}
+
+void heartbeat_reactor::OnDone()
+{
+    const auto last = std::move(self_);
+}
+
+} // namespace dragonflymill::sidecar
--- /dev/null
+++ b/src/sidecar/unary_reactor.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "sidecar/shell_event.h"
+
+#include <functional>
+#include <grpcpp/support/server_callback.h>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace dragonflymill::sidecar {
+
+/// The sidecar's end of one call with a single answer, which the deciding thread gives later.
+template <typename Reply>
+class unary_reactor final : public grpc::ServerUnaryReactor
+{
+public:
+    /// Takes the call over; `on_cancel` is told when the gateway no longer waits, `on_gone` when the call is
+    /// over.
+    static auto open(Reply* reply, std::function<void()> on_cancel, std::function<void()> on_gone)
+        -> std::shared_ptr<unary_reactor>
+    {
+        const std::shared_ptr<unary_reactor> made(
+            new unary_reactor(reply, std::move(on_cancel), std::move(on_gone)));
+        made->self_ = made;
+        return made;
+    }
+
+    /// Answers the call; later answers are dropped.
+    void answer(Reply reply)
+    {
+        const std::lock_guard lock(mutex_);
+        if (finished_) {
+            return;
+        }
+        finished_ = true;
+        *reply_ = std::move(reply);
+        Finish(grpc::Status::OK);
+    }
+
+    void OnCancel() override
+    {
+        on_cancel_();
+        const std::lock_guard lock(mutex_);
+        if (!finished_) {
+            finished_ = true;
+            Finish(grpc::Status::CANCELLED);
+        }
+    }
+
+    void OnDone() override
+    {
+        on_gone_();
+        const auto last = std::move(self_);
+    }
+
+private:
+    unary_reactor(Reply* reply, std::function<void()> on_cancel, std::function<void()> on_gone)
+        : reply_(reply)
+        , on_cancel_(std::move(on_cancel))
+        , on_gone_(std::move(on_gone))
+    {
+    }
+
+    Reply* reply_;
+    std::function<void()> on_cancel_;
+    std::function<void()> on_gone_;
+    std::shared_ptr<unary_reactor> self_; // keeps it alive until OnDone
+    std::mutex mutex_;
+    bool finished_ = false;
+};
+
+} // namespace dragonflymill::sidecar
--- /dev/null
+++ b/src/upstream/engine_client.cpp
@@ -0,0 +1,213 @@
+#include "upstream/engine_client.h"
+
+#include "runtime/clock.h"
+#include "upstream/engine_json.h"
+
+#include <utility>
+
+namespace dragonflymill::upstream {
+
+namespace {
+
+constexpr std::size_t max_event_bytes = 64 * 1024;
+constexpr std::size_t max_state_bytes = 4 * 1024 * 1024;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_unavailable = 503;
+constexpr duration control_call_limit = 2s;
+
+auto post(const std::string& target, std::string body) -> http::http_request
+{
+    return {"POST", target, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+/// Runs a short call and gives its whole body to `done`, which is not called if the call fails; then calls
+/// `after`.
+void read_whole(const std::shared_ptr<http::http_call>& call, http::http_request request,
+                std::function<void(unsigned status, const std::string& body)> done,
+                std::function<void()> after)
+{
+    struct reading
+    {
+        unsigned status = 0;
+        std::string body;
+    };
+    const auto held = std::make_shared<reading>();
+    http::call_handlers handlers;
+    handlers.on_header = [held](unsigned status, const std::string& /*type*/) { held->status = status; };
+    handlers.on_bytes = [held](std::string_view bytes) { held->body += bytes; };
+    handlers.on_end = [held, done = std::move(done), after = std::move(after)](http::call_end how) {
+        if (how == http::call_end::whole) {
+            done(held->status, held->body);
+        }
+        after();
+    };
+    call->start(std::move(request), runtime::now() + control_call_limit, std::move(handlers));
+}
+
+} // namespace
+
+engine_client::engine_client(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint server,
+                             engine_client_options options, sink events)
+    : context_(context)
+    , server_(std::move(server))
+    , options_(options)
+    , events_(std::move(events))
+    , state_timer_(context)
+{
+}
+
+void engine_client::start()
+{
+    read_state();
+}
+
+void engine_client::start_stream(const sidecar_output::start_stream& what, const std::string& prompt)
+{
+    http::call_limits limits;
+    limits.connect_timeout = options_.connect_timeout;
+    limits.first_byte_timeout = options_.first_token_timeout;
+    limits.silence_timeout = options_.first_token_timeout;
+    const auto call = std::make_shared<http::http_call>(context_, server_, limits);
+    const auto number = what.call;
+    streams_.insert_or_assign(number, stream{call, http::sse_parser(max_event_bytes)});
+    http::call_handlers handlers;
+    handlers.on_header = [this, number](unsigned status, const std::string& /*type*/) {
+        streams_.at(number).status = status;
+    };
+    handlers.on_bytes = [this, number, name = what.engine_request](std::string_view bytes) {
+        on_bytes(number, name, bytes);
+    };
+    handlers.on_end = [this, number](http::call_end how) { on_end(number, how); };
+    call->start(post("/v1/completions", completion_body(what.engine_request, what.spec, prompt)),
+                what.not_after, std::move(handlers));
+}
+
+void engine_client::on_bytes(call_number call, const std::string& engine_request, std::string_view bytes)
+{
+    const auto held = streams_.find(call);
+    if (held == streams_.end() || held->second.status != status_ok) {
+        return;
+    }
+    const auto payloads = held->second.events.feed(bytes);
+    if (!payloads) {
+        fail(call, true);
+        return;
+    }
+    for (const auto& payload : payloads.value()) {
+        on_payload(call, engine_request, payload);
+    }
+}
+
+void engine_client::on_payload(call_number call, const std::string& engine_request,
+                               const std::string& payload)
+{
+    const auto held = streams_.find(call);
+    if (held == streams_.end() || held->second.ended) {
+        return;
+    }
+    const auto read = read_stream_event(payload);
+    if (!read) {
+        fail(call, true);
+        return;
+    }
+    if (const auto* token = std::get_if<token_event>(&read.value())) {
+        // Guards against an engine that mixes up its streams: a caller would read another one's answer. It
+        // shows in the name the engine gives with each token.
+        if (token->engine_request != engine_request) {
+            fail(call, true);
+            return;
+        }
+        held->second.call->silence_after(options_.token_timeout);
+        events_(sidecar_input::engine_tokens{call, token->offset, {token->text}});
+        return;
+    }
+    const auto& end = std::get<end_event>(read.value());
+    if (end.engine_request != engine_request || end.reason == "cancelled") {
+        fail(call, true);
+        return;
+    }
+    held->second.ended = true;
+    events_(sidecar_input::engine_finished{call, end.tokens, end.reason});
+}
+
+void engine_client::on_end(call_number call, http::call_end how)
+{
+    const auto held = streams_.find(call);
+    if (held == streams_.end()) {
+        return;
+    }
+    const auto status = held->second.status;
+    const bool ended = held->second.ended;
+    streams_.erase(held);
+    if (ended) {
+        return;
+    }
+    sidecar_input::engine_failed failed{call};
+    failed.sent = how != http::call_end::not_sent;
+    failed.overloaded = status == status_unavailable || status == status_too_many;
+    failed.not_loaded = status == status_not_found;
+    events_(failed);
+}
+
+void engine_client::fail(call_number call, bool sent)
+{
+    const auto held = streams_.find(call);
+    if (held == streams_.end()) {
+        return;
+    }
+    held->second.call->drop();
+    streams_.erase(held);
+    sidecar_input::engine_failed failed{call};
+    failed.sent = sent;
+    events_(failed);
+}
+
+void engine_client::cancel_stream(const sidecar_output::cancel_stream& what)
+{
+    const auto held = streams_.find(what.call);
+    if (held != streams_.end()) {
+        held->second.call->drop();
+        streams_.erase(held);
+    }
+    http::call_limits limits;
+    limits.connect_timeout = options_.connect_timeout;
+    limits.first_byte_timeout = control_call_limit;
+    const auto call = std::make_shared<http::http_call>(context_, server_, limits);
+    const auto confirm = [this, name = what.engine_request](unsigned status, const std::string& body) {
+        const auto held_still = read_cancel_answer(body);
+        if (status == status_ok && held_still && !held_still.value()) {
+            events_(sidecar_input::cancel_confirmed{name});
+        }
+    };
+    read_whole(call, post("/v1/cancel", cancel_body(what.engine_request)), confirm, [] {});
+}
+
+void engine_client::read_state()
+{
+    http::call_limits limits;
+    limits.connect_timeout = options_.connect_timeout;
+    limits.first_byte_timeout = control_call_limit;
+    limits.max_body_bytes = max_state_bytes;
+    const auto call = std::make_shared<http::http_call>(context_, server_, limits);
+    const auto report = [this](unsigned status, const std::string& body) {
+        const auto read = read_state_answer(body);
+        if (status == status_ok && read) {
+            events_(read.value());
+        }
+    };
+    read_whole(call, {"GET", "/v1/state", {}, {}}, report, [this] { next_state_later(); });
+}
+
+void engine_client::next_state_later()
+{
+    state_timer_.expires_after(options_.state_interval);
+    state_timer_.async_wait([this](boost::system::error_code failure) {
+        if (!failure) {
+            read_state();
+        }
+    });
+}
+
+} // namespace dragonflymill::upstream
--- /dev/null
+++ b/src/upstream/engine_client.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "dragonflymill/serve/sidecar_messages.h"
+#include "http/http_call.h"
+#include "http/sse_parser.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace dragonflymill::upstream {
+
+/// Times of the engine adapter.
+struct engine_client_options
+{
+    duration connect_timeout = 1s;       ///< For opening a connection.
+    duration state_interval = 250ms;     ///< Between two readings of the engine's state.
+    duration first_token_timeout = 120s; ///< For the first token of any prompt.
+    duration token_timeout = 5s; ///< Between two tokens: a stream silent for longer is taken to be lost.
+};
+
+/// Speaks a model engine's HTTP interface (docs/upstreams.md) for one sidecar. Everything runs on one
+/// context; what happens goes to the sink as events of `sidecar_core`.
+class engine_client
+{
+public:
+    /// Takes every event, waiting for room if need be.
+    using sink = std::function<void(sidecar_event)>;
+
+    /// Speaks to the engine at `server`.
+    engine_client(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint server,
+                  engine_client_options options, sink events);
+
+    /// Begins to read the engine's state again and again.
+    void start();
+    /// Puts a stream to the engine.
+    void start_stream(const sidecar_output::start_stream& what, const std::string& prompt);
+    /// Closes a stream's connection and cancels it at the engine.
+    void cancel_stream(const sidecar_output::cancel_stream& what);
+
+private:
+    struct stream
+    {
+        std::shared_ptr<http::http_call> call;
+        http::sse_parser events;
+        unsigned status = 0;
+        bool ended = false;
+    };
+
+    void on_bytes(call_number call, const std::string& engine_request, std::string_view bytes);
+    void on_payload(call_number call, const std::string& engine_request, const std::string& payload);
+    void on_end(call_number call, http::call_end how);
+    void fail(call_number call, bool sent);
+    void read_state();
+    void next_state_later();
+
+    boost::asio::io_context& context_;
+    boost::asio::ip::tcp::endpoint server_;
+    engine_client_options options_;
+    sink events_;
+    boost::asio::steady_timer state_timer_;
+    std::map<call_number, stream> streams_;
+};
+
+} // namespace dragonflymill::upstream
--- /dev/null
+++ b/src/upstream/engine_json.cpp
@@ -0,0 +1,147 @@
+#include "upstream/engine_json.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+namespace dragonflymill::upstream {
+
+namespace json = boost::json;
+
+namespace {
+
+auto unreadable(const char* what) -> error
+{
+    return {error_kind::corrupt, std::string("the engine's ") + what + " can't be read",
+            "check that the engine speaks the interface in docs/upstreams.md"};
+}
+
+auto parse_object(const std::string& text) -> result<json::object>
+{
+    json::error_code failure;
+    auto value = json::parse(text, failure);
+    if (failure || !value.is_object()) {
+        return unreadable("answer");
+    }
+    return std::move(value.as_object());
+}
+
+auto text_of(const json::object& from, const char* name) -> std::string
+{
+    const auto* value = from.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+auto number_of(const json::object& from, const char* name) -> std::int64_t
+{
+    const auto* value = from.if_contains(name);
+    if (value == nullptr || !value->is_number()) {
+        return 0;
+    }
+    json::error_code inexact;
+    return value->to_number<std::int64_t>(inexact);
+}
+
+auto flag_of(const json::object& from, const char* name) -> bool
+{
+    const auto* value = from.if_contains(name);
+    return value != nullptr && value->is_bool() && value->as_bool();
+}
+
+auto holdings_of(const json::object& state) -> std::vector<sidecar_input::engine_holding>
+{
+    std::vector<sidecar_input::engine_holding> held;
+    const auto* list = state.if_contains("held");
+    if (list == nullptr || !list->is_array()) {
+        return held;
+    }
+    for (const auto& item : list->as_array()) {
+        if (item.is_object()) {
+            held.push_back({text_of(item.as_object(), "id"), number_of(item.as_object(), "tokens")});
+        }
+    }
+    return held;
+}
+
+} // namespace
+
+auto completion_body(const std::string& engine_request, const attempt_spec& spec, const std::string& prompt)
+    -> std::string
+{
+    json::object body;
+    body["request_id"] = engine_request;
+    body["attempt"] = spec.attempt.value();
+    body["model"] = spec.model.text();
+    if (!spec.adapter.empty()) {
+        body["adapter"] = spec.adapter.text();
+    }
+    body["priority"] = static_cast<int>(index_of(spec.size));
+    body["max_tokens"] = spec.max_tokens;
+    body["resume_offset"] = spec.resume_offset;
+    body["stream"] = true;
+    auto text = json::serialize(body);
+    text.pop_back();
+    text.reserve(text.size() + prompt.size() + prompt.size() / 16);
+    text += ",\"prompt\":";
+    text += json::serialize(json::string_view(prompt));
+    text += '}';
+    return text;
+}
+
+auto cancel_body(const std::string& engine_request) -> std::string
+{
+    json::object body;
+    body["request_id"] = engine_request;
+    return json::serialize(body);
+}
+
+auto read_stream_event(const std::string& payload) -> result<stream_event>
+{
+    auto parsed = parse_object(payload);
+    if (!parsed) {
+        return parsed.error();
+    }
+    const auto& fields = parsed.value();
+    const auto type = text_of(fields, "type");
+    if (type == "token") {
+        return stream_event(
+            token_event{text_of(fields, "request_id"), number_of(fields, "offset"), text_of(fields, "text")});
+    }
+    if (type == "end") {
+        return stream_event(end_event{text_of(fields, "request_id"), number_of(fields, "tokens"),
+                                      text_of(fields, "finish_reason")});
+    }
+    return unreadable("stream event");
+}
+
+auto read_state_answer(const std::string& body) -> result<sidecar_input::engine_reported>
+{
+    auto parsed = parse_object(body);
+    if (!parsed) {
+        return parsed.error();
+    }
+    const auto& state = parsed.value();
+    const auto* load = state.if_contains("load");
+    if (load == nullptr || !load->is_object()) {
+        return unreadable("state");
+    }
+    sidecar_input::engine_reported report;
+    report.word.start = incarnation(static_cast<std::uint64_t>(number_of(state, "start")));
+    report.word.cold = flag_of(state, "cold");
+    report.word.queued_prefill = number_of(load->as_object(), "queued_prefill");
+    report.word.age = duration(number_of(load->as_object(), "age_us"));
+    report.memory_used = number_of(load->as_object(), "memory_used");
+    report.held = holdings_of(state);
+    return report;
+}
+
+auto read_cancel_answer(const std::string& body) -> result<bool>
+{
+    auto parsed = parse_object(body);
+    if (!parsed) {
+        return parsed.error();
+    }
+    return flag_of(parsed.value(), "held");
+}
+
+} // namespace dragonflymill::upstream
