--- /dev/null
+++ b/tests/route/routing_policy_test.cpp
@@ -0,0 +1,185 @@
+#include "dragonflymill/route/baseline_policies.h"
+#include "dragonflymill/route/length_lanes.h"
+#include "dragonflymill/route/predicted_first_token.h"
+#include "dragonflymill/route/router.h"
+#include "route/route_fixture.h"
+#include "support/fault_cell.h"
+
+#include <numeric>
+#include <set>
+
+using namespace dragonflymill;
+using namespace dragonflymill::test;
+
+static_assert(routing_policy<round_robin>);
+static_assert(routing_policy<least_outstanding>);
+static_assert(routing_policy<power_of_two>);
+static_assert(routing_policy<predicted_first_token>);
+
+namespace {
+
+auto chosen(const route_decision& decision) -> route_choice
+{
+    cr_assert(std::holds_alternative<route_choice>(decision));
+    return std::get<route_choice>(decision);
+}
+
+/// A router over `count` idle upstreams that all reported at the start.
+template <typename Policy>
+auto idle_router(Policy policy, std::size_t count) -> router<Policy>
+{
+    router<Policy> made(std::move(policy));
+    cr_assert(made.table().configure(some_upstreams(count)).has_value());
+    for (const auto& each : some_upstreams(count)) {
+        made.report(at(0s), each.id, queued_load(length_class::interactive, 0));
+    }
+    return made;
+}
+
+/// What a router chooses for a hundred requests sent one after the other.
+template <typename Policy>
+auto hundred_choices(Policy policy) -> std::vector<route_choice>
+{
+    auto made = idle_router(std::move(policy), 5);
+    std::vector<route_choice> choices;
+    for (int i = 0; i < 100; ++i) {
+        route_request request = some_request("r" + std::to_string(i), 500 + 700 * (i % 9));
+        request.blocks = {static_cast<block_hash>(i % 4), 5, 6, static_cast<block_hash>(i % 4)};
+        choices.push_back(chosen(made.choose(at(1ms * i), request)));
+        cr_assert(made.sent(at(1ms * i), request, attempt_number(1), choices.back()));
+    }
+    return choices;
+}
+
+} // namespace
+
+Test(routing_policy, same_inputs_give_the_same_choices)
+{
+    cr_assert(hundred_choices(round_robin()) == hundred_choices(round_robin()));
+    cr_assert(hundred_choices(least_outstanding()) == hundred_choices(least_outstanding()));
+    cr_assert(hundred_choices(power_of_two(3)) == hundred_choices(power_of_two(3)));
+    cr_assert(hundred_choices(predicted_first_token()) == hundred_choices(predicted_first_token()));
+}
+
+Test(predicted_first_token, avoids_queues_of_its_own_class_and_of_shorter_ones_only)
+{
+    auto made = idle_router(predicted_first_token(), 2);
+    made.report(at(1ms), upstream_id("u00"), queued_load(length_class::interactive, 8'000));
+    cr_assert(chosen(made.choose(at(2ms), some_request("r", 1'000))).upstream == upstream_id("u01"));
+    made.report(at(3ms), upstream_id("u00"), queued_load(length_class::bulk, 8'000));
+    made.report(at(3ms), upstream_id("u01"), queued_load(length_class::interactive, 8'000));
+    cr_assert(chosen(made.choose(at(4ms), some_request("r", 1'000))).upstream == upstream_id("u00"));
+}
+
+Test(predicted_first_token, goes_where_the_prompt_is_cached_unless_the_queue_there_costs_more)
+{
+    auto made = idle_router(predicted_first_token(), 4);
+    route_request request = some_request("r", 20'000);
+    request.blocks.resize(70);
+    std::iota(request.blocks.begin(), request.blocks.end(), block_hash(1));
+    made.prefixes().sent(upstream_id("u02"), request.blocks);
+    const auto choice = chosen(made.choose(at(1ms), request));
+    cr_assert(choice.upstream == upstream_id("u02"));
+    cr_assert(choice.reason == route_reason::prefix_cached);
+    cr_assert(choice.prefill == 20'000 - 70 * block_tokens);
+    made.report(at(2ms), upstream_id("u02"), queued_load(length_class::interactive, 100'000));
+    cr_assert(chosen(made.choose(at(3ms), request)).upstream != upstream_id("u02"));
+}
+
+Test(predicted_first_token, gateways_agree_on_a_prompts_home_without_a_message_and_leave_it_when_loaded)
+{
+    route_request request = some_request("r", 2'000);
+    request.blocks = {11, 12, 13, 14, 15};
+    auto one = idle_router(predicted_first_token(), 8);
+    auto other = idle_router(predicted_first_token(), 8);
+    const auto home = chosen(one.choose(at(1ms), request));
+    request.id = request_id("another");
+    cr_assert(chosen(other.choose(at(1ms), request)).upstream == home.upstream);
+    cr_assert(home.reason == route_reason::prefix_home);
+    one.report(at(2ms), home.upstream, queued_load(length_class::interactive, 50'000));
+    const auto next = chosen(one.choose(at(3ms), request));
+    cr_assert(next.upstream != home.upstream);
+    cr_assert(next.reason == route_reason::left_home);
+}
+
+Test(predicted_first_token, keeps_bulk_off_the_reserved_upstreams)
+{
+    auto upstreams = some_upstreams(8);
+    reserve_for_short(0.25, upstreams);
+    router<predicted_first_token> made{predicted_first_token()};
+    cr_assert(made.table().configure(upstreams).has_value());
+    for (int i = 0; i < 50; ++i) {
+        const route_request request = some_request("r" + std::to_string(i), 200'000);
+        const auto choice = chosen(made.choose(at(0s), request));
+        cr_assert(made.table().find(choice.upstream)->description().takes_bulk);
+        cr_assert(made.sent(at(0s), request, attempt_number(1), choice));
+    }
+}
+
+FAULT_CELL_MORE(request_route, partition, herd)
+{
+    // First tokens are late in waves: an engine is flooded, then idle. Many gateways hold the same old load
+    // words and all choose the same least loaded engine. Cause: no newer words come; equal choices must be
+    // spread.
+    std::set<upstream_id> used;
+    auto made = idle_router(predicted_first_token(), 8);
+    for (int i = 0; i < 64; ++i) {
+        used.insert(chosen(made.choose(at(1ms), some_request("r" + std::to_string(i), 1'000))).upstream);
+    }
+    cr_assert(used.size() >= 3, "the own domain's engines at least");
+}
+
+FAULT_CELL_MORE(request_route, domain_out, every_policy)
+{
+    // A member's dossier is cut off because one policy of several still sends to a failure domain that was
+    // taken out. The domain is taken out, then each policy chooses a hundred times. Cause: a policy with its
+    // own list.
+    const auto never_in_a = [](auto policy) {
+        auto made = idle_router(std::move(policy), 6);
+        made.table().set_drained(failure_domain_id("a"), true);
+        for (int i = 0; i < 100; ++i) {
+            const route_request request = some_request("r" + std::to_string(i), 1'000);
+            const auto choice = chosen(made.choose(at(1ms), request));
+            cr_assert(made.table().find(choice.upstream)->description().failure_domain !=
+                      failure_domain_id("a"));
+        }
+    };
+    never_in_a(round_robin());
+    never_in_a(least_outstanding());
+    never_in_a(power_of_two(1));
+    never_in_a(predicted_first_token());
+}
+
+FAULT_CELL_MORE(request_route, upstream_cold, all_full)
+{
+    // A caller is refused with "no route" and never comes back, while the only engines are warming up. All
+    // ramps are full. Cause: the refusal must name the passing reason and a time to come back.
+    auto made = idle_router(predicted_first_token(), 2);
+    for (const char* name : {"u00", "u01"}) {
+        upstream_load cold = queued_load(length_class::interactive, 0);
+        cold.cold = true;
+        cold.allowed = 100;
+        cold.outstanding = 100;
+        made.report(at(1ms), upstream_id(name), cold);
+    }
+    const auto decision = made.choose(at(2ms), some_request("r", 1'000));
+    const auto* refused = std::get_if<route_refusal>(&decision);
+    cr_assert(refused != nullptr);
+    cr_assert(refused->code == refusal_code::upstream_cold);
+    cr_assert(refused->retry_after > duration::zero());
+}
+
+FAULT_CELL_MORE(request_route, two_faults, restart)
+{
+    // A prompt follows a cache that died with its engine: the engine restarts and its cache events are lost
+    // too. Cause: the load word of the new start must empty what the gateway remembers.
+    auto made = idle_router(predicted_first_token(), 3);
+    route_request request = some_request("r", 2'000);
+    request.blocks = {1, 2, 3, 4, 5, 6, 7};
+    made.prefixes().sent(upstream_id("u01"), request.blocks);
+    cr_assert(chosen(made.choose(at(1ms), request)).reason == route_reason::prefix_cached);
+    upstream_load restarted = queued_load(length_class::interactive, 0);
+    restarted.start = incarnation(2);
+    made.report(at(2ms), upstream_id("u01"), restarted);
+    cr_assert(chosen(made.choose(at(3ms), request)).reason != route_reason::prefix_cached);
+}
