Keep the newest bundle in force without a store

Cause: no process keeps anything over a restart and the configuration service may be stale, yet an accepted bundle must never revert. Change: bundle/bundle_keeper adopts only what both partners signed and what is newer; a starting process waits for peers of two failure domains (bundle/boot_answers); two bundles of one version end in the lower digest and an alarm; only changed sections are fetched, from another holder when one does not answer.

--- /dev/null
+++ b/tests/bundle/bundle_keeper_test.cpp
@@ -0,0 +1,365 @@
+#include "dragonflymill/bundle/bundle_keeper.h"
+#include "keeper_world.h"
+#include "support/fault_cell.h"
+
+using namespace dragonflymill;
+using namespace dragonflymill::test;
+
+namespace {
+
+auto lone_settings() -> bundle_keeper_settings
+{
+    bundle_keeper_settings settings;
+    settings.trusted = test_partners();
+    settings.boot.stands_alone = true;
+    return settings;
+}
+
+template <typename Output>
+auto find_output(const bundle_keeper_outputs& outputs) -> const Output*
+{
+    for (const auto& output : outputs) {
+        if (const auto* found = std::get_if<Output>(&output)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+// Gives a keeper a whole bundle from the service.
+auto offer(bundle_keeper& keeper, instant now, const bundle& value) -> bundle_keeper_outputs
+{
+    auto outputs = keeper.manifest_arrived(now, {}, encode_signed_manifest(test_signed(value)));
+    for (const auto& text : section_texts(value)) {
+        for (auto& output : keeper.section_arrived(now, text)) {
+            outputs.push_back(std::move(output));
+        }
+    }
+    return outputs;
+}
+
+auto has_alarm(const std::vector<bundle_alarm>& alarms, bundle_alarm::kind_type kind) -> bool
+{
+    for (const auto& alarm : alarms) {
+        if (alarm.kind == kind) {
+            return true;
+        }
+    }
+    return false;
+}
+
+auto number_of(const process_id& peer) -> std::size_t
+{
+    return static_cast<std::size_t>(peer.text().at(1) - '0');
+}
+
+} // namespace
+
+Test(bundle_keeper, only_changed_sections_are_fetched)
+{
+    bundle_keeper keeper(lone_settings(), instant{});
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
+    const auto next = test_bundle(8, 99);
+    const auto outputs = keeper.manifest_arrived(instant{}, {}, encode_signed_manifest(test_signed(next)));
+    const auto* fetch = find_output<fetch_sections>(outputs);
+    cr_assert(fetch != nullptr && fetch->digests.size() == 2, "the head and the account's section");
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, next)) != nullptr);
+    cr_assert(keeper.in_force()->accounts.front().max_in_flight == 99);
+}
+
+Test(bundle_keeper, settings_floor_refuses_older_bundles)
+{
+    auto settings = lone_settings();
+    settings.min_version = bundle_version(8);
+    bundle_keeper keeper(settings, instant{});
+    cr_assert(find_output<reject_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(8))) != nullptr);
+}
+
+Test(bundle_keeper, a_half_signed_copy_does_not_spoil_the_whole_one)
+{
+    bundle_keeper keeper(lone_settings(), instant{});
+    auto half = test_signed(test_bundle(7));
+    half.signatures.pop_back();
+    const auto outputs = keeper.manifest_arrived(instant{}, {}, encode_signed_manifest(half));
+    cr_assert(find_output<reject_bundle>(outputs)->why.kind() == error_kind::unauthorized);
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
+}
+
+Test(bundle_keeper, same_inputs_give_the_same_bundles)
+{
+    const auto words = [] {
+        keeper_world world(5, {.drop = 0.2, .duplicate = 0.2, .late = 0.1});
+        std::string log;
+        world.publish(test_bundle(7));
+        world.run(15s,
+                  [&] { log += std::to_string(world.version(0)) + std::to_string(world.bag.dropped()); });
+        return log;
+    };
+    cr_assert(words() == words());
+}
+
+FAULT_CELL(bundle_read, config_down)
+{
+    // Operators see a new process serve although the configuration service is down.
+    // Order: the fleet has version 7, the service goes down, a process is replaced and asks its peers.
+    // Cause: what is signed needs no trusted source; any peer will do.
+    keeper_world world(1);
+    world.publish(test_bundle(7));
+    world.run(15s);
+    cr_assert(world.all_have(7));
+    world.service_up = false;
+    world.start(2);
+    world.run(4s);
+    cr_assert(world.version(2) == 7);
+}
+
+FAULT_CELL(bundle_read, config_stale)
+{
+    // Without the guard a failure domain that was taken out would get work again after a rack restart.
+    // Order: the fleet has version 9, the service still shows 7, a whole failure domain restarts and reads
+    // it. Cause: the service is stale for long and a process remembers nothing.
+    keeper_world world(2);
+    world.publish(test_bundle(9));
+    world.run(15s);
+    world.publish(test_bundle(7));
+    world.start(0);
+    world.start(3);
+    world.run(20s, [&] { cr_assert(world.version(0) == 0 || world.version(0) == 9); });
+    cr_assert(world.all_have(9));
+    cr_assert(has_alarm(world.alarms, bundle_alarm::kind_type::service_stale));
+}
+
+FAULT_CELL(bundle_read, partition)
+{
+    // Callers see "not ready" from a process that is cut off, and no answer by rules that are out of date.
+    // Order: a failure domain is cut off and restarts; its processes reach only each other and the service.
+    // Cause: "nobody has a bundle" from one failure domain alone can't be told from a first start.
+    keeper_world world(3);
+    world.publish(test_bundle(9));
+    world.run(15s);
+    world.publish(test_bundle(7));
+    world.side = {1, 0, 0, 1};
+    world.start(0);
+    world.start(3);
+    world.run(60s, [&] { cr_assert(world.version(0) == 0 && world.version(3) == 0); });
+    world.side = {};
+    world.run(5s);
+    cr_assert(world.all_have(9));
+}
+
+FAULT_CELL(bundle_read, process_dies)
+{
+    // Nobody sees anything: the peer that a starting process fetches from dies, and another one serves.
+    // Order: the process hears of version 7 from two peers, asks the first, which dies before it answers.
+    // Cause: ten hosts fail on an ordinary day, some in the middle of a fetch.
+    bundle_keeper_settings settings;
+    settings.trusted = test_partners();
+    bundle_keeper keeper(settings, instant{});
+    const auto word = word_of(manifest_of(test_bundle(7)));
+    auto outputs = keeper.peer_said(instant{}, process_id("p1"), failure_domain_id("a"), word);
+    cr_assert(find_output<fetch_manifest>(outputs)->peer == process_id("p1"));
+    outputs = keeper.peer_said(instant{}, process_id("p2"), failure_domain_id("b"), word);
+    outputs = keeper.peer_lost(instant{}, process_id("p1"));
+    cr_assert(find_output<fetch_manifest>(outputs)->peer == process_id("p2"));
+    outputs = keeper.manifest_arrived(instant{}, {bundle_origin_kind::peer, process_id("p2")},
+                                      encode_signed_manifest(test_signed(test_bundle(7))));
+    for (const auto& text : section_texts(test_bundle(7))) {
+        outputs = keeper.section_arrived(instant{} + 4s, text);
+    }
+    cr_assert(find_output<adopt_bundle>(outputs) != nullptr);
+}
+
+FAULT_CELL(bundle_read, two_faults)
+{
+    // Operators see the whole fleet restart at once and come up by itself with what the service has.
+    // Order: all processes die together, none remembers anything, each asks the others and hears "none".
+    // Cause: a power cut. Only then, and after a wait, is the service's word enough; `min_version` is the
+    // floor.
+    keeper_world world(4);
+    world.publish(test_bundle(7));
+    world.run(15s);
+    for (std::size_t at = 0; at < keeper_world::size; ++at) {
+        world.start(at);
+    }
+    world.run(9s, [&] { cr_assert(world.all_have(0)); });
+    world.run(6s);
+    cr_assert(world.all_have(7));
+}
+
+FAULT_CELL(bundle_verify, config_stale)
+{
+    // Operators see the reason at every process, while the old bundle goes on serving.
+    // Order: version 8 is signed and published, but one of its sections breaks the cross checks.
+    // Cause: it was signed by a tool that did not check it.
+    bundle_keeper keeper(lone_settings(), instant{});
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
+    auto bad = test_bundle(8);
+    bad.service_routes.front().upstreams.emplace_back("nobody");
+    const auto outputs = offer(keeper, instant{}, bad);
+    cr_assert(find_output<adopt_bundle>(outputs) == nullptr);
+    cr_assert(keeper.rejections().back().why.message().find("nobody") != std::string::npos);
+    cr_assert(keeper.word()->version == bundle_version(7));
+}
+
+FAULT_CELL(bundle_verify, same_twice)
+{
+    // Operators see an alarm, and every process serves the same one of the two bundles.
+    // Order: two operators sign different bundles of version 8; each reaches one half of the fleet.
+    // Cause: nobody counts versions but the operators. The lower digest is kept, whoever comes first.
+    keeper_world world(6);
+    world.publish(test_bundle(7));
+    world.run(15s);
+    world.side = {0, 0, 1, 1};
+    world.publish(test_bundle(8, 1));
+    world.side = {0, 0, 1, 1};
+    world.paused = {false, false, true, true};
+    world.run(3s);
+    world.publish(test_bundle(8, 2));
+    world.paused = {true, true, false, false};
+    world.run(3s);
+    world.side = {};
+    world.paused = {};
+    world.service_up = false;
+    world.run(5s);
+    const auto lower = std::min(word_of(manifest_of(test_bundle(8, 1))).digest,
+                                word_of(manifest_of(test_bundle(8, 2))).digest);
+    for (const auto& keeper : world.keepers) {
+        cr_assert(keeper->word()->digest == lower);
+    }
+    cr_assert(has_alarm(world.alarms, bundle_alarm::kind_type::two_of_one_version));
+}
+
+FAULT_CELL(bundle_spread, message_lost)
+{
+    // Operators see a change in force everywhere within seconds on a network that loses a third.
+    // Order: words, manifests and sections are lost; each is asked for again, from another holder.
+    // Cause: datagrams are lost; fetches have a timeout and go elsewhere.
+    keeper_world world(7, {.drop = 0.33});
+    world.publish(test_bundle(7));
+    world.run(20s);
+    world.publish(test_bundle(8));
+    world.run(11s);
+    cr_assert(world.all_have(8));
+}
+
+FAULT_CELL(bundle_spread, config_down)
+{
+    // Operators push a bundle to one process while the service is down; the others have it a moment later.
+    // Order: the push reaches process 0, whose peers hear of it, fetch what changed and adopt it.
+    // Cause: the service is down for long; nothing but a signature is needed to trust a bundle.
+    keeper_world world(8);
+    world.publish(test_bundle(7));
+    world.run(15s);
+    world.service_up = false;
+    const auto next = test_bundle(8, 99);
+    auto outputs = world.keepers[0]->manifest_arrived(world.now, {bundle_origin_kind::operator_push, {}},
+                                                      encode_signed_manifest(test_signed(next)));
+    for (const auto& text : section_texts(next)) {
+        outputs = world.keepers[0]->section_arrived(world.now, text);
+    }
+    const auto sent = world.sections_sent;
+    world.run(4s);
+    cr_assert(world.all_have(8));
+    cr_assert(world.sections_sent - sent <= 2 * 3, "only changed sections travel");
+}
+
+FAULT_CELL(bundle_spread, paused_wakes_late)
+{
+    // Without the guard a process that slept would take its peers back to the bundle it still has.
+    // Order: one process is paused while the fleet goes from 7 to 9, then wakes and offers 7.
+    // Cause: hosts pause processes; what they say when they wake was true before.
+    keeper_world world(9);
+    world.publish(test_bundle(7));
+    world.run(15s);
+    world.paused[1] = true;
+    world.publish(test_bundle(9));
+    world.run(10s);
+    world.service_up = false;
+    world.paused[1] = false;
+    world.run(5s, [&] { cr_assert(world.version(0) == 9 && world.version(2) == 9); });
+    cr_assert(world.all_have(9));
+}
+
+FAULT_CELL(bundle_spread, message_reordered)
+{
+    // Nobody sees anything: words, manifests and sections of two versions overtake each other, twice each.
+    // Order: version 8 and 9 are published at the same time, messages take up to five seconds.
+    // Cause: the network reorders; a text is known by its digest and a version never falls.
+    keeper_world world(10, {.duplicate = 0.5, .late = 0.3});
+    world.publish(test_bundle(7));
+    world.run(20s);
+    world.publish(test_bundle(8));
+    world.run(500ms);
+    world.publish(test_bundle(9));
+    std::uint64_t highest = 7;
+    world.run(11s, [&] {
+        cr_assert(world.version(3) >= highest);
+        highest = world.version(3);
+    });
+    cr_assert(world.all_have(9));
+}
+
+FAULT_CELL(bundle_adopt, config_stale)
+{
+    // Without the guard an account's old key would work again.
+    // Order: version 8 is in force, then the service shows 7 again, as its replica lags.
+    // Cause: the configuration service is stale; a version below the one in force is never adopted.
+    bundle_keeper keeper(lone_settings(), instant{});
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(8))) != nullptr);
+    const auto outputs = offer(keeper, instant{}, test_bundle(7));
+    cr_assert(find_output<adopt_bundle>(outputs) == nullptr);
+    cr_assert(find_output<bundle_alarm>(outputs)->kind == bundle_alarm::kind_type::service_stale);
+    cr_assert(keeper.word()->version == bundle_version(8));
+}
+
+FAULT_CELL(bundle_adopt, message_doubled)
+{
+    // Nobody sees anything: a bundle that arrives again, whole, changes nothing.
+    // Order: manifest and sections of the bundle in force come a second time.
+    // Cause: the operator pushes twice, or the network doubles an answer.
+    bundle_keeper keeper(lone_settings(), instant{});
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(8))) != nullptr);
+    cr_assert(offer(keeper, instant{}, test_bundle(8)).empty());
+}
+
+FAULT_CELL(bundle_adopt, clock_jump)
+{
+    // Callers are refused while the host's clock is wrong, and served again once it is right.
+    // Order: civil time jumps past the term's end at a serving process and at one that just starts.
+    // Cause: the clock of a host is set wrong; only the end of the term depends on it.
+    const wall_instant right(duration(1h));
+    const wall_instant wrong(24h * 365 * 200);
+    bundle_keeper keeper(lone_settings(), instant{});
+    auto outputs = keeper.tick(instant{}, right);
+    outputs = offer(keeper, instant{}, test_bundle(7));
+    outputs = keeper.tick(instant{} + 1s, wrong);
+    cr_assert(find_output<bundle_alarm>(outputs)->kind == bundle_alarm::kind_type::term_ended);
+    cr_assert(!keeper.ready());
+    outputs = keeper.tick(instant{} + 2s, right);
+    cr_assert(keeper.ready());
+
+    bundle_keeper late(lone_settings(), instant{});
+    outputs = late.tick(instant{}, wrong);
+    outputs = offer(late, instant{}, test_bundle(7));
+    cr_assert(find_output<adopt_bundle>(outputs) == nullptr);
+    outputs = late.tick(instant{} + 1s, right);
+    cr_assert(find_output<adopt_bundle>(outputs) != nullptr);
+}
+
+Test(bundle_keeper, a_peer_that_offers_a_forged_bundle_is_not_asked_again)
+{
+    keeper_world world(11);
+    world.publish(test_bundle(7));
+    world.run(15s);
+    auto forged = test_signed(test_bundle(99));
+    forged.signatures.front().signature = forged.signatures.back().signature;
+    auto& keeper = *world.keepers[0];
+    const auto word = word_of(forged.manifest);
+    auto outputs = keeper.peer_said(world.now, process_id("p1"), failure_domain_id("d1"), word);
+    cr_assert(number_of(find_output<fetch_manifest>(outputs)->peer) == 1);
+    outputs = keeper.manifest_arrived(world.now, {bundle_origin_kind::peer, process_id("p1")},
+                                      encode_signed_manifest(forged));
+    cr_assert(find_output<reject_bundle>(outputs) != nullptr);
+    cr_assert(keeper.peer_said(world.now, process_id("p1"), failure_domain_id("d1"), word).empty());
+}
--- /dev/null
+++ b/tests/bundle/bundle_schedule_test.cpp
@@ -0,0 +1,116 @@
+#include "keeper_world.h"
+#include "support/schedule_seeds.h"
+
+#include <algorithm>
+
+using namespace dragonflymill;
+using namespace dragonflymill::test;
+
+namespace {
+
+constexpr std::uint64_t seeds = 60;
+constexpr int steps = 40;
+
+// Draws publications, a stale or dead service, pauses, restarts and partitions.
+class bundle_schedule
+{
+public:
+    explicit bundle_schedule(std::uint64_t seed)
+        : world_(seed, {.drop = 0.15, .duplicate = 0.1, .late = 0.05})
+        , draw_(seed * 31)
+    {
+    }
+
+    auto run() -> std::optional<std::string>
+    {
+        world_.publish(test_bundle(1));
+        world_.run(20s);
+        for (int step = 0; step < steps && !broken_; ++step) {
+            fault();
+            world_.run(duration(500ms) * static_cast<std::int64_t>(1 + draw_.below(6)), [this] { check(); });
+        }
+        heal();
+        world_.run(30s, [this] { check(); });
+        if (!broken_ && !world_.all_have(highest_)) {
+            broken_ = "not everywhere after the faults ended";
+        }
+        return broken_;
+    }
+
+private:
+    void fault()
+    {
+        const auto at = draw_.below(keeper_world::size);
+        switch (draw_.below(6)) {
+        case 0:
+            world_.publish(test_bundle(++published_, static_cast<std::uint32_t>(1 + draw_.below(2))));
+            break;
+        case 1:
+            world_.publish(test_bundle(1 + draw_.below(published_)));
+            break;
+        case 2:
+            world_.service_up = !world_.service_up;
+            break;
+        case 3:
+            world_.paused[at] = !world_.paused[at];
+            break;
+        case 4:
+            restart(at);
+            break;
+        default:
+            world_.side[at] = world_.side[at] == 0 ? 1 : 0;
+            break;
+        }
+    }
+
+    // One at a time, and only while a peer that has what it had can be reached: that is the promise.
+    void restart(std::size_t at)
+    {
+        bool other_has = false;
+        for (std::size_t other = 0; other < keeper_world::size; ++other) {
+            const bool up = other != at && !world_.paused[other] && world_.connected(at, other);
+            other_has = other_has || (up && world_.version(other) >= last_[at]);
+        }
+        if (other_has && !world_.paused[at]) {
+            world_.start(at);
+            // Until it is ready again, its peers stay reachable.
+            world_.run(8s, [this] { check(); });
+        }
+    }
+
+    void heal()
+    {
+        world_.side = {};
+        world_.paused = {};
+        world_.service_up = true;
+        world_.publish(test_bundle(++published_));
+        highest_ = published_;
+    }
+
+    void check()
+    {
+        for (std::size_t at = 0; at < keeper_world::size; ++at) {
+            const auto version = world_.version(at);
+            if (version != 0 && version < last_[at]) {
+                broken_ = "process " + std::to_string(at) + " went back from " + std::to_string(last_[at]) +
+                          " to " + std::to_string(version);
+            }
+            last_[at] = std::max(last_[at], version);
+        }
+    }
+
+    keeper_world world_;
+    random_source draw_;
+    std::uint64_t published_ = 1;
+    std::uint64_t highest_ = 1;
+    std::array<std::uint64_t, keeper_world::size> last_{};
+    std::optional<std::string> broken_;
+};
+
+} // namespace
+
+Test(bundle_schedule, the_bundle_in_force_never_gets_older)
+{
+    run_schedules(seeds, "test_bundle", "bundle_schedule/*",
+                  [](std::uint64_t seed) { return bundle_schedule(seed).run(); });
+}
