--- a/tests/standins/engine_model.cpp
+++ b/tests/standins/engine_model.cpp
@@ -201,13 +201,13 @@
         fence_ = order.fence;
     }
     orders_.push_back(order);
-    if (order.kind == "load_model" && !contains(models_, order.model)) {
+    if (order.kind == "load_model" && !contains(models_, order.model) && !contains(loading(), order.model)) {
         pending_orders_.push_back({now_ + settings_.order_time, order});
     }
     else if (order.kind == "load_adapter" && !contains(adapters_, order.adapter)) {
         pending_orders_.push_back({now_ + settings_.order_time / 10, order});
     }
-    else {
+    else if (order.kind != "load_model") {
         apply(order);
     }
     return 200;
@@ -219,6 +219,7 @@
         models_.push_back(order.model);
     }
     else if (order.kind == "unload_model") {
+        fail_load(order.model);
         models_.erase(std::remove(models_.begin(), models_.end(), order.model), models_.end());
     }
     else if (order.kind == "load_adapter" && !contains(adapters_, order.adapter)) {
@@ -241,6 +242,24 @@
     }
 }
 
+void engine_model::fail_load(const std::string& model)
+{
+    const auto is_load = [&model](const auto& pending) { return pending.order.model == model; };
+    pending_orders_.erase(std::remove_if(pending_orders_.begin(), pending_orders_.end(), is_load),
+                          pending_orders_.end());
+}
+
+auto engine_model::loading() const -> std::vector<std::string>
+{
+    std::vector<std::string> out;
+    for (const auto& pending : pending_orders_) {
+        if (pending.order.kind == "load_model") {
+            out.push_back(pending.order.model);
+        }
+    }
+    return out;
+}
+
 void engine_model::fall_over()
 {
     for (auto& [id, item] : works_) {
--- a/tests/standins/engine_model.h
+++ b/tests/standins/engine_model.h
@@ -147,6 +147,9 @@
     /// Takes an order: status of the answer.
     [[nodiscard]] auto give(const control_order& order) -> unsigned;
 
+    /// The weights of a model that is being loaded didn't come: the order has no effect.
+    void fail_load(const std::string& model);
+
     /// Loses everything and starts again, cold.
     void fall_over();
     /// Becomes cold without a restart.
@@ -164,6 +167,8 @@
     [[nodiscard]] auto role() const -> const std::string& { return role_; }
     /// Loaded models.
     [[nodiscard]] auto models() const -> const std::vector<std::string>& { return models_; }
+    /// Models that are being loaded.
+    [[nodiscard]] auto loading() const -> std::vector<std::string>;
     /// Loaded adapters.
     [[nodiscard]] auto adapters() const -> const std::vector<std::string>& { return adapters_; }
     /// Time up to which it worked.
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -1,5 +1,6 @@
 #include "standins/engine_standin.h"
 
+#include "standins/http_client.h"
 #include "standins/http_server.h"
 #include "standins/json_fields.h"
 #include "standins/standin_thread.h"
@@ -250,9 +251,25 @@
         order.adapter = text_field(body, "adapter");
         order.role = text_field(body, "role");
         const auto status = model_.give(order);
+        if (status == 200 && order.kind == "load_model" && !settings_.weight_store.empty()) {
+            fetch_weights(order.model);
+        }
         exchange.send(status, json::serialize(json::object{{"fence", model_.fence()}}));
     }
 
+    void fetch_weights(const std::string& model)
+    {
+        const auto call =
+            std::make_shared<http_call>(http_call{settings_.weight_store, "GET", "/v1/weights/" + model});
+        start_call(
+            thread_.io(), call, [](std::string_view) {},
+            [this, model](const http_answer& answer) {
+                if (answer.status != 200 || !answer.failure.empty()) {
+                    model_.fail_load(model);
+                }
+            });
+    }
+
     [[nodiscard]] auto state_answer() const -> json::object
     {
         const auto& load = model_.reported_load();
@@ -263,6 +280,7 @@
                                  {"age_us", real_length(model_.now() - load.taken).count()}};
         return {{"start", model_.start_id()},
                 {"models", names(model_.models())},
+                {"loading", names(model_.loading())},
                 {"adapters", names(model_.adapters())},
                 {"role", model_.role()},
                 {"fence", model_.fence()},
--- a/tests/standins/engine_standin.h
+++ b/tests/standins/engine_standin.h
@@ -14,6 +14,7 @@
     std::string name = "engine"; ///< Shown in its ledger.
     std::uint16_t port = 0;      ///< 0 takes a free one.
     double time_scale = 1.0;     ///< Real time = the engine's time * this.
+    std::string weight_store;    ///< Address that models are loaded from; without one they are at hand.
     engine_settings engine;      ///< The model of its work.
 };
 
