Record, merge and draw the time line of all processes

Cause: what a request met on its way over several hosts can't be seen in the logs of one. Change: a recorder with a bounded ring writes JSON lines; merging estimates clock offsets from the fastest message each way between processes, says how far off each can be, and writes trace-event JSON and one HTML page.

--- /dev/null
+++ b/src/timeline/clock_offsets.cpp
@@ -0,0 +1,229 @@
+#include "timeline/clock_offsets.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr duration unset = duration::max();
+/// A link with messages one way only is used where no chain of round trips leads.
+constexpr duration one_way_uncertainty = std::chrono::hours(1);
+
+/// Fastest apparent way of a message from one process to another: real way plus difference of the clocks.
+using fastest_ways = std::map<std::pair<std::size_t, std::size_t>, duration>;
+
+/// What links the clocks of two processes.
+struct clock_link
+{
+    duration offset;      ///< Offset of the second, if the first has none.
+    duration uncertainty; ///< How far off it can be.
+    bool one_way;         ///< Whether there are messages in one direction only.
+};
+
+/// Both ends of a message by its name.
+struct message_ends
+{
+    const timeline_event* sent = nullptr;
+    const timeline_event* received = nullptr;
+    bool repeated = false;
+};
+
+auto note_end(message_ends& ends, const timeline_event& event)
+{
+    const timeline_event*& slot = event.end == message_end::send ? ends.sent : ends.received;
+    // Which copy of a repeated message arrived can't be told, so its times say nothing.
+    ends.repeated = ends.repeated || slot != nullptr;
+    slot = &event;
+}
+
+/// Offsets of one set of events, found step by step.
+class offset_estimate
+{
+public:
+    explicit offset_estimate(std::span<const timeline_event> events)
+        : events_(events)
+    {
+        std::set<process_id> names;
+        for (const timeline_event& event : events) {
+            names.insert(event.process);
+        }
+        processes_.assign(names.begin(), names.end());
+    }
+
+    auto run() && -> std::vector<clock_offset>
+    {
+        find_fastest_ways();
+        offsets_.reserve(processes_.size());
+        for (const process_id& process : processes_) {
+            offsets_.push_back({process, duration::zero(), unset, offset_source::wall_clock});
+        }
+        if (offsets_.empty()) {
+            return {};
+        }
+        const std::size_t reference = most_linked();
+        offsets_[reference].uncertainty = duration::zero();
+        offsets_[reference].source = offset_source::reference;
+        spread();
+        place_unlinked(reference);
+        return std::move(offsets_);
+    }
+
+private:
+    [[nodiscard]] auto index_of(const process_id& process) const -> std::size_t
+    {
+        const auto found = std::lower_bound(processes_.begin(), processes_.end(), process);
+        return static_cast<std::size_t>(found - processes_.begin());
+    }
+
+    void find_fastest_ways()
+    {
+        std::unordered_map<std::string, message_ends> messages;
+        for (const timeline_event& event : events_) {
+            if (event.end != message_end::none) {
+                note_end(messages[event.message], event);
+            }
+        }
+        for (const auto& [name, ends] : messages) {
+            if (ends.sent == nullptr || ends.received == nullptr || ends.repeated) {
+                continue;
+            }
+            const std::pair link(index_of(ends.sent->process), index_of(ends.received->process));
+            const duration way = ends.received->at - ends.sent->at;
+            const auto added = ways_.try_emplace(link, way);
+            added.first->second = std::min(added.first->second, way);
+        }
+    }
+
+    [[nodiscard]] auto link(std::size_t from, std::size_t to) const -> std::optional<clock_link>
+    {
+        const auto there = ways_.find({from, to});
+        const auto back = ways_.find({to, from});
+        if (there != ways_.end() && back != ways_.end()) {
+            const duration offset = (back->second - there->second) / 2;
+            const duration uncertainty = (there->second + back->second) / 2;
+            // Below zero would say that a message arrived before it was sent: the clocks drift.
+            return clock_link{offset, std::max(uncertainty, duration(1)), false};
+        }
+        if (there != ways_.end()) {
+            return clock_link{-there->second, one_way_uncertainty, true};
+        }
+        if (back != ways_.end()) {
+            return clock_link{back->second, one_way_uncertainty, true};
+        }
+        return std::nullopt;
+    }
+
+    [[nodiscard]] auto most_linked() const -> std::size_t
+    {
+        std::vector<std::size_t> links(processes_.size());
+        for (const auto& [ends, way] : ways_) {
+            ++links[ends.first];
+            ++links[ends.second];
+        }
+        return static_cast<std::size_t>(std::max_element(links.begin(), links.end()) - links.begin());
+    }
+
+    /// Sets the offsets of all that are linked to the reference, along the most certain chains first.
+    void spread()
+    {
+        std::vector<bool> done(processes_.size());
+        while (true) {
+            const std::size_t from = most_certain(done);
+            if (from == processes_.size()) {
+                return;
+            }
+            done[from] = true;
+            for (std::size_t to = 0; to < processes_.size(); ++to) {
+                if (!done[to]) {
+                    follow(from, to);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] auto most_certain(const std::vector<bool>& done) const -> std::size_t
+    {
+        std::size_t best = processes_.size();
+        duration least = unset;
+        for (std::size_t i = 0; i < processes_.size(); ++i) {
+            if (!done[i] && offsets_[i].uncertainty < least) {
+                best = i;
+                least = offsets_[i].uncertainty;
+            }
+        }
+        return best;
+    }
+
+    void follow(std::size_t from, std::size_t to)
+    {
+        const auto found = link(from, to);
+        if (!found) {
+            return;
+        }
+        const clock_offset& base = offsets_[from];
+        const duration uncertainty = base.uncertainty + found->uncertainty;
+        if (uncertainty < offsets_[to].uncertainty) {
+            const bool one_way = found->one_way || base.source == offset_source::one_way;
+            offsets_[to].offset = base.offset + found->offset;
+            offsets_[to].uncertainty = uncertainty;
+            offsets_[to].source = one_way ? offset_source::one_way : offset_source::round_trip;
+        }
+    }
+
+    /// Civil time minus monotonic time of a process, at its first event.
+    [[nodiscard]] auto wall_difference(std::size_t process) const -> duration
+    {
+        const auto first = std::find_if(events_.begin(), events_.end(), [&](const timeline_event& event) {
+            return event.process == processes_[process];
+        });
+        return first->wall.time_since_epoch() - first->at.time_since_epoch();
+    }
+
+    void place_unlinked(std::size_t reference)
+    {
+        const duration base = wall_difference(reference);
+        for (std::size_t i = 0; i < offsets_.size(); ++i) {
+            clock_offset& placed = offsets_[i];
+            if (placed.uncertainty == unset) {
+                placed.offset = wall_difference(i) - base;
+            }
+            if (placed.source == offset_source::one_way || placed.source == offset_source::wall_clock) {
+                placed.uncertainty = duration::zero();
+            }
+        }
+    }
+
+    std::span<const timeline_event> events_;
+    std::vector<process_id> processes_;
+    fastest_ways ways_;
+    std::vector<clock_offset> offsets_;
+};
+
+} // namespace
+
+auto to_string(offset_source source) -> const char*
+{
+    switch (source) {
+    case offset_source::reference:
+        return "reference";
+    case offset_source::round_trip:
+        return "messages both ways";
+    case offset_source::one_way:
+        return "messages one way, uncertainty not known";
+    case offset_source::wall_clock:
+        return "civil clock, uncertainty not known";
+    }
+    return "";
+}
+
+auto estimate_clock_offsets(std::span<const timeline_event> events) -> std::vector<clock_offset>
+{
+    return offset_estimate(events).run();
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/tests/timeline/timeline_merge_test.cpp
@@ -0,0 +1,141 @@
+#include "timeline/timeline_file.h"
+#include "timeline/timeline_merge.h"
+#include "timeline/timeline_picture.h"
+#include "timeline/trace_events.h"
+
+#include <boost/json/parse.hpp>
+#include <criterion/criterion.h>
+#include <sstream>
+
+namespace dragonflymill {
+
+namespace {
+
+auto step(const char* process, duration at, const char* request, const char* name) -> timeline_event
+{
+    return {process_id(process), instant(at), wall_instant(at), request_id(request), name, "", "",
+            message_end::none};
+}
+
+auto message(timeline_event event, const char* name, message_end end) -> timeline_event
+{
+    event.message = name;
+    event.end = end;
+    return event;
+}
+
+/// A gateway and a sidecar whose clock is 5 s ahead; two requests at the same time.
+auto two_processes() -> std::vector<timeline_event>
+{
+    return {
+        step("gw", 10ms, "r1", "accepted"),
+        message(step("gw", 11ms, "r1", "sent"), "r1/1/open", message_end::send),
+        message(step("sc", 5012ms, "r1", "received"), "r1/1/open", message_end::receive),
+        message(step("sc", 5020ms, "r1", "answered"), "r1/1/answer", message_end::send),
+        message(step("gw", 21ms, "r1", "delivered"), "r1/1/answer", message_end::receive),
+        step("gw", 12ms, "r2", "accepted"),
+        step("gw", 13ms, "r2", "refused"),
+        step("sc", 5000ms, "", "started"),
+    };
+}
+
+auto trace_of(const merged_timeline& merged) -> boost::json::array
+{
+    std::ostringstream out;
+    write_trace_events(merged, out);
+    return boost::json::parse(out.str()).as_object().at("traceEvents").as_array();
+}
+
+} // namespace
+
+Test(timeline_merge, steps_of_two_hosts_fall_in_their_true_order)
+{
+    const auto merged = merge_timelines(two_processes());
+    cr_assert(merged.clocks.size() == 2);
+    cr_assert(merged.spans.size() == 3);
+    cr_assert(merged.messages.size() == 2);
+    for (const message_arrow& arrow : merged.messages) {
+        const auto sent = merged.spans[arrow.from.span].steps[arrow.from.step].at;
+        const auto received = merged.spans[arrow.to.span].steps[arrow.to.step].at;
+        cr_assert(received - sent == 1ms);
+    }
+    cr_assert(merged.process_events.size() == 1);
+    cr_assert(merged.process_events[0].at == 0ms, "the sidecar started before all else");
+}
+
+Test(timeline_merge, requests_at_the_same_time_get_rows_of_their_own)
+{
+    const auto merged = merge_timelines(two_processes());
+    const std::size_t gateway = merged.process_index(process_id("gw"));
+    std::vector<std::size_t> rows;
+    for (const request_span& span : merged.spans) {
+        if (span.process == gateway) {
+            rows.push_back(span.row);
+        }
+    }
+    cr_assert(rows == std::vector<std::size_t>({0, 1}));
+}
+
+Test(timeline_merge, the_same_events_give_the_same_files)
+{
+    auto events = two_processes();
+    std::ostringstream first;
+    write_trace_events(merge_timelines(events), first);
+    std::ostringstream second;
+    write_trace_events(merge_timelines(events), second);
+    cr_assert(first.str() == second.str());
+}
+
+Test(trace_events, every_slice_and_both_ends_of_each_message_are_there)
+{
+    int slices = 0;
+    int starts = 0;
+    int finishes = 0;
+    for (const auto& value : trace_of(merge_timelines(two_processes()))) {
+        const auto& phase = value.as_object().at("ph").as_string();
+        slices += phase == "X" ? 1 : 0;
+        starts += phase == "s" ? 1 : 0;
+        finishes += phase == "f" ? 1 : 0;
+    }
+    cr_assert(slices == 3 + 7, "three requests at processes with seven steps");
+    cr_assert(starts == 2 && finishes == 2);
+}
+
+Test(timeline_picture, a_callers_text_cannot_become_part_of_the_page)
+{
+    auto events = two_processes();
+    events[0].request = request_id("</title><script>alert(1)</script>");
+    std::ostringstream page;
+    write_timeline_picture(merge_timelines(events), page);
+    cr_assert(page.str().find("<script>") == std::string::npos);
+    cr_assert(page.str().find("&lt;script&gt;") != std::string::npos);
+    cr_assert(page.str().find(">gw</text>") != std::string::npos);
+}
+
+Test(timeline_picture, a_long_time_line_stays_a_page_of_bounded_size)
+{
+    std::vector<timeline_event> events;
+    events.reserve(60'000);
+    for (int i = 0; i < 60'000; ++i) {
+        events.push_back(step("gw", duration(i), ("r" + std::to_string(i)).c_str(), "accepted"));
+    }
+    std::ostringstream page;
+    write_timeline_picture(merge_timelines(std::move(events)), page);
+    cr_assert(page.str().find("20000 steps and messages are not drawn") != std::string::npos);
+}
+
+Test(timeline_file, a_line_cut_off_is_counted_and_the_rest_read)
+{
+    std::string text;
+    for (const auto& event : two_processes()) {
+        text += to_json_line(event) + '\n';
+    }
+    std::istringstream in(text + text.substr(0, 20));
+    timeline_reading reading;
+    read_timeline(in, reading);
+    cr_assert(reading.events == two_processes());
+    cr_assert(reading.bad_lines == 1);
+    cr_assert(read_timeline_files({"/nonexistent/t.jsonl"}).has_error());
+}
+
+} // namespace dragonflymill
