Read settings through the one INI reader and name the partners' keys

Cause: two INI readers with classes of the same name stood in one program; settings had no way to name who must sign a bundle. Change: the settings reader takes read_ini of the bundle folder and checks repeated keys itself; [bundle] partners replaces key files.

--- a/src/settings/common_settings.cpp
+++ b/src/settings/common_settings.cpp
@@ -6,7 +6,7 @@
 
 constexpr std::uint64_t highest_version = 999'999'999'999'999'999;
 constexpr std::size_t most_seeds = 16;
-constexpr std::size_t most_public_keys = 8;
+constexpr std::size_t most_partners = 2;
 
 } // namespace
 
@@ -23,12 +23,11 @@
 
 void bind(settings_schema& schema, bundle_settings& target)
 {
-    schema.path({"bundle", "file", "signed bundle to start from, if no peer has a newer one"}, target.file);
+    schema.path({"bundle", "file", "bundle to start from, if no peer has a newer one"}, target.file);
     schema.count({"bundle", "min_version", "no bundle with a lower version is ever adopted"},
                  target.min_version, {0, highest_version});
-    schema.path_list(
-        {"bundle", "public_keys", "files with the public keys that a bundle must be signed with"},
-        target.public_keys, most_public_keys);
+    schema.partner_list({"bundle", "partners", "who must sign a bundle, with their public keys"},
+                        target.partners, most_partners);
 }
 
 void bind(settings_schema& schema, heartbeat_settings& target)
--- a/src/settings/common_settings.h
+++ b/src/settings/common_settings.h
@@ -26,9 +26,9 @@
 /// Where the configuration comes from when the process starts.
 struct bundle_settings
 {
-    std::string file;                     ///< Signed bundle to start from; empty for none.
-    std::uint64_t min_version = 0;        ///< No bundle below it is ever adopted.
-    std::vector<std::string> public_keys; ///< Files with the partners' public keys.
+    std::string file;                    ///< Bundle to start from; empty for none.
+    std::uint64_t min_version = 0;       ///< No bundle below it is ever adopted.
+    std::vector<partner_entry> partners; ///< Who must sign a bundle, with their public keys.
 
     friend auto operator==(const bundle_settings&, const bundle_settings&) -> bool = default;
 };
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -1,6 +1,6 @@
 #include "settings/settings_reader.h"
 
-#include "settings/ini_document.h"
+#include "dragonflymill/bundle/ini_document.h"
 
 #include <algorithm>
 #include <fstream>
@@ -32,6 +32,14 @@
     return row.back();
 }
 
+/// A key that was read: where it stands and what it says.
+struct read_key
+{
+    std::string section;
+    std::string key;
+    int line = 0;
+};
+
 /// Reads one document against a schema and collects the mistakes.
 class settings_check
 {
@@ -40,14 +48,18 @@
         : file_(file)
         , schema_(schema)
         , document_(std::move(document))
-        , mistakes_(std::move(document_.mistakes))
     {
     }
 
     auto run() && -> std::vector<settings_mistake>
     {
-        for (const ini_entry& entry : document_.entries) {
-            check_entry(entry);
+        for (const source_mistake& m : document_.mistakes) {
+            mistakes_.push_back({file_, static_cast<int>(m.line), "", m.subject, m.problem, "", m.remedy});
+        }
+        for (const ini_section& section : document_.sections) {
+            for (const ini_entry& entry : section.entries) {
+                check_entry(section, entry);
+            }
         }
         for (const setting_spec& spec : schema_.specs()) {
             check_presence(spec);
@@ -62,24 +74,43 @@
     }
 
 private:
-    void check_entry(const ini_entry& entry)
+    /// The section's name as written; settings have no `[kind name]` sections, so one is not known.
+    static auto name_of(const ini_section& section) -> std::string
+    {
+        return section.name.empty() ? section.kind : section.kind + ' ' + section.name;
+    }
+
+    void check_entry(const ini_section& section, const ini_entry& entry)
     {
+        const read_key at{name_of(section), entry.key, static_cast<int>(entry.line)};
+        const int earlier = line_of(at.section, at.key);
+        if (earlier > 0) {
+            add_mistake(at, "the key was already set in line " + std::to_string(earlier), "",
+                        "leave one of the two");
+            return;
+        }
+        read_.push_back(at);
         const auto specs = schema_.specs();
         const auto spec = std::find_if(specs.begin(), specs.end(), [&](const setting_spec& s) {
-            return s.section == entry.section && s.key == entry.key;
+            return s.section == at.section && s.key == at.key;
         });
         if (spec == specs.end()) {
-            add_unknown(entry);
+            add_unknown(at);
             return;
         }
         const auto assigned = spec->assign(entry.value);
         if (assigned.has_error()) {
-            mistakes_.push_back({file_, entry.line, entry.section, entry.key, assigned.error().message(),
-                                 spec->allowed, assigned.error().remedy()});
+            add_mistake(at, assigned.error().message(), spec->allowed, assigned.error().remedy());
         }
     }
 
-    void add_unknown(const ini_entry& entry)
+    void add_mistake(const read_key& at, std::string message, std::string allowed, std::string remedy)
+    {
+        mistakes_.push_back(
+            {file_, at.line, at.section, at.key, std::move(message), std::move(allowed), std::move(remedy)});
+    }
+
+    void add_unknown(const read_key& entry)
     {
         std::string keys;
         const setting_spec* nearest = nullptr;
@@ -100,7 +131,7 @@
         const std::string remedy = nearest == nullptr
                                        ? "remove the line or see docs/settings.md"
                                        : "did you mean [" + nearest->section + "] " + nearest->key + "?";
-        mistakes_.push_back({file_, entry.line, entry.section, entry.key, message, allowed, remedy});
+        add_mistake(entry, message, allowed, remedy);
     }
 
     [[nodiscard]] auto all_sections() const -> std::string
@@ -121,9 +152,10 @@
         if (spec.needed == presence::optional || line_of(spec.section, spec.key) > 0) {
             return;
         }
-        const auto section = std::find_if(document_.sections.begin(), document_.sections.end(),
-                                          [&](const ini_section& s) { return s.name == spec.section; });
-        const int line = section == document_.sections.end() ? 0 : section->line;
+        const auto section =
+            std::find_if(document_.sections.begin(), document_.sections.end(),
+                         [&](const ini_section& found) { return name_of(found) == spec.section; });
+        const int line = section == document_.sections.end() ? 0 : static_cast<int>(section->line);
         mistakes_.push_back({file_, line, spec.section, spec.key, "the key is missing", spec.allowed,
                              "add it: " + spec.help});
     }
@@ -140,15 +172,16 @@
 
     [[nodiscard]] auto line_of(const std::string& section, const std::string& key) const -> int
     {
-        const auto entry =
-            std::find_if(document_.entries.begin(), document_.entries.end(),
-                         [&](const ini_entry& e) { return e.section == section && e.key == key; });
-        return entry == document_.entries.end() ? 0 : entry->line;
+        const auto found = std::find_if(read_.begin(), read_.end(), [&](const read_key& k) {
+            return k.section == section && k.key == key;
+        });
+        return found == read_.end() ? 0 : found->line;
     }
 
     const std::string& file_;
     const settings_schema& schema_;
     ini_document document_;
+    std::vector<read_key> read_;
     std::vector<settings_mistake> mistakes_;
 };
 
@@ -163,7 +196,7 @@
 auto read_settings(std::string_view text, const std::string& file, const settings_schema& schema)
     -> std::vector<settings_mistake>
 {
-    return settings_check(file, schema, parse_ini(text, file)).run();
+    return settings_check(file, schema, read_ini(text)).run();
 }
 
 auto read_settings_file(const std::string& file, const settings_schema& schema)
--- a/src/settings/settings_schema.cpp
+++ b/src/settings/settings_schema.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings_schema.h"
 
+#include "dragonflymill/bundle/digest.h"
 #include "dragonflymill/core/units.h"
 
 #include <algorithm>
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr std::size_t longest_name = 64;
+constexpr std::size_t public_key_bytes = 32;
 
 struct byte_unit
 {
@@ -97,6 +99,19 @@
             "leave at most " + std::to_string(most)};
 }
 
+auto parse_partner(std::string_view text) -> result<partner_entry>
+{
+    const std::size_t colon = std::min(text.find(':'), text.size());
+    const std::string_view name = trim(text.substr(0, colon));
+    const std::string key(trim(text.substr(std::min(colon + 1, text.size()))));
+    if (!is_name(name) || key.size() != 2 * public_key_bytes || from_hex(key).has_error()) {
+        return error(error_kind::invalid_input,
+                     "'" + std::string(text) + "' is not a partner with a public key",
+                     "write name:key as `dragonflymill bundle key` prints it");
+    }
+    return partner_entry{std::string(name), key};
+}
+
 auto joined(const std::vector<std::string>& texts) -> std::string
 {
     std::string all;
@@ -145,16 +160,28 @@
     });
 }
 
-void settings_schema::path_list(const setting_name& name, std::vector<std::string>& target, std::size_t most)
+void settings_schema::partner_list(const setting_name& name, std::vector<partner_entry>& target,
+                                   std::size_t most)
 {
-    const std::string allowed = "paths of files, separated by commas, at most " + std::to_string(most);
-    add(name, {"paths", allowed, joined(target)}, presence::optional,
+    const std::string allowed =
+        "name:key with the public key's 64 hexadecimal digits, separated by commas, at most " +
+        std::to_string(most);
+    add(name, {"partners", allowed, ""}, presence::optional,
         [&target, most](std::string_view text) -> result<void> {
             const auto list = elements(text);
             if (list.size() > most) {
                 return too_many(most);
             }
-            target.assign(list.begin(), list.end());
+            std::vector<partner_entry> partners;
+            partners.reserve(list.size());
+            for (const std::string_view element : list) {
+                auto parsed = parse_partner(element);
+                if (parsed.has_error()) {
+                    return std::move(parsed).error();
+                }
+                partners.push_back(std::move(parsed).value());
+            }
+            target = std::move(partners);
             return success();
         });
 }
--- a/src/settings/settings_schema.h
+++ b/src/settings/settings_schema.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflymill/bundle/bundle.h"
 #include "dragonflymill/core/error.h"
 #include "dragonflymill/core/time.h"
 #include "settings/socket_address.h"
@@ -83,8 +84,8 @@
     }
     /// Path of a file.
     void path(const setting_name& name, std::string& target, presence needed = presence::optional);
-    /// Paths of files, separated by commas; at most `most`.
-    void path_list(const setting_name& name, std::vector<std::string>& target, std::size_t most);
+    /// Partners with their public keys, separated by commas; at most `most`.
+    void partner_list(const setting_name& name, std::vector<partner_entry>& target, std::size_t most);
     /// `yes` or `no`.
     void flag(const setting_name& name, bool& target);
     /// A whole number.
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -117,6 +117,23 @@
         "timeouts.request");
 }
 
+Test(settings_reader, partners_come_with_their_public_keys)
+{
+    const std::string key(64, 'a');
+    gateway_settings settings;
+    const std::string text =
+        small_gateway + ("[bundle]\npartners = formosa:" + key + ", birchlog:" + key + "\n");
+    cr_assert(read_settings(text, "gw.ini", gateway_schema(settings)).empty());
+    cr_assert(settings.bundle.partners.size() == 2);
+    cr_assert(settings.bundle.partners[1].name == "birchlog");
+    cr_assert(settings.bundle.partners[1].public_key == key);
+    const std::vector<std::string> wrong_ones{"formosa", "formosa:", "formosa:12", ":" + key,
+                                              "a:" + key + ",b:" + key + ",c:" + key};
+    for (const std::string& wrong : wrong_ones) {
+        cr_assert(mistakes_with("[bundle]\npartners = " + wrong + "\n").size() == 1, "%s", wrong.c_str());
+    }
+}
+
 Test(settings_reader, a_missing_file_is_named)
 {
     gateway_settings settings;
