Run a sidecar as a daemon

Cause: the sidecar's decisions and its hands need threads and a stop. Change: one thread decides from a bounded ring, one speaks to the upstream, gRPC's threads carry; SIGTERM stops once everything in hand is finished; a process that was paused for longer than its own lease ends for a fresh start. Conclusion: a sidecar can be started from its settings and a bundle.

--- a/src/sidecar/attempt_reactor.cpp
+++ b/src/sidecar/attempt_reactor.cpp
@@ -38,7 +38,7 @@
 auto attempt_reactor::open(grpc::CallbackServerContext* context, call_number call, shell_sink sink,
                            std::function<void(call_number)> on_gone) -> std::shared_ptr<attempt_reactor>
 {
-    const std::shared_ptr<attempt_reactor> made(
+    std::shared_ptr<attempt_reactor> made(
         new attempt_reactor(context, call, std::move(sink), std::move(on_gone)));
     made->self_ = made;
     return made;
--- a/src/sidecar/heartbeat_reactor.cpp
+++ b/src/sidecar/heartbeat_reactor.cpp
@@ -6,7 +6,7 @@
 
 auto heartbeat_reactor::open(shell_sink sink) -> std::shared_ptr<heartbeat_reactor>
 {
-    const std::shared_ptr<heartbeat_reactor> made(new heartbeat_reactor(std::move(sink)));
+    std::shared_ptr<heartbeat_reactor> made(new heartbeat_reactor(std::move(sink)));
     made->self_ = made;
     made->StartRead(&made->incoming_);
     return made;
--- /dev/null
+++ b/src/sidecar/sidecar_daemon.cpp
@@ -0,0 +1,132 @@
+#include "sidecar/sidecar_daemon.h"
+
+#include "dragonflymill/bundle/bundle_source.h"
+#include "log/logger.h"
+#include "runtime/text_file.h"
+#include "sidecar/sidecar_shell.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdio>
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server_builder.h>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_superseded = 3;
+constexpr int max_message_bytes = 8 * 1024 * 1024;
+
+auto start_server(const std::string& address, sidecar::gate_service& service, int& port)
+    -> std::unique_ptr<grpc::Server>
+{
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+    builder.SetMaxReceiveMessageSize(max_message_bytes);
+    builder.RegisterService(&service);
+    return builder.BuildAndStart();
+}
+
+/// One running sidecar process.
+class sidecar_daemon
+{
+public:
+    explicit sidecar_daemon(const sidecar_settings& settings)
+        : settings_(settings)
+    {
+    }
+
+    auto run() -> int;
+
+private:
+    [[nodiscard]] auto serve(const bundle& in_force, std::string ticket_key) -> int;
+    void wait_for_signals(sidecar::sidecar_shell& shell);
+
+    const sidecar_settings& settings_;
+    timeline_recorder timeline_;
+    boost::asio::io_context context_{1};
+    boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
+    boost::asio::steady_timer lag_{context_};
+    int exit_code_ = exit_ok;
+};
+
+auto sidecar_daemon::run() -> int
+{
+    auto log = logger::start(settings_.log);
+    if (!log) {
+        std::fprintf(stderr, "%s\n", log.error().text().c_str());
+        return exit_failed;
+    }
+    auto timeline =
+        timeline_recorder::start(settings_.process.name, settings_.timeline.file, settings_.timeline.ring);
+    auto text = runtime::read_text_file(settings_.bundle.file, max_bundle_text);
+    auto key = runtime::read_key_file(settings_.once.key_file);
+    for (const auto* failure : {timeline ? nullptr : &timeline.error(), text ? nullptr : &text.error(),
+                                key ? nullptr : &key.error()}) {
+        if (failure != nullptr) {
+            std::fprintf(stderr, "%s\n", failure->text().c_str());
+            return exit_failed;
+        }
+    }
+    timeline_ = std::move(timeline.value());
+    const auto in_force = parse_bundle_source(text.value());
+    if (!in_force) {
+        std::fprintf(stderr, "%s\n", in_force.error().text().c_str());
+        return exit_failed;
+    }
+    return serve(in_force.value(), key.value());
+}
+
+auto sidecar_daemon::serve(const bundle& in_force, std::string ticket_key) -> int
+{
+    const auto end = [this](int code) {
+        boost::asio::post(context_, [this, code] {
+            exit_code_ = code;
+            context_.stop();
+        });
+    };
+    sidecar::sidecar_shell shell(
+        settings_, std::move(ticket_key), timeline_, [end] { end(exit_ok); },
+        [end] { end(exit_superseded); });
+    shell.start();
+    shell.adopt(in_force);
+    int port = 0;
+    const auto server = start_server(to_text(settings_.grpc_listen), shell.service(), port);
+    if (!server) {
+        std::fprintf(stderr, "can't listen on %s (choose a free port of this host)\n",
+                     to_text(settings_.grpc_listen).c_str());
+        shell.join();
+        return exit_failed;
+    }
+    std::printf("ready grpc %s:%d\n", settings_.grpc_listen.ip.c_str(), port);
+    std::fflush(stdout);
+    wait_for_signals(shell);
+    context_.run();
+    server->Shutdown(std::chrono::system_clock::now() + 1s);
+    shell.join();
+    return exit_code_;
+}
+
+void sidecar_daemon::wait_for_signals(sidecar::sidecar_shell& shell)
+{
+    signals_.async_wait([this, &shell](boost::system::error_code failure, int /*signal*/) {
+        if (!failure) {
+            shell.stop();
+        }
+    });
+}
+
+} // namespace
+
+auto run_sidecar(const sidecar_settings& settings) -> int
+{
+    return sidecar_daemon(settings).run();
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/sidecar/sidecar_shell.cpp
@@ -0,0 +1,242 @@
+#include "sidecar/sidecar_shell.h"
+
+#include "http/address.h"
+#include "rpc/wire_convert.h"
+#include "runtime/clock.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace dragonflymill::sidecar {
+
+namespace {
+
+constexpr std::size_t ring_capacity = 16 * 1024;
+constexpr duration tick_interval = 20ms;
+
+auto endpoint_of(const socket_address& address) -> boost::asio::ip::tcp::endpoint
+{
+    return {boost::asio::ip::make_address(address.ip), address.port};
+}
+
+} // namespace
+
+sidecar_shell::sidecar_shell(const sidecar_settings& settings, std::string ticket_key,
+                             timeline_recorder& timeline, std::function<void()> on_all_done,
+                             std::function<void()> on_superseded)
+    : self_(settings.upstream.id)
+    , process_(settings.process.name)
+    , timeline_(timeline)
+    , on_all_done_(std::move(on_all_done))
+    , on_superseded_(std::move(on_superseded))
+    , core_(runtime::now(), core_options(settings, std::move(ticket_key)))
+    , decide_(ring_capacity, tick_interval)
+    , gate_([this](shell_event event) { return decide_.post(std::move(event)); })
+    , engine_(upstream_thread_.context(), endpoint_of(settings.upstream.address),
+              {settings.upstream.connect_timeout, settings.upstream.state_interval},
+              [this](sidecar_event event) { post(std::move(event)); })
+    , service_client_(upstream_thread_.context(), endpoint_of(settings.upstream.address),
+                      settings.upstream.connect_timeout,
+                      [this](sidecar_event event) { post(std::move(event)); })
+{
+}
+
+auto sidecar_shell::core_options(const sidecar_settings& settings, std::string ticket_key) const
+    -> sidecar_core_options
+{
+    sidecar_core_options options;
+    options.gate.lease_term = settings.lease.permit;
+    options.ledger.upstream = settings.upstream.id;
+    // No host keeps anything, so a start is numbered by civil time: later starts have higher numbers, and two
+    // starts of one sidecar are never a microsecond apart.
+    options.ledger.self =
+        incarnation(static_cast<std::uint64_t>(runtime::wall_now().time_since_epoch().count()));
+    options.ledger.started = runtime::now();
+    options.ledger.started_wall = runtime::wall_now();
+    options.ledger.ticket_key = std::move(ticket_key);
+    options.ledger.max_bytes = settings.once.max_bytes;
+    options.ledger.predecessor_lease = settings.lease.order;
+    options.own_lease_term = settings.lease.order;
+    options.cancel_backoff = settings.lease.cancel_retry;
+    options.seed = options.ledger.self.value();
+    return options;
+}
+
+void sidecar_shell::start()
+{
+    decide_.start([this](std::optional<shell_event> event) { handle(std::move(event)); });
+    upstream_thread_.start();
+}
+
+void sidecar_shell::adopt(const bundle& in_force)
+{
+    const auto own = std::find_if(in_force.upstreams.begin(), in_force.upstreams.end(),
+                                  [this](const upstream_entry& entry) { return entry.id == self_; });
+    if (own == in_force.upstreams.end()) {
+        post(sidecar_input::drain_changed{true});
+        return;
+    }
+    const auto domain =
+        std::find_if(in_force.domains.begin(), in_force.domains.end(),
+                     [own](const failure_domain_entry& entry) { return entry.id == own->domain; });
+    sidecar_input::routes_changed routes;
+    for (const auto& route : in_force.service_routes) {
+        routes.routes.push_back({route.id, route.upstreams, route.remember_for});
+    }
+    post(std::move(routes));
+    post(sidecar_input::capacity_changed{own->cold_outstanding, own->max_outstanding});
+    post(sidecar_input::drain_changed{domain != in_force.domains.end() && !domain->in_service});
+    if (own->kind == upstream_kind::engine) {
+        boost::asio::post(upstream_thread_.context(), [this] {
+            if (!std::exchange(is_engine_, true)) {
+                engine_.start();
+            }
+        });
+    }
+}
+
+void sidecar_shell::stop()
+{
+    post(sidecar_input::stop_asked{});
+}
+
+void sidecar_shell::join()
+{
+    decide_.stop();
+    upstream_thread_.stop();
+}
+
+void sidecar_shell::post(sidecar_event event)
+{
+    // The poster waits for room: it reads from the upstream, which then waits too. Nothing of an answer is
+    // lost.
+    static_cast<void>(decide_.post_waiting(std::move(event)));
+}
+
+void sidecar_shell::handle(std::optional<shell_event> event)
+{
+    const auto now = runtime::now();
+    if (event) {
+        if (const auto* heartbeat = std::get_if<heartbeat_event>(&*event)) {
+            carry_out(core_.step(now, sidecar_input::gateway_heard{heartbeat->gateway}));
+            answer_heartbeat(*heartbeat);
+        }
+        else {
+            carry_out(core_.step(now, std::get<sidecar_event>(*event)));
+        }
+    }
+    if (now - last_tick_ >= tick_interval) {
+        last_tick_ = now;
+        carry_out(core_.step(now, sidecar_input::tick{}));
+    }
+    if (core_.superseded()) {
+        on_superseded_();
+    }
+}
+
+void sidecar_shell::answer_heartbeat(const heartbeat_event& event)
+{
+    wire::heartbeat_pong pong;
+    pong.set_number(event.number);
+    pong.set_sender(process_.text());
+    *pong.mutable_load() = rpc::to_wire(core_.load(runtime::now()));
+    event.connection->answer(std::move(pong));
+}
+
+void sidecar_shell::carry_out(const std::vector<sidecar_action>& actions)
+{
+    for (const auto& action : actions) {
+        std::visit([this](const auto& what) { act(what); }, action);
+    }
+}
+
+void sidecar_shell::act(const sidecar_output::grant_attempt& action)
+{
+    if (const auto call = gate_.find_attempt(action.call)) {
+        wire::attempt_event event;
+        event.mutable_granted()->set_lease(action.lease.value());
+        *event.mutable_load() = rpc::to_wire(core_.load(runtime::now()));
+        call->send(std::move(event));
+    }
+}
+
+void sidecar_shell::act(const sidecar_output::refuse_call& action)
+{
+    gate_.refuse(action.call, action.why, core_.load(runtime::now()));
+}
+
+void sidecar_shell::act(const sidecar_output::start_stream& action)
+{
+    const auto call = gate_.find_attempt(action.call);
+    if (!call) {
+        return; // it was cancelled meanwhile, and the core hears of it next
+    }
+    timeline_.record(action.spec.request, "engine_start", action.engine_request);
+    boost::asio::post(upstream_thread_.context(),
+                      [this, action, prompt = call->take_prompt()] { engine_.start_stream(action, prompt); });
+}
+
+void sidecar_shell::act(const sidecar_output::send_tokens& action)
+{
+    if (const auto call = gate_.find_attempt(action.call)) {
+        wire::attempt_event event;
+        event.mutable_tokens()->set_offset(action.offset);
+        for (const auto& text : action.tokens) {
+            event.mutable_tokens()->add_text(text);
+        }
+        call->send(std::move(event));
+    }
+}
+
+void sidecar_shell::act(const sidecar_output::finish_attempt& action)
+{
+    if (const auto call = gate_.find_attempt(action.call)) {
+        wire::attempt_event event;
+        event.mutable_finished()->set_tokens(action.tokens);
+        event.mutable_finished()->set_reason(action.reason);
+        *event.mutable_load() = rpc::to_wire(core_.load(runtime::now()));
+        call->finish(std::move(event));
+    }
+}
+
+void sidecar_shell::act(const sidecar_output::cancel_stream& action)
+{
+    boost::asio::post(upstream_thread_.context(), [this, action] { engine_.cancel_stream(action); });
+}
+
+void sidecar_shell::act(const sidecar_output::run_service& action)
+{
+    timeline_.record(action.spec.request, "service_send", action.spec.target);
+    boost::asio::post(upstream_thread_.context(), [this, action] { service_client_.run(action); });
+}
+
+void sidecar_shell::act(const sidecar_output::answer_service& action)
+{
+    wire::service_reply reply;
+    reply.set_status(static_cast<std::uint32_t>(action.answer.status));
+    reply.set_content_type(action.answer.content_type);
+    reply.set_body(action.answer.body);
+    reply.set_replayed(action.replayed);
+    *reply.mutable_load() = rpc::to_wire(core_.load(runtime::now()));
+    gate_.answer(action.call, reply);
+}
+
+void sidecar_shell::act(const sidecar_output::give_ticket& action)
+{
+    gate_.give_ticket(action.call, action.ticket);
+}
+
+void sidecar_shell::act(const sidecar_output::tell_running& action)
+{
+    wire::service_reply reply;
+    reply.set_running(true);
+    gate_.answer(action.call, reply);
+}
+
+void sidecar_shell::act(const sidecar_output::all_done& /*action*/)
+{
+    on_all_done_();
+}
+
+} // namespace dragonflymill::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_shell.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "dragonflymill/bundle/bundle.h"
+#include "dragonflymill/serve/sidecar_core.h"
+#include "runtime/duty_thread.h"
+#include "runtime/io_thread.h"
+#include "settings/sidecar_settings.h"
+#include "sidecar/gate_service.h"
+#include "timeline/timeline_recorder.h"
+#include "upstream/engine_client.h"
+#include "upstream/service_client.h"
+
+#include <functional>
+#include <memory>
+
+namespace dragonflymill::sidecar {
+
+/// The thread that decides, and the hands that carry out what it decides.
+class sidecar_shell
+{
+public:
+    /// A shell for `settings`; `on_all_done` is called on the deciding thread once a stop is finished,
+    /// `on_superseded` when the process was paused for too long to go on.
+    sidecar_shell(const sidecar_settings& settings, std::string ticket_key, timeline_recorder& timeline,
+                  std::function<void()> on_all_done, std::function<void()> on_superseded);
+
+    /// Starts the threads.
+    void start();
+    /// Takes over a bundle.
+    void adopt(const bundle& in_force);
+    /// Begins a planned stop.
+    void stop();
+    /// Ends the threads.
+    void join();
+
+    /// What gateways call.
+    [[nodiscard]] auto service() -> gate_service& { return gate_; }
+
+private:
+    [[nodiscard]] auto core_options(const sidecar_settings& settings, std::string ticket_key) const
+        -> sidecar_core_options;
+    void post(sidecar_event event);
+    void handle(std::optional<shell_event> event);
+    void carry_out(const std::vector<sidecar_action>& actions);
+    void answer_heartbeat(const heartbeat_event& event);
+
+    void act(const sidecar_output::grant_attempt& action);
+    void act(const sidecar_output::refuse_call& action);
+    void act(const sidecar_output::start_stream& action);
+    void act(const sidecar_output::send_tokens& action);
+    void act(const sidecar_output::finish_attempt& action);
+    void act(const sidecar_output::cancel_stream& action);
+    void act(const sidecar_output::run_service& action);
+    void act(const sidecar_output::answer_service& action);
+    void act(const sidecar_output::give_ticket& action);
+    void act(const sidecar_output::tell_running& action);
+    void act(const sidecar_output::all_done& action);
+
+    upstream_id self_;
+    process_id process_;
+    timeline_recorder& timeline_;
+    std::function<void()> on_all_done_;
+    std::function<void()> on_superseded_;
+    sidecar_core core_;
+    runtime::duty_thread<shell_event> decide_;
+    runtime::io_thread upstream_thread_;
+    gate_service gate_;
+    upstream::engine_client engine_;
+    upstream::service_client service_client_;
+    instant last_tick_;
+    bool is_engine_ = false;
+};
+
+} // namespace dragonflymill::sidecar
--- a/src/sidecar/unary_reactor.h
+++ b/src/sidecar/unary_reactor.h
@@ -20,7 +20,7 @@
     static auto open(Reply* reply, std::function<void()> on_cancel, std::function<void()> on_gone)
         -> std::shared_ptr<unary_reactor>
     {
-        const std::shared_ptr<unary_reactor> made(
+        std::shared_ptr<unary_reactor> made(
             new unary_reactor(reply, std::move(on_cancel), std::move(on_gone)));
         made->self_ = made;
         return made;
