--- a/include/dragonflymill/route/upstream_table.h
+++ b/include/dragonflymill/route/upstream_table.h
@@ -69,7 +69,7 @@
     [[nodiscard]] auto records() const -> std::span<const upstream_record> { return records_; }
 
 private:
-    [[nodiscard]] auto find(const upstream_id& upstream) -> upstream_record*;
+    [[nodiscard]] auto editable(const upstream_id& upstream) -> upstream_record*;
     void apply_drain(upstream_record& record) const;
 
     upstream_table_settings settings_;
--- a/src/route/first_token_model.cpp
+++ b/src/route/first_token_prediction.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/route/first_token_model.h"
+#include "dragonflymill/route/first_token_prediction.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/route/predicted_first_token.cpp
+++ b/src/route/predicted_first_token.cpp
@@ -1,7 +1,7 @@
 #include "dragonflymill/route/predicted_first_token.h"
 
 #include "dragonflymill/core/stable_hash.h"
-#include "dragonflymill/route/first_token_model.h"
+#include "dragonflymill/route/first_token_prediction.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/route/routing_policy.cpp
+++ b/src/route/routing_policy.cpp
@@ -1,6 +1,6 @@
 #include "dragonflymill/route/routing_policy.h"
 
-#include "dragonflymill/route/first_token_model.h"
+#include "dragonflymill/route/first_token_prediction.h"
 
 #include <algorithm>
 
--- a/src/route/upstream_table.cpp
+++ b/src/route/upstream_table.cpp
@@ -83,14 +83,14 @@
 
 void upstream_table::report(instant now, const upstream_id& upstream, const upstream_load& load)
 {
-    if (upstream_record* record = find(upstream)) {
+    if (upstream_record* record = editable(upstream)) {
         record->report(now, load);
     }
 }
 
 void upstream_table::set_state(const upstream_id& upstream, upstream_state state)
 {
-    if (upstream_record* record = find(upstream)) {
+    if (upstream_record* record = editable(upstream)) {
         record->set_state(state);
     }
 }
@@ -103,7 +103,7 @@
     else if (drained_upstreams_.size() < settings_.max_upstreams) {
         drained_upstreams_.insert(upstream);
     }
-    if (upstream_record* record = find(upstream)) {
+    if (upstream_record* record = editable(upstream)) {
         apply_drain(*record);
     }
 }
@@ -130,14 +130,14 @@
 
 auto upstream_table::sent(instant now, const upstream_id& upstream, const dispatched_work& work) -> bool
 {
-    upstream_record* record = find(upstream);
+    upstream_record* record = editable(upstream);
     return record != nullptr && record->sent(now, work);
 }
 
 void upstream_table::first_token(instant now, const upstream_id& upstream, const request_id& request,
                                  attempt_number attempt)
 {
-    if (upstream_record* record = find(upstream)) {
+    if (upstream_record* record = editable(upstream)) {
         record->first_token(now, request, attempt);
     }
 }
@@ -145,7 +145,7 @@
 void upstream_table::finished(instant now, const upstream_id& upstream, const request_id& request,
                               attempt_number attempt)
 {
-    if (upstream_record* record = find(upstream)) {
+    if (upstream_record* record = editable(upstream)) {
         record->finished(now, request, attempt);
     }
 }
@@ -202,10 +202,9 @@
     return found == records_.end() || found->description().id != upstream ? nullptr : &*found;
 }
 
-auto upstream_table::find(const upstream_id& upstream) -> upstream_record*
+auto upstream_table::editable(const upstream_id& upstream) -> upstream_record*
 {
-    return const_cast<upstream_record*>(
-        std::as_const(*this).find(upstream)); // NOLINT: own records are mutable
+    return const_cast<upstream_record*>(find(upstream)); // NOLINT: own records are mutable
 }
 
 } // namespace dragonflymill
