--- /dev/null
+++ b/src/overload/paused_work.cpp
@@ -0,0 +1,56 @@
+#include "dragonflymill/overload/paused_work.h"
+
+#include <algorithm>
+
+namespace dragonflymill {
+
+auto paused_work::add(const running_work& running) -> bool
+{
+    if (paused_.size() >= settings_.max_paused) {
+        return false;
+    }
+    const auto earlier = [](const running_work& a, const running_work& b) {
+        return latest_start(a) < latest_start(b);
+    };
+    paused_.insert(std::upper_bound(paused_.begin(), paused_.end(), running, earlier), running);
+    return true;
+}
+
+void paused_work::remove(const request_id& request)
+{
+    std::erase_if(paused_, [&request](const running_work& each) { return each.work.request == request; });
+}
+
+auto paused_work::due(instant now, const load_signal& load) -> paused_work_due
+{
+    paused_work_due due;
+    const auto calm_bound = static_cast<double>(load.bound.count()) * settings_.calm;
+    const bool calm = static_cast<double>(load.drain_time.count()) < calm_bound;
+    std::size_t resumes = calm ? settings_.resumes : 0;
+    while (!paused_.empty()) {
+        const running_work& next = paused_.front();
+        // Guards against a request that is paused past its limit and so neither answered nor refused: it is
+        // looked at by its latest start, and the limit itself ends it if this process wakes too late.
+        const bool must = latest_start(next) <= now;
+        if (!must && resumes == 0) {
+            break;
+        }
+        resumes -= must ? 0 : 1;
+        (next.work.limit.expired(now) ? due.expire : due.resume).push_back(next.work.request);
+        paused_.erase(paused_.begin());
+    }
+    return due;
+}
+
+auto paused_work::next_wake() const -> std::optional<instant>
+{
+    return paused_.empty() ? std::nullopt : std::optional(latest_start(paused_.front()));
+}
+
+auto paused_work::latest_start(const running_work& running) -> instant
+{
+    // Half as long again as predicted, since others run beside it.
+    return running.work.limit.end() - running.cost_left - running.cost_left / 2;
+}
+
+} // namespace dragonflymill
