Decide for a gateway without sockets: completions, calls, resumes and stops

Cause: a caller's request must get one final answer whatever dies on its way, and a booking must not be sent twice. Change: gateway_core takes events and gives actions. A lost try resumes elsewhere behind the last delivered token; a call with a key goes to its home among the configured upstreams or nowhere; a request given up is answered at once. Conclusion: the gateway's shell has only to carry.

--- /dev/null
+++ b/src/serve/call_desk.cpp
@@ -0,0 +1,269 @@
+#include "dragonflymill/serve/call_desk.h"
+
+#include "dragonflymill/core/assert.h"
+#include "dragonflymill/once/key_home.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr std::size_t timers_per_call = 2;
+constexpr duration full_retry_hint = 500ms;
+
+/// The routing table knows a plain service's upstreams by their route's name.
+auto routing_of(const service_spec& spec, std::vector<upstream_id> excluded) -> route_request
+{
+    route_request request;
+    request.id = spec.request;
+    request.model = model_id(spec.route.text());
+    request.excluded = std::move(excluded);
+    return request;
+}
+
+auto kind_of(const gateway_input::service_arrived& asked) -> call_kind
+{
+    const bool harmless = asked.wish != service_wish::run || asked.spec.idempotent;
+    return harmless ? call_kind::idempotent : call_kind::non_repeatable;
+}
+
+} // namespace
+
+call_desk::call_desk(gateway_router& routes, retry_rules& rules, std::string ticket_key, std::size_t capacity)
+    : routes_(routes)
+    , rules_(rules)
+    , tickets_(std::move(ticket_key))
+    , timers_(capacity * timers_per_call)
+    , capacity_(capacity)
+{
+}
+
+void call_desk::routes_changed(const std::vector<service_route_entry>& routes)
+{
+    services_.clear();
+    for (const auto& route : routes) {
+        services_.emplace(route.id, route);
+    }
+}
+
+void call_desk::arrived(instant now, const gateway_input::service_arrived& input,
+                        std::vector<gateway_action>& actions)
+{
+    const auto refuse = [&](refusal why) {
+        actions.push_back(gateway_output::refuse{input.exchange, std::move(why)});
+    };
+    if (calls_.size() >= capacity_) {
+        refuse({refusal_code::overloaded, ran_state::no, full_retry_hint, "come back after the time given"});
+        return;
+    }
+    if (services_.count(input.spec.route) == 0) {
+        refuse(
+            {refusal_code::no_route, ran_state::no, duration::zero(), "ask for a route that is configured"});
+        return;
+    }
+    auto home = home_for(input.spec);
+    if (!home) {
+        refuse({refusal_code::ticket_unknown, ran_state::no, duration::zero(), home.error().text()});
+        return;
+    }
+    const deadline_budget limit(now, input.spec.remaining);
+    const auto timer = timers_.subscribe(limit.end(), wake_key{input.exchange, due::time_limit});
+    DRAGONFLYMILL_ASSERT(timer, "there is a timer for every call that the bound lets in");
+    const auto made = calls_.emplace(input.exchange, call{input,
+                                                          limit,
+                                                          std::move(home.value()),
+                                                          {},
+                                                          upstream_id{},
+                                                          attempt_number(0),
+                                                          false,
+                                                          timer.value()});
+    DRAGONFLYMILL_ASSERT(made.second, "the shell numbers each request once");
+    dispatch(now, made.first, actions);
+}
+
+auto call_desk::home_for(const service_spec& spec) const -> result<std::optional<upstream_id>>
+{
+    if (!spec.ticket.empty()) {
+        const auto ticket = tickets_.decode(spec.ticket);
+        if (!ticket) {
+            return ticket.error();
+        }
+        return std::optional(ticket.value().upstream);
+    }
+    if (spec.idempotency_key.empty() || spec.idempotent) {
+        return std::optional<upstream_id>();
+    }
+    const auto& configured = services_.at(spec.route).upstreams;
+    return home_of(home_key(spec.route, spec.account, spec.idempotency_key), configured);
+}
+
+auto call_desk::choose(instant now, const call& item) -> route_decision
+{
+    // A ticket is minted by any sidecar: nothing runs for it. Every other call with a home goes there or
+    // nowhere.
+    if (!item.home || item.asked.wish == service_wish::ticket) {
+        return routes_.choose(now, routing_of(item.asked.spec, item.excluded));
+    }
+    const auto* record = routes_.table().find(*item.home);
+    const bool only_asks = item.asked.wish == service_wish::status;
+    if (record == nullptr || record->state() == upstream_state::dead ||
+        (!only_asks && !record->takes_new_work())) {
+        return route_refusal{refusal_code::upstream_gone, full_retry_hint};
+    }
+    return route_choice{*item.home, route_reason::only_candidate};
+}
+
+void call_desk::dispatch(instant now, calls::iterator held, std::vector<gateway_action>& actions)
+{
+    auto& item = held->second;
+    const auto decision = choose(now, item);
+    if (const auto* none = std::get_if<route_refusal>(&decision)) {
+        const refusal why{none->code, item.sent ? ran_state::unknown : ran_state::no, none->retry_after,
+                          "come back after the time given, with the same ticket or key"};
+        actions.push_back(gateway_output::refuse{held->first, why});
+        forget(now, held);
+        return;
+    }
+    const auto& choice = std::get<route_choice>(decision);
+    item.attempt = attempt_number(item.attempt.value() + 1);
+    const bool noted = routes_.sent(now, routing_of(item.asked.spec, {}), item.attempt, choice);
+    static_cast<void>(noted); // its bound is for the prediction's sake; the sidecar bounds calls itself
+    item.at = choice.upstream;
+    // From here on a byte of the call may leave for the sidecar, and only its word can say "not run".
+    item.sent = true;
+    auto spec = item.asked.spec;
+    spec.remaining = item.limit.remaining(now);
+    actions.push_back(gateway_output::call_service{choice.upstream, attempt_key{held->first, item.attempt},
+                                                   item.asked.wish, std::move(spec)});
+}
+
+void call_desk::answered(instant now, const gateway_input::service_answered& input,
+                         std::vector<gateway_action>& actions)
+{
+    const auto held = find(input.key);
+    if (held == calls_.end()) {
+        return;
+    }
+    rules_.succeeded();
+    actions.push_back(gateway_output::answer_service{held->first, input.answer, input.replayed});
+    forget(now, held);
+}
+
+void call_desk::ticket_given(instant now, const gateway_input::ticket_given& input,
+                             std::vector<gateway_action>& actions)
+{
+    const auto held = find(input.key);
+    if (held == calls_.end()) {
+        return;
+    }
+    actions.push_back(gateway_output::give_ticket{held->first, input.ticket});
+    forget(now, held);
+}
+
+void call_desk::running(instant now, const gateway_input::service_running& input,
+                        std::vector<gateway_action>& actions)
+{
+    const auto held = find(input.key);
+    if (held == calls_.end()) {
+        return;
+    }
+    actions.push_back(gateway_output::tell_running{held->first});
+    forget(now, held);
+}
+
+void call_desk::refused(instant now, const gateway_input::service_refused& input,
+                        std::vector<gateway_action>& actions)
+{
+    const auto held = find(input.key);
+    if (held == calls_.end()) {
+        return;
+    }
+    auto& item = held->second;
+    item.excluded.push_back(item.at);
+    end_attempt(now, item);
+    item.sent = item.sent && input.why.ran != ran_state::no;
+    const auto others = choose(now, item);
+    const failed_attempt failed{
+        kind_of(item.asked),  input.why.ran,
+        input.why.code,       input.why.retry_after,
+        item.attempt.value(), !item.home && std::holds_alternative<route_choice>(others)};
+    const auto decision = rules_.failed(now, failed, item.limit);
+    if (const auto* final_answer = std::get_if<refusal>(&decision)) {
+        auto said = *final_answer;
+        said.code = input.why.code;
+        if (!input.why.remedy.empty()) {
+            said.remedy = input.why.remedy;
+        }
+        actions.push_back(gateway_output::refuse{held->first, std::move(said)});
+        forget(now, held);
+        return;
+    }
+    const auto when = std::get<retry_at>(decision).when;
+    if (when <= now) {
+        dispatch(now, held, actions);
+        return;
+    }
+    const auto timer = timers_.subscribe(when, wake_key{held->first, due::retry});
+    DRAGONFLYMILL_ASSERT(timer, "there are two timers for each call");
+    item.retry_timer = timer.value();
+}
+
+void call_desk::caller_left(instant now, exchange_number exchange)
+{
+    const auto held = calls_.find(exchange);
+    if (held != calls_.end()) {
+        forget(now, held);
+    }
+}
+
+void call_desk::tick(instant now, std::vector<gateway_action>& actions)
+{
+    for (const auto& timer : timers_.advance(now)) {
+        const auto held = calls_.find(timer.key.exchange);
+        if (held == calls_.end()) {
+            continue;
+        }
+        if (timer.key.why == due::retry) {
+            held->second.retry_timer.reset();
+            dispatch(now, held, actions);
+            continue;
+        }
+        const auto ran = held->second.sent ? ran_state::unknown : ran_state::no;
+        actions.push_back(gateway_output::refuse{
+            held->first,
+            {refusal_code::deadline, ran, duration::zero(),
+             ran == ran_state::no ? "allow more time" : "ask for its status with the same ticket or key"}});
+        forget(now, held);
+    }
+}
+
+auto call_desk::find(const attempt_key& key) -> calls::iterator
+{
+    const auto held = calls_.find(key.exchange);
+    const bool current =
+        held != calls_.end() && held->second.attempt == key.attempt && !held->second.at.empty();
+    return current ? held : calls_.end();
+}
+
+void call_desk::end_attempt(instant now, call& item)
+{
+    routes_.table().finished(now, item.at, item.asked.spec.request, item.attempt);
+    item.at = upstream_id{};
+}
+
+void call_desk::forget(instant now, calls::iterator held)
+{
+    auto& item = held->second;
+    if (!item.at.empty()) {
+        end_attempt(now, item);
+    }
+    timers_.cancel(item.limit_timer);
+    if (item.retry_timer) {
+        timers_.cancel(*item.retry_timer);
+    }
+    calls_.erase(held);
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/serve/completion_desk.cpp
@@ -0,0 +1,301 @@
+#include "dragonflymill/serve/completion_desk.h"
+
+#include "dragonflymill/core/assert.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill {
+
+namespace {
+
+/// Timers of one request: its time limit, and one for a retry or a gap.
+constexpr std::size_t timers_per_request = 2;
+constexpr duration full_retry_hint = 500ms;
+constexpr duration routeless_retry_hint = 200ms;
+
+auto refusal_of(const route_refusal& none) -> refusal
+{
+    constexpr auto ask_later = "come back after the time given";
+    switch (none.code) {
+    case refusal_code::no_route:
+        return {none.code, ran_state::no, none.retry_after, "ask for a model that is served; see /v1/models"};
+    case refusal_code::too_large:
+        return {none.code, ran_state::no, none.retry_after, "send a shorter prompt"};
+    default:
+        return {none.code, ran_state::no, none.retry_after, ask_later};
+    }
+}
+
+} // namespace
+
+completion_desk::completion_desk(process_id self, gateway_router& routes, retry_rules& rules,
+                                 std::size_t capacity)
+    : self_(std::move(self))
+    , routes_(routes)
+    , rules_(rules)
+    , timers_(capacity * timers_per_request)
+    , capacity_(capacity)
+{
+}
+
+void completion_desk::arrived(instant now, const gateway_input::completion_arrived& input,
+                              std::vector<gateway_action>& actions)
+{
+    if (requests_.size() >= capacity_) {
+        actions.push_back(gateway_output::refuse{
+            input.exchange,
+            {refusal_code::overloaded, ran_state::no, full_retry_hint, "come back after the time given"}});
+        return;
+    }
+    const deadline_budget limit(now, input.time_limit);
+    const route_request routing{
+        input.request, input.model, input.adapter, input.prompt_tokens, input.max_tokens, input.blocks, {}};
+    const auto limit_timer = timers_.subscribe(limit.end(), wake_key{input.exchange, due::time_limit});
+    DRAGONFLYMILL_ASSERT(limit_timer, "there is a timer for every request that the bound lets in");
+    const auto made = requests_.emplace(
+        input.exchange, request{input, limit, stream_joiner(input.request, attempt_number(1)), routing,
+                                upstream_id{}, attempt_number(1), 0, false, limit_timer.value()});
+    DRAGONFLYMILL_ASSERT(made.second, "the shell numbers each request once");
+    dispatch(now, made.first, actions);
+}
+
+void completion_desk::dispatch(instant now, requests::iterator held, std::vector<gateway_action>& actions)
+{
+    auto& item = held->second;
+    auto decision = routes_.choose(now, item.routing);
+    if (std::holds_alternative<route_refusal>(decision) && !item.routing.excluded.empty()) {
+        // Those that failed it once are better than none: a fault there may be over.
+        item.routing.excluded.clear();
+        decision = routes_.choose(now, item.routing);
+    }
+    if (const auto* none = std::get_if<route_refusal>(&decision)) {
+        give_up(now, held, refusal_of(*none), actions);
+        return;
+    }
+    const auto& choice = std::get<route_choice>(decision);
+    item.running = item.joiner.attempt();
+    if (!routes_.sent(now, item.routing, item.running, choice)) {
+        give_up(now, held, {refusal_code::overloaded, ran_state::no, routeless_retry_hint, "come back later"},
+                actions);
+        return;
+    }
+    ++item.attempts;
+    item.at = choice.upstream;
+    item.first_token_seen = false;
+    attempt_spec spec{
+        item.asked.request,       item.running,          self_,          item.asked.account,
+        item.asked.model,         item.asked.adapter,    choice.size,    item.asked.standing,
+        item.asked.prompt_tokens, item.asked.max_tokens, choice.prefill, item.joiner.delivered(),
+        item.limit.remaining(now)};
+    actions.push_back(gateway_output::open_attempt{choice.upstream, attempt_key{held->first, item.running},
+                                                   std::move(spec), choice.reason});
+}
+
+void completion_desk::granted(instant now, const attempt_key& key, std::vector<gateway_action>& actions)
+{
+    const auto held = requests_.find(key.exchange);
+    const bool wanted =
+        held != requests_.end() && !held->second.at.empty() && held->second.running == key.attempt;
+    // Guards against a grant that comes after the request was given up here, or a process that was paused in
+    // between: the prompt would start work for nobody.
+    if (!wanted || held->second.limit.expired(now)) {
+        actions.push_back(gateway_output::cancel_attempt{key});
+        return;
+    }
+    actions.push_back(gateway_output::send_prompt{key});
+}
+
+void completion_desk::refused(instant now, const gateway_input::attempt_refused& input,
+                              std::vector<gateway_action>& actions)
+{
+    const auto held = requests_.find(input.key.exchange);
+    if (held == requests_.end()) {
+        return;
+    }
+    auto& item = held->second;
+    const stream_loss loss{item.asked.request, input.key.attempt};
+    if (!item.at.empty() && item.running == input.key.attempt) {
+        item.routing.excluded.push_back(item.at);
+        end_attempt(now, item);
+    }
+    act_on(now, held, item.joiner.step(now, loss), input.why, actions);
+}
+
+void completion_desk::tokens(instant now, const gateway_input::attempt_tokens& input,
+                             std::vector<gateway_action>& actions)
+{
+    const auto held = requests_.find(input.key.exchange);
+    if (held == requests_.end()) {
+        return;
+    }
+    auto& item = held->second;
+    if (item.running == input.key.attempt && !item.at.empty() &&
+        !std::exchange(item.first_token_seen, true)) {
+        routes_.table().first_token(now, item.at, item.asked.request, item.running);
+    }
+    const stream_chunk chunk{item.asked.request, input.key.attempt, input.offset, input.tokens};
+    act_on(now, held, item.joiner.step(now, chunk), refusal{}, actions);
+}
+
+void completion_desk::finished(instant now, const gateway_input::attempt_finished& input,
+                               std::vector<gateway_action>& actions)
+{
+    const auto held = requests_.find(input.key.exchange);
+    if (held == requests_.end()) {
+        return;
+    }
+    auto& item = held->second;
+    if (!item.at.empty() && item.running == input.key.attempt) {
+        end_attempt(now, item);
+        rules_.succeeded();
+    }
+    const stream_end end{item.asked.request, input.key.attempt, input.tokens, input.reason};
+    act_on(now, held, item.joiner.step(now, end), refusal{}, actions);
+}
+
+void completion_desk::caller_left(instant now, exchange_number exchange, std::vector<gateway_action>& actions)
+{
+    const auto held = requests_.find(exchange);
+    if (held != requests_.end()) {
+        forget(now, held, actions);
+    }
+}
+
+void completion_desk::tick(instant now, std::vector<gateway_action>& actions)
+{
+    for (const auto& timer : timers_.advance(now)) {
+        const auto held = requests_.find(timer.key.exchange);
+        if (held == requests_.end()) {
+            continue;
+        }
+        switch (timer.key.why) {
+        case due::time_limit:
+            give_up(now, held,
+                    {refusal_code::deadline, held->second.at.empty() ? ran_state::no : ran_state::unknown,
+                     duration::zero(), "allow more time or ask for fewer tokens"},
+                    actions);
+            break;
+        case due::retry:
+            held->second.other_timer.reset();
+            dispatch(now, held, actions);
+            break;
+        case due::open_gap:
+            held->second.other_timer.reset();
+            act_on(now, held, held->second.joiner.wake(now),
+                   {refusal_code::upstream_gone, ran_state::unknown, routeless_retry_hint, "ask again"},
+                   actions);
+            break;
+        }
+    }
+}
+
+void completion_desk::act_on(instant now, requests::iterator held, std::vector<stream_output> outputs,
+                             const refusal& why, std::vector<gateway_action>& actions)
+{
+    const auto exchange = held->first;
+    for (auto& output : outputs) {
+        if (auto* tokens = std::get_if<deliver_tokens>(&output)) {
+            actions.push_back(gateway_output::deliver{exchange, tokens->offset, std::move(tokens->tokens)});
+        }
+        else if (auto* end = std::get_if<finish_stream>(&output)) {
+            actions.push_back(gateway_output::finish{exchange, end->tokens, std::move(end->finish_reason)});
+            forget(now, held, actions);
+            return;
+        }
+        else if (std::holds_alternative<resume_stream>(output)) {
+            try_again(now, held, why, actions);
+            return;
+        }
+        else if (const auto* failed = std::get_if<fail_stream>(&output)) {
+            auto said = failed->why;
+            if (why.code != refusal_code::internal) {
+                said = why; // the last upstream's own word tells the caller more
+            }
+            actions.push_back(gateway_output::refuse{exchange, said});
+            forget(now, held, actions);
+            return;
+        }
+    }
+    watch_gap(held);
+}
+
+void completion_desk::try_again(instant now, requests::iterator held, const refusal& why,
+                                std::vector<gateway_action>& actions)
+{
+    auto& item = held->second;
+    if (!item.at.empty()) {
+        // A gap that stayed open: the try still runs, and must not go on beside the next one.
+        actions.push_back(gateway_output::cancel_attempt{{held->first, item.running}});
+        item.routing.excluded.push_back(item.at);
+        end_attempt(now, item);
+    }
+    const auto others = routes_.choose(now, item.routing);
+    const failed_attempt failed{call_kind::stream, why.ran,
+                                why.code,          why.retry_after,
+                                item.attempts,     std::holds_alternative<route_choice>(others)};
+    const auto decision = rules_.failed(now, failed, item.limit);
+    if (const auto* final_answer = std::get_if<refusal>(&decision)) {
+        give_up(now, held, *final_answer, actions);
+        return;
+    }
+    const auto when = std::get<retry_at>(decision).when;
+    if (when <= now) {
+        dispatch(now, held, actions);
+        return;
+    }
+    set_other_timer(held, when, due::retry);
+}
+
+void completion_desk::give_up(instant now, requests::iterator held, const refusal& why,
+                              std::vector<gateway_action>& actions)
+{
+    auto said = why;
+    if (held->second.joiner.delivered() > 0) {
+        said.ran = ran_state::unknown;
+    }
+    actions.push_back(gateway_output::refuse{held->first, std::move(said)});
+    forget(now, held, actions);
+}
+
+void completion_desk::end_attempt(instant now, request& item)
+{
+    routes_.table().finished(now, item.at, item.asked.request, item.running);
+    item.at = upstream_id{};
+}
+
+void completion_desk::watch_gap(requests::iterator held)
+{
+    auto& item = held->second;
+    const auto wake = item.joiner.next_wake();
+    if (wake && !item.other_timer) {
+        set_other_timer(held, *wake, due::open_gap);
+    }
+}
+
+void completion_desk::set_other_timer(requests::iterator held, instant at, due why)
+{
+    auto& item = held->second;
+    if (item.other_timer) {
+        timers_.cancel(*item.other_timer);
+    }
+    const auto timer = timers_.subscribe(at, wake_key{held->first, why});
+    DRAGONFLYMILL_ASSERT(timer, "there are two timers for each request");
+    item.other_timer = timer.value();
+}
+
+void completion_desk::forget(instant now, requests::iterator held, std::vector<gateway_action>& actions)
+{
+    auto& item = held->second;
+    if (!item.at.empty()) {
+        actions.push_back(gateway_output::cancel_attempt{{held->first, item.running}});
+        end_attempt(now, item);
+    }
+    timers_.cancel(item.limit_timer);
+    if (item.other_timer) {
+        timers_.cancel(*item.other_timer);
+    }
+    requests_.erase(held);
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/serve/gateway_core.cpp
@@ -0,0 +1,245 @@
+#include "dragonflymill/serve/gateway_core.h"
+
+#include "dragonflymill/route/length_lanes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr duration not_ready_hint = 1s;
+
+auto policy_settings(const gateway_core_options& options) -> predicted_first_token_settings
+{
+    predicted_first_token_settings settings;
+    settings.failure_domain = options.failure_domain;
+    settings.region = options.region;
+    return settings;
+}
+
+auto broken_refusal(bool sent) -> refusal
+{
+    return {refusal_code::upstream_gone, sent ? ran_state::unknown : ran_state::no, duration::zero(),
+            "ask again"};
+}
+
+} // namespace
+
+auto describe_upstreams(const bundle& in_force) -> std::vector<upstream_description>
+{
+    std::vector<upstream_description> descriptions;
+    for (const auto& entry : in_force.upstreams) {
+        upstream_description made;
+        made.id = entry.id;
+        made.failure_domain = entry.domain;
+        made.models = entry.models;
+        made.memory = entry.memory_tokens;
+        for (const auto& domain : in_force.domains) {
+            if (domain.id == entry.domain) {
+                made.region = domain.region;
+            }
+        }
+        for (const auto& model : in_force.models) {
+            const bool served = std::count(entry.models.begin(), entry.models.end(), model.id) != 0;
+            if (served) {
+                made.adapters.insert(made.adapters.end(), model.adapters.begin(), model.adapters.end());
+            }
+        }
+        for (const auto& route : in_force.service_routes) {
+            if (std::count(route.upstreams.begin(), route.upstreams.end(), entry.id) != 0) {
+                made.models.emplace_back(route.id.text());
+            }
+        }
+        descriptions.push_back(std::move(made));
+    }
+    return descriptions;
+}
+
+gateway_core::gateway_core(const gateway_core_options& options)
+    : options_(options)
+    , routes_(predicted_first_token(policy_settings(options)))
+    , rules_(options.seed, options.retry)
+    , completions_(options.self, routes_, rules_, options.max_requests)
+    , calls_(routes_, rules_, options.ticket_key, options.max_calls)
+{
+}
+
+auto gateway_core::step(instant now, const gateway_event& event) -> std::vector<gateway_action>
+{
+    actions_out actions;
+    std::visit([&](const auto& input) { take(now, input, actions); }, event);
+    return actions;
+}
+
+auto gateway_core::refuse_if_not_ready(exchange_number exchange, actions_out& actions) const -> bool
+{
+    if (in_force_) {
+        return false;
+    }
+    actions.push_back(gateway_output::refuse{
+        exchange,
+        {refusal_code::not_ready, ran_state::no, not_ready_hint, "try another gateway or come back"}});
+    return true;
+}
+
+void gateway_core::take(instant now, const gateway_input::completion_arrived& input, actions_out& actions)
+{
+    if (!refuse_if_not_ready(input.exchange, actions)) {
+        completions_.arrived(now, input, actions);
+    }
+}
+
+void gateway_core::take(instant now, const gateway_input::service_arrived& input, actions_out& actions)
+{
+    if (!refuse_if_not_ready(input.exchange, actions)) {
+        calls_.arrived(now, input, actions);
+    }
+}
+
+void gateway_core::take(instant now, const gateway_input::caller_left& input, actions_out& actions)
+{
+    completions_.caller_left(now, input.exchange, actions);
+    calls_.caller_left(now, input.exchange);
+    say_if_done(actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::attempt_granted& input, actions_out& actions)
+{
+    completions_.granted(now, input.key, actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::attempt_refused& input, actions_out& actions)
+{
+    completions_.refused(now, input, actions);
+    say_if_done(actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::attempt_tokens& input, actions_out& actions)
+{
+    completions_.tokens(now, input, actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::attempt_finished& input, actions_out& actions)
+{
+    completions_.finished(now, input, actions);
+    say_if_done(actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::attempt_broken& input, actions_out& actions)
+{
+    completions_.refused(now, {input.key, broken_refusal(input.prompt_sent)}, actions);
+    say_if_done(actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::service_answered& input, actions_out& actions)
+{
+    calls_.answered(now, input, actions);
+    say_if_done(actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::service_refused& input, actions_out& actions)
+{
+    calls_.refused(now, input, actions);
+    say_if_done(actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::ticket_given& input, actions_out& actions)
+{
+    calls_.ticket_given(now, input, actions);
+    say_if_done(actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::service_running& input, actions_out& actions)
+{
+    calls_.running(now, input, actions);
+    say_if_done(actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::load_heard& input, actions_out& /*actions*/)
+{
+    routes_.report(now, input.upstream, input.load);
+}
+
+void gateway_core::take(instant /*now*/, const gateway_input::upstream_changed& input,
+                        actions_out& /*actions*/)
+{
+    routes_.table().set_state(input.upstream, input.state);
+}
+
+void gateway_core::take(instant /*now*/, const gateway_input::bundle_adopted& input, actions_out& actions)
+{
+    in_force_ = input.in_force;
+    auto chosen = choose_own_upstreams();
+    gateway_output::connect_upstreams connect;
+    for (const auto& description : chosen) {
+        const auto entry = std::find_if(in_force_->upstreams.begin(), in_force_->upstreams.end(),
+                                        [&](const upstream_entry& e) { return e.id == description.id; });
+        connect.upstreams.push_back(*entry);
+    }
+    const auto configured = routes_.table().configure(std::move(chosen));
+    static_cast<void>(configured); // the subset keeps within the table's bound
+    calls_.routes_changed(in_force_->service_routes);
+    apply_drains();
+    actions.push_back(std::move(connect));
+}
+
+auto gateway_core::choose_own_upstreams() const -> std::vector<upstream_description>
+{
+    auto engines = describe_upstreams(*in_force_);
+    const auto is_engine = [](const upstream_description& d) { return d.memory > 0; };
+    const auto first_service = std::stable_partition(engines.begin(), engines.end(), is_engine);
+    // Every gateway keeps all plain services: a key's home is one of them all, and no other may run its call.
+    std::vector<upstream_description> services(first_service, engines.end());
+    engines.erase(first_service, engines.end());
+    reserve_for_short(options_.reserved_for_short, engines);
+    const subset_settings wanted{options_.self, options_.region, options_.upstreams_per_model};
+    auto chosen = choose_subset(wanted, engines);
+    chosen.insert(chosen.end(), services.begin(), services.end());
+    return chosen;
+}
+
+void gateway_core::take(instant /*now*/, const gateway_input::domain_changed& input, actions_out& /*actions*/)
+{
+    if (input.out) {
+        out_by_word_.insert(input.domain);
+    }
+    else {
+        out_by_word_.erase(input.domain);
+    }
+    if (in_force_) {
+        apply_drains();
+    }
+}
+
+void gateway_core::apply_drains()
+{
+    for (const auto& domain : in_force_->domains) {
+        const bool out = !domain.in_service || out_by_word_.count(domain.id) != 0;
+        routes_.table().set_drained(domain.id, out);
+    }
+}
+
+void gateway_core::take(instant /*now*/, const gateway_input::stop_asked& /*input*/, actions_out& actions)
+{
+    stopping_ = true;
+    say_if_done(actions);
+}
+
+void gateway_core::take(instant now, const gateway_input::tick& /*input*/, actions_out& actions)
+{
+    completions_.tick(now, actions);
+    calls_.tick(now, actions);
+    say_if_done(actions);
+}
+
+void gateway_core::say_if_done(actions_out& actions)
+{
+    if (stopping_ && in_hand() == 0 && !said_all_done_) {
+        said_all_done_ = true;
+        actions.push_back(gateway_output::all_done{});
+    }
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/tests/serve/gateway_core_test.cpp
@@ -0,0 +1,303 @@
+#include "dragonflymill/serve/gateway_core.h"
+#include "support/fault_cell.h"
+
+#include <utility>
+
+using namespace dragonflymill;
+
+namespace {
+
+constexpr instant start{1'000s};
+constexpr std::uint64_t engine_count = 3;
+
+auto small_bundle() -> bundle
+{
+    bundle made;
+    made.version = bundle_version(1);
+    made.models.push_back({model_id("m"), {}, 100'000});
+    for (std::uint64_t i = 1; i <= engine_count; ++i) {
+        const auto number = std::to_string(i);
+        made.domains.push_back({failure_domain_id("d" + number), region_id("r"), true});
+        upstream_entry engine;
+        engine.id = upstream_id("e" + number);
+        engine.domain = failure_domain_id("d" + number);
+        engine.models = {model_id("m")};
+        engine.memory_tokens = 100'000;
+        made.upstreams.push_back(engine);
+        upstream_entry service;
+        service.id = upstream_id("s" + number);
+        service.kind = upstream_kind::service;
+        service.domain = failure_domain_id("d" + number);
+        made.upstreams.push_back(service);
+    }
+    service_route_entry booking;
+    booking.id = route_id("booking");
+    booking.upstreams = {upstream_id("s1"), upstream_id("s2"), upstream_id("s3")};
+    made.service_routes.push_back(booking);
+    return made;
+}
+
+auto options() -> gateway_core_options
+{
+    gateway_core_options made;
+    made.self = process_id("g1");
+    made.failure_domain = failure_domain_id("d1");
+    made.region = region_id("r");
+    made.ticket_key = "a key of the tests";
+    return made;
+}
+
+auto asked(std::uint64_t number) -> gateway_input::completion_arrived
+{
+    gateway_input::completion_arrived made;
+    made.exchange = exchange_number(number);
+    made.request = request_id("r" + std::to_string(number));
+    made.model = model_id("m");
+    made.prompt_tokens = 1'000;
+    made.max_tokens = 16;
+    made.time_limit = 10s;
+    return made;
+}
+
+auto booking(std::uint64_t number, std::string key) -> gateway_input::service_arrived
+{
+    gateway_input::service_arrived made;
+    made.exchange = exchange_number(number);
+    made.spec.request = request_id("b" + std::to_string(number));
+    made.spec.route = route_id("booking");
+    made.spec.account = client_account_id("a");
+    made.spec.idempotency_key = std::move(key);
+    made.spec.method = "POST";
+    made.spec.remaining = 10s;
+    return made;
+}
+
+template <typename Action>
+auto find(const std::vector<gateway_action>& actions) -> const Action*
+{
+    for (const auto& action : actions) {
+        if (const auto* found = std::get_if<Action>(&action)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+void feed(gateway_core& core, instant now, const gateway_event& event)
+{
+    static_cast<void>(core.step(now, event));
+}
+
+void adopt(gateway_core& core, bundle in_force)
+{
+    feed(core, start, gateway_input::bundle_adopted{std::make_shared<const bundle>(std::move(in_force))});
+}
+
+auto open(gateway_core& core, std::uint64_t number) -> gateway_output::open_attempt
+{
+    const auto actions = core.step(start, asked(number));
+    const auto* opened = find<gateway_output::open_attempt>(actions);
+    cr_assert(opened != nullptr);
+    return *opened;
+}
+
+auto lost(const attempt_key& key) -> gateway_input::attempt_broken
+{
+    return {key, true};
+}
+
+} // namespace
+
+Test(gateway_core, an_answer_goes_through_whole)
+{
+    gateway_core core(options());
+    adopt(core, small_bundle());
+    const auto opened = open(core, 1);
+    cr_assert(
+        find<gateway_output::send_prompt>(core.step(start, gateway_input::attempt_granted{opened.key})));
+    const auto passed = core.step(start, gateway_input::attempt_tokens{opened.key, 0, {"a", "b"}});
+    cr_assert(find<gateway_output::deliver>(passed)->tokens.size() == 2);
+    const auto ended = core.step(start, gateway_input::attempt_finished{opened.key, 2, "stop"});
+    cr_assert(find<gateway_output::finish>(ended)->tokens == 2);
+    cr_assert(find<gateway_output::cancel_attempt>(ended) == nullptr);
+    cr_assert(core.in_hand() == 0);
+}
+
+Test(gateway_core, without_a_bundle_everything_is_refused_at_once)
+{
+    gateway_core core(options());
+    const auto actions = core.step(start, asked(1));
+    const auto* refused = find<gateway_output::refuse>(actions);
+    cr_assert(refused->why.code == refusal_code::not_ready);
+    cr_assert(refused->why.ran == ran_state::no);
+    cr_assert(refused->why.retry_after > duration::zero());
+}
+
+FAULT_CELL(request_resume, process_dies)
+{
+    // A caller reads an answer. After two tokens the sidecar dies with its host. The caller must see the
+    // rest, once: another engine goes on behind the second token, and the first one's late words are dropped.
+    gateway_core core(options());
+    adopt(core, small_bundle());
+    const auto first = open(core, 1);
+    feed(core, start, gateway_input::attempt_granted{first.key});
+    feed(core, start, gateway_input::attempt_tokens{first.key, 0, {"a", "b"}});
+    const auto again = core.step(start + 1s, lost(first.key));
+    const auto* second = find<gateway_output::open_attempt>(again);
+    cr_assert(second != nullptr);
+    cr_assert(second->upstream != first.upstream);
+    cr_assert(second->spec.resume_offset == 2);
+    const auto late = core.step(start + 1s, gateway_input::attempt_tokens{first.key, 2, {"old"}});
+    cr_assert(find<gateway_output::deliver>(late) == nullptr);
+    const auto rest = core.step(start + 1s, gateway_input::attempt_tokens{second->key, 2, {"c"}});
+    cr_assert(find<gateway_output::deliver>(rest)->offset == 2);
+    const auto ended = core.step(start + 1s, gateway_input::attempt_finished{second->key, 3, "stop"});
+    cr_assert(find<gateway_output::finish>(ended) != nullptr);
+}
+
+FAULT_CELL(request_dispatch, two_faults)
+{
+    // Two engines refuse a caller's request one after the other, each cold. It must not wait for its limit:
+    // it goes to the third, and when that one refuses too, the caller is told at once when to come back.
+    gateway_core core(options());
+    adopt(core, small_bundle());
+    auto opened = open(core, 1);
+    const refusal cold{refusal_code::upstream_cold, ran_state::no, 700ms, ""};
+    for (std::uint64_t i = 1; i < engine_count; ++i) {
+        const auto before = opened.upstream;
+        const auto actions = core.step(start, gateway_input::attempt_refused{opened.key, cold});
+        cr_assert(find<gateway_output::open_attempt>(actions) != nullptr);
+        opened = *find<gateway_output::open_attempt>(actions);
+        cr_assert(opened.upstream != before);
+    }
+    auto now = start;
+    const gateway_output::refuse* refused = nullptr;
+    std::vector<gateway_action> actions = core.step(now, gateway_input::attempt_refused{opened.key, cold});
+    for (int i = 0; i < 1'000 && refused == nullptr; ++i) {
+        if (const auto* more = find<gateway_output::open_attempt>(actions)) {
+            actions = core.step(now, gateway_input::attempt_refused{more->key, cold});
+        }
+        else {
+            now += 10ms;
+            actions = core.step(now, gateway_input::tick{});
+        }
+        refused = find<gateway_output::refuse>(actions);
+    }
+    cr_assert(refused != nullptr);
+    cr_assert(refused->why.ran == ran_state::no);
+    cr_assert(refused->why.retry_after >= 700ms);
+    cr_assert(now - start < 5s, "given up before its limit, and told so at once");
+}
+
+FAULT_CELL(request_permit, message_late)
+{
+    // A caller leaves while its request waits for a permit. The grant comes late: its prompt would start work
+    // for nobody, so the try is cancelled.
+    gateway_core core(options());
+    adopt(core, small_bundle());
+    const auto opened = open(core, 1);
+    const auto left = core.step(start, gateway_input::caller_left{exchange_number(1)});
+    cr_assert(find<gateway_output::cancel_attempt>(left) != nullptr);
+    const auto late = core.step(start + 1s, gateway_input::attempt_granted{opened.key});
+    cr_assert(find<gateway_output::send_prompt>(late) == nullptr);
+    cr_assert(find<gateway_output::cancel_attempt>(late) != nullptr);
+}
+
+FAULT_CELL(request_dispatch, message_late)
+{
+    // A caller's time limit runs out while its engine is silent. It gets its final answer at the limit, the
+    // engine's work is cancelled, and tokens that come later reach nobody.
+    gateway_core core(options());
+    adopt(core, small_bundle());
+    const auto opened = open(core, 1);
+    feed(core, start, gateway_input::attempt_granted{opened.key});
+    const auto over = core.step(start + 10s, gateway_input::tick{});
+    cr_assert(find<gateway_output::refuse>(over)->why.code == refusal_code::deadline);
+    cr_assert(find<gateway_output::refuse>(over)->why.ran == ran_state::unknown);
+    cr_assert(find<gateway_output::cancel_attempt>(over) != nullptr);
+    cr_assert(core.step(start + 11s, gateway_input::attempt_tokens{opened.key, 0, {"a"}}).empty());
+}
+
+FAULT_CELL(drain_leave, domain_out)
+{
+    // Operators take a failure domain out. A caller's request must not go there any more, also when the
+    // domain has the idlest engine; a newer bundle brings it back.
+    gateway_core core(options());
+    auto out = small_bundle();
+    out.domains[0].in_service = false;
+    out.domains[1].in_service = false;
+    adopt(core, out);
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        cr_assert(open(core, i).upstream == upstream_id("e3"));
+    }
+    feed(core, start, gateway_input::domain_changed{failure_domain_id("d3"), true});
+    const auto none = core.step(start, asked(21));
+    cr_assert(find<gateway_output::open_attempt>(none) == nullptr);
+    cr_assert(find<gateway_output::refuse>(none)->why.ran == ran_state::no);
+}
+
+FAULT_CELL(ticket_send, partition)
+{
+    // A caller books, and its key's home can't be reached. Another replica is idle and near, but it could not
+    // know whether the home ran an earlier try: two vans would go out. The caller is told "not run" at once.
+    gateway_core core(options());
+    adopt(core, small_bundle());
+    const auto first = core.step(start, booking(1, "key"));
+    const auto home = find<gateway_output::call_service>(first)->upstream;
+    feed(core, start, gateway_input::upstream_changed{home, upstream_state::dead});
+    const auto cut = core.step(start, booking(2, "key"));
+    cr_assert(find<gateway_output::call_service>(cut) == nullptr);
+    cr_assert(find<gateway_output::refuse>(cut)->why.ran == ran_state::no);
+    feed(core, start, gateway_input::upstream_changed{home, upstream_state::alive});
+    const auto healed = core.step(start, booking(3, "key"));
+    cr_assert(find<gateway_output::call_service>(healed)->upstream == home);
+}
+
+FAULT_CELL(ticket_answer, message_lost)
+{
+    // A caller books; the service runs it and the answer is lost on its way to the gateway. The gateway must
+    // not send it again by itself, nor say that it was not run.
+    gateway_core core(options());
+    adopt(core, small_bundle());
+    const auto first = core.step(start, booking(1, "key"));
+    const auto key = find<gateway_output::call_service>(first)->key;
+    const refusal unknown{refusal_code::upstream_gone, ran_state::unknown, duration::zero(), ""};
+    const auto broken = core.step(start, gateway_input::service_refused{key, unknown});
+    cr_assert(find<gateway_output::call_service>(broken) == nullptr);
+    cr_assert(find<gateway_output::refuse>(broken)->why.ran == ran_state::unknown);
+}
+
+FAULT_CELL(ticket_issue, process_dies)
+{
+    // A caller asks for a ticket and the sidecar asked dies. Nothing runs for a ticket, so another sidecar
+    // gives it.
+    gateway_core core(options());
+    adopt(core, small_bundle());
+    auto wish = booking(1, "");
+    wish.wish = service_wish::ticket;
+    const auto first = core.step(start, wish);
+    const auto* asked_first = find<gateway_output::call_service>(first);
+    cr_assert(asked_first != nullptr);
+    const refusal gone{refusal_code::upstream_gone, ran_state::unknown, duration::zero(), ""};
+    const auto second = core.step(start, gateway_input::service_refused{asked_first->key, gone});
+    const auto* asked_second = find<gateway_output::call_service>(second);
+    cr_assert(asked_second != nullptr);
+    cr_assert(asked_second->upstream != asked_first->upstream);
+}
+
+FAULT_CELL(process_stop, two_faults)
+{
+    // A gateway is stopped while a caller reads an answer and its engine is lost. The stop waits for the
+    // whole answer, which another engine finishes.
+    gateway_core core(options());
+    adopt(core, small_bundle());
+    const auto first = open(core, 1);
+    feed(core, start, gateway_input::attempt_granted{first.key});
+    cr_assert(find<gateway_output::all_done>(core.step(start, gateway_input::stop_asked{})) == nullptr);
+    const auto again = core.step(start, lost(first.key));
+    const auto* second = find<gateway_output::open_attempt>(again);
+    cr_assert(second != nullptr);
+    const auto ended = core.step(start, gateway_input::attempt_finished{second->key, 0, "stop"});
+    cr_assert(find<gateway_output::finish>(ended) != nullptr);
+    cr_assert(find<gateway_output::all_done>(ended) != nullptr);
+}
