Carry a gateway's decisions: callers over HTTP, sidecars over gRPC

Cause: gateway_core decides; something has to read callers' requests, keep a connection for each length class to each sidecar, and write answers. Change: a completion's prompt goes from the body straight to its place; account keys are compared in constant time; one connection for each length class with heartbeats of its own, replaced when silent; a service call leaves only on a connection that answered a moment ago, and is never repeated by the transport; a planned stop turns readiness off, accepts for the balancer's lag, then finishes what is in hand.

--- /dev/null
+++ b/src/gateway/attempt_call.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "gate.grpc.pb.h"
+#include "gateway/link_event.h"
+
+#include <grpcpp/client_context.h>
+#include <grpcpp/support/client_callback.h>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace dragonflymill::gateway {
+
+/// The gateway's end of one `attempt` call. Made, sent on and cancelled by the deciding thread; what comes in
+/// is handed to the sink on the transport's threads.
+class attempt_call final : public grpc::ClientBidiReactor<wire::attempt_request, wire::attempt_event>
+{
+public:
+    /// Opens the call.
+    static auto open(wire::sidecar_gate::Stub& stub, const upstream_id& upstream, const attempt_key& key,
+                     const attempt_spec& spec, std::shared_ptr<const std::string> prompt, link_sink sink)
+        -> std::shared_ptr<attempt_call>;
+
+    /// Sends the prompt, a piece at a time.
+    void send_prompt();
+    /// Ends the call; the sidecar then cancels its work, and nothing more is handed to the sink.
+    void cancel();
+    /// Ends the call because its connection is given up; the sink is told that it broke.
+    void lose();
+    /// Whether it is over.
+    [[nodiscard]] auto over() const -> bool;
+
+    void OnReadDone(bool ok) override;
+    void OnWriteDone(bool ok) override;
+    void OnDone(const grpc::Status& status) override;
+
+private:
+    attempt_call(const upstream_id& upstream, const attempt_key& key,
+                 std::shared_ptr<const std::string> prompt, link_sink sink);
+
+    void pass_on(const wire::attempt_event& event);
+    void write_piece_locked();
+    void release_locked();
+
+    upstream_id upstream_;
+    attempt_key key_;
+    std::shared_ptr<const std::string> prompt_;
+    link_sink sink_;
+    std::shared_ptr<attempt_call> self_; // keeps it alive until OnDone
+    grpc::ClientContext context_;
+    wire::attempt_request outgoing_;
+    wire::attempt_event incoming_;
+    mutable std::mutex mutex_;
+    std::size_t prompt_sent_ = 0;
+    bool writing_ = true; // the opening message
+    bool prompt_wanted_ = false;
+    bool prompt_begun_ = false;
+    bool held_ = true;   // the transport waits for us before it calls OnDone
+    bool ended_ = false; // a last word was handed on
+    bool over_ = false;
+};
+
+} // namespace dragonflymill::gateway
--- /dev/null
+++ b/src/gateway/caller_gate.cpp
@@ -0,0 +1,286 @@
+#include "gateway/caller_gate.h"
+
+#include "dragonflymill/route/prompt_blocks.h"
+#include "gateway/account_keys.h"
+#include "gateway/answer_text.h"
+#include "http/http_text.h"
+#include "runtime/clock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill::gateway {
+
+namespace {
+
+constexpr std::size_t block_bytes = static_cast<std::size_t>(block_tokens) * 4;
+constexpr std::string_view services_prefix = "/v1/services/";
+constexpr std::size_t max_key_length = 256;
+constexpr duration full_retry_hint = 500ms;
+
+auto find_model(const bundle& current, const std::string& name) -> const model_entry*
+{
+    const auto found = std::find_if(current.models.begin(), current.models.end(),
+                                    [&](const model_entry& m) { return m.id.text() == name; });
+    return found == current.models.end() ? nullptr : &*found;
+}
+
+auto find_service(const bundle& current, const std::string& name) -> const service_route_entry*
+{
+    const auto found = std::find_if(current.service_routes.begin(), current.service_routes.end(),
+                                    [&](const service_route_entry& r) { return r.id.text() == name; });
+    return found == current.service_routes.end() ? nullptr : &*found;
+}
+
+/// What is wrong with a completion for this bundle, if anything.
+auto reject_completion(const bundle& current, const completion_request& asked, const request_id& id)
+    -> std::optional<http::http_response>
+{
+    const auto* model = find_model(current, asked.model);
+    if (model == nullptr) {
+        return rejection(id, 404, "unknown_model", "name one of the models of GET /v1/models");
+    }
+    const bool adapter_known =
+        asked.adapter.empty() || std::count(model->adapters.begin(), model->adapters.end(),
+                                            adapter_id(asked.adapter)) != 0;
+    if (!adapter_known) {
+        return rejection(id, 404, "unknown_adapter", "name one of the model's adapters, see GET /v1/models");
+    }
+    const auto tokens = estimate_tokens(asked.prompt.size());
+    if (tokens > model->max_prompt_tokens) {
+        return rejection(id, 413, "prompt_too_long",
+                         "send at most " + std::to_string(model->max_prompt_tokens) + " tokens; this prompt has about " +
+                             std::to_string(tokens));
+    }
+    return std::nullopt;
+}
+
+/// Part of a path behind the route's name, with the query.
+struct service_path
+{
+    std::string route;
+    std::string rest;
+};
+
+auto split_service_target(const std::string& target) -> service_path
+{
+    const auto behind = target.substr(services_prefix.size());
+    const auto end = behind.find_first_of("/?");
+    if (end == std::string::npos) {
+        return {behind, "/"};
+    }
+    auto rest = behind.substr(end);
+    if (rest.front() == '?') {
+        rest.insert(rest.begin(), '/');
+    }
+    return {behind.substr(0, end), std::move(rest)};
+}
+
+auto wish_of(const std::string& method, const std::string& rest) -> service_wish
+{
+    if (method == "POST" && rest == "/tickets") {
+        return service_wish::ticket;
+    }
+    if (method == "GET" && rest == "/status") {
+        return service_wish::status;
+    }
+    return service_wish::run;
+}
+
+} // namespace
+
+auto number_of(const http::http_session& session) -> exchange_number
+{
+    return exchange_number(session.exchange());
+}
+
+caller_gate::caller_gate(caller_gate_options options, std::function<bool(arrival)> on_arrival,
+                         std::function<std::string()> metrics)
+    : options_(std::move(options)), on_arrival_(std::move(on_arrival)), metrics_(std::move(metrics))
+{
+}
+
+void caller_gate::adopt(std::shared_ptr<const bundle> in_force)
+{
+    const std::lock_guard lock(mutex_);
+    in_force_ = std::move(in_force);
+}
+
+auto caller_gate::in_force() const -> std::shared_ptr<const bundle>
+{
+    const std::lock_guard lock(mutex_);
+    return in_force_;
+}
+
+auto caller_gate::new_request() -> request_id
+{
+    return request_id(options_.self.text() + "-" + std::to_string(options_.start) + "-" +
+                      std::to_string(++requests_));
+}
+
+void caller_gate::take(const session_ptr& session, http::http_request request)
+{
+    if (auto answer = answer_without_account(request)) {
+        session->respond(session->exchange(), std::move(*answer));
+        return;
+    }
+    const auto id = new_request();
+    const auto current = in_force();
+    if (!current) {
+        session->respond(session->exchange(),
+                         refusal_response(id, {refusal_code::not_ready, ran_state::no, 1s, "come back"}));
+        return;
+    }
+    const auto* account = find_account(*current, request.bearer_token());
+    if (account == nullptr) {
+        session->respond(session->exchange(),
+                         rejection(id, 401, "unauthorized", "send Authorization: Bearer with the account's key"));
+        return;
+    }
+    take_for(*account, *current, session, std::move(request), id);
+}
+
+auto caller_gate::answer_without_account(const http::http_request& request) const
+    -> std::optional<http::http_response>
+{
+    if (request.method != "GET") {
+        return std::nullopt;
+    }
+    const auto path = request.path();
+    if (path == "/healthz") {
+        return http::http_response{200, "text/plain", {}, "ok\n"};
+    }
+    if (path == "/readyz") {
+        return readiness();
+    }
+    if (path == "/metrics") {
+        return http::http_response{200, "text/plain; version=0.0.4", {}, metrics_()};
+    }
+    return std::nullopt;
+}
+
+auto caller_gate::readiness() const -> http::http_response
+{
+    if (stopping_) {
+        return {503, "text/plain", {}, "stopping\n"};
+    }
+    if (!in_force()) {
+        return {503, "text/plain", {}, "no bundle in force\n"};
+    }
+    return {200, "text/plain", {}, "ready\n"};
+}
+
+void caller_gate::take_for(const account_entry& account, const bundle& current, const session_ptr& session,
+                           http::http_request request, const request_id& id)
+{
+    const auto path = request.path();
+    if (path == "/v1/models" && request.method == "GET") {
+        session->respond(session->exchange(), models_response(id, current.models));
+    }
+    else if (path == "/v1/completions" && request.method == "POST") {
+        take_completion(account, current, session, request, id);
+    }
+    else if (path == "/v1/completions" || path == "/v1/models") {
+        session->respond(session->exchange(), rejection(id, 405, "method_not_allowed",
+                                                        "use POST /v1/completions or GET /v1/models"));
+    }
+    else if (path.rfind(services_prefix, 0) == 0) {
+        take_service(account, current, session, std::move(request), id);
+    }
+    else {
+        session->respond(session->exchange(),
+                         rejection(id, 404, "unknown_path",
+                                   "use /v1/completions, /v1/models or /v1/services/{route}"));
+    }
+}
+
+void caller_gate::take_completion(const account_entry& account, const bundle& current, const session_ptr& session,
+                                  const http::http_request& request, const request_id& id)
+{
+    auto read = read_completion_request(request.body);
+    if (!read) {
+        session->respond(session->exchange(), rejection(id, 400, "invalid_request",
+                                                        read.error().message() + "; " + read.error().remedy()));
+        return;
+    }
+    auto& asked = read.value();
+    if (auto rejected = reject_completion(current, asked, id)) {
+        session->respond(session->exchange(), std::move(*rejected));
+        return;
+    }
+    gateway_input::completion_arrived event;
+    event.exchange = number_of(*session);
+    event.request = id;
+    event.account = account.id;
+    event.model = model_id(asked.model);
+    event.adapter = adapter_id(asked.adapter);
+    event.standing = asked.standing.value_or(account.standing);
+    event.prompt_tokens = estimate_tokens(asked.prompt.size());
+    event.max_tokens = asked.max_tokens;
+    event.blocks = prompt_blocks(asked.prompt, block_bytes);
+    event.time_limit = std::min(asked.time_limit.value_or(options_.longest_limit), options_.longest_limit);
+    exchange held;
+    held.model = asked.model;
+    held.stream = asked.stream;
+    held.prompt_tokens = event.prompt_tokens;
+    held.prompt = std::make_shared<const std::string>(std::move(asked.prompt));
+    held.request = id;
+    hand_on(session, {std::move(held), std::move(event)});
+}
+
+void caller_gate::take_service(const account_entry& account, const bundle& current, const session_ptr& session,
+                               http::http_request request, const request_id& id)
+{
+    auto path = split_service_target(request.target);
+    const auto* route = find_service(current, path.route);
+    if (route == nullptr) {
+        session->respond(session->exchange(),
+                         rejection(id, 404, "unknown_route", "name a service route that is configured"));
+        return;
+    }
+    gateway_input::service_arrived event;
+    event.exchange = number_of(*session);
+    event.wish = wish_of(request.method, path.rest);
+    event.spec.request = id;
+    event.spec.route = route->id;
+    event.spec.account = account.id;
+    event.spec.gateway = options_.self;
+    event.spec.ticket = request.field("Dragonflymill-Ticket");
+    event.spec.idempotency_key = request.field("Idempotency-Key");
+    event.spec.method = std::move(request.method);
+    event.spec.target = std::move(path.rest);
+    event.spec.content_type = request.field("Content-Type");
+    event.spec.body = std::move(request.body);
+    event.spec.idempotent = route->idempotent;
+    event.spec.remaining = std::min(route->time_limit, options_.longest_limit);
+    if (event.spec.idempotency_key.size() > max_key_length) {
+        session->respond(session->exchange(), rejection(id, 400, "invalid_request",
+                                                        "send an Idempotency-Key of at most 256 characters"));
+        return;
+    }
+    const bool named = !event.spec.ticket.empty() || !event.spec.idempotency_key.empty();
+    if (event.wish == service_wish::status && !named) {
+        session->respond(session->exchange(),
+                         rejection(id, 400, "invalid_request",
+                                   "name the call with Dragonflymill-Ticket or Idempotency-Key"));
+        return;
+    }
+    exchange held;
+    held.request = id;
+    hand_on(session, {std::move(held), std::move(event)});
+}
+
+void caller_gate::hand_on(const session_ptr& session, arrival made)
+{
+    const auto id = made.held.request;
+    made.held.session = session;
+    made.held.session_exchange = session->exchange();
+    made.held.arrived = runtime::now();
+    if (!on_arrival_(std::move(made))) {
+        session->respond(session->exchange(),
+                         refusal_response(id, {refusal_code::overloaded, ran_state::no, full_retry_hint,
+                                               "come back after the time given"}));
+    }
+}
+
+} // namespace dragonflymill::gateway
--- /dev/null
+++ b/src/gateway/completion_request.cpp
@@ -0,0 +1,239 @@
+#include "gateway/completion_request.h"
+
+#include <boost/json/basic_parser_impl.hpp>
+#include <string_view>
+
+namespace dragonflymill::gateway {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t bytes_per_token = 4;
+constexpr std::size_t max_small_text = 1'024;
+constexpr std::int64_t most_tokens = 1'000'000;
+constexpr std::int64_t longest_time_ms = 24LL * 60 * 60 * 1'000;
+
+/// Handler for Boost.JSON's parser: takes the fields of the outermost object as they come.
+class field_reader
+{
+public:
+    static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_key_size = 1'024;
+    static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
+
+    auto on_document_begin(json::error_code& /*failure*/) -> bool { return true; }
+    auto on_document_end(json::error_code& /*failure*/) -> bool { return true; }
+    auto on_object_begin(json::error_code& /*failure*/) -> bool { return begin(true); }
+    auto on_object_end(std::size_t /*n*/, json::error_code& /*failure*/) -> bool { return end(); }
+    auto on_array_begin(json::error_code& /*failure*/) -> bool { return begin(false); }
+    auto on_array_end(std::size_t /*n*/, json::error_code& /*failure*/) -> bool { return end(); }
+
+    auto on_key_part(json::string_view part, std::size_t /*n*/, json::error_code& /*failure*/) -> bool
+    {
+        if (depth_ == 1) {
+            partial_key_.append(part.data(), part.size());
+        }
+        return true;
+    }
+    auto on_key(json::string_view part, std::size_t n, json::error_code& failure) -> bool
+    {
+        on_key_part(part, n, failure);
+        if (depth_ == 1) {
+            key_ = std::move(partial_key_);
+            partial_key_.clear();
+        }
+        return true;
+    }
+    auto on_string_part(json::string_view part, std::size_t /*n*/, json::error_code& /*failure*/) -> bool
+    {
+        if (depth_ == 1) {
+            add_text(std::string_view(part.data(), part.size()));
+        }
+        return true;
+    }
+    auto on_string(json::string_view part, std::size_t n, json::error_code& failure) -> bool
+    {
+        on_string_part(part, n, failure);
+        if (depth_ == 1) {
+            take_text();
+        }
+        return true;
+    }
+    auto on_number_part(json::string_view /*part*/, json::error_code& /*failure*/) -> bool { return true; }
+    auto on_int64(std::int64_t value, json::string_view /*text*/, json::error_code& /*failure*/) -> bool
+    {
+        return take_number(value);
+    }
+    auto on_uint64(std::uint64_t /*value*/, json::string_view /*text*/, json::error_code& /*failure*/) -> bool
+    {
+        return take_number(most_tokens + longest_time_ms);
+    }
+    auto on_double(double /*value*/, json::string_view /*text*/, json::error_code& /*failure*/) -> bool
+    {
+        return take_other("a number");
+    }
+    auto on_bool(bool value, json::error_code& /*failure*/) -> bool
+    {
+        if (depth_ == 1 && key_ == "stream") {
+            request.stream = value;
+            return true;
+        }
+        return take_other("true or false");
+    }
+    auto on_null(json::error_code& /*failure*/) -> bool { return true; }
+    auto on_comment_part(json::string_view /*part*/, json::error_code& /*failure*/) -> bool { return true; }
+    auto on_comment(json::string_view /*part*/, json::error_code& /*failure*/) -> bool { return true; }
+
+    completion_request request;
+    std::string mistakes;
+    bool saw_object = false;
+    bool saw_prompt = false;
+
+private:
+    auto begin(bool is_object) -> bool
+    {
+        if (depth_ == 0) {
+            saw_object = is_object;
+        }
+        else if (depth_ == 1) {
+            take_other("a list or an object");
+        }
+        ++depth_;
+        return true;
+    }
+
+    auto end() -> bool
+    {
+        --depth_;
+        return true;
+    }
+
+    void add_text(std::string_view part)
+    {
+        if (key_ == "prompt") {
+            request.prompt.append(part);
+        }
+        else if (small_.size() < max_small_text) {
+            small_.append(part);
+        }
+    }
+
+    void take_text()
+    {
+        const auto text = std::move(small_);
+        small_.clear();
+        if (key_ == "prompt") {
+            saw_prompt = true;
+        }
+        else if (key_ == "model") {
+            request.model = text;
+        }
+        else if (key_ == "adapter") {
+            request.adapter = text;
+        }
+        else if (key_ == "priority") {
+            take_priority(text);
+        }
+        else if (key_ == "max_tokens" || key_ == "timeout_ms" || key_ == "stream") {
+            take_other("text");
+        }
+    }
+
+    void take_priority(std::string_view text)
+    {
+        if (text == "doorstep") {
+            request.standing = priority::doorstep;
+        }
+        else if (text == "standard") {
+            request.standing = priority::standard;
+        }
+        else if (text == "overnight") {
+            request.standing = priority::overnight;
+        }
+        else {
+            mistakes += "priority must be \"doorstep\", \"standard\" or \"overnight\"; ";
+        }
+    }
+
+    auto take_number(std::int64_t value) -> bool
+    {
+        if (depth_ != 1) {
+            return true;
+        }
+        if (key_ == "max_tokens") {
+            if (value < 1 || value > most_tokens) {
+                mistakes += "max_tokens must be from 1 to " + std::to_string(most_tokens) + "; ";
+            }
+            request.max_tokens = value;
+            return true;
+        }
+        if (key_ == "timeout_ms") {
+            if (value < 1 || value > longest_time_ms) {
+                mistakes += "timeout_ms must be from 1 to " + std::to_string(longest_time_ms) + "; ";
+            }
+            request.time_limit = std::chrono::milliseconds(value);
+            return true;
+        }
+        return take_other("a number");
+    }
+
+    auto take_other(const char* what) -> bool
+    {
+        const bool known = key_ == "model" || key_ == "prompt" || key_ == "adapter" || key_ == "priority" ||
+                           key_ == "max_tokens" || key_ == "timeout_ms" || key_ == "stream";
+        if (depth_ == 1 && known) {
+            mistakes += key_ + " must not be " + what + "; ";
+        }
+        return true;
+    }
+
+    std::string key_;
+    std::string partial_key_;
+    std::string small_;
+    std::size_t depth_ = 0;
+};
+
+auto invalid(std::string message) -> error
+{
+    return {error_kind::invalid_input, std::move(message),
+            "send {\"model\": text, \"prompt\": text, \"max_tokens\": number, \"stream\": true or false}"};
+}
+
+} // namespace
+
+auto read_completion_request(const std::string& body) -> result<completion_request>
+{
+    json::basic_parser<field_reader> parser(json::parse_options{});
+    json::error_code failure;
+    const auto read = parser.write_some(false, body.data(), body.size(), failure);
+    if (failure) {
+        return invalid("the body is not JSON: " + failure.message() + " at byte " + std::to_string(read));
+    }
+    if (body.find_first_not_of(" \t\r\n", read) != std::string::npos) {
+        return invalid("the body goes on behind its JSON value");
+    }
+    auto& reader = parser.handler();
+    if (!reader.saw_object) {
+        return invalid("the body is not a JSON object");
+    }
+    if (reader.request.model.empty()) {
+        reader.mistakes += "model is missing; ";
+    }
+    if (!reader.saw_prompt || reader.request.prompt.empty()) {
+        reader.mistakes += "prompt is missing; ";
+    }
+    if (!reader.mistakes.empty()) {
+        reader.mistakes.resize(reader.mistakes.size() - 2);
+        return invalid(std::move(reader.mistakes));
+    }
+    return std::move(reader.request);
+}
+
+auto estimate_tokens(std::size_t prompt_bytes) -> token_count
+{
+    return static_cast<token_count>((prompt_bytes + bytes_per_token - 1) / bytes_per_token);
+}
+
+} // namespace dragonflymill::gateway
--- /dev/null
+++ b/src/gateway/gateway_daemon.cpp
@@ -0,0 +1,190 @@
+#include "gateway/gateway_daemon.h"
+
+#include "dragonflymill/bundle/bundle_source.h"
+#include "gateway/caller_gate.h"
+#include "gateway/gateway_shell.h"
+#include "http/http_server.h"
+#include "log/logger.h"
+#include "runtime/clock.h"
+#include "runtime/io_thread.h"
+#include "runtime/text_file.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdio>
+#include <future>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr duration flush_poll = 20ms;
+/// After the last answer was decided, its last bytes get this long to leave.
+constexpr duration longest_flush = 5s;
+
+auto limits_of(const gateway_settings& settings) -> http::http_limits
+{
+    http::http_limits limits;
+    limits.max_header_bytes = settings.limits.max_header;
+    limits.max_body_bytes = settings.limits.max_body;
+    limits.max_connections = settings.limits.max_connections;
+    limits.header_timeout = settings.timeouts.header;
+    limits.body_timeout = settings.timeouts.body;
+    limits.idle_timeout = settings.timeouts.idle;
+    return limits;
+}
+
+/// One running gateway process.
+class gateway_daemon
+{
+public:
+    gateway_daemon(const gateway_settings& settings, timeline_recorder timeline, std::string ticket_key)
+        : settings_(settings)
+        , timeline_(std::move(timeline))
+        , shell_(settings, std::move(ticket_key), timeline_, metrics_,
+                 [this] { boost::asio::post(context_, [this] { on_all_done(); }); })
+        , gate_({settings.process.name,
+                 static_cast<std::uint64_t>(runtime::wall_now().time_since_epoch().count()),
+                 settings.timeouts.request},
+                [this](gateway::arrival made) { return shell_.arrived(std::move(made)); },
+                [this] { return metrics_.prometheus_text(); })
+        , server_(http_thread_.context(), limits_of(settings),
+                  {[this](const auto& session, http::http_request request) {
+                       gate_.take(session, std::move(request));
+                   },
+                   [this](std::uint64_t exchange) { shell_.caller_left(exchange); }})
+    {
+    }
+
+    auto run(std::shared_ptr<const bundle> in_force) -> int;
+
+private:
+    void on_stop_signal();
+    void stop_accepting();
+    void on_all_done();
+    void wait_until_flushed(instant until);
+
+    const gateway_settings& settings_;
+    timeline_recorder timeline_;
+    metrics_registry metrics_;
+    boost::asio::io_context context_{1};
+    boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
+    boost::asio::steady_timer timer_{context_};
+    gateway::gateway_shell shell_;
+    gateway::caller_gate gate_;
+    runtime::io_thread http_thread_;
+    http::http_server server_;
+};
+
+auto gateway_daemon::run(std::shared_ptr<const bundle> in_force) -> int
+{
+    const auto listening = server_.listen(to_text(settings_.http_listen));
+    if (!listening) {
+        log_event(event::listen_failed, field("address", to_text(settings_.http_listen)));
+        std::fprintf(stderr, "%s\n", listening.error().text().c_str());
+        return exit_failed;
+    }
+    shell_.start();
+    shell_.adopt(in_force);
+    gate_.adopt(in_force);
+    http_thread_.start();
+    log_event(event::gateway_started, field("address", server_.local_address()));
+    std::printf("ready http %s\n", server_.local_address().c_str());
+    std::fflush(stdout);
+    signals_.async_wait([this](boost::system::error_code failure, int /*signal*/) {
+        if (!failure) {
+            on_stop_signal();
+        }
+    });
+    context_.run();
+    http_thread_.stop();
+    shell_.join();
+    log_event(event::gateway_stopped);
+    return exit_ok;
+}
+
+void gateway_daemon::on_stop_signal()
+{
+    // The balancer in front learns only from /readyz that no caller should come here: for its lag this process still
+    // accepts, so that no caller meets a closed port.
+    log_event(event::gateway_stopping);
+    gate_.set_stopping(true);
+    timer_.expires_after(settings_.drain_lag);
+    timer_.async_wait([this](boost::system::error_code failure) {
+        if (!failure) {
+            stop_accepting();
+        }
+    });
+}
+
+void gateway_daemon::stop_accepting()
+{
+    boost::asio::post(http_thread_.context(), [this] {
+        server_.stop_accepting();
+        shell_.stop();
+    });
+}
+
+void gateway_daemon::on_all_done()
+{
+    wait_until_flushed(runtime::now() + longest_flush);
+}
+
+void gateway_daemon::wait_until_flushed(instant until)
+{
+    boost::asio::post(http_thread_.context(), [this, until] {
+        const bool flushed = server_.connection_count() == 0;
+        boost::asio::post(context_, [this, until, flushed] {
+            if (flushed || runtime::now() >= until) {
+                context_.stop();
+                return;
+            }
+            timer_.expires_after(flush_poll);
+            timer_.async_wait([this, until](boost::system::error_code failure) {
+                if (!failure) {
+                    wait_until_flushed(until);
+                }
+            });
+        });
+    });
+}
+
+} // namespace
+
+auto run_gateway(const gateway_settings& settings) -> int
+{
+    const auto fail = [](const error& failure) {
+        std::fprintf(stderr, "%s\n", failure.text().c_str());
+        return exit_failed;
+    };
+    const auto log = logger::start(settings.log);
+    if (!log) {
+        return fail(log.error());
+    }
+    auto timeline = timeline_recorder::start(settings.process.name, settings.timeline.file, settings.timeline.ring);
+    if (!timeline) {
+        return fail(timeline.error());
+    }
+    const auto key = runtime::read_key_file(settings.ticket_key_file);
+    if (!key) {
+        return fail(key.error());
+    }
+    const auto text = runtime::read_text_file(settings.bundle.file, max_bundle_text);
+    if (!text) {
+        return fail(text.error());
+    }
+    auto in_force = parse_bundle_source(text.value());
+    if (!in_force) {
+        return fail(in_force.error());
+    }
+    gateway_daemon daemon(settings, std::move(timeline.value()), key.value());
+    return daemon.run(std::make_shared<const bundle>(std::move(in_force.value())));
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/gateway/gateway_shell.cpp
@@ -0,0 +1,350 @@
+#include "gateway/gateway_shell.h"
+
+#include "gateway/answer_text.h"
+#include "log/logger.h"
+#include "runtime/clock.h"
+
+#include <set>
+#include <utility>
+
+namespace dragonflymill::gateway {
+
+namespace {
+
+constexpr duration tick_interval = 10ms;
+constexpr metric_name first_token_name{"dragonflymill_first_token_seconds",
+                                       "Time from a request's arrival to its first token, by length class"};
+constexpr metric_name requests_name{"dragonflymill_requests_total", "Requests by their final answer"};
+
+auto core_options(const gateway_settings& settings, std::string ticket_key) -> gateway_core_options
+{
+    gateway_core_options options;
+    options.self = settings.process.name;
+    options.failure_domain = settings.process.failure_domain;
+    options.region = settings.process.region;
+    options.ticket_key = std::move(ticket_key);
+    options.max_requests = settings.rings.requests;
+    options.max_calls = settings.rings.requests;
+    options.seed = stable_hash(settings.process.name.text());
+    return options;
+}
+
+} // namespace
+
+gateway_shell::gateway_shell(const gateway_settings& settings, std::string ticket_key, timeline_recorder& timeline,
+                             metrics_registry& metrics, std::function<void()> on_all_done)
+    : self_(settings.process.name)
+    , heartbeat_{settings.heartbeat.interval, settings.heartbeat.misses}
+    , timeline_(timeline)
+    , metrics_(metrics)
+    , on_all_done_(std::move(on_all_done))
+    , core_(core_options(settings, std::move(ticket_key)))
+    , decide_(settings.rings.deliveries, tick_interval)
+{
+}
+
+void gateway_shell::start()
+{
+    decide_.start([this](std::optional<shell_event> event) { handle(std::move(event)); });
+}
+
+void gateway_shell::adopt(std::shared_ptr<const bundle> in_force)
+{
+    post(gateway_event(gateway_input::bundle_adopted{std::move(in_force)}));
+}
+
+auto gateway_shell::arrived(arrival made) -> bool
+{
+    return decide_.post(std::move(made));
+}
+
+void gateway_shell::caller_left(std::uint64_t exchange)
+{
+    post(gateway_event(gateway_input::caller_left{exchange_number(exchange)}));
+}
+
+void gateway_shell::stop()
+{
+    post(gateway_event(gateway_input::stop_asked{}));
+}
+
+void gateway_shell::join()
+{
+    decide_.stop();
+    links_.clear();
+}
+
+void gateway_shell::post(link_event event)
+{
+    static_cast<void>(decide_.post_waiting(std::move(event)));
+}
+
+void gateway_shell::handle(std::optional<shell_event> event)
+{
+    const auto now = runtime::now();
+    if (event) {
+        if (auto* made = std::get_if<arrival>(&*event)) {
+            const exchange_number number(made->held.session_exchange);
+            timeline_.record(made->held.request, "arrived", made->held.model);
+            exchanges_.insert_or_assign(number, std::move(made->held));
+            carry_out(core_.step(now, made->event));
+        }
+        else {
+            handle_link(std::move(std::get<link_event>(*event)));
+        }
+    }
+    if (now - last_tick_ >= tick_interval) {
+        last_tick_ = now;
+        tick(now);
+    }
+}
+
+void gateway_shell::handle_link(link_event event)
+{
+    const auto now = runtime::now();
+    if (const auto* answer = std::get_if<heartbeat_answered>(&event)) {
+        const auto link = links_.find(answer->upstream);
+        if (link != links_.end()) {
+            link->second->heard(now, *answer);
+        }
+        carry_out(core_.step(now, gateway_input::load_heard{answer->upstream, answer->load}));
+        return;
+    }
+    const auto& input = std::get<gateway_event>(event);
+    forget_placement(input);
+    carry_out(core_.step(now, input));
+    if (const auto* left = std::get_if<gateway_input::caller_left>(&input)) {
+        exchanges_.erase(left->exchange);
+    }
+}
+
+void gateway_shell::forget_placement(const gateway_event& input)
+{
+    if (const auto* refused = std::get_if<gateway_input::attempt_refused>(&input)) {
+        placed_.erase(refused->key);
+    }
+    else if (const auto* finished = std::get_if<gateway_input::attempt_finished>(&input)) {
+        placed_.erase(finished->key);
+    }
+    else if (const auto* broken = std::get_if<gateway_input::attempt_broken>(&input)) {
+        placed_.erase(broken->key);
+    }
+}
+
+void gateway_shell::tick(instant now)
+{
+    carry_out(core_.step(now, gateway_input::tick{}));
+    for (const auto& [upstream, link] : links_) {
+        const auto replaced_before = link->replaced();
+        const auto state = link->tick(now);
+        if (link->replaced() != replaced_before) {
+            log_event(event::upstream_connection_silent, field("upstream", upstream));
+        }
+        if (state) {
+            log_event(*state == upstream_state::dead ? event::upstream_lost : event::upstream_connected,
+                      field("upstream", upstream));
+            carry_out(core_.step(now, gateway_input::upstream_changed{upstream, *state}));
+        }
+    }
+}
+
+void gateway_shell::carry_out(const std::vector<gateway_action>& actions)
+{
+    for (const auto& action : actions) {
+        std::visit([this](const auto& what) { act(what); }, action);
+    }
+    while (!follow_ups_.empty()) {
+        const auto next = std::move(follow_ups_.front());
+        follow_ups_.pop_front();
+        for (const auto& action : core_.step(runtime::now(), next)) {
+            std::visit([this](const auto& what) { act(what); }, action);
+        }
+    }
+}
+
+void gateway_shell::follow_up(gateway_event event)
+{
+    // Not through the ring: this thread is the one that empties it.
+    follow_ups_.push_back(std::move(event));
+}
+
+void gateway_shell::act(const gateway_output::open_attempt& action)
+{
+    const auto held = exchanges_.find(action.key.exchange);
+    const auto link = links_.find(action.upstream);
+    if (held == exchanges_.end() || link == links_.end()) {
+        follow_up(gateway_input::attempt_broken{action.key, false});
+        return;
+    }
+    held->second.size = action.spec.size;
+    placed_.insert_or_assign(action.key, placement{action.upstream, action.spec.size});
+    timeline_.record_send(held->second.request, "attempt",
+                          action.spec.request.text() + "." + std::to_string(action.spec.attempt.value()),
+                          action.upstream.text() + " " + to_string(action.reason));
+    link->second->lane(runtime::now(), action.spec.size).open_attempt(action.key, action.spec, held->second.prompt);
+}
+
+void gateway_shell::act(const gateway_output::send_prompt& action)
+{
+    const auto placed = placed_.find(action.key);
+    const auto link = placed == placed_.end() ? links_.end() : links_.find(placed->second.upstream);
+    if (link != links_.end()) {
+        link->second->send_prompt(placed->second.size, action.key);
+    }
+}
+
+void gateway_shell::act(const gateway_output::cancel_attempt& action)
+{
+    const auto placed = placed_.find(action.key);
+    if (placed == placed_.end()) {
+        return;
+    }
+    const auto link = links_.find(placed->second.upstream);
+    if (link != links_.end()) {
+        link->second->cancel_attempt(placed->second.size, action.key);
+    }
+    placed_.erase(placed);
+}
+
+void gateway_shell::act(const gateway_output::call_service& action)
+{
+    const auto link = links_.find(action.upstream);
+    const bool sent = link != links_.end() &&
+                      link->second->lane(runtime::now(), length_class::interactive)
+                          .call_service(runtime::now(), action.key, action.wish, action.spec);
+    timeline_.record(action.spec.request, sent ? "service_call" : "service_unreachable", action.upstream.text());
+    if (!sent) {
+        follow_up(gateway_input::service_refused{
+            action.key, {refusal_code::upstream_gone, ran_state::no, 500ms, "come back after the time given"}});
+    }
+}
+
+void gateway_shell::act(const gateway_output::deliver& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    auto& held = found->second;
+    if (std::exchange(held.answer_tokens, held.answer_tokens + static_cast<token_count>(action.tokens.size())) == 0) {
+        count_first_token(held);
+    }
+    std::string text;
+    for (const auto& token : action.tokens) {
+        text += token;
+    }
+    if (!held.stream) {
+        held.answer += text;
+        return;
+    }
+    if (!std::exchange(held.stream_open, true)) {
+        held.session->open_events(held.session_exchange, {{"X-Request-Id", held.request.text()}});
+    }
+    held.session->send_event(held.session_exchange, completion_chunk(held.request, held.model, text, ""));
+}
+
+void gateway_shell::act(const gateway_output::finish& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    auto& held = found->second;
+    timeline_.record(held.request, "finished", action.reason);
+    metrics_.counter(requests_name, {{"answer", "whole"}}).add();
+    if (!held.stream) {
+        respond(action.exchange, completion_response(held.request, held.model, held.answer, action.reason,
+                                                     held.prompt_tokens, held.answer_tokens));
+        return;
+    }
+    if (!held.stream_open) {
+        held.session->open_events(held.session_exchange, {{"X-Request-Id", held.request.text()}});
+    }
+    held.session->send_event(held.session_exchange,
+                             completion_chunk(held.request, held.model, "", action.reason));
+    held.session->send_event(held.session_exchange, "[DONE]");
+    held.session->close_events(held.session_exchange);
+    exchanges_.erase(found);
+}
+
+void gateway_shell::act(const gateway_output::refuse& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    auto& held = found->second;
+    timeline_.record(held.request, "refused", to_string(action.why.code));
+    metrics_.counter(requests_name, {{"answer", to_string(action.why.code)}}).add();
+    log_event(held.stream_open ? event::request_failed : event::request_refused, field("request", held.request),
+              field("code", to_string(action.why.code)), field("ran", to_string(action.why.ran)));
+    if (!held.stream_open) {
+        respond(action.exchange, refusal_response(held.request, action.why));
+        return;
+    }
+    held.session->send_event(held.session_exchange, refusal_json(held.request, action.why));
+    held.session->close_events(held.session_exchange);
+    exchanges_.erase(found);
+}
+
+void gateway_shell::act(const gateway_output::answer_service& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found != exchanges_.end()) {
+        metrics_.counter(requests_name, {{"answer", action.replayed ? "replayed" : "whole"}}).add();
+        respond(action.exchange, service_response(found->second.request, action.answer, action.replayed));
+    }
+}
+
+void gateway_shell::act(const gateway_output::give_ticket& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found != exchanges_.end()) {
+        respond(action.exchange, ticket_response(found->second.request, action.ticket));
+    }
+}
+
+void gateway_shell::act(const gateway_output::tell_running& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found != exchanges_.end()) {
+        respond(action.exchange, running_response(found->second.request));
+    }
+}
+
+void gateway_shell::act(const gateway_output::connect_upstreams& action)
+{
+    std::set<upstream_id> wanted;
+    for (const auto& upstream : action.upstreams) {
+        wanted.insert(upstream.id);
+        auto& link = links_[upstream.id];
+        if (!link || link->address() != upstream.sidecar_address) {
+            link = std::make_unique<sidecar_link>(runtime::now(), upstream, self_, heartbeat_,
+                                                  [this](link_event event) { post(std::move(event)); });
+        }
+    }
+    for (auto link = links_.begin(); link != links_.end();) {
+        link = wanted.count(link->first) == 0 ? links_.erase(link) : std::next(link);
+    }
+}
+
+void gateway_shell::act(const gateway_output::all_done& /*action*/)
+{
+    on_all_done_();
+}
+
+void gateway_shell::respond(exchange_number number, http::http_response response)
+{
+    const auto found = exchanges_.find(number);
+    found->second.session->respond(found->second.session_exchange, std::move(response));
+    exchanges_.erase(found);
+}
+
+void gateway_shell::count_first_token(const exchange& held)
+{
+    timeline_.record(held.request, "first_token", to_string(held.size));
+    const auto waited = std::chrono::duration<double>(runtime::now() - held.arrived).count();
+    metrics_.histogram(first_token_name, seconds_layout(), {{"class", to_string(held.size)}}).record(waited);
+}
+
+} // namespace dragonflymill::gateway
--- /dev/null
+++ b/src/gateway/heartbeat_call.cpp
@@ -0,0 +1,88 @@
+#include "gateway/heartbeat_call.h"
+
+#include "rpc/wire_convert.h"
+
+#include <utility>
+
+namespace dragonflymill::gateway {
+
+auto heartbeat_call::open(wire::sidecar_gate::Stub& stub, identity who, link_sink sink)
+    -> std::shared_ptr<heartbeat_call>
+{
+    std::shared_ptr<heartbeat_call> made(new heartbeat_call(std::move(who), std::move(sink)));
+    made->self_ = made;
+    stub.async()->heartbeat(&made->context_, made.get());
+    made->AddHold();
+    made->StartRead(&made->incoming_);
+    made->StartCall();
+    return made;
+}
+
+heartbeat_call::heartbeat_call(identity who, link_sink sink)
+    : who_(std::move(who))
+    , sink_(std::move(sink))
+{
+}
+
+void heartbeat_call::send(std::uint64_t number)
+{
+    const std::lock_guard lock(mutex_);
+    if (writing_ || !held_) {
+        return;
+    }
+    outgoing_.set_number(number);
+    outgoing_.set_sender(who_.gateway.text());
+    writing_ = true;
+    StartWrite(&outgoing_);
+}
+
+void heartbeat_call::cancel()
+{
+    context_.TryCancel();
+    const std::lock_guard lock(mutex_);
+    release_locked();
+}
+
+auto heartbeat_call::over() const -> bool
+{
+    const std::lock_guard lock(mutex_);
+    return over_;
+}
+
+void heartbeat_call::release_locked()
+{
+    if (std::exchange(held_, false)) {
+        RemoveHold();
+    }
+}
+
+void heartbeat_call::OnReadDone(bool ok)
+{
+    if (!ok) {
+        const std::lock_guard lock(mutex_);
+        release_locked();
+        return;
+    }
+    sink_(heartbeat_answered{who_.upstream, who_.lane, who_.connection, rpc::from_wire(incoming_.load())});
+    StartRead(&incoming_);
+}
+
+void heartbeat_call::OnWriteDone(bool ok)
+{
+    const std::lock_guard lock(mutex_);
+    writing_ = false;
+    if (!ok) {
+        release_locked();
+    }
+}
+
+void heartbeat_call::OnDone(const grpc::Status& /*status*/)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        over_ = true;
+    }
+    const auto last = std::move(self_);
+}
+
+} // namespace dragonflymill::gateway
--- /dev/null
+++ b/src/gateway/lane_connection.cpp
@@ -0,0 +1,190 @@
+#include "gateway/lane_connection.h"
+
+#include "rpc/wire_convert.h"
+
+#include <algorithm>
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+#include <utility>
+
+namespace dragonflymill::gateway {
+
+namespace {
+
+constexpr int max_message_bytes = 8 * 1024 * 1024;
+constexpr int first_reconnect_ms = 100;
+constexpr int longest_reconnect_ms = 1'000;
+constexpr duration deadline_slack = 2s;
+
+auto make_channel(const std::string& address) -> std::shared_ptr<grpc::Channel>
+{
+    grpc::ChannelArguments arguments;
+    // A transport that repeats calls by itself would run a booking twice.
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    // Without this, channels to one address share a connection, and a long prompt holds up a short one.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, first_reconnect_ms);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, first_reconnect_ms);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, longest_reconnect_ms);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetMaxReceiveMessageSize(max_message_bytes);
+    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+/// A call with one answer, kept until it has come.
+template <typename Reply>
+struct pending_reply
+{
+    grpc::ClientContext context;
+    wire::service_call request;
+    Reply reply;
+};
+
+auto broken_service(const attempt_key& key) -> gateway_event
+{
+    return gateway_input::service_refused{key,
+                                          {refusal_code::upstream_gone, ran_state::unknown, duration::zero(),
+                                           "ask for its status with the same ticket or key"}};
+}
+
+auto service_event(const attempt_key& key, const grpc::Status& status, const wire::service_reply& reply)
+    -> gateway_event
+{
+    if (!status.ok()) {
+        return broken_service(key);
+    }
+    if (reply.has_refused()) {
+        return gateway_input::service_refused{key, rpc::from_wire(reply.refused())};
+    }
+    if (reply.running()) {
+        return gateway_input::service_running{key};
+    }
+    return gateway_input::service_answered{
+        key, once_answer{static_cast<int>(reply.status()), reply.content_type(), reply.body()},
+        reply.replayed()};
+}
+
+auto ticket_event(const attempt_key& key, const grpc::Status& status, const wire::ticket_reply& reply)
+    -> gateway_event
+{
+    if (!status.ok()) {
+        return broken_service(key);
+    }
+    if (reply.has_refused()) {
+        return gateway_input::service_refused{key, rpc::from_wire(reply.refused())};
+    }
+    return gateway_input::ticket_given{key, reply.ticket()};
+}
+
+} // namespace
+
+lane_connection::lane_connection(instant now, const std::string& address, heartbeat_call::identity who,
+                                 heartbeat_times times, link_sink sink)
+    : who_(std::move(who))
+    , times_(times)
+    , sink_(std::move(sink))
+    , channel_(make_channel(address))
+    , stub_(wire::sidecar_gate::NewStub(channel_))
+    , heartbeat_(heartbeat_call::open(*stub_, who_, sink_))
+    , opened_at_(now)
+    , heard_at_(now)
+    , next_heartbeat_(now)
+{
+}
+
+lane_connection::~lane_connection()
+{
+    heartbeat_->cancel();
+    for (const auto& [key, call] : attempts_) {
+        if (!call->over()) {
+            call->lose();
+        }
+    }
+}
+
+void lane_connection::open_attempt(const attempt_key& key, const attempt_spec& spec,
+                                   std::shared_ptr<const std::string> prompt)
+{
+    attempts_.insert_or_assign(
+        key, attempt_call::open(*stub_, who_.upstream, key, spec, std::move(prompt), sink_));
+}
+
+void lane_connection::send_prompt(const attempt_key& key)
+{
+    const auto call = attempts_.find(key);
+    if (call != attempts_.end()) {
+        call->second->send_prompt();
+    }
+}
+
+void lane_connection::cancel_attempt(const attempt_key& key)
+{
+    const auto call = attempts_.find(key);
+    if (call != attempts_.end()) {
+        call->second->cancel();
+        attempts_.erase(call);
+    }
+}
+
+auto lane_connection::call_service(instant now, const attempt_key& key, service_wish wish,
+                                   const service_spec& spec) -> bool
+{
+    // A call whose connection breaks after it was sent is `unknown` for ever; on a connection that answered a
+    // moment ago that is rare, and on any other it is not sent at all, so that "not run" is the truth.
+    const bool alive =
+        proven() && now - heard_at_ <= patience() && channel_->GetState(false) == GRPC_CHANNEL_READY;
+    if (!alive) {
+        return false;
+    }
+    const auto deadline = std::chrono::system_clock::now() + spec.remaining + deadline_slack;
+    if (wish == service_wish::ticket) {
+        const auto pending = std::make_shared<pending_reply<wire::ticket_reply>>();
+        pending->context.set_deadline(deadline);
+        pending->request = rpc::to_wire(spec);
+        stub_->async()->issue_ticket(&pending->context, &pending->request, &pending->reply,
+                                     [pending, key, sink = sink_](const grpc::Status& status) {
+                                         sink(ticket_event(key, status, pending->reply));
+                                     });
+        return true;
+    }
+    const auto pending = std::make_shared<pending_reply<wire::service_reply>>();
+    pending->context.set_deadline(deadline);
+    pending->request = rpc::to_wire(spec);
+    const auto done = [pending, key, sink = sink_](const grpc::Status& status) {
+        sink(service_event(key, status, pending->reply));
+    };
+    if (wish == service_wish::status) {
+        stub_->async()->call_status(&pending->context, &pending->request, &pending->reply, done);
+    }
+    else {
+        stub_->async()->call_service(&pending->context, &pending->request, &pending->reply, done);
+    }
+    return true;
+}
+
+void lane_connection::tick(instant now)
+{
+    if (now < next_heartbeat_) {
+        return;
+    }
+    next_heartbeat_ = now + times_.interval;
+    if (heartbeat_->over()) {
+        heartbeat_ = heartbeat_call::open(*stub_, who_, sink_);
+    }
+    heartbeat_->send(++heartbeats_);
+    for (auto call = attempts_.begin(); call != attempts_.end();) {
+        call = call->second->over() ? attempts_.erase(call) : std::next(call);
+    }
+}
+
+auto lane_connection::patience() const -> duration
+{
+    return times_.interval * static_cast<std::int64_t>(times_.misses);
+}
+
+auto lane_connection::silent(instant now) const -> bool
+{
+    return now - heard_at_ > patience();
+}
+
+} // namespace dragonflymill::gateway
