--- /dev/null
+++ b/tests/membership/membership_schedule_test.cpp
@@ -0,0 +1,136 @@
+#include "member_world.h"
+#include "support/schedule_seeds.h"
+
+#include <algorithm>
+#include <array>
+
+using namespace dragonflymill;
+using namespace dragonflymill::test;
+
+namespace {
+
+constexpr std::uint64_t seeds = 60;
+constexpr std::size_t size = 5;
+constexpr int steps = 25;
+
+// Draws pauses, restarts, stops and partitions, and checks that a leaving process is never believed alive
+// again for the same start, and that all find each other once the faults end.
+class member_schedule
+{
+public:
+    explicit member_schedule(std::uint64_t seed)
+        : world_(size, seed, {.drop = 0.15, .duplicate = 0.1, .late = 0.05})
+        , draw_(seed * 17)
+    {
+    }
+
+    auto run() -> std::optional<std::string>
+    {
+        world_.run(20s);
+        for (int step = 0; step < steps && !broken_; ++step) {
+            fault();
+            world_.run(500ms * static_cast<std::int64_t>(1 + draw_.below(12)), [this] { check(); });
+        }
+        heal();
+        world_.run(90s, [this] { check(); });
+        if (!broken_ && !world_.all_alive()) {
+            broken_ = "not all found each other after the faults ended:" + beliefs();
+        }
+        return broken_;
+    }
+
+private:
+    [[nodiscard]] auto beliefs() const -> std::string
+    {
+        std::string text;
+        for (std::size_t at = 0; at < size; ++at) {
+            for (std::size_t about = 0; about < size; ++about) {
+                const auto state = world_.belief(at, about);
+                if (at != about && state != member_state::alive) {
+                    text += " " + std::to_string(at) + " believes " + std::to_string(about) + " " +
+                            to_string(state);
+                }
+            }
+        }
+        return text;
+    }
+
+    void fault()
+    {
+        const auto at = draw_.below(size);
+        switch (draw_.below(5)) {
+        case 0:
+            world_.paused[at] = !world_.paused[at];
+            break;
+        case 1:
+            restart(at);
+            break;
+        case 2:
+            if (world_.up(at)) {
+                world_.act(at, world_.members[at]->leave());
+            }
+            break;
+        case 3:
+            world_.down[at] = true;
+            break;
+        default:
+            world_.side[at] = world_.side[at] == 0 ? 1 : 0;
+            break;
+        }
+    }
+
+    void restart(std::size_t at)
+    {
+        world_.paused[at] = false;
+        start_ += 1'000;
+        world_.start(at, start_);
+        std::fill_n(left_.begin() + static_cast<std::ptrdiff_t>(at * size), size, incarnation());
+    }
+
+    void heal()
+    {
+        world_.bag.change({});
+        for (std::size_t at = 0; at < size; ++at) {
+            world_.side[at] = 0;
+            world_.paused[at] = false;
+            if (world_.down[at] || world_.members[at]->self().state == member_state::leaving) {
+                restart(at);
+            }
+        }
+    }
+
+    void check()
+    {
+        for (std::size_t at = 0; at < size; ++at) {
+            for (std::size_t about = 0; about < size; ++about) {
+                const auto* record = world_.members[at]->table().find(member_world::name(about));
+                if (record == nullptr) {
+                    left_[at * size + about] = incarnation();
+                    continue;
+                }
+                const auto start = record->update.number.start;
+                auto& left = left_[at * size + about];
+                if (record->update.state == member_state::leaving) {
+                    left = start;
+                }
+                else if (left == start && left != incarnation()) {
+                    broken_ = std::to_string(at) + " took back that " + std::to_string(about) + " is leaving";
+                }
+            }
+        }
+    }
+
+    member_world world_;
+    random_source draw_;
+    std::uint64_t start_ = 1'000;
+    std::array<incarnation, size * size> left_{};
+    std::optional<std::string> broken_;
+};
+
+} // namespace
+
+Test(membership_schedule, leaving_is_final_and_all_meet_again)
+{
+    run_schedules(seeds, "test_membership", "membership_schedule/*",
+                  [](std::uint64_t seed) { return member_schedule(seed).run(); });
+}
