Keep client accounts within their limits over all gateways

Cause: an account's limit holds over all gateways, which share no state and may be cut off from each other. Change: limit/account_limiter leases parts of a limit from the account's home gateway by demand; without a lease a gateway uses an equal part; a home without a majority grants no more than equal parts; a new home renews only what is held.

--- /dev/null
+++ b/src/limit/account_limiter.cpp
@@ -0,0 +1,220 @@
+#include "dragonflymill/limit/account_limiter.h"
+
+#include "dragonflymill/core/stable_hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace dragonflymill {
+
+namespace {
+
+auto home_among(const std::vector<process_id>& gateways, const client_account_id& account) -> process_id
+{
+    const auto key = stable_hash(account.text());
+    process_id best;
+    std::uint64_t best_score = 0;
+    for (const auto& gateway : gateways) {
+        const auto score = rendezvous_score(key, gateway.text());
+        if (best.empty() || score > best_score) {
+            best = gateway;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+auto refused(refusal_code code, duration retry_after, const char* remedy) -> refusal
+{
+    return {code, ran_state::no, retry_after, remedy};
+}
+
+constexpr duration busy_retry = 200ms;
+
+} // namespace
+
+account_limiter::account_limiter(account_limiter_settings settings, instant now)
+    : settings_(std::move(settings))
+    , gateways_{settings_.self}
+    , gateways_changed_(now)
+{
+}
+
+void account_limiter::bundle_adopted(instant now, const bundle& value)
+{
+    accounts_.clear();
+    for (const auto& account : value.accounts) {
+        accounts_[account.id] = account;
+    }
+    std::erase_if(tracked_, [this](const auto& entry) {
+        return !accounts_.contains(entry.first) && entry.second.in_flight == 0;
+    });
+    for (auto& [id, state] : tracked_) {
+        if (const auto* entry = entry_of(id)) {
+            apply_part(now, *entry, state);
+        }
+    }
+}
+
+void account_limiter::gateways_changed(instant now, std::vector<process_id> live, std::size_t configured)
+{
+    configured_ = std::max({configured, live.size(), std::size_t{1}});
+    std::sort(live.begin(), live.end());
+    if (live != gateways_) {
+        gateways_before_ = std::exchange(gateways_, std::move(live));
+        gateways_changed_ = now;
+    }
+}
+
+auto account_limiter::admit(instant now, const client_account_id& account, token_count tokens)
+    -> std::optional<refusal>
+{
+    const auto* entry = entry_of(account);
+    if (entry == nullptr) {
+        return refused(refusal_code::account_limit, 0s, "ask the operators for a client account");
+    }
+    auto& state = track(now, *entry);
+    state.used = now;
+    state.demand.add(now, std::max(1 / entry->requests_per_second,
+                                   static_cast<double>(tokens) / entry->tokens_per_second));
+    apply_part(now, *entry, state);
+    const auto most = std::max(1.0, std::floor(part_of(now, state) * entry->max_in_flight));
+    if (state.in_flight >= most) {
+        return refused(refusal_code::account_limit, busy_retry, "wait for one of the requests under way");
+    }
+    if (!state.requests.open(now) || !state.tokens.open(now)) {
+        const auto wait = std::max(state.requests.wait(), state.tokens.wait());
+        return refused(refusal_code::account_limit, wait, "send fewer requests, or ask for a higher limit");
+    }
+    state.requests.take(1);
+    state.tokens.take(static_cast<double>(tokens));
+    ++state.in_flight;
+    return std::nullopt;
+}
+
+void account_limiter::done(instant now, const client_account_id& account, token_count tokens)
+{
+    const auto found = tracked_.find(account);
+    if (found == tracked_.end()) {
+        return;
+    }
+    auto& state = found->second;
+    state.in_flight -= state.in_flight > 0 ? 1 : 0;
+    state.used = now;
+    state.tokens.take(static_cast<double>(tokens));
+}
+
+auto account_limiter::tick(instant now) -> std::vector<ask_share>
+{
+    std::erase_if(tracked_, [&](const auto& entry) {
+        return entry.second.in_flight == 0 && now - entry.second.used >= settings_.forget_after;
+    });
+    std::vector<ask_share> asked;
+    for (auto& [id, state] : tracked_) {
+        if (state.asked && now - *state.asked < settings_.ask_interval) {
+            continue;
+        }
+        state.asked = now;
+        const auto held = state.lease_end > now ? state.part : 0;
+        asked.push_back({home(id), {id, settings_.self, state.demand.value(now), held}});
+    }
+    return asked;
+}
+
+auto account_limiter::share_asked(instant now, const share_request& request) -> share_grant
+{
+    if (home(request.account) != settings_.self) {
+        // Two homes at the same time would each grant the whole limit. The one that this process takes for
+        // the home is told; until views agree, leases run out and gateways use their equal part.
+        return {request.account, home(request.account), false, 0, 0s};
+    }
+    auto grant = home_.grant(now, request, rules(now, request.account));
+    grant.home = settings_.self;
+    return grant;
+}
+
+void account_limiter::share_granted(instant now, const share_grant& grant)
+{
+    const auto found = tracked_.find(grant.account);
+    const auto* entry = entry_of(grant.account);
+    if (found == tracked_.end() || entry == nullptr || !grant.is_home || !found->second.asked) {
+        return;
+    }
+    auto& state = found->second;
+    const bool believable = grant.part >= 0 && grant.part <= 1 && grant.lease <= settings_.lease_time;
+    if (!believable || grant.home != home(grant.account)) {
+        return;
+    }
+    // The lease counts from the asking: an answer that was long under way, or that waited while this process
+    // was paused, must not be used beyond what the home has noted.
+    state.part = grant.part;
+    state.lease_end = *state.asked + grant.lease;
+    apply_part(now, *entry, state);
+}
+
+auto account_limiter::home(const client_account_id& account) const -> process_id
+{
+    return home_among(gateways_, account);
+}
+
+auto account_limiter::part(instant now, const client_account_id& account) const -> double
+{
+    const auto found = tracked_.find(account);
+    return found == tracked_.end() ? equal_part() : part_of(now, found->second);
+}
+
+auto account_limiter::entry_of(const client_account_id& account) const -> const account_entry*
+{
+    const auto found = accounts_.find(account);
+    return found == accounts_.end() ? nullptr : &found->second;
+}
+
+auto account_limiter::track(instant now, const account_entry& entry) -> tracked&
+{
+    if (tracked_.size() >= settings_.max_accounts && !tracked_.contains(entry.id)) {
+        tracked_.erase(std::min_element(tracked_.begin(), tracked_.end(), [](const auto& a, const auto& b) {
+            return a.second.used < b.second.used;
+        }));
+    }
+    const auto [found, added] = tracked_.try_emplace(entry.id);
+    if (added) {
+        apply_part(now, entry, found->second);
+    }
+    return found->second;
+}
+
+auto account_limiter::equal_part() const -> double
+{
+    return 1.0 / static_cast<double>(configured_);
+}
+
+// Guards against limits that grow when gateways lose each other: it shows as an account that gets its limit
+// once for each part of the partition. Who has no lease uses no more than if all others were there.
+auto account_limiter::part_of(instant now, const tracked& state) const -> double
+{
+    return state.lease_end > now ? state.part : equal_part();
+}
+
+auto account_limiter::rules(instant now, const client_account_id& account) const -> share_rules
+{
+    share_rules rules;
+    rules.lease = settings_.lease_time;
+    rules.equal_part = equal_part();
+    if (2 * gateways_.size() <= configured_) {
+        rules.whole = static_cast<double>(gateways_.size()) * equal_part();
+    }
+    // Views of who is there differ for a while after a change; another ask interval covers that.
+    const bool recent = now - gateways_changed_ < settings_.lease_time + settings_.ask_interval;
+    rules.only_held_parts = recent && home_among(gateways_before_, account) != settings_.self;
+    return rules;
+}
+
+void account_limiter::apply_part(instant now, const account_entry& entry, tracked& state)
+{
+    const auto part = part_of(now, state);
+    state.requests.change(now, entry.requests_per_second * part, settings_.burst);
+    state.tokens.change(now, entry.tokens_per_second * part, settings_.burst);
+}
+
+} // namespace dragonflymill
