Add the demo's load driver

Cause: whether the whole keeps its promises shows only when a caller checks every answer.

Change: `demo` sends a seeded mix of short and very long completions and bookings, each booking twice with the same key, while operators take a failure domain out, bring it back and stop a gateway. It compares each answer with the expected one, reads the stand-ins' ledgers and prints one table; the exit code tells of anything lost, doubled or leaked, or of new work in a domain taken out. Its tests run it against a gateway with faults, so that it is known to notice them.

--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -75,14 +75,14 @@
 
     [[nodiscard]] auto key_of(const http_request& request) -> std::string
     {
-        if (auto key = request.header("idempotency-key"); !key.empty()) {
-            return key;
-        }
         if (const auto body = parse_object(request.body)) {
             if (auto id = text_field(*body, "id"); !id.empty()) {
                 return id;
             }
         }
+        if (auto key = request.header("idempotency-key"); !key.empty()) {
+            return key;
+        }
         return "call-" + std::to_string(++unnamed_);
     }
 
--- /dev/null
+++ b/tests/standins_self/demo_run_test.cpp
@@ -0,0 +1,101 @@
+#include "standins/demo_run.h"
+
+#include "standins/engine_standin.h"
+#include "standins/service_standin.h"
+#include "standins_self/fake_gateway.h"
+#include "standins_self/support_calls.h"
+
+#include <criterion/criterion.h>
+
+using namespace dragonflymill;
+using namespace dragonflymill::standins;
+
+namespace {
+
+/// A small demo against one gateway with a fault.
+auto results_with(gateway_fault fault) -> demo_results
+{
+    const service_standin service({});
+    const fake_gateway gateway(address_of(service), fault);
+    demo_settings settings;
+    settings.gateways = {address_of(gateway)};
+    settings.account_keys = {"key"};
+    settings.services = {address_of(service)};
+    settings.load = {20, 5, 500ms, 50'000, 1};
+    demo_run demo(settings);
+    return demo.run();
+}
+
+} // namespace
+
+Test(demo_run, plan_is_the_same_for_the_same_seed)
+{
+    const load_size size;
+    cr_assert(make_plan(size) == make_plan(size));
+    const auto plan = make_plan(size);
+    cr_assert(plan.completions.size() == 300);
+    const auto is_longest = [](const auto& item) { return item.tokens == 1'000'000; };
+    cr_assert(std::any_of(plan.completions.begin(), plan.completions.end(), is_longest));
+    cr_assert(prompt_text(100, 1) == prompt_text(100, 1));
+    cr_assert(digest_of(prompt_text(100, 1)).tokens == 100);
+}
+
+Test(demo_run, run_without_faults_is_clean)
+{
+    const auto results = results_with(gateway_fault::none);
+    cr_assert(is_clean(results), "%s", report_text(results).c_str());
+    cr_assert(results.completions.size() == 40);
+    cr_assert(results.bookings.size() == 5);
+    cr_assert(results.bookings.front().confirmations == 2);
+    cr_assert(results.bookings.front().executions == 1);
+}
+
+Test(demo_run, refused_request_is_sent_again)
+{
+    const auto results = results_with(gateway_fault::refuses_first);
+    cr_assert(is_clean(results));
+    cr_assert(results.refusals_by_code.at("overload") == 1);
+    cr_assert(results.completions.front().refusals == 1);
+    cr_assert(results.completions.front().end == completion_end::answered);
+}
+
+Test(demo_run, every_kind_of_loss_is_noticed)
+{
+    cr_assert(results_with(gateway_fault::cuts_a_stream).completions.front().end == completion_end::broken);
+    cr_assert(results_with(gateway_fault::skips_a_token).completions.front().end == completion_end::wrong);
+    const auto failed = results_with(gateway_fault::error_in_stream);
+    cr_assert(failed.completions.front().end == completion_end::failed);
+    cr_assert(lost_completions(failed) == 1);
+    cr_assert(!is_clean(failed));
+}
+
+Test(demo_run, doubled_and_lost_bookings_are_noticed)
+{
+    const auto doubled = results_with(gateway_fault::books_twice);
+    cr_assert(doubled_bookings(doubled) == 5);
+    cr_assert(!is_clean(doubled));
+    const auto lost = results_with(gateway_fault::confirms_nothing);
+    cr_assert(lost_bookings(lost) == 5);
+    cr_assert(!is_clean(lost));
+}
+
+Test(demo_run, leaked_memory_and_work_in_a_drained_domain_are_noticed)
+{
+    demo_results results;
+    results.engines = {{"a", 0, 0}, {"b", 10, 0}};
+    cr_assert(!is_clean(results));
+    results.engines[1].memory_used = 0;
+    cr_assert(is_clean(results));
+    results.work_at_drained = 1;
+    cr_assert(!is_clean(results));
+    results.work_at_drained.reset();
+    results.actions_done = false;
+    cr_assert(!is_clean(results));
+}
+
+Test(demo_run, percentile_is_the_nearest_rank)
+{
+    cr_assert(!percentile({}, 50));
+    cr_assert(percentile({3, 1, 2}, 50) == 2);
+    cr_assert(percentile({3, 1, 2}, 99) == 3);
+}
