Split the stand-in engine by duty

Change: what an engine serves and the orders that change it stand in engine_control, what goes over the wire in engine_wire.

Conclusion: no behaviour changed, but that an adapter ordered twice while it loads still shows once.

--- a/tests/standins/engine_model.cpp
+++ b/tests/standins/engine_model.cpp
@@ -7,6 +7,13 @@
 
 namespace {
 
+constexpr unsigned taken = 200;
+constexpr unsigned not_loaded = 404;
+constexpr unsigned held_already = 409;
+constexpr unsigned too_large = 413;
+constexpr unsigned no_memory = 429;
+constexpr unsigned too_much_load = 503;
+
 constexpr std::size_t run_limit = 20'000;
 // An imported span stays at its source; here it takes this share of its size.
 constexpr token_count import_share = 64;
@@ -14,12 +21,6 @@
 constexpr double cold_slowness = 3.0;
 constexpr token_count large_context = 100'000;
 
-template <typename T>
-auto contains(const std::vector<T>& items, const T& item) -> bool
-{
-    return std::find(items.begin(), items.end(), item) != items.end();
-}
-
 auto seconds(double value) -> duration
 {
     return duration(static_cast<std::int64_t>(std::llround(value * 1e6)));
@@ -30,7 +31,7 @@
 engine_model::engine_model(engine_settings settings)
     : settings_(std::move(settings))
     , cache_(settings_.cache_total, settings_.event_lag, settings_.event_loss, settings_.seed)
-    , models_(settings_.models)
+    , control_(settings_.models, settings_.order_time, settings_.honours_fence)
     , start_id_(settings_.seed * 1'000 + 1)
     , warmed_(settings_.starts_cold ? 0 : settings_.warm_after)
 {
@@ -42,13 +43,13 @@
     waiting_events_.clear();
     while (step_end_ && *step_end_ <= now) {
         now_ = *step_end_;
-        finish_orders();
+        control_.advance(now_);
         report_load();
         finish_step(out);
         start_step();
     }
     now_ = std::max(now_, now);
-    finish_orders();
+    control_.advance(now_);
     report_load();
     return out;
 }
@@ -58,31 +59,26 @@
     if (!waiting_events_.empty()) {
         return now_;
     }
-    std::optional<instant> out = step_end_;
-    for (const auto& pending : pending_orders_) {
-        out = out ? std::min(*out, pending.done) : pending.done;
+    const auto loaded = control_.next_wake();
+    if (!step_end_ || !loaded) {
+        return step_end_ ? step_end_ : loaded;
     }
-    return out;
+    return std::min(*step_end_, *loaded);
 }
 
 auto engine_model::refusal_of(const completion_order& order) const -> unsigned
 {
-    constexpr unsigned not_loaded = 404;
-    constexpr unsigned same_attempt = 409;
-    constexpr unsigned too_large = 413;
-    constexpr unsigned no_memory = 429;
-    constexpr unsigned too_much_load = 503;
     if (!up()) {
         return too_much_load;
     }
-    if (!contains(models_, order.model) || (!order.adapter.empty() && !contains(adapters_, order.adapter))) {
+    if (!control_.serves(order.model, order.adapter)) {
         return not_loaded;
     }
     const auto same = [&order](const auto& item) {
         return item.second.order.request_id == order.request_id && item.second.order.attempt == order.attempt;
     };
     if (std::any_of(works_.begin(), works_.end(), same)) {
-        return same_attempt;
+        return held_already;
     }
     const auto need = order.prompt.tokens - imported_tokens(order) + order.max_tokens;
     if (need > settings_.memory_total) {
@@ -91,13 +87,13 @@
     if (memory_used() + need > settings_.memory_total) {
         return no_memory;
     }
-    return works_.size() >= settings_.stream_limit ? too_much_load : 200;
+    return works_.size() >= settings_.stream_limit ? too_much_load : taken;
 }
 
 auto engine_model::submit(const completion_order& order) -> std::pair<unsigned, work_id>
 {
     const auto refusal = refusal_of(order);
-    if (refusal != 200) {
+    if (refusal != taken) {
         return {refusal, 0};
     }
     const auto imported = imported_tokens(order);
@@ -117,7 +113,7 @@
     if (!step_end_) {
         start_step();
     }
-    return {200, id};
+    return {taken, id};
 }
 
 auto engine_model::cancel(const std::string& request_id) -> bool
@@ -145,13 +141,13 @@
     -> std::pair<unsigned, work_id>
 {
     if (!up()) {
-        return {503, 0};
+        return {too_much_load, 0};
     }
     if (spans_.count(span) != 0) {
-        return {409, 0};
+        return {held_already, 0};
     }
     if (memory_used() + tokens > settings_.memory_total) {
-        return {429, 0};
+        return {no_memory, 0};
     }
     work item;
     item.order.request_id = request_id;
@@ -165,20 +161,20 @@
     if (!step_end_) {
         start_step();
     }
-    return {200, id};
+    return {taken, id};
 }
 
 auto engine_model::import_span(const std::string& span, token_count tokens) -> unsigned
 {
     if (!up()) {
-        return 503;
+        return too_much_load;
     }
     const auto memory = (tokens + import_share - 1) / import_share;
     if (spans_.count(span) == 0 && memory_used() + memory > settings_.memory_total) {
-        return 429;
+        return no_memory;
     }
     spans_.try_emplace(span, span_entry{tokens, memory});
-    return 200;
+    return taken;
 }
 
 void engine_model::release_span(const std::string& span)
@@ -191,73 +187,7 @@
 
 auto engine_model::give(const control_order& order) -> unsigned
 {
-    if (!up()) {
-        return 503;
-    }
-    if (settings_.honours_fence) {
-        if (order.fence < fence_) {
-            return 409;
-        }
-        fence_ = order.fence;
-    }
-    orders_.push_back(order);
-    if (order.kind == "load_model" && !contains(models_, order.model) && !contains(loading(), order.model)) {
-        pending_orders_.push_back({now_ + settings_.order_time, order});
-    }
-    else if (order.kind == "load_adapter" && !contains(adapters_, order.adapter)) {
-        pending_orders_.push_back({now_ + settings_.order_time / 10, order});
-    }
-    else if (order.kind != "load_model") {
-        apply(order);
-    }
-    return 200;
-}
-
-void engine_model::apply(const control_order& order)
-{
-    if (order.kind == "load_model" && !contains(models_, order.model)) {
-        models_.push_back(order.model);
-    }
-    else if (order.kind == "unload_model") {
-        fail_load(order.model);
-        models_.erase(std::remove(models_.begin(), models_.end(), order.model), models_.end());
-    }
-    else if (order.kind == "load_adapter" && !contains(adapters_, order.adapter)) {
-        adapters_.push_back(order.adapter);
-    }
-    else if (order.kind == "set_role") {
-        role_ = order.role;
-    }
-}
-
-void engine_model::finish_orders()
-{
-    for (auto it = pending_orders_.begin(); it != pending_orders_.end();) {
-        if (it->done > now_) {
-            ++it;
-            continue;
-        }
-        apply(it->order);
-        it = pending_orders_.erase(it);
-    }
-}
-
-void engine_model::fail_load(const std::string& model)
-{
-    const auto is_load = [&model](const auto& pending) { return pending.order.model == model; };
-    pending_orders_.erase(std::remove_if(pending_orders_.begin(), pending_orders_.end(), is_load),
-                          pending_orders_.end());
-}
-
-auto engine_model::loading() const -> std::vector<std::string>
-{
-    std::vector<std::string> out;
-    for (const auto& pending : pending_orders_) {
-        if (pending.order.kind == "load_model") {
-            out.push_back(pending.order.model);
-        }
-    }
-    return out;
+    return up() ? control_.give(now_, order) : too_much_load;
 }
 
 void engine_model::fall_over()
@@ -271,11 +201,7 @@
     works_.clear();
     spans_.clear();
     cache_.clear();
-    pending_orders_.clear();
-    models_ = settings_.models;
-    adapters_.clear();
-    role_ = "both";
-    fence_ = 0;
+    control_.restart();
     step_end_.reset();
     step_decodes_.clear();
     step_prefills_.clear();
--- a/tests/standins/engine_model.h
+++ b/tests/standins/engine_model.h
@@ -4,6 +4,7 @@
 #include "dragonflymill/core/time.h"
 #include "standins/answer.h"
 #include "standins/block_cache.h"
+#include "standins/engine_control.h"
 
 #include <deque>
 #include <map>
@@ -53,16 +54,6 @@
     std::vector<std::string> kv_imports; ///< Spans imported here that cover a part of the prompt.
 };
 
-/// An order to change what an engine serves.
-struct control_order
-{
-    std::uint64_t fence = 0; ///< Fencing number.
-    std::string kind;        ///< load_model, unload_model, load_adapter or set_role.
-    std::string model;       ///< For the first two.
-    std::string adapter;     ///< For load_adapter.
-    std::string role;        ///< For set_role.
-};
-
 /// Number of a stream or an export inside one engine.
 using work_id = std::uint64_t;
 
@@ -147,9 +138,6 @@
     /// Takes an order: status of the answer.
     [[nodiscard]] auto give(const control_order& order) -> unsigned;
 
-    /// The weights of a model that is being loaded didn't come: the order has no effect.
-    void fail_load(const std::string& model);
-
     /// Loses everything and starts again, cold.
     void fall_over();
     /// Becomes cold without a restart. What it holds runs on; new work beyond what it can carry makes it fall
@@ -162,16 +150,10 @@
     [[nodiscard]] auto cold() const -> bool { return warmed_ < settings_.warm_after; }
     /// Changes with each start.
     [[nodiscard]] auto start_id() const -> std::uint64_t { return start_id_; }
-    /// Highest fencing number it reports.
-    [[nodiscard]] auto fence() const -> std::uint64_t { return fence_; }
-    /// Its role: both, prefill or decode.
-    [[nodiscard]] auto role() const -> const std::string& { return role_; }
-    /// Loaded models.
-    [[nodiscard]] auto models() const -> const std::vector<std::string>& { return models_; }
-    /// Models that are being loaded.
-    [[nodiscard]] auto loading() const -> std::vector<std::string>;
-    /// Loaded adapters.
-    [[nodiscard]] auto adapters() const -> const std::vector<std::string>& { return adapters_; }
+    /// What it serves.
+    [[nodiscard]] auto control() const -> const engine_control& { return control_; }
+    /// What it serves.
+    [[nodiscard]] auto control() -> engine_control& { return control_; }
     /// Time up to which it worked.
     [[nodiscard]] auto now() const -> instant { return now_; }
     /// Lagging load report.
@@ -186,8 +168,6 @@
     [[nodiscard]] auto runs() const -> const std::deque<run_entry>& { return runs_; }
     /// How often it fell over from overload while cold.
     [[nodiscard]] auto falls() const -> std::uint64_t { return falls_; }
-    /// Orders that it carried out, in order.
-    [[nodiscard]] auto orders() const -> const std::vector<control_order>& { return orders_; }
     /// How it was set up.
     [[nodiscard]] auto settings() const -> const engine_settings& { return settings_; }
 
@@ -205,19 +185,11 @@
         bool detached = false;
         bool ended = false; // detached, decoded to the end, still held
     };
-    struct pending_load
-    {
-        instant done;
-        control_order order;
-    };
-
     void start_step();
     void finish_step(std::vector<engine_event>& out);
     void decode(work_id id, work& item, std::vector<engine_event>& out);
     void end(work_id id, const std::string& reason, std::vector<engine_event>& out);
     void plan_prefill();
-    void finish_orders();
-    void apply(const control_order& order);
     void report_load();
     void check_cold_limit();
     void warm_up(token_count tokens);
@@ -241,6 +213,7 @@
 
     engine_settings settings_;
     block_cache cache_;
+    engine_control control_;
     instant now_{};
     instant down_until_{};
     std::optional<instant> step_end_;
@@ -248,11 +221,6 @@
     std::vector<prefill_share> step_prefills_;
     std::map<work_id, work> works_;
     std::map<std::string, span_entry> spans_;
-    std::vector<pending_load> pending_orders_;
-    std::vector<std::string> models_;
-    std::vector<std::string> adapters_;
-    std::string role_ = "both";
-    std::uint64_t fence_ = 0;
     std::uint64_t start_id_ = 0;
     std::uint64_t falls_ = 0;
     work_id last_work_ = 0;
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -1,5 +1,6 @@
 #include "standins/engine_standin.h"
 
+#include "standins/engine_wire.h"
 #include "standins/http_client.h"
 #include "standins/http_server.h"
 #include "standins/json_fields.h"
@@ -7,90 +8,12 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
-#include <cstdio>
 #include <optional>
 
 namespace dragonflymill::standins {
 
 namespace json = boost::json;
 
-namespace {
-
-auto hex(std::uint64_t value) -> std::string
-{
-    std::string out(16, '0');
-    std::snprintf(out.data(), out.size() + 1, "%016llx", static_cast<unsigned long long>(value));
-    return out;
-}
-
-auto names(const std::vector<std::string>& items) -> json::array
-{
-    json::array out;
-    for (const auto& item : items) {
-        out.emplace_back(item);
-    }
-    return out;
-}
-
-auto held_list(const engine_model& model) -> json::array
-{
-    json::array out;
-    for (const auto& item : model.held()) {
-        out.push_back({{"id", item.id}, {"kind", item.kind}, {"tokens", item.tokens}});
-    }
-    return out;
-}
-
-auto run_list(const engine_model& model) -> json::array
-{
-    json::array out;
-    for (const auto& run : model.runs()) {
-        out.push_back({{"request_id", run.request_id},
-                       {"attempt", run.attempt},
-                       {"prompt_tokens", run.prompt},
-                       {"prefilled", run.prefilled},
-                       {"decoded", run.decoded},
-                       {"outcome", run.outcome}});
-    }
-    return out;
-}
-
-auto order_list(const engine_model& model) -> json::array
-{
-    json::array out;
-    for (const auto& order : model.orders()) {
-        out.push_back({{"fence", order.fence},
-                       {"order", order.kind},
-                       {"model", order.model},
-                       {"adapter", order.adapter},
-                       {"role", order.role}});
-    }
-    return out;
-}
-
-auto completion_of(const json::object& body) -> completion_order
-{
-    completion_order out;
-    out.request_id = text_field(body, "request_id");
-    out.attempt = static_cast<std::uint64_t>(number_field(body, "attempt", 1));
-    out.model = text_field(body, "model");
-    out.adapter = text_field(body, "adapter");
-    out.priority = static_cast<int>(number_field(body, "priority"));
-    if (const auto* prompt = body.if_contains("prompt"); prompt != nullptr && prompt->is_string()) {
-        out.prompt = digest_of({prompt->get_string().data(), prompt->get_string().size()});
-    }
-    out.max_tokens = number_field(body, "max_tokens", 16);
-    out.resume_offset = number_field(body, "resume_offset");
-    if (const auto* imports = body.if_contains("kv_imports"); imports != nullptr && imports->is_array()) {
-        for (const auto& span : imports->get_array()) {
-            out.kv_imports.emplace_back(span.is_string() ? std::string(span.get_string()) : std::string());
-        }
-    }
-    return out;
-}
-
-} // namespace
-
 class engine_standin::state
 {
 public:
@@ -167,10 +90,10 @@
             exchange.send(200, json::serialize(json::object{{"held", held}}));
         }
         else if (request.path == "/v1/state") {
-            exchange.send(200, json::serialize(state_answer()));
+            exchange.send(200, json::serialize(state_of(model_, settings_.time_scale)));
         }
         else if (request.path == "/v1/cache_events") {
-            exchange.send(200, json::serialize(event_answer(request.parameter("after"))));
+            exchange.send(200, json::serialize(events_of(model_, request.parameter("after"))));
         }
         else if (request.path.rfind("/v1/kv/", 0) == 0) {
             span_call(request.path, *body, exchange);
@@ -179,7 +102,7 @@
             take_order(*body, exchange);
         }
         else if (request.path == "/_ledger") {
-            exchange.send(200, json::serialize(ledger()));
+            exchange.send(200, json::serialize(ledger_of(model_, settings_.name)));
         }
         else if (request.path == "/_fault") {
             exchange.send(200, "{}");
@@ -244,17 +167,12 @@
 
     void take_order(const json::object& body, const http_exchange& exchange)
     {
-        control_order order;
-        order.fence = static_cast<std::uint64_t>(number_field(body, "fence"));
-        order.kind = text_field(body, "order");
-        order.model = text_field(body, "model");
-        order.adapter = text_field(body, "adapter");
-        order.role = text_field(body, "role");
+        const auto order = control_of(body);
         const auto status = model_.give(order);
         if (status == 200 && order.kind == "load_model" && !settings_.weight_store.empty()) {
             fetch_weights(order.model);
         }
-        exchange.send(status, json::serialize(json::object{{"fence", model_.fence()}}));
+        exchange.send(status, json::serialize(json::object{{"fence", model_.control().fence()}}));
     }
 
     void fetch_weights(const std::string& model)
@@ -265,50 +183,11 @@
             thread_.io(), call, [](std::string_view) {},
             [this, model](const http_answer& answer) {
                 if (answer.status != 200 || !answer.failure.empty()) {
-                    model_.fail_load(model);
+                    model_.control().fail_load(model);
                 }
             });
     }
 
-    [[nodiscard]] auto state_answer() const -> json::object
-    {
-        const auto& load = model_.reported_load();
-        const json::object shown{{"running", load.running},
-                                 {"queued_prefill", load.queued_prefill},
-                                 {"memory_used", load.memory_used},
-                                 {"memory_total", model_.settings().memory_total},
-                                 {"age_us", real_length(model_.now() - load.taken).count()}};
-        return {{"start", model_.start_id()},
-                {"models", names(model_.models())},
-                {"loading", names(model_.loading())},
-                {"adapters", names(model_.adapters())},
-                {"role", model_.role()},
-                {"fence", model_.fence()},
-                {"cold", model_.cold()},
-                {"load", shown},
-                {"held", held_list(model_)}};
-    }
-
-    [[nodiscard]] auto event_answer(const std::string& after) const -> json::object
-    {
-        json::array events;
-        for (const auto& event : model_.cache_events(std::strtoull(after.c_str(), nullptr, 10))) {
-            events.push_back({{"sequence", event.sequence},
-                              {"type", event.stored ? "stored" : "removed"},
-                              {"block", hex(event.block)},
-                              {"tokens", cache_block_tokens}});
-        }
-        return {{"start", model_.start_id()}, {"events", events}};
-    }
-
-    [[nodiscard]] auto ledger() const -> json::object
-    {
-        return {{"name", settings_.name},      {"start", model_.start_id()},
-                {"falls", model_.falls()},     {"memory_used", model_.memory_used()},
-                {"held", held_list(model_)},   {"runs", run_list(model_)},
-                {"orders", order_list(model_)}};
-    }
-
     void inject(const json::object& fault)
     {
         if (flag_field(fault, "go_silent")) {
@@ -390,12 +269,7 @@
             return;
         }
         --open.drop_after;
-        const json::object data{{"type", "token"},
-                                {"request_id", open.request_id},
-                                {"attempt", open.attempt},
-                                {"offset", event.offset},
-                                {"text", event.text}};
-        open.exchange.write("data: " + json::serialize(data) + "\n\n");
+        open.exchange.write(stream_event(event, open.request_id, open.attempt));
     }
 
     static void send_end(const engine_event& event, const open_work& open)
@@ -404,12 +278,7 @@
             open.exchange.send(409, error_body("cancelled"));
             return;
         }
-        const json::object data{{"type", "end"},
-                                {"request_id", open.request_id},
-                                {"attempt", open.attempt},
-                                {"tokens", event.offset},
-                                {"finish_reason", event.text}};
-        open.exchange.write("data: " + json::serialize(data) + "\n\n");
+        open.exchange.write(stream_event(event, open.request_id, open.attempt));
         open.exchange.end_stream();
     }
 
--- a/tests/standins_self/engine_model_test.cpp
+++ b/tests/standins_self/engine_model_test.cpp
@@ -230,9 +230,9 @@
         engine_model model(settings);
         cr_assert(model.give({7, "load_model", "n", {}, {}}) == 200);
         cr_assert(model.give({6, "load_model", "o", {}, {}}) == (honours ? 409 : 200));
-        cr_assert(model.models().size() == 1, "a load takes time");
+        cr_assert(model.control().models().size() == 1, "a load takes time");
         (void)model.advance(instant(3s));
-        cr_assert(model.models().size() == (honours ? 2 : 3));
+        cr_assert(model.control().models().size() == (honours ? 2 : 3));
     }
 }
 
