Let the demo's driver wait for ready gateways and find free ports

Cause: a run that begins before the gateways are ready measures the start, and a bundle names ports before anything listens.

Conclusion: a script can lay out the whole fleet before it starts it.

--- a/tests/standins/demo_main.cpp
+++ b/tests/standins/demo_main.cpp
@@ -1,5 +1,7 @@
 #include "standins/demo_run.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
@@ -21,6 +23,7 @@
         "Exit code 0: nothing lost, doubled or leaked; 1: something was; 2: wrong use");
     auto add = out.add_options();
     add("help", "show this");
+    add("print-free-ports", options::value<int>(), "print that many free ports and exit");
     add("gateway", options::value<words>()->composing(),
         "IP:PORT of a gateway, repeatable; the last is stopped");
     add("stop-pid", options::value<int>()->default_value(0), "process id of the last gateway, gets SIGTERM");
@@ -65,12 +68,27 @@
     return out;
 }
 
+/// All are held until the last is found, so that they differ.
+void print_free_ports(int count)
+{
+    boost::asio::io_context io;
+    std::vector<boost::asio::ip::tcp::acceptor> held;
+    for (int i = 0; i < count; ++i) {
+        held.emplace_back(io, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        std::printf("%u\n", held.back().local_endpoint().port());
+    }
+}
+
 auto run(int argc, char** argv) -> int
 {
     const auto description = describe();
     options::variables_map given;
     options::store(options::parse_command_line(argc, argv, description), given);
     options::notify(given);
+    if (given.count("print-free-ports") != 0) {
+        print_free_ports(given["print-free-ports"].as<int>());
+        return 0;
+    }
     const auto settings = settings_of(given);
     if (given.count("help") != 0 || settings.gateways.empty() || settings.account_keys.empty()) {
         std::cout << description;
--- a/tests/standins/demo_run.cpp
+++ b/tests/standins/demo_run.cpp
@@ -68,6 +68,11 @@
 
 auto demo_run::run() -> demo_results
 {
+    if (!wait_until_ready()) {
+        say("a gateway did not become ready");
+        results_.actions_done = false;
+        return results_;
+    }
     const auto begin = std::chrono::steady_clock::now();
     say("short requests alone");
     send_alone(0);
@@ -82,6 +87,20 @@
     return results_;
 }
 
+auto demo_run::wait_until_ready() const -> bool
+{
+    const auto end = std::chrono::steady_clock::now() + settings_.ready_limit;
+    for (const auto& gateway : settings_.gateways) {
+        while (call_and_wait({gateway, "GET", "/readyz"}).status != 200) {
+            if (std::chrono::steady_clock::now() >= end) {
+                return false;
+            }
+            std::this_thread::sleep_for(poll_step);
+        }
+    }
+    return true;
+}
+
 void demo_run::send_alone(std::size_t number)
 {
     if (number == alone_.size()) {
--- a/tests/standins/demo_run.h
+++ b/tests/standins/demo_run.h
@@ -26,6 +26,7 @@
     std::string back_command;                 ///< Brings it back.
     duration grace = 3s;                      ///< Time in which new work may still reach a domain taken out.
     duration balancer_lag = 500ms;            ///< Time in which a stopping gateway still gets requests.
+    duration ready_limit = 20s;               ///< Time for gateways to become ready.
     duration settle = 10s;                    ///< Time for engines to let go of everything.
     load_size load;                           ///< How much.
 };
@@ -44,6 +45,7 @@
     [[nodiscard]] auto run() -> demo_results;
 
 private:
+    [[nodiscard]] auto wait_until_ready() const -> bool;
     void send_alone(std::size_t number);
     void begin_mix();
     void send(const std::shared_ptr<const prepared_completion>& prepared);
--- a/tests/standins_self/fake_gateway.h
+++ b/tests/standins_self/fake_gateway.h
@@ -54,6 +54,10 @@
 private:
     void answer(const http_request& request, const http_exchange& exchange)
     {
+        if (request.path == "/readyz") {
+            exchange.send(200, "{}");
+            return;
+        }
         const bool first = !std::exchange(called_, true);
         if (first && fault_ == gateway_fault::refuses_first) {
             exchange.send(503, R"({"error":{"code":"overload","ran":"no","retry_after_ms":10}})");
