Add the command line: bundles from source to two signatures, settings, time line

Cause: operators make, compare and sign bundles by hand today. Change: subcommands bundle new|check|diff|key|sign|verify, settings, timeline and version, each with help, examples and documented exit codes; a signed bundle is one file of manifest and sections.

--- /dev/null
+++ b/src/app/program.cpp
@@ -0,0 +1,36 @@
+#include "app/program.h"
+
+#include "app/command_bundle.h"
+#include "app/command_settings.h"
+#include "app/command_timeline.h"
+#include "app/command_version.h"
+
+#include <array>
+
+namespace dragonflymill::app {
+
+namespace {
+
+constexpr auto commands = std::to_array<command>({
+    {"bundle", "makes, checks, compares and signs configuration bundles", run_bundle},
+    {"settings", "prints a settings file to start from", run_settings},
+    {"timeline", "merges the time lines of many processes", run_timeline},
+    {"version", "prints the version", run_version},
+});
+
+} // namespace
+
+auto program_commands() -> std::span<const command>
+{
+    return commands;
+}
+
+auto run_program(const arguments& words, command_io& io) -> exit_code
+{
+    if (!words.empty() && words.front() == "--version") {
+        return run_version({}, io);
+    }
+    return run_command("dragonflymill", commands, words, io);
+}
+
+} // namespace dragonflymill::app
--- /dev/null
+++ b/src/app/text_file.cpp
@@ -0,0 +1,53 @@
+#include "app/text_file.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace dragonflymill::app {
+
+namespace {
+
+constexpr int shared_mode = 0666;
+constexpr int owner_mode = 0600;
+
+auto failed_at(const std::string& path) -> error
+{
+    const int reason = errno;
+    return {error_kind::unavailable, "can't write " + path + ": " + std::strerror(reason),
+            reason == EEXIST ? "choose another name; a key is never overwritten"
+                             : "check the folder and the right to write there"};
+}
+
+auto write_all(int descriptor, std::string_view text) -> bool
+{
+    while (!text.empty()) {
+        const ssize_t written = write(descriptor, text.data(), text.size());
+        if (written < 0) {
+            return false;
+        }
+        text.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+}
+
+} // namespace
+
+auto write_file(const std::string& path, std::string_view text, file_access access) -> result<void>
+{
+    const bool secret = access == file_access::owner_only;
+    // A key that replaced another one would leave bundles that nobody can sign any more.
+    const int flags = O_WRONLY | O_CREAT | O_CLOEXEC | (secret ? O_EXCL : O_TRUNC);
+    const int descriptor = open(path.c_str(), flags, secret ? owner_mode : shared_mode);
+    if (descriptor < 0) {
+        return failed_at(path);
+    }
+    const bool written = write_all(descriptor, text);
+    if (!written || close(descriptor) != 0) {
+        return failed_at(path);
+    }
+    return success();
+}
+
+} // namespace dragonflymill::app
