--- a/tests/admission/permit_gate_fixture.h
+++ b/tests/admission/permit_gate_fixture.h
@@ -2,17 +2,13 @@
 
 #include "dragonflymill/admission/permit_gate.h"
 
+#include "support/virtual_time.h"
+
 #include <optional>
 #include <string>
 
 namespace dragonflymill::test {
 
-/// A moment of a test's virtual clock.
-inline auto at(duration since) -> instant
-{
-    return instant(since);
-}
-
 /// Settings of the tests' gate: 1,000 when cold, 10,000 when warm, 30 ms to the first token of 1,000 tokens.
 inline auto gate_options() -> permit_gate_options
 {
--- a/tests/lease/lease_table_test.cpp
+++ b/tests/lease/lease_table_test.cpp
@@ -2,16 +2,13 @@
 #include "dragonflymill/lease/own_lease.h"
 
 #include "support/fault_cell.h"
+#include "support/virtual_time.h"
 
 using namespace dragonflymill;
+using dragonflymill::test::at;
 
 namespace {
 
-auto at(duration since) -> instant
-{
-    return instant(since);
-}
-
 auto stream(const std::string& id) -> holding
 {
     return {{false, id}, holding_kind::stream, 100};
--- a/tests/once/once_fixture.h
+++ b/tests/once/once_fixture.h
@@ -2,18 +2,14 @@
 
 #include "dragonflymill/once/once_ledger.h"
 
+#include "support/virtual_time.h"
+
 #include <cstdint>
 #include <cstdio>
 #include <string>
 
 namespace dragonflymill::test {
 
-/// A moment of a test's virtual clock.
-inline auto at(duration since) -> instant
-{
-    return instant(since);
-}
-
 /// Civil time at the start of the virtual clock.
 inline constexpr wall_instant wall_start{std::chrono::seconds(1'700'000'000)};
 
--- a/tests/order/order_keeper_test.cpp
+++ b/tests/order/order_keeper_test.cpp
@@ -1,16 +1,13 @@
 #include "dragonflymill/order/order_keeper.h"
 
 #include "support/fault_cell.h"
+#include "support/virtual_time.h"
 
 using namespace dragonflymill;
+using dragonflymill::test::at;
 
 namespace {
 
-auto at(duration since) -> instant
-{
-    return instant(since);
-}
-
 const model_id old_model("m-1");
 const model_id new_model("m-2");
 constexpr std::uint32_t start = 1'000;
