Tell a cold upstream from the long tail of a healthy one

Cause: one first token beyond the cold limit sent a warm upstream to its floor, so that a service with one slow answer in a hundred spent its time warming up.

Change: cold_sign_counter weighs cold first tokens against the warm ones of the last moment. A restart, the upstream's own word, a step in its queue and a refusal for load are signs by themselves, as before.

--- a/include/dragonflymill/admission/permit_gate.h
+++ b/include/dragonflymill/admission/permit_gate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflymill/admission/cold_sign_counter.h"
 #include "dragonflymill/admission/cold_start_ramp.h"
 #include "dragonflymill/admission/first_token_model.h"
 #include "dragonflymill/admission/load_step_detector.h"
@@ -24,6 +25,7 @@
 {
     cold_start_options ramp;         ///< Floor, ceiling and steps of the cold start.
     first_token_options first_token; ///< How first-token times are judged.
+    cold_sign_options cold_sign;     ///< How many slow first tokens are a cold sign.
     load_step_options load_step;     ///< How load reports are judged.
     /// Share of what is allowed that no other class may take, by class: short requests always find room.
     std::array<double, length_class_count> reserved{0.15, 0.05, 0.0, 0.0};
@@ -193,6 +195,7 @@
     void end_unbegun(permit_end why);
     void remove(entries::iterator held);
     void turned_cold(instant now);
+    void first_token_was(instant now, first_token_verdict verdict);
     void measure(instant now, entry& held);
     void credit(instant now, const entry& held);
 
@@ -200,6 +203,7 @@
     std::uint64_t seed_;
     cold_start_ramp ramp_;
     first_token_model model_;
+    cold_sign_counter cold_signs_;
     load_step_detector load_step_;
     entries permits_;
     std::set<std::pair<instant, lease_id>> ends_;
--- a/src/admission/permit_gate.cpp
+++ b/src/admission/permit_gate.cpp
@@ -35,6 +35,7 @@
     , seed_(seed)
     , ramp_(now, options.ramp)
     , model_(options.first_token)
+    , cold_signs_(options.cold_sign)
     , load_step_(options.load_step)
     , refusal_window_(now)
 {
@@ -130,11 +131,17 @@
     const bool settled = ramp_.warm() || now - ramp_.cold_since() >= model_.options().relearn_after;
     const auto which = settled ? first_token_learning::every : first_token_learning::faster_only;
     model_.learn(now, held.request.prefill, elapsed, which);
-    if (verdict == first_token_verdict::cold) {
+    if (verdict != first_token_verdict::cold) {
+        credit(now, held);
+    }
+    first_token_was(now, verdict);
+}
+
+void permit_gate::first_token_was(instant now, first_token_verdict verdict)
+{
+    if (cold_signs_.count(now, verdict)) {
         turned_cold(now);
-        return;
     }
-    credit(now, held);
 }
 
 void permit_gate::credit(instant now, const entry& held)
@@ -185,6 +192,7 @@
 {
     ramp_.fall(now);
     load_step_.forget();
+    cold_signs_.forget();
     if (outstanding_ > ramp_.allowed()) {
         end_unbegun(permit_end::turned_cold);
     }
@@ -263,7 +271,7 @@
 {
     // Guarded failure: an upstream that turned cold answers nothing at all, so no slow first token is ever
     // measured. The wait itself is the sign; each request gives it once.
-    bool overdue = false;
+    std::uint32_t overdue = 0;
     for (auto& [lease, held] : permits_) {
         if (!held.began || held.answered) {
             continue;
@@ -272,11 +280,11 @@
         const auto limit = model_.overdue_after(held.request.prefill, leniency);
         if (limit && now - *held.began > *limit) {
             held.answered = true;
-            overdue = true;
+            ++overdue;
         }
     }
-    if (overdue) {
-        turned_cold(now);
+    for (; overdue > 0; --overdue) {
+        first_token_was(now, first_token_verdict::cold);
     }
 }
 
--- a/tests/admission/permit_faults_test.cpp
+++ b/tests/admission/permit_faults_test.cpp
@@ -225,12 +225,14 @@
 
 FAULT_CELL_MORE(request_dispatch, upstream_cold, answers_nothing)
 {
-    // A cold upstream takes a request and answers nothing. No first token is ever measured; the wait itself
+    // A cold upstream takes requests and answers nothing. No first token is ever measured; the wait itself
     // closes the gate.
     permit_gate gate(at(0s), gate_options());
     const instant now = warm_up(gate, at(0s));
-    const auto lease = granted(gate, now, ask_of("g", 1'000));
-    cr_assert(gate.begin(now, *lease));
+    for (int i = 0; i < 3; ++i) {
+        const auto lease = granted(gate, now, ask_of("g", 1'000));
+        cr_assert(gate.begin(now, *lease));
+    }
     cr_assert(gate.tick(now + 100ms).empty());
     cr_assert(gate.ramp().warm());
     cr_assert(gate.tick(now + 900ms).empty());
--- a/tests/admission/permit_gate_test.cpp
+++ b/tests/admission/permit_gate_test.cpp
@@ -107,6 +107,28 @@
     cr_assert(gate.over_allowance() == std::vector<lease_id>{*bulk});
 }
 
+Test(permit_gate, a_slow_answer_among_quick_ones_is_no_cold_sign_and_three_are)
+{
+    permit_gate gate(at(0s), gate_options());
+    instant now = warm_up(gate, at(0s));
+    const auto answer_after = [&](duration time) {
+        const auto lease = granted(gate, now, ask_of("g", 100));
+        cr_assert(gate.begin(now, *lease));
+        now += time;
+        gate.first_token(now, *lease);
+        gate.done(now, *lease, work_outcome::success);
+    };
+    for (int i = 0; i < 10; ++i) {
+        answer_after(900ms);
+        answer_after(10ms);
+    }
+    cr_assert(gate.ramp().warm());
+    for (int i = 0; i < 3; ++i) {
+        answer_after(900ms);
+    }
+    cr_assert(!gate.ramp().warm());
+}
+
 Test(first_token_model, line_is_learned_from_a_warm_upstream_and_judges)
 {
     first_token_model model({});
