--- a/src/once/once_ledger.cpp
+++ b/src/once/once_ledger.cpp
@@ -270,8 +270,11 @@
         return;
     }
     entry& held = found->second;
+    if (held.state == call_state::answered) {
+        return; // the first answer is the one that other tries may have been given
+    }
     const bool awaited = held.state == call_state::sent || held.state == call_state::broken;
-    DRAGONFLYMILL_ASSERT(awaited, "only what was sent and not yet answered gets an answer");
+    DRAGONFLYMILL_ASSERT(awaited, "only what was sent gets an answer");
     if (size_of(answer) > options_.max_answer_bytes) {
         answer = {answer.status, {}, {}, false};
     }
--- a/tests/lease/lease_table_test.cpp
+++ b/tests/lease/lease_table_test.cpp
@@ -277,3 +277,46 @@
     successor.owner_gone(at(1s), gateway);
     cr_assert(!ticks(successor, 0s, 11s).cancels.empty());
 }
+
+FAULT_CELL(request_cancel, upstream_cold)
+{
+    // The engine restarts while cancels are pending. There is nothing left to cancel, and the new start gets
+    // none of the old one's.
+    lease_table table({}, 1);
+    table.reconcile(at(0s), {at(0s), incarnation(1), {}});
+    table.release(at(1s), table.hold(at(0s), gateway, stream("r1")).value().lease);
+    table.reconcile(at(2s), {at(2s), incarnation(2), {}});
+    cr_assert(table.cancelling() == 0);
+    cr_assert(ticks(table, 2s, 10s).cancels.empty());
+}
+
+FAULT_CELL(request_cancel, paused_wakes_late)
+{
+    // The sidecar is paused with a cancel pending, and goes on with it when it wakes.
+    lease_table table({}, 1);
+    table.release(at(0s), table.hold(at(0s), gateway, stream("r1")).value().lease);
+    cr_assert(table.tick(at(0s)).cancels.size() == 1);
+    cr_assert(table.tick(at(600s)).cancels.size() == 1);
+}
+
+FAULT_CELL(gang_release, paused_wakes_late)
+{
+    // A gateway is paused with a gang's share and wakes when its lease is over. It can't renew the share: the
+    // rest of its gang is gone as well.
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, span("share")).value();
+    cr_assert(!ticks(table, 0s, 10s).cancels.empty());
+    cr_assert(!table.renew(at(10s), lease.lease));
+}
+
+FAULT_CELL(gang_release, message_doubled)
+{
+    // The wish to release arrives twice. One cancel is pending, at its own pace.
+    lease_table table({}, 1);
+    const holding_lease lease = table.hold(at(0s), gateway, span("share")).value();
+    table.release(at(0s), lease.lease);
+    cr_assert(table.tick(at(0s)).cancels.size() == 1);
+    table.release(at(10ms), lease.lease);
+    cr_assert(table.tick(at(10ms)).cancels.empty());
+    cr_assert(table.cancelling() == 1);
+}
--- a/tests/once/once_faults_test.cpp
+++ b/tests/once/once_faults_test.cpp
@@ -332,3 +332,75 @@
     successor.renew_own_lease(at(5'000s));
     cr_assert(successor.submit(at(705s), by_key("order-17")) == unknown(unknown_reason::maybe_earlier));
 }
+
+FAULT_CELL(ticket_issue, message_doubled)
+{
+    // The wish for a ticket arrives twice and two are issued. They are two calls; the caller uses one.
+    once_ledger ledger(ledger_options(1));
+    const std::string one = mint(ledger, at(0s));
+    const std::string other = mint(ledger, at(0s));
+    cr_assert(one != other);
+    cr_assert(send(ledger, at(1s), by_ticket(one)));
+    cr_assert(ledger.status(at(1s), by_ticket(other)) == once_outcome(once_pending{}));
+}
+
+FAULT_CELL(ticket_issue, paused_wakes_late)
+{
+    // The sidecar is paused for a minute right after it issued a ticket. The caller submitted it in time, and
+    // that waits in the sidecar's socket: it runs, once, when the sidecar wakes.
+    once_ledger_options options = ledger_options(1);
+    options.own_pause = 1s;
+    once_ledger ledger(options);
+    const once_call call = by_ticket(mint(ledger, at(0s)));
+    cr_assert(send(ledger, at(60s), call));
+    cr_assert(!send(ledger, at(60s), call));
+}
+
+FAULT_CELL(ticket_send, partition_one_way)
+{
+    // Submissions reach the sidecar and nothing comes back. The caller's tries through two gateways join the
+    // one that runs.
+    once_ledger ledger(ledger_options(1));
+    const once_call call = by_ticket(mint(ledger, at(0s)));
+    cr_assert(send(ledger, at(1s), call));
+    cr_assert(std::holds_alternative<once_join>(ledger.submit(at(2s), call)));
+    cr_assert(std::holds_alternative<once_join>(ledger.submit(at(3s), call)));
+}
+
+FAULT_CELL(ticket_answer, message_doubled)
+{
+    // The service's answer is handed over twice. Later tries get the first one, as earlier ones did.
+    once_ledger ledger(ledger_options(1));
+    const once_call call = by_ticket(mint(ledger, at(0s)));
+    const call_serial serial = run_serial(ledger.submit(at(1s), call));
+    cr_assert(ledger.sending(at(1s), serial));
+    ledger.answered(at(2s), serial, booked);
+    ledger.answered(at(3s), serial, {500, "", "", true});
+    cr_assert(ledger.submit(at(4s), call) == once_outcome(once_replay{booked}));
+}
+
+FAULT_CELL(ticket_answer, message_late)
+{
+    // The service answers after the call was given up and forgotten. The answer is dropped, and the call is
+    // still not run again.
+    once_ledger ledger(ledger_options(1));
+    const once_call call = by_ticket(mint(ledger, at(0s)));
+    const call_serial serial = run_serial(ledger.submit(at(1s), call));
+    cr_assert(ledger.sending(at(1s), serial));
+    ledger.broken(at(5s), serial);
+    ledger.tick(at(700s));
+    ledger.answered(at(701s), serial, booked);
+    cr_assert(ledger.submit(at(702s), call) == unknown(unknown_reason::forgotten));
+}
+
+FAULT_CELL(ticket_status, message_doubled)
+{
+    // The look-up comes twice. It records nothing, so the call can still be submitted.
+    once_ledger ledger(ledger_options(1));
+    ledger.renew_own_lease(at(1'000s));
+    const once_call call = by_key(timed_key(60s, 1));
+    cr_assert(ledger.status(at(61s), call) == once_outcome(once_pending{}));
+    cr_assert(ledger.status(at(61s), call) == once_outcome(once_pending{}));
+    cr_assert(ledger.size() == 0);
+    cr_assert(send(ledger, at(62s), call));
+}
