Name the daemons on the command line and run the whole path

Cause: the thin path has to be run as a user would run it. Change: `gateway` and `sidecar` read their settings, name every mistake and run; the seal's key is a required setting.

--- a/src/app/exit_code.h
+++ b/src/app/exit_code.h
@@ -13,6 +13,7 @@
     invalid = 3,     ///< A settings file, bundle, key or time line has mistakes.
     unreachable = 4, ///< A file or process that is needed can't be reached.
     refused = 5,     ///< The other side, or a signature check, said no.
+    superseded = 6,  ///< A sidecar was paused for longer than its lease: start it anew.
 };
 
 /// The exit code for an error that ends a command.
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -1,6 +1,7 @@
 #include "app/program.h"
 
 #include "app/command_bundle.h"
+#include "app/command_daemon.h"
 #include "app/command_settings.h"
 #include "app/command_timeline.h"
 #include "app/command_version.h"
@@ -13,7 +14,9 @@
 
 constexpr auto commands = std::to_array<command>({
     {"bundle", "makes, checks, compares and signs configuration bundles", run_bundle},
+    {"gateway", "runs a gateway", run_gateway_command},
     {"settings", "prints a settings file to start from", run_settings},
+    {"sidecar", "runs a sidecar", run_sidecar_command},
     {"timeline", "merges the time lines of many processes", run_timeline},
     {"version", "prints the version", run_version},
 });
--- a/src/gateway/caller_gate.cpp
+++ b/src/gateway/caller_gate.cpp
@@ -41,16 +41,16 @@
         return rejection(id, 404, "unknown_model", "name one of the models of GET /v1/models");
     }
     const bool adapter_known =
-        asked.adapter.empty() || std::count(model->adapters.begin(), model->adapters.end(),
-                                            adapter_id(asked.adapter)) != 0;
+        asked.adapter.empty() ||
+        std::count(model->adapters.begin(), model->adapters.end(), adapter_id(asked.adapter)) != 0;
     if (!adapter_known) {
         return rejection(id, 404, "unknown_adapter", "name one of the model's adapters, see GET /v1/models");
     }
     const auto tokens = estimate_tokens(asked.prompt.size());
     if (tokens > model->max_prompt_tokens) {
         return rejection(id, 413, "prompt_too_long",
-                         "send at most " + std::to_string(model->max_prompt_tokens) + " tokens; this prompt has about " +
-                             std::to_string(tokens));
+                         "send at most " + std::to_string(model->max_prompt_tokens) +
+                             " tokens; this prompt has about " + std::to_string(tokens));
     }
     return std::nullopt;
 }
@@ -96,7 +96,9 @@
 
 caller_gate::caller_gate(caller_gate_options options, std::function<bool(arrival)> on_arrival,
                          std::function<std::string()> metrics)
-    : options_(std::move(options)), on_arrival_(std::move(on_arrival)), metrics_(std::move(metrics))
+    : options_(std::move(options))
+    , on_arrival_(std::move(on_arrival))
+    , metrics_(std::move(metrics))
 {
 }
 
@@ -133,8 +135,8 @@
     }
     const auto* account = find_account(*current, request.bearer_token());
     if (account == nullptr) {
-        session->respond(session->exchange(),
-                         rejection(id, 401, "unauthorized", "send Authorization: Bearer with the account's key"));
+        session->respond(session->exchange(), rejection(id, 401, "unauthorized",
+                                                        "send Authorization: Bearer with the account's key"));
         return;
     }
     take_for(*account, *current, session, std::move(request), id);
@@ -188,19 +190,21 @@
         take_service(account, current, session, std::move(request), id);
     }
     else {
-        session->respond(session->exchange(),
-                         rejection(id, 404, "unknown_path",
-                                   "use /v1/completions, /v1/models or /v1/services/{route}"));
+        session->respond(
+            session->exchange(),
+            rejection(id, 404, "unknown_path", "use /v1/completions, /v1/models or /v1/services/{route}"));
     }
 }
 
-void caller_gate::take_completion(const account_entry& account, const bundle& current, const session_ptr& session,
-                                  const http::http_request& request, const request_id& id)
+void caller_gate::take_completion(const account_entry& account, const bundle& current,
+                                  const session_ptr& session, const http::http_request& request,
+                                  const request_id& id)
 {
     auto read = read_completion_request(request.body);
     if (!read) {
-        session->respond(session->exchange(), rejection(id, 400, "invalid_request",
-                                                        read.error().message() + "; " + read.error().remedy()));
+        session->respond(
+            session->exchange(),
+            rejection(id, 400, "invalid_request", read.error().message() + "; " + read.error().remedy()));
         return;
     }
     auto& asked = read.value();
@@ -228,8 +232,8 @@
     hand_on(session, {std::move(held), std::move(event)});
 }
 
-void caller_gate::take_service(const account_entry& account, const bundle& current, const session_ptr& session,
-                               http::http_request request, const request_id& id)
+void caller_gate::take_service(const account_entry& account, const bundle& current,
+                               const session_ptr& session, http::http_request request, const request_id& id)
 {
     auto path = split_service_target(request.target);
     const auto* route = find_service(current, path.route);
--- a/src/gateway/caller_gate.h
+++ b/src/gateway/caller_gate.h
@@ -24,17 +24,18 @@
 /// What a gateway's HTTP side needs to know.
 struct caller_gate_options
 {
-    process_id self;             ///< The gateway; part of each request's name.
-    std::uint64_t start = 0;     ///< Number of this start; part of each request's name.
+    process_id self;               ///< The gateway; part of each request's name.
+    std::uint64_t start = 0;       ///< Number of this start; part of each request's name.
     duration longest_limit = 5min; ///< Time limit of requests that name none, and the most they may name.
 };
 
-/// Reads callers' requests: checks them against the bundle in force and hands them on. Runs on the HTTP thread, but
-/// for `adopt`, `set_ready` and `set_stopping`.
+/// Reads callers' requests: checks them against the bundle in force and hands them on. Runs on the HTTP
+/// thread, but for `adopt`, `set_ready` and `set_stopping`.
 class caller_gate
 {
 public:
-    /// Hands arrivals to `on_arrival`, which says false when there is no room; `metrics` gives the metrics' text.
+    /// Hands arrivals to `on_arrival`, which says false when there is no room; `metrics` gives the metrics'
+    /// text.
     caller_gate(caller_gate_options options, std::function<bool(arrival)> on_arrival,
                 std::function<std::string()> metrics);
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -49,11 +49,12 @@
         , timeline_(std::move(timeline))
         , shell_(settings, std::move(ticket_key), timeline_, metrics_,
                  [this] { boost::asio::post(context_, [this] { on_all_done(); }); })
-        , gate_({settings.process.name,
-                 static_cast<std::uint64_t>(runtime::wall_now().time_since_epoch().count()),
-                 settings.timeouts.request},
-                [this](gateway::arrival made) { return shell_.arrived(std::move(made)); },
-                [this] { return metrics_.prometheus_text(); })
+        , gate_(
+              {settings.process.name,
+               static_cast<std::uint64_t>(runtime::wall_now().time_since_epoch().count()),
+               settings.timeouts.request},
+              [this](gateway::arrival made) { return shell_.arrived(std::move(made)); },
+              [this] { return metrics_.prometheus_text(); })
         , server_(http_thread_.context(), limits_of(settings),
                   {[this](const auto& session, http::http_request request) {
                        gate_.take(session, std::move(request));
@@ -111,8 +112,8 @@
 
 void gateway_daemon::on_stop_signal()
 {
-    // The balancer in front learns only from /readyz that no caller should come here: for its lag this process still
-    // accepts, so that no caller meets a closed port.
+    // The balancer in front learns only from /readyz that no caller should come here: for its lag this
+    // process still accepts, so that no caller meets a closed port.
     log_event(event::gateway_stopping);
     gate_.set_stopping(true);
     timer_.expires_after(settings_.drain_lag);
@@ -167,7 +168,8 @@
     if (!log) {
         return fail(log.error());
     }
-    auto timeline = timeline_recorder::start(settings.process.name, settings.timeline.file, settings.timeline.ring);
+    auto timeline =
+        timeline_recorder::start(settings.process.name, settings.timeline.file, settings.timeline.ring);
     if (!timeline) {
         return fail(timeline.error());
     }
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_shell.h"
 
+#include "dragonflymill/core/stable_hash.h"
 #include "gateway/answer_text.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
@@ -31,8 +32,9 @@
 
 } // namespace
 
-gateway_shell::gateway_shell(const gateway_settings& settings, std::string ticket_key, timeline_recorder& timeline,
-                             metrics_registry& metrics, std::function<void()> on_all_done)
+gateway_shell::gateway_shell(const gateway_settings& settings, std::string ticket_key,
+                             timeline_recorder& timeline, metrics_registry& metrics,
+                             std::function<void()> on_all_done)
     : self_(settings.process.name)
     , heartbeat_{settings.heartbeat.interval, settings.heartbeat.misses}
     , timeline_(timeline)
@@ -181,7 +183,8 @@
     timeline_.record_send(held->second.request, "attempt",
                           action.spec.request.text() + "." + std::to_string(action.spec.attempt.value()),
                           action.upstream.text() + " " + to_string(action.reason));
-    link->second->lane(runtime::now(), action.spec.size).open_attempt(action.key, action.spec, held->second.prompt);
+    link->second->lane(runtime::now(), action.spec.size)
+        .open_attempt(action.key, action.spec, held->second.prompt);
 }
 
 void gateway_shell::act(const gateway_output::send_prompt& action)
@@ -209,13 +212,15 @@
 void gateway_shell::act(const gateway_output::call_service& action)
 {
     const auto link = links_.find(action.upstream);
-    const bool sent = link != links_.end() &&
-                      link->second->lane(runtime::now(), length_class::interactive)
-                          .call_service(runtime::now(), action.key, action.wish, action.spec);
-    timeline_.record(action.spec.request, sent ? "service_call" : "service_unreachable", action.upstream.text());
+    const bool sent =
+        link != links_.end() && link->second->lane(runtime::now(), length_class::interactive)
+                                    .call_service(runtime::now(), action.key, action.wish, action.spec);
+    timeline_.record(action.spec.request, sent ? "service_call" : "service_unreachable",
+                     action.upstream.text());
     if (!sent) {
         follow_up(gateway_input::service_refused{
-            action.key, {refusal_code::upstream_gone, ran_state::no, 500ms, "come back after the time given"}});
+            action.key,
+            {refusal_code::upstream_gone, ran_state::no, 500ms, "come back after the time given"}});
     }
 }
 
@@ -226,7 +231,8 @@
         return;
     }
     auto& held = found->second;
-    if (std::exchange(held.answer_tokens, held.answer_tokens + static_cast<token_count>(action.tokens.size())) == 0) {
+    if (std::exchange(held.answer_tokens,
+                      held.answer_tokens + static_cast<token_count>(action.tokens.size())) == 0) {
         count_first_token(held);
     }
     std::string text;
@@ -276,8 +282,9 @@
     auto& held = found->second;
     timeline_.record(held.request, "refused", to_string(action.why.code));
     metrics_.counter(requests_name, {{"answer", to_string(action.why.code)}}).add();
-    log_event(held.stream_open ? event::request_failed : event::request_refused, field("request", held.request),
-              field("code", to_string(action.why.code)), field("ran", to_string(action.why.ran)));
+    log_event(held.stream_open ? event::request_failed : event::request_refused,
+              field("request", held.request), field("code", to_string(action.why.code)),
+              field("ran", to_string(action.why.ran)));
     if (!held.stream_open) {
         respond(action.exchange, refusal_response(held.request, action.why));
         return;
@@ -344,7 +351,7 @@
 {
     timeline_.record(held.request, "first_token", to_string(held.size));
     const auto waited = std::chrono::duration<double>(runtime::now() - held.arrived).count();
-    metrics_.histogram(first_token_name, seconds_layout(), {{"class", to_string(held.size)}}).record(waited);
+    metrics_.histogram(first_token_name, second_buckets, {{"class", to_string(held.size)}}).record(waited);
 }
 
 } // namespace dragonflymill::gateway
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -48,6 +48,7 @@
     gateway_rings rings;          ///< [rings]
     heartbeat_settings heartbeat; ///< [heartbeat]
     duration drain_lag = 5s;      ///< [stop] drain_lag
+    std::string ticket_key_file;  ///< [once] key_file
     log_settings log;             ///< [log]
     timeline_settings timeline;   ///< [timeline]
     control_settings control;     ///< [control]
--- a/src/settings/sidecar_settings.cpp
+++ b/src/settings/sidecar_settings.cpp
@@ -35,8 +35,8 @@
                 target.max_bytes, {mebibyte, 4 * gibibyte});
     schema.time({"once", "retention", "how long the outcome of such a call is remembered"}, target.retention,
                 {1s, std::chrono::hours(24)});
-    schema.path({"once", "key_file", "file with the key that signs tickets; a fresh one if empty"},
-                target.key_file);
+    schema.path({"once", "key_file", "file with the key of the tickets' seal; the same everywhere"},
+                target.key_file, presence::required);
 }
 
 } // namespace
--- a/src/sidecar/sidecar_daemon.cpp
+++ b/src/sidecar/sidecar_daemon.cpp
@@ -20,7 +20,7 @@
 
 constexpr int exit_ok = 0;
 constexpr int exit_failed = 1;
-constexpr int exit_superseded = 3;
+constexpr int exit_superseded = 6;
 constexpr int max_message_bytes = 8 * 1024 * 1024;
 
 auto start_server(const std::string& address, sidecar::gate_service& service, int& port)
