--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -56,14 +56,14 @@
               [this](gateway::arrival made) { return shell_.arrived(std::move(made)); },
               [this] { return metrics_.prometheus_text(); })
         , server_(http_thread_.context(), limits_of(settings),
-                  {[this](const auto& session, http::http_request request) {
+                  {[this](const std::shared_ptr<http::http_session>& session, http::http_request request) {
                        gate_.take(session, std::move(request));
                    },
                    [this](std::uint64_t exchange) { shell_.caller_left(exchange); }})
     {
     }
 
-    auto run(std::shared_ptr<const bundle> in_force) -> int;
+    auto run(const std::shared_ptr<const bundle>& in_force) -> int;
 
 private:
     void on_stop_signal();
@@ -83,7 +83,7 @@
     http::http_server server_;
 };
 
-auto gateway_daemon::run(std::shared_ptr<const bundle> in_force) -> int
+auto gateway_daemon::run(const std::shared_ptr<const bundle>& in_force) -> int
 {
     const auto listening = server_.listen(to_text(settings_.http_listen));
     if (!listening) {
--- a/src/gateway/heartbeat_call.h
+++ b/src/gateway/heartbeat_call.h
@@ -17,10 +17,10 @@
     /// What every answer is handed on with.
     struct identity
     {
-        upstream_id upstream;         ///< The upstream.
-        length_class lane;            ///< Which of its connections.
-        std::uint64_t connection = 0; ///< Number of the connection.
-        process_id gateway;           ///< Who sends.
+        upstream_id upstream;                          ///< The upstream.
+        length_class lane = length_class::interactive; ///< Which of its connections.
+        std::uint64_t connection = 0;                  ///< Number of the connection.
+        process_id gateway;                            ///< Who sends.
     };
 
     /// Opens the call.
