--- a/include/dragonflymill/route/predicted_first_token.h
+++ b/include/dragonflymill/route/predicted_first_token.h
@@ -14,8 +14,11 @@
     duration same_domain{200};        ///< Round trip within the failure domain.
     duration same_region{1'000};      ///< Round trip to another failure domain of the region.
     duration other_region{40'000};    ///< Round trip to another region.
-    double harm_weight = 0.05;        ///< Weight of the time that the prefill costs each running request.
-    double decode_weight = 0.1;       ///< Weight of the time that running requests add to the own decode.
+    double harm_weight = 0.3;         ///< Weight of the time that the prefill costs each running request.
+    double decode_weight = 0.1;       ///< Weight of the time that others add to the own decode.
+    token_count typical_output = 256; ///< Answers are taken to be no longer than this, whatever they may be.
+    double reserved_weight = 12.0;    ///< A longer prompt goes to an upstream reserved for short ones if that
+                                      ///< saves this many times its prefill.
     std::size_t home_blocks = 4;      ///< Blocks of a prompt's beginning that its home is worked out from.
     double home_credit = 0.5;         ///< Part of these blocks that the home is taken to have cached.
     double home_load_bound = 1.25;    ///< A home with more than this times the mean load gets no credit.
@@ -49,10 +52,11 @@
         double cost = 0.0;
     };
 
-    void keep_bulk_apart(const route_request& request);
     void cost_all(instant now, const route_request& request);
     [[nodiscard]] auto cost_of(instant now, const route_request& request, const upstream_record& record,
                                token_count cached) const -> double;
+    [[nodiscard]] auto slower_decode(const route_request& request, const upstream_record& record) const
+        -> double;
     [[nodiscard]] auto distance(const upstream_record& record) const -> duration;
     [[nodiscard]] auto cached_on(const upstream_record& record) const -> token_count;
     [[nodiscard]] auto home_of(const route_request& request) const -> const upstream_record*;
--- a/include/dragonflymill/route/upstream_record.h
+++ b/include/dragonflymill/route/upstream_record.h
@@ -60,9 +60,9 @@
     [[nodiscard]] auto memory_free() const -> token_count;
     /// Whether a cold upstream's ramp has no room for `cost` more.
     [[nodiscard]] auto ramp_full(token_count cost) const -> bool;
-    /// Observed over predicted first-token time, averaged: corrects a load word that lies and a rate that is
-    /// off.
-    [[nodiscard]] auto slowness() const -> double { return slowness_; }
+    /// Observed over predicted first-token time of a class, averaged: corrects a load word that lies and a
+    /// rate that is off. By class, since long prompts that wait for shorter ones say nothing about those.
+    [[nodiscard]] auto slowness(length_class size) const -> double { return slowness_[index_of(size)]; }
     /// Hash of its name, for rendezvous.
     [[nodiscard]] auto name_hash() const -> std::uint64_t { return name_hash_; }
 
@@ -106,7 +106,7 @@
     bool has_load_ = false;
     upstream_load load_;
     instant measured_at_;
-    double slowness_ = 1.0;
+    std::array<double, length_class_count> slowness_{1.0, 1.0, 1.0, 1.0};
     std::vector<own_work> own_;
     class_tokens own_waiting_{};    // own prefill not yet done
     class_tokens own_unreported_{}; // the part of it sent after the load word was measured
--- a/src/route/predicted_first_token.cpp
+++ b/src/route/predicted_first_token.cpp
@@ -40,7 +40,6 @@
         return refuse_route(list_);
     }
     prefixes.lookup(request.blocks, matches_);
-    keep_bulk_apart(request);
     cost_all(now, request);
     const upstream_record* home = home_of(request);
     const bool credit = home != nullptr && home_has_room(*home, request);
@@ -69,19 +68,6 @@
     return choose_route(*best.record, request, best.cached, reason);
 }
 
-void predicted_first_token::keep_bulk_apart(const route_request& request)
-{
-    const token_count prefill = request.prompt_tokens;
-    const auto reserved = [&](const upstream_record* record) {
-        const auto left = std::max<token_count>(1, prefill - cached_on(*record));
-        return !record->description().takes_bulk && class_on(*record, request, left) >= length_class::bulk;
-    };
-    auto& upstreams = list_.upstreams;
-    if (prefill > medium_limit && !std::all_of(upstreams.begin(), upstreams.end(), reserved)) {
-        std::erase_if(upstreams, reserved);
-    }
-}
-
 void predicted_first_token::cost_all(instant now, const route_request& request)
 {
     costs_.clear();
@@ -97,7 +83,8 @@
     const auto& description = record.description();
     const token_count prefill = std::max<token_count>(1, request.prompt_tokens - cached);
     const length_class size = class_on(record, request, prefill);
-    double time = static_cast<double>(predict_first_token(record, size, prefill).count()) * record.slowness();
+    double time =
+        static_cast<double>(predict_first_token(record, size, prefill).count()) * record.slowness(size);
     if (record.load().cold) {
         time *= settings_.cold_factor;
     }
@@ -106,13 +93,28 @@
     }
     const auto running = static_cast<double>(record.running());
     const double own = static_cast<double>(prefill) / std::max(1.0, description.prefill_rate) * microseconds;
-    const double slower = static_cast<double>(description.decode_step_growth.count()) * running;
     const double harm = settings_.harm_weight * running * own;
-    const double decode = settings_.decode_weight * slower * static_cast<double>(request.max_tokens);
+    const double decode = settings_.decode_weight * slower_decode(request, record);
     const bool fits = record.memory_free() >= request.prompt_tokens + request.max_tokens;
     const double wait_for_memory =
         fits ? 0.0 : work_on(record) / description.prefill_rate * microseconds + own;
-    return time + harm + decode + wait_for_memory + static_cast<double>(distance(record).count());
+    const bool apart = !description.takes_bulk && size > length_class::interactive;
+    const double intrusion = apart ? settings_.reserved_weight * own : 0.0;
+    const auto way = static_cast<double>(distance(record).count());
+    return time + harm + decode + wait_for_memory + intrusion + way;
+}
+
+auto predicted_first_token::slower_decode(const route_request& request, const upstream_record& record) const
+    -> double
+{
+    const auto& description = record.description();
+    const auto steps = static_cast<double>(std::min(request.max_tokens, settings_.typical_output));
+    const auto chunk = static_cast<double>(std::max<token_count>(1, description.prefill_chunk));
+    const double growth = static_cast<double>(description.decode_step_growth.count());
+    const double batch = steps * growth * static_cast<double>(record.running());
+    // Each step that also prefills a chunk of a longer prompt takes that much longer.
+    const double chunks = std::min(steps, work_on(record) / chunk);
+    return batch + chunks * chunk / std::max(1.0, description.prefill_rate) * microseconds;
 }
 
 auto predicted_first_token::distance(const upstream_record& record) const -> duration
--- a/src/route/upstream_record.cpp
+++ b/src/route/upstream_record.cpp
@@ -107,7 +107,7 @@
     }
     if (restarted) {
         own_.clear();
-        slowness_ = 1.0;
+        slowness_.fill(1.0);
     }
     load_ = load;
     has_load_ = true;
@@ -144,7 +144,8 @@
     const auto predicted = std::max(own->work.predicted_first_token, shortest_prediction);
     const double ratio =
         static_cast<double>((now - own->sent_at).count()) / static_cast<double>(predicted.count());
-    slowness_ += slowness_weight * (std::clamp(ratio, least_slowness, most_slowness) - slowness_);
+    double& slowness = slowness_[index_of(own->work.size)];
+    slowness += slowness_weight * (std::clamp(ratio, least_slowness, most_slowness) - slowness);
 }
 
 void upstream_record::finished(instant now, const request_id& request, attempt_number attempt)
