Make the limiter's test of a new home fail without its guard

Found by running it with the guard taken out. Change: a second busy gateway meets the new home just after the first renewed. Conclusion: the test now fails with the guard taken out and passes with it.

--- a/tests/limit/account_limiter_test.cpp
+++ b/tests/limit/account_limiter_test.cpp
@@ -150,14 +150,21 @@
 {
     // Callers go on within the limit when the account's home dies.
     // Order: the home dies; its leases run on; the next home renews only what is held until they have run
-    // out. Cause: a new home remembers nothing and would grant the whole limit a second time.
+    // out.
+    // Cause: a new home remembers nothing and would grant the whole limit a second time.
     limiter_world world(10, 9);
-    ask_too_much(world);
-    world.run(20s);
-    world.paused[world.home(0)] = true;
+    const auto home = world.home(0);
+    const auto busy = home == 3 ? 4U : 3U;
+    const auto next = home == 5 ? 6U : 5U;
+    world.demand[busy] = 3 * limit;
+    world.run(20'500ms);
+    world.paused[home] = true;
     world.spread_membership();
-    const auto just_after = world.run(8s);
-    cr_assert(just_after < 1.1 * limit, "%f", just_after);
+    world.demand[next] = 30 * limit;
+    const auto just_after = world.run(1s);
+    cr_assert(just_after < 1.4 * limit, "%f", just_after);
+    cr_assert(world.run(6s) < 1.3 * limit);
+    ask_too_much(world);
     world.run(10s);
     const auto rate = world.run(30s);
     cr_assert(rate > 0.9 * limit && rate < 1.02 * limit, "%f", rate);
