--- a/tests/standins/engine_model.h
+++ b/tests/standins/engine_model.h
@@ -4,6 +4,7 @@
 #include "dragonflymill/core/time.h"
 #include "standins/answer.h"
 #include "standins/block_cache.h"
+#include "standins/engine_control.h"
 
 #include <deque>
 #include <map>
@@ -32,11 +33,11 @@
     duration order_time = 2s;                 ///< Time to load a model; adapters take a tenth.
     bool honours_fence = true;                ///< Refuses orders with an old fencing number.
     bool starts_cold = true;                  ///< Whether its first start is cold, too.
-    std::size_t cold_streams = 4;             ///< Streams carried at the beginning of a cold start.
-    token_count cold_prefill = 60'000;        ///< Prefill queue carried at the beginning of a cold start.
-    token_count warm_after = 150'000;         ///< Tokens worked off until it carries its full load.
-    duration restart_time = 3s;               ///< Time for which it answers nothing after it fell over.
-    std::uint64_t seed = 1;                   ///< Of the lost cache events.
+    token_count cold_tokens =
+        60'000; ///< Tokens of prompts and answers carried at the beginning of a cold start.
+    token_count warm_after = 150'000; ///< Tokens worked off until it carries its full load.
+    duration restart_time = 3s;       ///< Time for which it answers nothing after it fell over.
+    std::uint64_t seed = 1;           ///< Of the lost cache events.
 };
 
 /// What an engine is asked to complete.
@@ -53,16 +54,6 @@
     std::vector<std::string> kv_imports; ///< Spans imported here that cover a part of the prompt.
 };
 
-/// An order to change what an engine serves.
-struct control_order
-{
-    std::uint64_t fence = 0; ///< Fencing number.
-    std::string kind;        ///< load_model, unload_model, load_adapter or set_role.
-    std::string model;       ///< For the first two.
-    std::string adapter;     ///< For load_adapter.
-    std::string role;        ///< For set_role.
-};
-
 /// Number of a stream or an export inside one engine.
 using work_id = std::uint64_t;
 
@@ -147,12 +138,10 @@
     /// Takes an order: status of the answer.
     [[nodiscard]] auto give(const control_order& order) -> unsigned;
 
-    /// The weights of a model that is being loaded didn't come: the order has no effect.
-    void fail_load(const std::string& model);
-
     /// Loses everything and starts again, cold.
     void fall_over();
-    /// Becomes cold without a restart.
+    /// Becomes cold without a restart. What it holds runs on; new work beyond what it can carry makes it fall
+    /// over.
     void turn_cold();
 
     /// Whether it answers at all.
@@ -161,16 +150,10 @@
     [[nodiscard]] auto cold() const -> bool { return warmed_ < settings_.warm_after; }
     /// Changes with each start.
     [[nodiscard]] auto start_id() const -> std::uint64_t { return start_id_; }
-    /// Highest fencing number it reports.
-    [[nodiscard]] auto fence() const -> std::uint64_t { return fence_; }
-    /// Its role: both, prefill or decode.
-    [[nodiscard]] auto role() const -> const std::string& { return role_; }
-    /// Loaded models.
-    [[nodiscard]] auto models() const -> const std::vector<std::string>& { return models_; }
-    /// Models that are being loaded.
-    [[nodiscard]] auto loading() const -> std::vector<std::string>;
-    /// Loaded adapters.
-    [[nodiscard]] auto adapters() const -> const std::vector<std::string>& { return adapters_; }
+    /// What it serves.
+    [[nodiscard]] auto control() const -> const engine_control& { return control_; }
+    /// What it serves.
+    [[nodiscard]] auto control() -> engine_control& { return control_; }
     /// Time up to which it worked.
     [[nodiscard]] auto now() const -> instant { return now_; }
     /// Lagging load report.
@@ -180,13 +163,11 @@
     /// Tokens held now.
     [[nodiscard]] auto memory_used() const -> token_count;
     /// Cache events that show by now, with a number above `after`.
-    [[nodiscard]] auto cache_events(std::uint64_t after) const -> std::vector<cache_event>;
+    [[nodiscard]] auto cache_events(std::uint64_t after) const -> std::vector<block_event>;
     /// Every stream it accepted, the last 20,000.
     [[nodiscard]] auto runs() const -> const std::deque<run_entry>& { return runs_; }
     /// How often it fell over from overload while cold.
     [[nodiscard]] auto falls() const -> std::uint64_t { return falls_; }
-    /// Orders that it carried out, in order.
-    [[nodiscard]] auto orders() const -> const std::vector<control_order>& { return orders_; }
     /// How it was set up.
     [[nodiscard]] auto settings() const -> const engine_settings& { return settings_; }
 
@@ -204,19 +185,11 @@
         bool detached = false;
         bool ended = false; // detached, decoded to the end, still held
     };
-    struct pending_load
-    {
-        instant done;
-        control_order order;
-    };
-
     void start_step();
     void finish_step(std::vector<engine_event>& out);
     void decode(work_id id, work& item, std::vector<engine_event>& out);
     void end(work_id id, const std::string& reason, std::vector<engine_event>& out);
     void plan_prefill();
-    void finish_orders();
-    void apply(const control_order& order);
     void report_load();
     void check_cold_limit();
     void warm_up(token_count tokens);
@@ -240,6 +213,7 @@
 
     engine_settings settings_;
     block_cache cache_;
+    engine_control control_;
     instant now_{};
     instant down_until_{};
     std::optional<instant> step_end_;
@@ -247,11 +221,6 @@
     std::vector<prefill_share> step_prefills_;
     std::map<work_id, work> works_;
     std::map<std::string, span_entry> spans_;
-    std::vector<pending_load> pending_orders_;
-    std::vector<std::string> models_;
-    std::vector<std::string> adapters_;
-    std::string role_ = "both";
-    std::uint64_t fence_ = 0;
     std::uint64_t start_id_ = 0;
     std::uint64_t falls_ = 0;
     work_id last_work_ = 0;
