Run bundles, gossip and drains in the daemons: the control plane

Cause: bundle keeper, membership and drain state are decisions only; daemons need them over real sockets. Change: control/control_core puts the three together without sockets; control/control_loop carries out what it decides on one thread with one Asio context: UDP gossip, gRPC between processes (peer.proto: manifest, sections, push, drain, shares), the platform's configuration service and host list. Few processes watch the service, chosen by hash of membership and time. An operator's word is sealed with the fleet's key and can't be played back.

--- a/include/dragonflymill/bundle/bundle_keeper.h
+++ b/include/dragonflymill/bundle/bundle_keeper.h
@@ -130,6 +130,8 @@
     [[nodiscard]] auto manifest_text() const -> std::string;
     /// Text of a section of the bundle in force; null if it has none of that digest.
     [[nodiscard]] auto section(const sha256_digest& digest) const -> std::shared_ptr<const std::string>;
+    /// Refusals so far.
+    [[nodiscard]] auto rejected_count() const -> std::uint64_t { return rejected_count_; }
     /// The last refusals, oldest first.
     [[nodiscard]] auto rejections() const -> const std::vector<reject_bundle>& { return rejections_; }
 
@@ -199,6 +201,7 @@
     std::vector<bad_offer> bad_offers_;
     std::vector<bundle_word> conflicts_;
     std::vector<reject_bundle> rejections_;
+    std::uint64_t rejected_count_ = 0;
     std::optional<bundle_word> stale_noted_;
     std::optional<wall_instant> wall_;
     bool term_ended_ = false;
--- a/src/bundle/bundle_keeper.cpp
+++ b/src/bundle/bundle_keeper.cpp
@@ -384,6 +384,7 @@
 {
     reject_bundle rejection{origin, std::move(why)};
     remember(rejections_, rejection);
+    ++rejected_count_;
     outputs.push_back(std::move(rejection));
 }
 
--- /dev/null
+++ b/src/control/control_loop.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "control/control_core.h"
+#include "control/control_plane.h"
+#include "control/gossip_socket.h"
+#include "control/peer_client.h"
+#include "control/peer_service.h"
+#include "control/platform_reader.h"
+#include "dragonflymill/core/random_source.h"
+#include "dragonflymill/core/stable_hash.h"
+#include "runtime/clock.h"
+#include "runtime/io_thread.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace dragonflymill::control {
+
+/// What runs on the control plane's thread: it carries out what `control_core` decides.
+class control_loop
+{
+public:
+    /// Runs on `context`; nothing happens before `start`.
+    control_loop(boost::asio::io_context& context, const control_plane_options& options,
+                 const control_plane_handlers& handlers, control_core core, datagram_seal seal,
+                 std::unique_ptr<gossip_socket> socket, peer_service& service);
+
+    /// Begins to receive, tick and read.
+    void start();
+    /// Tells the others that this process is stopping.
+    void leave();
+    /// Takes over an operator's bundle.
+    void push(const pushed_bundle& bundle, const peer_answer& done);
+    /// Takes over an operator's word of this process.
+    void drain(const drain_subject& subject, bool out);
+    /// Takes over an operator's word after a check of its seal.
+    void drain(const sealed_drain& word, const peer_answer& done);
+    /// Asks the home of an account.
+    void ask(const ask_share& asked, const std::function<void(std::optional<share_grant>)>& done);
+    /// Traffic so far; callable from every thread.
+    [[nodiscard]] auto traffic() const -> control_traffic;
+
+private:
+    void tick();
+    void carry_out(const control_outputs& outputs);
+    void send(const send_bytes& sent);
+    void fetch(const fetch_peer_manifest& wanted);
+    void fetch(const fetch_peer_sections& wanted);
+    void fetch(const fetch_service_sections& wanted);
+    void received(std::string_view bytes, const std::string& from);
+    void publish();
+    void serve_peers();
+    void look_at_service();
+    void on_service(const config_value& read);
+    void look_at_hosts();
+    void add_seeds(const std::vector<listed_host>& hosts);
+
+    boost::asio::io_context& context_;
+    const control_plane_options& options_;
+    const control_plane_handlers& handlers_;
+    control_core core_;
+    datagram_seal seal_;
+    std::unique_ptr<gossip_socket> socket_;
+    peer_service& service_;
+    peer_client peers_;
+    platform_reader platform_;
+    boost::asio::steady_timer timer_;
+    random_source random_;
+    std::optional<bundle_word> served_;
+    std::uint64_t revision_ = 0;
+    std::uint64_t last_drain_ms_ = 0;
+    bool watching_ = false;
+    bool service_failing_ = false;
+    instant next_watch_{};
+    instant next_hosts_{};
+    bool reading_hosts_ = false;
+    std::atomic<std::uint64_t> datagrams_sent_{0};
+    std::atomic<std::uint64_t> bytes_sent_{0};
+    std::atomic<std::uint64_t> datagrams_received_{0};
+    std::atomic<std::uint64_t> bytes_received_{0};
+    std::atomic<std::uint64_t> fetched_bytes_{0};
+    std::atomic<std::uint64_t> service_reads_{0};
+};
+
+} // namespace dragonflymill::control
--- /dev/null
+++ b/src/control/gossip_socket.cpp
@@ -0,0 +1,89 @@
+#include "control/gossip_socket.h"
+
+#include "settings/socket_address.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <optional>
+
+namespace dragonflymill::control {
+
+namespace {
+
+using boost::asio::ip::udp;
+
+auto endpoint_of(const std::string& text) -> std::optional<udp::endpoint>
+{
+    const auto parsed = parse_socket_address(text);
+    if (parsed.has_error()) {
+        return std::nullopt;
+    }
+    boost::system::error_code failure;
+    const auto ip = boost::asio::ip::make_address(parsed.value().ip, failure);
+    return failure ? std::nullopt : std::optional(udp::endpoint(ip, parsed.value().port));
+}
+
+auto text_of(const udp::endpoint& endpoint) -> std::string
+{
+    return to_text(socket_address{endpoint.address().to_string(), endpoint.port()});
+}
+
+} // namespace
+
+auto gossip_socket::open(boost::asio::io_context& context, const std::string& address)
+    -> result<std::unique_ptr<gossip_socket>>
+{
+    boost::system::error_code failure;
+    const auto endpoint = endpoint_of(address);
+    udp::socket socket(context);
+    if (endpoint) {
+        socket.open(endpoint->protocol(), failure);
+        if (!failure) {
+            socket.bind(*endpoint, failure);
+        }
+    }
+    if (!endpoint || failure) {
+        return error(error_kind::unavailable, "can't bind to " + address + " " + failure.message(),
+                     "free the address or change control.udp_listen");
+    }
+    socket.non_blocking(true, failure);
+    return std::unique_ptr<gossip_socket>(new gossip_socket(std::move(socket)));
+}
+
+void gossip_socket::start(receiver on_datagram)
+{
+    on_datagram_ = std::move(on_datagram);
+    receive();
+}
+
+void gossip_socket::send(const std::string& address, std::string_view bytes)
+{
+    if (const auto endpoint = endpoint_of(address)) {
+        boost::system::error_code failure;
+        socket_.send_to(boost::asio::buffer(bytes.data(), bytes.size()), *endpoint, 0, failure);
+    }
+}
+
+auto gossip_socket::port() const -> std::uint16_t
+{
+    boost::system::error_code failure;
+    return socket_.local_endpoint(failure).port();
+}
+
+void gossip_socket::receive()
+{
+    socket_.async_receive_from(boost::asio::buffer(buffer_), from_,
+                               [this](boost::system::error_code failure, std::size_t size) {
+                                   if (failure == boost::asio::error::operation_aborted) {
+                                       return;
+                                   }
+                                   // An unreachable peer shows here as an error of the next receive.
+                                   if (!failure) {
+                                       on_datagram_({buffer_.data(), size}, text_of(from_));
+                                   }
+                                   receive();
+                               });
+}
+
+} // namespace dragonflymill::control
--- /dev/null
+++ b/src/control/peer_client.cpp
@@ -0,0 +1,186 @@
+#include "control/peer_client.h"
+
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+#include <memory>
+#include <utility>
+
+namespace dragonflymill::control {
+
+namespace {
+
+constexpr int max_answer_bytes = 2 * 1024 * 1024;
+
+auto stub_for(const std::string& address) -> std::unique_ptr<wire::peer_exchange::Stub>
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    arguments.SetMaxReceiveMessageSize(max_answer_bytes);
+    return wire::peer_exchange::NewStub(
+        grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+}
+
+void limit(grpc::ClientContext& context, duration deadline)
+{
+    context.set_deadline(std::chrono::system_clock::now() + deadline);
+}
+
+auto unreachable(const grpc::Status& status) -> error
+{
+    return {error_kind::unavailable, "the process did not answer: " + status.error_message(),
+            "check its address, or ask another process"};
+}
+
+// One call with a single answer; keeps itself alive until it ends.
+template <typename Request, typename Reply>
+struct unary_call
+{
+    std::unique_ptr<wire::peer_exchange::Stub> stub;
+    grpc::ClientContext context;
+    Request request;
+    Reply reply;
+};
+
+class section_reader_call final : public grpc::ClientReadReactor<wire::section_reply>
+{
+public:
+    section_reader_call(const std::string& address, const std::vector<sha256_digest>& digests,
+                        std::function<void(std::string)> each, std::function<void(bool)> done,
+                        duration deadline)
+        : stub_(stub_for(address))
+        , each_(std::move(each))
+        , done_(std::move(done))
+    {
+        for (const auto& digest : digests) {
+            request_.add_digests(std::string(digest.bytes().begin(), digest.bytes().end()));
+        }
+        limit(context_, deadline);
+        stub_->async()->fetch_sections(&context_, &request_, this);
+        StartRead(&reply_);
+        StartCall();
+    }
+
+    void OnReadDone(bool ok) override
+    {
+        if (ok) {
+            each_(std::move(*reply_.mutable_text()));
+            StartRead(&reply_);
+        }
+    }
+    void OnDone(const grpc::Status& status) override
+    {
+        done_(status.ok());
+        delete this; // NOLINT(cppcoreguidelines-owning-memory): gRPC's way
+    }
+
+private:
+    std::unique_ptr<wire::peer_exchange::Stub> stub_;
+    grpc::ClientContext context_;
+    wire::sections_request request_;
+    wire::section_reply reply_;
+    std::function<void(std::string)> each_;
+    std::function<void(bool)> done_;
+};
+
+auto answer_of(bool accepted, const std::string& problem, const std::string& remedy) -> result<void>
+{
+    if (accepted) {
+        return success();
+    }
+    return error(error_kind::conflict, problem, remedy);
+}
+
+} // namespace
+
+void peer_client::fetch_manifest(const std::string& address,
+                                 std::function<void(std::optional<std::string>)> done) const
+{
+    auto call = std::make_shared<unary_call<wire::manifest_request, wire::manifest_reply>>();
+    call->stub = stub_for(address);
+    limit(call->context, deadline_);
+    auto* raw = call.get();
+    raw->stub->async()->fetch_manifest(
+        &raw->context, &raw->request, &raw->reply,
+        [call = std::move(call), done = std::move(done)](const grpc::Status& status) {
+            const bool has = status.ok() && !call->reply.manifest().empty();
+            done(has ? std::optional(call->reply.manifest()) : std::nullopt);
+        });
+}
+
+void peer_client::fetch_sections(const std::string& address, const std::vector<sha256_digest>& digests,
+                                 std::function<void(std::string)> each, std::function<void(bool)> done) const
+{
+    // NOLINTNEXTLINE(cppcoreguidelines-owning-memory): it deletes itself when the call is over
+    new section_reader_call(address, digests, std::move(each), std::move(done), deadline_);
+}
+
+void peer_client::ask_share(const std::string& address, const share_request& request,
+                            std::function<void(std::optional<share_grant>)> done) const
+{
+    auto call = std::make_shared<unary_call<wire::share_ask, wire::share_reply>>();
+    call->stub = stub_for(address);
+    call->request.set_client_account(request.account.text());
+    call->request.set_gateway(request.gateway.text());
+    call->request.set_demand(request.demand);
+    call->request.set_held(request.held);
+    limit(call->context, deadline_);
+    auto* raw = call.get();
+    raw->stub->async()->ask_share(&raw->context, &raw->request, &raw->reply,
+                                  [call = std::move(call), done = std::move(done),
+                                   account = request.account](const grpc::Status& status) {
+                                      if (!status.ok()) {
+                                          done(std::nullopt);
+                                          return;
+                                      }
+                                      const auto& reply = call->reply;
+                                      done(share_grant{account, process_id(reply.home()), reply.is_home(),
+                                                       reply.part(), duration(reply.lease_us())});
+                                  });
+}
+
+auto peer_client::push(const std::string& address, const pushed_bundle& bundle) const -> result<void>
+{
+    const auto stub = stub_for(address);
+    grpc::ClientContext context;
+    limit(context, deadline_);
+    wire::push_reply reply;
+    const auto writer = stub->push_bundle(&context, &reply);
+    wire::push_part part;
+    part.set_manifest(bundle.manifest);
+    bool open = writer->Write(part);
+    for (std::size_t at = 0; open && at < bundle.sections.size(); ++at) {
+        part.set_section(bundle.sections[at]);
+        open = writer->Write(part);
+    }
+    writer->WritesDone();
+    const auto status = writer->Finish();
+    if (!status.ok()) {
+        return unreachable(status);
+    }
+    return answer_of(reply.accepted(), reply.problem(), reply.remedy());
+}
+
+auto peer_client::drain(const std::string& address, const sealed_drain& word) const -> result<void>
+{
+    const auto stub = stub_for(address);
+    grpc::ClientContext context;
+    limit(context, deadline_);
+    wire::drain_request request;
+    if (const auto* domain = std::get_if<failure_domain_id>(&word.subject)) {
+        request.set_failure_domain(domain->text());
+    }
+    else {
+        request.set_host(std::get<host_id>(word.subject).text());
+    }
+    request.set_back(word.back);
+    request.set_time_ms(word.time_ms);
+    request.set_seal(word.seal);
+    wire::drain_reply reply;
+    const auto status = stub->drain(&context, request, &reply);
+    if (!status.ok()) {
+        return unreachable(status);
+    }
+    return answer_of(reply.accepted(), reply.problem(), reply.remedy());
+}
+
+} // namespace dragonflymill::control
--- /dev/null
+++ b/src/control/peer_client.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "control/peer_service.h"
+#include "dragonflymill/limit/share_lease.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonflymill::control {
+
+/// Asks other processes over gRPC; answers come on gRPC's threads. A call ends within its deadline and is
+/// never repeated by the transport.
+class peer_client
+{
+public:
+    /// Calls end after `deadline`.
+    explicit peer_client(duration deadline)
+        : deadline_(deadline)
+    {
+    }
+
+    /// Asks for the signed manifest; `done` gets nothing if it can't be had.
+    void fetch_manifest(const std::string& address,
+                        std::function<void(std::optional<std::string>)> done) const;
+    /// Asks for sections: `each` gets every text, `done` whether all that the peer has came.
+    void fetch_sections(const std::string& address, const std::vector<sha256_digest>& digests,
+                        std::function<void(std::string)> each, std::function<void(bool)> done) const;
+    /// Asks for a part of an account's limits; `done` gets nothing if there was no answer.
+    void ask_share(const std::string& address, const share_request& request,
+                   std::function<void(std::optional<share_grant>)> done) const;
+    /// Pushes a bundle and waits for the answer.
+    [[nodiscard]] auto push(const std::string& address, const pushed_bundle& bundle) const -> result<void>;
+    /// Sends an operator's word and waits for the answer.
+    [[nodiscard]] auto drain(const std::string& address, const sealed_drain& word) const -> result<void>;
+
+private:
+    duration deadline_;
+};
+
+} // namespace dragonflymill::control
