--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -1,15 +1,18 @@
 include(GNUInstallDirs)
 include(CMakePackageConfigHelpers)
 
-install(TARGETS dragonflymill EXPORT dragonflymillTargets)
-install(TARGETS dragonflymill_exe)
-install(DIRECTORY include/dragonflymill DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
-install(EXPORT dragonflymillTargets NAMESPACE dragonflymill::
-    DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/dragonflymill)
+# Two components: `library` is what others embed, `program` the daemon.
+set(PACKAGE_DIR ${CMAKE_INSTALL_LIBDIR}/cmake/dragonflymill)
+
+install(TARGETS dragonflymill EXPORT dragonflymillTargets COMPONENT library)
+install(DIRECTORY include/dragonflymill DESTINATION ${CMAKE_INSTALL_INCLUDEDIR} COMPONENT library
+    FILES_MATCHING PATTERN "*.h")
+install(EXPORT dragonflymillTargets NAMESPACE dragonflymill:: DESTINATION ${PACKAGE_DIR} COMPONENT library)
 configure_package_config_file(cmake/dragonflymillConfig.cmake.in
-    ${CMAKE_BINARY_DIR}/dragonflymillConfig.cmake
-    INSTALL_DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/dragonflymill)
+    ${CMAKE_BINARY_DIR}/dragonflymillConfig.cmake INSTALL_DESTINATION ${PACKAGE_DIR})
 write_basic_package_version_file(${CMAKE_BINARY_DIR}/dragonflymillConfigVersion.cmake
     COMPATIBILITY SameMajorVersion)
 install(FILES ${CMAKE_BINARY_DIR}/dragonflymillConfig.cmake ${CMAKE_BINARY_DIR}/dragonflymillConfigVersion.cmake
-    DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/dragonflymill)
+    DESTINATION ${PACKAGE_DIR} COMPONENT library)
+
+install(TARGETS dragonflymill_exe COMPONENT program)
