--- a/tests/standins_self/engine_model_test.cpp
+++ b/tests/standins_self/engine_model_test.cpp
@@ -174,7 +174,7 @@
     const auto start = model.start_id();
     work_id first = 0;
     for (char letter = 'a'; letter < 'j' && model.up(); ++letter) {
-        const auto work = model.submit(order_of(std::string(1, letter), 500)).second;
+        const auto work = model.submit(order_of(std::string(1, letter), 9'000)).second;
         first = first == 0 ? work : first;
     }
     cr_assert(model.falls() == 1);
@@ -230,9 +230,9 @@
         engine_model model(settings);
         cr_assert(model.give({7, "load_model", "n", {}, {}}) == 200);
         cr_assert(model.give({6, "load_model", "o", {}, {}}) == (honours ? 409 : 200));
-        cr_assert(model.models().size() == 1, "a load takes time");
+        cr_assert(model.control().models().size() == 1, "a load takes time");
         (void)model.advance(instant(3s));
-        cr_assert(model.models().size() == (honours ? 2 : 3));
+        cr_assert(model.control().models().size() == (honours ? 2 : 3));
     }
 }
 
