Name the process in every line of its log

Cause: the logger's settings had a process name that no key set. Change: [process] name goes into the log's settings as well. Conclusion: a test of the settings holds it.

--- a/src/settings/common_settings.cpp
+++ b/src/settings/common_settings.cpp
@@ -10,10 +10,13 @@
 
 } // namespace
 
-void bind(settings_schema& schema, process_settings& target)
+void bind(settings_schema& schema, process_settings& target, log_settings& log)
 {
-    schema.name({"process", "name", "name of this process, unique in the fleet"}, target.name,
-                presence::required);
+    schema.name_into({"process", "name", "name of this process, unique in the fleet"}, presence::required,
+                     [&target, &log](std::string text) {
+                         log.process = text;
+                         target.name = process_id(std::move(text));
+                     });
     schema.name({"process", "host", "the host it runs on"}, target.host, presence::required);
     schema.name({"process", "failure_domain", "the failure domain of that host"}, target.failure_domain,
                 presence::required);
--- a/src/settings/common_settings.h
+++ b/src/settings/common_settings.h
@@ -65,8 +65,8 @@
     friend auto operator==(const timeline_settings&, const timeline_settings&) -> bool = default;
 };
 
-/// Adds the keys of [process].
-void bind(settings_schema& schema, process_settings& target);
+/// Adds the keys of [process]; the name goes into every line of the log as well.
+void bind(settings_schema& schema, process_settings& target, log_settings& log);
 /// Adds the keys of [bundle].
 void bind(settings_schema& schema, bundle_settings& target);
 /// Adds the keys of [heartbeat].
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -51,7 +51,7 @@
 auto gateway_schema(gateway_settings& target) -> settings_schema
 {
     settings_schema schema;
-    bind(schema, target.process);
+    bind(schema, target.process, target.log);
     schema.address({"listen", "http", "address at which callers connect"}, target.http_listen,
                    presence::required);
     schema.address({"listen", "admin", "address of status, drain and bundle pushes; none if missing"},
--- a/src/settings/settings_schema.cpp
+++ b/src/settings/settings_schema.cpp
@@ -138,10 +138,10 @@
     });
 }
 
-void settings_schema::add_name(const setting_name& name, const std::string& standing, presence needed,
-                               std::function<void(std::string)> store)
+void settings_schema::name_into(const setting_name& where, presence needed,
+                                std::function<void(std::string)> store)
 {
-    add(name, {"name", "letters, digits, '-', '_' and '.', at most 64", standing}, needed,
+    add(where, {"name", "letters, digits, '-', '_' and '.', at most 64", ""}, needed,
         [store = std::move(store)](std::string_view text) -> result<void> {
             if (!is_name(text)) {
                 return error(error_kind::invalid_input, "'" + std::string(text) + "' is not a name",
--- a/src/settings/settings_schema.h
+++ b/src/settings/settings_schema.h
@@ -80,8 +80,10 @@
     template <typename Id>
     void name(const setting_name& where, Id& target, presence needed = presence::optional)
     {
-        add_name(where, target.text(), needed, [&target](std::string text) { target = Id(std::move(text)); });
+        name_into(where, needed, [&target](std::string text) { target = Id(std::move(text)); });
     }
+    /// As `name`, for a name that goes to more than one place; it has no default.
+    void name_into(const setting_name& where, presence needed, std::function<void(std::string)> store);
     /// Path of a file.
     void path(const setting_name& name, std::string& target, presence needed = presence::optional);
     /// Partners with their public keys, separated by commas; at most `most`.
@@ -130,8 +132,6 @@
     struct value_kind;
 
     void add(const setting_name& name, value_kind kind, presence needed, assign_function assign);
-    void add_name(const setting_name& name, const std::string& standing, presence needed,
-                  std::function<void(std::string)> store);
     void add_choice(const setting_name& name, std::vector<std::string> names, const std::string& standing,
                     std::function<void(std::size_t)> store);
 
--- a/src/settings/sidecar_settings.cpp
+++ b/src/settings/sidecar_settings.cpp
@@ -44,7 +44,7 @@
 auto sidecar_schema(sidecar_settings& target) -> settings_schema
 {
     settings_schema schema;
-    bind(schema, target.process);
+    bind(schema, target.process, target.log);
     bind_upstream(schema, target.upstream);
     schema.address({"listen", "grpc", "address at which gateways connect"}, target.grpc_listen,
                    presence::required);
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -45,6 +45,7 @@
     const auto mistakes = read_settings(text, "gw.ini", gateway_schema(settings));
     cr_assert(mistakes.empty(), "%s", to_text(mistakes).c_str());
     cr_assert(settings.process.name == process_id("gw-1"));
+    cr_assert(settings.log.process == "gw-1", "every line of the log names the process");
     cr_assert(to_text(settings.http_listen) == "127.0.0.1:8080");
     cr_assert(settings.timeouts.request == 30s);
     cr_assert(settings.timeouts.header == 500ms);
