--- a/src/runtime/text_file.cpp
+++ b/src/runtime/text_file.cpp
@@ -27,6 +27,9 @@
 
 auto read_key_file(const std::string& path) -> result<std::string>
 {
+    if (path.empty()) {
+        return error(error_kind::invalid_input, "no key file is set", "set [once] key_file");
+    }
     auto text = read_text_file(path, max_key_bytes);
     if (!text) {
         return text;
