--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-constexpr const char* small_gateway = "# a gateway\n"
+constexpr const char* small_gateway = "[once]\n"
+                                      "key_file = tickets.key\n"
                                       "[process]\n"
                                       "name = gw-1\n"
                                       "host = h1\n"
                                       "failure_domain = a\n"
                                       "region = north\n"
-                                      "\n"
                                       "[listen]\n"
                                       "http = 127.0.0.1:8080\n";
 
@@ -64,7 +64,8 @@
         "[process]\nname = gw 1\nhost = h1\nregion = north\n[listen]\nhttp = localhost:80\n"
         "[timeouts]\nheadr = 1s\nbody = 30\n[limit]\nx = 1\nnonsense\n";
     const auto mistakes = read_settings(text, "gw.ini", gateway_schema(settings));
-    const std::vector<int> lines{1, 2, 6, 8, 9, 11, 12};
+    // Line 0: [once] key_file is missing, and there is no [once] to point at.
+    const std::vector<int> lines{0, 1, 2, 6, 8, 9, 11, 12};
     cr_assert(mistakes.size() == lines.size(), "%s", to_text(mistakes).c_str());
     for (std::size_t i = 0; i < lines.size(); ++i) {
         cr_assert(mistakes[i].line == lines[i], "%s", to_text(mistakes[i]).c_str());
@@ -97,11 +98,12 @@
     gateway_settings settings;
     const auto mistakes =
         read_settings("[process]\nname = g\nhost = h\nregion = r\n", "g", gateway_schema(settings));
-    cr_assert(mistakes.size() == 2, "%s", to_text(mistakes).c_str());
+    cr_assert(mistakes.size() == 3, "%s", to_text(mistakes).c_str());
     cr_assert(mistakes[0].key == "http");
     cr_assert(mistakes[0].line == 0, "there is no [listen] to point at");
-    cr_assert(mistakes[1].key == "failure_domain");
-    cr_assert(mistakes[1].line == 1);
+    cr_assert(mistakes[1].key == "key_file");
+    cr_assert(mistakes[2].key == "failure_domain");
+    cr_assert(mistakes[2].line == 1);
 }
 
 Test(settings_reader, a_repeated_key_names_both_lines)
@@ -146,11 +148,11 @@
 Test(settings_reader, a_sidecar_reads_its_own_keys)
 {
     sidecar_settings settings;
-    const auto mistakes =
-        read_settings("[process]\nname = sc\nhost = h\nfailure_domain = a\nregion = r\n"
-                      "[upstream]\nid = engine-1\naddress = 127.0.0.1:9000\n"
-                      "[listen]\ngrpc = 127.0.0.1:0\n[once]\nmax_bytes = 2MiB\nretention = 1h\n",
-                      "sc.ini", sidecar_schema(settings));
+    const auto mistakes = read_settings(
+        "[process]\nname = sc\nhost = h\nfailure_domain = a\nregion = r\n"
+        "[upstream]\nid = engine-1\naddress = 127.0.0.1:9000\n"
+        "[listen]\ngrpc = 127.0.0.1:0\n[once]\nmax_bytes = 2MiB\nretention = 1h\nkey_file = k\n",
+        "sc.ini", sidecar_schema(settings));
     cr_assert(mistakes.empty(), "%s", to_text(mistakes).c_str());
     cr_assert(settings.upstream.id == upstream_id("engine-1"));
     cr_assert(settings.grpc_listen.port == 0);
