Run gateways and sidecars by the bundle in force, the drains and the account limits of the fleet

Cause: the daemons ran by a file that never changed, knew of no drain and held no account to its limits.

--- a/include/dragonflymill/serve/gateway_core.h
+++ b/include/dragonflymill/serve/gateway_core.h
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "dragonflymill/limit/account_limiter.h"
 #include "dragonflymill/route/subset.h"
 #include "dragonflymill/serve/call_desk.h"
 #include "dragonflymill/serve/completion_desk.h"
 #include "dragonflymill/serve/gateway_messages.h"
 
+#include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <vector>
 
 namespace dragonflymill {
@@ -32,7 +34,7 @@
 {
 public:
     /// A gateway that knows no bundle yet, and refuses everything as not ready.
-    explicit gateway_core(const gateway_core_options& options);
+    gateway_core(instant now, const gateway_core_options& options);
     gateway_core(const gateway_core&) = delete;
     auto operator=(const gateway_core&) -> gateway_core& = delete;
     ~gateway_core() = default;
@@ -40,6 +42,8 @@
     /// Takes in one event.
     [[nodiscard]] auto step(instant now, const gateway_event& event) -> std::vector<gateway_action>;
 
+    /// Another gateway, or this one, asks for a share of an account whose home this is.
+    [[nodiscard]] auto share_asked(instant now, const share_request& request) -> share_grant;
     /// Requests and calls in hand.
     [[nodiscard]] auto in_hand() const -> std::size_t { return completions_.size() + calls_.size(); }
     /// What is known of the upstreams, for display.
@@ -47,6 +51,13 @@
 
 private:
     using actions_out = std::vector<gateway_action>;
+    /// What a request was admitted for.
+    struct admitted
+    {
+        client_account_id account;
+        token_count prompt_tokens = 0;
+        token_count tokens = 0;
+    };
 
     void take(instant now, const gateway_input::completion_arrived& input, actions_out& actions);
     void take(instant now, const gateway_input::service_arrived& input, actions_out& actions);
@@ -63,22 +74,30 @@
     void take(instant now, const gateway_input::load_heard& input, actions_out& actions);
     void take(instant now, const gateway_input::upstream_changed& input, actions_out& actions);
     void take(instant now, const gateway_input::bundle_adopted& input, actions_out& actions);
-    void take(instant now, const gateway_input::domain_changed& input, actions_out& actions);
+    void take(instant now, const gateway_input::drains_changed& input, actions_out& actions);
+    void take(instant now, const gateway_input::gateways_changed& input, actions_out& actions);
+    void take(instant now, const gateway_input::share_granted& input, actions_out& actions);
     void take(instant now, const gateway_input::stop_asked& input, actions_out& actions);
     void take(instant now, const gateway_input::tick& input, actions_out& actions);
 
     [[nodiscard]] auto refuse_if_not_ready(exchange_number exchange, actions_out& actions) const -> bool;
     [[nodiscard]] auto choose_own_upstreams() const -> std::vector<upstream_description>;
+    [[nodiscard]] auto admit(instant now, exchange_number exchange, const client_account_id& account,
+                             token_count tokens, actions_out& actions) -> bool;
+    void give_back(instant now, exchange_number exchange, token_count extra);
+    void settle_accounts(instant now, const actions_out& actions);
     void apply_drains();
     void say_if_done(actions_out& actions);
 
     gateway_core_options options_;
     gateway_router routes_;
     retry_rules rules_;
+    account_limiter limiter_;
+    std::map<exchange_number, admitted> admitted_; // in step with what the desks have in hand
     completion_desk completions_;
     call_desk calls_;
     std::shared_ptr<const bundle> in_force_;
-    std::set<failure_domain_id> out_by_word_; // at most the failure domains there are
+    std::optional<gateway_input::drains_changed> drains_;
     bool stopping_ = false;
     bool said_all_done_ = false;
 };
--- a/include/dragonflymill/serve/gateway_messages.h
+++ b/include/dragonflymill/serve/gateway_messages.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/bundle/bundle.h"
 #include "dragonflymill/core/refusal.h"
+#include "dragonflymill/limit/account_limiter.h"
 #include "dragonflymill/once/once_ledger.h"
 #include "dragonflymill/route/prompt_blocks.h"
 #include "dragonflymill/route/routing_policy.h"
@@ -139,11 +140,23 @@
 {
     std::shared_ptr<const bundle> in_force; ///< The bundle.
 };
-/// A failure domain was taken out, or is back, by a word other than the bundle's.
-struct domain_changed
+/// What takes no new work, by all words that there are: bundle, host list and gossip. Until the first of
+/// these the bundle's word counts alone.
+struct drains_changed
 {
-    failure_domain_id domain; ///< The failure domain.
-    bool out = false;         ///< Whether it takes no new work.
+    std::vector<failure_domain_id> domains; ///< Failure domains.
+    std::vector<host_id> hosts;             ///< Further hosts.
+};
+/// The gateways believed alive have changed.
+struct gateways_changed
+{
+    std::vector<process_id> live; ///< All of them, this one included.
+    std::size_t configured = 1;   ///< How many there are when all are well.
+};
+/// The home of an account has granted a share of its limits.
+struct share_granted
+{
+    share_grant grant; ///< The grant.
 };
 /// The process is to stop: what is in hand is finished.
 struct stop_asked
@@ -164,7 +177,8 @@
                  gateway_input::attempt_broken, gateway_input::service_answered,
                  gateway_input::service_refused, gateway_input::ticket_given, gateway_input::service_running,
                  gateway_input::load_heard, gateway_input::upstream_changed, gateway_input::bundle_adopted,
-                 gateway_input::domain_changed, gateway_input::stop_asked, gateway_input::tick>;
+                 gateway_input::drains_changed, gateway_input::gateways_changed, gateway_input::share_granted,
+                 gateway_input::stop_asked, gateway_input::tick>;
 
 /// Outputs of `gateway_core`.
 namespace gateway_output {
@@ -238,6 +252,11 @@
 {
     std::vector<upstream_entry> upstreams; ///< The subset.
 };
+/// Ask the home of an account for a share of its limits.
+struct ask_for_share
+{
+    ask_share asked; ///< Whom and what.
+};
 /// Everything in hand is finished.
 struct all_done
 {
@@ -250,6 +269,7 @@
     std::variant<gateway_output::open_attempt, gateway_output::send_prompt, gateway_output::cancel_attempt,
                  gateway_output::call_service, gateway_output::deliver, gateway_output::finish,
                  gateway_output::refuse, gateway_output::answer_service, gateway_output::give_ticket,
-                 gateway_output::tell_running, gateway_output::connect_upstreams, gateway_output::all_done>;
+                 gateway_output::tell_running, gateway_output::connect_upstreams,
+                 gateway_output::ask_for_share, gateway_output::all_done>;
 
 } // namespace dragonflymill
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,6 +1,6 @@
 #include "gateway/gateway_daemon.h"
 
-#include "dragonflymill/bundle/bundle_source.h"
+#include "control/daemon_control.h"
 #include "gateway/caller_gate.h"
 #include "gateway/gateway_shell.h"
 #include "http/http_server.h"
@@ -9,14 +9,13 @@
 #include "runtime/io_thread.h"
 #include "runtime/text_file.h"
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdio>
-#include <future>
+#include <memory>
 
 namespace dragonflymill {
 
@@ -48,7 +47,8 @@
         : settings_(settings)
         , timeline_(std::move(timeline))
         , shell_(settings, std::move(ticket_key), timeline_, metrics_,
-                 [this] { boost::asio::post(context_, [this] { on_all_done(); }); })
+                 {[this] { boost::asio::post(context_, [this] { on_all_done(); }); },
+                  [this](const ask_share& asked) { ask_for_share(asked); }})
         , gate_(
               {settings.process.name,
                static_cast<std::uint64_t>(runtime::wall_now().time_since_epoch().count()),
@@ -63,9 +63,12 @@
     {
     }
 
-    auto run(const std::shared_ptr<const bundle>& in_force) -> int;
+    auto run() -> int;
 
 private:
+    [[nodiscard]] auto open_control() -> result<void>;
+    void on_snapshot(const control::control_snapshot& snapshot);
+    void ask_for_share(const ask_share& asked);
     void on_stop_signal();
     void stop_accepting();
     void on_all_done();
@@ -81,10 +84,52 @@
     gateway::caller_gate gate_;
     runtime::io_thread http_thread_;
     http::http_server server_;
+    std::unique_ptr<control::daemon_control> control_;
 };
 
-auto gateway_daemon::run(const std::shared_ptr<const bundle>& in_force) -> int
+auto gateway_daemon::open_control() -> result<void>
 {
+    control::control_plane_handlers handlers;
+    handlers.on_snapshot = [this](const std::shared_ptr<const control::control_snapshot>& snapshot) {
+        on_snapshot(*snapshot);
+    };
+    // A gateway that finds a later start of itself has been replaced: it finishes what it has and ends.
+    handlers.on_superseded = [this] { boost::asio::post(context_, [this] { on_stop_signal(); }); };
+    handlers.on_share_asked = [this](const share_request& request) { return shell_.share_asked(request); };
+    auto opened = control::daemon_control::open(
+        {process_role::gateway, settings_.process, settings_.bundle, settings_.control}, std::move(handlers));
+    if (!opened) {
+        return opened.error();
+    }
+    control_ = std::move(opened.value());
+    return success();
+}
+
+void gateway_daemon::on_snapshot(const control::control_snapshot& snapshot)
+{
+    if (!snapshot.ready) {
+        return;
+    }
+    shell_.adopt(snapshot);
+    gate_.adopt(snapshot.in_force);
+}
+
+void gateway_daemon::ask_for_share(const ask_share& asked)
+{
+    control_->request_share(asked, [this](const std::optional<share_grant>& grant) {
+        if (grant) {
+            shell_.share_granted(*grant);
+        }
+    });
+}
+
+auto gateway_daemon::run() -> int
+{
+    const auto control_opened = open_control();
+    if (!control_opened) {
+        std::fprintf(stderr, "%s\n", control_opened.error().text().c_str());
+        return exit_failed;
+    }
     const auto listening = server_.listen(to_text(settings_.http_listen));
     if (!listening) {
         log_event(event::listen_failed, field("address", to_text(settings_.http_listen)));
@@ -92,11 +137,11 @@
         return exit_failed;
     }
     shell_.start();
-    shell_.adopt(in_force);
-    gate_.adopt(in_force);
+    control_->start();
     http_thread_.start();
     log_event(event::gateway_started, field("address", server_.local_address()));
-    std::printf("ready http %s\n", server_.local_address().c_str());
+    std::printf("ready http %s gossip %s\n", server_.local_address().c_str(),
+                control_->gossip_address().c_str());
     std::fflush(stdout);
     signals_.async_wait([this](boost::system::error_code failure, int /*signal*/) {
         if (!failure) {
@@ -105,6 +150,7 @@
     });
     context_.run();
     http_thread_.stop();
+    control_->stop();
     shell_.join();
     log_event(event::gateway_stopped);
     return exit_ok;
@@ -116,6 +162,7 @@
     // process still accepts, so that no caller meets a closed port.
     log_event(event::gateway_stopping);
     gate_.set_stopping(true);
+    control_->leave();
     timer_.expires_after(settings_.drain_lag);
     timer_.async_wait([this](boost::system::error_code failure) {
         if (!failure) {
@@ -177,16 +224,8 @@
     if (!key) {
         return fail(key.error());
     }
-    const auto text = runtime::read_text_file(settings.bundle.file, max_bundle_text);
-    if (!text) {
-        return fail(text.error());
-    }
-    auto in_force = parse_bundle_source(text.value());
-    if (!in_force) {
-        return fail(in_force.error());
-    }
     gateway_daemon daemon(settings, std::move(timeline.value()), key.value());
-    return daemon.run(std::make_shared<const bundle>(std::move(in_force.value())));
+    return daemon.run();
 }
 
 } // namespace dragonflymill
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr duration tick_interval = 10ms;
+constexpr duration share_patience = 200ms;
 constexpr metric_name first_token_name{"dragonflymill_first_token_seconds",
                                        "Time from a request's arrival to its first token, by length class"};
 constexpr metric_name requests_name{"dragonflymill_requests_total", "Requests by their final answer"};
@@ -34,13 +35,13 @@
 
 gateway_shell::gateway_shell(const gateway_settings& settings, std::string ticket_key,
                              timeline_recorder& timeline, metrics_registry& metrics,
-                             std::function<void()> on_all_done)
+                             gateway_shell_handlers handlers)
     : self_(settings.process.name)
     , heartbeat_{settings.heartbeat.interval, settings.heartbeat.misses}
     , timeline_(timeline)
     , metrics_(metrics)
-    , on_all_done_(std::move(on_all_done))
-    , core_(core_options(settings, std::move(ticket_key)))
+    , handlers_(std::move(handlers))
+    , core_(runtime::now(), core_options(settings, std::move(ticket_key)))
     , decide_(settings.rings.deliveries, tick_interval)
 {
 }
@@ -50,9 +51,38 @@
     decide_.start([this](std::optional<shell_event> event) { handle(std::move(event)); });
 }
 
-void gateway_shell::adopt(std::shared_ptr<const bundle> in_force)
+void gateway_shell::adopt(const control::control_snapshot& snapshot)
 {
-    post(gateway_event(gateway_input::bundle_adopted{std::move(in_force)}));
+    if (snapshot.in_force && snapshot.in_force != adopted_) {
+        adopted_ = snapshot.in_force;
+        post(gateway_event(gateway_input::bundle_adopted{adopted_}));
+    }
+    member_info self;
+    self.id = self_;
+    self.role = process_role::gateway;
+    post(gateway_event(gateway_input::drains_changed{snapshot.drained_domains, snapshot.drained_hosts}));
+    post(gateway_event(
+        gateway_input::gateways_changed{control::live_gateways(snapshot, self), snapshot.gateways_expected}));
+}
+
+auto gateway_shell::share_asked(const share_request& request) -> share_grant
+{
+    const auto answer = std::make_shared<std::promise<share_grant>>();
+    auto future = answer->get_future();
+    const bool asked = decide_.post(share_question{request, answer});
+    if (asked && future.wait_for(share_patience) == std::future_status::ready) {
+        return future.get();
+    }
+    // No word: the other gateway goes on with its equal part.
+    share_grant none;
+    none.account = request.account;
+    none.is_home = false;
+    return none;
+}
+
+void gateway_shell::share_granted(const share_grant& grant)
+{
+    post(gateway_event(gateway_input::share_granted{grant}));
 }
 
 auto gateway_shell::arrived(arrival made) -> bool
@@ -91,6 +121,9 @@
             exchanges_.insert_or_assign(number, std::move(made->held));
             carry_out(core_.step(now, made->event));
         }
+        else if (const auto* question = std::get_if<share_question>(&*event)) {
+            question->answer->set_value(core_.share_asked(now, question->request));
+        }
         else {
             handle_link(std::move(std::get<link_event>(*event)));
         }
@@ -335,9 +368,14 @@
     }
 }
 
+void gateway_shell::act(const gateway_output::ask_for_share& action)
+{
+    handlers_.ask_for_share(action.asked);
+}
+
 void gateway_shell::act(const gateway_output::all_done& /*action*/)
 {
-    on_all_done_();
+    handlers_.on_all_done();
 }
 
 void gateway_shell::respond(exchange_number number, http::http_response response)
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/control_snapshot.h"
 #include "dragonflymill/serve/gateway_core.h"
 #include "gateway/caller_gate.h"
 #include "gateway/exchange.h"
@@ -12,24 +13,37 @@
 
 #include <deque>
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <string>
 
 namespace dragonflymill::gateway {
 
+/// What a gateway_shell needs of the daemon around it; called on the deciding thread.
+struct gateway_shell_handlers
+{
+    std::function<void()> on_all_done;                   ///< A planned stop is finished.
+    std::function<void(const ask_share&)> ask_for_share; ///< Ask an account's home for a share.
+};
+
 /// The thread that decides, and the hands that carry out what it decides.
 class gateway_shell
 {
 public:
-    /// A shell for `settings`; `on_all_done` is called on the deciding thread once a stop is finished.
+    /// A shell for `settings`.
     gateway_shell(const gateway_settings& settings, std::string ticket_key, timeline_recorder& timeline,
-                  metrics_registry& metrics, std::function<void()> on_all_done);
+                  metrics_registry& metrics, gateway_shell_handlers handlers);
 
     /// Starts the thread.
     void start();
-    /// Takes over a bundle.
-    void adopt(std::shared_ptr<const bundle> in_force);
+    /// Takes over what the control plane knows; called on one thread.
+    void adopt(const control::control_snapshot& snapshot);
+    /// Another gateway asks for a share of an account whose home this is; waits for the deciding thread, but
+    /// not long.
+    [[nodiscard]] auto share_asked(const share_request& request) -> share_grant;
+    /// The home of an account granted a share.
+    void share_granted(const share_grant& grant);
     /// A caller's request; false if there is no room for it.
     [[nodiscard]] auto arrived(arrival made) -> bool;
     /// A caller left.
@@ -46,7 +60,13 @@
         upstream_id upstream;
         length_class size = length_class::interactive;
     };
-    using shell_event = std::variant<link_event, arrival>;
+    /// A question to this gateway as the home of an account.
+    struct share_question
+    {
+        share_request request;
+        std::shared_ptr<std::promise<share_grant>> answer;
+    };
+    using shell_event = std::variant<link_event, arrival, share_question>;
 
     void post(link_event event);
     void handle(std::optional<shell_event> event);
@@ -66,6 +86,7 @@
     void act(const gateway_output::give_ticket& action);
     void act(const gateway_output::tell_running& action);
     void act(const gateway_output::connect_upstreams& action);
+    void act(const gateway_output::ask_for_share& action);
     void act(const gateway_output::all_done& action);
 
     void follow_up(gateway_event event);
@@ -76,7 +97,7 @@
     heartbeat_times heartbeat_;
     timeline_recorder& timeline_;
     metrics_registry& metrics_;
-    std::function<void()> on_all_done_;
+    gateway_shell_handlers handlers_;
     gateway_core core_;
     runtime::duty_thread<shell_event> decide_;
     std::map<exchange_number, exchange> exchanges_; // in step with what the core has in hand
@@ -84,6 +105,7 @@
     std::deque<gateway_event> follow_ups_;          // what carrying out an action led to at once
     std::map<upstream_id, std::unique_ptr<sidecar_link>> links_;
     instant last_tick_;
+    std::shared_ptr<const bundle> adopted_; // the control thread's own
 };
 
 } // namespace dragonflymill::gateway
--- a/src/serve/gateway_core.cpp
+++ b/src/serve/gateway_core.cpp
@@ -25,6 +25,12 @@
             "ask again"};
 }
 
+template <typename T>
+auto contains(const std::vector<T>& list, const T& item) -> bool
+{
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+
 } // namespace
 
 auto describe_upstreams(const bundle& in_force) -> std::vector<upstream_description>
@@ -57,10 +63,11 @@
     return descriptions;
 }
 
-gateway_core::gateway_core(const gateway_core_options& options)
+gateway_core::gateway_core(instant now, const gateway_core_options& options)
     : options_(options)
     , routes_(predicted_first_token(policy_settings(options)))
     , rules_(options.seed, options.retry)
+    , limiter_(account_limiter_settings{.self = options.self}, now)
     , completions_(options.self, routes_, rules_, options.max_requests)
     , calls_(routes_, rules_, options.ticket_key, options.max_calls)
 {
@@ -70,9 +77,61 @@
 {
     actions_out actions;
     std::visit([&](const auto& input) { take(now, input, actions); }, event);
+    settle_accounts(now, actions);
     return actions;
 }
 
+auto gateway_core::share_asked(instant now, const share_request& request) -> share_grant
+{
+    return limiter_.share_asked(now, request);
+}
+
+auto gateway_core::admit(instant now, exchange_number exchange, const client_account_id& account,
+                         token_count tokens, actions_out& actions) -> bool
+{
+    auto refused = limiter_.admit(now, account, tokens);
+    if (refused) {
+        actions.push_back(gateway_output::refuse{exchange, std::move(*refused)});
+        return false;
+    }
+    admitted_.insert_or_assign(exchange, admitted{account, 0, tokens});
+    return true;
+}
+
+void gateway_core::give_back(instant now, exchange_number exchange, token_count extra)
+{
+    const auto held = admitted_.find(exchange);
+    if (held != admitted_.end()) {
+        limiter_.done(now, held->second.account, extra);
+        admitted_.erase(held);
+    }
+}
+
+void gateway_core::settle_accounts(instant now, const actions_out& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* whole = std::get_if<gateway_output::finish>(&action)) {
+            const auto held = admitted_.find(whole->exchange);
+            if (held != admitted_.end()) {
+                const auto taken = held->second.prompt_tokens + whole->tokens;
+                give_back(now, whole->exchange, taken - held->second.tokens);
+            }
+        }
+        else if (const auto* refused = std::get_if<gateway_output::refuse>(&action)) {
+            give_back(now, refused->exchange, 0);
+        }
+        else if (const auto* answered = std::get_if<gateway_output::answer_service>(&action)) {
+            give_back(now, answered->exchange, 0);
+        }
+        else if (const auto* ticket = std::get_if<gateway_output::give_ticket>(&action)) {
+            give_back(now, ticket->exchange, 0);
+        }
+        else if (const auto* running = std::get_if<gateway_output::tell_running>(&action)) {
+            give_back(now, running->exchange, 0);
+        }
+    }
+}
+
 auto gateway_core::refuse_if_not_ready(exchange_number exchange, actions_out& actions) const -> bool
 {
     if (in_force_) {
@@ -86,14 +145,19 @@
 
 void gateway_core::take(instant now, const gateway_input::completion_arrived& input, actions_out& actions)
 {
-    if (!refuse_if_not_ready(input.exchange, actions)) {
-        completions_.arrived(now, input, actions);
+    const auto most_tokens = input.prompt_tokens + input.max_tokens;
+    if (refuse_if_not_ready(input.exchange, actions) ||
+        !admit(now, input.exchange, input.account, most_tokens, actions)) {
+        return;
     }
+    admitted_.at(input.exchange).prompt_tokens = input.prompt_tokens;
+    completions_.arrived(now, input, actions);
 }
 
 void gateway_core::take(instant now, const gateway_input::service_arrived& input, actions_out& actions)
 {
-    if (!refuse_if_not_ready(input.exchange, actions)) {
+    if (!refuse_if_not_ready(input.exchange, actions) &&
+        admit(now, input.exchange, input.spec.account, 0, actions)) {
         calls_.arrived(now, input, actions);
     }
 }
@@ -102,6 +166,7 @@
 {
     completions_.caller_left(now, input.exchange, actions);
     calls_.caller_left(now, input.exchange);
+    give_back(now, input.exchange, 0);
     say_if_done(actions);
 }
 
@@ -168,9 +233,10 @@
     routes_.table().set_state(input.upstream, input.state);
 }
 
-void gateway_core::take(instant /*now*/, const gateway_input::bundle_adopted& input, actions_out& actions)
+void gateway_core::take(instant now, const gateway_input::bundle_adopted& input, actions_out& actions)
 {
     in_force_ = input.in_force;
+    limiter_.bundle_adopted(now, *in_force_);
     auto chosen = choose_own_upstreams();
     gateway_output::connect_upstreams connect;
     for (const auto& description : chosen) {
@@ -200,14 +266,9 @@
     return chosen;
 }
 
-void gateway_core::take(instant /*now*/, const gateway_input::domain_changed& input, actions_out& /*actions*/)
+void gateway_core::take(instant /*now*/, const gateway_input::drains_changed& input, actions_out& /*actions*/)
 {
-    if (input.out) {
-        out_by_word_.insert(input.domain);
-    }
-    else {
-        out_by_word_.erase(input.domain);
-    }
+    drains_ = input;
     if (in_force_) {
         apply_drains();
     }
@@ -216,9 +277,22 @@
 void gateway_core::apply_drains()
 {
     for (const auto& domain : in_force_->domains) {
-        const bool out = !domain.in_service || out_by_word_.count(domain.id) != 0;
+        const bool out = drains_ ? contains(drains_->domains, domain.id) : !domain.in_service;
         routes_.table().set_drained(domain.id, out);
     }
+    for (const auto& upstream : in_force_->upstreams) {
+        routes_.table().set_drained(upstream.id, drains_ && contains(drains_->hosts, upstream.host));
+    }
+}
+
+void gateway_core::take(instant now, const gateway_input::gateways_changed& input, actions_out& /*actions*/)
+{
+    limiter_.gateways_changed(now, input.live, input.configured);
+}
+
+void gateway_core::take(instant now, const gateway_input::share_granted& input, actions_out& /*actions*/)
+{
+    limiter_.share_granted(now, input.grant);
 }
 
 void gateway_core::take(instant /*now*/, const gateway_input::stop_asked& /*input*/, actions_out& actions)
@@ -231,6 +305,14 @@
 {
     completions_.tick(now, actions);
     calls_.tick(now, actions);
+    for (auto& asked : limiter_.tick(now)) {
+        if (asked.home == options_.self) {
+            limiter_.share_granted(now, limiter_.share_asked(now, asked.request));
+        }
+        else {
+            actions.push_back(gateway_output::ask_for_share{std::move(asked)});
+        }
+    }
     say_if_done(actions);
 }
 
--- a/src/sidecar/sidecar_daemon.cpp
+++ b/src/sidecar/sidecar_daemon.cpp
@@ -1,6 +1,6 @@
 #include "sidecar/sidecar_daemon.h"
 
-#include "dragonflymill/bundle/bundle_source.h"
+#include "control/daemon_control.h"
 #include "log/logger.h"
 #include "runtime/text_file.h"
 #include "sidecar/sidecar_shell.h"
@@ -45,8 +45,10 @@
     auto run() -> int;
 
 private:
-    [[nodiscard]] auto serve(const bundle& in_force, std::string ticket_key) -> int;
-    void wait_for_signals(sidecar::sidecar_shell& shell);
+    [[nodiscard]] auto serve(std::string ticket_key) -> int;
+    [[nodiscard]] auto open_control(sidecar::sidecar_shell& shell, std::function<void()> on_superseded)
+        -> result<std::unique_ptr<control::daemon_control>>;
+    void wait_for_signals(sidecar::sidecar_shell& shell, control::daemon_control& control);
 
     const sidecar_settings& settings_;
     timeline_recorder timeline_;
@@ -65,25 +67,18 @@
     }
     auto timeline =
         timeline_recorder::start(settings_.process.name, settings_.timeline.file, settings_.timeline.ring);
-    auto text = runtime::read_text_file(settings_.bundle.file, max_bundle_text);
     auto key = runtime::read_key_file(settings_.once.key_file);
-    for (const auto* failure : {timeline ? nullptr : &timeline.error(), text ? nullptr : &text.error(),
-                                key ? nullptr : &key.error()}) {
+    for (const auto* failure : {timeline ? nullptr : &timeline.error(), key ? nullptr : &key.error()}) {
         if (failure != nullptr) {
             std::fprintf(stderr, "%s\n", failure->text().c_str());
             return exit_failed;
         }
     }
     timeline_ = std::move(timeline.value());
-    const auto in_force = parse_bundle_source(text.value());
-    if (!in_force) {
-        std::fprintf(stderr, "%s\n", in_force.error().text().c_str());
-        return exit_failed;
-    }
-    return serve(in_force.value(), key.value());
+    return serve(key.value());
 }
 
-auto sidecar_daemon::serve(const bundle& in_force, std::string ticket_key) -> int
+auto sidecar_daemon::serve(std::string ticket_key) -> int
 {
     const auto end = [this](int code) {
         boost::asio::post(context_, [this, code] {
@@ -94,29 +89,50 @@
     sidecar::sidecar_shell shell(
         settings_, std::move(ticket_key), timeline_, [end] { end(exit_ok); },
         [end] { end(exit_superseded); });
+    auto control = open_control(shell, [end] { end(exit_superseded); });
+    if (!control) {
+        std::fprintf(stderr, "%s\n", control.error().text().c_str());
+        return exit_failed;
+    }
     shell.start();
-    shell.adopt(in_force);
+    control.value()->start();
     int port = 0;
     const auto server = start_server(to_text(settings_.grpc_listen), shell.service(), port);
     if (!server) {
         std::fprintf(stderr, "can't listen on %s (choose a free port of this host)\n",
                      to_text(settings_.grpc_listen).c_str());
+        control.value()->stop();
         shell.join();
         return exit_failed;
     }
-    std::printf("ready grpc %s:%d\n", settings_.grpc_listen.ip.c_str(), port);
+    std::printf("ready grpc %s:%d gossip %s\n", settings_.grpc_listen.ip.c_str(), port,
+                control.value()->gossip_address().c_str());
     std::fflush(stdout);
-    wait_for_signals(shell);
+    wait_for_signals(shell, *control.value());
     context_.run();
+    control.value()->stop();
     server->Shutdown(std::chrono::system_clock::now() + 1s);
     shell.join();
     return exit_code_;
 }
 
-void sidecar_daemon::wait_for_signals(sidecar::sidecar_shell& shell)
+auto sidecar_daemon::open_control(sidecar::sidecar_shell& shell, std::function<void()> on_superseded)
+    -> result<std::unique_ptr<control::daemon_control>>
+{
+    control::control_plane_handlers handlers;
+    handlers.on_snapshot = [&shell](const std::shared_ptr<const control::control_snapshot>& snapshot) {
+        shell.adopt(*snapshot);
+    };
+    handlers.on_superseded = std::move(on_superseded);
+    return control::daemon_control::open(
+        {process_role::sidecar, settings_.process, settings_.bundle, settings_.control}, std::move(handlers));
+}
+
+void sidecar_daemon::wait_for_signals(sidecar::sidecar_shell& shell, control::daemon_control& control)
 {
-    signals_.async_wait([this, &shell](boost::system::error_code failure, int /*signal*/) {
+    signals_.async_wait([&shell, &control](boost::system::error_code failure, int /*signal*/) {
         if (!failure) {
+            control.leave();
             shell.stop();
         }
     });
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -69,25 +69,34 @@
     upstream_thread_.start();
 }
 
-void sidecar_shell::adopt(const bundle& in_force)
+void sidecar_shell::adopt(const control::control_snapshot& snapshot)
 {
-    const auto own = std::find_if(in_force.upstreams.begin(), in_force.upstreams.end(),
+    if (!snapshot.in_force || !snapshot.ready) {
+        return;
+    }
+    const auto& upstreams = snapshot.in_force->upstreams;
+    const auto own = std::find_if(upstreams.begin(), upstreams.end(),
                                   [this](const upstream_entry& entry) { return entry.id == self_; });
-    if (own == in_force.upstreams.end()) {
-        post(sidecar_input::drain_changed{true});
+    if (own == upstreams.end()) {
+        post(sidecar_input::drain_changed{true}); // the bundle no longer has it
         return;
     }
-    const auto domain =
-        std::find_if(in_force.domains.begin(), in_force.domains.end(),
-                     [own](const failure_domain_entry& entry) { return entry.id == own->domain; });
+    if (snapshot.in_force != adopted_) {
+        adopted_ = snapshot.in_force;
+        adopt_bundle(*adopted_, *own);
+    }
+    post(sidecar_input::drain_changed{!control::accepts_new_work(snapshot, own->domain, own->host)});
+}
+
+void sidecar_shell::adopt_bundle(const bundle& in_force, const upstream_entry& own)
+{
     sidecar_input::routes_changed routes;
     for (const auto& route : in_force.service_routes) {
         routes.routes.push_back({route.id, route.upstreams, route.remember_for});
     }
     post(std::move(routes));
-    post(sidecar_input::capacity_changed{own->cold_outstanding, own->max_outstanding});
-    post(sidecar_input::drain_changed{domain != in_force.domains.end() && !domain->in_service});
-    if (own->kind == upstream_kind::engine) {
+    post(sidecar_input::capacity_changed{own.cold_outstanding, own.max_outstanding});
+    if (own.kind == upstream_kind::engine) {
         boost::asio::post(upstream_thread_.context(), [this] {
             if (!std::exchange(is_engine_, true)) {
                 engine_.start();
--- a/src/sidecar/sidecar_shell.h
+++ b/src/sidecar/sidecar_shell.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflymill/bundle/bundle.h"
+#include "control/control_snapshot.h"
 #include "dragonflymill/serve/sidecar_core.h"
 #include "runtime/duty_thread.h"
 #include "runtime/io_thread.h"
@@ -26,8 +26,8 @@
 
     /// Starts the threads.
     void start();
-    /// Takes over a bundle.
-    void adopt(const bundle& in_force);
+    /// Takes over what the control plane knows; called on one thread.
+    void adopt(const control::control_snapshot& snapshot);
     /// Begins a planned stop.
     void stop();
     /// Ends the threads.
@@ -37,6 +37,7 @@
     [[nodiscard]] auto service() -> gate_service& { return gate_; }
 
 private:
+    void adopt_bundle(const bundle& in_force, const upstream_entry& own);
     [[nodiscard]] auto core_options(const sidecar_settings& settings, std::string ticket_key) const
         -> sidecar_core_options;
     void post(sidecar_event event);
@@ -69,6 +70,7 @@
     upstream::service_client service_client_;
     instant last_tick_;
     bool is_engine_ = false;
+    std::shared_ptr<const bundle> adopted_; // the control thread's own
 };
 
 } // namespace dragonflymill::sidecar
--- a/tests/serve/gateway_core_test.cpp
+++ b/tests/serve/gateway_core_test.cpp
@@ -30,6 +30,12 @@
         service.domain = failure_domain_id("d" + number);
         made.upstreams.push_back(service);
     }
+    account_entry account;
+    account.id = client_account_id("a");
+    account.requests_per_second = 1'000;
+    account.tokens_per_second = 1'000'000;
+    account.max_in_flight = 30;
+    made.accounts.push_back(account);
     service_route_entry booking;
     booking.id = route_id("booking");
     booking.upstreams = {upstream_id("s1"), upstream_id("s2"), upstream_id("s3")};
@@ -52,6 +58,7 @@
     gateway_input::completion_arrived made;
     made.exchange = exchange_number(number);
     made.request = request_id("r" + std::to_string(number));
+    made.account = client_account_id("a");
     made.model = model_id("m");
     made.prompt_tokens = 1'000;
     made.max_tokens = 16;
@@ -90,6 +97,7 @@
 
 void adopt(gateway_core& core, bundle in_force)
 {
+    feed(core, start, gateway_input::gateways_changed{{process_id("g1")}, 1});
     feed(core, start, gateway_input::bundle_adopted{std::make_shared<const bundle>(std::move(in_force))});
 }
 
@@ -110,7 +118,7 @@
 
 Test(gateway_core, an_answer_goes_through_whole)
 {
-    gateway_core core(options());
+    gateway_core core(start, options());
     adopt(core, small_bundle());
     const auto opened = open(core, 1);
     cr_assert(
@@ -125,7 +133,7 @@
 
 Test(gateway_core, without_a_bundle_everything_is_refused_at_once)
 {
-    gateway_core core(options());
+    gateway_core core(start, options());
     const auto actions = core.step(start, asked(1));
     const auto* refused = find<gateway_output::refuse>(actions);
     cr_assert(refused->why.code == refusal_code::not_ready);
@@ -133,11 +141,27 @@
     cr_assert(refused->why.retry_after > duration::zero());
 }
 
+Test(gateway_core, an_account_gets_back_what_it_held_when_a_request_ends)
+{
+    gateway_core core(start, options());
+    auto in_force = small_bundle();
+    in_force.accounts[0].max_in_flight = 1;
+    adopt(core, in_force);
+    const auto first = open(core, 1);
+    const auto second = core.step(start, asked(2));
+    cr_assert(find<gateway_output::refuse>(second)->why.code == refusal_code::account_limit);
+    cr_assert(find<gateway_output::refuse>(second)->why.retry_after > duration::zero());
+    feed(core, start, gateway_input::attempt_finished{first.key, 0, "stop"});
+    const auto third = open(core, 3);
+    feed(core, start, gateway_input::caller_left{third.key.exchange});
+    open(core, 4);
+}
+
 FAULT_CELL(request_resume, process_dies)
 {
     // A caller reads an answer. After two tokens the sidecar dies with its host. The caller must see the
     // rest, once: another engine goes on behind the second token, and the first one's late words are dropped.
-    gateway_core core(options());
+    gateway_core core(start, options());
     adopt(core, small_bundle());
     const auto first = open(core, 1);
     feed(core, start, gateway_input::attempt_granted{first.key});
@@ -159,7 +183,7 @@
 {
     // Two engines refuse a caller's request one after the other, each cold. It must not wait for its limit:
     // it goes to the third, and when that one refuses too, the caller is told at once when to come back.
-    gateway_core core(options());
+    gateway_core core(start, options());
     adopt(core, small_bundle());
     auto opened = open(core, 1);
     const refusal cold{refusal_code::upstream_cold, ran_state::no, 700ms, ""};
@@ -193,7 +217,7 @@
 {
     // A caller leaves while its request waits for a permit. The grant comes late: its prompt would start work
     // for nobody, so the try is cancelled.
-    gateway_core core(options());
+    gateway_core core(start, options());
     adopt(core, small_bundle());
     const auto opened = open(core, 1);
     const auto left = core.step(start, gateway_input::caller_left{exchange_number(1)});
@@ -207,7 +231,7 @@
 {
     // A caller's time limit runs out while its engine is silent. It gets its final answer at the limit, the
     // engine's work is cancelled, and tokens that come later reach nobody.
-    gateway_core core(options());
+    gateway_core core(start, options());
     adopt(core, small_bundle());
     const auto opened = open(core, 1);
     feed(core, start, gateway_input::attempt_granted{opened.key});
@@ -222,7 +246,7 @@
 {
     // Operators take a failure domain out. A caller's request must not go there any more, also when the
     // domain has the idlest engine; a newer bundle brings it back.
-    gateway_core core(options());
+    gateway_core core(start, options());
     auto out = small_bundle();
     out.domains[0].in_service = false;
     out.domains[1].in_service = false;
@@ -230,7 +254,9 @@
     for (std::uint64_t i = 1; i <= 20; ++i) {
         cr_assert(open(core, i).upstream == upstream_id("e3"));
     }
-    feed(core, start, gateway_input::domain_changed{failure_domain_id("d3"), true});
+    feed(core, start,
+         gateway_input::drains_changed{
+             {failure_domain_id("d1"), failure_domain_id("d2"), failure_domain_id("d3")}, {}});
     const auto none = core.step(start, asked(21));
     cr_assert(find<gateway_output::open_attempt>(none) == nullptr);
     cr_assert(find<gateway_output::refuse>(none)->why.ran == ran_state::no);
@@ -240,7 +266,7 @@
 {
     // A caller books, and its key's home can't be reached. Another replica is idle and near, but it could not
     // know whether the home ran an earlier try: two vans would go out. The caller is told "not run" at once.
-    gateway_core core(options());
+    gateway_core core(start, options());
     adopt(core, small_bundle());
     const auto first = core.step(start, booking(1, "key"));
     const auto home = find<gateway_output::call_service>(first)->upstream;
@@ -257,7 +283,7 @@
 {
     // A caller books; the service runs it and the answer is lost on its way to the gateway. The gateway must
     // not send it again by itself, nor say that it was not run.
-    gateway_core core(options());
+    gateway_core core(start, options());
     adopt(core, small_bundle());
     const auto first = core.step(start, booking(1, "key"));
     const auto key = find<gateway_output::call_service>(first)->key;
@@ -271,7 +297,7 @@
 {
     // A caller asks for a ticket and the sidecar asked dies. Nothing runs for a ticket, so another sidecar
     // gives it.
-    gateway_core core(options());
+    gateway_core core(start, options());
     adopt(core, small_bundle());
     auto wish = booking(1, "");
     wish.wish = service_wish::ticket;
@@ -289,7 +315,7 @@
 {
     // A gateway is stopped while a caller reads an answer and its engine is lost. The stop waits for the
     // whole answer, which another engine finishes.
-    gateway_core core(options());
+    gateway_core core(start, options());
     adopt(core, small_bundle());
     const auto first = open(core, 1);
     feed(core, start, gateway_input::attempt_granted{first.key});
