Warm the demo's fleet up and count bookings left in doubt as lost

Change: a warm-up of medium prompts goes before everything, and stands apart in the table. A booking whose caller was left in doubt is lost.

--- a/tests/standins/booking_caller.cpp
+++ b/tests/standins/booking_caller.cpp
@@ -80,6 +80,7 @@
     }
     const auto problem = error_of(answer.status, answer.body, answer.failure);
     result_.why = problem.text();
+    result_.surely_not_run = problem.ran_no;
     if (problem.ran_no) {
         ++result_.not_run;
         around_.refused(problem);
--- a/tests/standins/demo_main.cpp
+++ b/tests/standins/demo_main.cpp
@@ -37,6 +37,7 @@
     add("back-command", options::value<std::string>()->default_value(""), "brings it back");
     add("requests", options::value<int>()->default_value(300), "completions in the mix");
     add("bookings", options::value<int>()->default_value(60), "bookings");
+    add("warm-up-seconds", options::value<int>()->default_value(10), "length of the warm-up");
     add("seconds", options::value<int>()->default_value(24), "length of the mix");
     add("longest", options::value<token_count>()->default_value(1'000'000), "longest prompt, tokens");
     add("seed", options::value<std::uint64_t>()->default_value(1), "of everything random");
@@ -62,6 +63,7 @@
     out.back_command = given["back-command"].as<std::string>();
     out.load.requests = given["requests"].as<int>();
     out.load.bookings = given["bookings"].as<int>();
+    out.load.warm_up = std::chrono::seconds(given["warm-up-seconds"].as<int>());
     out.load.length = std::chrono::seconds(given["seconds"].as<int>());
     out.load.longest = given["longest"].as<token_count>();
     out.load.seed = given["seed"].as<std::uint64_t>();
--- a/tests/standins/demo_report.cpp
+++ b/tests/standins/demo_report.cpp
@@ -55,6 +55,11 @@
                 cell(percentile(values, 99), decimals).c_str());
 }
 
+auto in_mix(const completion_result& item) -> bool
+{
+    return item.phase != demo_phase::warm_up && item.phase != demo_phase::alone;
+}
+
 auto first_token_lines(const demo_results& results) -> std::string
 {
     std::string out = line("%-24s %6s %10s %10s %10s", "First token, ms", "count", "p50", "p95", "p99");
@@ -63,7 +68,7 @@
         std::vector<double> values;
         for (const auto& item : results.completions) {
             const bool here = item.plan.tokens >= low && item.plan.tokens < bucket.below;
-            if (here && item.first_token && item.phase != demo_phase::alone) {
+            if (here && item.first_token && in_mix(item)) {
                 values.push_back(milliseconds(*item.first_token));
             }
         }
@@ -91,7 +96,7 @@
     std::vector<double> values;
     for (const auto& item : results.completions) {
         const auto found = alone.find(item.plan.short_template);
-        if (item.phase != demo_phase::alone && item.end == completion_end::answered && found != alone.end()) {
+        if (in_mix(item) && item.end == completion_end::answered && found != alone.end()) {
             values.push_back(milliseconds(item.whole) / found->second);
         }
     }
@@ -102,7 +107,7 @@
 auto phase_line(const demo_results& results, demo_phase phase) -> std::string
 {
     std::int64_t sent = 0;
-    std::array<std::int64_t, 5> ends{};
+    std::array<std::int64_t, completion_end_count> ends{};
     std::vector<double> first;
     for (const auto& item : results.completions) {
         if (item.phase != phase) {
@@ -157,9 +162,12 @@
     for (const auto& item : results.bookings) {
         confirmed += item.confirmations > 0 ? 1 : 0;
     }
-    const auto unconfirmed = static_cast<std::int64_t>(results.bookings.size()) - confirmed;
+    const auto refused =
+        std::count_if(results.bookings.begin(), results.bookings.end(), [](const auto& item) {
+            return item.confirmations == 0 && item.surely_not_run && item.executions == 0;
+        });
     out += line("  %-22s %6zu %10lld %10lld %10lld %10lld", "bookings", results.bookings.size(),
-                static_cast<long long>(confirmed), static_cast<long long>(unconfirmed),
+                static_cast<long long>(confirmed), static_cast<long long>(refused),
                 static_cast<long long>(lost_bookings(results)),
                 static_cast<long long>(doubled_bookings(results)));
     for (const auto& [code, count] : results.refusals_by_code) {
@@ -173,7 +181,7 @@
 {
     std::string out;
     for (const auto& item : results.completions) {
-        if (item.end != completion_end::answered) {
+        if (item.end != completion_end::answered && item.phase != demo_phase::warm_up) {
             out += line("  not answered: %lld tokens, %s: %s", static_cast<long long>(item.plan.tokens),
                         to_string(item.phase), item.why.c_str());
         }
@@ -224,8 +232,11 @@
 
 auto lost_bookings(const demo_results& results) -> std::int64_t
 {
-    return std::count_if(results.bookings.begin(), results.bookings.end(),
-                         [](const auto& item) { return (item.confirmations > 0) != (item.executions > 0); });
+    return std::count_if(results.bookings.begin(), results.bookings.end(), [](const auto& item) {
+        const bool confirmed = item.confirmations > 0;
+        const bool in_doubt = !confirmed && !item.surely_not_run;
+        return confirmed != (item.executions > 0) || in_doubt;
+    });
 }
 
 auto doubled_bookings(const demo_results& results) -> std::int64_t
--- a/tests/standins/demo_report.h
+++ b/tests/standins/demo_report.h
@@ -19,6 +19,9 @@
     wrong,    ///< Looked whole, but isn't the expected answer.
 };
 
+/// Number of ends.
+inline constexpr std::size_t completion_end_count = 5;
+
 /// What the caller of one completion saw.
 struct completion_result
 {
@@ -38,6 +41,7 @@
     demo_phase phase{};          ///< When it was first sent.
     int confirmations = 0;       ///< Tries that were answered with success.
     int unknown = 0;             ///< Tries whose answer was that it may have run.
+    bool surely_not_run = false; ///< Whether the last answer to a try said that it was not run.
     int not_run = 0;             ///< Tries whose answer was that it wasn't run.
     std::int64_t executions = 0; ///< At all services together.
     std::string why;             ///< Last refusal or failure.
@@ -69,7 +73,7 @@
 
 /// Completions that ended otherwise than by a whole answer or a refusal.
 [[nodiscard]] auto lost_completions(const demo_results& results) -> std::int64_t;
-/// Bookings that were confirmed and never executed, or executed without the caller ever being told.
+/// Bookings confirmed and never executed, executed and never confirmed, or whose caller was left in doubt.
 [[nodiscard]] auto lost_bookings(const demo_results& results) -> std::int64_t;
 /// Bookings executed more than once.
 [[nodiscard]] auto doubled_bookings(const demo_results& results) -> std::int64_t;
--- a/tests/standins/demo_run.cpp
+++ b/tests/standins/demo_run.cpp
@@ -19,6 +19,8 @@
 constexpr int out_percent = 30;
 constexpr int back_percent = 55;
 constexpr int stop_percent = 75;
+// A caller of the warm-up that was refused for so long leaves its turn to the next prompt.
+constexpr auto warm_up_patience = std::chrono::milliseconds(500);
 constexpr auto poll_step = std::chrono::milliseconds(200);
 
 auto ledger_of(const std::string& address) -> std::optional<json::object>
@@ -45,8 +47,11 @@
     : settings_(std::move(settings))
     , around_{io_, [this] { return next_gateway(); },
               [this](const gateway_error& problem) { ++results_.refusals_by_code[problem.code]; }}
+    , around_warm_up_(around_)
     , rotation_(settings_.gateways)
 {
+    around_warm_up_.patience = warm_up_patience;
+    around_warm_up_.refused = [](const gateway_error&) {}; // refusals are what a warm-up provokes
     const auto plan = make_plan(settings_.load);
     const auto prepare_all = [this](const auto& planned, auto& out) {
         for (const auto& item : planned) {
@@ -54,6 +59,7 @@
             out.push_back(std::make_shared<prepared_completion>(prepare(item, settings_.model, key)));
         }
     };
+    prepare_all(plan.warm_up, warm_up_);
     prepare_all(plan.alone, alone_);
     prepare_all(plan.completions, mix_);
     bookings_ = plan.bookings;
@@ -74,8 +80,7 @@
         return results_;
     }
     const auto begin = std::chrono::steady_clock::now();
-    say("short requests alone");
-    send_alone(0);
+    begin_warm_up();
     io_.run();
     for (auto& thread : commands_) {
         thread.join();
@@ -101,8 +106,42 @@
     return true;
 }
 
+void demo_run::begin_warm_up()
+{
+    if (warm_up_.empty()) {
+        send_alone(0);
+        return;
+    }
+    say("warm-up");
+    warm_up_end_ = std::chrono::steady_clock::now() + settings_.load.warm_up;
+    warm_up_open_ = settings_.load.warm_up_callers;
+    for (int caller = 0; caller < settings_.load.warm_up_callers; ++caller) {
+        warm_up_next();
+    }
+}
+
+void demo_run::warm_up_next()
+{
+    if (std::chrono::steady_clock::now() >= warm_up_end_) {
+        if (--warm_up_open_ == 0) {
+            send_alone(0);
+        }
+        return;
+    }
+    const auto& prepared = warm_up_[warm_up_turn_++ % warm_up_.size()];
+    std::make_shared<completion_caller>(around_warm_up_, prepared, demo_phase::warm_up,
+                                        [this](const completion_result& result) {
+                                            results_.completions.push_back(result);
+                                            warm_up_next();
+                                        })
+        ->start();
+}
+
 void demo_run::send_alone(std::size_t number)
 {
+    if (number == 0) {
+        say("short requests alone");
+    }
     if (number == alone_.size()) {
         begin_mix();
         return;
--- a/tests/standins/demo_run.h
+++ b/tests/standins/demo_run.h
@@ -46,6 +46,8 @@
 
 private:
     [[nodiscard]] auto wait_until_ready() const -> bool;
+    void begin_warm_up();
+    void warm_up_next();
     void send_alone(std::size_t number);
     void begin_mix();
     void send(const std::shared_ptr<const prepared_completion>& prepared);
@@ -62,14 +64,18 @@
     demo_settings settings_;
     boost::asio::io_context io_;
     caller_surroundings around_;
+    caller_surroundings around_warm_up_;
+    std::vector<std::shared_ptr<const prepared_completion>> warm_up_;
     std::vector<std::shared_ptr<const prepared_completion>> alone_;
     std::vector<std::shared_ptr<const prepared_completion>> mix_;
     std::vector<planned_booking> bookings_;
     std::vector<std::string> rotation_;
     std::size_t turn_ = 0;
     std::size_t account_turn_ = 0;
-    std::size_t open_ = 0;
-    demo_phase phase_ = demo_phase::alone;
+    std::size_t warm_up_turn_ = 0;
+    int warm_up_open_ = 0;
+    std::chrono::steady_clock::time_point warm_up_end_{};
+    demo_phase phase_ = demo_phase::mix;
     demo_results results_;
     std::vector<std::thread> commands_;
 };
--- a/tests/standins/load_plan.cpp
+++ b/tests/standins/load_plan.cpp
@@ -24,6 +24,9 @@
     token_count high;
 };
 
+constexpr length_band warm_up_band{1.0, 4'000, 60'000};
+constexpr int warm_up_prompts = 200;
+
 constexpr length_band bands[] = {
     {0.26, 4'000, 32'000}, {0.09, 32'000, 100'000}, {0.03, 100'000, 400'000}, {0.02, 400'000, 1'000'000}};
 
@@ -68,6 +71,8 @@
 auto to_string(demo_phase phase) -> const char*
 {
     switch (phase) {
+    case demo_phase::warm_up:
+        return "warm-up";
     case demo_phase::alone:
         return "short ones alone";
     case demo_phase::mix:
@@ -86,6 +91,10 @@
 {
     random_source random(size.seed);
     load_plan out;
+    for (int number = 0; number < warm_up_prompts && size.warm_up > duration::zero(); ++number) {
+        const auto tokens = std::min(size.longest, length_in(warm_up_band, random));
+        out.warm_up.push_back({duration::zero(), tokens, short_answer, random.next(), -1});
+    }
     for (int number = 0; number < short_templates; ++number) {
         out.alone.push_back({duration::zero(), template_tokens(number), short_answer, random.next(), number});
     }
--- a/tests/standins/load_plan.h
+++ b/tests/standins/load_plan.h
@@ -12,6 +12,7 @@
 /// A stretch of the demo, by what the operators did.
 enum class demo_phase
 {
+    warm_up,     ///< Medium prompts, as many as the fleet takes: sidecars learn what their upstreams carry.
     alone,       ///< Short requests one after another, nothing else.
     mix,         ///< All lengths together.
     domain_out,  ///< A failure domain is taken out.
@@ -20,7 +21,7 @@
 };
 
 /// Number of phases.
-inline constexpr std::size_t demo_phase_count = 5;
+inline constexpr std::size_t demo_phase_count = 6;
 
 /// Name of a phase in the table.
 [[nodiscard]] auto to_string(demo_phase phase) -> const char*;
@@ -52,6 +53,8 @@
 {
     int requests = 300;              ///< Completions in the mix.
     int bookings = 60;               ///< Bookings.
+    duration warm_up = 10s;          ///< Length of the warm-up; none if zero.
+    int warm_up_callers = 96;        ///< Callers that send one request after another meanwhile.
     duration length = 24s;           ///< Of the mix.
     token_count longest = 1'000'000; ///< Longest prompt.
     std::uint64_t seed = 1;          ///< Of everything random.
@@ -60,6 +63,7 @@
 /// What is sent and when; a function of the size alone.
 struct load_plan
 {
+    std::vector<planned_completion> warm_up;     ///< Sent in turn, again from the first after the last.
     std::vector<planned_completion> alone;       ///< Short requests, one after another.
     std::vector<planned_completion> completions; ///< The mix, by time.
     std::vector<planned_booking> bookings;       ///< By time.
--- a/tests/standins_self/demo_run_test.cpp
+++ b/tests/standins_self/demo_run_test.cpp
@@ -21,7 +21,11 @@
     settings.gateways = {address_of(gateway)};
     settings.account_keys = {"key"};
     settings.services = {address_of(service)};
-    settings.load = {20, 5, 500ms, 50'000, 1};
+    settings.load.requests = 20;
+    settings.load.bookings = 5;
+    settings.load.warm_up = duration::zero();
+    settings.load.length = 500ms;
+    settings.load.longest = 50'000;
     demo_run demo(settings);
     return demo.run();
 }
@@ -93,6 +97,31 @@
     cr_assert(!is_clean(results));
 }
 
+Test(demo_run, booking_left_in_doubt_is_lost_and_one_surely_not_run_is_not)
+{
+    demo_results results;
+    results.bookings.resize(1);
+    results.bookings.front().unknown = 1;
+    cr_assert(lost_bookings(results) == 1);
+    results.bookings.front().surely_not_run = true;
+    cr_assert(lost_bookings(results) == 0);
+    results.bookings.front().executions = 1;
+    cr_assert(lost_bookings(results) == 1);
+}
+
+Test(demo_run, warm_up_stands_apart_from_the_mix)
+{
+    demo_results results;
+    results.completions.resize(1);
+    results.completions.front().phase = demo_phase::warm_up;
+    results.completions.front().plan.tokens = 2'000;
+    results.completions.front().end = completion_end::answered;
+    results.completions.front().first_token = 7s;
+    cr_assert(report_text(results).find("7000.0") == std::string::npos);
+    results.completions.front().phase = demo_phase::mix;
+    cr_assert(report_text(results).find("7000.0") != std::string::npos);
+}
+
 Test(demo_run, percentile_is_the_nearest_rank)
 {
     cr_assert(!percentile({}, 50));
