Serve the admin address: status, planned stop and bundle push

Cause: operators' commands had nothing to speak to. Change: both daemons serve the admin address on their main thread; statuses are published by the deciding threads; a pushed bundle waits for the control thread's word. The package of a signed bundle moves beside the control plane.

--- a/include/dragonflymill/serve/sidecar_core.h
+++ b/include/dragonflymill/serve/sidecar_core.h
@@ -34,6 +34,8 @@
 
     /// The upstream's load as gateways get it with answers and heartbeats.
     [[nodiscard]] auto load(instant now) const -> upstream_load;
+    /// Tries and calls in hand.
+    [[nodiscard]] auto in_hand() const -> std::size_t { return attempts_.size() + services_.size(); }
     /// Whether this process was paused for longer than its own lease: it has to be started anew, since a
     /// successor may have taken its place meanwhile.
     [[nodiscard]] auto superseded() const -> bool { return superseded_; }
--- a/src/app/command_bundle_check.cpp
+++ b/src/app/command_bundle_check.cpp
@@ -1,8 +1,8 @@
 #include "app/command_bundle_check.h"
 
-#include "app/bundle_package.h"
 #include "app/option_set.h"
 #include "control/bundle_file.h"
+#include "control/bundle_package.h"
 #include "dragonflymill/bundle/bundle_source.h"
 
 namespace dragonflymill::app {
--- a/src/app/command_bundle_diff.cpp
+++ b/src/app/command_bundle_diff.cpp
@@ -1,7 +1,7 @@
 #include "app/command_bundle_diff.h"
 
-#include "app/bundle_package.h"
 #include "app/option_set.h"
+#include "control/bundle_package.h"
 #include "dragonflymill/bundle/bundle_diff.h"
 
 namespace dragonflymill::app {
--- a/src/app/command_bundle_push.cpp
+++ b/src/app/command_bundle_push.cpp
@@ -2,8 +2,8 @@
 
 #include "app/admin_client.h"
 #include "app/admin_targets.h"
-#include "app/bundle_package.h"
 #include "app/option_set.h"
+#include "control/bundle_package.h"
 
 namespace dragonflymill::app {
 
--- a/src/app/command_bundle_sign.cpp
+++ b/src/app/command_bundle_sign.cpp
@@ -1,9 +1,9 @@
 #include "app/command_bundle_sign.h"
 
-#include "app/bundle_package.h"
 #include "app/key_file.h"
 #include "app/option_set.h"
 #include "app/text_file.h"
+#include "control/bundle_package.h"
 
 namespace dragonflymill::app {
 
--- a/src/app/command_bundle_verify.cpp
+++ b/src/app/command_bundle_verify.cpp
@@ -1,7 +1,7 @@
 #include "app/command_bundle_verify.h"
 
-#include "app/bundle_package.h"
 #include "app/option_set.h"
+#include "control/bundle_package.h"
 
 namespace dragonflymill::app {
 
--- a/src/app/command_status.cpp
+++ b/src/app/command_status.cpp
@@ -3,7 +3,7 @@
 #include "app/admin_client.h"
 #include "app/admin_targets.h"
 #include "app/option_set.h"
-#include "app/process_status.h"
+#include "control/process_status.h"
 
 namespace dragonflymill::app {
 
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -2,7 +2,9 @@
 
 #include "app/command_bundle.h"
 #include "app/command_daemon.h"
+#include "app/command_drain.h"
 #include "app/command_settings.h"
+#include "app/command_status.h"
 #include "app/command_timeline.h"
 #include "app/command_version.h"
 
@@ -14,9 +16,11 @@
 
 constexpr auto commands = std::to_array<command>({
     {"bundle", "makes, checks, compares and signs configuration bundles", run_bundle},
+    {"drain", "begins a planned stop of processes", run_drain},
     {"gateway", "runs a gateway", run_gateway_command},
     {"settings", "prints a settings file to start from", run_settings},
     {"sidecar", "runs a sidecar", run_sidecar_command},
+    {"status", "shows how processes are", run_status},
     {"timeline", "merges the time lines of many processes", run_timeline},
     {"version", "prints the version", run_version},
 });
--- a/src/app/admin_endpoint.cpp
+++ b/src/control/admin_endpoint.cpp
@@ -1,8 +1,8 @@
-#include "app/admin_endpoint.h"
+#include "control/admin_endpoint.h"
 
 #include "http/http_text.h"
 
-namespace dragonflymill::app {
+namespace dragonflymill {
 
 namespace {
 
@@ -65,4 +65,4 @@
     return path == "/admin/drain" ? answer_of(handlers.drain()) : take_bundle(request, handlers);
 }
 
-} // namespace dragonflymill::app
+} // namespace dragonflymill
--- a/src/app/admin_endpoint.h
+++ b/src/control/admin_endpoint.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "app/bundle_package.h"
-#include "app/process_status.h"
+#include "control/bundle_package.h"
+#include "control/process_status.h"
 #include "dragonflymill/core/error.h"
 #include "http/http_request.h"
 
 #include <functional>
 
-namespace dragonflymill::app {
+namespace dragonflymill {
 
 /// What a daemon lets operators do through its admin address. Called on the thread that serves it.
 struct admin_handlers
@@ -23,4 +23,4 @@
 [[nodiscard]] auto answer_admin(const http::http_request& request, const admin_handlers& handlers)
     -> http::http_response;
 
-} // namespace dragonflymill::app
+} // namespace dragonflymill
--- a/src/app/bundle_package.cpp
+++ b/src/control/bundle_package.cpp
@@ -1,9 +1,9 @@
-#include "app/bundle_package.h"
+#include "control/bundle_package.h"
 
 #include "control/bundle_file.h"
 #include "dragonflymill/bundle/bundle_source.h"
 
-namespace dragonflymill::app {
+namespace dragonflymill {
 
 namespace {
 
@@ -95,4 +95,4 @@
     return package_of(value.value());
 }
 
-} // namespace dragonflymill::app
+} // namespace dragonflymill
--- a/src/app/bundle_package.h
+++ b/src/control/bundle_package.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace dragonflymill::app {
+namespace dragonflymill {
 
 /// A signed bundle as one file: the signed manifest, then the sections it names, in its order.
 struct bundle_package
@@ -36,4 +36,4 @@
 /// Reads a package from its file, or makes an unsigned one from a bundle's source file.
 [[nodiscard]] auto load_package(const std::string& path) -> result<bundle_package>;
 
-} // namespace dragonflymill::app
+} // namespace dragonflymill
--- a/src/control/daemon_control.cpp
+++ b/src/control/daemon_control.cpp
@@ -1,6 +1,6 @@
 #include "control/daemon_control.h"
 
-#include "app/bundle_package.h"
+#include "control/bundle_package.h"
 #include "dragonflymill/bundle/bundle_source.h"
 #include "runtime/clock.h"
 #include "runtime/text_file.h"
@@ -24,18 +24,18 @@
     if (path.empty()) {
         return bundle_file{};
     }
-    auto text = runtime::read_text_file(path, app::max_package_bytes);
+    auto text = runtime::read_text_file(path, max_package_bytes);
     if (!text) {
         return text.error();
     }
-    if (!app::is_package(text.value())) {
+    if (!is_package(text.value())) {
         auto source = parse_bundle_source(text.value());
         if (!source) {
             return source.error();
         }
         return bundle_file{std::make_shared<const bundle>(std::move(source.value())), std::nullopt};
     }
-    auto package = app::decode_package(text.value());
+    auto package = decode_package(text.value());
     if (!package) {
         return package.error();
     }
--- a/src/app/process_status.cpp
+++ b/src/control/process_status.cpp
@@ -1,10 +1,10 @@
-#include "app/process_status.h"
+#include "control/process_status.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 
-namespace dragonflymill::app {
+namespace dragonflymill {
 
 namespace {
 
@@ -102,4 +102,4 @@
     return text;
 }
 
-} // namespace dragonflymill::app
+} // namespace dragonflymill
--- a/src/app/process_status.h
+++ b/src/control/process_status.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace dragonflymill::app {
+namespace dragonflymill {
 
 /// One upstream as a process sees it.
 struct upstream_status
@@ -47,4 +47,4 @@
 /// The status for people, a line for the process and one for each upstream.
 [[nodiscard]] auto to_text(const process_status& status) -> std::string;
 
-} // namespace dragonflymill::app
+} // namespace dragonflymill
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_daemon.h"
 
+#include "control/admin_server.h"
 #include "control/daemon_control.h"
 #include "gateway/caller_gate.h"
 #include "gateway/gateway_shell.h"
@@ -85,6 +86,8 @@
     runtime::io_thread http_thread_;
     http::http_server server_;
     std::unique_ptr<control::daemon_control> control_;
+    std::unique_ptr<control::admin_server> admin_;
+    bool stop_begun_ = false;
 };
 
 auto gateway_daemon::open_control() -> result<void>
@@ -102,11 +105,14 @@
         return opened.error();
     }
     control_ = std::move(opened.value());
-    return success();
+    admin_ = std::make_unique<control::admin_server>(
+        context_, *control_, [this] { return shell_.status(); }, [this] { on_stop_signal(); });
+    return admin_->listen(settings_.admin_listen);
 }
 
 void gateway_daemon::on_snapshot(const control::control_snapshot& snapshot)
 {
+    admin_->note(snapshot);
     if (!snapshot.ready) {
         return;
     }
@@ -160,6 +166,9 @@
 {
     // The balancer in front learns only from /readyz that no caller should come here: for its lag this
     // process still accepts, so that no caller meets a closed port.
+    if (std::exchange(stop_begun_, true)) {
+        return;
+    }
     log_event(event::gateway_stopping);
     gate_.set_stopping(true);
     control_->leave();
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_shell.h"
 
+#include "app/version.h"
 #include "dragonflymill/core/stable_hash.h"
 #include "gateway/answer_text.h"
 #include "log/logger.h"
@@ -14,10 +15,29 @@
 
 constexpr duration tick_interval = 10ms;
 constexpr duration share_patience = 200ms;
+constexpr duration status_interval = 250ms;
 constexpr metric_name first_token_name{"dragonflymill_first_token_seconds",
                                        "Time from a request's arrival to its first token, by length class"};
 constexpr metric_name requests_name{"dragonflymill_requests_total", "Requests by their final answer"};
 
+auto state_text(const upstream_record& record) -> std::string
+{
+    if (record.drained()) {
+        return "drained";
+    }
+    switch (record.state()) {
+    case upstream_state::alive:
+        return record.load().cold ? "cold" : "alive";
+    case upstream_state::suspect:
+        return "suspect";
+    case upstream_state::leaving:
+        return "leaving";
+    case upstream_state::dead:
+        return "dead";
+    }
+    return "dead";
+}
+
 auto core_options(const gateway_settings& settings, std::string ticket_key) -> gateway_core_options
 {
     gateway_core_options options;
@@ -169,6 +189,7 @@
 void gateway_shell::tick(instant now)
 {
     carry_out(core_.step(now, gateway_input::tick{}));
+    publish_status(now);
     for (const auto& [upstream, link] : links_) {
         const auto replaced_before = link->replaced();
         const auto state = link->tick(now);
@@ -183,6 +204,24 @@
     }
 }
 
+void gateway_shell::publish_status(instant now)
+{
+    if (now < next_status_) {
+        return;
+    }
+    next_status_ = now + status_interval;
+    process_status status;
+    status.process = self_;
+    status.role = "gateway";
+    status.version = app::version_text();
+    status.in_flight = core_.in_hand();
+    for (const auto& record : core_.table().records()) {
+        status.upstreams.push_back(
+            {record.description().id, state_text(record), record.own_in_flight(), record.load().allowed});
+    }
+    status_.set(std::move(status));
+}
+
 void gateway_shell::carry_out(const std::vector<gateway_action>& actions)
 {
     for (const auto& action : actions) {
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/control_snapshot.h"
+#include "control/process_status.h"
 #include "dragonflymill/serve/gateway_core.h"
 #include "gateway/caller_gate.h"
 #include "gateway/exchange.h"
@@ -8,6 +9,7 @@
 #include "gateway/sidecar_link.h"
 #include "metrics/metrics_registry.h"
 #include "runtime/duty_thread.h"
+#include "runtime/latest.h"
 #include "settings/gateway_settings.h"
 #include "timeline/timeline_recorder.h"
 
@@ -48,6 +50,8 @@
     [[nodiscard]] auto arrived(arrival made) -> bool;
     /// A caller left.
     void caller_left(std::uint64_t exchange);
+    /// What operators see of it.
+    [[nodiscard]] auto status() const -> process_status { return status_.get(); }
     /// Begins a planned stop.
     void stop();
     /// Ends the thread.
@@ -73,6 +77,7 @@
     void handle_link(link_event event);
     void forget_placement(const gateway_event& input);
     void tick(instant now);
+    void publish_status(instant now);
     void carry_out(const std::vector<gateway_action>& actions);
 
     void act(const gateway_output::open_attempt& action);
@@ -105,6 +110,8 @@
     std::deque<gateway_event> follow_ups_;          // what carrying out an action led to at once
     std::map<upstream_id, std::unique_ptr<sidecar_link>> links_;
     instant last_tick_;
+    instant next_status_;
+    runtime::latest<process_status> status_;
     std::shared_ptr<const bundle> adopted_; // the control thread's own
 };
 
--- a/src/serve/sidecar_core.cpp
+++ b/src/serve/sidecar_core.cpp
@@ -177,8 +177,7 @@
     attempts_.tick(now, actions);
     services_.tick(now, actions);
     ledger_.tick(now);
-    const bool idle = attempts_.size() == 0 && services_.size() == 0;
-    if (stopping_ && idle && !said_all_done_) {
+    if (stopping_ && in_hand() == 0 && !said_all_done_) {
         said_all_done_ = true;
         actions.push_back(sidecar_output::all_done{});
     }
--- a/src/sidecar/sidecar_daemon.cpp
+++ b/src/sidecar/sidecar_daemon.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/sidecar_daemon.h"
 
+#include "control/admin_server.h"
 #include "control/daemon_control.h"
 #include "log/logger.h"
 #include "runtime/text_file.h"
@@ -8,7 +9,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdio>
 #include <grpcpp/security/server_credentials.h>
@@ -48,13 +48,12 @@
     [[nodiscard]] auto serve(std::string ticket_key) -> int;
     [[nodiscard]] auto open_control(sidecar::sidecar_shell& shell, std::function<void()> on_superseded)
         -> result<std::unique_ptr<control::daemon_control>>;
-    void wait_for_signals(sidecar::sidecar_shell& shell, control::daemon_control& control);
 
     const sidecar_settings& settings_;
     timeline_recorder timeline_;
     boost::asio::io_context context_{1};
     boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
-    boost::asio::steady_timer lag_{context_};
+    std::unique_ptr<control::admin_server> admin_;
     int exit_code_ = exit_ok;
 };
 
@@ -94,6 +93,17 @@
         std::fprintf(stderr, "%s\n", control.error().text().c_str());
         return exit_failed;
     }
+    const auto stop = [&shell, &control] {
+        control.value()->leave();
+        shell.stop();
+    };
+    admin_ = std::make_unique<control::admin_server>(
+        context_, *control.value(), [&shell] { return shell.status(); }, stop);
+    const auto admin_listening = admin_->listen(settings_.admin_listen);
+    if (!admin_listening) {
+        std::fprintf(stderr, "%s\n", admin_listening.error().text().c_str());
+        return exit_failed;
+    }
     shell.start();
     control.value()->start();
     int port = 0;
@@ -108,7 +118,11 @@
     std::printf("ready grpc %s:%d gossip %s\n", settings_.grpc_listen.ip.c_str(), port,
                 control.value()->gossip_address().c_str());
     std::fflush(stdout);
-    wait_for_signals(shell, *control.value());
+    signals_.async_wait([stop](boost::system::error_code failure, int /*signal*/) {
+        if (!failure) {
+            stop();
+        }
+    });
     context_.run();
     control.value()->stop();
     server->Shutdown(std::chrono::system_clock::now() + 1s);
@@ -120,7 +134,8 @@
     -> result<std::unique_ptr<control::daemon_control>>
 {
     control::control_plane_handlers handlers;
-    handlers.on_snapshot = [&shell](const std::shared_ptr<const control::control_snapshot>& snapshot) {
+    handlers.on_snapshot = [this, &shell](const std::shared_ptr<const control::control_snapshot>& snapshot) {
+        admin_->note(*snapshot);
         shell.adopt(*snapshot);
     };
     handlers.on_superseded = std::move(on_superseded);
@@ -128,16 +143,6 @@
         {process_role::sidecar, settings_.process, settings_.bundle, settings_.control}, std::move(handlers));
 }
 
-void sidecar_daemon::wait_for_signals(sidecar::sidecar_shell& shell, control::daemon_control& control)
-{
-    signals_.async_wait([&shell, &control](boost::system::error_code failure, int /*signal*/) {
-        if (!failure) {
-            control.leave();
-            shell.stop();
-        }
-    });
-}
-
 } // namespace
 
 auto run_sidecar(const sidecar_settings& settings) -> int
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/sidecar_shell.h"
 
+#include "app/version.h"
 #include "http/address.h"
 #include "rpc/wire_convert.h"
 #include "runtime/clock.h"
@@ -14,6 +15,7 @@
 
 constexpr std::size_t ring_capacity = 16 * 1024;
 constexpr duration tick_interval = 20ms;
+constexpr duration status_interval = 250ms;
 
 auto endpoint_of(const socket_address& address) -> boost::asio::ip::tcp::endpoint
 {
@@ -138,12 +140,33 @@
     if (now - last_tick_ >= tick_interval) {
         last_tick_ = now;
         carry_out(core_.step(now, sidecar_input::tick{}));
+        publish_status(now);
     }
     if (core_.superseded()) {
         on_superseded_();
     }
 }
 
+void sidecar_shell::publish_status(instant now)
+{
+    if (now < next_status_) {
+        return;
+    }
+    next_status_ = now + status_interval;
+    const auto load = core_.load(now);
+    process_status status;
+    status.process = process_;
+    status.role = "sidecar";
+    status.version = app::version_text();
+    status.in_flight = core_.in_hand();
+    std::string state = load.cold ? "cold" : "alive";
+    if (load.draining) {
+        state = "drained";
+    }
+    status.upstreams.push_back({self_, state, load.outstanding, load.allowed});
+    status_.set(std::move(status));
+}
+
 void sidecar_shell::answer_heartbeat(const heartbeat_event& event)
 {
     wire::heartbeat_pong pong;
--- a/src/sidecar/sidecar_shell.h
+++ b/src/sidecar/sidecar_shell.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "control/control_snapshot.h"
+#include "control/process_status.h"
 #include "dragonflymill/serve/sidecar_core.h"
 #include "runtime/duty_thread.h"
 #include "runtime/io_thread.h"
+#include "runtime/latest.h"
 #include "settings/sidecar_settings.h"
 #include "sidecar/gate_service.h"
 #include "timeline/timeline_recorder.h"
@@ -28,6 +30,8 @@
     void start();
     /// Takes over what the control plane knows; called on one thread.
     void adopt(const control::control_snapshot& snapshot);
+    /// What operators see of it.
+    [[nodiscard]] auto status() const -> process_status { return status_.get(); }
     /// Begins a planned stop.
     void stop();
     /// Ends the threads.
@@ -43,6 +47,7 @@
     void post(sidecar_event event);
     void handle(std::optional<shell_event> event);
     void carry_out(const std::vector<sidecar_action>& actions);
+    void publish_status(instant now);
     void answer_heartbeat(const heartbeat_event& event);
 
     void act(const sidecar_output::grant_attempt& action);
@@ -69,6 +74,8 @@
     upstream::engine_client engine_;
     upstream::service_client service_client_;
     instant last_tick_;
+    instant next_status_;
+    runtime::latest<process_status> status_;
     bool is_engine_ = false;
     std::shared_ptr<const bundle> adopted_; // the control thread's own
 };
--- a/tests/app/admin_test.cpp
+++ b/tests/app/admin_test.cpp
@@ -1,7 +1,7 @@
-#include "app/admin_endpoint.h"
 #include "app/command_bundle_push.h"
 #include "app/command_drain.h"
 #include "app/command_status.h"
+#include "control/admin_endpoint.h"
 #include "http/http_server.h"
 #include "runtime/io_thread.h"
 
