Say which cost a class can be granted at most

Cause: a prompt that fits the engine's memory but not the ceiling less the short classes' reserves is refused as too large; whoever sorts prompts into classes could not ask for that bound.

Conclusion: prompts above the bound can go to a gang instead of being refused.

--- a/include/dragonflymill/admission/permit_gate.h
+++ b/include/dragonflymill/admission/permit_gate.h
@@ -155,6 +155,8 @@
 
     /// Outstanding work, allowance and drain.
     [[nodiscard]] auto load() const -> gate_load;
+    /// Largest cost that a class can ever be granted; more is refused as `too_large`.
+    [[nodiscard]] auto largest_cost(length_class size_class) const -> work_cost;
     /// Permits, longest class and newest first, without which the outstanding cost would be under what is
     /// allowed; empty when it is. Streams among them can be moved to another engine after a cold sign.
     [[nodiscard]] auto over_allowance() const -> std::vector<lease_id>;
@@ -183,7 +185,6 @@
 
     [[nodiscard]] auto reserved_for(length_class size_class, work_cost allowed) const -> work_cost;
     [[nodiscard]] auto room_for(length_class size_class) const -> work_cost;
-    [[nodiscard]] auto largest(length_class size_class) const -> work_cost;
     [[nodiscard]] auto refuse(instant now, const permit_ask& request, refusal_code code) -> refusal;
     [[nodiscard]] auto retry_after(instant now, const process_id& asker) -> duration;
     [[nodiscard]] auto grant(instant now, const permit_ask& request) -> permit;
--- a/src/admission/permit_gate.cpp
+++ b/src/admission/permit_gate.cpp
@@ -48,7 +48,7 @@
     if (guard_holds(guard::drain) && draining_) {
         return refuse(now, request, refusal_code::draining);
     }
-    if (request.cost > largest(request.size_class)) {
+    if (request.cost > largest_cost(request.size_class)) {
         return refuse(now, request, refusal_code::too_large);
     }
     if (permits_.size() >= options_.max_permits) {
@@ -337,7 +337,7 @@
     return room;
 }
 
-auto permit_gate::largest(length_class size_class) const -> work_cost
+auto permit_gate::largest_cost(length_class size_class) const -> work_cost
 {
     const work_cost ceiling = ramp_.options().ceiling;
     work_cost room = ceiling;
--- a/tests/admission/permit_gate_test.cpp
+++ b/tests/admission/permit_gate_test.cpp
@@ -50,7 +50,8 @@
 Test(permit_gate, what_never_fits_is_told_so)
 {
     permit_gate gate(at(0s), gate_options());
-    const auto said = refused(gate, at(0s), ask_of("g", 9'000, length_class::bulk));
+    cr_assert(gate.largest_cost(length_class::bulk) == 8'000);
+    const auto said = refused(gate, at(0s), ask_of("g", 8'001, length_class::bulk));
     cr_assert(said->code == refusal_code::too_large);
     cr_assert(said->retry_after == 0us);
 }
