--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -64,7 +64,7 @@
     schema.time({"stop", "drain_lag", "time that the balancer takes to notice that a gateway is not ready"},
                 target.drain_lag, {duration::zero(), std::chrono::minutes(10)});
     schema.path({"once", "key_file", "file with the key of the tickets' seal; the same everywhere"},
-                target.ticket_key_file);
+                target.ticket_key_file, presence::required);
     bind(schema, target.control);
     bind(schema, target.log);
     bind(schema, target.timeline);
--- a/src/settings/sidecar_settings.cpp
+++ b/src/settings/sidecar_settings.cpp
@@ -36,7 +36,7 @@
     schema.time({"once", "retention", "how long the outcome of such a call is remembered"}, target.retention,
                 {1s, std::chrono::hours(24)});
     schema.path({"once", "key_file", "file with the key of the tickets' seal; the same everywhere"},
-                target.key_file);
+                target.key_file, presence::required);
 }
 
 } // namespace
