--- a/src/app/address_targets.cpp
+++ b/src/app/admin_targets.cpp
@@ -1,4 +1,4 @@
-#include "app/address_targets.h"
+#include "app/admin_targets.h"
 
 namespace dragonflymill::app {
 
@@ -26,9 +26,4 @@
     return code;
 }
 
-auto at_target(const socket_address& target, const error& failed) -> error
-{
-    return {failed.kind(), to_text(target) + ": " + failed.message(), failed.remedy()};
-}
-
 } // namespace dragonflymill::app
--- a/src/app/command_bundle_push.cpp
+++ b/src/app/command_bundle_push.cpp
@@ -1,16 +1,15 @@
 #include "app/command_bundle_push.h"
 
-#include "app/address_targets.h"
+#include "app/admin_client.h"
+#include "app/admin_targets.h"
 #include "app/bundle_package.h"
 #include "app/option_set.h"
-#include "control/peer_client.h"
 
 namespace dragonflymill::app {
 
 namespace {
 
 constexpr std::size_t signatures_needed = 2;
-constexpr duration answer_deadline = 5s;
 
 } // namespace
 
@@ -19,18 +18,15 @@
     std::vector<std::string> files;
     std::vector<std::string> targets;
     option_set options("dragonflymill bundle push FILE --to ADDRESS [--to ADDRESS]...",
-                       "Gives a signed bundle to processes, which check it as they check any other and pass "
-                       "it on to the rest of "
-                       "the fleet.");
-    options.texts("to", "a process's [control] peer_listen", targets);
+                       "Gives a signed bundle to processes, which check it as they check any other.");
+    options.texts("to", "a process's [listen] admin", targets);
     options.positional("the signed bundle", files, 1, 1);
-    options.example("dragonflymill bundle push bundle.signed --to 127.0.0.1:7300",
-                    "gives it to one process; the others hear of it from there");
+    options.example("dragonflymill bundle push bundle.signed --to 127.0.0.1:9080", "gives it to one process");
     if (const auto done = options.parse(words, io)) {
         return *done;
     }
     if (targets.empty()) {
-        io.err << "--to is missing; name a process's [control] peer_listen\n";
+        io.err << "--to is missing; name a process's admin address\n";
         return exit_code::usage;
     }
     const auto package = load_package(files.front());
@@ -44,13 +40,11 @@
                             "let both partners sign it with `dragonflymill bundle sign`"),
                       io);
     }
-    const control::pushed_bundle pushed{encode_signed_manifest(package.value().manifest),
-                                        package.value().sections};
-    const control::peer_client client(answer_deadline);
+    const std::string body = encode_package(package.value());
     return for_each_target(targets, io, [&](const socket_address& target) -> result<void> {
-        const auto done = client.push(to_text(target), pushed);
-        if (done.has_error()) {
-            return at_target(target, done.error());
+        const auto answer = call_admin(target, {"POST", "/admin/bundle", {}, body});
+        if (answer.has_error()) {
+            return answer.error();
         }
         io.out << to_text(target) << ": taken\n";
         return success();
