--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_shell.h"
 
+#include "app/version.h"
 #include "dragonflymill/core/stable_hash.h"
 #include "gateway/answer_text.h"
 #include "log/logger.h"
@@ -13,10 +14,30 @@
 namespace {
 
 constexpr duration tick_interval = 10ms;
+constexpr duration share_patience = 200ms;
+constexpr duration status_interval = 250ms;
 constexpr metric_name first_token_name{"dragonflymill_first_token_seconds",
                                        "Time from a request's arrival to its first token, by length class"};
 constexpr metric_name requests_name{"dragonflymill_requests_total", "Requests by their final answer"};
 
+auto state_text(const upstream_record& record) -> std::string
+{
+    if (record.drained()) {
+        return "drained";
+    }
+    switch (record.state()) {
+    case upstream_state::alive:
+        return record.load().cold ? "cold" : "alive";
+    case upstream_state::suspect:
+        return "suspect";
+    case upstream_state::leaving:
+        return "leaving";
+    case upstream_state::dead:
+        return "dead";
+    }
+    return "dead";
+}
+
 auto core_options(const gateway_settings& settings, std::string ticket_key) -> gateway_core_options
 {
     gateway_core_options options;
@@ -34,13 +55,13 @@
 
 gateway_shell::gateway_shell(const gateway_settings& settings, std::string ticket_key,
                              timeline_recorder& timeline, metrics_registry& metrics,
-                             std::function<void()> on_all_done)
+                             gateway_shell_handlers handlers)
     : self_(settings.process.name)
     , heartbeat_{settings.heartbeat.interval, settings.heartbeat.misses}
     , timeline_(timeline)
     , metrics_(metrics)
-    , on_all_done_(std::move(on_all_done))
-    , core_(core_options(settings, std::move(ticket_key)))
+    , handlers_(std::move(handlers))
+    , core_(runtime::now(), core_options(settings, std::move(ticket_key)))
     , decide_(settings.rings.deliveries, tick_interval)
 {
 }
@@ -50,9 +71,38 @@
     decide_.start([this](std::optional<shell_event> event) { handle(std::move(event)); });
 }
 
-void gateway_shell::adopt(std::shared_ptr<const bundle> in_force)
+void gateway_shell::adopt(const control::control_snapshot& snapshot)
+{
+    if (snapshot.in_force && snapshot.in_force != adopted_) {
+        adopted_ = snapshot.in_force;
+        post(gateway_event(gateway_input::bundle_adopted{adopted_}));
+    }
+    member_info self;
+    self.id = self_;
+    self.role = process_role::gateway;
+    post(gateway_event(gateway_input::drains_changed{snapshot.drained_domains, snapshot.drained_hosts}));
+    post(gateway_event(
+        gateway_input::gateways_changed{control::live_gateways(snapshot, self), snapshot.gateways_expected}));
+}
+
+auto gateway_shell::share_asked(const share_request& request) -> share_grant
 {
-    post(gateway_event(gateway_input::bundle_adopted{std::move(in_force)}));
+    const auto answer = std::make_shared<std::promise<share_grant>>();
+    auto future = answer->get_future();
+    const bool asked = decide_.post(share_question{request, answer});
+    if (asked && future.wait_for(share_patience) == std::future_status::ready) {
+        return future.get();
+    }
+    // No word: the other gateway goes on with its equal part.
+    share_grant none;
+    none.account = request.account;
+    none.is_home = false;
+    return none;
+}
+
+void gateway_shell::share_granted(const share_grant& grant)
+{
+    post(gateway_event(gateway_input::share_granted{grant}));
 }
 
 auto gateway_shell::arrived(arrival made) -> bool
@@ -91,6 +141,9 @@
             exchanges_.insert_or_assign(number, std::move(made->held));
             carry_out(core_.step(now, made->event));
         }
+        else if (const auto* question = std::get_if<share_question>(&*event)) {
+            question->answer->set_value(core_.share_asked(now, question->request));
+        }
         else {
             handle_link(std::move(std::get<link_event>(*event)));
         }
@@ -136,6 +189,7 @@
 void gateway_shell::tick(instant now)
 {
     carry_out(core_.step(now, gateway_input::tick{}));
+    publish_status(now);
     for (const auto& [upstream, link] : links_) {
         const auto replaced_before = link->replaced();
         const auto state = link->tick(now);
@@ -150,6 +204,24 @@
     }
 }
 
+void gateway_shell::publish_status(instant now)
+{
+    if (now < next_status_) {
+        return;
+    }
+    next_status_ = now + status_interval;
+    process_status status;
+    status.process = self_;
+    status.role = "gateway";
+    status.version = app::version_text();
+    status.in_flight = core_.in_hand();
+    for (const auto& record : core_.table().records()) {
+        status.upstreams.push_back(
+            {record.description().id, state_text(record), record.own_in_flight(), record.load().allowed});
+    }
+    status_.set(std::move(status));
+}
+
 void gateway_shell::carry_out(const std::vector<gateway_action>& actions)
 {
     for (const auto& action : actions) {
@@ -335,9 +407,14 @@
     }
 }
 
+void gateway_shell::act(const gateway_output::ask_for_share& action)
+{
+    handlers_.ask_for_share(action.asked);
+}
+
 void gateway_shell::act(const gateway_output::all_done& /*action*/)
 {
-    on_all_done_();
+    handlers_.on_all_done();
 }
 
 void gateway_shell::respond(exchange_number number, http::http_response response)
--- a/src/sidecar/sidecar_shell.h
+++ b/src/sidecar/sidecar_shell.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include "dragonflymill/bundle/bundle.h"
+#include "control/control_snapshot.h"
+#include "control/process_status.h"
 #include "dragonflymill/serve/sidecar_core.h"
 #include "runtime/duty_thread.h"
 #include "runtime/io_thread.h"
+#include "runtime/latest.h"
 #include "settings/sidecar_settings.h"
 #include "sidecar/gate_service.h"
 #include "timeline/timeline_recorder.h"
@@ -26,8 +28,10 @@
 
     /// Starts the threads.
     void start();
-    /// Takes over a bundle.
-    void adopt(const bundle& in_force);
+    /// Takes over what the control plane knows; called on one thread.
+    void adopt(const control::control_snapshot& snapshot);
+    /// What operators see of it.
+    [[nodiscard]] auto status() const -> process_status { return status_.get(); }
     /// Begins a planned stop.
     void stop();
     /// Ends the threads.
@@ -37,11 +41,13 @@
     [[nodiscard]] auto service() -> gate_service& { return gate_; }
 
 private:
+    void adopt_bundle(const bundle& in_force, const upstream_entry& own);
     [[nodiscard]] auto core_options(const sidecar_settings& settings, std::string ticket_key) const
         -> sidecar_core_options;
     void post(sidecar_event event);
     void handle(std::optional<shell_event> event);
     void carry_out(const std::vector<sidecar_action>& actions);
+    void publish_status(instant now);
     void answer_heartbeat(const heartbeat_event& event);
 
     void act(const sidecar_output::grant_attempt& action);
@@ -68,7 +74,10 @@
     upstream::engine_client engine_;
     upstream::service_client service_client_;
     instant last_tick_;
+    instant next_status_;
+    runtime::latest<process_status> status_;
     bool is_engine_ = false;
+    std::shared_ptr<const bundle> adopted_; // the control thread's own
 };
 
 } // namespace dragonflymill::sidecar
