--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -1,6 +1,7 @@
 #include "app/program.h"
 
 #include "app/command_bundle.h"
+#include "app/command_cordon.h"
 #include "app/command_daemon.h"
 #include "app/command_drain.h"
 #include "app/command_settings.h"
@@ -16,6 +17,7 @@
 
 constexpr auto commands = std::to_array<command>({
     {"bundle", "makes, checks, compares and signs configuration bundles", run_bundle},
+    {"cordon", "takes a failure domain or host out of service, or back", run_cordon},
     {"drain", "begins a planned stop of processes", run_drain},
     {"gateway", "runs a gateway", run_gateway_command},
     {"settings", "prints a settings file to start from", run_settings},
--- a/tests/app/program_test.cpp
+++ b/tests/app/program_test.cpp
@@ -118,7 +118,8 @@
 Test(program, every_command_has_help_with_an_example)
 {
     std::vector<arguments> all{{"bundle", "new"},  {"bundle", "check"}, {"bundle", "diff"},
-                               {"bundle", "sign"}, {"bundle", "key"},   {"bundle", "verify"}};
+                               {"bundle", "sign"}, {"bundle", "key"},   {"bundle", "verify"},
+                               {"bundle", "push"}};
     for (const command& c : program_commands()) {
         all.push_back({c.name});
     }
