Say "unknown" of an unsent call whose withdrawal fails, and name conflicts

Cause: a call that was not sent was always refused with ran "no", also when the ledger could not withdraw it since a successor may have run its key. A used ticket or key with another body was refused as a fault of ours.

Change: the refusal follows withdraw()'s result. Today's ledger can't return false on that path, since it looks at its lease at the same moment just before; so the answer is a function of its own, tested by itself. New refusal code conflict, HTTP 409, ran "no". A gateway that reads a code it doesn't know takes it for internal, as older gateways do with this one.

--- a/include/dragonflymill/core/refusal.h
+++ b/include/dragonflymill/core/refusal.h
@@ -29,6 +29,7 @@
     too_large,      ///< Larger than any upstream, or group of upstreams, can hold.
     cancelled,      ///< The caller left or cancelled it.
     internal,       ///< A fault of ours.
+    conflict,       ///< The ticket or key was used before with another body; this one was not run.
 };
 
 /// Name of a refusal code, as it stands in answers and logs.
--- a/include/dragonflymill/serve/service_desk.h
+++ b/include/dragonflymill/serve/service_desk.h
@@ -77,4 +77,8 @@
     std::map<call_number, waiting_call> waiting_;
 };
 
+/// The answer to a call that was not sent: "not run" only if it `never_will_run`. Without the own lease a
+/// successor may have run its key.
+[[nodiscard]] auto refusal_before_sending(bool never_will_run) -> refusal;
+
 } // namespace dragonflymill
--- a/src/gateway/answer_text.cpp
+++ b/src/gateway/answer_text.cpp
@@ -67,6 +67,7 @@
         return 504;
     case refusal_code::ticket_unknown:
     case refusal_code::cancelled:
+    case refusal_code::conflict:
         return 409;
     case refusal_code::no_route:
         return 404;
--- a/src/rpc/wire_convert.cpp
+++ b/src/rpc/wire_convert.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::uint32_t last_refusal_code = static_cast<std::uint32_t>(refusal_code::internal);
+constexpr std::uint32_t last_refusal_code = static_cast<std::uint32_t>(refusal_code::conflict);
 constexpr std::uint32_t last_length_class = length_class_count - 1;
 constexpr std::uint32_t last_priority = static_cast<std::uint32_t>(priority::overnight);
 
@@ -69,7 +69,9 @@
 auto from_wire(const wire::attempt_refused& refused) -> refusal
 {
     refusal why;
-    why.code = static_cast<refusal_code>(std::min(refused.code(), last_refusal_code));
+    // A newer sidecar may know codes that this gateway doesn't.
+    const bool known = refused.code() <= last_refusal_code;
+    why.code = known ? static_cast<refusal_code>(refused.code()) : refusal_code::internal;
     why.ran = refused.may_have_run() ? ran_state::unknown : ran_state::no;
     why.retry_after = duration(not_negative(refused.retry_after_us()));
     why.remedy = refused.remedy();
--- a/src/serve/service_desk.cpp
+++ b/src/serve/service_desk.cpp
@@ -41,11 +41,21 @@
 
 auto error_refusal(const error& failure) -> refusal
 {
-    return {refusal_code::internal, ran_state::no, duration::zero(), failure.text()};
+    const bool other_body = failure.kind() == error_kind::conflict;
+    const auto code = other_body ? refusal_code::conflict : refusal_code::internal;
+    return {code, ran_state::no, duration::zero(), failure.text()};
 }
 
 } // namespace
 
+auto refusal_before_sending(bool never_will_run) -> refusal
+{
+    if (!never_will_run) {
+        return unknown_refusal(unknown_reason::no_lease);
+    }
+    return {refusal_code::deadline, ran_state::no, duration::zero(), "allow more time"};
+}
+
 auto service_desk::once_call_of(const service_spec& spec) const -> once_call
 {
     const auto body = digest_of({spec.method, spec.target, spec.content_type, spec.body});
@@ -152,12 +162,9 @@
     const bool may_send =
         !limit.expired(now) && gate_.begin(now, lease) && (!serial || ledger_.sending(now, *serial));
     if (!may_send) {
-        if (serial) {
-            ledger_.withdraw(now, *serial);
-        }
+        const bool never_will_run = !serial || ledger_.withdraw(now, *serial);
         gate_.done(now, lease, work_outcome::cancelled);
-        actions.push_back(sidecar_output::refuse_call{
-            input.call, {refusal_code::deadline, ran_state::no, duration::zero(), "allow more time"}});
+        actions.push_back(sidecar_output::refuse_call{input.call, refusal_before_sending(never_will_run)});
         return;
     }
     const bool is_new = running_.emplace(input.call, running_call{lease, serial}).second;
--- /dev/null
+++ b/tests/serve/sidecar_service_test.cpp
@@ -0,0 +1,86 @@
+#include "dragonflymill/serve/sidecar_core.h"
+#include "support/fault_cell.h"
+
+using namespace dragonflymill;
+
+namespace {
+
+constexpr instant start{1'000s};
+
+auto options() -> sidecar_core_options
+{
+    sidecar_core_options made;
+    made.ledger.upstream = upstream_id("u1");
+    made.ledger.self = incarnation(7);
+    made.ledger.started = start;
+    made.ledger.ticket_key = "a key of the tests";
+    return made;
+}
+
+auto booking(std::string ticket, std::string body, duration remaining = 10s) -> service_spec
+{
+    service_spec made;
+    made.request = request_id("r");
+    made.route = route_id("bookings");
+    made.account = client_account_id("a");
+    made.gateway = process_id("g1");
+    made.ticket = std::move(ticket);
+    made.method = "POST";
+    made.target = "/book";
+    made.body = std::move(body);
+    made.remaining = remaining;
+    return made;
+}
+
+template <typename Action>
+auto find(const std::vector<sidecar_action>& actions) -> const Action*
+{
+    for (const auto& action : actions) {
+        if (const auto* found = std::get_if<Action>(&action)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+auto take_ticket(sidecar_core& core) -> std::string
+{
+    const auto given = core.step(start, sidecar_input::ticket_asked{call_number(1), booking({}, {})});
+    return find<sidecar_output::give_ticket>(given)->ticket;
+}
+
+} // namespace
+
+Test(sidecar_service, another_body_under_a_used_ticket_is_a_conflict_that_never_ran)
+{
+    sidecar_core core(start, options());
+    const auto ticket = take_ticket(core);
+    const auto run = core.step(start, sidecar_input::service_called{call_number(2), booking(ticket, "two")});
+    cr_assert(find<sidecar_output::run_service>(run) != nullptr);
+    const auto other =
+        core.step(start, sidecar_input::service_called{call_number(3), booking(ticket, "three")});
+    cr_assert(find<sidecar_output::run_service>(other) == nullptr);
+    cr_assert(find<sidecar_output::refuse_call>(other)->why.code == refusal_code::conflict);
+    cr_assert(find<sidecar_output::refuse_call>(other)->why.ran == ran_state::no);
+    cr_assert(std::string(to_string(refusal_code::conflict)) == "conflict");
+}
+
+FAULT_CELL_MORE(request_dispatch, message_late, ticket)
+{
+    // A caller's booking reaches the sidecar when its time is over. It is told "not run", and so a late copy
+    // of the same try must not run either.
+    sidecar_core core(start, options());
+    const auto ticket = take_ticket(core);
+    const auto late = core.step(
+        start, sidecar_input::service_called{call_number(2), booking(ticket, "two", duration::zero())});
+    cr_assert(find<sidecar_output::refuse_call>(late)->why.ran == ran_state::no);
+    const auto copy = core.step(start, sidecar_input::service_called{call_number(3), booking(ticket, "two")});
+    cr_assert(find<sidecar_output::run_service>(copy) == nullptr);
+    cr_assert(find<sidecar_output::refuse_call>(copy)->why.ran == ran_state::no);
+}
+
+Test(sidecar_service, not_run_is_said_only_of_what_never_will_run)
+{
+    cr_assert(refusal_before_sending(true).ran == ran_state::no);
+    cr_assert(refusal_before_sending(false).ran == ran_state::unknown);
+}
