Let no two sidecars hold one address

Cause: gRPC shares listening ports by default, so that an old sidecar and its successor could both listen, and connections were dealt out between them.

Change: the server's start stands in gate_server, with port sharing off. A second start at the same address fails and the daemon says so and ends.

The lease on the own address is not wired yet: the core still judges by its own pauses.

--- /dev/null
+++ b/src/sidecar/gate_server.cpp
@@ -0,0 +1,27 @@
+#include "sidecar/gate_server.h"
+
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server_builder.h>
+
+namespace dragonflymill::sidecar {
+
+namespace {
+
+constexpr int max_message_bytes = 8 * 1024 * 1024;
+
+} // namespace
+
+auto start_gate_server(const std::string& address, gate_service& service, int& port)
+    -> std::unique_ptr<grpc::Server>
+{
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+    // Guards against two sidecars of one upstream that both get calls: gRPC shares ports by default, and the
+    // kernel would deal the connections out between an old sidecar and its successor.
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.SetMaxReceiveMessageSize(max_message_bytes);
+    builder.RegisterService(&service);
+    return builder.BuildAndStart();
+}
+
+} // namespace dragonflymill::sidecar
--- a/src/sidecar/sidecar_daemon.cpp
+++ b/src/sidecar/sidecar_daemon.cpp
@@ -4,6 +4,7 @@
 #include "control/daemon_control.h"
 #include "log/logger.h"
 #include "runtime/text_file.h"
+#include "sidecar/gate_server.h"
 #include "sidecar/sidecar_shell.h"
 
 #include <boost/asio/io_context.hpp>
@@ -11,8 +12,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
-#include <grpcpp/security/server_credentials.h>
-#include <grpcpp/server_builder.h>
 
 namespace dragonflymill {
 
@@ -21,17 +20,6 @@
 constexpr int exit_ok = 0;
 constexpr int exit_failed = 1;
 constexpr int exit_superseded = 6;
-constexpr int max_message_bytes = 8 * 1024 * 1024;
-
-auto start_server(const std::string& address, sidecar::gate_service& service, int& port)
-    -> std::unique_ptr<grpc::Server>
-{
-    grpc::ServerBuilder builder;
-    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
-    builder.SetMaxReceiveMessageSize(max_message_bytes);
-    builder.RegisterService(&service);
-    return builder.BuildAndStart();
-}
 
 /// One running sidecar process.
 class sidecar_daemon
@@ -107,7 +95,7 @@
     shell.start();
     control.value()->start();
     int port = 0;
-    const auto server = start_server(to_text(settings_.grpc_listen), shell.service(), port);
+    const auto server = sidecar::start_gate_server(to_text(settings_.grpc_listen), shell.service(), port);
     if (!server) {
         std::fprintf(stderr, "can't listen on %s (choose a free port of this host)\n",
                      to_text(settings_.grpc_listen).c_str());
