Warm up an engine that is asked only for what it can't take yet

Cause: a cold engine that gets only requests larger than its present allowance grants none, so nothing ever earns a step of its ramp: it stays cold.

Change: the sidecar puts a request of its own to such an engine, under a permit of the gate like any other: at most one at a time, four fifths of the room that is free, four tokens of answer, lowest priority at the engine, none while drained or stopping, with growing waits while they don't help. Its answer is thrown away. The prompt begins with a name never used before, so that the engine's cache can't answer for it.

Without an expected first-token line the ramp still holds its floor for 30 s, warm-ups or not.

--- a/include/dragonflymill/serve/attempt_desk.h
+++ b/include/dragonflymill/serve/attempt_desk.h
@@ -3,7 +3,9 @@
 #include "dragonflymill/core/deadline_budget.h"
 #include "dragonflymill/serve/sidecar_messages.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,7 +22,14 @@
 public:
     /// Works under `gate`, which the owner keeps alive. `cancel_backoff` is the time between two cancels of
     /// one stream.
-    attempt_desk(permit_gate& gate, duration cancel_backoff);
+    /// `warm_ups` begins the names of the engine's warm-up requests, unlike those of any other start.
+    attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups);
+
+    /// Puts a request of the sidecar's own to an engine that is cold and is asked for nothing that it can
+    /// take: without one it would stay cold. At most one at a time, and only if the gate grants it.
+    void warm_up(instant now, const model_id& model, std::vector<sidecar_action>& actions);
+    /// Ends the warm-up request, if there is one.
+    void end_warm_up(instant now, std::vector<sidecar_action>& actions);
 
     /// A gateway puts a try: granted or refused at once.
     void opened(instant now, const sidecar_input::attempt_opened& input,
@@ -70,6 +79,7 @@
         lease_id lease;
         deadline_budget limit;
         phase now_in = phase::waiting_for_prompt;
+        bool own = false; // a warm-up: nobody is told of it
     };
     struct pending_cancel
     {
@@ -80,6 +90,8 @@
     };
     using attempts = std::map<call_number, attempt>;
 
+    static void tell(const attempt& held, sidecar_action action, std::vector<sidecar_action>& actions);
+    auto add(call_number call, attempt&& made) -> attempt&;
     void end_with(instant now, attempts::iterator held, refusal_code code,
                   std::vector<sidecar_action>& actions);
     void cancel_at_engine(instant now, attempts::iterator held, std::vector<sidecar_action>& actions);
@@ -92,6 +104,12 @@
     std::map<process_id, std::set<call_number>> by_gateway_;
     std::set<std::pair<instant, call_number>> deadlines_;
     std::map<std::string, pending_cancel> cancels_;
+    std::string warm_ups_;
+    std::uint64_t warm_up_count_ = 0;
+    std::optional<call_number> warm_up_;
+    work_cost warm_up_allowed_ = 0;
+    duration warm_up_wait_{0};
+    instant next_warm_up_ = instant::min();
     incarnation engine_start_;
 };
 
--- a/include/dragonflymill/serve/sidecar_core.h
+++ b/include/dragonflymill/serve/sidecar_core.h
@@ -76,6 +76,7 @@
     once_ledger ledger_;
     attempt_desk attempts_;
     service_desk services_;
+    model_id warm_up_model_;
     instant last_step_;
     instant reported_at_;
     upstream_report last_report_;
--- a/include/dragonflymill/serve/sidecar_messages.h
+++ b/include/dragonflymill/serve/sidecar_messages.h
@@ -131,8 +131,9 @@
 /// The bundle in force changed what the upstream carries.
 struct capacity_changed
 {
-    work_cost cold = 1; ///< Work in cold start.
-    work_cost warm = 1; ///< Work when warm.
+    work_cost cold = 1;     ///< Work in cold start.
+    work_cost warm = 1;     ///< Work when warm.
+    model_id warm_up_model; ///< Model of an engine's warm-up requests; empty for none.
 };
 /// The process is to stop: nothing new is taken.
 struct stop_asked
@@ -178,6 +179,15 @@
     attempt_spec spec;          ///< What to run.
     instant not_after;          ///< Last moment for the first byte to leave.
 };
+/// Put a request of the sidecar's own to the engine, with any prompt of `spec.prompt_tokens` tokens that no
+/// earlier one began with. Nobody waits for its answer.
+struct start_warm_up
+{
+    call_number call;           ///< A number that the shell never gives to a call.
+    std::string engine_request; ///< Engine's name for it.
+    attempt_spec spec;          ///< What to run.
+    instant not_after;          ///< Last moment for the first byte to leave.
+};
 /// Pass tokens on.
 struct send_tokens
 {
@@ -235,8 +245,8 @@
 /// Everything that `sidecar_core` wants done.
 using sidecar_action =
     std::variant<sidecar_output::grant_attempt, sidecar_output::refuse_call, sidecar_output::start_stream,
-                 sidecar_output::send_tokens, sidecar_output::finish_attempt, sidecar_output::cancel_stream,
-                 sidecar_output::run_service, sidecar_output::answer_service, sidecar_output::give_ticket,
-                 sidecar_output::tell_running, sidecar_output::all_done>;
+                 sidecar_output::start_warm_up, sidecar_output::send_tokens, sidecar_output::finish_attempt,
+                 sidecar_output::cancel_stream, sidecar_output::run_service, sidecar_output::answer_service,
+                 sidecar_output::give_ticket, sidecar_output::tell_running, sidecar_output::all_done>;
 
 } // namespace dragonflymill
--- a/src/serve/attempt_desk.cpp
+++ b/src/serve/attempt_desk.cpp
@@ -4,6 +4,7 @@
 #include "dragonflymill/core/guard.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace dragonflymill {
@@ -11,6 +12,21 @@
 namespace {
 
 constexpr duration lost_retry_hint = 50ms;
+/// Answer of a warm-up request: long enough to show that the engine decodes.
+constexpr token_count warm_up_answer = 4;
+/// A warm-up request that takes longer than this tells nothing more.
+constexpr duration warm_up_limit = 30s;
+/// Time from the start of one warm-up request to the next, as long as each leads to a step of the ramp.
+constexpr duration warm_up_pause = 200ms;
+/// Longest time between two, and the time after one that failed.
+constexpr duration warm_up_backoff = 2s;
+
+/// Part of the room that a warm-up takes: over three quarters of what is allowed, so that it counts as ran
+/// near the limit, but with some left for short requests that come while it runs.
+auto warm_up_share(work_cost room) -> work_cost
+{
+    return room * 4 / 5;
+}
 
 auto refusal_for(refusal_code code, ran_state ran) -> refusal
 {
@@ -35,10 +51,72 @@
     return spec.request.text() + "." + std::to_string(spec.attempt.value());
 }
 
-attempt_desk::attempt_desk(permit_gate& gate, duration cancel_backoff)
+attempt_desk::attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups)
     : gate_(gate)
     , cancel_backoff_(cancel_backoff)
+    , warm_ups_(std::move(warm_ups))
+{
+}
+
+void attempt_desk::warm_up(instant now, const model_id& model, std::vector<sidecar_action>& actions)
+{
+    const auto cost = warm_up_share(gate_.warm_up_cost(now));
+    if (warm_up_ || model.empty() || now < next_warm_up_ || cost <= warm_up_answer) {
+        return;
+    }
+    const auto allowed = gate_.load().allowed;
+    const bool helped = allowed > warm_up_allowed_;
+    warm_up_allowed_ = allowed;
+    warm_up_wait_ = helped ? warm_up_pause : std::min(2 * warm_up_wait_, warm_up_backoff);
+    next_warm_up_ = now + warm_up_wait_;
+    attempt_spec spec;
+    spec.request = request_id(warm_ups_ + std::to_string(++warm_up_count_));
+    spec.attempt = attempt_number(1);
+    spec.gateway = process_id(warm_ups_);
+    spec.model = model;
+    spec.size = all_length_classes.back(); // the engine serves it last
+    spec.standing = priority::overnight;
+    spec.prompt_tokens = cost - warm_up_answer;
+    spec.prefill = spec.prompt_tokens;
+    spec.max_tokens = warm_up_answer;
+    spec.remaining = warm_up_limit;
+    const auto answer =
+        gate_.ask(now, permit_ask{spec.gateway, length_class::interactive, cost, spec.prefill});
+    const auto* granted = std::get_if<permit>(&answer);
+    if (granted == nullptr || !gate_.begin(now, granted->lease)) {
+        return;
+    }
+    // Calls are numbered from below, warm-ups from above.
+    const call_number call(std::numeric_limits<std::uint64_t>::max() - warm_up_count_);
+    const auto& held = add(
+        call, attempt{spec, granted->lease, deadline_budget(now, spec.remaining), phase::at_engine, true});
+    warm_up_ = call;
+    actions.push_back(
+        sidecar_output::start_warm_up{call, engine_request_of(held.spec), held.spec, held.limit.end()});
+}
+
+void attempt_desk::end_warm_up(instant now, std::vector<sidecar_action>& actions)
+{
+    if (warm_up_) {
+        end_with(now, attempts_.find(*warm_up_), refusal_code::cancelled, actions);
+    }
+}
+
+void attempt_desk::tell(const attempt& held, sidecar_action action, std::vector<sidecar_action>& actions)
 {
+    if (!held.own) {
+        actions.push_back(std::move(action));
+    }
+}
+
+auto attempt_desk::add(call_number call, attempt&& made) -> attempt&
+{
+    const auto [held, is_new] = attempts_.emplace(call, std::move(made));
+    DRAGONFLYMILL_ASSERT(is_new, "each call has a number of its own");
+    by_lease_.emplace(held->second.lease, call);
+    by_gateway_[held->second.spec.gateway].insert(call);
+    deadlines_.emplace(held->second.limit.end(), call);
+    return held->second;
 }
 
 void attempt_desk::opened(instant now, const sidecar_input::attempt_opened& input,
@@ -58,11 +136,7 @@
         return;
     }
     const auto lease = std::get<permit>(answer).lease;
-    const bool is_new = attempts_.emplace(input.call, attempt{spec, lease, limit}).second;
-    DRAGONFLYMILL_ASSERT(is_new, "the shell numbers each call once");
-    by_lease_.emplace(lease, input.call);
-    by_gateway_[spec.gateway].insert(input.call);
-    deadlines_.emplace(limit.end(), input.call);
+    add(input.call, attempt{spec, lease, limit});
     actions.push_back(sidecar_output::grant_attempt{input.call, lease});
 }
 
@@ -118,7 +192,7 @@
         held->second.now_in = phase::decoding;
         gate_.first_token(now, held->second.lease);
     }
-    actions.push_back(sidecar_output::send_tokens{input.call, input.offset, input.tokens});
+    tell(held->second, sidecar_output::send_tokens{input.call, input.offset, input.tokens}, actions);
 }
 
 void attempt_desk::finished(instant now, const sidecar_input::engine_finished& input,
@@ -129,7 +203,7 @@
         return;
     }
     gate_.done(now, held->second.lease, work_outcome::success);
-    actions.push_back(sidecar_output::finish_attempt{input.call, input.tokens, input.reason});
+    tell(held->second, sidecar_output::finish_attempt{input.call, input.tokens, input.reason}, actions);
     forget(held);
 }
 
@@ -140,6 +214,9 @@
     if (held == attempts_.end()) {
         return;
     }
+    if (held->second.own) {
+        next_warm_up_ = now + warm_up_backoff;
+    }
     const auto ran = input.sent ? ran_state::unknown : ran_state::no;
     if (input.overloaded || input.not_loaded || !input.sent) {
         // The engine took nothing, so there is nothing to cancel.
@@ -152,11 +229,13 @@
             code = refusal_code::no_route;
         }
         gate_.done(now, held->second.lease, outcome);
-        actions.push_back(sidecar_output::refuse_call{input.call, refusal_for(code, ran_state::no)});
+        tell(held->second, sidecar_output::refuse_call{input.call, refusal_for(code, ran_state::no)},
+             actions);
         forget(held);
         return;
     }
-    actions.push_back(sidecar_output::refuse_call{input.call, refusal_for(refusal_code::upstream_gone, ran)});
+    tell(held->second, sidecar_output::refuse_call{input.call, refusal_for(refusal_code::upstream_gone, ran)},
+         actions);
     cancel_at_engine(now, held, actions);
 }
 
@@ -202,9 +281,10 @@
     }
     const auto held = attempts_.find(call->second);
     if (ended.why == permit_end::upstream_started) {
-        actions.push_back(sidecar_output::refuse_call{
-            held->first,
-            refusal_for(refusal_code::upstream_gone, ended.begun ? ran_state::unknown : ran_state::no)});
+        const auto ran = ended.begun ? ran_state::unknown : ran_state::no;
+        tell(held->second,
+             sidecar_output::refuse_call{held->first, refusal_for(refusal_code::upstream_gone, ran)},
+             actions);
         forget(held);
         return;
     }
@@ -222,6 +302,7 @@
 
 void attempt_desk::tick(instant now, std::vector<sidecar_action>& actions)
 {
+    gateway_heard(now, process_id(warm_ups_)); // a warm-up is this process's own
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
         end_with(now, attempts_.find(deadlines_.begin()->second), refusal_code::deadline, actions);
     }
@@ -257,7 +338,7 @@
 {
     const bool begun = held->second.now_in != phase::waiting_for_prompt;
     const auto ran = begun ? ran_state::unknown : ran_state::no;
-    actions.push_back(sidecar_output::refuse_call{held->first, refusal_for(code, ran)});
+    tell(held->second, sidecar_output::refuse_call{held->first, refusal_for(code, ran)}, actions);
     if (begun) {
         cancel_at_engine(now, held, actions);
         return;
@@ -278,6 +359,9 @@
 void attempt_desk::forget(attempts::iterator held)
 {
     const auto call = held->first;
+    if (held->second.own) {
+        warm_up_.reset();
+    }
     const auto gateway = by_gateway_.find(held->second.spec.gateway);
     gateway->second.erase(call);
     if (gateway->second.empty()) {
--- a/src/serve/sidecar_core.cpp
+++ b/src/serve/sidecar_core.cpp
@@ -1,5 +1,7 @@
 #include "dragonflymill/serve/sidecar_core.h"
 
+#include <string>
+
 namespace dragonflymill {
 
 using actions_out = std::vector<sidecar_action>;
@@ -8,7 +10,7 @@
     : options_(options)
     , gate_(now, options.gate, options.seed)
     , ledger_(options.ledger)
-    , attempts_(gate_, options.cancel_backoff)
+    , attempts_(gate_, options.cancel_backoff, "warm-up-" + std::to_string(options.seed) + "-")
     , services_(gate_, ledger_, options.ledger.upstream)
     , last_step_(now)
     , reported_at_(now)
@@ -141,15 +143,19 @@
     services_.broken(now, input, actions);
 }
 
-void sidecar_core::take(instant now, const sidecar_input::drain_changed& input, actions_out& /*actions*/)
+void sidecar_core::take(instant now, const sidecar_input::drain_changed& input, actions_out& actions)
 {
     drained_ = input.out;
     gate_.set_draining(now, drained_ || stopping_);
+    if (drained_) {
+        attempts_.end_warm_up(now, actions);
+    }
 }
 
 void sidecar_core::take(instant now, const sidecar_input::capacity_changed& input, actions_out& /*actions*/)
 {
     gate_.resize(now, input.cold, input.warm);
+    warm_up_model_ = input.warm_up_model;
 }
 
 void sidecar_core::take(instant now, const sidecar_input::routes_changed& input, actions_out& /*actions*/)
@@ -161,6 +167,7 @@
 {
     stopping_ = true;
     gate_.set_draining(now, true);
+    attempts_.end_warm_up(now, actions);
     on_tick(now, actions);
 }
 
@@ -175,6 +182,9 @@
         attempts_.permit_ended(now, ended, actions);
     }
     attempts_.tick(now, actions);
+    if (!stopping_ && !drained_) {
+        attempts_.warm_up(now, warm_up_model_, actions);
+    }
     services_.tick(now, actions);
     ledger_.tick(now);
     if (stopping_ && in_hand() == 0 && !said_all_done_) {
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -22,6 +22,16 @@
     return {boost::asio::ip::make_address(address.ip), address.port};
 }
 
+/// Text of about that many tokens. It begins with a name that was never used before, so that no engine has
+/// it in its cache.
+auto warm_up_prompt(const std::string& name, token_count tokens) -> std::string
+{
+    constexpr std::size_t bytes_per_token = 4;
+    auto prompt = name;
+    prompt.resize(static_cast<std::size_t>(tokens) * bytes_per_token, '.');
+    return prompt;
+}
+
 } // namespace
 
 sidecar_shell::sidecar_shell(const sidecar_settings& settings, std::string ticket_key,
@@ -97,7 +107,8 @@
         routes.routes.push_back({route.id, route.upstreams, route.remember_for});
     }
     post(std::move(routes));
-    post(sidecar_input::capacity_changed{own.cold_outstanding, own.max_outstanding});
+    const auto warm_up_model = own.models.empty() ? model_id{} : own.models.front();
+    post(sidecar_input::capacity_changed{own.cold_outstanding, own.max_outstanding, warm_up_model});
     if (own.kind == upstream_kind::engine) {
         boost::asio::post(upstream_thread_.context(), [this] {
             if (!std::exchange(is_engine_, true)) {
@@ -209,6 +220,16 @@
                       [this, action, prompt = call->take_prompt()] { engine_.start_stream(action, prompt); });
 }
 
+void sidecar_shell::act(const sidecar_output::start_warm_up& action)
+{
+    timeline_.record(action.spec.request, "warm_up", std::to_string(action.spec.prompt_tokens) + " tokens");
+    const sidecar_output::start_stream stream{action.call, action.engine_request, action.spec,
+                                              action.not_after};
+    boost::asio::post(upstream_thread_.context(), [this, stream] {
+        engine_.start_stream(stream, warm_up_prompt(stream.engine_request, stream.spec.prompt_tokens));
+    });
+}
+
 void sidecar_shell::act(const sidecar_output::send_tokens& action)
 {
     if (const auto call = gate_.find_attempt(action.call)) {
--- a/src/sidecar/sidecar_shell.h
+++ b/src/sidecar/sidecar_shell.h
@@ -53,6 +53,7 @@
     void act(const sidecar_output::grant_attempt& action);
     void act(const sidecar_output::refuse_call& action);
     void act(const sidecar_output::start_stream& action);
+    void act(const sidecar_output::start_warm_up& action);
     void act(const sidecar_output::send_tokens& action);
     void act(const sidecar_output::finish_attempt& action);
     void act(const sidecar_output::cancel_stream& action);
