--- a/include/dragonflymill/serve/sidecar_messages.h
+++ b/include/dragonflymill/serve/sidecar_messages.h
@@ -162,10 +162,8 @@
 /// Tell the gateway to send the prompt.
 struct grant_attempt
 {
-    call_number call;       ///< The call.
-    lease_id lease;         ///< Its permit.
-    request_id request;     ///< Request that it tries to answer.
-    attempt_number attempt; ///< Number of the try.
+    call_number call; ///< The call.
+    lease_id lease;   ///< Its permit.
 };
 /// End the call with a refusal.
 struct refuse_call
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -154,15 +154,6 @@
     }
 }
 
-void gateway_shell::note_grant(const attempt_key& key)
-{
-    const auto held = exchanges_.find(key.exchange);
-    if (held != exchanges_.end()) {
-        timeline_.record_receive(held->second.request, "grant",
-                                 attempt_message(held->second.request, key.attempt, "grant"));
-    }
-}
-
 void gateway_shell::handle_link(link_event event)
 {
     const auto now = runtime::now();
@@ -175,9 +166,6 @@
         return;
     }
     const auto& input = std::get<gateway_event>(event);
-    if (const auto* granted = std::get_if<gateway_input::attempt_granted>(&input)) {
-        note_grant(granted->key);
-    }
     forget_placement(input);
     carry_out(core_.step(now, input));
     if (const auto* left = std::get_if<gateway_input::caller_left>(&input)) {
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -75,7 +75,6 @@
     void post(link_event event);
     void handle(std::optional<shell_event> event);
     void handle_link(link_event event);
-    void note_grant(const attempt_key& key);
     void forget_placement(const gateway_event& input);
     void tick(instant now);
     void publish_status(instant now);
--- a/src/serve/attempt_desk.cpp
+++ b/src/serve/attempt_desk.cpp
@@ -137,7 +137,7 @@
     }
     const auto lease = std::get<permit>(answer).lease;
     add(input.call, attempt{spec, lease, limit});
-    actions.push_back(sidecar_output::grant_attempt{input.call, lease, spec.request, spec.attempt});
+    actions.push_back(sidecar_output::grant_attempt{input.call, lease});
 }
 
 void attempt_desk::prompt_received(instant now, call_number call, std::vector<sidecar_action>& actions)
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -145,12 +145,7 @@
             answer_heartbeat(*heartbeat);
         }
         else {
-            const auto& input = std::get<sidecar_event>(*event);
-            if (const auto* opened = std::get_if<sidecar_input::attempt_opened>(&input)) {
-                timeline_.record_receive(opened->spec.request, "attempt", engine_request_of(opened->spec),
-                                         opened->spec.gateway.text());
-            }
-            carry_out(core_.step(now, input));
+            carry_out(core_.step(now, std::get<sidecar_event>(*event)));
         }
     }
     if (now - last_tick_ >= tick_interval) {
@@ -203,8 +198,6 @@
 {
     if (const auto call = gate_.find_attempt(action.call)) {
         wire::attempt_event event;
-        timeline_.record_send(action.request, "grant",
-                              attempt_message(action.request, action.attempt, "grant"));
         event.mutable_granted()->set_lease(action.lease.value());
         *event.mutable_load() = rpc::to_wire(core_.load(runtime::now()));
         call->send(std::move(event));
