Wait for calls under way before a client is taken down

Cause: one run in a dozen of the control plane's tests crashed at its end: a fetch from a peer was under way, and its end came on gRPC's thread after what it reaches into was gone. Ruled out: the bundle keeper (no frame of it in a second run under load) and the server's shutdown (it waits already). The gateway's links had the same fault at the end of a stop. Change: a client notes its calls, cancels them and waits for their end before it goes; links share the same piece. Conclusion: a planned stop can't crash on a late end.

--- a/src/control/peer_client.cpp
+++ b/src/control/peer_client.cpp
@@ -46,8 +46,9 @@
 public:
     section_reader_call(const std::string& address, const std::vector<sha256_digest>& digests,
                         std::function<void(std::string)> each, std::function<void(bool)> done,
-                        duration deadline)
+                        duration deadline, rpc::call_tracker& calls)
         : stub_(stub_for(address))
+        , calls_(calls)
         , each_(std::move(each))
         , done_(std::move(done))
     {
@@ -55,6 +56,7 @@
             request_.add_digests(std::string(digest.bytes().begin(), digest.bytes().end()));
         }
         limit(context_, deadline);
+        calls_.begin(context_);
         stub_->async()->fetch_sections(&context_, &request_, this);
         StartRead(&reply_);
         StartCall();
@@ -70,11 +72,13 @@
     void OnDone(const grpc::Status& status) override
     {
         done_(status.ok());
+        calls_.end(context_);
         delete this; // NOLINT(cppcoreguidelines-owning-memory): gRPC's way
     }
 
 private:
     std::unique_ptr<wire::peer_exchange::Stub> stub_;
+    rpc::call_tracker& calls_;
     grpc::ClientContext context_;
     wire::sections_request request_;
     wire::section_reply reply_;
@@ -98,12 +102,14 @@
     auto call = std::make_shared<unary_call<wire::manifest_request, wire::manifest_reply>>();
     call->stub = stub_for(address);
     limit(call->context, deadline_);
+    calls_.begin(call->context);
     auto* raw = call.get();
     raw->stub->async()->fetch_manifest(
         &raw->context, &raw->request, &raw->reply,
-        [call = std::move(call), done = std::move(done)](const grpc::Status& status) {
+        [this, call = std::move(call), done = std::move(done)](const grpc::Status& status) {
             const bool has = status.ok() && !call->reply.manifest().empty();
             done(has ? std::optional(call->reply.manifest()) : std::nullopt);
+            calls_.end(call->context);
         });
 }
 
@@ -111,7 +117,7 @@
                                  std::function<void(std::string)> each, std::function<void(bool)> done) const
 {
     // NOLINTNEXTLINE(cppcoreguidelines-owning-memory): it deletes itself when the call is over
-    new section_reader_call(address, digests, std::move(each), std::move(done), deadline_);
+    new section_reader_call(address, digests, std::move(each), std::move(done), deadline_, calls_);
 }
 
 void peer_client::ask_share(const std::string& address, const share_request& request,
@@ -124,17 +130,17 @@
     call->request.set_demand(request.demand);
     call->request.set_held(request.held);
     limit(call->context, deadline_);
+    calls_.begin(call->context);
     auto* raw = call.get();
     raw->stub->async()->ask_share(&raw->context, &raw->request, &raw->reply,
-                                  [call = std::move(call), done = std::move(done),
+                                  [this, call = std::move(call), done = std::move(done),
                                    account = request.account](const grpc::Status& status) {
-                                      if (!status.ok()) {
-                                          done(std::nullopt);
-                                          return;
-                                      }
                                       const auto& reply = call->reply;
-                                      done(share_grant{account, process_id(reply.home()), reply.is_home(),
-                                                       reply.part(), duration(reply.lease_us())});
+                                      const share_grant granted{account, process_id(reply.home()),
+                                                                reply.is_home(), reply.part(),
+                                                                duration(reply.lease_us())};
+                                      done(status.ok() ? std::optional(granted) : std::nullopt);
+                                      calls_.end(call->context);
                                   });
 }
 
--- a/src/control/peer_client.h
+++ b/src/control/peer_client.h
@@ -2,6 +2,7 @@
 
 #include "control/peer_service.h"
 #include "dragonflymill/limit/share_lease.h"
+#include "rpc/call_tracker.h"
 
 #include <functional>
 #include <optional>
@@ -10,8 +11,8 @@
 
 namespace dragonflymill::control {
 
-/// Asks other processes over gRPC; answers come on gRPC's threads. A call ends within its deadline and is
-/// never repeated by the transport.
+/// Asks other processes over gRPC; answers come on gRPC's threads, none after the client's destruction. A
+/// call ends within its deadline and is never repeated by the transport.
 class peer_client
 {
 public:
@@ -37,6 +38,7 @@
 
 private:
     duration deadline_;
+    mutable rpc::call_tracker calls_; // last, so that its calls end before anything else goes
 };
 
 } // namespace dragonflymill::control
--- a/src/gateway/attempt_call.cpp
+++ b/src/gateway/attempt_call.cpp
@@ -17,13 +17,15 @@
 } // namespace
 
 auto attempt_call::open(wire::sidecar_gate::Stub& stub, const upstream_id& upstream, const attempt_key& key,
-                        const attempt_spec& spec, std::shared_ptr<const std::string> prompt, link_sink sink)
-    -> std::shared_ptr<attempt_call>
+                        const attempt_spec& spec, std::shared_ptr<const std::string> prompt, link_sink sink,
+                        rpc::call_tracker& calls) -> std::shared_ptr<attempt_call>
 {
-    std::shared_ptr<attempt_call> made(new attempt_call(upstream, key, std::move(prompt), std::move(sink)));
+    std::shared_ptr<attempt_call> made(
+        new attempt_call(upstream, key, std::move(prompt), std::move(sink), calls));
     made->self_ = made;
     made->context_.set_deadline(std::chrono::system_clock::now() + spec.remaining + deadline_slack);
     *made->outgoing_.mutable_open() = rpc::to_wire(spec);
+    calls.begin(made->context_);
     stub.async()->attempt(&made->context_, made.get());
     made->AddHold();
     made->StartRead(&made->incoming_);
@@ -33,11 +35,13 @@
 }
 
 attempt_call::attempt_call(const upstream_id& upstream, const attempt_key& key,
-                           std::shared_ptr<const std::string> prompt, link_sink sink)
+                           std::shared_ptr<const std::string> prompt, link_sink sink,
+                           rpc::call_tracker& calls)
     : upstream_(upstream)
     , key_(key)
     , prompt_(std::move(prompt))
     , sink_(std::move(sink))
+    , calls_(calls)
 {
 }
 
@@ -161,6 +165,7 @@
         sink_(gateway_event(gateway_input::attempt_broken{key_, prompt_begun}));
     }
     const auto last = std::move(self_);
+    calls_.end(context_);
 }
 
 } // namespace dragonflymill::gateway
--- a/src/gateway/attempt_call.h
+++ b/src/gateway/attempt_call.h
@@ -2,6 +2,7 @@
 
 #include "gate.grpc.pb.h"
 #include "gateway/link_event.h"
+#include "rpc/call_tracker.h"
 
 #include <grpcpp/client_context.h>
 #include <grpcpp/support/client_callback.h>
@@ -18,8 +19,8 @@
 public:
     /// Opens the call.
     static auto open(wire::sidecar_gate::Stub& stub, const upstream_id& upstream, const attempt_key& key,
-                     const attempt_spec& spec, std::shared_ptr<const std::string> prompt, link_sink sink)
-        -> std::shared_ptr<attempt_call>;
+                     const attempt_spec& spec, std::shared_ptr<const std::string> prompt, link_sink sink,
+                     rpc::call_tracker& calls) -> std::shared_ptr<attempt_call>;
 
     /// Sends the prompt, a piece at a time.
     void send_prompt();
@@ -36,7 +37,7 @@
 
 private:
     attempt_call(const upstream_id& upstream, const attempt_key& key,
-                 std::shared_ptr<const std::string> prompt, link_sink sink);
+                 std::shared_ptr<const std::string> prompt, link_sink sink, rpc::call_tracker& calls);
 
     void pass_on(const wire::attempt_event& event);
     void write_piece_locked();
@@ -46,6 +47,7 @@
     attempt_key key_;
     std::shared_ptr<const std::string> prompt_;
     link_sink sink_;
+    rpc::call_tracker& calls_;
     std::shared_ptr<attempt_call> self_; // keeps it alive until OnDone
     grpc::ClientContext context_;
     wire::attempt_request outgoing_;
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -124,6 +124,7 @@
 {
     decide_.stop();
     links_.clear();
+    calls_.cancel_and_wait();
 }
 
 void gateway_shell::post(link_event event)
@@ -398,8 +399,9 @@
         wanted.insert(upstream.id);
         auto& link = links_[upstream.id];
         if (!link || link->address() != upstream.sidecar_address) {
-            link = std::make_unique<sidecar_link>(runtime::now(), upstream, self_, heartbeat_,
-                                                  [this](link_event event) { post(std::move(event)); });
+            link = std::make_unique<sidecar_link>(
+                runtime::now(), upstream, self_, heartbeat_,
+                [this](link_event event) { post(std::move(event)); }, calls_);
         }
     }
     for (auto link = links_.begin(); link != links_.end();) {
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -108,6 +108,7 @@
     std::map<exchange_number, exchange> exchanges_; // in step with what the core has in hand
     std::map<attempt_key, placement> placed_;       // tries that may still be cancelled
     std::deque<gateway_event> follow_ups_;          // what carrying out an action led to at once
+    rpc::call_tracker calls_; // outlives the links, and waits for what they have under way
     std::map<upstream_id, std::unique_ptr<sidecar_link>> links_;
     instant last_tick_;
     instant next_status_;
--- a/src/gateway/heartbeat_call.cpp
+++ b/src/gateway/heartbeat_call.cpp
@@ -6,11 +6,12 @@
 
 namespace dragonflymill::gateway {
 
-auto heartbeat_call::open(wire::sidecar_gate::Stub& stub, identity who, link_sink sink)
-    -> std::shared_ptr<heartbeat_call>
+auto heartbeat_call::open(wire::sidecar_gate::Stub& stub, identity who, link_sink sink,
+                          rpc::call_tracker& calls) -> std::shared_ptr<heartbeat_call>
 {
-    std::shared_ptr<heartbeat_call> made(new heartbeat_call(std::move(who), std::move(sink)));
+    std::shared_ptr<heartbeat_call> made(new heartbeat_call(std::move(who), std::move(sink), calls));
     made->self_ = made;
+    calls.begin(made->context_);
     stub.async()->heartbeat(&made->context_, made.get());
     made->AddHold();
     made->StartRead(&made->incoming_);
@@ -18,9 +19,10 @@
     return made;
 }
 
-heartbeat_call::heartbeat_call(identity who, link_sink sink)
+heartbeat_call::heartbeat_call(identity who, link_sink sink, rpc::call_tracker& calls)
     : who_(std::move(who))
     , sink_(std::move(sink))
+    , calls_(calls)
 {
 }
 
@@ -83,6 +85,7 @@
         over_ = true;
     }
     const auto last = std::move(self_);
+    calls_.end(context_);
 }
 
 } // namespace dragonflymill::gateway
--- a/src/gateway/heartbeat_call.h
+++ b/src/gateway/heartbeat_call.h
@@ -2,6 +2,7 @@
 
 #include "gate.grpc.pb.h"
 #include "gateway/link_event.h"
+#include "rpc/call_tracker.h"
 
 #include <grpcpp/client_context.h>
 #include <grpcpp/support/client_callback.h>
@@ -24,7 +25,7 @@
     };
 
     /// Opens the call.
-    static auto open(wire::sidecar_gate::Stub& stub, identity who, link_sink sink)
+    static auto open(wire::sidecar_gate::Stub& stub, identity who, link_sink sink, rpc::call_tracker& calls)
         -> std::shared_ptr<heartbeat_call>;
 
     /// Sends a heartbeat, unless the last one is still being written.
@@ -39,11 +40,12 @@
     void OnDone(const grpc::Status& status) override;
 
 private:
-    heartbeat_call(identity who, link_sink sink);
+    heartbeat_call(identity who, link_sink sink, rpc::call_tracker& calls);
     void release_locked();
 
     identity who_;
     link_sink sink_;
+    rpc::call_tracker& calls_;
     std::shared_ptr<heartbeat_call> self_; // keeps it alive until OnDone
     grpc::ClientContext context_;
     wire::heartbeat_ping outgoing_;
--- a/src/gateway/lane_connection.cpp
+++ b/src/gateway/lane_connection.cpp
@@ -79,13 +79,14 @@
 } // namespace
 
 lane_connection::lane_connection(instant now, const std::string& address, heartbeat_call::identity who,
-                                 heartbeat_times times, link_sink sink)
+                                 heartbeat_times times, link_sink sink, rpc::call_tracker& calls)
     : who_(std::move(who))
     , times_(times)
     , sink_(std::move(sink))
+    , calls_(calls)
     , channel_(make_channel(address))
     , stub_(wire::sidecar_gate::NewStub(channel_))
-    , heartbeat_(heartbeat_call::open(*stub_, who_, sink_))
+    , heartbeat_(heartbeat_call::open(*stub_, who_, sink_, calls_))
     , opened_at_(now)
     , heard_at_(now)
     , next_heartbeat_(now)
@@ -106,7 +107,7 @@
                                    std::shared_ptr<const std::string> prompt)
 {
     attempts_.insert_or_assign(
-        key, attempt_call::open(*stub_, who_.upstream, key, spec, std::move(prompt), sink_));
+        key, attempt_call::open(*stub_, who_.upstream, key, spec, std::move(prompt), sink_, calls_));
 }
 
 void lane_connection::send_prompt(const attempt_key& key)
@@ -141,17 +142,22 @@
         const auto pending = std::make_shared<pending_reply<wire::ticket_reply>>();
         pending->context.set_deadline(deadline);
         pending->request = rpc::to_wire(spec);
-        stub_->async()->issue_ticket(&pending->context, &pending->request, &pending->reply,
-                                     [pending, key, sink = sink_](const grpc::Status& status) {
-                                         sink(ticket_event(key, status, pending->reply));
-                                     });
+        calls_.begin(pending->context);
+        stub_->async()->issue_ticket(
+            &pending->context, &pending->request, &pending->reply,
+            [pending, key, sink = sink_, &calls = calls_](const grpc::Status& status) {
+                sink(ticket_event(key, status, pending->reply));
+                calls.end(pending->context);
+            });
         return true;
     }
     const auto pending = std::make_shared<pending_reply<wire::service_reply>>();
     pending->context.set_deadline(deadline);
     pending->request = rpc::to_wire(spec);
-    const auto done = [pending, key, sink = sink_](const grpc::Status& status) {
+    calls_.begin(pending->context);
+    const auto done = [pending, key, sink = sink_, &calls = calls_](const grpc::Status& status) {
         sink(service_event(key, status, pending->reply));
+        calls.end(pending->context);
     };
     if (wish == service_wish::status) {
         stub_->async()->call_status(&pending->context, &pending->request, &pending->reply, done);
@@ -169,7 +175,7 @@
     }
     next_heartbeat_ = now + times_.interval;
     if (heartbeat_->over()) {
-        heartbeat_ = heartbeat_call::open(*stub_, who_, sink_);
+        heartbeat_ = heartbeat_call::open(*stub_, who_, sink_, calls_);
     }
     heartbeat_->send(++heartbeats_);
     for (auto call = attempts_.begin(); call != attempts_.end();) {
--- a/src/gateway/lane_connection.h
+++ b/src/gateway/lane_connection.h
@@ -24,7 +24,7 @@
 public:
     /// Connects to `address`.
     lane_connection(instant now, const std::string& address, heartbeat_call::identity who,
-                    heartbeat_times times, link_sink sink);
+                    heartbeat_times times, link_sink sink, rpc::call_tracker& calls);
     ~lane_connection();
     lane_connection(const lane_connection&) = delete;
     auto operator=(const lane_connection&) -> lane_connection& = delete;
@@ -57,6 +57,7 @@
     heartbeat_call::identity who_;
     heartbeat_times times_;
     link_sink sink_;
+    rpc::call_tracker& calls_;
     std::shared_ptr<grpc::Channel> channel_;
     std::unique_ptr<wire::sidecar_gate::Stub> stub_;
     std::shared_ptr<heartbeat_call> heartbeat_;
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -5,12 +5,13 @@
 namespace dragonflymill::gateway {
 
 sidecar_link::sidecar_link(instant now, const upstream_entry& upstream, process_id self,
-                           heartbeat_times times, link_sink sink)
+                           heartbeat_times times, link_sink sink, rpc::call_tracker& calls)
     : upstream_(upstream.id)
     , address_(upstream.sidecar_address)
     , self_(std::move(self))
     , times_(times)
     , sink_(std::move(sink))
+    , calls_(calls)
     , heard_at_(now)
 {
     open_lane(now, length_class::interactive);
@@ -19,7 +20,8 @@
 void sidecar_link::open_lane(instant now, length_class size)
 {
     lanes_[index_of(size)] = std::make_unique<lane_connection>(
-        now, address_, heartbeat_call::identity{upstream_, size, ++connections_, self_}, times_, sink_);
+        now, address_, heartbeat_call::identity{upstream_, size, ++connections_, self_}, times_, sink_,
+        calls_);
 }
 
 auto sidecar_link::lane(instant now, length_class size) -> lane_connection&
--- a/src/gateway/sidecar_link.h
+++ b/src/gateway/sidecar_link.h
@@ -17,7 +17,7 @@
 public:
     /// Connects to the sidecar of `upstream`.
     sidecar_link(instant now, const upstream_entry& upstream, process_id self, heartbeat_times times,
-                 link_sink sink);
+                 link_sink sink, rpc::call_tracker& calls);
 
     /// Address that it connects to.
     [[nodiscard]] auto address() const -> const std::string& { return address_; }
@@ -43,6 +43,7 @@
     process_id self_;
     heartbeat_times times_;
     link_sink sink_;
+    rpc::call_tracker& calls_;
     std::array<std::unique_ptr<lane_connection>, length_class_count> lanes_;
     upstream_state state_ = upstream_state::suspect;
     instant heard_at_;
