--- a/src/gateway/attempt_call.cpp
+++ b/src/gateway/attempt_call.cpp
@@ -16,12 +16,11 @@
 
 } // namespace
 
-auto attempt_call::open(wire::sidecar_gate::Stub& stub, const upstream_id& upstream, const attempt_key& key,
-                        const attempt_spec& spec, std::shared_ptr<const std::string> prompt, link_sink sink,
-                        rpc::call_tracker& calls) -> std::shared_ptr<attempt_call>
+auto attempt_call::open(wire::sidecar_gate::Stub& stub, const identity& who, const attempt_spec& spec,
+                        std::shared_ptr<const std::string> prompt, link_sink sink, rpc::call_tracker& calls)
+    -> std::shared_ptr<attempt_call>
 {
-    std::shared_ptr<attempt_call> made(
-        new attempt_call(upstream, key, std::move(prompt), std::move(sink), calls));
+    std::shared_ptr<attempt_call> made(new attempt_call(who, std::move(prompt), std::move(sink), calls));
     made->self_ = made;
     made->context_.set_deadline(std::chrono::system_clock::now() + spec.remaining + deadline_slack);
     *made->outgoing_.mutable_open() = rpc::to_wire(spec);
@@ -34,11 +33,9 @@
     return made;
 }
 
-attempt_call::attempt_call(const upstream_id& upstream, const attempt_key& key,
-                           std::shared_ptr<const std::string> prompt, link_sink sink,
+attempt_call::attempt_call(identity who, std::shared_ptr<const std::string> prompt, link_sink sink,
                            rpc::call_tracker& calls)
-    : upstream_(upstream)
-    , key_(key)
+    : who_(std::move(who))
     , prompt_(std::move(prompt))
     , sink_(std::move(sink))
     , calls_(calls)
@@ -125,7 +122,7 @@
 void attempt_call::pass_on(const wire::attempt_event& event)
 {
     if (event.has_load()) {
-        sink_(gateway_event(gateway_input::load_heard{upstream_, rpc::from_wire(event.load())}));
+        sink_(gateway_event(gateway_input::load_heard{who_.upstream, rpc::from_wire(event.load())}));
     }
     {
         const std::lock_guard lock(mutex_);
@@ -135,19 +132,20 @@
         ended_ = event.has_refused() || event.has_finished();
     }
     if (event.has_granted()) {
-        sink_(gateway_event(gateway_input::attempt_granted{key_}));
+        sink_(gateway_event(gateway_input::attempt_granted{who_.key}));
     }
     else if (event.has_refused()) {
-        sink_(gateway_event(gateway_input::attempt_refused{key_, rpc::from_wire(event.refused())}));
+        sink_(gateway_event(gateway_input::attempt_refused{who_.key, rpc::from_wire(event.refused())}));
     }
     else if (event.has_tokens()) {
         const auto& tokens = event.tokens();
         sink_(gateway_event(gateway_input::attempt_tokens{
-            key_, tokens.offset(), std::vector<std::string>(tokens.text().begin(), tokens.text().end())}));
+            who_.key, tokens.offset(),
+            std::vector<std::string>(tokens.text().begin(), tokens.text().end())}));
     }
     else if (event.has_finished()) {
         sink_(gateway_event(
-            gateway_input::attempt_finished{key_, event.finished().tokens(), event.finished().reason()}));
+            gateway_input::attempt_finished{who_.key, event.finished().tokens(), event.finished().reason()}));
     }
 }
 
@@ -162,7 +160,7 @@
         prompt_begun = prompt_begun_;
     }
     if (say_broken) {
-        sink_(gateway_event(gateway_input::attempt_broken{key_, prompt_begun}));
+        sink_(gateway_event(gateway_input::attempt_broken{who_.key, prompt_begun}));
     }
     const auto last = std::move(self_);
     calls_.end(context_);
--- a/src/gateway/attempt_call.h
+++ b/src/gateway/attempt_call.h
@@ -17,10 +17,17 @@
 class attempt_call final : public grpc::ClientBidiReactor<wire::attempt_request, wire::attempt_event>
 {
 public:
+    /// What everything that comes is handed on with.
+    struct identity
+    {
+        upstream_id upstream; ///< The upstream.
+        attempt_key key;      ///< The try.
+    };
+
     /// Opens the call.
-    static auto open(wire::sidecar_gate::Stub& stub, const upstream_id& upstream, const attempt_key& key,
-                     const attempt_spec& spec, std::shared_ptr<const std::string> prompt, link_sink sink,
-                     rpc::call_tracker& calls) -> std::shared_ptr<attempt_call>;
+    static auto open(wire::sidecar_gate::Stub& stub, const identity& who, const attempt_spec& spec,
+                     std::shared_ptr<const std::string> prompt, link_sink sink, rpc::call_tracker& calls)
+        -> std::shared_ptr<attempt_call>;
 
     /// Sends the prompt, a piece at a time.
     void send_prompt();
@@ -43,8 +50,7 @@
     void write_piece_locked();
     void release_locked();
 
-    upstream_id upstream_;
-    attempt_key key_;
+    identity who_;
     std::shared_ptr<const std::string> prompt_;
     link_sink sink_;
     rpc::call_tracker& calls_;
--- a/src/gateway/lane_connection.cpp
+++ b/src/gateway/lane_connection.cpp
@@ -107,7 +107,7 @@
                                    std::shared_ptr<const std::string> prompt)
 {
     attempts_.insert_or_assign(
-        key, attempt_call::open(*stub_, who_.upstream, key, spec, std::move(prompt), sink_, calls_));
+        key, attempt_call::open(*stub_, {who_.upstream, key}, spec, std::move(prompt), sink_, calls_));
 }
 
 void lane_connection::send_prompt(const attempt_key& key)
