--- a/include/dragonflymill/route/upstream_record.h
+++ b/include/dragonflymill/route/upstream_record.h
@@ -113,8 +113,7 @@
     class_tokens own_done_since_{}; // own prefill in the load word that was done after it was measured
     std::int64_t own_in_flight_ = 0;
     std::int64_t own_decoding_ = 0;
-    token_count own_context_ = 0;
-    token_count own_unreported_context_ = 0;
+    token_count own_context_ = 0; // of own work in decode
 };
 
 } // namespace dragonflymill
--- a/src/route/upstream_record.cpp
+++ b/src/route/upstream_record.cpp
@@ -80,7 +80,8 @@
     if (description_.memory == 0) {
         return std::numeric_limits<token_count>::max();
     }
-    const token_count used = std::max(load_.memory_used + own_unreported_context_, own_context_);
+    // What waits holds no memory yet: it must not make an engine look full to requests that go before it.
+    const token_count used = std::max(load_.memory_used, own_context_);
     return std::max<token_count>(0, description_.memory - used);
 }
 
@@ -127,8 +128,6 @@
     own_.push_back({work, now, now, now});
     own_waiting_[index_of(work.size)] += work.prefill;
     own_unreported_[index_of(work.size)] += work.prefill;
-    own_context_ += work.context;
-    own_unreported_context_ += work.context;
     ++own_in_flight_;
     return true;
 }
@@ -141,6 +140,7 @@
     }
     note_prefilled(now, *own);
     ++own_decoding_;
+    own_context_ += own->work.context;
     const auto predicted = std::max(own->work.predicted_first_token, shortest_prediction);
     const double ratio =
         static_cast<double>((now - own->sent_at).count()) / static_cast<double>(predicted.count());
@@ -156,16 +156,13 @@
     }
     if (own->prefilled) {
         --own_decoding_;
+        own_context_ -= own->work.context;
     }
     else {
         note_prefilled(now, *own);
     }
     own->ended = true;
     own->ended_at = now;
-    own_context_ -= own->work.context;
-    if (own->sent_at > measured_at_ || !has_load_) {
-        own_unreported_context_ -= own->work.context;
-    }
     --own_in_flight_;
 }
 
@@ -205,7 +202,6 @@
     own_in_flight_ = 0;
     own_decoding_ = 0;
     own_context_ = 0;
-    own_unreported_context_ = 0;
     for (const auto& own : own_) {
         const auto i = index_of(own.work.size);
         const bool reported = own.sent_at <= measured_at_;
@@ -216,8 +212,7 @@
         if (!own.ended) {
             ++own_in_flight_;
             own_decoding_ += own.prefilled ? 1 : 0;
-            own_context_ += own.work.context;
-            own_unreported_context_ += reported ? 0 : own.work.context;
+            own_context_ += own.prefilled ? own.work.context : 0;
         }
     }
 }
--- a/tests/route/upstream_table_test.cpp
+++ b/tests/route/upstream_table_test.cpp
@@ -94,6 +94,20 @@
     cr_assert(record.own_in_flight() == static_cast<std::int64_t>(upstream_record::max_in_flight));
 }
 
+Test(upstream_record, work_that_waits_holds_no_memory_and_work_that_decodes_does)
+{
+    upstream_record record(some_upstreams(1).front());
+    const dispatched_work large{request_id("r"), attempt_number(1), length_class::bulk,
+                                400'000,         400'000,           10s};
+    cr_assert(record.sent(at(0s), large));
+    cr_assert(record.memory_free() == 500'000,
+              "else short requests would avoid an engine that has room for them");
+    record.first_token(at(1s), large.request, large.attempt);
+    cr_assert(record.memory_free() == 100'000);
+    record.finished(at(2s), large.request, large.attempt);
+    cr_assert(record.memory_free() == 500'000);
+}
+
 FAULT_CELL(request_route, message_late)
 {
     // A caller's short question waits behind work that its gateway itself sent a moment ago. The gateway
