--- /dev/null
+++ b/src/gateway/gateway_daemon.cpp
@@ -0,0 +1,240 @@
+#include "gateway/gateway_daemon.h"
+
+#include "control/admin_server.h"
+#include "control/daemon_control.h"
+#include "gateway/caller_gate.h"
+#include "gateway/gateway_shell.h"
+#include "http/http_server.h"
+#include "log/logger.h"
+#include "runtime/clock.h"
+#include "runtime/io_thread.h"
+#include "runtime/text_file.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdio>
+#include <memory>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr duration flush_poll = 20ms;
+/// After the last answer was decided, its last bytes get this long to leave.
+constexpr duration longest_flush = 5s;
+
+auto limits_of(const gateway_settings& settings) -> http::http_limits
+{
+    http::http_limits limits;
+    limits.max_header_bytes = settings.limits.max_header;
+    limits.max_body_bytes = settings.limits.max_body;
+    limits.max_connections = settings.limits.max_connections;
+    limits.header_timeout = settings.timeouts.header;
+    limits.body_timeout = settings.timeouts.body;
+    limits.idle_timeout = settings.timeouts.idle;
+    return limits;
+}
+
+/// One running gateway process.
+class gateway_daemon
+{
+public:
+    gateway_daemon(const gateway_settings& settings, timeline_recorder timeline, std::string ticket_key)
+        : settings_(settings)
+        , timeline_(std::move(timeline))
+        , shell_(settings, std::move(ticket_key), timeline_, metrics_,
+                 {[this] { boost::asio::post(context_, [this] { on_all_done(); }); },
+                  [this](const ask_share& asked) { ask_for_share(asked); }})
+        , gate_(
+              {settings.process.name,
+               static_cast<std::uint64_t>(runtime::wall_now().time_since_epoch().count()),
+               settings.timeouts.request},
+              [this](gateway::arrival made) { return shell_.arrived(std::move(made)); },
+              [this] { return metrics_.prometheus_text(); })
+        , server_(http_thread_.context(), limits_of(settings),
+                  {[this](const std::shared_ptr<http::http_session>& session, http::http_request request) {
+                       gate_.take(session, std::move(request));
+                   },
+                   [this](std::uint64_t exchange) { shell_.caller_left(exchange); }})
+    {
+    }
+
+    auto run() -> int;
+
+private:
+    [[nodiscard]] auto open_control() -> result<void>;
+    void on_snapshot(const control::control_snapshot& snapshot);
+    void ask_for_share(const ask_share& asked);
+    void on_stop_signal();
+    void stop_accepting();
+    void on_all_done();
+    void wait_until_flushed(instant until);
+
+    const gateway_settings& settings_;
+    timeline_recorder timeline_;
+    metrics_registry metrics_;
+    boost::asio::io_context context_{1};
+    boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
+    boost::asio::steady_timer timer_{context_};
+    gateway::gateway_shell shell_;
+    gateway::caller_gate gate_;
+    runtime::io_thread http_thread_;
+    http::http_server server_;
+    std::unique_ptr<control::daemon_control> control_;
+    std::unique_ptr<control::admin_server> admin_;
+    bool stop_begun_ = false;
+};
+
+auto gateway_daemon::open_control() -> result<void>
+{
+    control::control_plane_handlers handlers;
+    handlers.on_snapshot = [this](const std::shared_ptr<const control::control_snapshot>& snapshot) {
+        on_snapshot(*snapshot);
+    };
+    // A gateway that finds a later start of itself has been replaced: it finishes what it has and ends.
+    handlers.on_superseded = [this] { boost::asio::post(context_, [this] { on_stop_signal(); }); };
+    handlers.on_share_asked = [this](const share_request& request) { return shell_.share_asked(request); };
+    auto opened = control::daemon_control::open(
+        {process_role::gateway, settings_.process, settings_.bundle, settings_.control}, std::move(handlers));
+    if (!opened) {
+        return opened.error();
+    }
+    control_ = std::move(opened.value());
+    admin_ = std::make_unique<control::admin_server>(
+        context_, *control_, [this] { return shell_.status(); }, [this] { on_stop_signal(); });
+    return admin_->listen(settings_.admin_listen);
+}
+
+void gateway_daemon::on_snapshot(const control::control_snapshot& snapshot)
+{
+    admin_->note(snapshot);
+    if (!snapshot.ready) {
+        return;
+    }
+    shell_.adopt(snapshot);
+    gate_.adopt(snapshot.in_force);
+}
+
+void gateway_daemon::ask_for_share(const ask_share& asked)
+{
+    control_->request_share(asked, [this](const std::optional<share_grant>& grant) {
+        if (grant) {
+            shell_.share_granted(*grant);
+        }
+    });
+}
+
+auto gateway_daemon::run() -> int
+{
+    const auto control_opened = open_control();
+    if (!control_opened) {
+        std::fprintf(stderr, "%s\n", control_opened.error().text().c_str());
+        return exit_failed;
+    }
+    const auto listening = server_.listen(to_text(settings_.http_listen));
+    if (!listening) {
+        log_event(event::listen_failed, field("address", to_text(settings_.http_listen)));
+        std::fprintf(stderr, "%s\n", listening.error().text().c_str());
+        return exit_failed;
+    }
+    shell_.start();
+    control_->start();
+    http_thread_.start();
+    log_event(event::gateway_started, field("address", server_.local_address()));
+    std::printf("ready http %s gossip %s\n", server_.local_address().c_str(),
+                control_->gossip_address().c_str());
+    std::fflush(stdout);
+    signals_.async_wait([this](boost::system::error_code failure, int /*signal*/) {
+        if (!failure) {
+            on_stop_signal();
+        }
+    });
+    context_.run();
+    http_thread_.stop();
+    control_->stop();
+    shell_.join();
+    log_event(event::gateway_stopped);
+    return exit_ok;
+}
+
+void gateway_daemon::on_stop_signal()
+{
+    // The balancer in front learns only from /readyz that no caller should come here: for its lag this
+    // process still accepts, so that no caller meets a closed port.
+    if (std::exchange(stop_begun_, true)) {
+        return;
+    }
+    log_event(event::gateway_stopping);
+    gate_.set_stopping(true);
+    control_->leave();
+    timer_.expires_after(settings_.drain_lag);
+    timer_.async_wait([this](boost::system::error_code failure) {
+        if (!failure) {
+            stop_accepting();
+        }
+    });
+}
+
+void gateway_daemon::stop_accepting()
+{
+    boost::asio::post(http_thread_.context(), [this] {
+        server_.stop_accepting();
+        shell_.stop();
+    });
+}
+
+void gateway_daemon::on_all_done()
+{
+    wait_until_flushed(runtime::now() + longest_flush);
+}
+
+void gateway_daemon::wait_until_flushed(instant until)
+{
+    boost::asio::post(http_thread_.context(), [this, until] {
+        const bool flushed = server_.connection_count() == 0;
+        boost::asio::post(context_, [this, until, flushed] {
+            if (flushed || runtime::now() >= until) {
+                context_.stop();
+                return;
+            }
+            timer_.expires_after(flush_poll);
+            timer_.async_wait([this, until](boost::system::error_code failure) {
+                if (!failure) {
+                    wait_until_flushed(until);
+                }
+            });
+        });
+    });
+}
+
+} // namespace
+
+auto run_gateway(const gateway_settings& settings) -> int
+{
+    const auto fail = [](const error& failure) {
+        std::fprintf(stderr, "%s\n", failure.text().c_str());
+        return exit_failed;
+    };
+    const auto log = logger::start(settings.log);
+    if (!log) {
+        return fail(log.error());
+    }
+    auto timeline =
+        timeline_recorder::start(settings.process.name, settings.timeline.file, settings.timeline.ring);
+    if (!timeline) {
+        return fail(timeline.error());
+    }
+    const auto key = runtime::read_key_file(settings.ticket_key_file);
+    if (!key) {
+        return fail(key.error());
+    }
+    gateway_daemon daemon(settings, std::move(timeline.value()), key.value());
+    return daemon.run();
+}
+
+} // namespace dragonflymill
--- /dev/null
+++ b/src/sidecar/sidecar_daemon.cpp
@@ -0,0 +1,153 @@
+#include "sidecar/sidecar_daemon.h"
+
+#include "control/admin_server.h"
+#include "control/daemon_control.h"
+#include "log/logger.h"
+#include "runtime/text_file.h"
+#include "sidecar/sidecar_shell.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server_builder.h>
+
+namespace dragonflymill {
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_superseded = 6;
+constexpr int max_message_bytes = 8 * 1024 * 1024;
+
+auto start_server(const std::string& address, sidecar::gate_service& service, int& port)
+    -> std::unique_ptr<grpc::Server>
+{
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+    builder.SetMaxReceiveMessageSize(max_message_bytes);
+    builder.RegisterService(&service);
+    return builder.BuildAndStart();
+}
+
+/// One running sidecar process.
+class sidecar_daemon
+{
+public:
+    explicit sidecar_daemon(const sidecar_settings& settings)
+        : settings_(settings)
+    {
+    }
+
+    auto run() -> int;
+
+private:
+    [[nodiscard]] auto serve(std::string ticket_key) -> int;
+    [[nodiscard]] auto open_control(sidecar::sidecar_shell& shell, std::function<void()> on_superseded)
+        -> result<std::unique_ptr<control::daemon_control>>;
+
+    const sidecar_settings& settings_;
+    timeline_recorder timeline_;
+    boost::asio::io_context context_{1};
+    boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
+    std::unique_ptr<control::admin_server> admin_;
+    int exit_code_ = exit_ok;
+};
+
+auto sidecar_daemon::run() -> int
+{
+    auto log = logger::start(settings_.log);
+    if (!log) {
+        std::fprintf(stderr, "%s\n", log.error().text().c_str());
+        return exit_failed;
+    }
+    auto timeline =
+        timeline_recorder::start(settings_.process.name, settings_.timeline.file, settings_.timeline.ring);
+    auto key = runtime::read_key_file(settings_.once.key_file);
+    for (const auto* failure : {timeline ? nullptr : &timeline.error(), key ? nullptr : &key.error()}) {
+        if (failure != nullptr) {
+            std::fprintf(stderr, "%s\n", failure->text().c_str());
+            return exit_failed;
+        }
+    }
+    timeline_ = std::move(timeline.value());
+    return serve(key.value());
+}
+
+auto sidecar_daemon::serve(std::string ticket_key) -> int
+{
+    const auto end = [this](int code) {
+        boost::asio::post(context_, [this, code] {
+            exit_code_ = code;
+            context_.stop();
+        });
+    };
+    sidecar::sidecar_shell shell(
+        settings_, std::move(ticket_key), timeline_, [end] { end(exit_ok); },
+        [end] { end(exit_superseded); });
+    auto control = open_control(shell, [end] { end(exit_superseded); });
+    if (!control) {
+        std::fprintf(stderr, "%s\n", control.error().text().c_str());
+        return exit_failed;
+    }
+    const auto stop = [&shell, &control] {
+        control.value()->leave();
+        shell.stop();
+    };
+    admin_ = std::make_unique<control::admin_server>(
+        context_, *control.value(), [&shell] { return shell.status(); }, stop);
+    const auto admin_listening = admin_->listen(settings_.admin_listen);
+    if (!admin_listening) {
+        std::fprintf(stderr, "%s\n", admin_listening.error().text().c_str());
+        return exit_failed;
+    }
+    shell.start();
+    control.value()->start();
+    int port = 0;
+    const auto server = start_server(to_text(settings_.grpc_listen), shell.service(), port);
+    if (!server) {
+        std::fprintf(stderr, "can't listen on %s (choose a free port of this host)\n",
+                     to_text(settings_.grpc_listen).c_str());
+        control.value()->stop();
+        shell.join();
+        return exit_failed;
+    }
+    std::printf("ready grpc %s:%d gossip %s\n", settings_.grpc_listen.ip.c_str(), port,
+                control.value()->gossip_address().c_str());
+    std::fflush(stdout);
+    signals_.async_wait([stop](boost::system::error_code failure, int /*signal*/) {
+        if (!failure) {
+            stop();
+        }
+    });
+    context_.run();
+    control.value()->stop();
+    server->Shutdown(std::chrono::system_clock::now() + 1s);
+    shell.join();
+    return exit_code_;
+}
+
+auto sidecar_daemon::open_control(sidecar::sidecar_shell& shell, std::function<void()> on_superseded)
+    -> result<std::unique_ptr<control::daemon_control>>
+{
+    control::control_plane_handlers handlers;
+    handlers.on_snapshot = [this, &shell](const std::shared_ptr<const control::control_snapshot>& snapshot) {
+        admin_->note(*snapshot);
+        shell.adopt(*snapshot);
+    };
+    handlers.on_superseded = std::move(on_superseded);
+    return control::daemon_control::open(
+        {process_role::sidecar, settings_.process, settings_.bundle, settings_.control}, std::move(handlers));
+}
+
+} // namespace
+
+auto run_sidecar(const sidecar_settings& settings) -> int
+{
+    return sidecar_daemon(settings).run();
+}
+
+} // namespace dragonflymill
--- a/tests/once/once_fixture.h
+++ b/tests/once/once_fixture.h
@@ -2,18 +2,14 @@
 
 #include "dragonflymill/once/once_ledger.h"
 
+#include "support/virtual_time.h"
+
 #include <cstdint>
 #include <cstdio>
 #include <string>
 
 namespace dragonflymill::test {
 
-/// A moment of a test's virtual clock.
-inline auto at(duration since) -> instant
-{
-    return instant(since);
-}
-
 /// Civil time at the start of the virtual clock.
 inline constexpr wall_instant wall_start{std::chrono::seconds(1'700'000'000)};
 
@@ -22,7 +18,7 @@
 {
     const wall_instant wall = wall_start + made;
     const auto ms = static_cast<unsigned long long>(wall.time_since_epoch() / std::chrono::milliseconds(1));
-    char text[40];
+    char text[64];
     std::snprintf(text, sizeof text, "%08llx-%04llx-7000-8000-%012x", ms >> 16U, ms & 0xffffU, number);
     return text;
 }
@@ -36,6 +32,7 @@
     options.started = at(started);
     options.started_wall = wall_start + started;
     options.ticket_key = "a key of the tests";
+    options.own_pause = 24h; // the clock of most tests jumps
     return options;
 }
 
