--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "control/control_snapshot.h"
+#include "control/process_status.h"
 #include "dragonflymill/serve/gateway_core.h"
 #include "gateway/caller_gate.h"
 #include "gateway/exchange.h"
@@ -7,33 +9,49 @@
 #include "gateway/sidecar_link.h"
 #include "metrics/metrics_registry.h"
 #include "runtime/duty_thread.h"
+#include "runtime/latest.h"
 #include "settings/gateway_settings.h"
 #include "timeline/timeline_recorder.h"
 
 #include <deque>
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <string>
 
 namespace dragonflymill::gateway {
 
+/// What a gateway_shell needs of the daemon around it; called on the deciding thread.
+struct gateway_shell_handlers
+{
+    std::function<void()> on_all_done;                   ///< A planned stop is finished.
+    std::function<void(const ask_share&)> ask_for_share; ///< Ask an account's home for a share.
+};
+
 /// The thread that decides, and the hands that carry out what it decides.
 class gateway_shell
 {
 public:
-    /// A shell for `settings`; `on_all_done` is called on the deciding thread once a stop is finished.
+    /// A shell for `settings`.
     gateway_shell(const gateway_settings& settings, std::string ticket_key, timeline_recorder& timeline,
-                  metrics_registry& metrics, std::function<void()> on_all_done);
+                  metrics_registry& metrics, gateway_shell_handlers handlers);
 
     /// Starts the thread.
     void start();
-    /// Takes over a bundle.
-    void adopt(std::shared_ptr<const bundle> in_force);
+    /// Takes over what the control plane knows; called on one thread.
+    void adopt(const control::control_snapshot& snapshot);
+    /// Another gateway asks for a share of an account whose home this is; waits for the deciding thread, but
+    /// not long.
+    [[nodiscard]] auto share_asked(const share_request& request) -> share_grant;
+    /// The home of an account granted a share.
+    void share_granted(const share_grant& grant);
     /// A caller's request; false if there is no room for it.
     [[nodiscard]] auto arrived(arrival made) -> bool;
     /// A caller left.
     void caller_left(std::uint64_t exchange);
+    /// What operators see of it.
+    [[nodiscard]] auto status() const -> process_status { return status_.get(); }
     /// Begins a planned stop.
     void stop();
     /// Ends the thread.
@@ -46,13 +64,20 @@
         upstream_id upstream;
         length_class size = length_class::interactive;
     };
-    using shell_event = std::variant<link_event, arrival>;
+    /// A question to this gateway as the home of an account.
+    struct share_question
+    {
+        share_request request;
+        std::shared_ptr<std::promise<share_grant>> answer;
+    };
+    using shell_event = std::variant<link_event, arrival, share_question>;
 
     void post(link_event event);
     void handle(std::optional<shell_event> event);
     void handle_link(link_event event);
     void forget_placement(const gateway_event& input);
     void tick(instant now);
+    void publish_status(instant now);
     void carry_out(const std::vector<gateway_action>& actions);
 
     void act(const gateway_output::open_attempt& action);
@@ -66,6 +91,7 @@
     void act(const gateway_output::give_ticket& action);
     void act(const gateway_output::tell_running& action);
     void act(const gateway_output::connect_upstreams& action);
+    void act(const gateway_output::ask_for_share& action);
     void act(const gateway_output::all_done& action);
 
     void follow_up(gateway_event event);
@@ -76,14 +102,18 @@
     heartbeat_times heartbeat_;
     timeline_recorder& timeline_;
     metrics_registry& metrics_;
-    std::function<void()> on_all_done_;
+    gateway_shell_handlers handlers_;
     gateway_core core_;
     runtime::duty_thread<shell_event> decide_;
     std::map<exchange_number, exchange> exchanges_; // in step with what the core has in hand
     std::map<attempt_key, placement> placed_;       // tries that may still be cancelled
     std::deque<gateway_event> follow_ups_;          // what carrying out an action led to at once
+    rpc::call_tracker calls_; // outlives the links, and waits for what they have under way
     std::map<upstream_id, std::unique_ptr<sidecar_link>> links_;
     instant last_tick_;
+    instant next_status_;
+    runtime::latest<process_status> status_;
+    std::shared_ptr<const bundle> adopted_; // the control thread's own
 };
 
 } // namespace dragonflymill::gateway
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/sidecar_shell.h"
 
+#include "app/version.h"
 #include "http/address.h"
 #include "rpc/wire_convert.h"
 #include "runtime/clock.h"
@@ -14,6 +15,7 @@
 
 constexpr std::size_t ring_capacity = 16 * 1024;
 constexpr duration tick_interval = 20ms;
+constexpr duration status_interval = 250ms;
 
 auto endpoint_of(const socket_address& address) -> boost::asio::ip::tcp::endpoint
 {
@@ -69,25 +71,34 @@
     upstream_thread_.start();
 }
 
-void sidecar_shell::adopt(const bundle& in_force)
+void sidecar_shell::adopt(const control::control_snapshot& snapshot)
 {
-    const auto own = std::find_if(in_force.upstreams.begin(), in_force.upstreams.end(),
+    if (!snapshot.in_force || !snapshot.ready) {
+        return;
+    }
+    const auto& upstreams = snapshot.in_force->upstreams;
+    const auto own = std::find_if(upstreams.begin(), upstreams.end(),
                                   [this](const upstream_entry& entry) { return entry.id == self_; });
-    if (own == in_force.upstreams.end()) {
-        post(sidecar_input::drain_changed{true});
+    if (own == upstreams.end()) {
+        post(sidecar_input::drain_changed{true}); // the bundle no longer has it
         return;
     }
-    const auto domain =
-        std::find_if(in_force.domains.begin(), in_force.domains.end(),
-                     [own](const failure_domain_entry& entry) { return entry.id == own->domain; });
+    if (snapshot.in_force != adopted_) {
+        adopted_ = snapshot.in_force;
+        adopt_bundle(*adopted_, *own);
+    }
+    post(sidecar_input::drain_changed{!control::accepts_new_work(snapshot, own->domain, own->host)});
+}
+
+void sidecar_shell::adopt_bundle(const bundle& in_force, const upstream_entry& own)
+{
     sidecar_input::routes_changed routes;
     for (const auto& route : in_force.service_routes) {
         routes.routes.push_back({route.id, route.upstreams, route.remember_for});
     }
     post(std::move(routes));
-    post(sidecar_input::capacity_changed{own->cold_outstanding, own->max_outstanding});
-    post(sidecar_input::drain_changed{domain != in_force.domains.end() && !domain->in_service});
-    if (own->kind == upstream_kind::engine) {
+    post(sidecar_input::capacity_changed{own.cold_outstanding, own.max_outstanding});
+    if (own.kind == upstream_kind::engine) {
         boost::asio::post(upstream_thread_.context(), [this] {
             if (!std::exchange(is_engine_, true)) {
                 engine_.start();
@@ -129,12 +140,33 @@
     if (now - last_tick_ >= tick_interval) {
         last_tick_ = now;
         carry_out(core_.step(now, sidecar_input::tick{}));
+        publish_status(now);
     }
     if (core_.superseded()) {
         on_superseded_();
     }
 }
 
+void sidecar_shell::publish_status(instant now)
+{
+    if (now < next_status_) {
+        return;
+    }
+    next_status_ = now + status_interval;
+    const auto load = core_.load(now);
+    process_status status;
+    status.process = process_;
+    status.role = "sidecar";
+    status.version = app::version_text();
+    status.in_flight = core_.in_hand();
+    std::string state = load.cold ? "cold" : "alive";
+    if (load.draining) {
+        state = "drained";
+    }
+    status.upstreams.push_back({self_, state, load.outstanding, load.allowed});
+    status_.set(std::move(status));
+}
+
 void sidecar_shell::answer_heartbeat(const heartbeat_event& event)
 {
     wire::heartbeat_pong pong;
