Note the messages of tries at both ends in the time line

Cause: the time lines held no message with both ends, so no clock offset could be estimated between hosts. Change: gateways and sidecars record a try's opening, grant and end under one name; sidecar/attempt_timeline keeps which call carries which try, bounded. Conclusion: two tests hold the names together.

--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -166,6 +166,7 @@
         return;
     }
     const auto& input = std::get<gateway_event>(event);
+    note_message(input);
     forget_placement(input);
     carry_out(core_.step(now, input));
     if (const auto* left = std::get_if<gateway_input::caller_left>(&input)) {
@@ -186,6 +187,28 @@
     }
 }
 
+void gateway_shell::note_message(const gateway_event& input)
+{
+    if (const auto* granted = std::get_if<gateway_input::attempt_granted>(&input)) {
+        note_received(granted->key, "granted", grant_message);
+    }
+    else if (const auto* refused = std::get_if<gateway_input::attempt_refused>(&input)) {
+        note_received(refused->key, "attempt_refused", end_message);
+    }
+    else if (const auto* finished = std::get_if<gateway_input::attempt_finished>(&input)) {
+        note_received(finished->key, "answer_end", end_message);
+    }
+}
+
+void gateway_shell::note_received(const attempt_key& key, std::string_view step, std::string_view message)
+{
+    const auto held = exchanges_.find(key.exchange);
+    if (held != exchanges_.end() && timeline_.enabled()) {
+        const request_id& request = held->second.request;
+        timeline_.record_receive(request, step, attempt_message(request, key.attempt, message));
+    }
+}
+
 void gateway_shell::tick(instant now)
 {
     carry_out(core_.step(now, gateway_input::tick{}));
@@ -253,7 +276,7 @@
     held->second.size = action.spec.size;
     placed_.insert_or_assign(action.key, placement{action.upstream, action.spec.size});
     timeline_.record_send(held->second.request, "attempt",
-                          action.spec.request.text() + "." + std::to_string(action.spec.attempt.value()),
+                          attempt_message(action.spec.request, action.spec.attempt, open_message),
                           action.upstream.text() + " " + to_string(action.reason));
     link->second->lane(runtime::now(), action.spec.size)
         .open_attempt(action.key, action.spec, held->second.prompt);
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -76,6 +76,8 @@
     void handle(std::optional<shell_event> event);
     void handle_link(link_event event);
     void forget_placement(const gateway_event& input);
+    void note_message(const gateway_event& input);
+    void note_received(const attempt_key& key, std::string_view step, std::string_view message);
     void tick(instant now);
     void publish_status(instant now);
     void carry_out(const std::vector<gateway_action>& actions);
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -30,6 +30,7 @@
     : self_(settings.upstream.id)
     , process_(settings.process.name)
     , timeline_(timeline)
+    , tries_(timeline)
     , on_all_done_(std::move(on_all_done))
     , on_superseded_(std::move(on_superseded))
     , core_(runtime::now(), core_options(settings, std::move(ticket_key)))
@@ -134,7 +135,9 @@
             answer_heartbeat(*heartbeat);
         }
         else {
-            carry_out(core_.step(now, std::get<sidecar_event>(*event)));
+            const auto& input = std::get<sidecar_event>(*event);
+            tries_.note(input);
+            carry_out(core_.step(now, input));
         }
     }
     if (now - last_tick_ >= tick_interval) {
@@ -179,6 +182,7 @@
 void sidecar_shell::carry_out(const std::vector<sidecar_action>& actions)
 {
     for (const auto& action : actions) {
+        tries_.note(action);
         std::visit([this](const auto& what) { act(what); }, action);
     }
 }
--- a/src/sidecar/sidecar_shell.h
+++ b/src/sidecar/sidecar_shell.h
@@ -7,6 +7,7 @@
 #include "runtime/io_thread.h"
 #include "runtime/latest.h"
 #include "settings/sidecar_settings.h"
+#include "sidecar/attempt_timeline.h"
 #include "sidecar/gate_service.h"
 #include "timeline/timeline_recorder.h"
 #include "upstream/engine_client.h"
@@ -65,6 +66,7 @@
     upstream_id self_;
     process_id process_;
     timeline_recorder& timeline_;
+    attempt_timeline tries_;
     std::function<void()> on_all_done_;
     std::function<void()> on_superseded_;
     sidecar_core core_;
--- a/src/timeline/timeline_event.h
+++ b/src/timeline/timeline_event.h
@@ -32,6 +32,13 @@
     friend auto operator==(const timeline_event&, const timeline_event&) -> bool = default;
 };
 
+/// Message of a try: the gateway opens it.
+inline constexpr std::string_view open_message = "open";
+/// Message of a try: the sidecar lets the prompt come.
+inline constexpr std::string_view grant_message = "grant";
+/// Message of a try: the sidecar ends it, with a refusal or after the whole answer.
+inline constexpr std::string_view end_message = "end";
+
 /// Name of a message that belongs to a try at a request, unique over all processes: `what` tells apart the
 /// messages of one try.
 [[nodiscard]] auto attempt_message(const request_id& request, attempt_number attempt, std::string_view what)
--- /dev/null
+++ b/tests/timeline/attempt_timeline_test.cpp
@@ -0,0 +1,70 @@
+#include "sidecar/attempt_timeline.h"
+
+#include "timeline/timeline_file.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <unistd.h>
+
+// Last: Criterion's macro Test would change the meaning of a name in other headers.
+#include <criterion/criterion.h>
+
+namespace dragonflymill::sidecar {
+
+namespace {
+
+auto attempt(const char* request, std::uint64_t number) -> attempt_spec
+{
+    attempt_spec spec;
+    spec.request = request_id(request);
+    spec.attempt = attempt_number(number);
+    return spec;
+}
+
+/// What the time line holds after `work` was done with it.
+template <typename Work>
+auto events_of(Work work) -> std::vector<timeline_event>
+{
+    std::string file = (std::filesystem::temp_directory_path() / "dragonflymill-tries-XXXXXX").string();
+    const int descriptor = mkstemp(file.data());
+    cr_assert(descriptor >= 0);
+    close(descriptor);
+    {
+        auto recorder = timeline_recorder::start(process_id("sc"), file, 4096).value();
+        attempt_timeline tries(recorder);
+        work(tries);
+    }
+    auto reading = read_timeline_files({file}).value();
+    std::filesystem::remove(file);
+    return std::move(reading.events);
+}
+
+} // namespace
+
+Test(attempt_timeline, both_ends_give_a_message_the_same_name)
+{
+    const auto events = events_of([](attempt_timeline& tries) {
+        tries.note(sidecar_event(sidecar_input::attempt_opened{call_number(1), attempt("r", 2)}));
+        tries.note(sidecar_action(sidecar_output::grant_attempt{call_number(1), lease_id(1)}));
+        tries.note(sidecar_action(sidecar_output::finish_attempt{call_number(1), 10, "stop"}));
+        tries.note(sidecar_action(sidecar_output::finish_attempt{call_number(1), 10, "stop"}));
+    });
+    cr_assert(events.size() == 3, "the end is noted once");
+    cr_assert(events[0].end == message_end::receive);
+    cr_assert(events[0].message == attempt_message(request_id("r"), attempt_number(2), open_message));
+    cr_assert(events[1].end == message_end::send);
+    cr_assert(events[1].message == attempt_message(request_id("r"), attempt_number(2), grant_message));
+    cr_assert(events[2].message == attempt_message(request_id("r"), attempt_number(2), end_message));
+}
+
+Test(attempt_timeline, a_cancelled_call_is_forgotten)
+{
+    const auto events = events_of([](attempt_timeline& tries) {
+        tries.note(sidecar_event(sidecar_input::attempt_opened{call_number(1), attempt("r", 1)}));
+        tries.note(sidecar_event(sidecar_input::call_cancelled{call_number(1)}));
+        tries.note(sidecar_action(sidecar_output::grant_attempt{call_number(1), lease_id(1)}));
+    });
+    cr_assert(events.size() == 1);
+}
+
+} // namespace dragonflymill::sidecar
