--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -27,13 +27,8 @@
     schema.size({"limits", "max_header", "largest header of a request"}, target.max_header,
                 {kibibyte, mebibyte});
     schema.size({"limits", "max_body", "largest body of a request"}, target.max_body, {kibibyte, gibibyte});
-    schema.size({"limits", "max_body_memory", "bodies of all requests held at the same time"},
-                target.max_body_memory, {mebibyte, 64 * gibibyte});
     schema.count({"limits", "max_connections", "open connections of callers"}, target.max_connections,
                  {1, 1'000'000});
-    schema.rule({"limits", "max_body_memory", "one largest body does not fit",
-                 "make it at least limits.max_body",
-                 [&target] { return target.max_body <= target.max_body_memory; }});
 }
 
 void bind_rings(settings_schema& schema, gateway_rings& target)
@@ -42,8 +37,6 @@
                  target.requests, ring_range);
     schema.count({"rings", "deliveries", "events of streams that wait for their caller at most"},
                  target.deliveries, ring_range);
-    schema.count({"rings", "control", "words that wait between control and routing at most"}, target.control,
-                 ring_range);
 }
 
 } // namespace
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -18,10 +18,9 @@
 /// Bounds towards callers.
 struct caller_limits
 {
-    std::uint64_t max_header = 16U << 10U;      ///< Bytes of a request header.
-    std::uint64_t max_body = 16U << 20U;        ///< Bytes of a request body.
-    std::uint64_t max_connections = 4096;       ///< Open connections.
-    std::uint64_t max_body_memory = 96U << 20U; ///< Bytes of all request bodies held at the same time.
+    std::uint64_t max_header = 16U << 10U; ///< Bytes of a request header.
+    std::uint64_t max_body = 16U << 20U;   ///< Bytes of a request body.
+    std::uint64_t max_connections = 4096;  ///< Open connections.
 
     friend auto operator==(const caller_limits&, const caller_limits&) -> bool = default;
 };
@@ -31,7 +30,6 @@
 {
     std::uint64_t requests = 1024;   ///< Requests that wait to be routed.
     std::uint64_t deliveries = 8192; ///< Events of streams that wait for their caller's thread.
-    std::uint64_t control = 1024;    ///< Words between control and routing.
 
     friend auto operator==(const gateway_rings&, const gateway_rings&) -> bool = default;
 };
--- a/src/settings/sidecar_settings.cpp
+++ b/src/settings/sidecar_settings.cpp
@@ -21,8 +21,6 @@
 void bind_lease(settings_schema& schema, lease_settings& target)
 {
     schema.time({"lease", "permit", "how long a permit holds without renewal"}, target.permit, {100ms, 60s});
-    schema.time({"lease", "memory", "how long memory at the engine is held without renewal"}, target.memory,
-                {100ms, std::chrono::minutes(5)});
     schema.time({"lease", "order", "how long the right to give orders holds; the same on all hosts"},
                 target.order, {100ms, std::chrono::minutes(5)});
     schema.time({"lease", "cancel_retry", "between two cancels that the engine has not confirmed"},
@@ -33,8 +31,6 @@
 {
     schema.size({"once", "max_bytes", "records and stored answers of calls that may not be repeated"},
                 target.max_bytes, {mebibyte, 4 * gibibyte});
-    schema.time({"once", "retention", "how long the outcome of such a call is remembered"}, target.retention,
-                {1s, std::chrono::hours(24)});
     schema.path({"once", "key_file", "file with the key of the tickets' seal; the same everywhere"},
                 target.key_file, presence::required);
 }
--- a/src/settings/sidecar_settings.h
+++ b/src/settings/sidecar_settings.h
@@ -19,7 +19,6 @@
 struct lease_settings
 {
     duration permit = 2s;          ///< How long a permit holds without renewal.
-    duration memory = 5s;          ///< How long memory at the engine is held without renewal.
     duration order = 5s;           ///< How long the right to give orders holds.
     duration cancel_retry = 200ms; ///< Between two cancels that the engine has not confirmed.
 
@@ -29,9 +28,8 @@
 /// The record of calls that may not be repeated.
 struct once_settings
 {
-    std::uint64_t max_bytes = 32U << 20U;          ///< Bytes of records and stored answers.
-    duration retention = std::chrono::minutes(10); ///< How long an outcome is remembered.
-    std::string key_file;                          ///< File with the key that signs tickets.
+    std::uint64_t max_bytes = 32U << 20U; ///< Bytes of records and stored answers.
+    std::string key_file;                 ///< File with the key that signs tickets.
 
     friend auto operator==(const once_settings&, const once_settings&) -> bool = default;
 };
