--- a/src/gateway/attempt_call.h
+++ b/src/gateway/attempt_call.h
@@ -43,8 +43,8 @@
     void OnDone(const grpc::Status& status) override;
 
 private:
-    attempt_call(const upstream_id& upstream, const attempt_key& key,
-                 std::shared_ptr<const std::string> prompt, link_sink sink, rpc::call_tracker& calls);
+    attempt_call(identity who, std::shared_ptr<const std::string> prompt, link_sink sink,
+                 rpc::call_tracker& calls);
 
     void pass_on(const wire::attempt_event& event);
     void write_piece_locked();
