--- a/src/bundle/bundle_keeper.cpp
+++ b/src/bundle/bundle_keeper.cpp
@@ -3,6 +3,7 @@
 #include "dragonflymill/bundle/bundle_source.h"
 #include "dragonflymill/core/assert.h"
 #include "dragonflymill/core/guard.h"
+#include "keeper_text.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,23 +12,8 @@
 
 namespace {
 
-constexpr std::size_t max_remembered = 16;
 constexpr std::size_t max_holders = 8;
 
-template <typename T>
-void remember(std::vector<T>& list, T item)
-{
-    if (list.size() >= max_remembered) {
-        list.erase(list.begin());
-    }
-    list.push_back(std::move(item));
-}
-
-auto version_text(const bundle_word& word) -> std::string
-{
-    return "version " + std::to_string(word.version.value());
-}
-
 } // namespace
 
 bundle_keeper::bundle_keeper(bundle_keeper_settings settings, instant now)
@@ -232,7 +218,7 @@
         }
         reject(origin,
                error(error_kind::conflict,
-                     version_text(word) + " is not newer than what is in force or allowed",
+                     text_of_version(word) + " is not newer than what is in force or allowed",
                      "raise the version and sign again; the bundle in force stays"),
                outputs);
         return;
@@ -380,64 +366,4 @@
     outputs.push_back(adopt_bundle{in_force_->word, in_force_->value});
 }
 
-void bundle_keeper::reject(const bundle_origin& origin, error why, bundle_keeper_outputs& outputs)
-{
-    reject_bundle rejection{origin, std::move(why)};
-    remember(rejections_, rejection);
-    ++rejected_count_;
-    outputs.push_back(std::move(rejection));
-}
-
-// Signatures are not part of a bundle's name: a half-signed copy is refused, while a whole one from another
-// source is still welcome.
-void bundle_keeper::reject_offer(instant now, const bundle_word& word, const bundle_origin& origin, error why,
-                                 bundle_keeper_outputs& outputs)
-{
-    remember(bad_offers_, {word, origin});
-    reject(origin, std::move(why), outputs);
-    boot_.remove(origin.peer);
-    if (pending_ && pending_->word == word && !pending_->manifest) {
-        std::erase(pending_->holders, origin.peer);
-        ask_elsewhere(now, outputs);
-    }
-}
-
-// A bad bundle is refused whole and not fetched again, however many peers offer it; the old one stays.
-void bundle_keeper::reject_for_good(const bundle_word& word, const bundle_origin& origin, error why,
-                                    bundle_keeper_outputs& outputs)
-{
-    remember(bad_, word);
-    boot_.forget(word);
-    reject(origin, std::move(why), outputs);
-    if (pending_ && pending_->word == word) {
-        pending_.reset();
-    }
-}
-
-void bundle_keeper::note_conflict(const bundle_word& other, const std::string& who,
-                                  bundle_keeper_outputs& outputs)
-{
-    const bool conflict =
-        in_force_ && other.version == in_force_->word.version && other.digest != in_force_->word.digest;
-    if (!conflict || std::find(conflicts_.begin(), conflicts_.end(), other) != conflicts_.end()) {
-        return;
-    }
-    remember(conflicts_, other);
-    outputs.push_back(bundle_alarm{bundle_alarm::kind_type::two_of_one_version,
-                                   "two bundles of " + version_text(other) + ": " +
-                                       in_force_->word.digest.hex() + " here, " + other.digest.hex() +
-                                       " from " + who + "; the lower digest is kept everywhere"});
-}
-
-void bundle_keeper::note_stale_service(const bundle_word& word, bundle_keeper_outputs& outputs)
-{
-    if (stale_noted_ == word) {
-        return;
-    }
-    stale_noted_ = word;
-    outputs.push_back(bundle_alarm{bundle_alarm::kind_type::service_stale,
-                                   "the configuration service has " + version_text(word) +
-                                       ", older than what processes have"});
-}
-
 } // namespace dragonflymill
--- /dev/null
+++ b/src/bundle/keeper_text.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "dragonflymill/bundle/signed_bundle.h"
+
+#include <string>
+
+namespace dragonflymill {
+
+/// How messages name a bundle.
+[[nodiscard]] inline auto text_of_version(const bundle_word& word) -> std::string
+{
+    return "version " + std::to_string(word.version.value());
+}
+
+} // namespace dragonflymill
