Run the demo against the whole fleet

Cause: the daemons are there, and trials showed what the driver got wrong: ports taken away by outgoing connections, callers that waited a minute for a limit, a run that called itself clean without saying how much was refused.

Change: ports are chosen below the range of outgoing connections; a refusal whose retry time lies beyond the caller's patience is its last; the table tallies refusals by code with their longest retry time, in the warm-up and after it, and the closing line says how many were refused to the last.

--- a/tests/standins/completion_caller.cpp
+++ b/tests/standins/completion_caller.cpp
@@ -133,7 +133,7 @@
     }
     around_.refused(problem);
     const bool hopeless = problem.retry_after == duration::zero() && problem.code.rfind("transport", 0) != 0;
-    if (hopeless || elapsed() > around_.patience) {
+    if (hopeless || elapsed() + problem.retry_after > around_.patience) {
         finish(completion_end::refused, problem.text());
         return;
     }
--- a/tests/standins/completion_caller.h
+++ b/tests/standins/completion_caller.h
@@ -16,7 +16,7 @@
     boost::asio::io_context& io;                       ///< Where all run.
     std::function<std::string()> next_gateway;         ///< The balancer's choice.
     std::function<void(const gateway_error&)> refused; ///< Told of each refusal.
-    duration patience = 20s;                           ///< For how long refusals are retried.
+    duration patience = 15s;                           ///< For how long refusals are retried.
     duration time_limit = 40s;                         ///< For one try.
 };
 
--- a/tests/standins/demo_main.cpp
+++ b/tests/standins/demo_main.cpp
@@ -2,9 +2,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
+#include <unistd.h>
 
 namespace {
 
@@ -37,7 +39,7 @@
     add("back-command", options::value<std::string>()->default_value(""), "brings it back");
     add("requests", options::value<int>()->default_value(300), "completions in the mix");
     add("bookings", options::value<int>()->default_value(60), "bookings");
-    add("warm-up-seconds", options::value<int>()->default_value(10), "length of the warm-up");
+    add("warm-up-seconds", options::value<int>()->default_value(15), "length of the warm-up");
     add("seconds", options::value<int>()->default_value(24), "length of the mix");
     add("longest", options::value<token_count>()->default_value(1'000'000), "longest prompt, tokens");
     add("seed", options::value<std::uint64_t>()->default_value(1), "of everything random");
@@ -70,14 +72,35 @@
     return out;
 }
 
-/// All are held until the last is found, so that they differ.
+template <typename Socket>
+auto is_free(boost::asio::io_context& io, const typename Socket::endpoint_type& endpoint) -> bool
+{
+    Socket socket(io);
+    boost::system::error_code code;
+    socket.open(endpoint.protocol(), code);
+    socket.bind(endpoint, code);
+    return !code;
+}
+
+/// Below the range that the system takes ports of outgoing connections from: those would take a port away
+/// between its choice here and the start of its listener.
 void print_free_ports(int count)
 {
+    using boost::asio::ip::tcp;
+    using boost::asio::ip::udp;
+    constexpr unsigned first = 12'000;
+    constexpr unsigned last = 32'000;
+    constexpr unsigned stride = 100;
     boost::asio::io_context io;
-    std::vector<boost::asio::ip::tcp::acceptor> held;
-    for (int i = 0; i < count; ++i) {
-        held.emplace_back(io, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        std::printf("%u\n", held.back().local_endpoint().port());
+    const auto loopback = boost::asio::ip::address_v4::loopback();
+    // Two demos at the same time begin at different ports.
+    const auto offset = static_cast<unsigned>(getpid()) * stride % (last - first);
+    for (unsigned tried = 0; tried < last - first && count > 0; ++tried) {
+        const auto port = static_cast<std::uint16_t>(first + (offset + tried) % (last - first));
+        if (is_free<tcp::acceptor>(io, {loopback, port}) && is_free<udp::socket>(io, {loopback, port})) {
+            std::printf("%u\n", port);
+            --count;
+        }
     }
 }
 
--- a/tests/standins/demo_report.cpp
+++ b/tests/standins/demo_report.cpp
@@ -170,9 +170,12 @@
                 static_cast<long long>(confirmed), static_cast<long long>(refused),
                 static_cast<long long>(lost_bookings(results)),
                 static_cast<long long>(doubled_bookings(results)));
-    for (const auto& [code, count] : results.refusals_by_code) {
+    for (const auto& [code, tally] : results.refusals) {
         out +=
-            line("  refusals met, also those retried: %s %lld", code.c_str(), static_cast<long long>(count));
+            line("  refusals met, also those retried: %s %lld, in the warm-up %lld, come again after at most "
+                 "%s ms",
+                 code.c_str(), static_cast<long long>(tally.later), static_cast<long long>(tally.in_warm_up),
+                 cell(milliseconds(tally.longest_retry_after), 0).c_str());
     }
     return out;
 }
@@ -188,9 +191,9 @@
     }
     for (const auto& item : results.bookings) {
         if (item.executions != 1 || item.confirmations == 0) {
-            out += line("  booking %s: executed %lld, confirmed %d, unknown %d, not run %d: %s",
-                        item.key.c_str(), static_cast<long long>(item.executions), item.confirmations,
-                        item.unknown, item.not_run, item.why.c_str());
+            out += line("  booking %s, %s: executed %lld, confirmed %d, unknown %d, not run %d: %s",
+                        item.key.c_str(), to_string(item.phase), static_cast<long long>(item.executions),
+                        item.confirmations, item.unknown, item.not_run, item.why.c_str());
         }
     }
     return out;
@@ -212,6 +215,18 @@
            line("Time of the run: %.1f s", milliseconds(results.length) / thousand);
 }
 
+/// Refusals are no loss, but a run that was mostly refused shows little.
+auto closing_line(const demo_results& results) -> std::string
+{
+    const auto sent = std::count_if(results.completions.begin(), results.completions.end(), in_mix);
+    const auto refused =
+        std::count_if(results.completions.begin(), results.completions.end(),
+                      [](const auto& item) { return in_mix(item) && item.end == completion_end::refused; });
+    return line("%s; %lld of %lld completions of the mix were refused to the last.",
+                is_clean(results) ? "Nothing lost, doubled or leaked" : "FAILED, see the lines above",
+                static_cast<long long>(refused), static_cast<long long>(sent));
+}
+
 } // namespace
 
 auto percentile(std::vector<double> values, double percent) -> std::optional<double>
@@ -257,8 +272,7 @@
 auto report_text(const demo_results& results) -> std::string
 {
     return first_token_lines(results) + slowdown_lines(results) + service_lines(results) +
-           completion_lines(results) + trouble_lines(results) + memory_lines(results) +
-           (is_clean(results) ? "Nothing lost, doubled or leaked.\n" : "FAILED: see the lines above.\n");
+           completion_lines(results) + trouble_lines(results) + memory_lines(results) + closing_line(results);
 }
 
 } // namespace dragonflymill::standins
--- a/tests/standins/demo_report.h
+++ b/tests/standins/demo_report.h
@@ -55,17 +55,25 @@
     std::int64_t falls = 0;       ///< Restarts by overload in cold start.
 };
 
+/// Refusals of one code.
+struct refusal_tally
+{
+    std::int64_t in_warm_up = 0;    ///< Met in the warm-up.
+    std::int64_t later = 0;         ///< Met after it.
+    duration longest_retry_after{}; ///< The longest time after which to come again.
+};
+
 /// Everything that the demo measured.
 struct demo_results
 {
-    std::vector<completion_result> completions;           ///< All.
-    std::vector<booking_result> bookings;                 ///< All.
-    std::vector<engine_leftover> engines;                 ///< All.
-    std::map<std::string, std::int64_t> refusals_by_code; ///< Refusals met, retried ones included.
-    std::optional<std::int64_t> work_at_drained;          ///< Streams that engines of the domain taken out
-                                                          ///< began later than the grace time.
-    bool actions_done = true;                             ///< Whether the operators' actions went well.
-    duration length{};                                    ///< Of the whole run.
+    std::vector<completion_result> completions;    ///< All.
+    std::vector<booking_result> bookings;          ///< All.
+    std::vector<engine_leftover> engines;          ///< All.
+    std::map<std::string, refusal_tally> refusals; ///< Refusals met, retried ones included, by code.
+    std::optional<std::int64_t> work_at_drained;   ///< Streams that engines of the domain taken out
+                                                   ///< began later than the grace time.
+    bool actions_done = true;                      ///< Whether the operators' actions went well.
+    duration length{};                             ///< Of the whole run.
 };
 
 /// The value below which `percent` of the values lie (nearest rank); nothing without values.
--- a/tests/standins/demo_run.cpp
+++ b/tests/standins/demo_run.cpp
@@ -46,12 +46,12 @@
 demo_run::demo_run(demo_settings settings)
     : settings_(std::move(settings))
     , around_{io_, [this] { return next_gateway(); },
-              [this](const gateway_error& problem) { ++results_.refusals_by_code[problem.code]; }}
+              [this](const gateway_error& problem) { ++tally(problem).later; }}
     , around_warm_up_(around_)
     , rotation_(settings_.gateways)
 {
     around_warm_up_.patience = warm_up_patience;
-    around_warm_up_.refused = [](const gateway_error&) {}; // refusals are what a warm-up provokes
+    around_warm_up_.refused = [this](const gateway_error& problem) { ++tally(problem).in_warm_up; };
     const auto plan = make_plan(settings_.load);
     const auto prepare_all = [this](const auto& planned, auto& out) {
         for (const auto& item : planned) {
@@ -250,6 +250,13 @@
     }
 }
 
+auto demo_run::tally(const gateway_error& problem) -> refusal_tally&
+{
+    auto& out = results_.refusals[problem.code];
+    out.longest_retry_after = std::max(out.longest_retry_after, problem.retry_after);
+    return out;
+}
+
 auto demo_run::next_gateway() -> std::string
 {
     return rotation_[turn_++ % rotation_.size()];
--- a/tests/standins/demo_run.h
+++ b/tests/standins/demo_run.h
@@ -57,6 +57,7 @@
     void command(const std::string& line, std::function<void()> done);
     void stop_gateway();
     void count_drained(int sign);
+    [[nodiscard]] auto tally(const gateway_error& problem) -> refusal_tally&;
     [[nodiscard]] auto next_gateway() -> std::string;
     void collect_executions();
     void collect_memory();
--- a/tests/standins/load_plan.h
+++ b/tests/standins/load_plan.h
@@ -53,7 +53,7 @@
 {
     int requests = 300;              ///< Completions in the mix.
     int bookings = 60;               ///< Bookings.
-    duration warm_up = 10s;          ///< Length of the warm-up; none if zero.
+    duration warm_up = 15s;          ///< Length of the warm-up; none if zero.
     int warm_up_callers = 96;        ///< Callers that send one request after another meanwhile.
     duration length = 24s;           ///< Of the mix.
     token_count longest = 1'000'000; ///< Longest prompt.
--- a/tests/standins_self/demo_run_test.cpp
+++ b/tests/standins_self/demo_run_test.cpp
@@ -58,11 +58,20 @@
 {
     const auto results = results_with(gateway_fault::refuses_first);
     cr_assert(is_clean(results));
-    cr_assert(results.refusals_by_code.at("overload") == 1);
+    cr_assert(results.refusals.at("overload").later == 1);
     cr_assert(results.completions.front().refusals == 1);
     cr_assert(results.completions.front().end == completion_end::answered);
 }
 
+Test(demo_run, refusal_beyond_the_patience_is_the_last)
+{
+    const auto results = results_with(gateway_fault::refuses_for_long);
+    cr_assert(results.completions.front().end == completion_end::refused);
+    cr_assert(results.completions.front().refusals == 0);
+    cr_assert(results.refusals.at("account_limit").longest_retry_after == 600s);
+    cr_assert(is_clean(results), "a truthful refusal is no loss");
+}
+
 Test(demo_run, every_kind_of_loss_is_noticed)
 {
     cr_assert(results_with(gateway_fault::cuts_a_stream).completions.front().end == completion_end::broken);
--- a/tests/standins_self/fake_gateway.h
+++ b/tests/standins_self/fake_gateway.h
@@ -19,6 +19,7 @@
 {
     none,             ///< It works.
     refuses_first,    ///< Its first request is refused as not run.
+    refuses_for_long, ///< Its first request is refused with a retry time beyond any patience.
     cuts_a_stream,    ///< Its first stream ends without an end.
     skips_a_token,    ///< Its first stream has a hole.
     error_in_stream,  ///< Its first stream ends with an error.
@@ -62,6 +63,9 @@
         if (first && fault_ == gateway_fault::refuses_first) {
             exchange.send(503, R"({"error":{"code":"overload","ran":"no","retry_after_ms":10}})");
         }
+        else if (first && fault_ == gateway_fault::refuses_for_long) {
+            exchange.send(429, R"({"error":{"code":"account_limit","ran":"no","retry_after_ms":600000}})");
+        }
         else if (request.path == "/v1/completions") {
             complete(parse_object(request.body).value_or(boost::json::object{}), exchange, first);
         }
