--- a/src/gateway/attempt_call.h
+++ b/src/gateway/attempt_call.h
@@ -2,6 +2,7 @@
 
 #include "gate.grpc.pb.h"
 #include "gateway/link_event.h"
+#include "rpc/call_tracker.h"
 
 #include <grpcpp/client_context.h>
 #include <grpcpp/support/client_callback.h>
@@ -16,9 +17,16 @@
 class attempt_call final : public grpc::ClientBidiReactor<wire::attempt_request, wire::attempt_event>
 {
 public:
+    /// What everything that comes is handed on with.
+    struct identity
+    {
+        upstream_id upstream; ///< The upstream.
+        attempt_key key;      ///< The try.
+    };
+
     /// Opens the call.
-    static auto open(wire::sidecar_gate::Stub& stub, const upstream_id& upstream, const attempt_key& key,
-                     const attempt_spec& spec, std::shared_ptr<const std::string> prompt, link_sink sink)
+    static auto open(wire::sidecar_gate::Stub& stub, const identity& who, const attempt_spec& spec,
+                     std::shared_ptr<const std::string> prompt, link_sink sink, rpc::call_tracker& calls)
         -> std::shared_ptr<attempt_call>;
 
     /// Sends the prompt, a piece at a time.
@@ -35,17 +43,17 @@
     void OnDone(const grpc::Status& status) override;
 
 private:
-    attempt_call(const upstream_id& upstream, const attempt_key& key,
-                 std::shared_ptr<const std::string> prompt, link_sink sink);
+    attempt_call(identity who, std::shared_ptr<const std::string> prompt, link_sink sink,
+                 rpc::call_tracker& calls);
 
     void pass_on(const wire::attempt_event& event);
     void write_piece_locked();
     void release_locked();
 
-    upstream_id upstream_;
-    attempt_key key_;
+    identity who_;
     std::shared_ptr<const std::string> prompt_;
     link_sink sink_;
+    rpc::call_tracker& calls_;
     std::shared_ptr<attempt_call> self_; // keeps it alive until OnDone
     grpc::ClientContext context_;
     wire::attempt_request outgoing_;
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -76,6 +76,8 @@
     void handle(std::optional<shell_event> event);
     void handle_link(link_event event);
     void forget_placement(const gateway_event& input);
+    void note_message(const gateway_event& input);
+    void note_received(const attempt_key& key, std::string_view step, std::string_view message);
     void tick(instant now);
     void publish_status(instant now);
     void carry_out(const std::vector<gateway_action>& actions);
@@ -108,6 +110,7 @@
     std::map<exchange_number, exchange> exchanges_; // in step with what the core has in hand
     std::map<attempt_key, placement> placed_;       // tries that may still be cancelled
     std::deque<gateway_event> follow_ups_;          // what carrying out an action led to at once
+    rpc::call_tracker calls_; // outlives the links, and waits for what they have under way
     std::map<upstream_id, std::unique_ptr<sidecar_link>> links_;
     instant last_tick_;
     instant next_status_;
