Write what was said before a stand-in drops its connection

Change: a drop closes the connection once all that was given to it is written.

Conclusion: `drop_stream_after` now delivers exactly that many tokens.

--- a/tests/standins/http_server.cpp
+++ b/tests/standins/http_server.cpp
@@ -61,7 +61,7 @@
 
 void http_exchange::drop() const
 {
-    session_->close();
+    session_->close_when_written();
 }
 
 void http_exchange::on_closed(std::function<void()> callback) const
--- a/tests/standins/http_session.cpp
+++ b/tests/standins/http_session.cpp
@@ -130,6 +130,12 @@
     ended_(shared_from_this());
 }
 
+void http_session::close_when_written()
+{
+    close_when_written_ = true;
+    pump();
+}
+
 void http_session::read_request()
 {
     parser_.emplace();
@@ -184,7 +190,7 @@
 
 auto http_session::is_current(std::uint64_t number) const -> bool
 {
-    return open_ && answering_ && number == number_;
+    return open_ && answering_ && number == number_ && !close_when_written_;
 }
 
 void http_session::send(std::uint64_t number, unsigned status, std::string_view body,
@@ -258,7 +264,13 @@
 
 void http_session::pump()
 {
-    if (writing_now_ || held_ || silent_ || !open_ || pending_.empty()) {
+    if (writing_now_ || held_ || silent_ || !open_) {
+        return;
+    }
+    if (pending_.empty()) {
+        if (close_when_written_) {
+            close();
+        }
         return;
     }
     writing_now_ = true;
--- a/tests/standins/http_session.h
+++ b/tests/standins/http_session.h
@@ -29,6 +29,8 @@
     void silence();
     /// Closes the connection at once.
     void close();
+    /// Closes the connection when all that was given to it is written.
+    void close_when_written();
 
     /// See http_exchange.
     void send(std::uint64_t number, unsigned status, std::string_view body,
@@ -66,6 +68,7 @@
     bool watching_ = false;
     bool writing_now_ = false;
     bool request_held_ = false;
+    bool close_when_written_ = false;
     bool held_ = false;
     bool silent_ = false;
     bool open_ = true;
