Let the ramp rise: an ordinary queue is no cold sign, and operators can say how fast an upstream is

Two causes, each seen alone: the load step detector took an ordinary queue (6,908 of 25,356 tokens of own work) for a cold sign, since the usual queue is nearly nothing; and without an expected first-token line the ramp holds its floor for 30 s. Ruled out: too little evidence (the sidecar's warm-up streams ran) and the stand-in engines (none was cold). Change: a queue of less than half of the own work is ordinary; [upstream] first_token and prefill_rate give the line. A refusal of an account whose whole limit another gateway holds says to come back at the end of a lease, not after 60 s. A keyed call whose home is drained is refused as draining.

--- a/include/dragonflymill/admission/load_step_detector.h
+++ b/include/dragonflymill/admission/load_step_detector.h
@@ -14,6 +14,7 @@
     double multiple = 3.0;      ///< A queue this many times its usual length is a step.
     work_cost smallest = 2'048; ///< Queues shorter than this are never a step.
     duration longest_lag = 2s;  ///< Reports lag by no more than this; older ones are ignored.
+    double own_share = 0.5;     ///< A queue of less than this share of the own work is an ordinary one.
     double own_growth = 1.2;    ///< Own work that grew by more than this explains a longer queue.
 };
 
--- a/src/admission/load_step_detector.cpp
+++ b/src/admission/load_step_detector.cpp
@@ -59,10 +59,11 @@
     const work_cost lately = own_peak(newest_slot_ - half + 1, newest_slot_);
     const bool own_grew = static_cast<double>(lately) > static_cast<double>(before) * options_.own_growth;
     const double queue = static_cast<double>(queued);
+    const bool mostly_waiting = queue >= static_cast<double>(lately) * options_.own_share;
     const bool step = seen_ && queued >= options_.smallest && queue > usual_ * options_.multiple;
     usual_ = seen_ ? usual_ + (queue - usual_) * report_weight : queue;
     seen_ = true;
-    return step && !own_grew;
+    return step && !own_grew && mostly_waiting;
 }
 
 void load_step_detector::forget()
--- a/src/limit/account_limiter.cpp
+++ b/src/limit/account_limiter.cpp
@@ -84,7 +84,12 @@
         return refused(refusal_code::account_limit, busy_retry, "wait for one of the requests under way");
     }
     if (!state.requests.open(now) || !state.tokens.open(now)) {
-        const auto wait = std::max(state.requests.wait(), state.tokens.wait());
+        auto wait = std::max(state.requests.wait(), state.tokens.wait());
+        if (part_of(now, state) <= 0) {
+            // Another gateway holds all of it: at the end of its lease at the latest the parts are dealt
+            // anew.
+            wait = std::min(wait, settings_.lease_time);
+        }
         return refused(refusal_code::account_limit, wait, "send fewer requests, or ask for a higher limit");
     }
     state.requests.take(1);
--- a/src/serve/call_desk.cpp
+++ b/src/serve/call_desk.cpp
@@ -110,7 +110,9 @@
     const bool only_asks = item.asked.wish == service_wish::status;
     if (record == nullptr || record->state() == upstream_state::dead ||
         (!only_asks && !record->takes_new_work())) {
-        return route_refusal{refusal_code::upstream_gone, full_retry_hint};
+        const bool drained =
+            record != nullptr && record->state() != upstream_state::dead && record->drained();
+        return route_refusal{drained ? refusal_code::draining : refusal_code::upstream_gone, full_retry_hint};
     }
     return route_choice{*item.home, route_reason::only_candidate};
 }
--- a/src/settings/sidecar_settings.cpp
+++ b/src/settings/sidecar_settings.cpp
@@ -16,6 +16,11 @@
                 target.connect_timeout, {10ms, 30s});
     schema.time({"upstream", "state_interval", "between two readings of the upstream's state"},
                 target.state_interval, {10ms, 30s});
+    schema.time(
+        {"upstream", "first_token", "first-token time of an empty prompt when warm, if it was measured"},
+        target.first_token, {duration::zero(), 60s});
+    schema.rate({"upstream", "prefill_rate", "tokens of prefill a second when warm, if it was measured"},
+                target.prefill_rate, {0, 1e9});
 }
 
 void bind_lease(settings_schema& schema, lease_settings& target)
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -60,6 +60,11 @@
 {
     sidecar_core_options options;
     options.gate.lease_term = settings.lease.permit;
+    if (settings.upstream.prefill_rate > 0) {
+        constexpr double microseconds_a_second = 1e6;
+        options.gate.first_token.expected = first_token_line{
+            settings.upstream.first_token, microseconds_a_second / settings.upstream.prefill_rate};
+    }
     options.ledger.upstream = settings.upstream.id;
     // No host keeps anything, so a start is numbered by civil time: later starts have higher numbers, and two
     // starts of one sidecar are never a microsecond apart.
