--- a/src/upstream/engine_json.cpp
+++ b/src/upstream/engine_json.cpp
@@ -1,5 +1,7 @@
 #include "upstream/engine_json.h"
 
+#include "dragonflymill/route/engine_priority.h"
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -75,7 +77,8 @@
     if (!spec.adapter.empty()) {
         body["adapter"] = spec.adapter.text();
     }
-    body["priority"] = static_cast<int>(index_of(spec.size));
+    const bool can_wait = spec.standing == priority::overnight;
+    body["priority"] = can_wait ? overnight_engine_priority : engine_priority(spec.size);
     body["max_tokens"] = spec.max_tokens;
     body["resume_offset"] = spec.resume_offset;
     body["stream"] = true;
