--- a/tests/process/process_fleet.h
+++ b/tests/process/process_fleet.h
@@ -275,6 +275,12 @@
         }
         return {};
     }
+    [[nodiscard]] auto engine_section(const std::string& name) const -> std::string
+    {
+        return "[upstream " + name + "]\nkind = engine\nfailure_domain = " + domain_of(name) +
+               "\nhost = host-" + name + "\nsidecar = " + listener(name, 0) +
+               "\nmodels = assistant-1\nmemory = 450k\nmax_outstanding = 440k\ncold_outstanding = 100k\n";
+    }
     [[nodiscard]] auto bundle_text() -> std::string
     {
         std::string out = "[bundle]\nversion = 1\nterm_end = 2030-12-31T00:00:00Z\n";
@@ -288,11 +294,7 @@
             out += "]\nregion = north\n";
         }
         out += "[model assistant-1]\nmax_prompt = 400k\n";
-        for (const std::string name : {"engine-1", "engine-2"}) {
-            out += "[upstream " + name + "]\nkind = engine\nfailure_domain = " + domain_of(name) +
-                   "\nhost = host-" + name + "\nsidecar = " + listener(name, 0) +
-                   "\nmodels = assistant-1\nmemory = 450k\nmax_outstanding = 440k\ncold_outstanding = 100k\n";
-        }
+        out += engine_section("engine-1") + engine_section("engine-2");
         out += "[upstream booking-1]\nkind = service\nfailure_domain = a\nhost = host-booking-1\nsidecar = " +
                listener("booking-1", 0) + "\nmax_outstanding = 64\ncold_outstanding = 8\n" +
                "[route booking]\nupstreams = booking-1\nidempotent = no\ntime_limit = 20s\n" +
