Serve short prompts first at the engine, also those that could wait

Cause: since overnight work waits at the engine, short requests of an account with that priority waited behind documents. Change: only prompts beyond the interactive class take the overnight priority. Conclusion: a short prompt costs too little to be worth holding back.

--- a/src/upstream/engine_json.cpp
+++ b/src/upstream/engine_json.cpp
@@ -77,7 +77,9 @@
     if (!spec.adapter.empty()) {
         body["adapter"] = spec.adapter.text();
     }
-    const bool can_wait = spec.standing == priority::overnight;
+    // A short prompt takes so little that letting it wait would help nobody, and it counts as a short one for
+    // its caller.
+    const bool can_wait = spec.standing == priority::overnight && spec.size != length_class::interactive;
     body["priority"] = can_wait ? overnight_engine_priority : engine_priority(spec.size);
     body["max_tokens"] = spec.max_tokens;
     body["resume_offset"] = spec.resume_offset;
