--- a/src/app/command_bundle_check.cpp
+++ b/src/app/command_bundle_check.cpp
@@ -1,9 +1,9 @@
 #include "app/command_bundle_check.h"
 
 #include "app/option_set.h"
-#include "control/bundle_file.h"
 #include "control/bundle_package.h"
 #include "dragonflymill/bundle/bundle_source.h"
+#include "runtime/text_file.h"
 
 namespace dragonflymill::app {
 
@@ -42,7 +42,7 @@
     if (const auto done = options.parse(words, io)) {
         return *done;
     }
-    const auto text = read_file(files.front(), max_package_bytes);
+    const auto text = runtime::read_text_file(files.front(), max_package_bytes);
     if (text.has_error()) {
         return report(text.error(), io);
     }
--- a/src/app/key_file.cpp
+++ b/src/app/key_file.cpp
@@ -1,6 +1,6 @@
 #include "app/key_file.h"
 
-#include "control/bundle_file.h"
+#include "runtime/text_file.h"
 
 namespace dragonflymill::app {
 
@@ -12,7 +12,7 @@
 
 auto load_private_key(const std::string& path) -> result<ed25519_private_key>
 {
-    const auto text = read_file(path, max_key_bytes);
+    const auto text = runtime::read_text_file(path, max_key_bytes);
     if (text.has_error()) {
         return text.error();
     }
--- a/src/control/bundle_package.cpp
+++ b/src/control/bundle_package.cpp
@@ -1,7 +1,7 @@
 #include "control/bundle_package.h"
 
-#include "control/bundle_file.h"
 #include "dragonflymill/bundle/bundle_source.h"
+#include "runtime/text_file.h"
 
 namespace dragonflymill {
 
@@ -79,7 +79,7 @@
 
 auto load_package(const std::string& path) -> result<bundle_package>
 {
-    auto text = read_file(path, max_package_bytes);
+    auto text = runtime::read_text_file(path, max_package_bytes);
     if (text.has_error()) {
         return text.error();
     }
--- a/src/runtime/text_file.cpp
+++ b/src/runtime/text_file.cpp
@@ -1,7 +1,6 @@
 #include "runtime/text_file.h"
 
 #include <fstream>
-#include <iterator>
 
 namespace dragonflymill::runtime {
 
@@ -15,11 +14,13 @@
 {
     std::ifstream file(path, std::ios::binary);
     if (!file) {
-        return error(error_kind::not_found, "can't read " + path, "check the path and that it may be read");
+        return error(error_kind::not_found, "can't open " + path, "check the path and the right to read it");
     }
-    std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    std::string text(max_bytes + 1, '\0');
+    file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<std::size_t>(file.gcount()));
     if (text.size() > max_bytes) {
-        return error(error_kind::invalid_input,
+        return error(error_kind::limit_reached,
                      path + " is larger than " + std::to_string(max_bytes) + " bytes", "name the right file");
     }
     return text;
