Read and write addresses in one place, and run each stand-in's server the same way

Cause: IP:port was read by http/address and by settings/socket_address, and three files turned one into an endpoint, each in its own way. Five stand-ins repeated the same start and stop of a server; four of them destroyed what their handlers use while their thread could still run one. Change: settings/socket_endpoint is the one way from an address to an endpoint and back; http/address is gone. standin_server starts and stops a stand-in's server and ends its thread before the stand-in's members go. Conclusion: no behaviour changed but that unreadable addresses get one message.

--- a/src/app/admin_client.cpp
+++ b/src/app/admin_client.cpp
@@ -1,8 +1,8 @@
 #include "app/admin_client.h"
 
-#include "http/address.h"
 #include "http/http_call.h"
 #include "runtime/clock.h"
+#include "settings/socket_endpoint.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/parse.hpp>
@@ -46,7 +46,7 @@
 
 auto call_admin(const socket_address& address, http::http_request request) -> result<http::http_response>
 {
-    auto server = http::parse_address(to_text(address));
+    auto server = tcp_endpoint(address);
     if (server.has_error()) {
         return server.error();
     }
--- a/src/control/daemon_control.cpp
+++ b/src/control/daemon_control.cpp
@@ -4,6 +4,7 @@
 #include "dragonflymill/bundle/bundle_source.h"
 #include "runtime/clock.h"
 #include "runtime/text_file.h"
+#include "settings/socket_endpoint.h"
 
 #include <set>
 #include <utility>
@@ -44,12 +45,11 @@
         pushed_bundle{encode_signed_manifest(package.value().manifest), package.value().sections}};
 }
 
-auto endpoint_of(const socket_address& address) -> std::optional<boost::asio::ip::tcp::endpoint>
+/// Nothing if the setting was left out.
+auto optional_endpoint(const socket_address& address) -> std::optional<boost::asio::ip::tcp::endpoint>
 {
-    if (address.empty()) {
-        return std::nullopt;
-    }
-    return boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(address.ip), address.port);
+    const auto endpoint = tcp_endpoint(address);
+    return endpoint ? std::optional(endpoint.value()) : std::nullopt;
 }
 
 auto core_options(const daemon_control_settings& settings, const bundle* from_file) -> control_core_options
@@ -120,8 +120,8 @@
     if (!settings.control.peer_listen.empty()) {
         options.peer_listen = to_text(settings.control.peer_listen);
     }
-    options.configuration_service = endpoint_of(settings.control.configuration_service);
-    options.host_list = endpoint_of(settings.control.host_list);
+    options.configuration_service = optional_endpoint(settings.control.configuration_service);
+    options.host_list = optional_endpoint(settings.control.host_list);
     options.gossip_port = settings.control.udp_listen.port;
     auto plane = control_plane::open(std::move(options), std::move(handlers));
     if (!plane) {
--- a/src/control/gossip_socket.cpp
+++ b/src/control/gossip_socket.cpp
@@ -1,6 +1,6 @@
 #include "control/gossip_socket.h"
 
-#include "settings/socket_address.h"
+#include "settings/socket_endpoint.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -19,14 +19,8 @@
     if (parsed.has_error()) {
         return std::nullopt;
     }
-    boost::system::error_code failure;
-    const auto ip = boost::asio::ip::make_address(parsed.value().ip, failure);
-    return failure ? std::nullopt : std::optional(udp::endpoint(ip, parsed.value().port));
-}
-
-auto text_of(const udp::endpoint& endpoint) -> std::string
-{
-    return to_text(socket_address{endpoint.address().to_string(), endpoint.port()});
+    const auto endpoint = udp_endpoint(parsed.value());
+    return endpoint ? std::optional(endpoint.value()) : std::nullopt;
 }
 
 } // namespace
@@ -80,7 +74,7 @@
                                    }
                                    // An unreachable peer shows here as an error of the next receive.
                                    if (!failure) {
-                                       on_datagram_({buffer_.data(), size}, text_of(from_));
+                                       on_datagram_({buffer_.data(), size}, to_text(from_));
                                    }
                                    receive();
                                });
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -1,7 +1,7 @@
 #include "http/http_call.h"
 
-#include "http/address.h"
 #include "runtime/clock.h"
+#include "settings/socket_endpoint.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -18,7 +18,7 @@
 auto head_text(const http_request& request, const boost::asio::ip::tcp::endpoint& server) -> std::string
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-    text += "Host: " + address_text(server) + "\r\n";
+    text += "Host: " + to_text(server) + "\r\n";
     for (const auto& f : request.fields) {
         text += f.name + ": " + f.value + "\r\n";
     }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,6 +1,6 @@
 #include "http/http_server.h"
 
-#include "http/address.h"
+#include "settings/socket_endpoint.h"
 
 #include <algorithm>
 #include <utility>
@@ -20,7 +20,11 @@
 
 auto http_server::listen(const std::string& address) -> result<void>
 {
-    const auto endpoint = parse_address(address);
+    const auto parsed = parse_socket_address(address);
+    if (!parsed) {
+        return parsed.error();
+    }
+    const auto endpoint = tcp_endpoint(parsed.value());
     if (!endpoint) {
         return endpoint.error();
     }
@@ -46,7 +50,7 @@
 auto http_server::local_address() const -> std::string
 {
     error_code ignored;
-    return address_text(acceptor_.local_endpoint(ignored));
+    return to_text(acceptor_.local_endpoint(ignored));
 }
 
 void http_server::stop_accepting()
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -1,9 +1,9 @@
 #include "sidecar/sidecar_shell.h"
 
 #include "app/version.h"
-#include "http/address.h"
 #include "rpc/wire_convert.h"
 #include "runtime/clock.h"
+#include "settings/socket_endpoint.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -17,11 +17,6 @@
 constexpr duration tick_interval = 20ms;
 constexpr duration status_interval = 250ms;
 
-auto endpoint_of(const socket_address& address) -> boost::asio::ip::tcp::endpoint
-{
-    return {boost::asio::ip::make_address(address.ip), address.port};
-}
-
 /// Text of about that many tokens. It begins with a name that was never used before, so that no engine has
 /// it in its cache.
 auto warm_up_prompt(const std::string& name, token_count tokens) -> std::string
@@ -46,10 +41,10 @@
     , core_(runtime::now(), core_options(settings, std::move(ticket_key)))
     , decide_(ring_capacity, tick_interval)
     , gate_([this](shell_event event) { return decide_.post(std::move(event)); })
-    , engine_(upstream_thread_.context(), endpoint_of(settings.upstream.address),
+    , engine_(upstream_thread_.context(), tcp_endpoint(settings.upstream.address).value(),
               {settings.upstream.connect_timeout, settings.upstream.state_interval},
               [this](sidecar_event event) { post(std::move(event)); })
-    , service_client_(upstream_thread_.context(), endpoint_of(settings.upstream.address),
+    , service_client_(upstream_thread_.context(), tcp_endpoint(settings.upstream.address).value(),
                       settings.upstream.connect_timeout,
                       [this](sidecar_event event) { post(std::move(event)); })
 {
--- a/tests/standins/config_standin.cpp
+++ b/tests/standins/config_standin.cpp
@@ -1,8 +1,7 @@
 #include "standins/config_standin.h"
 
-#include "standins/http_server.h"
 #include "standins/json_fields.h"
-#include "standins/standin_thread.h"
+#include "standins/standin_server.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/detail/base64.hpp>
@@ -36,20 +35,15 @@
     explicit state(const config_standin_settings& settings)
         : settings_(settings)
     {
-        thread_.run([this] {
-            server_.emplace(thread_.io(), settings_.port,
-                            [this](const auto& request, const auto& exchange) { answer(request, exchange); });
-        });
+        server_.start(settings_.port,
+                      [this](const auto& request, const auto& exchange) { answer(request, exchange); });
     }
     state(const state&) = delete;
     auto operator=(const state&) -> state& = delete;
 
-    ~state()
-    {
-        thread_.run([this] { server_.reset(); });
-    }
+    ~state() { server_.stop(); }
 
-    [[nodiscard]] auto port() const -> std::uint16_t { return server_->port(); }
+    [[nodiscard]] auto port() const -> std::uint16_t { return server_.port(); }
 
 private:
     struct entry
@@ -120,7 +114,7 @@
             return;
         }
         const auto number = ++last_watch_;
-        const auto timer = std::make_shared<boost::asio::steady_timer>(thread_.io(), wait);
+        const auto timer = std::make_shared<boost::asio::steady_timer>(server_.io(), wait);
         watches_.emplace(number, watch{exchange, key, after, timer});
         exchange.on_closed([this, number] { watches_.erase(number); });
         timer->async_wait([this, number, timer](const auto& code) {
@@ -168,7 +162,7 @@
             stale_values_ = flag_field(fault, "stale") ? std::optional(values_) : std::nullopt;
         }
         if (flag_field(fault, "go_silent")) {
-            server_->silence();
+            server_.http().silence();
         }
         wake_watches();
     }
@@ -208,8 +202,7 @@
     }
 
     config_standin_settings settings_;
-    standin_thread thread_;
-    std::optional<http_server> server_;
+    standin_server server_;
     std::map<std::string, entry> values_;
     std::optional<std::map<std::string, entry>> stale_values_;
     std::map<std::uint64_t, watch> watches_;
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -2,13 +2,11 @@
 
 #include "standins/engine_wire.h"
 #include "standins/http_client.h"
-#include "standins/http_server.h"
 #include "standins/json_fields.h"
-#include "standins/standin_thread.h"
+#include "standins/standin_server.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
-#include <optional>
 
 namespace dragonflymill::standins {
 
@@ -21,28 +19,18 @@
         : settings_(settings)
         , model_(settings.engine)
         , begin_(std::chrono::steady_clock::now())
-        , timer_(thread_.io())
-        , restart_timer_(thread_.io())
+        , timer_(server_.io())
+        , restart_timer_(server_.io())
     {
-        thread_.run([this] {
-            server_.emplace(thread_.io(), settings_.port,
-                            [this](const auto& request, const auto& exchange) { answer(request, exchange); });
-        });
+        server_.start(settings_.port,
+                      [this](const auto& request, const auto& exchange) { answer(request, exchange); });
     }
     state(const state&) = delete;
     auto operator=(const state&) -> state& = delete;
 
-    ~state()
-    {
-        thread_.run([this] {
-            timer_.cancel();
-            restart_timer_.cancel();
-            open_works_.clear();
-            server_.reset();
-        });
-    }
+    ~state() { server_.stop(); }
 
-    [[nodiscard]] auto port() const -> std::uint16_t { return server_->port(); }
+    [[nodiscard]] auto port() const -> std::uint16_t { return server_.port(); }
 
 private:
     /// A stream or export that a caller waits for.
@@ -180,7 +168,7 @@
         const auto call =
             std::make_shared<http_call>(http_call{settings_.weight_store, "GET", "/v1/weights/" + model});
         start_call(
-            thread_.io(), call, [](std::string_view) {},
+            server_.io(), call, [](std::string_view) {},
             [this, model](const http_answer& answer) {
                 if (answer.status != 200 || !answer.failure.empty()) {
                     model_.control().fail_load(model);
@@ -191,7 +179,7 @@
     void inject(const json::object& fault)
     {
         if (flag_field(fault, "go_silent")) {
-            server_->silence();
+            server_.http().silence();
         }
         if (flag_field(fault, "turn_cold")) {
             model_.turn_cold();
@@ -203,7 +191,7 @@
             next_wrong_id_ = true;
         }
         if (const auto pause = number_field(fault, "pause_ms"); pause > 0) {
-            server_->pause(std::chrono::milliseconds(pause));
+            server_.http().pause(std::chrono::milliseconds(pause));
             pause_end_ = std::chrono::steady_clock::now() + std::chrono::milliseconds(pause);
         }
         if (flag_field(fault, "die")) {
@@ -215,7 +203,7 @@
     /// port.
     void die(std::int64_t restart_ms)
     {
-        server_->close();
+        server_.http().close();
         open_works_.clear();
         model_.fall_over();
         if (restart_ms < 0) {
@@ -224,7 +212,7 @@
         restart_timer_.expires_after(std::chrono::milliseconds(restart_ms));
         restart_timer_.async_wait([this](const auto& code) {
             if (!code) {
-                server_->reopen();
+                server_.http().reopen();
             }
         });
     }
@@ -316,10 +304,9 @@
     engine_model model_;
     std::chrono::steady_clock::time_point begin_;
     std::chrono::steady_clock::time_point pause_end_{};
-    standin_thread thread_;
+    standin_server server_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer restart_timer_;
-    std::optional<http_server> server_;
     std::map<work_id, open_work> open_works_;
     std::int64_t next_drop_after_ = -1;
     bool next_wrong_id_ = false;
--- a/tests/standins/host_list_standin.cpp
+++ b/tests/standins/host_list_standin.cpp
@@ -1,13 +1,11 @@
 #include "standins/host_list_standin.h"
 
-#include "standins/http_server.h"
 #include "standins/json_fields.h"
-#include "standins/standin_thread.h"
+#include "standins/standin_server.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <map>
-#include <optional>
 
 namespace dragonflymill::standins {
 
@@ -19,20 +17,15 @@
     explicit state(const host_list_standin_settings& settings)
         : settings_(settings)
     {
-        thread_.run([this] {
-            server_.emplace(thread_.io(), settings_.port,
-                            [this](const auto& request, const auto& exchange) { answer(request, exchange); });
-        });
+        server_.start(settings_.port,
+                      [this](const auto& request, const auto& exchange) { answer(request, exchange); });
     }
     state(const state&) = delete;
     auto operator=(const state&) -> state& = delete;
 
-    ~state()
-    {
-        thread_.run([this] { server_.reset(); });
-    }
+    ~state() { server_.stop(); }
 
-    [[nodiscard]] auto port() const -> std::uint16_t { return server_->port(); }
+    [[nodiscard]] auto port() const -> std::uint16_t { return server_.port(); }
 
 private:
     void answer(const http_request& request, const http_exchange& exchange)
@@ -64,7 +57,7 @@
 
     void show_later(const json::object& host)
     {
-        const auto timer = std::make_shared<boost::asio::steady_timer>(thread_.io(), settings_.lag);
+        const auto timer = std::make_shared<boost::asio::steady_timer>(server_.io(), settings_.lag);
         timer->async_wait([this, timer, host](const auto& code) {
             if (code) {
                 return;
@@ -89,8 +82,7 @@
     }
 
     host_list_standin_settings settings_;
-    standin_thread thread_;
-    std::optional<http_server> server_;
+    standin_server server_;
     std::map<std::string, json::object> hosts_;
     bool down_ = false;
 };
--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -1,13 +1,11 @@
 #include "standins/service_standin.h"
 
-#include "standins/http_server.h"
 #include "standins/json_fields.h"
-#include "standins/standin_thread.h"
+#include "standins/standin_server.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <map>
-#include <optional>
 
 namespace dragonflymill::standins {
 
@@ -19,20 +17,15 @@
     explicit state(service_standin_settings settings)
         : settings_(std::move(settings))
     {
-        thread_.run([this] {
-            server_.emplace(thread_.io(), settings_.port,
-                            [this](const auto& request, const auto& exchange) { answer(request, exchange); });
-        });
+        server_.start(settings_.port,
+                      [this](const auto& request, const auto& exchange) { answer(request, exchange); });
     }
     state(const state&) = delete;
     auto operator=(const state&) -> state& = delete;
 
-    ~state()
-    {
-        thread_.run([this] { server_.reset(); });
-    }
+    ~state() { server_.stop(); }
 
-    [[nodiscard]] auto port() const -> std::uint16_t { return server_->port(); }
+    [[nodiscard]] auto port() const -> std::uint16_t { return server_.port(); }
 
 private:
     void answer(const http_request& request, const http_exchange& exchange)
@@ -52,7 +45,7 @@
             exchange.drop();
             return;
         }
-        const auto timer = std::make_shared<boost::asio::steady_timer>(thread_.io(), settings_.latency);
+        const auto timer = std::make_shared<boost::asio::steady_timer>(server_.io(), settings_.latency);
         timer->async_wait([this, timer, request, exchange](const auto& code) {
             if (!code) {
                 execute(request, exchange);
@@ -98,10 +91,10 @@
     void inject(const json::object& fault)
     {
         if (flag_field(fault, "go_silent")) {
-            server_->silence();
+            server_.http().silence();
         }
         if (flag_field(fault, "die")) {
-            server_->close();
+            server_.http().close();
         }
         drop_before_run_ = drop_before_run_ || flag_field(fault, "drop_before_run");
         drop_after_run_ = drop_after_run_ || flag_field(fault, "drop_after_run");
@@ -110,13 +103,12 @@
             settings_.latency = std::chrono::milliseconds(number_field(fault, "latency_ms"));
         }
         if (const auto pause = number_field(fault, "pause_ms"); pause > 0) {
-            server_->pause(std::chrono::milliseconds(pause));
+            server_.http().pause(std::chrono::milliseconds(pause));
         }
     }
 
     service_standin_settings settings_;
-    standin_thread thread_;
-    std::optional<http_server> server_;
+    standin_server server_;
     std::map<std::string, std::int64_t> executions_;
     std::int64_t unnamed_ = 0;
     unsigned next_status_ = 200;
--- a/tests/standins/standin_thread.cpp
+++ b/tests/standins/standin_thread.cpp
@@ -12,10 +12,17 @@
 }
 
 standin_thread::~standin_thread()
+{
+    stop();
+}
+
+void standin_thread::stop()
 {
     guard_.reset();
     io_.stop();
-    thread_.join();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
 }
 
 void standin_thread::run(const std::function<void()>& task)
--- a/tests/standins/standin_thread.h
+++ b/tests/standins/standin_thread.h
@@ -21,6 +21,8 @@
     [[nodiscard]] auto io() -> boost::asio::io_context& { return io_; }
     /// Runs `task` on the thread and waits for it.
     void run(const std::function<void()>& task);
+    /// Ends the thread after the handler that it is in; what waits is dropped with the thread's context.
+    void stop();
 
 private:
     boost::asio::io_context io_{1};
--- a/tests/standins/weight_store_standin.cpp
+++ b/tests/standins/weight_store_standin.cpp
@@ -1,12 +1,10 @@
 #include "standins/weight_store_standin.h"
 
-#include "standins/http_server.h"
 #include "standins/json_fields.h"
-#include "standins/standin_thread.h"
+#include "standins/standin_server.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
-#include <optional>
 
 namespace dragonflymill::standins {
 
@@ -24,20 +22,15 @@
     explicit state(const weight_store_standin_settings& settings)
         : settings_(settings)
     {
-        thread_.run([this] {
-            server_.emplace(thread_.io(), settings_.port,
-                            [this](const auto& request, const auto& exchange) { answer(request, exchange); });
-        });
+        server_.start(settings_.port,
+                      [this](const auto& request, const auto& exchange) { answer(request, exchange); });
     }
     state(const state&) = delete;
     auto operator=(const state&) -> state& = delete;
 
-    ~state()
-    {
-        thread_.run([this] { server_.reset(); });
-    }
+    ~state() { server_.stop(); }
 
-    [[nodiscard]] auto port() const -> std::uint16_t { return server_->port(); }
+    [[nodiscard]] auto port() const -> std::uint16_t { return server_.port(); }
 
 private:
     struct load
@@ -75,7 +68,7 @@
     {
         ++loads_;
         ++running_;
-        const auto item = std::make_shared<load>(thread_.io(), exchange);
+        const auto item = std::make_shared<load>(server_.io(), exchange);
         exchange.open_stream("application/octet-stream");
         exchange.on_closed([this, item] { end(*item); });
         send_next(item);
@@ -108,8 +101,7 @@
     }
 
     weight_store_standin_settings settings_;
-    standin_thread thread_;
-    std::optional<http_server> server_;
+    standin_server server_;
     std::int64_t loads_ = 0;
     std::int64_t refused_ = 0;
     std::int64_t running_ = 0;
