Refuse, hold and pause in the gateway while there is too much work

Cause: the overload parts were decided and tested alone; no daemon ran them. A gateway with too much work let everything in, and what could not end in its limit was told so at the limit. A completion refused last as "not run" was told so also when an earlier engine may have run it.

Change: serve/overload_desk stands between account limit and routing, one policy a model: the load signal out of the upstream table, aged; admit, refuse at once, or hold overnight work that can wait; pause it before its first token and resume it from the caller's last one, when calm, at its latest start or when the gateway stops.

--- a/include/dragonflymill/overload/fair_shares.h
+++ b/include/dragonflymill/overload/fair_shares.h
@@ -12,14 +12,18 @@
 struct fair_share_settings
 {
     std::size_t max_accounts =
-        2'048; ///< Accounts remembered; the one that used least is forgotten, with its weight.
-    duration half_life{10'000'000}; ///< Use counts half after this time.
+        2'048; ///< Accounts remembered; the one that asked least is forgotten, with its weight.
+    duration half_life{10'000'000}; ///< What was asked counts half after this time.
     double slack = 1.2;             ///< An account over this many times its share counts as over it.
 
     friend auto operator==(const fair_share_settings&, const fair_share_settings&) -> bool = default;
 };
 
-/// What each client account used of late, against its weighted share of what all active accounts used.
+/// What each client account asked for of late, against its weighted share of what all active accounts asked.
+///
+/// It goes by what was asked, not by what was given. Under refusal an account that asks for far too much is
+/// given no more than its share; judged by that it would look like the small ones beside it, and they would
+/// be refused as often as it.
 class fair_shares
 {
 public:
@@ -31,9 +35,9 @@
 
     /// Sets an account's weight; 1 if never set.
     void set_weight(const client_account_id& account, double weight);
-    /// Notes that an account was given work of this cost.
-    void used(instant now, const client_account_id& account, duration cost);
-    /// Whether an account used more than its share; false while it is the only one.
+    /// Notes that an account asked for work of this cost.
+    void asked(instant now, const client_account_id& account, duration cost);
+    /// Whether an account asked for more than its share; false while it is the only one.
     [[nodiscard]] auto over_share(instant now, const client_account_id& account) const -> bool;
     /// Accounts remembered.
     [[nodiscard]] auto size() const -> std::size_t { return accounts_.size(); }
--- a/include/dragonflymill/overload/paused_work.h
+++ b/include/dragonflymill/overload/paused_work.h
@@ -43,6 +43,8 @@
     void remove(const request_id& request);
     /// Takes out what is due. Those whose limit ends first are resumed first.
     [[nodiscard]] auto due(instant now, const load_signal& load) -> paused_work_due;
+    /// Takes out all, to go on with it.
+    [[nodiscard]] auto take_all() -> paused_work_due;
     /// When the next one must be resumed in any case; nothing if none is paused.
     [[nodiscard]] auto next_wake() const -> std::optional<instant>;
     /// Requests paused.
--- a/include/dragonflymill/overload/shedding_policies.h
+++ b/include/dragonflymill/overload/shedding_policies.h
@@ -7,6 +7,19 @@
 
 namespace dragonflymill {
 
+/// Baseline: refuses nothing and pauses nothing.
+class no_shedding
+{
+public:
+    /// Admits.
+    [[nodiscard]] auto offer(instant now, const offered_work& work, const load_signal& load) -> admission;
+    /// Pauses nothing.
+    [[nodiscard]] auto pause(instant now, const load_signal& load, std::span<const running_work> running)
+        -> std::vector<request_id>;
+    /// Learns nothing.
+    void ended(instant now, const offered_work& work, bool in_time);
+};
+
 /// Baseline: refuses any request with the same probability, and pauses any overnight work.
 class random_shedding
 {
--- a/include/dragonflymill/serve/completion_desk.h
+++ b/include/dragonflymill/serve/completion_desk.h
@@ -28,6 +28,13 @@
     /// A caller asks.
     void arrived(instant now, const gateway_input::completion_arrived& input,
                  std::vector<gateway_action>& actions);
+    /// A caller asks, and its work waits for `resume`.
+    void arrived_on_hold(instant now, const gateway_input::completion_arrived& input,
+                         std::vector<gateway_action>& actions);
+    /// Ends its try; the caller keeps what it has and waits for the rest.
+    void pause(instant now, exchange_number exchange, std::vector<gateway_action>& actions);
+    /// Goes on with it, at the upstream that is best now.
+    void resume(instant now, exchange_number exchange, std::vector<gateway_action>& actions);
     /// The caller left: its work is cancelled.
     void caller_left(instant now, exchange_number exchange, std::vector<gateway_action>& actions);
     /// A try was granted: its prompt may travel.
@@ -75,11 +82,16 @@
         attempt_number running; // its number
         std::uint64_t attempts = 0;
         bool first_token_seen = false;
+        bool prompt_sent = false;  // of the running try
+        bool may_have_run = false; // of the tries before it
+        bool on_hold = false;
         timer_id limit_timer;
         std::optional<timer_id> other_timer{};
     };
     using requests = std::map<exchange_number, request>;
 
+    [[nodiscard]] auto take_in(instant now, const gateway_input::completion_arrived& input,
+                               std::vector<gateway_action>& actions) -> requests::iterator;
     void dispatch(instant now, requests::iterator held, std::vector<gateway_action>& actions);
     void end_attempt(instant now, request& item);
     void act_on(instant now, requests::iterator held, std::vector<stream_output> outputs, const refusal& why,
--- a/include/dragonflymill/serve/gateway_core.h
+++ b/include/dragonflymill/serve/gateway_core.h
@@ -5,6 +5,7 @@
 #include "dragonflymill/serve/call_desk.h"
 #include "dragonflymill/serve/completion_desk.h"
 #include "dragonflymill/serve/gateway_messages.h"
+#include "dragonflymill/serve/overload_desk.h"
 
 #include <map>
 #include <memory>
@@ -25,6 +26,7 @@
     std::size_t upstreams_per_model = 16; ///< Size of the gateway's subset of each model's upstreams.
     retry_settings retry;                 ///< Retry rules.
     double reserved_for_short = 0.25;     ///< Share of a model's upstreams that take no bulk prefill.
+    overload_desk_settings overload;      ///< Bounds above which work is refused or paused.
     std::uint64_t seed = 0;               ///< Spreads retry times.
 };
 
@@ -46,6 +48,8 @@
     [[nodiscard]] auto share_asked(instant now, const share_request& request) -> share_grant;
     /// Requests and calls in hand.
     [[nodiscard]] auto in_hand() const -> std::size_t { return completions_.size() + calls_.size(); }
+    /// Requests in hand whose work is paused.
+    [[nodiscard]] auto paused() const -> std::size_t { return overload_.paused(); }
     /// What is known of the upstreams, for display.
     [[nodiscard]] auto table() const -> const upstream_table& { return routes_.table(); }
 
@@ -86,6 +90,8 @@
                              token_count tokens, actions_out& actions) -> bool;
     void give_back(instant now, exchange_number exchange, token_count extra);
     void settle_accounts(instant now, const actions_out& actions);
+    void note_progress(instant now, const actions_out& actions);
+    void review_overload(instant now, actions_out& actions);
     void apply_drains();
     void say_if_done(actions_out& actions);
 
@@ -94,6 +100,7 @@
     retry_rules rules_;
     account_limiter limiter_;
     std::map<exchange_number, admitted> admitted_; // in step with what the desks have in hand
+    gateway_overload overload_;
     completion_desk completions_;
     call_desk calls_;
     std::shared_ptr<const bundle> in_force_;
--- a/include/dragonflymill/serve/gateway_messages.h
+++ b/include/dragonflymill/serve/gateway_messages.h
@@ -257,6 +257,16 @@
 {
     ask_share asked; ///< Whom and what.
 };
+/// Log that a request's work is paused.
+struct note_paused
+{
+    exchange_number exchange; ///< The request.
+};
+/// Log that a paused request's work goes on.
+struct note_resumed
+{
+    exchange_number exchange; ///< The request.
+};
 /// Everything in hand is finished.
 struct all_done
 {
@@ -270,6 +280,7 @@
                  gateway_output::call_service, gateway_output::deliver, gateway_output::finish,
                  gateway_output::refuse, gateway_output::answer_service, gateway_output::give_ticket,
                  gateway_output::tell_running, gateway_output::connect_upstreams,
-                 gateway_output::ask_for_share, gateway_output::all_done>;
+                 gateway_output::ask_for_share, gateway_output::note_paused, gateway_output::note_resumed,
+                 gateway_output::all_done>;
 
 } // namespace dragonflymill
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -18,6 +18,8 @@
 constexpr duration status_interval = 250ms;
 constexpr metric_name first_token_name{"dragonflymill_first_token_seconds",
                                        "Time from a request's arrival to its first token, by length class"};
+constexpr metric_name pauses_name{"dragonflymill_pauses_total",
+                                  "Requests paused while upstreams were overloaded"};
 constexpr metric_name requests_name{"dragonflymill_requests_total", "Requests by their final answer"};
 
 auto state_text(const upstream_record& record) -> std::string
@@ -48,6 +50,8 @@
     options.max_requests = settings.rings.requests;
     options.max_calls = settings.rings.requests;
     options.seed = stable_hash(settings.process.name.text());
+    options.overload.drain_time = settings.overload_drain_time;
+    options.overload.seed = options.seed;
     return options;
 }
 
@@ -437,6 +441,25 @@
     handlers_.ask_for_share(action.asked);
 }
 
+void gateway_shell::act(const gateway_output::note_paused& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found != exchanges_.end()) {
+        timeline_.record(found->second.request, "paused", "");
+        metrics_.counter(pauses_name).add();
+        log_event(event::work_paused, field("request", found->second.request));
+    }
+}
+
+void gateway_shell::act(const gateway_output::note_resumed& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found != exchanges_.end()) {
+        timeline_.record(found->second.request, "resumed", "");
+        log_event(event::work_resumed, field("request", found->second.request));
+    }
+}
+
 void gateway_shell::act(const gateway_output::all_done& /*action*/)
 {
     handlers_.on_all_done();
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -94,6 +94,8 @@
     void act(const gateway_output::tell_running& action);
     void act(const gateway_output::connect_upstreams& action);
     void act(const gateway_output::ask_for_share& action);
+    void act(const gateway_output::note_paused& action);
+    void act(const gateway_output::note_resumed& action);
     void act(const gateway_output::all_done& action);
 
     void follow_up(gateway_event event);
--- a/src/overload/fair_shares.cpp
+++ b/src/overload/fair_shares.cpp
@@ -17,7 +17,7 @@
     entry_for(instant{}, account).weight = std::max(weight, 1e-6);
 }
 
-void fair_shares::used(instant now, const client_account_id& account, duration cost)
+void fair_shares::asked(instant now, const client_account_id& account, duration cost)
 {
     auto& use = entry_for(now, account);
     use.cost = decayed(now, use) + static_cast<double>(cost.count());
--- a/src/overload/paused_work.cpp
+++ b/src/overload/paused_work.cpp
@@ -42,6 +42,16 @@
     return due;
 }
 
+auto paused_work::take_all() -> paused_work_due
+{
+    paused_work_due due;
+    for (const auto& each : paused_) {
+        due.resume.push_back(each.work.request);
+    }
+    paused_.clear();
+    return due;
+}
+
 auto paused_work::next_wake() const -> std::optional<instant>
 {
     return paused_.empty() ? std::nullopt : std::optional(latest_start(paused_.front()));
--- a/src/overload/shedding_policies.cpp
+++ b/src/overload/shedding_policies.cpp
@@ -32,6 +32,20 @@
 
 } // namespace
 
+auto no_shedding::offer(instant /*now*/, const offered_work& /*work*/, const load_signal& /*load*/)
+    -> admission
+{
+    return admit_work{};
+}
+
+auto no_shedding::pause(instant /*now*/, const load_signal& /*load*/,
+                        std::span<const running_work> /*running*/) -> std::vector<request_id>
+{
+    return {};
+}
+
+void no_shedding::ended(instant /*now*/, const offered_work& /*work*/, bool /*in_time*/) {}
+
 auto random_shedding::offer(instant /*now*/, const offered_work& /*work*/, const load_signal& load)
     -> admission
 {
@@ -50,17 +64,14 @@
 {
     const std::size_t own = shed_class_of(work.priority, work.size, shares_.over_share(now, work.account));
     classes_.offered(now, own, work.cost);
+    shares_.asked(now, work.account, work.cost);
     std::array<double, shed_class_count> rank{};
     for (std::size_t i = 0; i < shed_class_count; ++i) {
         const std::size_t priority = i / (length_class_count * 2);
         rank[i] = -static_cast<double>(priority * 2 + i % 2);
     }
     const auto parts = classes_.parts_to_refuse(rank, load.excess(), 1.0);
-    const bool refused = random_.chance(parts[own]);
-    if (!refused) {
-        shares_.used(now, work.account, work.cost);
-    }
-    return decide(refused, load);
+    return decide(random_.chance(parts[own]), load);
 }
 
 auto priority_shedding::pause(instant now, const load_signal& load, std::span<const running_work> running)
@@ -75,12 +86,9 @@
 {
     const std::size_t own = shed_class_of(work.priority, work.size, shares_.over_share(now, work.account));
     classes_.offered(now, own, work.cost);
+    shares_.asked(now, work.account, work.cost);
     const auto parts = classes_.parts_to_refuse(ranks(), load.excess(), settings_.most_refused);
-    const bool refused = random_.chance(parts[own]);
-    if (!refused) {
-        shares_.used(now, work.account, work.cost);
-    }
-    return decide(refused, load);
+    return decide(random_.chance(parts[own]), load);
 }
 
 auto contribution_shedding::ranks() const -> std::array<double, shed_class_count>
--- a/src/route/first_token_prediction.cpp
+++ b/src/route/first_token_prediction.cpp
@@ -37,4 +37,21 @@
     return duration(static_cast<duration::rep>(std::min(time, longest_prediction)));
 }
 
+auto prefill_time(const upstream_description& engine, token_count tokens) -> duration
+{
+    const auto count = static_cast<double>(tokens);
+    const double rate = std::max(1.0, engine.prefill_rate);
+    const auto chunk = static_cast<double>(std::max<token_count>(1, engine.prefill_chunk));
+    const double steps = count / chunk * static_cast<double>(engine.decode_step.count());
+    const double time = steps + count / rate * microseconds;
+    return duration(static_cast<duration::rep>(std::min(time, longest_prediction)));
+}
+
+auto drain_time(instant now, const upstream_record& record) -> duration
+{
+    const duration said = prefill_time(record.description(), record.queue_ahead(length_class::gang));
+    const duration worked = record.has_load() ? record.load_age(now) : duration::zero();
+    return std::max(duration::zero(), said - worked);
+}
+
 } // namespace dragonflymill
--- a/src/serve/completion_desk.cpp
+++ b/src/serve/completion_desk.cpp
@@ -41,23 +41,78 @@
 
 void completion_desk::arrived(instant now, const gateway_input::completion_arrived& input,
                               std::vector<gateway_action>& actions)
+{
+    const auto held = take_in(now, input, actions);
+    if (held != requests_.end()) {
+        dispatch(now, held, actions);
+    }
+}
+
+void completion_desk::arrived_on_hold(instant now, const gateway_input::completion_arrived& input,
+                                      std::vector<gateway_action>& actions)
+{
+    const auto held = take_in(now, input, actions);
+    if (held != requests_.end()) {
+        held->second.on_hold = true;
+        actions.push_back(gateway_output::note_paused{input.exchange});
+    }
+}
+
+void completion_desk::pause(instant now, exchange_number exchange, std::vector<gateway_action>& actions)
+{
+    const auto held = requests_.find(exchange);
+    if (held == requests_.end() || held->second.on_hold) {
+        return;
+    }
+    auto& item = held->second;
+    item.on_hold = true;
+    if (item.other_timer) {
+        timers_.cancel(*item.other_timer);
+        item.other_timer.reset();
+    }
+    if (!item.at.empty()) {
+        actions.push_back(gateway_output::cancel_attempt{{exchange, item.running}});
+        // Guards against tokens of the try given up here that mix with those of the next: the caller would
+        // read words twice. The joiner drops whatever has an older try's number.
+        item.joiner.change_attempt();
+        item.may_have_run = item.may_have_run || item.prompt_sent;
+        --item.attempts;
+        end_attempt(now, item);
+    }
+    actions.push_back(gateway_output::note_paused{exchange});
+}
+
+void completion_desk::resume(instant now, exchange_number exchange, std::vector<gateway_action>& actions)
+{
+    const auto held = requests_.find(exchange);
+    if (held == requests_.end() || !held->second.on_hold || held->second.limit.expired(now)) {
+        return; // past its limit it is the limit's timer that ends it
+    }
+    held->second.on_hold = false;
+    actions.push_back(gateway_output::note_resumed{exchange});
+    dispatch(now, held, actions);
+}
+
+auto completion_desk::take_in(instant now, const gateway_input::completion_arrived& input,
+                              std::vector<gateway_action>& actions) -> requests::iterator
 {
     if (requests_.size() >= capacity_) {
         actions.push_back(gateway_output::refuse{
             input.exchange,
             {refusal_code::overloaded, ran_state::no, full_retry_hint, "come back after the time given"}});
-        return;
+        return requests_.end();
     }
     const deadline_budget limit(now, input.time_limit);
     const route_request routing{
         input.request, input.model, input.adapter, input.prompt_tokens, input.max_tokens, input.blocks, {}};
     const auto limit_timer = timers_.subscribe(limit.end(), wake_key{input.exchange, due::time_limit});
     DRAGONFLYMILL_ASSERT(limit_timer, "there is a timer for every request that the bound lets in");
-    const auto made = requests_.emplace(
-        input.exchange, request{input, limit, stream_joiner(input.request, attempt_number(1)), routing,
-                                upstream_id{}, attempt_number(1), 0, false, limit_timer.value()});
+    const auto made = requests_.emplace(input.exchange,
+                                        request{input, limit, stream_joiner(input.request, attempt_number(1)),
+                                                routing, upstream_id{}, attempt_number(1), 0, false, false,
+                                                false, false, limit_timer.value()});
     DRAGONFLYMILL_ASSERT(made.second, "the shell numbers each request once");
-    dispatch(now, made.first, actions);
+    return made.first;
 }
 
 void completion_desk::dispatch(instant now, requests::iterator held, std::vector<gateway_action>& actions)
@@ -83,6 +138,7 @@
     ++item.attempts;
     item.at = choice.upstream;
     item.first_token_seen = false;
+    item.prompt_sent = false;
     attempt_spec spec{
         item.asked.request,       item.running,          self_,          item.asked.account,
         item.asked.model,         item.asked.adapter,    choice.size,    item.asked.standing,
@@ -103,6 +159,7 @@
         actions.push_back(gateway_output::cancel_attempt{key});
         return;
     }
+    held->second.prompt_sent = true;
     actions.push_back(gateway_output::send_prompt{key});
 }
 
@@ -117,6 +174,7 @@
     const stream_loss loss{item.asked.request, input.key.attempt};
     if (!item.at.empty() && item.running == input.key.attempt) {
         item.routing.excluded.push_back(item.at);
+        item.may_have_run = item.may_have_run || input.why.ran == ran_state::unknown;
         end_attempt(now, item);
     }
     act_on(now, held, item.joiner.step(now, loss), input.why, actions);
@@ -212,8 +270,7 @@
             if (why.code != refusal_code::internal) {
                 said = why; // the last upstream's own word tells the caller more
             }
-            actions.push_back(gateway_output::refuse{exchange, said});
-            forget(now, held, actions);
+            give_up(now, held, said, actions);
             return;
         }
     }
@@ -251,7 +308,8 @@
                               std::vector<gateway_action>& actions)
 {
     auto said = why;
-    if (held->second.joiner.delivered() > 0) {
+    // Guards against a false "not run": the last try was surely not run, but an earlier one may have been.
+    if (held->second.joiner.delivered() > 0 || held->second.may_have_run) {
         said.ran = ran_state::unknown;
     }
     actions.push_back(gateway_output::refuse{held->first, std::move(said)});
--- a/src/serve/gateway_core.cpp
+++ b/src/serve/gateway_core.cpp
@@ -68,6 +68,7 @@
     , routes_(predicted_first_token(policy_settings(options)))
     , rules_(options.seed, options.retry)
     , limiter_(account_limiter_settings{.self = options.self}, now)
+    , overload_(routes_.table(), options.overload)
     , completions_(options.self, routes_, rules_, options.max_requests)
     , calls_(routes_, rules_, options.ticket_key, options.max_calls)
 {
@@ -78,6 +79,7 @@
     actions_out actions;
     std::visit([&](const auto& input) { take(now, input, actions); }, event);
     settle_accounts(now, actions);
+    note_progress(now, actions);
     return actions;
 }
 
@@ -132,6 +134,39 @@
     }
 }
 
+void gateway_core::note_progress(instant now, const actions_out& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* opened = std::get_if<gateway_output::open_attempt>(&action)) {
+            overload_.sent(opened->key.exchange);
+        }
+        else if (const auto* tokens = std::get_if<gateway_output::deliver>(&action)) {
+            overload_.prefilled(tokens->exchange);
+        }
+        else if (const auto* whole = std::get_if<gateway_output::finish>(&action)) {
+            overload_.ended(now, whole->exchange, true);
+        }
+        else if (const auto* refused = std::get_if<gateway_output::refuse>(&action)) {
+            // Only a limit that ran out tells something about the class; the rest is about one request.
+            if (refused->why.code == refusal_code::deadline) {
+                overload_.ended(now, refused->exchange, false);
+            }
+            overload_.left(refused->exchange);
+        }
+    }
+}
+
+void gateway_core::review_overload(instant now, actions_out& actions)
+{
+    const auto due = overload_.review(now);
+    for (const auto exchange : due.pause) {
+        completions_.pause(now, exchange, actions);
+    }
+    for (const auto exchange : due.resume) {
+        completions_.resume(now, exchange, actions);
+    }
+}
+
 auto gateway_core::refuse_if_not_ready(exchange_number exchange, actions_out& actions) const -> bool
 {
     if (in_force_) {
@@ -151,7 +186,16 @@
         return;
     }
     admitted_.at(input.exchange).prompt_tokens = input.prompt_tokens;
-    completions_.arrived(now, input, actions);
+    auto answer = overload_.offer(now, input);
+    if (auto* refused = std::get_if<refusal>(&answer)) {
+        actions.push_back(gateway_output::refuse{input.exchange, std::move(*refused)});
+    }
+    else if (std::holds_alternative<hold_work>(answer)) {
+        completions_.arrived_on_hold(now, input, actions);
+    }
+    else {
+        completions_.arrived(now, input, actions);
+    }
 }
 
 void gateway_core::take(instant now, const gateway_input::service_arrived& input, actions_out& actions)
@@ -166,6 +210,7 @@
 {
     completions_.caller_left(now, input.exchange, actions);
     calls_.caller_left(now, input.exchange);
+    overload_.left(input.exchange);
     give_back(now, input.exchange, 0);
     say_if_done(actions);
 }
@@ -237,6 +282,7 @@
 {
     in_force_ = input.in_force;
     limiter_.bundle_adopted(now, *in_force_);
+    overload_.bundle_adopted(*in_force_);
     auto chosen = choose_own_upstreams();
     gateway_output::connect_upstreams connect;
     for (const auto& description : chosen) {
@@ -295,9 +341,11 @@
     limiter_.share_granted(now, input.grant);
 }
 
-void gateway_core::take(instant /*now*/, const gateway_input::stop_asked& /*input*/, actions_out& actions)
+void gateway_core::take(instant now, const gateway_input::stop_asked& /*input*/, actions_out& actions)
 {
     stopping_ = true;
+    overload_.stop();
+    review_overload(now, actions);
     say_if_done(actions);
 }
 
@@ -305,6 +353,7 @@
 {
     completions_.tick(now, actions);
     calls_.tick(now, actions);
+    review_overload(now, actions);
     for (auto& asked : limiter_.tick(now)) {
         if (asked.home == options_.self) {
             limiter_.share_granted(now, limiter_.share_asked(now, asked.request));
--- /dev/null
+++ b/src/serve/overload_desk.cpp
@@ -0,0 +1,250 @@
+#include "dragonflymill/serve/overload_desk.h"
+
+#include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/route/first_token_prediction.h"
+
+#include <algorithm>
+#include <concepts>
+#include <utility>
+
+namespace dragonflymill {
+
+namespace {
+
+auto urgency_of(priority standing) -> work_priority
+{
+    switch (standing) {
+    case priority::doorstep:
+        return work_priority::urgent;
+    case priority::standard:
+        return work_priority::normal;
+    case priority::overnight:
+        return work_priority::overnight;
+    }
+    return work_priority::normal;
+}
+
+template <overload_policy Policy>
+auto make_policy(std::uint64_t seed) -> Policy
+{
+    if constexpr (std::constructible_from<Policy, std::uint64_t>) {
+        return Policy(seed);
+    }
+    else {
+        return Policy();
+    }
+}
+
+} // namespace
+
+template <overload_policy Policy>
+overload_desk<Policy>::overload_desk(const upstream_table& upstreams, overload_desk_settings settings)
+    : upstreams_(upstreams)
+    , settings_(settings)
+{
+}
+
+template <overload_policy Policy>
+void overload_desk<Policy>::bundle_adopted(const bundle& in_force)
+{
+    const auto gone = [&in_force](const auto& each) {
+        return std::none_of(in_force.models.begin(), in_force.models.end(),
+                            [&each](const model_entry& model) { return model.id == each.first; });
+    };
+    // A model with paused work stays until that work has ended, whatever the bundle says.
+    std::erase_if(models_,
+                  [&gone](const auto& each) { return each.second.paused.size() == 0 && gone(each); });
+    for (const auto& model : in_force.models) {
+        const std::uint64_t seed = settings_.seed ^ stable_hash(model.id.text());
+        auto& held =
+            models_.try_emplace(model.id, model_work{make_policy<Policy>(seed), paused_work(settings_.pause)})
+                .first->second;
+        if constexpr (requires { held.policy.shares(); }) {
+            for (const auto& account : in_force.accounts) {
+                held.policy.shares().set_weight(account.id, account.weight);
+            }
+        }
+    }
+}
+
+template <overload_policy Policy>
+auto overload_desk<Policy>::load(instant now, const model_id& model) const -> load_signal
+{
+    duration all{0};
+    duration::rep count = 0;
+    for (const auto& record : upstreams_.records()) {
+        if (record.takes_new_work() && record.serves(model, adapter_id())) {
+            all += drain_time(now, record);
+            ++count;
+        }
+    }
+    return {count > 0 ? all / count : duration::zero(), settings_.drain_time};
+}
+
+template <overload_policy Policy>
+auto overload_desk<Policy>::offered(instant now, const gateway_input::completion_arrived& asked) const
+    -> offered_work
+{
+    token_count memory = 0;
+    duration cost{0};
+    for (const auto& record : upstreams_.records()) {
+        if (record.serves(asked.model, adapter_id()) && record.description().memory > memory) {
+            memory = record.description().memory;
+            cost = prefill_time(record.description(), asked.prompt_tokens);
+        }
+    }
+    return {asked.request,
+            asked.account,
+            urgency_of(asked.standing),
+            classify(asked.prompt_tokens, asked.prompt_tokens + asked.max_tokens, memory),
+            cost,
+            deadline_budget(now, asked.time_limit)};
+}
+
+template <overload_policy Policy>
+auto overload_desk<Policy>::offer(instant now, const gateway_input::completion_arrived& asked)
+    -> overload_answer
+{
+    const auto found = models_.find(asked.model);
+    if (found == models_.end()) {
+        return admit_work{}; // routing knows why it can't be served
+    }
+    auto& model = found->second;
+    const auto offer = offered(now, asked);
+    const running_work all_to_come{offer, offer.cost};
+    overload_answer answer = admit_work{};
+    // Prompts for several engines are bounded by the engines' own leases: measured, refusing them here as
+    // well gains nothing for the others and starves them.
+    auto decided = offer.size == length_class::gang ? admission(admit_work{})
+                                                    : model.policy.offer(now, offer, load(now, asked.model));
+    if (auto* refused = std::get_if<refusal>(&decided)) {
+        // What may wait and still end in its limit isn't refused, as long as there is room for it.
+        if (stopping_ || !may_pause(now, all_to_come) || !model.paused.add(all_to_come)) {
+            return std::move(*refused);
+        }
+        answer = hold_work{};
+    }
+    held_.insert_or_assign(asked.exchange, held_work{all_to_come, asked.model, false});
+    by_name_.insert_or_assign(asked.request, asked.exchange);
+    return answer;
+}
+
+template <overload_policy Policy>
+void overload_desk<Policy>::sent(exchange_number exchange)
+{
+    const auto found = held_.find(exchange);
+    if (found != held_.end()) {
+        found->second.prefilling = true;
+    }
+}
+
+template <overload_policy Policy>
+void overload_desk<Policy>::prefilled(exchange_number exchange)
+{
+    const auto found = held_.find(exchange);
+    if (found != held_.end()) {
+        found->second.prefilling = false;
+    }
+}
+
+template <overload_policy Policy>
+void overload_desk<Policy>::ended(instant now, exchange_number exchange, bool in_time)
+{
+    const auto found = held_.find(exchange);
+    if (found == held_.end()) {
+        return;
+    }
+    const auto model = models_.find(found->second.model);
+    if (model != models_.end()) {
+        model->second.policy.ended(now, found->second.work.work, in_time);
+    }
+    left(exchange);
+}
+
+template <overload_policy Policy>
+void overload_desk<Policy>::left(exchange_number exchange)
+{
+    const auto found = held_.find(exchange);
+    if (found == held_.end()) {
+        return;
+    }
+    const auto& name = found->second.work.work.request;
+    const auto model = models_.find(found->second.model);
+    if (model != models_.end()) {
+        model->second.paused.remove(name);
+    }
+    by_name_.erase(name);
+    held_.erase(found);
+}
+
+template <overload_policy Policy>
+auto overload_desk<Policy>::review(instant now) -> overload_review
+{
+    overload_review made;
+    if (now < next_review_) {
+        return made;
+    }
+    next_review_ = now + settings_.review;
+    for (auto& [model, held] : models_) {
+        const auto signal = load(now, model);
+        if (!stopping_ && signal.excess() > 0.0) {
+            pause_some(now, signal, model, held, made);
+        }
+        resume_some(now, signal, held, made);
+    }
+    return made;
+}
+
+template <overload_policy Policy>
+void overload_desk<Policy>::pause_some(instant now, const load_signal& load, const model_id& model,
+                                       model_work& held, overload_review& review)
+{
+    // Only before the first token: a pause costs the prefill once more, and decoding takes little.
+    std::vector<running_work> running;
+    for (const auto& [exchange, each] : held_) {
+        if (each.prefilling && each.model == model && each.work.work.size != length_class::gang) {
+            running.push_back(each.work);
+        }
+    }
+    for (const auto& name : held.policy.pause(now, load, running)) {
+        const auto exchange = by_name_.at(name);
+        if (held.paused.add(held_.at(exchange).work)) {
+            held_.at(exchange).prefilling = false;
+            review.pause.push_back(exchange);
+        }
+    }
+}
+
+template <overload_policy Policy>
+void overload_desk<Policy>::resume_some(instant now, const load_signal& load, model_work& held,
+                                        overload_review& review)
+{
+    // A stop waits for all that is in hand: what is paused goes on at once then, behind all else by its
+    // priority at the engine.
+    auto due = stopping_ ? held.paused.take_all() : held.paused.due(now, load);
+    // What is past its limit is ended by the limit's own timer.
+    due.resume.insert(due.resume.end(), due.expire.begin(), due.expire.end());
+    for (const auto& name : due.resume) {
+        const auto found = by_name_.find(name);
+        if (found != by_name_.end()) {
+            review.resume.push_back(found->second);
+        }
+    }
+}
+
+template <overload_policy Policy>
+auto overload_desk<Policy>::paused() const -> std::size_t
+{
+    std::size_t count = 0;
+    for (const auto& [model, held] : models_) {
+        count += held.paused.size();
+    }
+    return count;
+}
+
+template class overload_desk<no_shedding>;
+template class overload_desk<random_shedding>;
+template class overload_desk<priority_shedding>;
+template class overload_desk<contribution_shedding>;
+
+} // namespace dragonflymill
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -53,6 +53,11 @@
     bind_timeouts(schema, target.timeouts);
     bind_limits(schema, target.limits);
     bind_rings(schema, target.rings);
+    schema.time(
+        {"overload", "drain_time",
+         "up to this time to work off what is queued at a model's upstreams, nothing is refused or paused "
+         "for overload"},
+        target.overload_drain_time, {1s, std::chrono::hours(1)});
     bind(schema, target.heartbeat);
     schema.time({"stop", "drain_lag", "time that the balancer takes to notice that a gateway is not ready"},
                 target.drain_lag, {duration::zero(), std::chrono::minutes(10)});
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -37,19 +37,20 @@
 /// All settings of a gateway.
 struct gateway_settings
 {
-    process_settings process;     ///< [process]
-    socket_address http_listen;   ///< [listen] http
-    socket_address admin_listen;  ///< [listen] admin
-    bundle_settings bundle;       ///< [bundle]
-    caller_timeouts timeouts;     ///< [timeouts]
-    caller_limits limits;         ///< [limits]
-    gateway_rings rings;          ///< [rings]
-    heartbeat_settings heartbeat; ///< [heartbeat]
-    duration drain_lag = 5s;      ///< [stop] drain_lag
-    std::string ticket_key_file;  ///< [once] key_file
-    log_settings log;             ///< [log]
-    timeline_settings timeline;   ///< [timeline]
-    control_settings control;     ///< [control]
+    process_settings process;           ///< [process]
+    socket_address http_listen;         ///< [listen] http
+    socket_address admin_listen;        ///< [listen] admin
+    bundle_settings bundle;             ///< [bundle]
+    caller_timeouts timeouts;           ///< [timeouts]
+    caller_limits limits;               ///< [limits]
+    gateway_rings rings;                ///< [rings]
+    duration overload_drain_time = 30s; ///< [overload] drain_time
+    heartbeat_settings heartbeat;       ///< [heartbeat]
+    duration drain_lag = 5s;            ///< [stop] drain_lag
+    std::string ticket_key_file;        ///< [once] key_file
+    log_settings log;                   ///< [log]
+    timeline_settings timeline;         ///< [timeline]
+    control_settings control;           ///< [control]
 
     friend auto operator==(const gateway_settings&, const gateway_settings&) -> bool = default;
 };
--- a/src/stream/stream_joiner.cpp
+++ b/src/stream/stream_joiner.cpp
@@ -98,6 +98,16 @@
     return outputs;
 }
 
+void stream_joiner::change_attempt()
+{
+    held_.clear();
+    held_tokens_ = 0;
+    end_.reset();
+    gap_since_.reset();
+    first_ = attempt_number(first_.value() + 1);
+    attempt_ = attempt_number(attempt_.value() + 1);
+}
+
 auto stream_joiner::give_up(refusal why) -> std::vector<stream_output>
 {
     std::vector<stream_output> outputs;
--- a/tests/overload/overload_test.cpp
+++ b/tests/overload/overload_test.cpp
@@ -144,12 +144,12 @@
 {
     fair_shares shares({16, 10s, 1.2});
     shares.set_weight(client_account_id("large"), 10.0);
-    shares.used(now, client_account_id("large"), 50s);
-    shares.used(now, client_account_id("small"), 10s);
+    shares.asked(now, client_account_id("large"), 50s);
+    shares.asked(now, client_account_id("small"), 10s);
     cr_assert(not shares.over_share(now, client_account_id("large")));
     cr_assert(shares.over_share(now, client_account_id("small")));
     for (int i = 0; i < 100; ++i) {
-        shares.used(now, client_account_id(std::to_string(i)), 1ms);
+        shares.asked(now, client_account_id(std::to_string(i)), 1ms);
     }
     cr_assert(shares.size() == 16);
     cr_assert(shares.over_share(now + 1ms, client_account_id("small")), "the largest users are remembered");
