--- a/tests/bench/gateway_decision_bench.cpp
+++ b/tests/bench/gateway_decision_bench.cpp
@@ -1,8 +1,9 @@
-// Nanoseconds and bytes of a routing decision with 16, 150 and 600 upstreams in the table, and bytes of the
-// state behind it. Prints Markdown.
+// Nanoseconds and bytes of a routing decision, and of an overload decision, with 16, 150 and 600 upstreams in
+// the table, and bytes of the state behind it. Prints Markdown.
 #include "dragonflymill/route/baseline_policies.h"
 #include "dragonflymill/route/predicted_first_token.h"
 #include "dragonflymill/route/router.h"
+#include "dragonflymill/serve/overload_desk.h"
 
 #include <chrono>
 #include <cstdio>
@@ -123,6 +124,51 @@
     }
 }
 
+/// One offer to the overload decisions of a gateway while its upstreams have too much, and what they keep.
+void measure_overload(std::size_t upstreams, std::size_t accounts)
+{
+    upstream_table table;
+    std::vector<upstream_description> descriptions;
+    for (std::size_t i = 0; i < upstreams; ++i) {
+        descriptions.push_back(describe(i));
+    }
+    (void)table.configure(descriptions).has_value();
+    const instant now(100s);
+    for (const auto& each : descriptions) {
+        upstream_load load;
+        load.queued_prefill[index_of(length_class::bulk)] = 2'000'000;
+        table.report(now, each.id, load);
+    }
+    bundle in_force;
+    in_force.models.push_back({model_id("model"), {}, 0});
+    for (std::size_t i = 0; i < accounts; ++i) {
+        in_force.accounts.emplace_back();
+        in_force.accounts.back().id = client_account_id("account-" + std::to_string(i));
+    }
+    const std::size_t before = live;
+    gateway_overload desk(table);
+    desk.bundle_adopted(in_force);
+    const std::size_t state = live - before;
+    gateway_input::completion_arrived asked;
+    asked.model = model_id("model");
+    asked.prompt_tokens = 1'000;
+    asked.time_limit = 30s;
+    asked.request = request_id("request");
+    asked.exchange = exchange_number(1);
+    const std::size_t allocated_before = allocated;
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < decisions; ++i) {
+        asked.account = in_force.accounts[static_cast<std::size_t>(i) % accounts].id;
+        (void)desk.offer(now, asked);
+        desk.left(asked.exchange);
+    }
+    const auto time = std::chrono::steady_clock::now() - start;
+    const auto nanoseconds = std::chrono::duration_cast<std::chrono::nanoseconds>(time).count();
+    std::printf("| %zu | %zu | %lld | %zu | %zu |\n", upstreams, accounts,
+                static_cast<long long>(nanoseconds / decisions), (allocated - allocated_before) / decisions,
+                state);
+}
+
 } // namespace
 
 auto main() -> int
@@ -138,5 +184,13 @@
         measure("least outstanding", least_outstanding(), upstreams, 1'000);
         measure("round robin", round_robin(), upstreams, 1'000);
     }
+    std::printf("\nOverload decisions, for one model\n\n"
+                "| upstreams | accounts | ns a decision | bytes allocated a decision | bytes of state |\n"
+                "|--:|--:|--:|--:|--:|\n");
+    for (const std::size_t upstreams : {16, 150, 600}) {
+        for (const std::size_t accounts : {10, 150, 1'500}) {
+            measure_overload(upstreams, accounts);
+        }
+    }
     return 0;
 }
--- /dev/null
+++ b/tests/bench/gateway_overload_bench.cpp
@@ -0,0 +1,21 @@
+// A gateway's overload decisions (serve/overload_desk) before sixteen engine fakes on a virtual clock, with
+// each policy and with none, same seeds. Prints Markdown; the figures repeat to the digit.
+#include "rig_contenders.h"
+
+#include <iostream>
+
+using namespace dragonflymill;
+using namespace dragonflymill::rig;
+
+auto main() -> int
+{
+    auto cells = run_cells({contender::ours, contender::priority, contender::random, contender::none},
+                           {80, 95, 120, 200});
+    for (auto& each : cells) {
+        each.policy = each.policy == name_of(contender::ours) ? "contribution shedding" : each.policy;
+    }
+    write_overload(std::cout, cells);
+    write_priorities(std::cout, cells);
+    write_service(std::cout, cells);
+    return 0;
+}
--- a/tests/bench/rig_tables.h
+++ b/tests/bench/rig_tables.h
@@ -91,6 +91,41 @@
     }
 }
 
+/// What refusing and pausing does to short requests, and to small accounts, in Markdown.
+inline void write_overload(std::ostream& out, const std::vector<cell>& cells)
+{
+    const auto part = [](const cell& of, const auto& counted, const auto& what) {
+        double all = 0.0;
+        double those = 0.0;
+        for (const auto& seed : of.seeds) {
+            for (const auto& one : seed) {
+                all += one.counts && counted(one) ? 1.0 : 0.0;
+                those += one.counts && counted(one) && what(one) ? 1.0 : 0.0;
+            }
+        }
+        return digits(100.0 * those / std::max(1.0, all), 1);
+    };
+    const auto any = [](const outcome&) { return true; };
+    const auto is_short = [](const outcome& one) { return one.bucket < short_buckets; };
+    const auto large = [](const outcome& one) { return one.large_account; };
+    const auto small = [](const outcome& one) { return !one.large_account; };
+    const auto in_limit = [](const outcome& one) { return one.in_limit; };
+    const auto refused = [](const outcome& one) { return one.refused; };
+    const auto paused = [](const outcome& one) { return one.paused; };
+    out << "| load % | policy | in time % | refused % | late % | paused % | short ones refused % | first "
+           "token of "
+           "short ones, p99 s | large accounts in time % | small accounts in time % |\n"
+        << "|--:|:--|--:|--:|--:|--:|--:|--:|--:|--:|\n";
+    const auto late = [](const outcome& one) { return !one.in_limit && !one.refused; };
+    for (const auto& each : cells) {
+        const auto first = percentiles_of(values_of(each.seeds, short_first_token));
+        out << "| " << each.load << " | " << each.policy << " | " << part(each, any, in_limit) << " | "
+            << part(each, any, refused) << " | " << part(each, any, late) << " | " << part(each, any, paused)
+            << " | " << part(each, is_short, refused) << " | " << digits(first.p99, 3) << " | "
+            << part(each, large, in_limit) << " | " << part(each, small, in_limit) << " |\n";
+    }
+}
+
 /// What becomes of work of each priority, in Markdown.
 inline void write_priorities(std::ostream& out, const std::vector<cell>& cells)
 {
--- a/tests/bench/rig_traffic.h
+++ b/tests/bench/rig_traffic.h
@@ -4,6 +4,7 @@
 #include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/overload/overload_policy.h"
 #include "dragonflymill/route/route_request.h"
+#include "dragonflymill/serve/gateway_messages.h"
 #include "rig_engine.h"
 
 #include <cmath>
@@ -45,6 +46,7 @@
     token_count prefix_tokens = 0;                  ///< Length of that beginning.
     work_priority priority = work_priority::normal; ///< How urgent it is.
     client_account_id account;                      ///< Whose it is.
+    bool large_account = false;                     ///< One of the three that send six in ten.
     duration limit{0};                              ///< Its time limit.
 };
 
@@ -112,6 +114,7 @@
                                                            : work_priority::overnight;
         each.limit = each.priority == work_priority::overnight ? duration(600s) : bucket.limit;
         const std::uint64_t account = random.below(10) < 6 ? random.below(3) : 3 + random.below(17);
+        each.large_account = account < 3;
         each.account = client_account_id("account" + std::to_string(account));
         requests.push_back(each);
     }
@@ -151,4 +154,37 @@
     return made;
 }
 
+/// The request as the gateway's desks see it.
+inline auto asked(const rig_request& request) -> gateway_input::completion_arrived
+{
+    gateway_input::completion_arrived made;
+    made.exchange = exchange_number(request.id);
+    made.request = request_id(std::to_string(request.id));
+    made.account = request.account;
+    made.model = model_id("m");
+    made.standing = request.priority == work_priority::urgent   ? priority::doorstep
+                    : request.priority == work_priority::normal ? priority::standard
+                                                                : priority::overnight;
+    made.prompt_tokens = request.prompt;
+    made.max_tokens = request.output;
+    made.time_limit = request.limit;
+    return made;
+}
+
+/// Engine number `i`, as the bundle describes it.
+inline auto describe(const engine_settings& engine, std::size_t i) -> upstream_description
+{
+    upstream_description made;
+    made.id = upstream_id((i < 10 ? "u0" : "u") + std::to_string(i));
+    made.failure_domain = failure_domain_id(std::string(1, static_cast<char>('a' + i % 3)));
+    made.region = region_id("r");
+    made.models = {model_id("m")};
+    made.memory = engine.memory;
+    made.prefill_rate = engine.prefill_rate;
+    made.prefill_chunk = engine.chunk;
+    made.decode_step = engine.step;
+    made.decode_step_growth = engine.step_per_request;
+    return made;
+}
+
 } // namespace dragonflymill::rig
