Let a status question find its call whatever its own body

Cause: the sidecar compared the digest of the question (GET, /status, no body) with that of the call asked about. A caller whose booking had run and whose answer was lost was told "conflict, not run", and would have booked a second time. Found by trying the callers' examples against a running fleet.

Change: a status look-up carries no digest, as once_call's own comment has it.

--- a/src/serve/service_desk.cpp
+++ b/src/serve/service_desk.cpp
@@ -175,7 +175,10 @@
 void service_desk::status_asked(instant now, const sidecar_input::status_asked& input,
                                 std::vector<sidecar_action>& actions)
 {
-    const auto call = once_call_of(input.spec);
+    auto call = once_call_of(input.spec);
+    // Guards against a false "not run": the question has no body, or another than the call asked about, and
+    // so would look like a second call under the same name. It holds because a name alone finds its call.
+    call.body.reset();
     tell(ledger_.status(now, call), input.call, actions);
 }
 
--- a/tests/serve/sidecar_service_test.cpp
+++ b/tests/serve/sidecar_service_test.cpp
@@ -79,6 +79,26 @@
     cr_assert(find<sidecar_output::refuse_call>(copy)->why.ran == ran_state::no);
 }
 
+FAULT_CELL(ticket_status, message_lost)
+{
+    // A caller's booking runs and its answer is lost on the way. It asks for the status, by GET and without
+    // the booking's body. Told "another body, not run" it would book a second time; it must get the answer.
+    sidecar_core core(start, options());
+    const auto ticket = take_ticket(core);
+    const auto run = core.step(start, sidecar_input::service_called{call_number(2), booking(ticket, "two")});
+    cr_assert(find<sidecar_output::run_service>(run) != nullptr);
+    auto question = booking(ticket, {});
+    question.method = "GET";
+    question.target = "/status";
+    const auto early = core.step(start, sidecar_input::status_asked{call_number(3), question});
+    cr_assert(find<sidecar_output::tell_running>(early) != nullptr);
+    const once_answer answer{200, "text/plain", "van 7"};
+    static_cast<void>(core.step(start, sidecar_input::service_answered{call_number(2), answer}));
+    const auto told = core.step(start, sidecar_input::status_asked{call_number(4), question});
+    cr_assert(find<sidecar_output::refuse_call>(told) == nullptr);
+    cr_assert(find<sidecar_output::answer_service>(told)->answer.body == "van 7");
+}
+
 Test(sidecar_service, not_run_is_said_only_of_what_never_will_run)
 {
     cr_assert(refusal_before_sending(true).ran == ran_state::no);
