Count the time that a request waited before it was decided on

Cause: a request's time limit began when the deciding thread took it. A gateway that was paused with a booking in its ring began it with its whole limit when it woke, after its caller had gone on.

Change: the shell tells how long ago a request was read; the core counts that against the limit and refuses what is late as not run.

--- a/include/dragonflymill/serve/gateway_core.h
+++ b/include/dragonflymill/serve/gateway_core.h
@@ -85,6 +85,8 @@
     void take(instant now, const gateway_input::tick& input, actions_out& actions);
 
     [[nodiscard]] auto refuse_if_not_ready(exchange_number exchange, actions_out& actions) const -> bool;
+    [[nodiscard]] static auto refuse_if_late(exchange_number exchange, duration remaining,
+                                             actions_out& actions) -> bool;
     [[nodiscard]] auto choose_own_upstreams() const -> std::vector<upstream_description>;
     [[nodiscard]] auto admit(instant now, exchange_number exchange, const client_account_id& account,
                              token_count tokens, actions_out& actions) -> bool;
--- a/include/dragonflymill/serve/gateway_messages.h
+++ b/include/dragonflymill/serve/gateway_messages.h
@@ -54,14 +54,19 @@
     token_count prompt_tokens = 0;          ///< Length of the prompt.
     token_count max_tokens = 0;             ///< Most tokens of the answer.
     std::vector<block_hash> blocks{};       ///< Chained hashes of the prompt's blocks.
-    duration time_limit{0};                 ///< Its time limit.
+    duration time_limit{0};                 ///< Its time limit, from when it was read.
+    duration waited{0};                     ///< How long ago that was.
+
+    /// What is left of its time limit; not above zero if none is.
+    [[nodiscard]] auto remaining() const -> duration { return time_limit - waited; }
 };
 /// A caller calls a plain service, or asks for a ticket or a status.
 struct service_arrived
 {
     exchange_number exchange;              ///< The request.
     service_wish wish = service_wish::run; ///< What it wants.
-    service_spec spec;                     ///< The call.
+    service_spec spec;                     ///< The call, with its time limit from when it was read.
+    duration waited{0};                    ///< How long ago that was.
 };
 /// The caller left before its answer was whole.
 struct caller_left
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -55,6 +55,17 @@
     return options;
 }
 
+/// Tells a request's event how long it has waited since it was read.
+void note_wait(duration waited, gateway_event& event)
+{
+    if (auto* completion = std::get_if<gateway_input::completion_arrived>(&event)) {
+        completion->waited = waited;
+    }
+    else if (auto* call = std::get_if<gateway_input::service_arrived>(&event)) {
+        call->waited = waited;
+    }
+}
+
 } // namespace
 
 gateway_shell::gateway_shell(const gateway_settings& settings, std::string ticket_key,
@@ -142,6 +153,7 @@
     if (event) {
         if (auto* made = std::get_if<arrival>(&*event)) {
             const exchange_number number(made->held.session_exchange);
+            note_wait(now - made->held.arrived, made->event);
             timeline_.record(made->held.request, "arrived", made->held.model);
             exchanges_.insert_or_assign(number, std::move(made->held));
             carry_out(core_.step(now, made->event));
--- a/src/serve/completion_desk.cpp
+++ b/src/serve/completion_desk.cpp
@@ -102,7 +102,7 @@
             {refusal_code::overloaded, ran_state::no, full_retry_hint, "come back after the time given"}});
         return requests_.end();
     }
-    const deadline_budget limit(now, input.time_limit);
+    const deadline_budget limit(now, input.remaining());
     const route_request routing{
         input.request, input.model, input.adapter, input.prompt_tokens, input.max_tokens, input.blocks, {}};
     const auto limit_timer = timers_.subscribe(limit.end(), wake_key{input.exchange, due::time_limit});
--- a/src/serve/gateway_core.cpp
+++ b/src/serve/gateway_core.cpp
@@ -178,10 +178,24 @@
     return true;
 }
 
+// Guards against a request that is begun after its time: it waited for this thread, or the process was paused
+// with it in hand. Its caller has gone on, and would get an answer, or a booking, that it no longer expects.
+auto gateway_core::refuse_if_late(exchange_number exchange, duration remaining, actions_out& actions) -> bool
+{
+    if (remaining > duration::zero()) {
+        return false;
+    }
+    actions.push_back(gateway_output::refuse{
+        exchange,
+        {refusal_code::deadline, ran_state::no, duration::zero(), "send it again if it is wanted"}});
+    return true;
+}
+
 void gateway_core::take(instant now, const gateway_input::completion_arrived& input, actions_out& actions)
 {
     const auto most_tokens = input.prompt_tokens + input.max_tokens;
     if (refuse_if_not_ready(input.exchange, actions) ||
+        refuse_if_late(input.exchange, input.remaining(), actions) ||
         !admit(now, input.exchange, input.account, most_tokens, actions)) {
         return;
     }
@@ -200,9 +214,12 @@
 
 void gateway_core::take(instant now, const gateway_input::service_arrived& input, actions_out& actions)
 {
+    auto timely = input;
+    timely.spec.remaining -= input.waited;
     if (!refuse_if_not_ready(input.exchange, actions) &&
+        !refuse_if_late(input.exchange, timely.spec.remaining, actions) &&
         admit(now, input.exchange, input.spec.account, 0, actions)) {
-        calls_.arrived(now, input, actions);
+        calls_.arrived(now, timely, actions);
     }
 }
 
--- a/src/serve/overload_desk.cpp
+++ b/src/serve/overload_desk.cpp
@@ -98,7 +98,7 @@
             urgency_of(asked.standing),
             classify(asked.prompt_tokens, asked.prompt_tokens + asked.max_tokens, memory),
             cost,
-            deadline_budget(now, asked.time_limit)};
+            deadline_budget(now, asked.remaining())};
 }
 
 template <overload_policy Policy>
--- /dev/null
+++ b/tests/serve/gateway_intake_test.cpp
@@ -0,0 +1,244 @@
+#include "serve/gateway_core_fixture.h"
+
+using namespace dragonflymill;
+using namespace dragonflymill::fixture;
+
+namespace {
+
+/// A bundle whose one account may have that many requests at a time.
+auto bundle_for(std::uint32_t in_flight) -> bundle
+{
+    auto made = small_bundle();
+    made.accounts[0].max_in_flight = in_flight;
+    return made;
+}
+
+auto refusal_of(const std::vector<gateway_action>& actions) -> refusal
+{
+    const auto* refused = find<gateway_output::refuse>(actions);
+    cr_assert(refused != nullptr);
+    return refused->why;
+}
+
+} // namespace
+
+FAULT_CELL(request_intake, paused_wakes_late)
+{
+    // A booking goes out a minute after its household gave up. The gateway read it, was paused for that
+    // minute, and began it anew with its whole limit when it woke. What is late is refused at once, truly not
+    // run.
+    gateway_core core(start, options());
+    adopt(core, bundle_for(1));
+    auto late = booking(1, "key");
+    late.waited = 60s;
+    const auto call = core.step(start, late);
+    cr_assert(find<gateway_output::call_service>(call) == nullptr);
+    cr_assert(refusal_of(call).code == refusal_code::deadline);
+    cr_assert(refusal_of(call).ran == ran_state::no);
+    auto question = asked(2);
+    question.waited = 60s;
+    cr_assert(refusal_of(core.step(start, question)).ran == ran_state::no);
+    question = asked(3);
+    question.waited = 4s;
+    const auto in_time = core.step(start, question);
+    cr_assert(find<gateway_output::open_attempt>(in_time)->spec.remaining == 6s);
+}
+
+FAULT_CELL(request_intake, config_down)
+{
+    // A caller reaches a gateway that has just started while the configuration service is down. It is told at
+    // once that nothing was run and when to come back; as soon as a peer has given the bundle it is served.
+    gateway_core core(start, options());
+    const auto early = refusal_of(core.step(start, asked(1)));
+    cr_assert(early.code == refusal_code::not_ready);
+    cr_assert(early.ran == ran_state::no);
+    cr_assert(early.retry_after > duration::zero());
+    cr_assert(refusal_of(core.step(start, booking(2, "key"))).code == refusal_code::not_ready);
+    adopt(core, small_bundle());
+    open(core, 3);
+}
+
+FAULT_CELL(request_intake, config_stale)
+{
+    // The partners take an account out of the bundle while its request runs. The answer comes whole; what it
+    // asks next is refused as not run.
+    gateway_core core(start, options());
+    adopt(core, small_bundle());
+    const auto running = open(core, 1);
+    auto without = small_bundle();
+    without.version = bundle_version(2);
+    without.accounts.clear();
+    feed(core, start, gateway_input::bundle_adopted{std::make_shared<const bundle>(without)});
+    cr_assert(refusal_of(core.step(start, asked(2))).ran == ran_state::no);
+    const auto ended = core.step(start, gateway_input::attempt_finished{running.key, 0, "stop"});
+    cr_assert(find<gateway_output::finish>(ended) != nullptr);
+    cr_assert(core.in_hand() == 0);
+}
+
+FAULT_CELL(request_intake, domain_out)
+{
+    // Operators take out the failure domain in which this gateway stands. Callers whom the balancer still
+    // sends here must be served, by the engines of the other domains.
+    gateway_core core(start, options());
+    adopt(core, small_bundle());
+    feed(core, start, gateway_input::drains_changed{{failure_domain_id("d1")}, {}});
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        cr_assert(open(core, i).upstream != upstream_id("e1"));
+    }
+}
+
+FAULT_CELL(request_intake, upstream_cold)
+{
+    // After a power cut every engine is cold and already carries what it can. A caller is told so at once,
+    // not after its limit, and its account gets its place back.
+    gateway_core core(start, options());
+    adopt(core, bundle_for(1));
+    for (std::uint64_t i = 1; i <= engine_count; ++i) {
+        gateway_input::load_heard heard{upstream_id("e" + std::to_string(i)), {}};
+        heard.load.cold = true;
+        heard.load.allowed = 100;
+        heard.load.outstanding = 100;
+        feed(core, start, heard);
+    }
+    for (std::uint64_t i = 1; i <= 5; ++i) {
+        const auto why = refusal_of(core.step(start, asked(i)));
+        cr_assert(why.code == refusal_code::upstream_cold);
+        cr_assert(why.ran == ran_state::no);
+        cr_assert(why.retry_after > duration::zero());
+    }
+}
+
+FAULT_CELL(request_intake, message_doubled)
+{
+    // A caller's client sends a question twice, as it heard nothing. Both are answered, each from its own
+    // try: the end of one must neither end the other nor give the account's place back twice.
+    gateway_core core(start, options());
+    adopt(core, bundle_for(2));
+    const auto first = open(core, 1);
+    const auto second = open(core, 2);
+    const auto ended = core.step(start, gateway_input::attempt_finished{first.key, 0, "stop"});
+    cr_assert(find<gateway_output::finish>(ended)->exchange == exchange_number(1));
+    feed(core, start, gateway_input::attempt_finished{first.key, 0, "stop"});
+    cr_assert(core.in_hand() == 1);
+    open(core, 3);
+    cr_assert(refusal_of(core.step(start, asked(4))).code == refusal_code::account_limit);
+    const auto other = core.step(start, gateway_input::attempt_finished{second.key, 0, "stop"});
+    cr_assert(find<gateway_output::finish>(other)->exchange == exchange_number(2));
+}
+
+FAULT_CELL(request_intake, partition)
+{
+    // Every caller of this gateway is cut off at once. What they asked for is cancelled and their account's
+    // places are free again; a caller who leaves a request that was refused before changes nothing.
+    gateway_core core(start, options());
+    adopt(core, bundle_for(3));
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        open(core, i);
+    }
+    cr_assert(refusal_of(core.step(start, asked(4))).code == refusal_code::account_limit);
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        const auto left = core.step(start, gateway_input::caller_left{exchange_number(i)});
+        cr_assert((find<gateway_output::cancel_attempt>(left) != nullptr) == (i <= 3));
+    }
+    cr_assert(core.in_hand() == 0);
+    for (std::uint64_t i = 5; i <= 7; ++i) {
+        open(core, i);
+    }
+}
+
+FAULT_CELL(request_intake, two_faults)
+{
+    // A gateway has all the requests that it can hold when it is stopped and an engine dies. Whoever still
+    // comes is refused at once as not run; the two in hand get their whole answers before the process ends.
+    auto bounded = options();
+    bounded.max_requests = 2;
+    gateway_core core(start, bounded);
+    adopt(core, small_bundle());
+    const auto first = open(core, 1);
+    const auto second = open(core, 2);
+    feed(core, start, gateway_input::stop_asked{});
+    const auto why = refusal_of(core.step(start, asked(3)));
+    cr_assert(why.code == refusal_code::overloaded);
+    cr_assert(why.ran == ran_state::no);
+    cr_assert(why.retry_after > duration::zero());
+    const auto again = core.step(start, lost(first.key));
+    const auto* resumed = find<gateway_output::open_attempt>(again);
+    cr_assert(resumed != nullptr);
+    const auto key = resumed->key;
+    feed(core, start, gateway_input::attempt_finished{second.key, 0, "stop"});
+    const auto last = core.step(start, gateway_input::attempt_finished{key, 0, "stop"});
+    cr_assert(find<gateway_output::finish>(last) != nullptr);
+    cr_assert(find<gateway_output::all_done>(last) != nullptr);
+}
+
+FAULT_CELL(request_intake, same_twice)
+{
+    // A gateway is filled to its bound, empties, and is filled again. The second time it must take as many as
+    // the first: a place that isn't given back would be lost until its next start.
+    auto bounded = options();
+    bounded.max_requests = 2;
+    gateway_core core(start, bounded);
+    adopt(core, bundle_for(2));
+    for (std::uint64_t round = 0; round < 3; ++round) {
+        const auto first = open(core, round * 3 + 1);
+        open(core, round * 3 + 2);
+        cr_assert(refusal_of(core.step(start, asked(round * 3 + 3))).ran == ran_state::no);
+        feed(core, start, gateway_input::attempt_finished{first.key, 0, "stop"});
+        feed(core, start, gateway_input::caller_left{exchange_number(round * 3 + 2)});
+    }
+}
+
+FAULT_CELL(request_limit, same_twice)
+{
+    // A caller's connection is reported gone twice. Its account's place must be given back once: otherwise
+    // each such report lets one request more in than the account may have.
+    gateway_core core(start, options());
+    adopt(core, bundle_for(2));
+    open(core, 1);
+    open(core, 2);
+    feed(core, start, gateway_input::caller_left{exchange_number(1)});
+    feed(core, start, gateway_input::caller_left{exchange_number(1)});
+    open(core, 3);
+    cr_assert(refusal_of(core.step(start, asked(4))).code == refusal_code::account_limit);
+}
+
+FAULT_CELL(request_limit, domain_out)
+{
+    // An account's only place is taken by a request whose failure domain goes out. It goes on in another one
+    // as the same request: it takes no second place, and its end frees the first.
+    gateway_core core(start, options());
+    adopt(core, bundle_for(1));
+    const auto first = open(core, 1);
+    const auto number = first.upstream.text().substr(1);
+    feed(core, start, gateway_input::drains_changed{{failure_domain_id("d" + number)}, {}});
+    const auto again = core.step(start, lost(first.key));
+    const auto* second = find<gateway_output::open_attempt>(again);
+    cr_assert(second != nullptr);
+    cr_assert(second->upstream != first.upstream);
+    const auto key = second->key;
+    cr_assert(refusal_of(core.step(start, asked(2))).code == refusal_code::account_limit);
+    feed(core, start, gateway_input::attempt_finished{key, 0, "stop"});
+    open(core, 3);
+}
+
+FAULT_CELL(request_limit, config_stale)
+{
+    // The partners lower an account's limit. The home of the account leased its share by the older bundle: the
+    // gateway with the newer one must hold to the newer limit, since a share is a part of it and not a number.
+    gateway_core core(start, options());
+    adopt(core, bundle_for(10));
+    open(core, 1);
+    feed(core, start, gateway_input::tick{});
+    gateway_input::share_granted granted;
+    granted.grant.account = client_account_id("a");
+    granted.grant.home = process_id("g1");
+    granted.grant.is_home = true;
+    granted.grant.part = 1.0;
+    granted.grant.lease = 6s;
+    feed(core, start, granted);
+    open(core, 2);
+    auto lower = bundle_for(2);
+    lower.version = bundle_version(2);
+    feed(core, start, gateway_input::bundle_adopted{std::make_shared<const bundle>(lower)});
+    cr_assert(refusal_of(core.step(start, asked(3))).code == refusal_code::account_limit);
+}
