Tell when a peer last confirmed the bundle in force

Cause: a sidecar's lease on itself needs a peer's word that no newer bundle is in force, and nothing in the daemon told it. Datagrams that arrive are no measure: a process that was paused reads what waited in its socket as if it were new. Change: an answer to a probe, from a peer that has the same bundle or an older one, confirms the bundle from the moment when the probe left. The control plane hands that moment on; nothing more is sent.

--- a/include/dragonflymill/membership/membership.h
+++ b/include/dragonflymill/membership/membership.h
@@ -127,6 +127,10 @@
     [[nodiscard]] auto self() const -> const member_update& { return self_; }
     /// Whether this process hears from nobody although it knows members.
     [[nodiscard]] auto isolated(instant now) const -> bool;
+    /// When the last peer was asked that answered with the bundle in force here, or with none newer; nothing
+    /// before the first such answer. An answer that waited in the socket while this process was paused counts
+    /// from its question.
+    [[nodiscard]] auto bundle_confirmed() const -> std::optional<instant> { return bundle_confirmed_; }
     /// Counts, for metrics.
     [[nodiscard]] auto counts() const -> const membership_counts& { return counts_; }
 
@@ -166,7 +170,7 @@
     void hear(instant now, const member_update& news, membership_outputs& outputs);
     void hear_of_self(instant now, const member_update& news, membership_outputs& outputs);
     void answer(instant now, const datagram& message, const std::string& from, membership_outputs& outputs);
-    void answer_ack(const ack_message& ack);
+    void answer_ack(const ack_message& ack, const std::optional<bundle_word>& word);
     void relay_ping(instant now, const ping_request_message& request, const datagram& message,
                     const std::string& from, membership_outputs& outputs);
     void send_page(instant now, const sync_request_message& request, const datagram& message,
@@ -193,6 +197,7 @@
     news_queue news_;
     membership_counts counts_;
     std::optional<bundle_word> word_;
+    std::optional<instant> bundle_confirmed_;
     std::vector<drain_word> drains_;
     std::size_t next_drain_ = 0;
     std::vector<process_id> ring_;
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -204,6 +204,11 @@
         return;
     }
     carry_out(core_.datagram_arrived(runtime::now(), bytes, from));
+    const auto confirmed = core_.members().bundle_confirmed();
+    if (confirmed != bundle_confirmed_ && handlers_.on_bundle_confirmed) {
+        handlers_.on_bundle_confirmed(*confirmed);
+    }
+    bundle_confirmed_ = confirmed;
 }
 
 void control_loop::publish()
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -69,6 +69,7 @@
     boost::asio::steady_timer timer_;
     random_source random_;
     std::optional<bundle_word> served_;
+    std::optional<instant> bundle_confirmed_;
     std::uint64_t revision_ = 0;
     std::uint64_t last_drain_ms_ = 0;
     bool watching_ = false;
--- a/src/control/control_plane.h
+++ b/src/control/control_plane.h
@@ -38,6 +38,8 @@
 {
     std::function<void(std::shared_ptr<const control_snapshot>)> on_snapshot; ///< Something changed.
     std::function<void()> on_superseded;                                      ///< Stop: a successor is there.
+    std::function<void(instant)>
+        on_bundle_confirmed; ///< A peer asked then has no newer bundle; may be empty.
     std::function<share_grant(const share_request&)>
         on_share_asked; ///< Called on gRPC's threads; empty at sidecars.
 };
--- a/src/membership/membership_receive.cpp
+++ b/src/membership/membership_receive.cpp
@@ -124,7 +124,7 @@
                  outputs);
             relays_.erase(found);
         }
-        answer_ack(*ack);
+        answer_ack(*ack, message.word);
     }
     else if (const auto* request = std::get_if<ping_request_message>(&body)) {
         relay_ping(now, *request, message, from, outputs);
@@ -137,11 +137,15 @@
     }
 }
 
-void membership::answer_ack(const ack_message& ack)
+void membership::answer_ack(const ack_message& ack, const std::optional<bundle_word>& word)
 {
-    if (probe_ && probe_->sequence == ack.sequence) {
-        probe_.reset();
+    if (!probe_ || probe_->sequence != ack.sequence) {
+        return;
+    }
+    if (word && word_ && word->version <= word_->version) {
+        bundle_confirmed_ = probe_->sent;
     }
+    probe_.reset();
 }
 
 void membership::relay_ping(instant now, const ping_request_message& request, const datagram& message,
