Let a sidecar act only while its address answers with itself, and order its engine

Cause: a sidecar judged only its own pauses. One whose address had gone to a successor went on running calls by key and would have given orders beside it; and engines got no orders at all, so that one that restarted stayed without models. Change: serve/self_check calls the own address every second on a connection of its own and takes peers' word on the bundle; its lease ends calls by key and orders, also those handed to the shell. serve/order_desk feeds order_keeper from the bundle, the engine's reports and the other replicas, which it asks only while a load or unload is due, in groups of 16 at most. A load counts as under way until the engine no longer lists it as loading. The bundle has no word for roles, so none is ordered: declared_engine's role became optional. A process that knows no peer needs no peer's word.

--- a/include/dragonflymill/once/once_ledger.h
+++ b/include/dragonflymill/once/once_ledger.h
@@ -7,6 +7,7 @@
 #include "dragonflymill/once/call_digest.h"
 #include "dragonflymill/once/ticket.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -190,6 +191,11 @@
     /// Calls named by key are run only until then: the sidecar's own lease on its upstream, which its
     /// successor waits out (see docs/design/leases.md). Tickets don't need it.
     void renew_own_lease(instant until) { own_lease_ = until; }
+    /// Until when calls named by key may be run; a moment in the past when they may not.
+    [[nodiscard]] auto own_lease() const -> instant { return own_lease_.value_or(instant::min()); }
+    /// A predecessor may have acted until then, if that is later than the options say: the own address was
+    /// not bound before.
+    void predecessor_acts_until(instant until) { own_since_ = std::max(own_since_, until); }
     /// Forgets what is over. To be called more often than `own_pause`: time in which this process was paused
     /// doesn't count, since retries sent meanwhile still wait in its sockets.
     void tick(instant now);
@@ -255,6 +261,7 @@
     std::size_t bytes_ = 0;
     std::uint64_t next_serial_ = 1;
     std::optional<instant> own_lease_;
+    instant own_since_;
     std::optional<instant> last_call_;
     duration paused_{0};
 };
--- a/include/dragonflymill/order/order_keeper.h
+++ b/include/dragonflymill/order/order_keeper.h
@@ -39,10 +39,10 @@
 /// What the bundle wants an engine to be.
 struct declared_engine
 {
-    bundle_version version;               ///< The bundle's version.
-    std::vector<model_id> models;         ///< Models to have loaded.
-    std::vector<adapter_id> adapters;     ///< Adapters to have loaded.
-    engine_role role = engine_role::both; ///< Its role.
+    bundle_version version;           ///< The bundle's version.
+    std::vector<model_id> models;     ///< Models to have loaded.
+    std::vector<adapter_id> adapters; ///< Adapters to have loaded.
+    std::optional<engine_role> role;  ///< Its role; nothing if it may be any.
 
     friend auto operator==(const declared_engine&, const declared_engine&) -> bool = default;
 };
--- a/include/dragonflymill/serve/sidecar_core.h
+++ b/include/dragonflymill/serve/sidecar_core.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "dragonflymill/serve/attempt_desk.h"
+#include "dragonflymill/serve/order_desk.h"
+#include "dragonflymill/serve/self_check.h"
 #include "dragonflymill/serve/service_desk.h"
 #include "dragonflymill/serve/sidecar_messages.h"
 
@@ -13,9 +15,10 @@
 {
     permit_gate_options gate;        ///< Permits of the upstream.
     once_ledger_options ledger;      ///< Calls that may not be repeated.
-    duration own_lease_term = 5s;    ///< A pause longer than this ends the right to run calls named by key.
+    duration own_lease_term = 5s;    ///< How long a successor waits; a longer pause ends this process.
     duration cancel_backoff = 200ms; ///< Time between two cancels of one stream.
     std::uint64_t seed = 0;          ///< Spreads retry times.
+    std::uint32_t start_seconds = 0; ///< Civil time of the start, for the numbers that fence orders.
 };
 
 /// Every decision of a sidecar, without a socket, thread or clock: the shell feeds it events and carries out
@@ -36,9 +39,13 @@
     [[nodiscard]] auto load(instant now) const -> upstream_load;
     /// Tries and calls in hand.
     [[nodiscard]] auto in_hand() const -> std::size_t { return attempts_.size() + services_.size(); }
-    /// Whether this process was paused for longer than its own lease: it has to be started anew, since a
-    /// successor may have taken its place meanwhile.
-    [[nodiscard]] auto superseded() const -> bool { return superseded_; }
+    /// Whether this process was paused for longer than its own lease, or another start of this sidecar
+    /// answers at its address: it has to be started anew, since a successor may have taken its place.
+    [[nodiscard]] auto superseded() const -> bool { return superseded_ || self_check_.superseded(); }
+    /// Whether calls by key are run and orders are given now.
+    [[nodiscard]] auto acts(instant now) const -> bool { return now < ledger_.own_lease(); }
+    /// What is ordered of the engine.
+    [[nodiscard]] auto orders() const -> const order_desk& { return orders_; }
 
 private:
     void on_tick(instant now, std::vector<sidecar_action>& actions);
@@ -68,6 +75,15 @@
     void take(instant now, const sidecar_input::capacity_changed& input,
               std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::routes_changed& input, std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::listening& input, std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::bundle_confirmed& input,
+              std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::peers_changed& input, std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::declared_changed& input,
+              std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::sidecar_answered& input,
+              std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::order_answered& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::stop_asked& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::tick& input, std::vector<sidecar_action>& actions);
 
@@ -76,6 +92,8 @@
     once_ledger ledger_;
     attempt_desk attempts_;
     service_desk services_;
+    self_check self_check_;
+    order_desk orders_;
     model_id warm_up_model_;
     instant last_step_;
     instant reported_at_;
--- a/include/dragonflymill/serve/sidecar_messages.h
+++ b/include/dragonflymill/serve/sidecar_messages.h
@@ -4,6 +4,7 @@
 #include "dragonflymill/once/once_ledger.h"
 #include "dragonflymill/route/upstream_description.h"
 #include "dragonflymill/serve/attempt_spec.h"
+#include "dragonflymill/serve/order_messages.h"
 #include "dragonflymill/serve/service_spec.h"
 
 #include <string>
@@ -75,6 +76,8 @@
     upstream_report word;             ///< Start, cold or not, queue.
     token_count memory_used = 0;      ///< Memory held, in tokens.
     std::vector<engine_holding> held; ///< What it holds.
+    engine_view view{};               ///< Models, adapters, role and the number that fences orders.
+    std::vector<model_id> loading{};  ///< Models that it is loading.
 };
 /// The engine confirmed that it no longer holds a stream.
 struct cancel_confirmed
@@ -154,7 +157,9 @@
                  sidecar_input::cancel_confirmed, sidecar_input::ticket_asked, sidecar_input::service_called,
                  sidecar_input::status_asked, sidecar_input::service_answered, sidecar_input::service_broken,
                  sidecar_input::drain_changed, sidecar_input::capacity_changed, sidecar_input::routes_changed,
-                 sidecar_input::stop_asked, sidecar_input::tick>;
+                 sidecar_input::listening, sidecar_input::bundle_confirmed, sidecar_input::peers_changed,
+                 sidecar_input::declared_changed, sidecar_input::sidecar_answered,
+                 sidecar_input::order_answered, sidecar_input::stop_asked, sidecar_input::tick>;
 
 /// Outputs of `sidecar_core`.
 namespace sidecar_output {
@@ -247,6 +252,7 @@
     std::variant<sidecar_output::grant_attempt, sidecar_output::refuse_call, sidecar_output::start_stream,
                  sidecar_output::start_warm_up, sidecar_output::send_tokens, sidecar_output::finish_attempt,
                  sidecar_output::cancel_stream, sidecar_output::run_service, sidecar_output::answer_service,
-                 sidecar_output::give_ticket, sidecar_output::tell_running, sidecar_output::all_done>;
+                 sidecar_output::give_ticket, sidecar_output::tell_running, sidecar_output::ask_sidecar,
+                 sidecar_output::give_order, sidecar_output::all_done>;
 
 } // namespace dragonflymill
--- a/src/once/once_ledger.cpp
+++ b/src/once/once_ledger.cpp
@@ -39,6 +39,7 @@
 once_ledger::once_ledger(once_ledger_options options)
     : options_(std::move(options))
     , codec_(options_.ticket_key)
+    , own_since_(options_.started + options_.predecessor_lease)
 {
 }
 
@@ -198,8 +199,7 @@
 auto once_ledger::provably_first(instant now, const call_owner& owner, const key_name& name) const -> bool
 {
     // The last moment at which a predecessor of this sidecar, or another home, could have taken the key.
-    const instant own_since = options_.started + options_.predecessor_lease;
-    const instant since = std::max(own_since, name.other_home_until.value_or(own_since));
+    const instant since = std::max(own_since_, name.other_home_until.value_or(own_since_));
     const auto made = uuid_v7_time(name.key);
     // Civil time is this process's at its start, carried on by its monotonic clock: a clock that is set later
     // changes nothing.
--- a/src/order/order_keeper.cpp
+++ b/src/order/order_keeper.cpp
@@ -184,9 +184,9 @@
 {
     engine_order order;
     order.fence = fence_;
-    if (wanted_->role != view_->role) {
+    if (wanted_->role && *wanted_->role != view_->role) {
         order.kind = order_kind::set_role;
-        order.role = wanted_->role;
+        order.role = *wanted_->role;
         return order;
     }
     // Models that are wanted no more go first: their memory is needed for the new ones.
--- a/src/serve/service_desk.cpp
+++ b/src/serve/service_desk.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/assert.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dragonflymill {
@@ -169,7 +170,10 @@
     }
     const bool is_new = running_.emplace(input.call, running_call{lease, serial}).second;
     DRAGONFLYMILL_ASSERT(is_new, "the shell numbers each call once");
-    actions.push_back(sidecar_output::run_service{input.call, input.spec, limit.end(), limit.remaining(now)});
+    // A ticket is run by its issuer alone, whoever has the address; a key also by a successor.
+    const bool by_key = serial && input.spec.ticket.empty();
+    const auto not_after = by_key ? std::min(limit.end(), ledger_.own_lease()) : limit.end();
+    actions.push_back(sidecar_output::run_service{input.call, input.spec, not_after, limit.remaining(now)});
 }
 
 void service_desk::status_asked(instant now, const sidecar_input::status_asked& input,
--- a/src/serve/sidecar_core.cpp
+++ b/src/serve/sidecar_core.cpp
@@ -6,16 +6,31 @@
 
 using actions_out = std::vector<sidecar_action>;
 
+namespace {
+
+auto order_options(instant now, const sidecar_core_options& options) -> order_desk_options
+{
+    order_desk_options made;
+    made.self = options.ledger.upstream;
+    made.keeper.start_seconds = options.start_seconds;
+    made.keeper.started = now;
+    made.keeper.predecessor_lease = options.own_lease_term;
+    return made;
+}
+
+} // namespace
+
 sidecar_core::sidecar_core(instant now, const sidecar_core_options& options)
     : options_(options)
     , gate_(now, options.gate, options.seed)
     , ledger_(options.ledger)
     , attempts_(gate_, options.cancel_backoff, "warm-up-" + std::to_string(options.seed) + "-")
     , services_(gate_, ledger_, options.ledger.upstream)
+    , self_check_({options.ledger.upstream, options.ledger.self, options.own_lease_term})
+    , orders_(order_options(now, options), options.seed)
     , last_step_(now)
     , reported_at_(now)
 {
-    ledger_.renew_own_lease(now + options_.own_lease_term);
 }
 
 auto sidecar_core::step(instant now, const sidecar_event& event) -> std::vector<sidecar_action>
@@ -29,15 +44,11 @@
 void sidecar_core::renew_own_lease(instant now)
 {
     // Guards against an old sidecar that was paused and wakes beside its successor: a booking might run in
-    // both. It shows as a gap between two steps that is longer than the lease. The successor waits that long
-    // before it runs calls by key, so one that was never paused for so long is the only one to run them.
-    if (now - last_step_ > options_.own_lease_term) {
-        superseded_ = true;
-    }
+    // both. It shows as a gap between two steps that is longer than a successor waits, or as another start
+    // that answers at the own address.
+    superseded_ = superseded() || now - last_step_ > options_.own_lease_term;
     last_step_ = now;
-    if (!superseded_) {
-        ledger_.renew_own_lease(now + options_.own_lease_term);
-    }
+    ledger_.renew_own_lease(superseded_ ? instant::min() : self_check_.until(now));
 }
 
 auto sidecar_core::load(instant now) const -> upstream_load
@@ -163,6 +174,41 @@
     services_.routes_changed(now, input.routes);
 }
 
+void sidecar_core::take(instant now, const sidecar_input::listening& /*input*/, actions_out& /*actions*/)
+{
+    self_check_.listening(now);
+    ledger_.predecessor_acts_until(now + options_.own_lease_term);
+}
+
+void sidecar_core::take(instant /*now*/, const sidecar_input::bundle_confirmed& input,
+                        actions_out& /*actions*/)
+{
+    self_check_.bundle_confirmed(input.asked);
+}
+
+void sidecar_core::take(instant /*now*/, const sidecar_input::peers_changed& input, actions_out& /*actions*/)
+{
+    self_check_.peers_changed(input.any);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::declared_changed& input, actions_out& /*actions*/)
+{
+    self_check_.address_changed(input.own_address);
+    orders_.declared(now, input);
+}
+
+void sidecar_core::take(instant /*now*/, const sidecar_input::sidecar_answered& input,
+                        actions_out& /*actions*/)
+{
+    self_check_.answered(input);
+    orders_.answered(input);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::order_answered& input, actions_out& /*actions*/)
+{
+    orders_.answered(now, input);
+}
+
 void sidecar_core::take(instant now, const sidecar_input::stop_asked& /*input*/, actions_out& actions)
 {
     stopping_ = true;
@@ -187,6 +233,10 @@
     }
     services_.tick(now, actions);
     ledger_.tick(now);
+    self_check_.tick(now, actions);
+    if (!stopping_) {
+        orders_.tick(now, ledger_.own_lease(), actions);
+    }
     if (stopping_ && in_hand() == 0 && !said_all_done_) {
         said_all_done_ = true;
         actions.push_back(sidecar_output::all_done{});
@@ -203,6 +253,7 @@
         attempts_.permit_ended(now, ended, actions);
     }
     attempts_.reconcile(now, report, actions);
+    orders_.engine_read(now, report);
 }
 
 } // namespace dragonflymill
--- a/src/settings/sidecar_settings.cpp
+++ b/src/settings/sidecar_settings.cpp
@@ -26,7 +26,9 @@
 void bind_lease(settings_schema& schema, lease_settings& target)
 {
     schema.time({"lease", "permit", "how long a permit holds without renewal"}, target.permit, {100ms, 60s});
-    schema.time({"lease", "order", "how long the right to give orders holds; the same on all hosts"},
+    schema.time({"lease", "order",
+                 "how long a sidecar waits for its predecessor before it gives orders and runs calls by key; "
+                 "the same on all hosts"},
                 target.order, {100ms, std::chrono::minutes(5)});
     schema.time({"lease", "cancel_retry", "between two cancels that the engine has not confirmed"},
                 target.cancel_retry, {10ms, 30s});
--- a/src/sidecar/heartbeat_reactor.cpp
+++ b/src/sidecar/heartbeat_reactor.cpp
@@ -36,7 +36,8 @@
         return;
     }
     // One that finds the ring full goes unanswered: the gateway sees a sidecar that can't keep up.
-    static_cast<void>(sink_(heartbeat_event{self_, incoming_.number(), process_id(incoming_.sender())}));
+    static_cast<void>(sink_(heartbeat_event{self_, incoming_.number(), process_id(incoming_.sender()),
+                                            incoming_.from_sidecar()}));
     StartRead(&incoming_);
 }
 
--- a/src/sidecar/shell_event.h
+++ b/src/sidecar/shell_event.h
@@ -17,6 +17,7 @@
     std::shared_ptr<heartbeat_reactor> connection; ///< Where to answer.
     std::uint64_t number = 0;                      ///< Number of the heartbeat.
     process_id gateway;                            ///< Who sent it.
+    bool from_sidecar = false;                     ///< Whether a sidecar asks who answers here.
 };
 
 /// What the deciding thread takes out of its ring.
--- a/src/sidecar/sidecar_daemon.cpp
+++ b/src/sidecar/sidecar_daemon.cpp
@@ -103,6 +103,7 @@
         shell.join();
         return exit_failed;
     }
+    shell.listening();
     std::printf("ready grpc %s:%d gossip %s\n", settings_.grpc_listen.ip.c_str(), port,
                 control.value()->gossip_address().c_str());
     std::fflush(stdout);
@@ -127,6 +128,7 @@
         shell.adopt(*snapshot);
     };
     handlers.on_superseded = std::move(on_superseded);
+    handlers.on_bundle_confirmed = [&shell](instant asked) { shell.bundle_confirmed(asked); };
     return control::daemon_control::open(
         {process_role::sidecar, settings_.process, settings_.bundle, settings_.control}, std::move(handlers));
 }
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -4,6 +4,7 @@
 #include "rpc/wire_convert.h"
 #include "runtime/clock.h"
 #include "settings/socket_endpoint.h"
+#include "sidecar/declared_state.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -16,6 +17,7 @@
 constexpr std::size_t ring_capacity = 16 * 1024;
 constexpr duration tick_interval = 20ms;
 constexpr duration status_interval = 250ms;
+constexpr std::uint64_t microseconds_a_second = 1'000'000;
 
 /// Text of about that many tokens. It begins with a name that was never used before, so that no engine has
 /// it in its cache.
@@ -38,6 +40,7 @@
     , tries_(timeline)
     , on_all_done_(std::move(on_all_done))
     , on_superseded_(std::move(on_superseded))
+    , start_(static_cast<std::uint64_t>(runtime::wall_now().time_since_epoch().count()))
     , core_(runtime::now(), core_options(settings, std::move(ticket_key)))
     , decide_(ring_capacity, tick_interval)
     , gate_([this](shell_event event) { return decide_.post(std::move(event)); })
@@ -47,6 +50,8 @@
     , service_client_(upstream_thread_.context(), tcp_endpoint(settings.upstream.address).value(),
                       settings.upstream.connect_timeout,
                       [this](sidecar_event event) { post(std::move(event)); })
+    // An answer that finds the ring full is given up: the question is asked again.
+    , probe_(process_, [this](sidecar_event event) { static_cast<void>(decide_.post(std::move(event))); })
 {
 }
 
@@ -56,15 +61,15 @@
     sidecar_core_options options;
     options.gate.lease_term = settings.lease.permit;
     if (settings.upstream.prefill_rate > 0) {
-        constexpr double microseconds_a_second = 1e6;
-        options.gate.first_token.expected = first_token_line{
-            settings.upstream.first_token, microseconds_a_second / settings.upstream.prefill_rate};
+        options.gate.first_token.expected =
+            first_token_line{settings.upstream.first_token,
+                             static_cast<double>(microseconds_a_second) / settings.upstream.prefill_rate};
     }
     options.ledger.upstream = settings.upstream.id;
     // No host keeps anything, so a start is numbered by civil time: later starts have higher numbers, and two
     // starts of one sidecar are never a microsecond apart.
-    options.ledger.self =
-        incarnation(static_cast<std::uint64_t>(runtime::wall_now().time_since_epoch().count()));
+    options.ledger.self = start_;
+    options.start_seconds = static_cast<std::uint32_t>(start_.value() / microseconds_a_second);
     options.ledger.started = runtime::now();
     options.ledger.started_wall = runtime::wall_now();
     options.ledger.ticket_key = std::move(ticket_key);
@@ -84,6 +89,7 @@
 
 void sidecar_shell::adopt(const control::control_snapshot& snapshot)
 {
+    post(sidecar_input::peers_changed{!snapshot.members.empty()});
     if (!snapshot.in_force || !snapshot.ready) {
         return;
     }
@@ -108,6 +114,7 @@
         routes.routes.push_back({route.id, route.upstreams, route.remember_for});
     }
     post(std::move(routes));
+    post(declared_of(in_force, own));
     const auto warm_up_model = own.models.empty() ? model_id{} : own.models.front();
     post(sidecar_input::capacity_changed{own.cold_outstanding, own.max_outstanding, warm_up_model});
     if (own.kind == upstream_kind::engine) {
@@ -142,12 +149,15 @@
     const auto now = runtime::now();
     if (event) {
         if (const auto* heartbeat = std::get_if<heartbeat_event>(&*event)) {
-            carry_out(core_.step(now, sidecar_input::gateway_heard{heartbeat->gateway}));
+            if (!heartbeat->from_sidecar) {
+                carry_out(core_.step(now, sidecar_input::gateway_heard{heartbeat->gateway}));
+            }
             answer_heartbeat(*heartbeat);
         }
         else {
             const auto& input = std::get<sidecar_event>(*event);
             tries_.note(input);
+            order_log_.note(input);
             carry_out(core_.step(now, input));
         }
     }
@@ -179,6 +189,7 @@
     }
     status.upstreams.push_back({self_, state, load.outstanding, load.allowed});
     status_.set(std::move(status));
+    order_log_.note(core_.acts(now), core_.orders().superseded());
 }
 
 void sidecar_shell::answer_heartbeat(const heartbeat_event& event)
@@ -187,6 +198,16 @@
     pong.set_number(event.number);
     pong.set_sender(process_.text());
     *pong.mutable_load() = rpc::to_wire(core_.load(runtime::now()));
+    if (event.from_sidecar) {
+        pong.set_upstream(self_.text());
+        pong.set_holder(start_.value());
+        for (const auto& model : core_.orders().models()) {
+            pong.add_models(model.text());
+        }
+        for (const auto& model : core_.orders().loading()) {
+            pong.add_loading(model.text());
+        }
+    }
     event.connection->answer(std::move(pong));
 }
 
@@ -194,6 +215,7 @@
 {
     for (const auto& action : actions) {
         tries_.note(action);
+        order_log_.note(action);
         std::visit([this](const auto& what) { act(what); }, action);
     }
 }
@@ -291,6 +313,16 @@
     gate_.answer(action.call, reply);
 }
 
+void sidecar_shell::act(const sidecar_output::ask_sidecar& action)
+{
+    probe_.ask(action.place.address);
+}
+
+void sidecar_shell::act(const sidecar_output::give_order& action)
+{
+    boost::asio::post(upstream_thread_.context(), [this, action] { engine_.give_order(action); });
+}
+
 void sidecar_shell::act(const sidecar_output::all_done& /*action*/)
 {
     on_all_done_();
--- a/src/sidecar/sidecar_shell.h
+++ b/src/sidecar/sidecar_shell.h
@@ -9,6 +9,8 @@
 #include "settings/sidecar_settings.h"
 #include "sidecar/attempt_timeline.h"
 #include "sidecar/gate_service.h"
+#include "sidecar/order_log.h"
+#include "sidecar/sidecar_probe.h"
 #include "timeline/timeline_recorder.h"
 #include "upstream/engine_client.h"
 #include "upstream/service_client.h"
@@ -31,6 +33,10 @@
     void start();
     /// Takes over what the control plane knows; called on one thread.
     void adopt(const control::control_snapshot& snapshot);
+    /// A peer asked then has no newer bundle in force.
+    void bundle_confirmed(instant asked) { post(sidecar_input::bundle_confirmed{asked}); }
+    /// Gateways can reach `service()` from now on.
+    void listening() { post(sidecar_input::listening{}); }
     /// What operators see of it.
     [[nodiscard]] auto status() const -> process_status { return status_.get(); }
     /// Begins a planned stop.
@@ -62,14 +68,18 @@
     void act(const sidecar_output::answer_service& action);
     void act(const sidecar_output::give_ticket& action);
     void act(const sidecar_output::tell_running& action);
+    void act(const sidecar_output::ask_sidecar& action);
+    void act(const sidecar_output::give_order& action);
     void act(const sidecar_output::all_done& action);
 
     upstream_id self_;
     process_id process_;
     timeline_recorder& timeline_;
     attempt_timeline tries_;
+    order_log order_log_;
     std::function<void()> on_all_done_;
     std::function<void()> on_superseded_;
+    incarnation start_;
     sidecar_core core_;
     runtime::duty_thread<shell_event> decide_;
     runtime::io_thread upstream_thread_;
@@ -81,6 +91,7 @@
     runtime::latest<process_status> status_;
     bool is_engine_ = false;
     std::shared_ptr<const bundle> adopted_; // the control thread's own
+    sidecar_probe probe_;                   // last, so that its calls end before anything else goes
 };
 
 } // namespace dragonflymill::sidecar
--- a/src/upstream/engine_client.cpp
+++ b/src/upstream/engine_client.cpp
@@ -13,9 +13,11 @@
 constexpr std::size_t max_state_bytes = 4 * 1024 * 1024;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_unavailable = 503;
 constexpr duration control_call_limit = 2s;
+constexpr duration order_answer_limit = 30s;
 
 auto post(const std::string& target, std::string body) -> http::http_request
 {
@@ -24,7 +26,7 @@
 
 /// Runs a short call and gives its whole body to `done`, which is not called if the call fails; then calls
 /// `after`.
-void read_whole(const std::shared_ptr<http::http_call>& call, http::http_request request,
+void read_whole(const std::shared_ptr<http::http_call>& call, http::http_request request, instant not_after,
                 std::function<void(unsigned status, const std::string& body)> done,
                 std::function<void()> after)
 {
@@ -43,7 +45,26 @@
         }
         after();
     };
-    call->start(std::move(request), runtime::now() + control_call_limit, std::move(handlers));
+    call->start(std::move(request), not_after, std::move(handlers));
+}
+
+auto soon() -> instant
+{
+    return runtime::now() + control_call_limit;
+}
+
+auto order_result_of(unsigned status) -> order_result
+{
+    switch (status) {
+    case status_ok:
+        return order_result::done;
+    case status_conflict:
+        return order_result::fenced;
+    case status_too_many:
+        return order_result::rate_limit;
+    default:
+        return order_result::failed;
+    }
 }
 
 } // namespace
@@ -181,7 +202,22 @@
             events_(sidecar_input::cancel_confirmed{name});
         }
     };
-    read_whole(call, post("/v1/cancel", cancel_body(what.engine_request)), confirm, [] {});
+    read_whole(call, post("/v1/cancel", cancel_body(what.engine_request)), soon(), confirm, [] {});
+}
+
+void engine_client::give_order(const sidecar_output::give_order& what)
+{
+    http::call_limits limits;
+    limits.connect_timeout = options_.connect_timeout;
+    limits.first_byte_timeout = order_answer_limit;
+    const auto call = std::make_shared<http::http_call>(context_, server_, limits);
+    const auto answer = std::make_shared<sidecar_input::order_answered>();
+    answer->number = what.number;
+    const auto note = [answer](unsigned status, const std::string& /*body*/) {
+        answer->how = order_result_of(status);
+    };
+    read_whole(call, post("/v1/orders", order_body(what.order)), what.not_after, note,
+               [this, answer] { events_(*answer); });
 }
 
 void engine_client::read_state()
@@ -191,13 +227,14 @@
     limits.first_byte_timeout = control_call_limit;
     limits.max_body_bytes = max_state_bytes;
     const auto call = std::make_shared<http::http_call>(context_, server_, limits);
-    const auto report = [this](unsigned status, const std::string& body) {
-        const auto read = read_state_answer(body);
+    const auto report = [this, asked = runtime::now()](unsigned status, const std::string& body) {
+        auto read = read_state_answer(body);
         if (status == status_ok && read) {
-            events_(read.value());
+            read.value().view.asked = asked;
+            events_(std::move(read.value()));
         }
     };
-    read_whole(call, {"GET", "/v1/state", {}, {}}, report, [this] { next_state_later(); });
+    read_whole(call, {"GET", "/v1/state", {}, {}}, soon(), report, [this] { next_state_later(); });
 }
 
 void engine_client::next_state_later()
--- a/src/upstream/engine_json.cpp
+++ b/src/upstream/engine_json.cpp
@@ -65,6 +65,69 @@
     return held;
 }
 
+template <typename Name>
+auto names_of(const json::object& from, const char* name) -> std::vector<Name>
+{
+    std::vector<Name> names;
+    const auto* list = from.if_contains(name);
+    if (list == nullptr || !list->is_array()) {
+        return names;
+    }
+    for (const auto& item : list->as_array()) {
+        if (item.is_string()) {
+            names.emplace_back(std::string(item.as_string()));
+        }
+    }
+    return names;
+}
+
+auto role_text(engine_role role) -> const char*
+{
+    switch (role) {
+    case engine_role::both:
+        return "both";
+    case engine_role::prefill:
+        return "prefill";
+    case engine_role::decode:
+        return "decode";
+    }
+    return "both";
+}
+
+auto role_of(const std::string& text) -> engine_role
+{
+    if (text == role_text(engine_role::prefill)) {
+        return engine_role::prefill;
+    }
+    return text == role_text(engine_role::decode) ? engine_role::decode : engine_role::both;
+}
+
+auto kind_text(order_kind kind) -> const char*
+{
+    switch (kind) {
+    case order_kind::load_model:
+        return "load_model";
+    case order_kind::unload_model:
+        return "unload_model";
+    case order_kind::load_adapter:
+        return "load_adapter";
+    case order_kind::set_role:
+        return "set_role";
+    }
+    return "set_role";
+}
+
+auto view_of(const json::object& state) -> engine_view
+{
+    engine_view view;
+    view.start = incarnation(static_cast<std::uint64_t>(number_of(state, "start")));
+    view.models = names_of<model_id>(state, "models");
+    view.adapters = names_of<adapter_id>(state, "adapters");
+    view.role = role_of(text_of(state, "role"));
+    view.fence = fencing_number(static_cast<std::uint64_t>(number_of(state, "fence")));
+    return view;
+}
+
 } // namespace
 
 auto completion_body(const std::string& engine_request, const attempt_spec& spec, const std::string& prompt)
@@ -100,6 +163,24 @@
     return json::serialize(body);
 }
 
+auto order_body(const engine_order& order) -> std::string
+{
+    json::object body{{"fence", order.fence.value()}, {"order", kind_text(order.kind)}};
+    switch (order.kind) {
+    case order_kind::load_model:
+    case order_kind::unload_model:
+        body["model"] = order.model.text();
+        break;
+    case order_kind::load_adapter:
+        body["adapter"] = order.adapter.text();
+        break;
+    case order_kind::set_role:
+        body["role"] = role_text(order.role);
+        break;
+    }
+    return json::serialize(body);
+}
+
 auto read_stream_event(const std::string& payload) -> result<stream_event>
 {
     auto parsed = parse_object(payload);
@@ -137,6 +218,8 @@
     report.word.age = duration(number_of(load->as_object(), "age_us"));
     report.memory_used = number_of(load->as_object(), "memory_used");
     report.held = holdings_of(state);
+    report.view = view_of(state);
+    report.loading = names_of<model_id>(state, "loading");
     return report;
 }
 
--- a/src/upstream/engine_json.h
+++ b/src/upstream/engine_json.h
@@ -32,6 +32,8 @@
                                    const std::string& prompt) -> std::string;
 /// Body of `POST /v1/cancel`.
 [[nodiscard]] auto cancel_body(const std::string& engine_request) -> std::string;
+/// Body of `POST /v1/orders`.
+[[nodiscard]] auto order_body(const engine_order& order) -> std::string;
 /// Reads one event of a completion's stream.
 [[nodiscard]] auto read_stream_event(const std::string& payload) -> result<stream_event>;
 /// Reads the answer of `GET /v1/state`.
