--- a/tests/process/process_fleet.h
+++ b/tests/process/process_fleet.h
@@ -8,6 +8,7 @@
 #include "standins/load_plan.h"
 #include "support/child_process.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -75,8 +76,10 @@
 class process_fleet
 {
 public:
-    /// Starts all and waits until both gateways are ready. Engines' times run at `time_scale`.
-    explicit process_fleet(const std::string& time_scale = "1")
+    /// Starts all and waits until both gateways are ready. Engines' times run at `time_scale`; engine-1
+    /// starts with `first_model`, the bundle wants assistant-1.
+    explicit process_fleet(const std::string& time_scale = "1", std::string first_model = "assistant-1")
+        : first_models_{{"engine-1", std::move(first_model)}, {"engine-2", "assistant-1"}}
     {
         auto pattern = (std::filesystem::temp_directory_path() / "dragonflymill-XXXXXX").string();
         folder_ = mkdtemp(pattern.data());
@@ -182,6 +185,28 @@
                    ? static_cast<std::int64_t>(ledger->at("held").as_array().size())
                    : -1;
     }
+    /// A list of names in an engine's state; empty if it doesn't answer.
+    [[nodiscard]] auto names(const std::string& engine, const std::string& list) const
+        -> std::vector<std::string>
+    {
+        std::vector<std::string> out;
+        const auto state = standins::parse_object(get(upstreams_.at(engine), "/v1/state").body);
+        if (state && state->contains(list)) {
+            for (const auto& name : state->at(list).as_array()) {
+                out.emplace_back(name.as_string());
+            }
+        }
+        return out;
+    }
+    /// Loads that an engine was ordered.
+    [[nodiscard]] auto loads_ordered(const std::string& engine) const -> std::int64_t
+    {
+        const auto ledger = standins::parse_object(get(upstreams_.at(engine), "/_ledger").body);
+        return ledger ? std::count_if(ledger->at("orders").as_array().begin(),
+                                      ledger->at("orders").as_array().end(),
+                                      [](const auto& order) { return order.at("order") == "load_model"; })
+                      : -1;
+    }
     /// How often a booking was executed.
     [[nodiscard]] auto executions(const std::string& key) const -> std::int64_t
     {
@@ -248,7 +273,8 @@
     {
         for (const std::string name : {"engine-1", "engine-2"}) {
             start(name, "standins",
-                  {"engine", "--name", name, "--model", "assistant-1", "--warm", "--time-scale", time_scale});
+                  {"engine", "--name", name, "--model", first_models_.at(name), "--warm", "--time-scale",
+                   time_scale});
         }
         start("booking-1", "standins", {"service", "--name", "booking-1"});
         for (const std::string name : {"engine-1", "engine-2", "booking-1"}) {
@@ -349,6 +375,7 @@
     std::map<std::string, std::array<std::uint16_t, 4>> ports_;
     std::map<std::string, std::string> upstreams_;
     std::map<std::string, std::string> keys_;
+    std::map<std::string, std::string> first_models_;
     std::map<std::string, std::unique_ptr<test_support::child_process>> children_;
 };
 
