--- a/include/dragonflymill/serve/gateway_core.h
+++ b/include/dragonflymill/serve/gateway_core.h
@@ -5,6 +5,7 @@
 #include "dragonflymill/serve/call_desk.h"
 #include "dragonflymill/serve/completion_desk.h"
 #include "dragonflymill/serve/gateway_messages.h"
+#include "dragonflymill/serve/overload_desk.h"
 
 #include <map>
 #include <memory>
@@ -24,7 +25,9 @@
     std::size_t max_calls = 4'096;        ///< Service calls in hand; more are refused.
     std::size_t upstreams_per_model = 16; ///< Size of the gateway's subset of each model's upstreams.
     retry_settings retry;                 ///< Retry rules.
+    duration probe_spacing = 400ms;       ///< Between two looks for load words that are too old.
     double reserved_for_short = 0.25;     ///< Share of a model's upstreams that take no bulk prefill.
+    overload_desk_settings overload;      ///< Bounds above which work is refused or paused.
     std::uint64_t seed = 0;               ///< Spreads retry times.
 };
 
@@ -46,6 +49,8 @@
     [[nodiscard]] auto share_asked(instant now, const share_request& request) -> share_grant;
     /// Requests and calls in hand.
     [[nodiscard]] auto in_hand() const -> std::size_t { return completions_.size() + calls_.size(); }
+    /// Requests in hand whose work is paused.
+    [[nodiscard]] auto paused() const -> std::size_t { return overload_.paused(); }
     /// What is known of the upstreams, for display.
     [[nodiscard]] auto table() const -> const upstream_table& { return routes_.table(); }
 
@@ -81,11 +86,16 @@
     void take(instant now, const gateway_input::tick& input, actions_out& actions);
 
     [[nodiscard]] auto refuse_if_not_ready(exchange_number exchange, actions_out& actions) const -> bool;
+    [[nodiscard]] static auto refuse_if_late(exchange_number exchange, duration remaining,
+                                             actions_out& actions) -> bool;
     [[nodiscard]] auto choose_own_upstreams() const -> std::vector<upstream_description>;
     [[nodiscard]] auto admit(instant now, exchange_number exchange, const client_account_id& account,
                              token_count tokens, actions_out& actions) -> bool;
     void give_back(instant now, exchange_number exchange, token_count extra);
     void settle_accounts(instant now, const actions_out& actions);
+    void probe_old_loads(instant now, actions_out& actions);
+    void note_progress(instant now, const actions_out& actions);
+    void review_overload(instant now, actions_out& actions);
     void apply_drains();
     void say_if_done(actions_out& actions);
 
@@ -94,10 +104,12 @@
     retry_rules rules_;
     account_limiter limiter_;
     std::map<exchange_number, admitted> admitted_; // in step with what the desks have in hand
+    gateway_overload overload_;
     completion_desk completions_;
     call_desk calls_;
     std::shared_ptr<const bundle> in_force_;
     std::optional<gateway_input::drains_changed> drains_;
+    instant next_probes_ = instant::min();
     bool stopping_ = false;
     bool said_all_done_ = false;
 };
--- a/include/dragonflymill/serve/gateway_messages.h
+++ b/include/dragonflymill/serve/gateway_messages.h
@@ -54,14 +54,19 @@
     token_count prompt_tokens = 0;          ///< Length of the prompt.
     token_count max_tokens = 0;             ///< Most tokens of the answer.
     std::vector<block_hash> blocks{};       ///< Chained hashes of the prompt's blocks.
-    duration time_limit{0};                 ///< Its time limit.
+    duration time_limit{0};                 ///< Its time limit, from when it was read.
+    duration waited{0};                     ///< How long ago that was.
+
+    /// What is left of its time limit; not above zero if none is.
+    [[nodiscard]] auto remaining() const -> duration { return time_limit - waited; }
 };
 /// A caller calls a plain service, or asks for a ticket or a status.
 struct service_arrived
 {
     exchange_number exchange;              ///< The request.
     service_wish wish = service_wish::run; ///< What it wants.
-    service_spec spec;                     ///< The call.
+    service_spec spec;                     ///< The call, with its time limit from when it was read.
+    duration waited{0};                    ///< How long ago that was.
 };
 /// The caller left before its answer was whole.
 struct caller_left
@@ -257,6 +262,21 @@
 {
     ask_share asked; ///< Whom and what.
 };
+/// Ask an upstream's sidecar for its load.
+struct probe_load
+{
+    upstream_id upstream; ///< The upstream.
+};
+/// Log that a request's work is paused.
+struct note_paused
+{
+    exchange_number exchange; ///< The request.
+};
+/// Log that a paused request's work goes on.
+struct note_resumed
+{
+    exchange_number exchange; ///< The request.
+};
 /// Everything in hand is finished.
 struct all_done
 {
@@ -270,6 +290,7 @@
                  gateway_output::call_service, gateway_output::deliver, gateway_output::finish,
                  gateway_output::refuse, gateway_output::answer_service, gateway_output::give_ticket,
                  gateway_output::tell_running, gateway_output::connect_upstreams,
-                 gateway_output::ask_for_share, gateway_output::all_done>;
+                 gateway_output::ask_for_share, gateway_output::probe_load, gateway_output::note_paused,
+                 gateway_output::note_resumed, gateway_output::all_done>;
 
 } // namespace dragonflymill
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -20,6 +20,8 @@
 constexpr duration longest_tick_gap = 1s;
 constexpr metric_name first_token_name{"dragonflymill_first_token_seconds",
                                        "Time from a request's arrival to its first token, by length class"};
+constexpr metric_name pauses_name{"dragonflymill_pauses_total",
+                                  "Requests paused while upstreams were overloaded"};
 constexpr metric_name requests_name{"dragonflymill_requests_total", "Requests by their final answer"};
 
 auto state_text(const upstream_record& record) -> std::string
@@ -40,6 +42,13 @@
     return "dead";
 }
 
+/// What the core hears of a service call that never left.
+auto not_sent(const attempt_key& key) -> gateway_event
+{
+    return gateway_input::service_refused{
+        key, {refusal_code::upstream_gone, ran_state::no, 500ms, "come back after the time given"}};
+}
+
 auto core_options(const gateway_settings& settings, std::string ticket_key) -> gateway_core_options
 {
     gateway_core_options options;
@@ -50,16 +59,29 @@
     options.max_requests = settings.rings.requests;
     options.max_calls = settings.rings.requests;
     options.seed = stable_hash(settings.process.name.text());
+    options.overload.drain_time = settings.overload_drain_time;
+    options.overload.seed = options.seed;
     return options;
 }
 
+/// Tells a request's event how long it has waited since it was read.
+void note_wait(duration waited, gateway_event& event)
+{
+    if (auto* completion = std::get_if<gateway_input::completion_arrived>(&event)) {
+        completion->waited = waited;
+    }
+    else if (auto* call = std::get_if<gateway_input::service_arrived>(&event)) {
+        call->waited = waited;
+    }
+}
+
 } // namespace
 
 gateway_shell::gateway_shell(const gateway_settings& settings, std::string ticket_key,
                              timeline_recorder& timeline, metrics_registry& metrics,
                              gateway_shell_handlers handlers)
     : self_(settings.process.name)
-    , heartbeat_{settings.heartbeat.interval, settings.heartbeat.misses}
+    , heartbeat_{settings.heartbeat.interval, settings.heartbeat.misses, settings.heartbeat.renewal}
     , timeline_(timeline)
     , metrics_(metrics)
     , handlers_(std::move(handlers))
@@ -140,6 +162,7 @@
     if (event) {
         if (auto* made = std::get_if<arrival>(&*event)) {
             const exchange_number number(made->held.session_exchange);
+            note_wait(now - made->held.arrived, made->event);
             timeline_.record(made->held.request, "arrived", made->held.model);
             exchanges_.insert_or_assign(number, std::move(made->held));
             log_.note(made->event);
@@ -172,7 +195,7 @@
     if (const auto* answer = std::get_if<heartbeat_answered>(&event)) {
         const auto link = links_.find(answer->upstream);
         if (link != links_.end()) {
-            link->second->heard(now, *answer);
+            link->second->heard(now);
         }
         carry_out(core_.step(now, gateway_input::load_heard{answer->upstream, answer->load}));
         return;
@@ -227,19 +250,30 @@
     carry_out(core_.step(now, gateway_input::tick{}));
     publish_status(now);
     for (const auto& [upstream, link] : links_) {
-        const auto replaced_before = link->replaced();
-        const auto state = link->tick(now);
-        if (link->replaced() != replaced_before) {
+        const auto news = link->tick(now);
+        if (news.replaced) {
             log_event(event::upstream_connection_silent, field("upstream", upstream));
         }
-        if (state) {
-            log_event(*state == upstream_state::dead ? event::upstream_lost : event::upstream_connected,
-                      field("upstream", upstream));
-            carry_out(core_.step(now, gateway_input::upstream_changed{upstream, *state}));
+        if (news.state) {
+            note_state(upstream, *news.state);
+            carry_out(core_.step(now, gateway_input::upstream_changed{upstream, *news.state}));
+        }
+        for (const auto& key : news.not_sent) {
+            carry_out(core_.step(now, not_sent(key)));
         }
     }
 }
 
+void gateway_shell::note_state(const upstream_id& upstream, upstream_state state)
+{
+    if (state == upstream_state::dead) {
+        log_event(event::upstream_lost, field("upstream", upstream));
+    }
+    else if (state == upstream_state::alive) {
+        log_event(event::upstream_connected, field("upstream", upstream));
+    }
+}
+
 void gateway_shell::publish_status(instant now)
 {
     if (now < next_status_) {
@@ -297,8 +331,7 @@
     timeline_.record_send(held->second.request, "attempt",
                           attempt_message(action.spec.request, action.spec.attempt, open_message),
                           action.upstream.text() + " " + to_string(action.reason));
-    link->second->lane(runtime::now(), action.spec.size)
-        .open_attempt(action.key, action.spec, held->second.prompt);
+    link->second->open_attempt(runtime::now(), action.key, action.spec, held->second.prompt);
 }
 
 void gateway_shell::act(const gateway_output::send_prompt& action)
@@ -326,15 +359,14 @@
 void gateway_shell::act(const gateway_output::call_service& action)
 {
     const auto link = links_.find(action.upstream);
-    const bool sent =
-        link != links_.end() && link->second->lane(runtime::now(), length_class::interactive)
-                                    .call_service(runtime::now(), action.key, action.wish, action.spec);
-    timeline_.record(action.spec.request, sent ? "service_call" : "service_unreachable",
+    const bool known = link != links_.end();
+    timeline_.record(action.spec.request, known ? "service_call" : "service_unreachable",
                      action.upstream.text());
-    if (!sent) {
-        follow_up(gateway_input::service_refused{
-            action.key,
-            {refusal_code::upstream_gone, ran_state::no, 500ms, "come back after the time given"}});
+    if (known) {
+        link->second->call_service(runtime::now(), action.key, action.wish, action.spec);
+    }
+    else {
+        follow_up(not_sent(action.key));
     }
 }
 
@@ -455,6 +487,33 @@
     handlers_.ask_for_share(action.asked);
 }
 
+void gateway_shell::act(const gateway_output::probe_load& action)
+{
+    const auto link = links_.find(action.upstream);
+    if (link != links_.end()) {
+        link->second->probe(runtime::now());
+    }
+}
+
+void gateway_shell::act(const gateway_output::note_paused& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found != exchanges_.end()) {
+        timeline_.record(found->second.request, "paused", "");
+        metrics_.counter(pauses_name).add();
+        log_event(event::work_paused, field("request", found->second.request));
+    }
+}
+
+void gateway_shell::act(const gateway_output::note_resumed& action)
+{
+    const auto found = exchanges_.find(action.exchange);
+    if (found != exchanges_.end()) {
+        timeline_.record(found->second.request, "resumed", "");
+        log_event(event::work_resumed, field("request", found->second.request));
+    }
+}
+
 void gateway_shell::act(const gateway_output::all_done& /*action*/)
 {
     handlers_.on_all_done();
