--- a/tests/drain/drain_state_test.cpp
+++ b/tests/drain/drain_state_test.cpp
@@ -184,3 +184,143 @@
     state.process_heard(instant{} + 3s, host_1, incarnation(6), false);
     cr_assert(state.accepts_new_work(domain_a, host_1));
 }
+
+FAULT_CELL(drain_leave, message_late)
+{
+    // A host that was replaced gets no work, though its new sidecar is well. The goodbye of the one before
+    // was long under way and arrives after the new one was heard. It is about a start that is over.
+    drain_state state;
+    state.process_heard(instant{}, host_1, incarnation(1), false);
+    state.process_heard(instant{} + 1s, host_1, incarnation(2), false);
+    state.process_heard(instant{} + 2s, host_1, incarnation(1), true);
+    cr_assert(state.accepts_new_work(domain_a, host_1));
+    state.process_heard(instant{} + 3s, host_1, incarnation(2), true);
+    cr_assert(!state.accepts_new_work(domain_a, host_1));
+}
+
+FAULT_CELL(drain_leave, message_reordered)
+{
+    // Operators take a domain out, back, and out for good. The words arrive last one first: from the first
+    // that arrives on it gets no new work, and the older ones change nothing.
+    drain_state state;
+    for (const std::uint64_t number : {3U, 2U, 1U}) {
+        const bool news = state.operator_said(instant{} + 1s, {domain_a, number, number != 2});
+        cr_assert(news == (number == 3));
+        cr_assert(!state.accepts_new_work(domain_a, host_1));
+    }
+}
+
+FAULT_CELL(drain_leave, config_stale)
+{
+    // A bundle takes a domain out. A peer that lags hands over the one before it: work would go there again.
+    drain_state state;
+    state.bundle_adopted(instant{}, bundle_with(7, true));
+    state.bundle_adopted(instant{} + 1s, bundle_with(8, false));
+    state.bundle_adopted(instant{} + 2s, bundle_with(7, true));
+    cr_assert(!state.accepts_new_work(domain_a, host_1));
+    cr_assert(state.status(domain_a) == out_since(1s, drain_source::bundle));
+}
+
+FAULT_CELL(drain_leave, two_faults)
+{
+    // A gateway dies and starts anew while a domain is out by the operators' word, and the host list it reads
+    // first still calls the domain's hosts live. The word comes from a peer; from then on the list can't undo
+    // it.
+    drain_state peer;
+    cr_assert(peer.operator_said(instant{}, {domain_a, 4, true}));
+    drain_state anew;
+    anew.host_list_read(instant{} + 1s, {{host_1, false, ""}});
+    for (const auto& word : peer.words()) {
+        cr_assert(anew.operator_said(instant{} + 2s, word));
+    }
+    anew.host_list_read(instant{} + 3s, {{host_1, false, ""}});
+    anew.process_heard(instant{} + 3s, host_1, incarnation(9), false);
+    cr_assert(!anew.accepts_new_work(domain_a, host_1));
+    cr_assert(anew.next_number(domain_a) == 5, "an operator's next word counts here as well");
+}
+
+FAULT_CELL(drain_return, process_dies)
+{
+    // A sidecar starts anew just after its domain came back. One peer tells it of the return, and one that
+    // lags of the leaving. In either order it must take work, or the domain stays idle.
+    for (const bool lagging_first : {true, false}) {
+        drain_state anew;
+        const drain_word out{domain_a, 1, true};
+        const drain_word back{domain_a, 2, false};
+        static_cast<void>(anew.operator_said(instant{}, lagging_first ? out : back));
+        static_cast<void>(anew.operator_said(instant{} + 1s, lagging_first ? back : out));
+        cr_assert(anew.accepts_new_work(domain_a, host_1));
+    }
+}
+
+FAULT_CELL(drain_return, message_lost)
+{
+    // The word that a domain is back gets lost on its way to one gateway, which would leave it idle for good.
+    // The word isn't told once: every process keeps it and tells it again when asked for what it knows.
+    drain_state told;
+    drain_state missed;
+    for (auto* each : {&told, &missed}) {
+        cr_assert(each->operator_said(instant{}, {domain_a, 1, true}));
+    }
+    cr_assert(told.operator_said(instant{} + 1s, {domain_a, 2, false}));
+    cr_assert(!missed.accepts_new_work(domain_a, host_1));
+    for (const auto& word : told.words()) {
+        static_cast<void>(missed.operator_said(instant{} + 60s, word));
+    }
+    cr_assert(missed.accepts_new_work(domain_a, host_1));
+}
+
+FAULT_CELL(drain_return, message_doubled)
+{
+    // The word that a domain is back comes again and again, as every peer passes it on. It is news once:
+    // passed on each time, it would never stop going round.
+    drain_state state;
+    cr_assert(state.operator_said(instant{}, {domain_a, 1, true}));
+    cr_assert(state.operator_said(instant{} + 1s, {domain_a, 2, false}));
+    cr_assert(!state.operator_said(instant{} + 2s, {domain_a, 2, false}));
+    cr_assert(state.accepts_new_work(domain_a, host_1));
+}
+
+FAULT_CELL(drain_return, config_down)
+{
+    // A domain went out by the operators' word and by a bundle; the configuration service is down when it is
+    // to come back. The operators' word takes back the operators' own; the bundle's stands until a newer one
+    // comes.
+    drain_state state;
+    state.bundle_adopted(instant{}, bundle_with(2, false));
+    cr_assert(state.operator_said(instant{} + 1s, {domain_a, 1, true}));
+    cr_assert(state.operator_said(instant{} + 2s, {domain_a, 2, false}));
+    cr_assert(state.status(domain_a) == out_since(0s, drain_source::bundle));
+    state.bundle_adopted(instant{} + 3s, bundle_with(3, true));
+    cr_assert(state.accepts_new_work(domain_a, host_1));
+}
+
+FAULT_CELL(drain_return, domain_out)
+{
+    // One domain comes back while another goes out. The word about the one must not carry the other with it,
+    // nor may a host that is itself leaving come back with its domain.
+    drain_state state;
+    const failure_domain_id domain_b("b");
+    cr_assert(state.operator_said(instant{}, {domain_a, 1, true}));
+    state.host_list_read(instant{}, {{host_1, true, ""}});
+    cr_assert(state.operator_said(instant{} + 1s, {domain_b, 1, true}));
+    cr_assert(state.operator_said(instant{} + 2s, {domain_a, 2, false}));
+    cr_assert(state.drained_domains() == std::vector{domain_b});
+    cr_assert(!state.accepts_new_work(domain_a, host_1));
+    cr_assert(state.accepts_new_work(domain_a, host_id("h2")));
+}
+
+FAULT_CELL(drain_return, same_twice)
+{
+    // A domain goes out and comes back twice in a day. The second leaving must count although the domain's
+    // last word was a return, and the second return must not be taken for the first.
+    drain_state state;
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        const bool out = number % 2 == 1;
+        cr_assert(state.next_number(domain_a) == number);
+        cr_assert(state.operator_said(instant{} + 1s * number, {domain_a, number, out}));
+        cr_assert(state.accepts_new_work(domain_a, host_1) == !out);
+    }
+    cr_assert(!state.operator_said(instant{} + 9s, {domain_a, 3, true}));
+    cr_assert(state.accepts_new_work(domain_a, host_1));
+}
