Fill the bundle columns of the fault matrix

Change: four cells of bundle_adopt, five of bundle_read, three of bundle_spread, by the keeper alone or by the small world of four keepers on a virtual clock with seeded faults.

--- a/src/drain/drain_state.cpp
+++ b/src/drain/drain_state.cpp
@@ -84,7 +84,8 @@
     auto& entry = host_entry_of(now, host);
     entry.heard = now;
     entry.start = std::max(entry.start, start);
-    // A goodbye that was long under way is about a start that is over: it says nothing of the one heard since.
+    // A goodbye that was long under way is about a start that is over: it says nothing of the one heard
+    // since.
     if (leaving && start >= entry.start) {
         entry.said_leaving = entry.said_leaving.value_or(now);
         entry.said_start = start;
--- a/tests/bundle/bundle_keeper_test.cpp
+++ b/tests/bundle/bundle_keeper_test.cpp
@@ -384,3 +384,203 @@
     cr_assert(find_output<reject_bundle>(outputs) != nullptr);
     cr_assert(keeper.peer_said(world.now, process_id("p1"), failure_domain_id("d1"), word).empty());
 }
+
+FAULT_CELL(bundle_adopt, message_reordered)
+{
+    // Without the guard an account's old limit would come back. Order: the manifest of 9 overtakes that of 8,
+    // whose sections are still under way; 9 is adopted, then the rest of 8 arrives. Cause: the network
+    // reorders.
+    bundle_keeper keeper(lone_settings(), instant{});
+    const auto older = test_bundle(8, 1);
+    static_cast<void>(keeper.manifest_arrived(instant{}, {}, encode_signed_manifest(test_signed(older))));
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{} + 1ms, test_bundle(9, 2))) != nullptr);
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{} + 2ms, older)) == nullptr);
+    cr_assert(keeper.word()->version == bundle_version(9));
+    cr_assert(keeper.in_force()->accounts.front().max_in_flight == 2);
+}
+
+FAULT_CELL(bundle_adopt, paused_wakes_late)
+{
+    // Without the guard a process that slept would adopt what it had half fetched, long after the fleet went
+    // on. Order: it has the manifest of 8 and sleeps for an hour; it wakes, hears of 9, and then the sections
+    // of 8 come.
+    bundle_keeper keeper(lone_settings(), instant{});
+    cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
+    const auto slept_on = test_bundle(8, 1);
+    static_cast<void>(keeper.manifest_arrived(instant{}, {}, encode_signed_manifest(test_signed(slept_on))));
+    const auto woke = instant{} + 1h;
+    cr_assert(find_output<adopt_bundle>(offer(keeper, woke, test_bundle(9, 2))) != nullptr);
+    for (const auto& text : section_texts(slept_on)) {
+        cr_assert(find_output<adopt_bundle>(keeper.section_arrived(woke, text)) == nullptr);
+    }
+    cr_assert(keeper.word()->version == bundle_version(9));
+}
+
+FAULT_CELL(bundle_adopt, two_faults)
+{
+    // Without the guard a failure domain that is out would get work. Order: the service goes stale, and a
+    // process that has 9 dies; it starts anew beside peers of which one lags at 7. Cause: the new one
+    // remembers nothing.
+    keeper_world world(21);
+    world.publish(test_bundle(7));
+    world.run(15s);
+    world.paused[1] = true;
+    world.publish(test_bundle(9));
+    world.run(10s);
+    world.publish(test_bundle(7));
+    world.paused[1] = false;
+    world.start(2);
+    world.run(20s, [&] { cr_assert(world.version(2) == 0 || world.version(2) == 9); });
+    cr_assert(world.all_have(9));
+}
+
+FAULT_CELL(bundle_adopt, same_twice)
+{
+    // Without the guard the second slip goes through. Order: the service shows 7 after 8, comes right with 9,
+    // and shows 8 again. Cause: a stale replica is read more than once; each bundle in force is a floor for
+    // the next.
+    bundle_keeper keeper(lone_settings(), instant{});
+    std::uint64_t in_force = 0;
+    for (const std::uint64_t version : {8U, 7U, 9U, 8U, 9U, 10U}) {
+        const bool adopted =
+            find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(version))) != nullptr;
+        cr_assert(adopted == (version > in_force));
+        in_force = std::max(in_force, version);
+        cr_assert(keeper.word()->version == bundle_version(in_force));
+    }
+}
+
+FAULT_CELL(bundle_read, message_lost)
+{
+    // A replaced process serves all the same on a network that loses half of what its peers answer: it asks
+    // again, and another. Order: the fleet has 9, the service is down, a process starts anew.
+    keeper_world world(22);
+    world.publish(test_bundle(9));
+    world.run(15s);
+    world.service_up = false;
+    world.bag.change({.drop = 0.5});
+    world.start(1);
+    world.run(30s, [&] { cr_assert(world.version(1) == 0 || world.version(1) == 9); });
+    cr_assert(world.all_have(9));
+}
+
+FAULT_CELL(bundle_read, message_late)
+{
+    // A starting process hears from one peer at once, which lags at 7, and from those with 9 seconds later.
+    // It must not serve by 7 in between for longer than its patience, and never go back. Order: late answers
+    // at a start.
+    keeper_world world(23);
+    world.publish(test_bundle(9));
+    world.run(15s);
+    world.publish(test_bundle(7));
+    world.bag.change({.late = 0.7});
+    world.start(3);
+    std::uint64_t highest = 0;
+    world.run(30s, [&] {
+        cr_assert(world.version(3) >= highest);
+        highest = world.version(3);
+    });
+    cr_assert(world.all_have(9));
+}
+
+FAULT_CELL(bundle_read, message_doubled)
+{
+    // Every answer to a starting process comes twice. Two words of one peer are one peer's: counted twice, a
+    // lagging one would stand for a majority of failure domains. Order: start anew, stale service, doubled
+    // answers.
+    keeper_world world(24);
+    world.publish(test_bundle(9));
+    world.run(15s);
+    world.publish(test_bundle(7));
+    world.bag.change({.duplicate = 1.0});
+    world.start(0);
+    world.run(20s, [&] { cr_assert(world.version(0) == 0 || world.version(0) == 9); });
+    cr_assert(world.all_have(9));
+}
+
+FAULT_CELL(bundle_read, paused_wakes_late)
+{
+    // A process is paused in the middle of its start and wakes when the fleet has gone from 8 to 9. What it
+    // was told before it slept must not be put in force for good. Order: start, pause, new bundle, wake.
+    keeper_world world(25);
+    world.publish(test_bundle(8));
+    world.run(15s);
+    world.start(2);
+    world.run(100ms);
+    world.paused[2] = true;
+    world.publish(test_bundle(9));
+    world.run(60s);
+    world.service_up = false;
+    world.paused[2] = false;
+    world.run(11s);
+    cr_assert(world.all_have(9));
+}
+
+FAULT_CELL(bundle_read, same_twice)
+{
+    // The whole fleet but one process restarts, and a minute later again, with a stale service. The one that
+    // stayed carries the bundle through both; nobody ever serves by the older one.
+    keeper_world world(26);
+    world.publish(test_bundle(9));
+    world.run(15s);
+    world.publish(test_bundle(7));
+    for (int round = 0; round < 2; ++round) {
+        for (const std::size_t at : {0U, 1U, 2U}) {
+            world.start(at);
+        }
+        world.run(60s, [&] {
+            for (std::size_t at = 0; at < keeper_world::size; ++at) {
+                cr_assert(world.version(at) == 0 || world.version(at) == 9);
+            }
+        });
+    }
+    cr_assert(world.all_have(9));
+}
+
+FAULT_CELL(bundle_spread, config_stale)
+{
+    // Operators push 9 while the service shows 7 and goes on showing it. Every process goes by 9, and says
+    // that the service is stale. Order: push to one process, spread by its peers, the service read again and
+    // again.
+    keeper_world world(27);
+    world.publish(test_bundle(7));
+    world.run(15s);
+    static_cast<void>(
+        world.keepers[3]->manifest_arrived(world.now, {bundle_origin_kind::operator_push, {}},
+                                           encode_signed_manifest(test_signed(test_bundle(9)))));
+    for (const auto& text : section_texts(test_bundle(9))) {
+        static_cast<void>(world.keepers[3]->section_arrived(world.now, text));
+    }
+    world.run(11s);
+    cr_assert(world.all_have(9));
+    world.run(10s, [&] { cr_assert(world.all_have(9)); });
+    cr_assert(has_alarm(world.alarms, bundle_alarm::kind_type::service_stale));
+}
+
+FAULT_CELL(bundle_spread, message_late)
+{
+    // A change is in force everywhere within eleven seconds although every second message takes up to five.
+    keeper_world world(28, {.late = 0.5});
+    world.publish(test_bundle(7));
+    world.run(30s);
+    world.publish(test_bundle(8));
+    world.run(11s);
+    cr_assert(world.all_have(8));
+}
+
+FAULT_CELL(bundle_spread, message_doubled)
+{
+    // Every message of a change comes twice. It is fetched and adopted once: what a process has, it doesn't
+    // ask for again, or 320 changes a day would be read twice by all.
+    keeper_world once(29);
+    keeper_world twice(29, {.duplicate = 1.0});
+    for (auto* world : {&once, &twice}) {
+        world->publish(test_bundle(7));
+        world->run(15s);
+        world->publish(test_bundle(8));
+        world->run(11s);
+        cr_assert(world->all_have(8));
+    }
+    cr_assert(twice.sections_sent <= 3 * once.sections_sent, "%zu, %zu", std::size_t(twice.sections_sent),
+              std::size_t(once.sections_sent));
+}
