--- a/tests/bundle/bundle_keeper_test.cpp
+++ b/tests/bundle/bundle_keeper_test.cpp
@@ -466,9 +466,9 @@
 
 FAULT_CELL(bundle_read, message_late)
 {
-    // A starting process hears from one peer at once, which lags at 7, and from those with 9 seconds later.
-    // It must not serve by 7 in between for longer than its patience, and never go back. Order: late answers
-    // at a start.
+    // A starting process reads 7 from a stale service at once, and most of its peers' words, of 9, come up to
+    // five seconds later. It must end with 9 and never go back on the way.
+    // Order: the fleet has 9, the service shows 7, answers are late, a process starts anew.
     keeper_world world(23);
     world.publish(test_bundle(9));
     world.run(15s);
@@ -485,9 +485,9 @@
 
 FAULT_CELL(bundle_read, message_doubled)
 {
-    // Every answer to a starting process comes twice. Two words of one peer are one peer's: counted twice, a
-    // lagging one would stand for a majority of failure domains. Order: start anew, stale service, doubled
-    // answers.
+    // Every answer to a starting process comes twice while the service is stale. It must wait for its peers
+    // all the same, and never serve by the service's 7. Order: the fleet has 9, the service shows 7, answers
+    // come twice, a process starts anew.
     keeper_world world(24);
     world.publish(test_bundle(9));
     world.run(15s);
