Promise shares of gangs at the sidecar and run spans under them

Cause: a prompt larger than one engine's memory was refused; the planner existed, but no sidecar could promise memory, and no call carried a span's text or named a span. Change: share_desk holds shares as leases over permits of the gate, of the class that leaves short requests their reserve; a span and an answer run under the share's permit, once. Shares that end are released at the engine until it confirms, and spans that nobody knows after a time of grace. The wire gets reserve, renew and release; a span is a try that names its share and ends with the address where others read it. The engine adapter speaks export, import and release. The reconcile of streams leaves KV spans to share_desk. Before: no sidecar took a span. Conclusion: nothing a gateway reserves outlives its lease at the engine.

--- a/include/dragonflymill/serve/attempt_desk.h
+++ b/include/dragonflymill/serve/attempt_desk.h
@@ -34,6 +34,11 @@
     /// A gateway puts a try: granted or refused at once.
     void opened(instant now, const sidecar_input::attempt_opened& input,
                 std::vector<sidecar_action>& actions);
+    /// A gateway puts a try under a share whose permit is `lease`.
+    void opened_under(instant now, const sidecar_input::attempt_opened& input, lease_id lease,
+                      std::vector<sidecar_action>& actions);
+    /// The share under whose permit a try may run has ended.
+    void share_ended(instant now, lease_id lease, std::vector<sidecar_action>& actions);
     /// The prompt is here: the stream goes to the engine if permit and time limit still hold.
     void prompt_received(instant now, call_number call, std::vector<sidecar_action>& actions);
     /// The gateway no longer wants it.
@@ -58,6 +63,8 @@
     /// Ends what is over its time limit and repeats cancels.
     void tick(instant now, std::vector<sidecar_action>& actions);
 
+    /// What a try in hand is about; null if there is none.
+    [[nodiscard]] auto find(call_number call) const -> const attempt_spec*;
     /// Tries in hand, those being cancelled included.
     [[nodiscard]] auto size() const -> std::size_t { return attempts_.size() + cancels_.size(); }
     /// Predicted prefill not done yet, by class.
@@ -95,6 +102,7 @@
     void end_with(instant now, attempts::iterator held, refusal_code code,
                   std::vector<sidecar_action>& actions);
     void cancel_at_engine(instant now, attempts::iterator held, std::vector<sidecar_action>& actions);
+    void give_back(instant now, const attempt& held, work_outcome outcome);
     void forget(attempts::iterator held);
 
     permit_gate& gate_;
--- a/include/dragonflymill/serve/attempt_spec.h
+++ b/include/dragonflymill/serve/attempt_spec.h
@@ -6,8 +6,22 @@
 #include "dragonflymill/core/time.h"
 #include "dragonflymill/stream/stream_joiner.h"
 
+#include <string>
+#include <vector>
+
 namespace dragonflymill {
 
+/// A span of a prompt's KV cache at another engine.
+struct span_import
+{
+    std::string span;      ///< Its name.
+    std::string source;    ///< Address of the engine that holds it.
+    token_count begin = 0; ///< Its first token.
+    token_count end = 0;   ///< One behind its last token.
+
+    friend auto operator==(const span_import&, const span_import&) -> bool = default;
+};
+
 /// One try at a completion, as a gateway puts it to a sidecar. The prompt itself travels beside it.
 struct attempt_spec
 {
@@ -24,6 +38,14 @@
     token_count prefill = 0;                       ///< Predicted tokens of prefill not in the cache.
     token_offset resume_offset = 0;                ///< Tokens of the answer that the caller already has.
     duration remaining{0};                         ///< Time left when it was put.
+    lease_id share{};                   ///< Share of a gang under which it runs; the default for none.
+    std::string exported_span{};        ///< Span that it computes instead of an answer; empty for an answer.
+    token_count span_begin = 0;         ///< First token of that span.
+    token_count span_end = 0;           ///< One behind its last token.
+    std::vector<span_import> imports{}; ///< Spans at other engines that the prompt begins with.
+
+    /// Whether it computes a span instead of an answer.
+    [[nodiscard]] auto is_export() const -> bool { return !exported_span.empty(); }
 
     friend auto operator==(const attempt_spec&, const attempt_spec&) -> bool = default;
 };
--- a/include/dragonflymill/serve/sidecar_core.h
+++ b/include/dragonflymill/serve/sidecar_core.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/serve/attempt_desk.h"
 #include "dragonflymill/serve/service_desk.h"
+#include "dragonflymill/serve/share_desk.h"
 #include "dragonflymill/serve/sidecar_messages.h"
 
 #include <vector>
@@ -34,8 +35,11 @@
 
     /// The upstream's load as gateways get it with answers and heartbeats.
     [[nodiscard]] auto load(instant now) const -> upstream_load;
-    /// Tries and calls in hand.
-    [[nodiscard]] auto in_hand() const -> std::size_t { return attempts_.size() + services_.size(); }
+    /// Tries, calls and shares in hand.
+    [[nodiscard]] auto in_hand() const -> std::size_t
+    {
+        return attempts_.size() + services_.size() + shares_.size();
+    }
     /// Whether this process was paused for longer than its own lease: it has to be started anew, since a
     /// successor may have taken its place meanwhile.
     [[nodiscard]] auto superseded() const -> bool { return superseded_; }
@@ -44,6 +48,7 @@
     void on_tick(instant now, std::vector<sidecar_action>& actions);
     void on_report(instant now, const sidecar_input::engine_reported& report,
                    std::vector<sidecar_action>& actions);
+    void end_permits(instant now, std::vector<sidecar_action>& actions);
     void renew_own_lease(instant now);
     [[nodiscard]] auto refuse_if_stopping(call_number call, std::vector<sidecar_action>& actions) const
         -> bool;
@@ -58,6 +63,11 @@
     void take(instant now, const sidecar_input::engine_reported& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::cancel_confirmed& input,
               std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::span_released& input, std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::share_asked& input, std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::share_renewal_asked& input,
+              std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::share_returned& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::ticket_asked& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::service_called& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::status_asked& input, std::vector<sidecar_action>& actions);
@@ -75,6 +85,7 @@
     permit_gate gate_;
     once_ledger ledger_;
     attempt_desk attempts_;
+    share_desk shares_;
     service_desk services_;
     model_id warm_up_model_;
     instant last_step_;
--- a/include/dragonflymill/serve/sidecar_messages.h
+++ b/include/dragonflymill/serve/sidecar_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflymill/admission/permit_gate.h"
+#include "dragonflymill/gang/gang_messages.h"
 #include "dragonflymill/once/once_ledger.h"
 #include "dragonflymill/route/upstream_description.h"
 #include "dragonflymill/serve/attempt_spec.h"
@@ -52,6 +53,7 @@
     call_number call;        ///< The call.
     token_offset tokens = 0; ///< Length of the whole answer.
     std::string reason;      ///< Why it ends there.
+    std::string source{};    ///< Address where other engines read the span, if it is an export.
 };
 /// The stream broke or was never taken.
 struct engine_failed
@@ -66,6 +68,7 @@
 {
     std::string id;         ///< Engine's name for it.
     token_count tokens = 0; ///< Memory it takes.
+    bool kv = false;        ///< Whether it is a span of KV cache, not a stream.
 
     friend auto operator==(const engine_holding&, const engine_holding&) -> bool = default;
 };
@@ -81,6 +84,32 @@
 {
     std::string engine_request; ///< Engine's name of the stream.
 };
+/// The engine confirmed that it no longer holds a span of KV cache.
+struct span_released
+{
+    std::string span; ///< Its name.
+};
+/// A gateway asks for a share of a gang.
+struct share_asked
+{
+    call_number call;     ///< The call.
+    process_id gateway;   ///< The gateway.
+    reserve_share wanted; ///< What it asks for.
+};
+/// A gateway wants to keep a share.
+struct share_renewal_asked
+{
+    call_number call;   ///< The call.
+    process_id gateway; ///< The gateway.
+    renew_share wanted; ///< Which share.
+};
+/// A gateway gives a share back, also one that may never have been granted.
+struct share_returned
+{
+    call_number call;   ///< The call.
+    process_id gateway; ///< The gateway.
+    gang_key gang;      ///< The round that it was for.
+};
 /// A gateway asks for a ticket.
 struct ticket_asked
 {
@@ -151,10 +180,12 @@
     std::variant<sidecar_input::attempt_opened, sidecar_input::prompt_received, sidecar_input::call_cancelled,
                  sidecar_input::gateway_heard, sidecar_input::engine_tokens, sidecar_input::engine_finished,
                  sidecar_input::engine_failed, sidecar_input::engine_reported,
-                 sidecar_input::cancel_confirmed, sidecar_input::ticket_asked, sidecar_input::service_called,
-                 sidecar_input::status_asked, sidecar_input::service_answered, sidecar_input::service_broken,
-                 sidecar_input::drain_changed, sidecar_input::capacity_changed, sidecar_input::routes_changed,
-                 sidecar_input::stop_asked, sidecar_input::tick>;
+                 sidecar_input::cancel_confirmed, sidecar_input::span_released, sidecar_input::share_asked,
+                 sidecar_input::share_renewal_asked, sidecar_input::share_returned,
+                 sidecar_input::ticket_asked, sidecar_input::service_called, sidecar_input::status_asked,
+                 sidecar_input::service_answered, sidecar_input::service_broken, sidecar_input::drain_changed,
+                 sidecar_input::capacity_changed, sidecar_input::routes_changed, sidecar_input::stop_asked,
+                 sidecar_input::tick>;
 
 /// Outputs of `sidecar_core`.
 namespace sidecar_output {
@@ -201,6 +232,7 @@
     call_number call;        ///< The call.
     token_offset tokens = 0; ///< Length of the whole answer.
     std::string reason;      ///< Why it ends there.
+    std::string source{};    ///< Address where other engines read the span, if it was an export.
 };
 /// Close the connection of a stream, if there is one, and cancel it at the engine. Answered by
 /// `cancel_confirmed`; asked again until then.
@@ -209,6 +241,30 @@
     call_number call;           ///< The call.
     std::string engine_request; ///< Engine's name for it.
 };
+/// Release a span of KV cache at the engine. Answered by `span_released`; asked again until then.
+struct release_span
+{
+    std::string span; ///< Its name.
+};
+/// Tell the gateway that its share stands.
+struct grant_share
+{
+    call_number call;      ///< The call.
+    lease_id lease;        ///< The share's lease.
+    std::uint64_t ask = 0; ///< Number of the ask that it answers.
+};
+/// Tell the gateway that it has no share.
+struct refuse_share
+{
+    call_number call;     ///< The call.
+    refusal why;          ///< The refusal.
+    bool in_line = false; ///< Whether the next free memory is kept for it.
+};
+/// Tell the gateway that nothing is held for its round any more.
+struct confirm_share_return
+{
+    call_number call; ///< The call.
+};
 /// Call the plain service, but not after `not_after`.
 struct run_service
 {
@@ -246,7 +302,9 @@
 using sidecar_action =
     std::variant<sidecar_output::grant_attempt, sidecar_output::refuse_call, sidecar_output::start_stream,
                  sidecar_output::start_warm_up, sidecar_output::send_tokens, sidecar_output::finish_attempt,
-                 sidecar_output::cancel_stream, sidecar_output::run_service, sidecar_output::answer_service,
-                 sidecar_output::give_ticket, sidecar_output::tell_running, sidecar_output::all_done>;
+                 sidecar_output::cancel_stream, sidecar_output::release_span, sidecar_output::grant_share,
+                 sidecar_output::refuse_share, sidecar_output::confirm_share_return,
+                 sidecar_output::run_service, sidecar_output::answer_service, sidecar_output::give_ticket,
+                 sidecar_output::tell_running, sidecar_output::all_done>;
 
 } // namespace dragonflymill
--- a/src/rpc/wire_convert.cpp
+++ b/src/rpc/wire_convert.cpp
@@ -16,6 +16,15 @@
     return std::max<std::int64_t>(value, 0);
 }
 
+auto share_request(const process_id& gateway, const gang_key& gang) -> wire::gang_share_request
+{
+    wire::gang_share_request request;
+    request.set_request_id(gang.request.text());
+    request.set_round(gang.round.value());
+    request.set_gateway(gateway.text());
+    return request;
+}
+
 } // namespace
 
 auto to_wire(const attempt_spec& spec) -> wire::attempt_open
@@ -34,6 +43,17 @@
     open.set_resume_offset(spec.resume_offset);
     open.set_remaining_us(spec.remaining.count());
     open.set_predicted_prefill(spec.prefill);
+    open.set_share(spec.share.value());
+    open.set_exported_span(spec.exported_span);
+    open.set_span_begin(spec.span_begin);
+    open.set_span_end(spec.span_end);
+    for (const auto& each : spec.imports) {
+        auto& import = *open.add_imports();
+        import.set_span(each.span);
+        import.set_source(each.source);
+        import.set_begin(each.begin);
+        import.set_end(each.end);
+    }
     return open;
 }
 
@@ -53,6 +73,14 @@
     spec.resume_offset = not_negative(open.resume_offset());
     spec.remaining = duration(open.remaining_us());
     spec.prefill = not_negative(open.predicted_prefill());
+    spec.share = lease_id(open.share());
+    spec.exported_span = open.exported_span();
+    spec.span_begin = not_negative(open.span_begin());
+    spec.span_end = std::max(spec.span_begin, open.span_end());
+    for (const auto& each : open.imports()) {
+        const auto begin = not_negative(each.begin());
+        spec.imports.push_back({each.span(), each.source(), begin, std::max(begin, each.end())});
+    }
     return spec;
 }
 
@@ -150,4 +178,44 @@
     return spec;
 }
 
+auto to_wire(const process_id& gateway, const reserve_share& wanted) -> wire::gang_share_request
+{
+    auto request = share_request(gateway, wanted.gang);
+    request.set_tokens(wanted.tokens);
+    request.set_hold_us(wanted.hold.count());
+    request.set_ask(wanted.ask);
+    return request;
+}
+
+auto to_wire(const process_id& gateway, const renew_share& wanted) -> wire::gang_share_request
+{
+    auto request = share_request(gateway, wanted.gang);
+    request.set_hold_us(wanted.hold.count());
+    request.set_ask(wanted.ask);
+    request.set_lease(wanted.lease.value());
+    return request;
+}
+
+auto to_wire(const process_id& gateway, const release_share& wanted) -> wire::gang_share_request
+{
+    return share_request(gateway, wanted.gang);
+}
+
+auto gang_of(const wire::gang_share_request& request) -> gang_key
+{
+    return {request_id(request.request_id()), attempt_number(request.round())};
+}
+
+auto reservation_of(const wire::gang_share_request& request) -> reserve_share
+{
+    return {gang_of(request), upstream_id{}, not_negative(request.tokens()),
+            duration(not_negative(request.hold_us())), request.ask()};
+}
+
+auto renewal_of(const wire::gang_share_request& request) -> renew_share
+{
+    return {gang_of(request), upstream_id{}, lease_id(request.lease()),
+            duration(not_negative(request.hold_us())), request.ask()};
+}
+
 } // namespace dragonflymill::rpc
--- a/src/serve/attempt_desk.cpp
+++ b/src/serve/attempt_desk.cpp
@@ -140,6 +140,29 @@
     actions.push_back(sidecar_output::grant_attempt{input.call, lease});
 }
 
+void attempt_desk::opened_under(instant now, const sidecar_input::attempt_opened& input, lease_id lease,
+                                std::vector<sidecar_action>& actions)
+{
+    add(input.call, attempt{input.spec, lease, deadline_budget(now, input.spec.remaining)});
+    actions.push_back(sidecar_output::grant_attempt{input.call, lease});
+}
+
+void attempt_desk::share_ended(instant now, lease_id lease, std::vector<sidecar_action>& actions)
+{
+    const auto call = by_lease_.find(lease);
+    if (call != by_lease_.end()) {
+        end_with(now, attempts_.find(call->second), refusal_code::upstream_gone, actions);
+    }
+}
+
+void attempt_desk::give_back(instant now, const attempt& held, work_outcome outcome)
+{
+    // The span that a try computed stays at the engine, and the share keeps its permit until it is released.
+    if (!held.spec.is_export()) {
+        gate_.done(now, held.lease, outcome);
+    }
+}
+
 void attempt_desk::prompt_received(instant now, call_number call, std::vector<sidecar_action>& actions)
 {
     const auto held = attempts_.find(call);
@@ -202,8 +225,12 @@
     if (held == attempts_.end()) {
         return;
     }
-    gate_.done(now, held->second.lease, work_outcome::success);
-    tell(held->second, sidecar_output::finish_attempt{input.call, input.tokens, input.reason}, actions);
+    if (held->second.spec.is_export()) {
+        gate_.first_token(now, held->second.lease);
+    }
+    give_back(now, held->second, work_outcome::success);
+    tell(held->second, sidecar_output::finish_attempt{input.call, input.tokens, input.reason, input.source},
+         actions);
     forget(held);
 }
 
@@ -228,7 +255,7 @@
         else if (input.not_loaded) {
             code = refusal_code::no_route;
         }
-        gate_.done(now, held->second.lease, outcome);
+        give_back(now, held->second, outcome);
         tell(held->second, sidecar_output::refuse_call{input.call, refusal_for(code, ran_state::no)},
              actions);
         forget(held);
@@ -252,7 +279,7 @@
         known.insert(engine_request_of(held.spec));
     }
     for (const auto& holding : report.held) {
-        if (known.count(holding.id) != 0 || cancels_.count(holding.id) != 0) {
+        if (holding.kv || known.count(holding.id) != 0 || cancels_.count(holding.id) != 0) {
             continue;
         }
         // Guards against memory that is lost at the engine for good: a predecessor of this process died and
@@ -316,6 +343,12 @@
     }
 }
 
+auto attempt_desk::find(call_number call) const -> const attempt_spec*
+{
+    const auto held = attempts_.find(call);
+    return held == attempts_.end() ? nullptr : &held->second.spec;
+}
+
 auto attempt_desk::queued_prefill() const -> std::array<token_count, length_class_count>
 {
     std::array<token_count, length_class_count> queued{};
@@ -343,7 +376,7 @@
         cancel_at_engine(now, held, actions);
         return;
     }
-    gate_.done(now, held->second.lease, work_outcome::cancelled);
+    give_back(now, held->second, work_outcome::cancelled);
     forget(held);
 }
 
@@ -351,7 +384,8 @@
                                     std::vector<sidecar_action>& actions)
 {
     const auto engine_request = engine_request_of(held->second.spec);
-    cancels_.emplace(engine_request, pending_cancel{held->first, held->second.lease, now + cancel_backoff_});
+    const auto lease = held->second.spec.is_export() ? lease_id{} : held->second.lease;
+    cancels_.emplace(engine_request, pending_cancel{held->first, lease, now + cancel_backoff_});
     actions.push_back(sidecar_output::cancel_stream{held->first, engine_request});
     forget(held);
 }
--- a/src/serve/sidecar_core.cpp
+++ b/src/serve/sidecar_core.cpp
@@ -6,11 +6,19 @@
 
 using actions_out = std::vector<sidecar_action>;
 
+namespace {
+
+/// When a long prompt may come back that met a gang's place in line.
+constexpr duration line_retry = 500ms;
+
+} // namespace
+
 sidecar_core::sidecar_core(instant now, const sidecar_core_options& options)
     : options_(options)
     , gate_(now, options.gate, options.seed)
     , ledger_(options.ledger)
     , attempts_(gate_, options.cancel_backoff, "warm-up-" + std::to_string(options.seed) + "-")
+    , shares_(gate_, options.ledger.upstream, options.seed)
     , services_(gate_, ledger_, options.ledger.upstream)
     , last_step_(now)
     , reported_at_(now)
@@ -23,6 +31,9 @@
     renew_own_lease(now);
     actions_out actions;
     std::visit([&](const auto& input) { take(now, input, actions); }, event);
+    for (const auto lease : shares_.take_ended()) {
+        attempts_.share_ended(now, lease, actions);
+    }
     return actions;
 }
 
@@ -68,9 +79,28 @@
 
 void sidecar_core::take(instant now, const sidecar_input::attempt_opened& input, actions_out& actions)
 {
-    if (!refuse_if_stopping(input.call, actions)) {
-        attempts_.opened(now, input, actions);
+    if (input.spec.share != lease_id{}) {
+        // What a gang began goes on in a planned stop, so only its share decides.
+        if (const auto lease = shares_.use(now, input.spec)) {
+            attempts_.opened_under(now, input, *lease, actions);
+            return;
+        }
+        actions.push_back(sidecar_output::refuse_call{
+            input.call,
+            {refusal_code::upstream_gone, ran_state::no, options_.gate.retry_base, "reserve a new share"}});
+        return;
+    }
+    if (refuse_if_stopping(input.call, actions)) {
+        return;
     }
+    if (shares_.keeps_line(now, input.spec)) {
+        actions.push_back(
+            sidecar_output::refuse_call{input.call,
+                                        {refusal_code::overloaded, ran_state::no, line_retry,
+                                         "try another upstream, or this one after retry_after"}});
+        return;
+    }
+    attempts_.opened(now, input, actions);
 }
 
 void sidecar_core::take(instant now, const sidecar_input::prompt_received& input, actions_out& actions)
@@ -96,6 +126,11 @@
 
 void sidecar_core::take(instant now, const sidecar_input::engine_finished& input, actions_out& actions)
 {
+    if (!input.source.empty()) {
+        if (const auto* spec = attempts_.find(input.call)) {
+            shares_.exported(spec->exported_span);
+        }
+    }
     attempts_.finished(now, input, actions);
 }
 
@@ -114,6 +149,33 @@
     attempts_.cancel_confirmed(now, input.engine_request);
 }
 
+void sidecar_core::take(instant now, const sidecar_input::span_released& input, actions_out& /*actions*/)
+{
+    shares_.span_released(now, input.span);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::share_asked& input, actions_out& actions)
+{
+    if (stopping_) {
+        actions.push_back(sidecar_output::refuse_share{
+            input.call,
+            {refusal_code::stopping, ran_state::no, options_.gate.retry_base, "ask another upstream"},
+            false});
+        return;
+    }
+    shares_.asked(now, input, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::share_renewal_asked& input, actions_out& actions)
+{
+    shares_.renewal_asked(now, input, actions);
+}
+
+void sidecar_core::take(instant now, const sidecar_input::share_returned& input, actions_out& actions)
+{
+    shares_.returned(now, input, actions);
+}
+
 void sidecar_core::take(instant now, const sidecar_input::ticket_asked& input, actions_out& actions)
 {
     if (!refuse_if_stopping(input.call, actions)) {
@@ -176,11 +238,18 @@
     on_tick(now, actions);
 }
 
-void sidecar_core::on_tick(instant now, actions_out& actions)
+void sidecar_core::end_permits(instant now, actions_out& actions)
 {
     for (const auto& ended : gate_.tick(now)) {
         attempts_.permit_ended(now, ended, actions);
+        shares_.permit_ended(now, ended);
     }
+}
+
+void sidecar_core::on_tick(instant now, actions_out& actions)
+{
+    shares_.tick(now, actions);
+    end_permits(now, actions);
     attempts_.tick(now, actions);
     if (!stopping_ && !drained_) {
         attempts_.warm_up(now, warm_up_model_, actions);
@@ -199,10 +268,9 @@
     last_report_ = report.word;
     memory_used_ = report.memory_used;
     gate_.report(now, report.word);
-    for (const auto& ended : gate_.tick(now)) {
-        attempts_.permit_ended(now, ended, actions);
-    }
+    end_permits(now, actions);
     attempts_.reconcile(now, report, actions);
+    shares_.reconcile(now, report);
 }
 
 } // namespace dragonflymill
--- a/src/sidecar/gate_service.cpp
+++ b/src/sidecar/gate_service.cpp
@@ -61,6 +61,43 @@
                       sidecar_input::status_asked{call, rpc::from_wire(*request)});
 }
 
+auto gate_service::reserve_share(grpc::CallbackServerContext* /*context*/,
+                                 const wire::gang_share_request* request, wire::gang_share_reply* reply)
+    -> grpc::ServerUnaryReactor*
+{
+    const auto call = next_call();
+    return open_unary(
+        share_calls_, reply, call,
+        sidecar_input::share_asked{call, process_id(request->gateway()), rpc::reservation_of(*request)});
+}
+
+auto gate_service::renew_share(grpc::CallbackServerContext* /*context*/,
+                               const wire::gang_share_request* request, wire::gang_share_reply* reply)
+    -> grpc::ServerUnaryReactor*
+{
+    const auto call = next_call();
+    return open_unary(
+        share_calls_, reply, call,
+        sidecar_input::share_renewal_asked{call, process_id(request->gateway()), rpc::renewal_of(*request)});
+}
+
+auto gate_service::release_share(grpc::CallbackServerContext* /*context*/,
+                                 const wire::gang_share_request* request, wire::gang_share_reply* reply)
+    -> grpc::ServerUnaryReactor*
+{
+    const auto call = next_call();
+    return open_unary(
+        share_calls_, reply, call,
+        sidecar_input::share_returned{call, process_id(request->gateway()), rpc::gang_of(*request)});
+}
+
+void gate_service::answer_share(call_number call, wire::gang_share_reply reply)
+{
+    if (const auto held = share_calls_.find(call)) {
+        held->answer(std::move(reply));
+    }
+}
+
 auto gate_service::find_attempt(call_number call) const -> std::shared_ptr<attempt_reactor>
 {
     return attempts_.find(call);
@@ -86,7 +123,11 @@
         wire::ticket_reply reply;
         *reply.mutable_refused() = rpc::to_wire(why);
         held->answer(std::move(reply));
+        return;
     }
+    wire::gang_share_reply reply;
+    *reply.mutable_refused() = rpc::to_wire(why);
+    answer_share(call, std::move(reply));
 }
 
 void gate_service::answer(call_number call, const wire::service_reply& reply)
--- a/src/sidecar/gate_service.h
+++ b/src/sidecar/gate_service.h
@@ -30,6 +30,12 @@
                       wire::service_reply* reply) -> grpc::ServerUnaryReactor* override;
     auto call_status(grpc::CallbackServerContext* context, const wire::service_call* request,
                      wire::service_reply* reply) -> grpc::ServerUnaryReactor* override;
+    auto reserve_share(grpc::CallbackServerContext* context, const wire::gang_share_request* request,
+                       wire::gang_share_reply* reply) -> grpc::ServerUnaryReactor* override;
+    auto renew_share(grpc::CallbackServerContext* context, const wire::gang_share_request* request,
+                     wire::gang_share_reply* reply) -> grpc::ServerUnaryReactor* override;
+    auto release_share(grpc::CallbackServerContext* context, const wire::gang_share_request* request,
+                       wire::gang_share_reply* reply) -> grpc::ServerUnaryReactor* override;
 
     /// An open try, or null.
     [[nodiscard]] auto find_attempt(call_number call) const -> std::shared_ptr<attempt_reactor>;
@@ -39,6 +45,8 @@
     void answer(call_number call, const wire::service_reply& reply);
     /// Answers a request for a ticket.
     void give_ticket(call_number call, const std::string& ticket);
+    /// Answers a call about a share.
+    void answer_share(call_number call, wire::gang_share_reply reply);
 
 private:
     [[nodiscard]] auto next_call() -> call_number;
@@ -51,6 +59,7 @@
     call_registry<attempt_reactor> attempts_;
     call_registry<unary_reactor<wire::service_reply>> service_calls_;
     call_registry<unary_reactor<wire::ticket_reply>> ticket_calls_;
+    call_registry<unary_reactor<wire::gang_share_reply>> share_calls_;
 };
 
 } // namespace dragonflymill::sidecar
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -257,6 +257,7 @@
         wire::attempt_event event;
         event.mutable_finished()->set_tokens(action.tokens);
         event.mutable_finished()->set_reason(action.reason);
+        event.mutable_finished()->set_source(action.source);
         *event.mutable_load() = rpc::to_wire(core_.load(runtime::now()));
         call->finish(std::move(event));
     }
@@ -267,6 +268,34 @@
     boost::asio::post(upstream_thread_.context(), [this, action] { engine_.cancel_stream(action); });
 }
 
+void sidecar_shell::act(const sidecar_output::release_span& action)
+{
+    boost::asio::post(upstream_thread_.context(), [this, action] { engine_.release_span(action.span); });
+}
+
+void sidecar_shell::act(const sidecar_output::grant_share& action)
+{
+    wire::gang_share_reply reply;
+    reply.set_lease(action.lease.value());
+    reply.set_ask(action.ask);
+    *reply.mutable_load() = rpc::to_wire(core_.load(runtime::now()));
+    gate_.answer_share(action.call, std::move(reply));
+}
+
+void sidecar_shell::act(const sidecar_output::refuse_share& action)
+{
+    wire::gang_share_reply reply;
+    *reply.mutable_refused() = rpc::to_wire(action.why);
+    reply.set_in_line(action.in_line);
+    *reply.mutable_load() = rpc::to_wire(core_.load(runtime::now()));
+    gate_.answer_share(action.call, std::move(reply));
+}
+
+void sidecar_shell::act(const sidecar_output::confirm_share_return& action)
+{
+    gate_.answer_share(action.call, wire::gang_share_reply{});
+}
+
 void sidecar_shell::act(const sidecar_output::run_service& action)
 {
     timeline_.record(action.spec.request, "service_send", action.spec.target);
--- a/src/sidecar/sidecar_shell.h
+++ b/src/sidecar/sidecar_shell.h
@@ -58,6 +58,10 @@
     void act(const sidecar_output::send_tokens& action);
     void act(const sidecar_output::finish_attempt& action);
     void act(const sidecar_output::cancel_stream& action);
+    void act(const sidecar_output::release_span& action);
+    void act(const sidecar_output::grant_share& action);
+    void act(const sidecar_output::refuse_share& action);
+    void act(const sidecar_output::confirm_share_return& action);
     void act(const sidecar_output::run_service& action);
     void act(const sidecar_output::answer_service& action);
     void act(const sidecar_output::give_ticket& action);
--- a/src/upstream/engine_client.cpp
+++ b/src/upstream/engine_client.cpp
@@ -64,6 +64,93 @@
 }
 
 void engine_client::start_stream(const sidecar_output::start_stream& what, const std::string& prompt)
+{
+    if (what.spec.is_export()) {
+        export_span(what, prompt);
+    }
+    else if (!what.spec.imports.empty()) {
+        import_next(what, prompt, 0);
+    }
+    else {
+        begin_stream(what, prompt);
+    }
+}
+
+void engine_client::import_next(const sidecar_output::start_stream& what, std::string prompt,
+                                std::size_t number)
+{
+    if (number == what.spec.imports.size()) {
+        begin_stream(what, prompt);
+        return;
+    }
+    const auto call = control_call();
+    streams_.insert_or_assign(what.call, stream{call, http::sse_parser(max_event_bytes)});
+    const auto taken = std::make_shared<bool>(false);
+    const auto done = [taken](unsigned status, const std::string& /*body*/) { *taken = status == status_ok; };
+    const auto after = [this, taken, what, number, prompt = std::move(prompt)]() mutable {
+        if (streams_.count(what.call) == 0) {
+            return; // it was cancelled meanwhile
+        }
+        if (*taken) {
+            import_next(what, std::move(prompt), number + 1);
+            return;
+        }
+        fail(what.call, false);
+    };
+    read_whole(call, post("/v1/kv/import", import_body(what.engine_request, what.spec.imports[number])), done,
+               after);
+}
+
+void engine_client::export_span(const sidecar_output::start_stream& what, const std::string& prompt)
+{
+    http::call_limits limits;
+    limits.connect_timeout = options_.connect_timeout;
+    limits.first_byte_timeout = options_.first_token_timeout;
+    const auto call = std::make_shared<http::http_call>(context_, server_, limits);
+    const auto number = what.call;
+    const auto tokens = what.spec.span_end - what.spec.span_begin;
+    streams_.insert_or_assign(number, stream{call, http::sse_parser(max_event_bytes)});
+    http::call_handlers handlers;
+    handlers.on_header = [this, number](unsigned status, const std::string& /*type*/) {
+        streams_.at(number).status = status;
+    };
+    handlers.on_bytes = [](std::string_view /*bytes*/) {};
+    handlers.on_end = [this, number, tokens](http::call_end how) { on_exported(number, tokens, how); };
+    call->start(post("/v1/kv/export", export_body(what.engine_request, what.spec, prompt)), what.not_after,
+                std::move(handlers));
+}
+
+void engine_client::on_exported(call_number call, token_count tokens, http::call_end how)
+{
+    const auto held = streams_.find(call);
+    if (held == streams_.end() || held->second.status != status_ok || how != http::call_end::whole) {
+        on_end(call, how);
+        return;
+    }
+    streams_.erase(held);
+    const auto source = server_.address().to_string() + ":" + std::to_string(server_.port());
+    events_(sidecar_input::engine_finished{call, tokens, "exported", source});
+}
+
+void engine_client::release_span(const std::string& span)
+{
+    const auto confirm = [this, span](unsigned status, const std::string& /*body*/) {
+        if (status == status_ok) {
+            events_(sidecar_input::span_released{span});
+        }
+    };
+    read_whole(control_call(), post("/v1/kv/release", release_body(span)), confirm, [] {});
+}
+
+auto engine_client::control_call() -> std::shared_ptr<http::http_call>
+{
+    http::call_limits limits;
+    limits.connect_timeout = options_.connect_timeout;
+    limits.first_byte_timeout = control_call_limit;
+    return std::make_shared<http::http_call>(context_, server_, limits);
+}
+
+void engine_client::begin_stream(const sidecar_output::start_stream& what, const std::string& prompt)
 {
     http::call_limits limits;
     limits.connect_timeout = options_.connect_timeout;
@@ -171,17 +258,13 @@
         held->second.call->drop();
         streams_.erase(held);
     }
-    http::call_limits limits;
-    limits.connect_timeout = options_.connect_timeout;
-    limits.first_byte_timeout = control_call_limit;
-    const auto call = std::make_shared<http::http_call>(context_, server_, limits);
     const auto confirm = [this, name = what.engine_request](unsigned status, const std::string& body) {
         const auto held_still = read_cancel_answer(body);
         if (status == status_ok && held_still && !held_still.value()) {
             events_(sidecar_input::cancel_confirmed{name});
         }
     };
-    read_whole(call, post("/v1/cancel", cancel_body(what.engine_request)), confirm, [] {});
+    read_whole(control_call(), post("/v1/cancel", cancel_body(what.engine_request)), confirm, [] {});
 }
 
 void engine_client::read_state()
--- a/src/upstream/engine_client.h
+++ b/src/upstream/engine_client.h
@@ -37,8 +37,11 @@
 
     /// Begins to read the engine's state again and again.
     void start();
-    /// Puts a stream to the engine.
+    /// Puts a stream to the engine, or has it compute a span; spans that the prompt begins with are imported
+    /// before.
     void start_stream(const sidecar_output::start_stream& what, const std::string& prompt);
+    /// Releases a span of KV cache at the engine.
+    void release_span(const std::string& span);
     /// Closes a stream's connection and cancels it at the engine.
     void cancel_stream(const sidecar_output::cancel_stream& what);
 
@@ -51,6 +54,11 @@
         bool ended = false;
     };
 
+    [[nodiscard]] auto control_call() -> std::shared_ptr<http::http_call>;
+    void import_next(const sidecar_output::start_stream& what, std::string prompt, std::size_t number);
+    void export_span(const sidecar_output::start_stream& what, const std::string& prompt);
+    void begin_stream(const sidecar_output::start_stream& what, const std::string& prompt);
+    void on_exported(call_number call, token_count tokens, http::call_end how);
     void on_bytes(call_number call, const std::string& engine_request, std::string_view bytes);
     void on_payload(call_number call, const std::string& engine_request, const std::string& payload);
     void on_end(call_number call, http::call_end how);
--- a/src/upstream/engine_json.cpp
+++ b/src/upstream/engine_json.cpp
@@ -59,12 +59,26 @@
     }
     for (const auto& item : list->as_array()) {
         if (item.is_object()) {
-            held.push_back({text_of(item.as_object(), "id"), number_of(item.as_object(), "tokens")});
+            const auto& fields = item.as_object();
+            held.push_back(
+                {text_of(fields, "id"), number_of(fields, "tokens"), text_of(fields, "kind") == "kv"});
         }
     }
     return held;
 }
 
+/// The body with the prompt behind its other fields, which are short.
+auto with_prompt(const json::object& fields, const std::string& prompt) -> std::string
+{
+    auto text = json::serialize(fields);
+    text.pop_back();
+    text.reserve(text.size() + prompt.size() + prompt.size() / 16);
+    text += ",\"prompt\":";
+    text += json::serialize(json::string_view(prompt));
+    text += '}';
+    return text;
+}
+
 } // namespace
 
 auto completion_body(const std::string& engine_request, const attempt_spec& spec, const std::string& prompt)
@@ -84,13 +98,43 @@
     body["max_tokens"] = spec.max_tokens;
     body["resume_offset"] = spec.resume_offset;
     body["stream"] = true;
-    auto text = json::serialize(body);
-    text.pop_back();
-    text.reserve(text.size() + prompt.size() + prompt.size() / 16);
-    text += ",\"prompt\":";
-    text += json::serialize(json::string_view(prompt));
-    text += '}';
-    return text;
+    if (!spec.imports.empty()) {
+        json::array spans;
+        for (const auto& each : spec.imports) {
+            spans.emplace_back(each.span);
+        }
+        body["kv_imports"] = std::move(spans);
+    }
+    return with_prompt(body, prompt);
+}
+
+auto export_body(const std::string& engine_request, const attempt_spec& spec, const std::string& prompt)
+    -> std::string
+{
+    json::object body;
+    body["request_id"] = engine_request;
+    body["span"] = spec.exported_span;
+    body["begin"] = spec.span_begin;
+    body["end"] = spec.span_end;
+    return with_prompt(body, prompt);
+}
+
+auto import_body(const std::string& engine_request, const span_import& what) -> std::string
+{
+    json::object body;
+    body["request_id"] = engine_request;
+    body["span"] = what.span;
+    body["source"] = what.source;
+    body["begin"] = what.begin;
+    body["end"] = what.end;
+    return json::serialize(body);
+}
+
+auto release_body(const std::string& span) -> std::string
+{
+    json::object body;
+    body["span"] = span;
+    return json::serialize(body);
 }
 
 auto cancel_body(const std::string& engine_request) -> std::string
--- a/src/upstream/engine_json.h
+++ b/src/upstream/engine_json.h
@@ -30,6 +30,13 @@
 /// Body of `POST /v1/completions`.
 [[nodiscard]] auto completion_body(const std::string& engine_request, const attempt_spec& spec,
                                    const std::string& prompt) -> std::string;
+/// Body of `POST /v1/kv/export`.
+[[nodiscard]] auto export_body(const std::string& engine_request, const attempt_spec& spec,
+                               const std::string& prompt) -> std::string;
+/// Body of `POST /v1/kv/import`.
+[[nodiscard]] auto import_body(const std::string& engine_request, const span_import& what) -> std::string;
+/// Body of `POST /v1/kv/release`.
+[[nodiscard]] auto release_body(const std::string& span) -> std::string;
 /// Body of `POST /v1/cancel`.
 [[nodiscard]] auto cancel_body(const std::string& engine_request) -> std::string;
 /// Reads one event of a completion's stream.
