--- a/include/dragonflymill/gang/gang_candidates.h
+++ b/include/dragonflymill/gang/gang_candidates.h
@@ -10,4 +10,8 @@
 [[nodiscard]] auto gang_candidates(const upstream_table& table, const model_id& model,
                                    const adapter_id& adapter, double share) -> std::vector<gang_candidate>;
 
+/// Whether some upstream serves the model and none of them, by itself, may hold `tokens`.
+[[nodiscard]] auto needs_gang(const upstream_table& table, const model_id& model, const adapter_id& adapter,
+                              token_count tokens, double share) -> bool;
+
 } // namespace dragonflymill
--- a/include/dragonflymill/route/upstream_description.h
+++ b/include/dragonflymill/route/upstream_description.h
@@ -22,6 +22,7 @@
     token_count prefill_chunk = 512;  ///< Tokens of prefill in one step of the engine.
     duration decode_step{8'000};      ///< Time of a step with one running request.
     duration decode_step_growth{100}; ///< What each further running request adds to a step.
+    token_count max_outstanding = 0;  ///< Tokens that its sidecar lets in when warm; 0 if not known.
     bool takes_bulk = true;           ///< Whether long prefill may go there; see `reserve_for_short`.
 
     friend auto operator==(const upstream_description&, const upstream_description&) -> bool = default;
--- a/include/dragonflymill/serve/completion_desk.h
+++ b/include/dragonflymill/serve/completion_desk.h
@@ -4,6 +4,7 @@
 #include "dragonflymill/retry/retry_rules.h"
 #include "dragonflymill/route/predicted_first_token.h"
 #include "dragonflymill/route/router.h"
+#include "dragonflymill/serve/gang_desk.h"
 #include "dragonflymill/serve/gateway_messages.h"
 #include "dragonflymill/stream/stream_joiner.h"
 #include "dragonflymill/time/timer_service.h"
@@ -21,9 +22,10 @@
 class completion_desk
 {
 public:
-    /// Works with `routes` and `rules`, which the owner keeps alive, for the gateway `self`; holds at most
-    /// `capacity` requests.
-    completion_desk(process_id self, gateway_router& routes, retry_rules& rules, std::size_t capacity);
+    /// Works with `routes`, `rules` and `gangs`, which the owner keeps alive, for the gateway `self`; holds
+    /// at most `capacity` requests.
+    completion_desk(process_id self, gateway_router& routes, retry_rules& rules, gang_desk& gangs,
+                    std::size_t capacity);
 
     /// A caller asks.
     void arrived(instant now, const gateway_input::completion_arrived& input,
@@ -41,6 +43,10 @@
     /// A try says that the answer is whole.
     void finished(instant now, const gateway_input::attempt_finished& input,
                   std::vector<gateway_action>& actions);
+    /// The engines of a gang are ready for the answer.
+    void decode(instant now, const gang_decode& made, std::vector<gateway_action>& actions);
+    /// A gang can't be had or was lost.
+    void lost(instant now, const gang_lost& loss, std::vector<gateway_action>& actions);
     /// Acts on what is due.
     void tick(instant now, std::vector<gateway_action>& actions);
 
@@ -81,6 +87,8 @@
     using requests = std::map<exchange_number, request>;
 
     void dispatch(instant now, requests::iterator held, std::vector<gateway_action>& actions);
+    void open(instant now, requests::iterator held, const route_request& routing, const route_choice& choice,
+              const gang_decode* gang, std::vector<gateway_action>& actions);
     void end_attempt(instant now, request& item);
     void act_on(instant now, requests::iterator held, std::vector<stream_output> outputs, const refusal& why,
                 std::vector<gateway_action>& actions);
@@ -95,6 +103,7 @@
     process_id self_;
     gateway_router& routes_;
     retry_rules& rules_;
+    gang_desk& gangs_;
     requests requests_;
     timer_service<wake_key> timers_;
     std::size_t capacity_;
--- a/include/dragonflymill/serve/gateway_core.h
+++ b/include/dragonflymill/serve/gateway_core.h
@@ -77,6 +77,9 @@
     void take(instant now, const gateway_input::drains_changed& input, actions_out& actions);
     void take(instant now, const gateway_input::gateways_changed& input, actions_out& actions);
     void take(instant now, const gateway_input::share_granted& input, actions_out& actions);
+    void take(instant now, const share_granted& input, actions_out& actions);
+    void take(instant now, const share_refused& input, actions_out& actions);
+    void take(instant now, const share_released& input, actions_out& actions);
     void take(instant now, const gateway_input::stop_asked& input, actions_out& actions);
     void take(instant now, const gateway_input::tick& input, actions_out& actions);
 
@@ -87,6 +90,7 @@
     void give_back(instant now, exchange_number exchange, token_count extra);
     void settle_accounts(instant now, const actions_out& actions);
     void apply_drains();
+    void follow_gangs(instant now, actions_out& actions);
     void say_if_done(actions_out& actions);
 
     gateway_core_options options_;
@@ -94,6 +98,7 @@
     retry_rules rules_;
     account_limiter limiter_;
     std::map<exchange_number, admitted> admitted_; // in step with what the desks have in hand
+    gang_desk gangs_;
     completion_desk completions_;
     call_desk calls_;
     std::shared_ptr<const bundle> in_force_;
--- a/include/dragonflymill/serve/gateway_messages.h
+++ b/include/dragonflymill/serve/gateway_messages.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/bundle/bundle.h"
 #include "dragonflymill/core/refusal.h"
+#include "dragonflymill/gang/gang_messages.h"
 #include "dragonflymill/limit/account_limiter.h"
 #include "dragonflymill/once/once_ledger.h"
 #include "dragonflymill/route/prompt_blocks.h"
@@ -92,6 +93,7 @@
     attempt_key key;         ///< The try.
     token_offset tokens = 0; ///< Length of the whole answer.
     std::string reason;      ///< Why it ends there.
+    std::string source{};    ///< Address where other engines read the span, if it was a try at one.
 };
 /// The call broke: its connection is gone or was replaced.
 struct attempt_broken
@@ -170,15 +172,14 @@
 } // namespace gateway_input
 
 /// Everything that `gateway_core` takes in.
-using gateway_event =
-    std::variant<gateway_input::completion_arrived, gateway_input::service_arrived,
-                 gateway_input::caller_left, gateway_input::attempt_granted, gateway_input::attempt_refused,
-                 gateway_input::attempt_tokens, gateway_input::attempt_finished,
-                 gateway_input::attempt_broken, gateway_input::service_answered,
-                 gateway_input::service_refused, gateway_input::ticket_given, gateway_input::service_running,
-                 gateway_input::load_heard, gateway_input::upstream_changed, gateway_input::bundle_adopted,
-                 gateway_input::drains_changed, gateway_input::gateways_changed, gateway_input::share_granted,
-                 gateway_input::stop_asked, gateway_input::tick>;
+using gateway_event = std::variant<
+    gateway_input::completion_arrived, gateway_input::service_arrived, gateway_input::caller_left,
+    gateway_input::attempt_granted, gateway_input::attempt_refused, gateway_input::attempt_tokens,
+    gateway_input::attempt_finished, gateway_input::attempt_broken, gateway_input::service_answered,
+    gateway_input::service_refused, gateway_input::ticket_given, gateway_input::service_running,
+    gateway_input::load_heard, gateway_input::upstream_changed, gateway_input::bundle_adopted,
+    gateway_input::drains_changed, gateway_input::gateways_changed, gateway_input::share_granted,
+    share_granted, share_refused, share_released, gateway_input::stop_asked, gateway_input::tick>;
 
 /// Outputs of `gateway_core`.
 namespace gateway_output {
@@ -269,7 +270,7 @@
     std::variant<gateway_output::open_attempt, gateway_output::send_prompt, gateway_output::cancel_attempt,
                  gateway_output::call_service, gateway_output::deliver, gateway_output::finish,
                  gateway_output::refuse, gateway_output::answer_service, gateway_output::give_ticket,
-                 gateway_output::tell_running, gateway_output::connect_upstreams,
-                 gateway_output::ask_for_share, gateway_output::all_done>;
+                 gateway_output::tell_running, reserve_share, renew_share, release_share,
+                 gateway_output::connect_upstreams, gateway_output::ask_for_share, gateway_output::all_done>;
 
 } // namespace dragonflymill
--- a/src/gateway/attempt_call.cpp
+++ b/src/gateway/attempt_call.cpp
@@ -144,8 +144,8 @@
             std::vector<std::string>(tokens.text().begin(), tokens.text().end())}));
     }
     else if (event.has_finished()) {
-        sink_(gateway_event(
-            gateway_input::attempt_finished{who_.key, event.finished().tokens(), event.finished().reason()}));
+        sink_(gateway_event(gateway_input::attempt_finished{
+            who_.key, event.finished().tokens(), event.finished().reason(), event.finished().source()}));
     }
 }
 
--- a/src/gateway/completion_request.cpp
+++ b/src/gateway/completion_request.cpp
@@ -236,4 +236,20 @@
     return static_cast<token_count>((prompt_bytes + bytes_per_token - 1) / bytes_per_token);
 }
 
+auto span_text(const std::string& prompt, token_count begin, token_count end) -> std::string
+{
+    const auto place_of = [&prompt](token_count token) {
+        auto place = std::min(prompt.size(), static_cast<std::size_t>(token) * bytes_per_token);
+        constexpr unsigned char lead_mask = 0xC0;
+        constexpr unsigned char continuation = 0x80;
+        while (place < prompt.size() &&
+               (static_cast<unsigned char>(prompt[place]) & lead_mask) == continuation) {
+            ++place;
+        }
+        return place;
+    };
+    const auto from = place_of(begin);
+    return prompt.substr(from, place_of(end) - from);
+}
+
 } // namespace dragonflymill::gateway
--- a/src/gateway/completion_request.h
+++ b/src/gateway/completion_request.h
@@ -28,5 +28,7 @@
 
 /// Tokens that a prompt is counted as before an engine has seen it: one for each four bytes, rounded up.
 [[nodiscard]] auto estimate_tokens(std::size_t prompt_bytes) -> token_count;
+/// Text of a prompt's tokens from `begin` to `end`, counted as above; characters stay whole.
+[[nodiscard]] auto span_text(const std::string& prompt, token_count begin, token_count end) -> std::string;
 
 } // namespace dragonflymill::gateway
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -3,6 +3,7 @@
 #include "app/version.h"
 #include "dragonflymill/core/stable_hash.h"
 #include "gateway/answer_text.h"
+#include "gateway/completion_request.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 
@@ -279,8 +280,17 @@
     timeline_.record_send(held->second.request, "attempt",
                           attempt_message(action.spec.request, action.spec.attempt, open_message),
                           action.upstream.text() + " " + to_string(action.reason));
+    if (action.spec.share != lease_id{} && !action.spec.is_export()) {
+        log_event(event::gang_reserved, field("request", action.spec.request),
+                  field("upstream", action.upstream));
+    }
+    auto prompt = held->second.prompt;
+    if (action.spec.is_export()) {
+        prompt = std::make_shared<const std::string>(
+            span_text(*prompt, action.spec.span_begin, action.spec.span_end));
+    }
     link->second->lane(runtime::now(), action.spec.size)
-        .open_attempt(action.key, action.spec, held->second.prompt);
+        .open_attempt(action.key, action.spec, std::move(prompt));
 }
 
 void gateway_shell::act(const gateway_output::send_prompt& action)
@@ -415,6 +425,32 @@
     }
 }
 
+template <typename Wanted>
+void gateway_shell::call_share(const Wanted& wanted)
+{
+    const auto link = links_.find(wanted.upstream);
+    if (link != links_.end()) {
+        link->second->lane(runtime::now(), length_class::interactive).call_share(wanted);
+    }
+}
+
+void gateway_shell::act(const reserve_share& action)
+{
+    timeline_.record(action.gang.request, "share_asked", action.upstream.text());
+    call_share(action);
+}
+
+void gateway_shell::act(const renew_share& action)
+{
+    call_share(action);
+}
+
+void gateway_shell::act(const release_share& action)
+{
+    timeline_.record(action.gang.request, "share_released", action.upstream.text());
+    call_share(action);
+}
+
 void gateway_shell::act(const gateway_output::connect_upstreams& action)
 {
     std::set<upstream_id> wanted;
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -92,10 +92,15 @@
     void act(const gateway_output::answer_service& action);
     void act(const gateway_output::give_ticket& action);
     void act(const gateway_output::tell_running& action);
+    void act(const reserve_share& action);
+    void act(const renew_share& action);
+    void act(const release_share& action);
     void act(const gateway_output::connect_upstreams& action);
     void act(const gateway_output::ask_for_share& action);
     void act(const gateway_output::all_done& action);
 
+    template <typename Wanted>
+    void call_share(const Wanted& wanted);
     void follow_up(gateway_event event);
     void respond(exchange_number number, http::http_response response);
     void count_first_token(const exchange& held);
--- a/src/gateway/lane_connection.cpp
+++ b/src/gateway/lane_connection.cpp
@@ -16,6 +16,7 @@
 constexpr int first_reconnect_ms = 100;
 constexpr int longest_reconnect_ms = 1'000;
 constexpr duration deadline_slack = 2s;
+constexpr duration share_call_limit = 2s;
 
 auto make_channel(const std::string& address) -> std::shared_ptr<grpc::Channel>
 {
@@ -34,11 +35,11 @@
 }
 
 /// A call with one answer, kept until it has come.
-template <typename Reply>
+template <typename Reply, typename Request = wire::service_call>
 struct pending_reply
 {
     grpc::ClientContext context;
-    wire::service_call request;
+    Request request;
     Reply reply;
 };
 
@@ -66,6 +67,16 @@
         reply.replayed()};
 }
 
+auto share_event(const gang_key& gang, const upstream_id& upstream, const wire::gang_share_reply& reply)
+    -> gateway_event
+{
+    if (reply.has_refused()) {
+        const auto why = rpc::from_wire(reply.refused());
+        return share_refused{gang, upstream, why.retry_after, reply.in_line()};
+    }
+    return share_granted{gang, upstream, lease_id(reply.lease()), reply.ask()};
+}
+
 auto ticket_event(const attempt_key& key, const grpc::Status& status, const wire::ticket_reply& reply)
     -> gateway_event
 {
@@ -170,6 +181,60 @@
     return true;
 }
 
+template <typename Method, typename Answer>
+void lane_connection::ask_about_share(wire::gang_share_request request, Method method, Answer answer)
+{
+    const auto pending = std::make_shared<pending_reply<wire::gang_share_reply, wire::gang_share_request>>();
+    pending->context.set_deadline(std::chrono::system_clock::now() + share_call_limit);
+    pending->request = std::move(request);
+    calls_.begin(pending->context);
+    method(*stub_->async(), &pending->context, &pending->request, &pending->reply,
+           [pending, answer, upstream = who_.upstream, sink = sink_,
+            &calls = calls_](const grpc::Status& status) {
+               const auto& reply = pending->reply;
+               if (status.ok() && reply.has_load()) {
+                   sink(gateway_event(gateway_input::load_heard{upstream, rpc::from_wire(reply.load())}));
+               }
+               // A call that breaks says nothing: the planner asks again, or gives the share back.
+               if (status.ok()) {
+                   answer(sink, upstream, reply);
+               }
+               calls.end(pending->context);
+           });
+}
+
+void lane_connection::call_share(const reserve_share& wanted)
+{
+    ask_about_share(
+        rpc::to_wire(who_.gateway, wanted),
+        [](auto& stub, auto... arguments) { stub.reserve_share(arguments...); },
+        [gang = wanted.gang](const link_sink& sink, const upstream_id& upstream, const auto& reply) {
+            sink(share_event(gang, upstream, reply));
+        });
+}
+
+void lane_connection::call_share(const renew_share& wanted)
+{
+    ask_about_share(
+        rpc::to_wire(who_.gateway, wanted),
+        [](auto& stub, auto... arguments) { stub.renew_share(arguments...); },
+        [gang = wanted.gang](const link_sink& sink, const upstream_id& upstream, const auto& reply) {
+            sink(share_event(gang, upstream, reply));
+        });
+}
+
+void lane_connection::call_share(const release_share& wanted)
+{
+    ask_about_share(
+        rpc::to_wire(who_.gateway, wanted),
+        [](auto& stub, auto... arguments) { stub.release_share(arguments...); },
+        [gang = wanted.gang](const link_sink& sink, const upstream_id& upstream, const auto& reply) {
+            if (!reply.has_refused()) {
+                sink(gateway_event(share_released{gang, upstream}));
+            }
+        });
+}
+
 void lane_connection::tick(instant now)
 {
     if (now < next_heartbeat_) {
--- a/src/gateway/lane_connection.h
+++ b/src/gateway/lane_connection.h
@@ -39,6 +39,12 @@
     /// Calls the plain service. False, with nothing sent, if the connection was not proven alive of late.
     [[nodiscard]] auto call_service(instant now, const attempt_key& key, service_wish wish,
                                     const service_spec& spec) -> bool;
+    /// Asks for, renews or gives back a share. Nothing comes back if the call breaks: the planner asks again.
+    void call_share(const reserve_share& wanted);
+    /// Renews a share.
+    void call_share(const renew_share& wanted);
+    /// Gives a share back.
+    void call_share(const release_share& wanted);
 
     /// An answer to a heartbeat has come.
     void heard(instant now) { heard_at_ = now; }
@@ -52,6 +58,8 @@
     [[nodiscard]] auto number() const -> std::uint64_t { return who_.connection; }
 
 private:
+    template <typename Method, typename Answer>
+    void ask_about_share(wire::gang_share_request request, Method method, Answer answer);
     [[nodiscard]] auto patience() const -> duration;
 
     heartbeat_call::identity who_;
--- a/src/serve/completion_desk.cpp
+++ b/src/serve/completion_desk.cpp
@@ -30,10 +30,11 @@
 } // namespace
 
 completion_desk::completion_desk(process_id self, gateway_router& routes, retry_rules& rules,
-                                 std::size_t capacity)
+                                 gang_desk& gangs, std::size_t capacity)
     : self_(std::move(self))
     , routes_(routes)
     , rules_(rules)
+    , gangs_(gangs)
     , timers_(capacity * timers_per_request)
     , capacity_(capacity)
 {
@@ -63,6 +64,11 @@
 void completion_desk::dispatch(instant now, requests::iterator held, std::vector<gateway_action>& actions)
 {
     auto& item = held->second;
+    if (gangs_.needed(item.routing)) {
+        ++item.attempts;
+        gangs_.start(now, item.asked, item.limit, actions);
+        return;
+    }
     auto decision = routes_.choose(now, item.routing);
     if (std::holds_alternative<route_refusal>(decision) && !item.routing.excluded.empty()) {
         // Those that failed it once are better than none: a fault there may be over.
@@ -73,14 +79,21 @@
         give_up(now, held, refusal_of(*none), actions);
         return;
     }
-    const auto& choice = std::get<route_choice>(decision);
+    ++item.attempts;
+    open(now, held, item.routing, std::get<route_choice>(decision), nullptr, actions);
+}
+
+void completion_desk::open(instant now, requests::iterator held, const route_request& routing,
+                           const route_choice& choice, const gang_decode* gang,
+                           std::vector<gateway_action>& actions)
+{
+    auto& item = held->second;
     item.running = item.joiner.attempt();
-    if (!routes_.sent(now, item.routing, item.running, choice)) {
+    if (!routes_.sent(now, routing, item.running, choice)) {
         give_up(now, held, {refusal_code::overloaded, ran_state::no, routeless_retry_hint, "come back later"},
                 actions);
         return;
     }
-    ++item.attempts;
     item.at = choice.upstream;
     item.first_token_seen = false;
     attempt_spec spec{
@@ -88,10 +101,48 @@
         item.asked.model,         item.asked.adapter,    choice.size,    item.asked.standing,
         item.asked.prompt_tokens, item.asked.max_tokens, choice.prefill, item.joiner.delivered(),
         item.limit.remaining(now)};
+    if (gang != nullptr) {
+        spec.share = gang->share;
+        spec.imports = gang->imports;
+    }
     actions.push_back(gateway_output::open_attempt{choice.upstream, attempt_key{held->first, item.running},
                                                    std::move(spec), choice.reason});
 }
 
+void completion_desk::decode(instant now, const gang_decode& made, std::vector<gateway_action>& actions)
+{
+    const auto held = requests_.find(made.exchange);
+    if (held == requests_.end()) {
+        return;
+    }
+    // Only its own part of the prompt takes the engine's time and memory.
+    auto part = held->second.routing;
+    part.prompt_tokens = made.prefill;
+    part.blocks.clear();
+    const route_choice choice{made.upstream, route_reason::only_candidate, length_class::gang, made.prefill};
+    open(now, held, part, choice, &made, actions);
+}
+
+void completion_desk::lost(instant now, const gang_lost& loss, std::vector<gateway_action>& actions)
+{
+    const auto held = requests_.find(loss.exchange);
+    if (held == requests_.end()) {
+        return;
+    }
+    const auto& item = held->second;
+    if (!item.at.empty()) {
+        const attempt_key running{held->first, item.running};
+        actions.push_back(gateway_output::cancel_attempt{running});
+        refused(now, {running, loss.why}, actions);
+    }
+    else if (loss.is_final) {
+        give_up(now, held, loss.why, actions);
+    }
+    else {
+        try_again(now, held, loss.why, actions);
+    }
+}
+
 void completion_desk::granted(instant now, const attempt_key& key, std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(key.exchange);
@@ -230,6 +281,7 @@
         item.routing.excluded.push_back(item.at);
         end_attempt(now, item);
     }
+    gangs_.give_back(now, held->first, actions);
     const auto others = routes_.choose(now, item.routing);
     const failed_attempt failed{call_kind::stream, why.ran,
                                 why.code,          why.retry_after,
@@ -291,6 +343,7 @@
         actions.push_back(gateway_output::cancel_attempt{{held->first, item.running}});
         end_attempt(now, item);
     }
+    gangs_.finish(now, held->first, actions);
     timers_.cancel(item.limit_timer);
     if (item.other_timer) {
         timers_.cancel(*item.other_timer);
--- /dev/null
+++ b/src/serve/gang_desk.cpp
@@ -0,0 +1,302 @@
+#include "dragonflymill/serve/gang_desk.h"
+
+#include "dragonflymill/gang/gang_candidates.h"
+#include "dragonflymill/serve/share_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill {
+
+namespace {
+
+/// Part of an engine that gangs may take; the rest stays for shorter requests.
+constexpr double gang_part = 0.8;
+/// An imported span takes this part of its tokens where the answer is decoded.
+constexpr token_count import_part = 64;
+/// Tries at spans are numbered from here, those at the answer from 1.
+constexpr std::uint64_t first_export = std::uint64_t{1} << 32U;
+constexpr duration full_retry = 1s;
+
+} // namespace
+
+gang_desk::gang_desk(process_id self, const upstream_table& table, std::uint64_t seed)
+    : self_(std::move(self))
+    , table_(table)
+    , seed_(seed)
+    , late_(seed)
+{
+}
+
+auto gang_desk::needed(const route_request& request) const -> bool
+{
+    return needs_gang(table_, request.model, request.adapter, request.prompt_tokens + request.max_tokens,
+                      gang_part);
+}
+
+void gang_desk::start(instant now, const gateway_input::completion_arrived& asked,
+                      const deadline_budget& limit, actions_out& actions)
+{
+    if (under_way() >= gang_settings{}.max_gangs) {
+        outcomes_.emplace_back(gang_lost{
+            asked.exchange,
+            {refusal_code::overloaded, ran_state::no, full_retry, "send it again after the time given"},
+            true});
+        return;
+    }
+    const auto held = gangs_.try_emplace(asked.exchange, gang{asked, limit}).first;
+    auto& item = held->second;
+    item.asked.blocks.clear();
+    item.state = phase::reserving;
+    const attempt_number round(item.round.value() + 1);
+    note_round({asked.request, round});
+    // The last share, where the answer is decoded, has room for the answer and for what imports take.
+    const gang_request wanted{asked.request, asked.prompt_tokens,
+                              asked.max_tokens + asked.prompt_tokens / import_part + 1};
+    const auto candidates = candidates_of({asked.model, asked.adapter});
+    carry_out(now, planner_of(item).start(now, wanted, round, limit, candidates), actions);
+}
+
+void gang_desk::give_back(instant now, exchange_number exchange, actions_out& actions)
+{
+    const auto held = gangs_.find(exchange);
+    if (held == gangs_.end()) {
+        return;
+    }
+    auto& item = held->second;
+    end_export(exchange, item, actions);
+    item.state = phase::idle;
+    carry_out(now, planner_of(item).finish(now, item.asked.request), actions);
+}
+
+void gang_desk::finish(instant now, exchange_number exchange, actions_out& actions)
+{
+    give_back(now, exchange, actions);
+    gangs_.erase(exchange);
+}
+
+auto gang_desk::is_export(const attempt_key& key) -> bool
+{
+    return key.attempt.value() >= first_export;
+}
+
+void gang_desk::granted(const attempt_key& key, actions_out& actions) const
+{
+    const auto held = gangs_.find(key.exchange);
+    // Guards against a grant that comes after the gang was given up: the text would start work for nobody.
+    if (held == gangs_.end() || held->second.exporting != key.attempt) {
+        actions.emplace_back(gateway_output::cancel_attempt{key});
+        return;
+    }
+    actions.emplace_back(gateway_output::send_prompt{key});
+}
+
+void gang_desk::refused(instant now, const gateway_input::attempt_refused& input, actions_out& actions)
+{
+    const auto held = find_export(input.key);
+    if (held == gangs_.end()) {
+        return;
+    }
+    held->second.exporting = attempt_number{0};
+    give_back(now, input.key.exchange, actions);
+    auto why = input.why;
+    why.code = refusal_code::upstream_gone; // one member's trouble; another gang may do
+    outcomes_.emplace_back(gang_lost{input.key.exchange, std::move(why), false});
+}
+
+void gang_desk::finished(instant now, const gateway_input::attempt_finished& input, actions_out& actions)
+{
+    const auto held = find_export(input.key);
+    if (held == gangs_.end()) {
+        return;
+    }
+    auto& item = held->second;
+    const auto& span = item.spans[item.computed.size()];
+    item.computed.push_back(
+        {span_name({item.asked.request, item.round}, span.upstream), input.source, span.begin, span.end});
+    item.exporting = attempt_number{0};
+    next_span(now, held, actions);
+}
+
+void gang_desk::step(instant now, const share_granted& granted, actions_out& actions)
+{
+    const auto held = find(granted.gang.request);
+    auto& planner = held == gangs_.end() ? late_ : planner_of(held->second);
+    carry_out(now, planner.step(now, granted), actions);
+}
+
+void gang_desk::step(instant now, const share_refused& refused, actions_out& actions)
+{
+    const auto held = find(refused.gang.request);
+    if (held != gangs_.end()) {
+        carry_out(now, planner_of(held->second).step(now, refused), actions);
+    }
+}
+
+void gang_desk::step(instant now, const share_released& released)
+{
+    late_.step(now, released);
+    for (auto& [model, planner] : planners_) {
+        planner.step(now, released);
+    }
+}
+
+void gang_desk::upstream_gone(instant now, const upstream_id& upstream, actions_out& actions)
+{
+    for (auto& [model, planner] : planners_) {
+        carry_out(now, planner.upstream_gone(now, upstream), actions);
+    }
+}
+
+void gang_desk::tick(instant now, actions_out& actions)
+{
+    const auto is_due = [now](const gang_planner& planner) {
+        const auto wake = planner.next_wake();
+        return wake && *wake <= now;
+    };
+    if (is_due(late_)) {
+        carry_out(now, late_.wake(now, {}), actions);
+    }
+    for (auto next = planners_.begin(); next != planners_.end();) {
+        auto& planner = next->second;
+        if (is_due(planner)) {
+            carry_out(now, planner.wake(now, candidates_of(next->first)), actions);
+        }
+        const bool idle = planner.gangs() == 0 && planner.releases() == 0;
+        next = idle ? planners_.erase(next) : std::next(next);
+    }
+}
+
+auto gang_desk::releases() const -> std::size_t
+{
+    auto sum = late_.releases();
+    for (const auto& [model, planner] : planners_) {
+        sum += planner.releases();
+    }
+    return sum;
+}
+
+auto gang_desk::planner_of(const gang& item) -> gang_planner&
+{
+    const model_key model{item.asked.model, item.asked.adapter};
+    return planners_.try_emplace(model, seed_).first->second;
+}
+
+auto gang_desk::find(const request_id& request) -> gangs::iterator
+{
+    return std::find_if(gangs_.begin(), gangs_.end(),
+                        [&](const auto& each) { return each.second.asked.request == request; });
+}
+
+auto gang_desk::find_export(const attempt_key& key) -> gangs::iterator
+{
+    const auto held = gangs_.find(key.exchange);
+    return held != gangs_.end() && held->second.exporting == key.attempt ? held : gangs_.end();
+}
+
+auto gang_desk::candidates_of(const model_key& model) const -> std::vector<gang_candidate>
+{
+    return gang_candidates(table_, model.first, model.second, gang_part);
+}
+
+auto gang_desk::under_way() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(
+        gangs_.begin(), gangs_.end(), [](const auto& each) { return each.second.state != phase::idle; }));
+}
+
+void gang_desk::carry_out(instant now, std::vector<gang_output> outputs, actions_out& actions)
+{
+    for (auto& output : outputs) {
+        if (auto* reserve = std::get_if<reserve_share>(&output)) {
+            note_round(reserve->gang);
+            actions.emplace_back(std::move(*reserve));
+        }
+        else if (auto* renew = std::get_if<renew_share>(&output)) {
+            actions.emplace_back(std::move(*renew));
+        }
+        else if (auto* release = std::get_if<release_share>(&output)) {
+            actions.emplace_back(std::move(*release));
+        }
+        else if (const auto* made = std::get_if<gang_ready>(&output)) {
+            ready(now, *made, actions);
+        }
+        else if (const auto* lost = std::get_if<gang_failed>(&output)) {
+            failed(*lost, actions);
+        }
+    }
+}
+
+void gang_desk::note_round(const gang_key& key)
+{
+    const auto held = find(key.request);
+    if (held != gangs_.end()) {
+        held->second.round = std::max(held->second.round, key.round);
+    }
+}
+
+void gang_desk::ready(instant now, const gang_ready& made, actions_out& actions)
+{
+    const auto held = find(made.gang.request);
+    if (held == gangs_.end()) {
+        return;
+    }
+    held->second.spans = made.spans;
+    held->second.computed.clear();
+    next_span(now, held, actions);
+}
+
+void gang_desk::next_span(instant now, gangs::iterator held, actions_out& actions)
+{
+    auto& item = held->second;
+    const auto& span = item.spans[item.computed.size()];
+    if (item.computed.size() + 1 == item.spans.size()) {
+        item.state = phase::decoding;
+        outcomes_.emplace_back(
+            gang_decode{held->first, span.upstream, span.lease, span.end - span.begin, item.computed});
+        return;
+    }
+    item.state = phase::computing;
+    item.exporting = attempt_number(first_export + ++exports_);
+    attempt_spec spec;
+    spec.request = item.asked.request;
+    spec.attempt = item.exporting;
+    spec.gateway = self_;
+    spec.account = item.asked.account;
+    spec.model = item.asked.model;
+    spec.adapter = item.asked.adapter;
+    spec.size = length_class::gang;
+    spec.standing = item.asked.standing;
+    spec.prompt_tokens = span.end - span.begin;
+    spec.prefill = spec.prompt_tokens;
+    spec.remaining = item.limit.remaining(now);
+    spec.share = span.lease;
+    spec.exported_span = span_name({item.asked.request, item.round}, span.upstream);
+    spec.span_begin = span.begin;
+    spec.span_end = span.end;
+    actions.emplace_back(
+        gateway_output::open_attempt{span.upstream, {held->first, item.exporting}, std::move(spec)});
+}
+
+void gang_desk::failed(const gang_failed& lost, actions_out& actions)
+{
+    const auto held = find(lost.gang.request);
+    if (held == gangs_.end()) {
+        return;
+    }
+    auto& item = held->second;
+    const bool never_ready = item.state == phase::reserving;
+    end_export(held->first, item, actions);
+    item.state = phase::idle;
+    outcomes_.emplace_back(gang_lost{held->first, lost.why, never_ready});
+}
+
+void gang_desk::end_export(exchange_number exchange, gang& item, actions_out& actions)
+{
+    if (item.exporting != attempt_number{0}) {
+        actions.emplace_back(gateway_output::cancel_attempt{{exchange, item.exporting}});
+        item.exporting = attempt_number{0};
+    }
+}
+
+} // namespace dragonflymill
--- a/src/serve/gateway_core.cpp
+++ b/src/serve/gateway_core.cpp
@@ -42,6 +42,7 @@
         made.failure_domain = entry.domain;
         made.models = entry.models;
         made.memory = entry.memory_tokens;
+        made.max_outstanding = entry.memory_tokens > 0 ? entry.max_outstanding : 0;
         for (const auto& domain : in_force.domains) {
             if (domain.id == entry.domain) {
                 made.region = domain.region;
@@ -68,7 +69,8 @@
     , routes_(predicted_first_token(policy_settings(options)))
     , rules_(options.seed, options.retry)
     , limiter_(account_limiter_settings{.self = options.self}, now)
-    , completions_(options.self, routes_, rules_, options.max_requests)
+    , gangs_(options.self, routes_.table(), options.seed)
+    , completions_(options.self, routes_, rules_, gangs_, options.max_requests)
     , calls_(routes_, rules_, options.ticket_key, options.max_calls)
 {
 }
@@ -77,10 +79,25 @@
 {
     actions_out actions;
     std::visit([&](const auto& input) { take(now, input, actions); }, event);
+    follow_gangs(now, actions);
     settle_accounts(now, actions);
     return actions;
 }
 
+void gateway_core::follow_gangs(instant now, actions_out& actions)
+{
+    for (auto outcomes = gangs_.take_outcomes(); !outcomes.empty(); outcomes = gangs_.take_outcomes()) {
+        for (const auto& outcome : outcomes) {
+            if (const auto* made = std::get_if<gang_decode>(&outcome)) {
+                completions_.decode(now, *made, actions);
+            }
+            else {
+                completions_.lost(now, std::get<gang_lost>(outcome), actions);
+            }
+        }
+    }
+}
+
 auto gateway_core::share_asked(instant now, const share_request& request) -> share_grant
 {
     return limiter_.share_asked(now, request);
@@ -172,11 +189,19 @@
 
 void gateway_core::take(instant now, const gateway_input::attempt_granted& input, actions_out& actions)
 {
+    if (gang_desk::is_export(input.key)) {
+        gangs_.granted(input.key, actions);
+        return;
+    }
     completions_.granted(now, input.key, actions);
 }
 
 void gateway_core::take(instant now, const gateway_input::attempt_refused& input, actions_out& actions)
 {
+    if (gang_desk::is_export(input.key)) {
+        gangs_.refused(now, input, actions);
+        return;
+    }
     completions_.refused(now, input, actions);
     say_if_done(actions);
 }
@@ -188,14 +213,17 @@
 
 void gateway_core::take(instant now, const gateway_input::attempt_finished& input, actions_out& actions)
 {
+    if (gang_desk::is_export(input.key)) {
+        gangs_.finished(now, input, actions);
+        return;
+    }
     completions_.finished(now, input, actions);
     say_if_done(actions);
 }
 
 void gateway_core::take(instant now, const gateway_input::attempt_broken& input, actions_out& actions)
 {
-    completions_.refused(now, {input.key, broken_refusal(input.prompt_sent)}, actions);
-    say_if_done(actions);
+    take(now, gateway_input::attempt_refused{input.key, broken_refusal(input.prompt_sent)}, actions);
 }
 
 void gateway_core::take(instant now, const gateway_input::service_answered& input, actions_out& actions)
@@ -227,10 +255,27 @@
     routes_.report(now, input.upstream, input.load);
 }
 
-void gateway_core::take(instant /*now*/, const gateway_input::upstream_changed& input,
-                        actions_out& /*actions*/)
+void gateway_core::take(instant now, const gateway_input::upstream_changed& input, actions_out& actions)
 {
     routes_.table().set_state(input.upstream, input.state);
+    if (input.state == upstream_state::dead) {
+        gangs_.upstream_gone(now, input.upstream, actions);
+    }
+}
+
+void gateway_core::take(instant now, const share_granted& input, actions_out& actions)
+{
+    gangs_.step(now, input, actions);
+}
+
+void gateway_core::take(instant now, const share_refused& input, actions_out& actions)
+{
+    gangs_.step(now, input, actions);
+}
+
+void gateway_core::take(instant now, const share_released& input, actions_out& /*actions*/)
+{
+    gangs_.step(now, input);
 }
 
 void gateway_core::take(instant now, const gateway_input::bundle_adopted& input, actions_out& actions)
@@ -304,6 +349,7 @@
 void gateway_core::take(instant now, const gateway_input::tick& /*input*/, actions_out& actions)
 {
     completions_.tick(now, actions);
+    gangs_.tick(now, actions);
     calls_.tick(now, actions);
     for (auto& asked : limiter_.tick(now)) {
         if (asked.home == options_.self) {
@@ -318,7 +364,7 @@
 
 void gateway_core::say_if_done(actions_out& actions)
 {
-    if (stopping_ && in_hand() == 0 && !said_all_done_) {
+    if (stopping_ && in_hand() == 0 && gangs_.releases() == 0 && !said_all_done_) {
         said_all_done_ = true;
         actions.push_back(gateway_output::all_done{});
     }
--- /dev/null
+++ b/tests/serve/gang_world.h
@@ -0,0 +1,578 @@
+#pragma once
+
+#include "dragonflymill/serve/gateway_core.h"
+#include "dragonflymill/serve/sidecar_core.h"
+#include "support/message_bag.h"
+
+#include <criterion/criterion.h>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonflymill::test {
+
+/// Gateways, sidecars and engines on a virtual clock: the real cores with a fake engine beside each sidecar.
+/// Tries travel on connections that keep their order until they break; calls about shares may be lost.
+class gang_world
+{
+public:
+    static constexpr token_count memory = 100'000;
+    static constexpr token_offset answer_tokens = 12;
+    static constexpr duration step_length = 20ms;
+    static constexpr duration export_time = 300ms;
+
+    struct engine
+    {
+        struct work
+        {
+            call_number call;
+            std::string name;
+            attempt_spec spec;
+            instant due;
+            token_offset offset = 0;
+        };
+        std::map<std::string, token_count> spans;
+        std::vector<work> works;
+        std::uint64_t start = 1;
+        bool loses_releases = false;
+        bool has_leftovers = false; // of a replaced sidecar, or begun before the sidecar saw a restart
+    };
+    struct answer
+    {
+        token_offset tokens = 0;
+        bool whole = false;
+        std::optional<refusal> refused;
+    };
+
+    instant now{1'000s};
+    std::vector<engine> engines;
+    std::map<exchange_number, answer> answers;
+
+    gang_world(std::size_t gateways, std::size_t engine_count, std::uint64_t seed = 1,
+               message_bag_rules rules = {})
+        : engines(engine_count)
+        , share_calls_(seed, rules)
+    {
+        for (std::size_t i = 0; i < engine_count; ++i) {
+            sidecars_.emplace_back();
+            restart_sidecar(i);
+            engines[i].has_leftovers = false;
+        }
+        for (std::size_t i = 0; i < gateways; ++i) {
+            add_gateway(i);
+        }
+        pass(1s);
+    }
+
+    void ask(std::size_t gateway, std::uint64_t number, token_count tokens, duration limit = 100s)
+    {
+        gateway_input::completion_arrived asked;
+        asked.exchange = exchange_number(number);
+        asked.request = request_id("r" + std::to_string(number));
+        asked.account = client_account_id("a");
+        asked.model = model_id("m");
+        asked.prompt_tokens = tokens;
+        asked.max_tokens = answer_tokens;
+        asked.time_limit = limit;
+        answers[asked.exchange] = {};
+        asked_at_[asked.exchange] = gateway;
+        feed(gateway, asked);
+    }
+    /// The caller leaves.
+    void leave(std::size_t gateway, std::uint64_t number)
+    {
+        feed(gateway, gateway_input::caller_left{exchange_number(number)});
+    }
+    auto answer_of(std::uint64_t number) -> answer& { return answers.at(exchange_number(number)); }
+
+    /// Lets time pass until `reached` is true; whether it was within `longest`.
+    template <typename Reached>
+    auto pass_until(Reached reached, duration longest = 100s) -> bool
+    {
+        for (const auto end = now + longest; now < end;) {
+            if (reached()) {
+                return true;
+            }
+            step();
+        }
+        return reached();
+    }
+    void pass(duration span)
+    {
+        static_cast<void>(pass_until([] { return false; }, span));
+    }
+    auto answered(std::uint64_t number) -> bool
+    {
+        return pass_until([&] { return answer_of(number).whole || answer_of(number).refused; });
+    }
+
+    /// The gateway's process dies: its connections break.
+    void kill_gateway(std::size_t gateway)
+    {
+        gateways_[gateway].reset();
+        for (auto& [number, call] : calls_) {
+            if (call.gateway == gateway && call.open) {
+                call.open = false;
+                to_sidecar(call.sidecar, sidecar_input::call_cancelled{number});
+            }
+        }
+    }
+    /// The sidecar's process is replaced: its connections break, its engine runs on.
+    void restart_sidecar(std::size_t sidecar)
+    {
+        sidecar_core_options options;
+        options.gate.ramp.floor = memory;
+        options.gate.ramp.ceiling = memory;
+        options.ledger.upstream = upstream_of(sidecar);
+        options.ledger.self = incarnation(++incarnations_);
+        options.ledger.started = now;
+        options.ledger.ticket_key = "a key of the tests";
+        options.seed = incarnations_;
+        sidecars_[sidecar] = std::make_unique<sidecar_core>(now, options);
+        engines[sidecar].has_leftovers = true;
+        break_calls(sidecar);
+    }
+    /// The engine's process dies and comes back empty.
+    void restart_engine(std::size_t number)
+    {
+        auto& dead = engines[number];
+        const auto works = std::exchange(dead.works, {});
+        dead.spans.clear();
+        ++dead.start;
+        dead.has_leftovers = true;
+        for (const auto& work : works) {
+            sidecar_event lost = sidecar_input::engine_failed{work.call};
+            feed_sidecar(number, lost);
+        }
+    }
+    /// Operators take an upstream out, or bring it back.
+    void drain(std::size_t sidecar, bool out) { feed_sidecar(sidecar, sidecar_input::drain_changed{out}); }
+    /// Connections of tries to the sidecar break on both sides.
+    void break_connections(std::size_t sidecar)
+    {
+        for (auto& [number, call] : calls_) {
+            if (call.sidecar == sidecar && call.open) {
+                to_sidecar(sidecar, sidecar_input::call_cancelled{number});
+            }
+        }
+        break_calls(sidecar);
+    }
+    void change_network(message_bag_rules rules) { share_calls_.change(rules); }
+
+    /// Whether the request's gateway is dead, so that nobody can answer.
+    auto asked_of_dead(exchange_number number) const -> bool { return !gateways_[asked_at_.at(number)]; }
+    /// Engine that computes a span, or decodes the answer of a gang.
+    auto busy_engine(bool exporting) const -> std::optional<std::size_t>
+    {
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            for (const auto& work : engines[i].works) {
+                if (work.spec.share != lease_id{} && work.spec.is_export() == exporting) {
+                    return i;
+                }
+            }
+        }
+        return std::nullopt;
+    }
+    /// Tokens that sidecars have promised or engines hold.
+    auto held() const -> token_count
+    {
+        token_count sum = 0;
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            sum += sidecars_[i]->load(now).outstanding;
+            sum += static_cast<token_count>(sidecars_[i]->in_hand());
+            sum += memory_of(engines[i]);
+        }
+        return sum;
+    }
+
+private:
+    struct call_info
+    {
+        std::size_t gateway = 0;
+        std::size_t sidecar = 0;
+        attempt_key key;   // of a try
+        gang_key gang;     // of a call about a share
+        bool open = false; // a try that has not ended
+    };
+    struct message
+    {
+        bool to_gateway = false;
+        std::size_t to = 0;
+        std::variant<gateway_event, sidecar_event> what;
+    };
+
+    static auto upstream_of(std::size_t sidecar) -> upstream_id
+    {
+        return upstream_id("e" + std::to_string(sidecar));
+    }
+    static auto memory_of(const engine& each) -> token_count
+    {
+        token_count sum = 0;
+        for (const auto& [name, tokens] : each.spans) {
+            sum += tokens;
+        }
+        for (const auto& work : each.works) {
+            sum += work.spec.is_export() ? 0 : work.spec.prefill + work.spec.max_tokens;
+        }
+        return sum;
+    }
+
+    void add_gateway(std::size_t number)
+    {
+        gateway_core_options options;
+        options.self = process_id("g" + std::to_string(number));
+        options.failure_domain = failure_domain_id("d");
+        options.region = region_id("r");
+        options.reserved_for_short = 0;
+        options.seed = number;
+        gateways_.push_back(std::make_unique<gateway_core>(now, options));
+        auto made = std::make_shared<bundle>();
+        made->version = bundle_version(1);
+        made->models.push_back({model_id("m"), {}, 1'000'000});
+        made->domains.push_back({failure_domain_id("d"), region_id("r"), true});
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            upstream_entry entry;
+            entry.id = upstream_of(i);
+            entry.domain = failure_domain_id("d");
+            entry.models = {model_id("m")};
+            entry.memory_tokens = memory;
+            entry.max_outstanding = memory;
+            made->upstreams.push_back(entry);
+        }
+        account_entry account;
+        account.id = client_account_id("a");
+        account.requests_per_second = 10'000;
+        account.tokens_per_second = 1e9;
+        account.max_in_flight = 1'000;
+        made->accounts.push_back(account);
+        feed(number, gateway_input::gateways_changed{{options.self}, 1});
+        feed(number, gateway_input::bundle_adopted{std::move(made)});
+    }
+
+    void step()
+    {
+        now += step_length;
+        std::deque<message> due;
+        due.swap(connections_);
+        for (const auto& each : due) {
+            deliver(each);
+        }
+        while (const auto each = share_calls_.take(now)) {
+            deliver(*each);
+        }
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            run_engine(i);
+            feed_sidecar(i, sidecar_input::tick{});
+        }
+        for (std::size_t i = 0; i < gateways_.size(); ++i) {
+            feed(i, gateway_input::tick{});
+        }
+        if ((now - instant{}) % 200ms == duration::zero()) {
+            report();
+        }
+        check_sources();
+    }
+
+    void report()
+    {
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            sidecar_input::engine_reported word;
+            word.word.start = incarnation(engines[i].start);
+            word.memory_used = memory_of(engines[i]);
+            for (const auto& [name, tokens] : engines[i].spans) {
+                word.held.push_back({name, tokens, true});
+            }
+            for (const auto& work : engines[i].works) {
+                if (!work.spec.is_export()) {
+                    word.held.push_back({work.name, 1, false});
+                }
+            }
+            feed_sidecar(i, word);
+            for (std::size_t g = 0; g < gateways_.size(); ++g) {
+                if (gateways_[g]) {
+                    feed_sidecar(i, sidecar_input::gateway_heard{process_id("g" + std::to_string(g))});
+                    feed(g, gateway_input::load_heard{upstream_of(i), sidecars_[i]->load(now)});
+                }
+            }
+        }
+    }
+
+    void run_engine(std::size_t number)
+    {
+        auto& own = engines[number];
+        std::vector<sidecar_event> said;
+        for (auto& work : own.works) {
+            if (work.due > now) {
+                continue;
+            }
+            work.due = now + step_length;
+            if (work.spec.is_export()) {
+                work.offset = answer_tokens;
+                said.emplace_back(sidecar_input::engine_finished{work.call, work.spec.prompt_tokens,
+                                                                 "exported", std::to_string(number)});
+            }
+            else if (work.offset < answer_tokens) {
+                said.emplace_back(sidecar_input::engine_tokens{work.call, work.offset++, {"t"}});
+            }
+            else {
+                ++work.offset;
+                said.emplace_back(sidecar_input::engine_finished{work.call, answer_tokens, "length"});
+            }
+        }
+        std::erase_if(own.works, [](const auto& work) {
+            return work.offset > answer_tokens || (work.spec.is_export() && work.offset == answer_tokens);
+        });
+        for (const auto& event : said) {
+            feed_sidecar(number, event);
+        }
+    }
+
+    /// An imported span is read at its source for as long as the answer runs.
+    void check_sources() const
+    {
+        for (const auto& each : engines) {
+            for (const auto& work : each.works) {
+                for (const auto& import : work.spec.imports) {
+                    const auto& source = engines[std::stoul(import.source)];
+                    const bool reads = work.offset > 0 && work.offset < answer_tokens;
+                    const bool lost = source.start != each.start || orphaned(work.call);
+                    cr_assert(!reads || lost || source.spans.count(import.span) != 0,
+                              "%s is read and not held", import.span.c_str());
+                }
+            }
+        }
+    }
+    auto orphaned(call_number call) const -> bool { return !calls_.at(call).open; }
+
+    void deliver(const message& each)
+    {
+        if (each.to_gateway) {
+            feed(each.to, std::get<gateway_event>(each.what));
+        }
+        else {
+            feed_sidecar(each.to, std::get<sidecar_event>(each.what));
+        }
+    }
+    void to_sidecar(std::size_t sidecar, sidecar_event event)
+    {
+        connections_.push_back({false, sidecar, std::move(event)});
+    }
+    void to_gateway(std::size_t gateway, gateway_event event)
+    {
+        connections_.push_back({true, gateway, std::move(event)});
+    }
+    void feed(std::size_t number, const gateway_event& event)
+    {
+        if (gateways_[number]) {
+            for (const auto& action : gateways_[number]->step(now, event)) {
+                std::visit([&](const auto& what) { act(number, what); }, action);
+            }
+        }
+    }
+    void feed_sidecar(std::size_t number, const sidecar_event& event)
+    {
+        for (const auto& action : sidecars_[number]->step(now, event)) {
+            std::visit([&](const auto& what) { act_sidecar(number, what); }, action);
+        }
+    }
+    void break_calls(std::size_t sidecar)
+    {
+        for (auto& [number, call] : calls_) {
+            if (call.sidecar == sidecar && call.open) {
+                call.open = false;
+                to_gateway(call.gateway, gateway_input::attempt_broken{call.key, true});
+            }
+        }
+    }
+    static auto number_of(const upstream_id& upstream) -> std::size_t
+    {
+        return std::stoul(upstream.text().substr(1));
+    }
+
+    // What a gateway wants done.
+    template <typename Action>
+    void act(std::size_t /*gateway*/, const Action& /*action*/)
+    {
+    }
+    void act(std::size_t gateway, const gateway_output::open_attempt& action)
+    {
+        const call_number call(++last_call_);
+        calls_[call] = {gateway, number_of(action.upstream), action.key, {}, true};
+        to_sidecar(number_of(action.upstream), sidecar_input::attempt_opened{call, action.spec});
+    }
+    void act(std::size_t gateway, const gateway_output::send_prompt& action)
+    {
+        with_call(gateway, action.key, [&](call_number number, call_info& call) {
+            to_sidecar(call.sidecar, sidecar_input::prompt_received{number});
+        });
+    }
+    void act(std::size_t gateway, const gateway_output::cancel_attempt& action)
+    {
+        with_call(gateway, action.key, [&](call_number number, call_info& call) {
+            call.open = false;
+            to_sidecar(call.sidecar, sidecar_input::call_cancelled{number});
+        });
+    }
+    template <typename Use>
+    void with_call(std::size_t gateway, const attempt_key& key, Use use)
+    {
+        for (auto& [number, call] : calls_) {
+            if (call.gateway == gateway && call.key == key && call.open) {
+                use(number, call);
+            }
+        }
+    }
+    void act(std::size_t gateway, const reserve_share& action)
+    {
+        const auto given_back = given_back_.find(action.gang.request);
+        cr_assert(given_back == given_back_.end() || given_back->second < action.gang.round,
+                  "a repeated release of a round would end the next one");
+        send_share<sidecar_input::share_asked>(gateway, action, action);
+    }
+    void act(std::size_t gateway, const renew_share& action)
+    {
+        send_share<sidecar_input::share_renewal_asked>(gateway, action, action);
+    }
+    void act(std::size_t gateway, const release_share& action)
+    {
+        auto& given_back = given_back_[action.gang.request];
+        given_back = std::max(given_back, action.gang.round);
+        send_share<sidecar_input::share_returned>(gateway, action, action.gang);
+    }
+    template <typename Input, typename Wanted, typename Content>
+    void send_share(std::size_t gateway, const Wanted& wanted, const Content& content)
+    {
+        const call_number call(++last_call_);
+        const auto sidecar = number_of(wanted.upstream);
+        calls_[call] = {gateway, sidecar, {}, wanted.gang, false};
+        const Input input{call, process_id("g" + std::to_string(gateway)), content};
+        share_calls_.send(now, message{false, sidecar, sidecar_event(input)});
+    }
+    void act(std::size_t /*gateway*/, const gateway_output::deliver& action)
+    {
+        auto& got = answers.at(action.exchange);
+        cr_assert(got.tokens == action.offset, "tokens come once and in order");
+        got.tokens += static_cast<token_offset>(action.tokens.size());
+    }
+    void act(std::size_t /*gateway*/, const gateway_output::finish& action)
+    {
+        auto& got = answers.at(action.exchange);
+        cr_assert(!got.whole && !got.refused && got.tokens == answer_tokens);
+        got.whole = true;
+    }
+    void act(std::size_t /*gateway*/, const gateway_output::refuse& action)
+    {
+        auto& got = answers.at(action.exchange);
+        cr_assert(!got.whole && !got.refused);
+        got.refused = action.why;
+    }
+
+    // What a sidecar wants done.
+    template <typename Action>
+    void act_sidecar(std::size_t /*sidecar*/, const Action& /*action*/)
+    {
+    }
+    void act_sidecar(std::size_t /*sidecar*/, const sidecar_output::grant_attempt& action)
+    {
+        say(action.call, gateway_input::attempt_granted{calls_.at(action.call).key}, false);
+    }
+    void act_sidecar(std::size_t /*sidecar*/, const sidecar_output::refuse_call& action)
+    {
+        say(action.call, gateway_input::attempt_refused{calls_.at(action.call).key, action.why}, true);
+    }
+    void act_sidecar(std::size_t /*sidecar*/, const sidecar_output::send_tokens& action)
+    {
+        say(action.call,
+            gateway_input::attempt_tokens{calls_.at(action.call).key, action.offset, action.tokens}, false);
+    }
+    void act_sidecar(std::size_t /*sidecar*/, const sidecar_output::finish_attempt& action)
+    {
+        say(action.call,
+            gateway_input::attempt_finished{calls_.at(action.call).key, action.tokens, action.reason,
+                                            action.source},
+            true);
+    }
+    void say(call_number number, const gateway_event& event, bool last)
+    {
+        auto& call = calls_.at(number);
+        if (call.open) {
+            call.open = !last;
+            to_gateway(call.gateway, event);
+        }
+    }
+    void act_sidecar(std::size_t sidecar, const sidecar_output::start_stream& action)
+    {
+        auto& own = engines[sidecar];
+        const token_count need = action.spec.prefill + action.spec.max_tokens;
+        if (memory_of(own) + need > memory) {
+            // A sidecar counts all that it lets in itself.
+            cr_assert(own.has_leftovers, "a sidecar let in more than its engine holds");
+            to_sidecar(sidecar, sidecar_input::engine_failed{action.call, true, true});
+            return;
+        }
+        if (action.spec.is_export()) {
+            own.spans[action.spec.exported_span] = action.spec.prompt_tokens;
+        }
+        for (const auto& import : action.spec.imports) {
+            own.spans[import.span] = (import.end - import.begin) / 64;
+        }
+        own.works.push_back(
+            {action.call, action.engine_request, action.spec, now + export_time, action.spec.resume_offset});
+    }
+    void act_sidecar(std::size_t sidecar, const sidecar_output::cancel_stream& action)
+    {
+        auto& own = engines[sidecar];
+        std::erase_if(own.works, [&](const auto& work) {
+            if (work.name == action.engine_request) {
+                own.spans.erase(work.spec.exported_span);
+            }
+            return work.name == action.engine_request;
+        });
+        to_sidecar(sidecar, sidecar_input::cancel_confirmed{action.engine_request});
+    }
+    void act_sidecar(std::size_t sidecar, const sidecar_output::release_span& action)
+    {
+        auto& own = engines[sidecar];
+        if (own.loses_releases) {
+            return;
+        }
+        own.spans.erase(action.span);
+        std::erase_if(own.works, [&](const auto& work) { return work.spec.exported_span == action.span; });
+        to_sidecar(sidecar, sidecar_input::span_released{action.span});
+    }
+    void act_sidecar(std::size_t sidecar, const sidecar_output::grant_share& action)
+    {
+        const auto& call = calls_.at(action.call);
+        answer_share(call, share_granted{call.gang, upstream_of(sidecar), action.lease, action.ask});
+    }
+    void act_sidecar(std::size_t sidecar, const sidecar_output::refuse_share& action)
+    {
+        const auto& call = calls_.at(action.call);
+        answer_share(call,
+                     share_refused{call.gang, upstream_of(sidecar), action.why.retry_after, action.in_line});
+    }
+    void act_sidecar(std::size_t sidecar, const sidecar_output::confirm_share_return& action)
+    {
+        const auto& call = calls_.at(action.call);
+        answer_share(call, share_released{call.gang, upstream_of(sidecar)});
+    }
+    void answer_share(const call_info& call, const gateway_event& event)
+    {
+        share_calls_.send(now, message{true, call.gateway, event});
+    }
+
+    std::vector<std::unique_ptr<gateway_core>> gateways_;
+    std::vector<std::unique_ptr<sidecar_core>> sidecars_;
+    std::map<call_number, call_info> calls_;
+    std::map<request_id, attempt_number> given_back_; // the highest round of each request
+    std::map<exchange_number, std::size_t> asked_at_;
+    std::deque<message> connections_;
+    message_bag<message> share_calls_;
+    std::uint64_t last_call_ = 0;
+    std::uint64_t incarnations_ = 0;
+};
+
+} // namespace dragonflymill::test
