Warm engines up for gangs and let spans wait behind shorter prompts

Cause: gangs were planned on warm engines alone, so a fleet with nothing else to do never warmed up and a long prompt waited until its limit. A span's export carried no priority, so the stand-in engine served it before medium prompts. Change: cold upstreams are candidates with what their ramp lets in; the sidecar's gate refuses the rest, which makes it warm its engine up. Export takes a priority as a completion does. Tests of the adapter against stand-in engines: a span computed at one engine carries an answer at another, and an export that is not taken is a failure. Conclusion: a gang needs no other traffic to warm its engines.

--- a/include/dragonflymill/serve/attempt_spec.h
+++ b/include/dragonflymill/serve/attempt_spec.h
@@ -11,6 +11,9 @@
 
 namespace dragonflymill {
 
+/// An imported span takes this part of its tokens where it is imported.
+inline constexpr token_count import_part = 64;
+
 /// A span of a prompt's KV cache at another engine.
 struct span_import
 {
--- a/src/gang/gang_candidates.cpp
+++ b/src/gang/gang_candidates.cpp
@@ -41,8 +41,9 @@
             continue;
         }
         const auto capacity = capacity_of(description, share);
-        const bool usable =
-            record.takes_new_work() && record.state() == upstream_state::alive && !record.load().cold;
+        // A cold one is asked, too: its sidecar refuses what its ramp doesn't carry, and warms it up for what
+        // it had to refuse. Were it left out, a fleet with little else to do would never take a gang.
+        const bool usable = record.takes_new_work() && record.state() == upstream_state::alive;
         const token_count free = usable ? free_of(record, capacity, share) : 0;
         candidates.push_back({description.id, description.failure_domain, capacity, free});
     }
--- a/src/serve/gang_desk.cpp
+++ b/src/serve/gang_desk.cpp
@@ -12,8 +12,6 @@
 
 /// Part of an engine that gangs may take; the rest stays for shorter requests.
 constexpr double gang_part = 0.8;
-/// An imported span takes this part of its tokens where the answer is decoded.
-constexpr token_count import_part = 64;
 /// Tries at spans are numbered from here, those at the answer from 1.
 constexpr std::uint64_t first_export = std::uint64_t{1} << 32U;
 constexpr duration full_retry = 1s;
--- a/src/serve/share_desk.cpp
+++ b/src/serve/share_desk.cpp
@@ -12,8 +12,6 @@
 /// Longest time that a share stands without renewal: a gateway's `hold` may not be longer.
 constexpr duration share_term = 10s;
 constexpr duration share_retry = 500ms;
-/// An imported span takes this part of its tokens.
-constexpr token_count import_part = 64;
 
 auto table_options() -> lease_table_options
 {
@@ -65,15 +63,10 @@
                          std::vector<sidecar_action>& actions)
 {
     const auto& wanted = input.wanted;
-    const auto load = gate_.load();
     if (wanted.tokens <= 0 || wanted.hold > share_term) {
         refuse(now, input, no_share(refusal_code::internal), actions);
         return;
     }
-    if (load.allowed < load.ceiling && !load.draining) {
-        refuse(now, input, no_share(refusal_code::upstream_cold), actions);
-        return;
-    }
     if (line_for_another(now, wanted.gang)) {
         refuse(now, input, no_share(refusal_code::overloaded), actions);
         return;
--- a/src/upstream/engine_json.cpp
+++ b/src/upstream/engine_json.cpp
@@ -67,6 +67,14 @@
     return held;
 }
 
+auto priority_of(const attempt_spec& spec) -> std::size_t
+{
+    // A short prompt takes so little that letting it wait would help nobody, and it counts as a short one for
+    // its caller.
+    const bool can_wait = spec.standing == priority::overnight && spec.size != length_class::interactive;
+    return can_wait ? overnight_engine_priority : engine_priority(spec.size);
+}
+
 /// The body with the prompt behind its other fields, which are short.
 auto with_prompt(const json::object& fields, const std::string& prompt) -> std::string
 {
@@ -91,10 +99,7 @@
     if (!spec.adapter.empty()) {
         body["adapter"] = spec.adapter.text();
     }
-    // A short prompt takes so little that letting it wait would help nobody, and it counts as a short one for
-    // its caller.
-    const bool can_wait = spec.standing == priority::overnight && spec.size != length_class::interactive;
-    body["priority"] = can_wait ? overnight_engine_priority : engine_priority(spec.size);
+    body["priority"] = priority_of(spec);
     body["max_tokens"] = spec.max_tokens;
     body["resume_offset"] = spec.resume_offset;
     body["stream"] = true;
@@ -113,6 +118,7 @@
 {
     json::object body;
     body["request_id"] = engine_request;
+    body["priority"] = priority_of(spec);
     body["span"] = spec.exported_span;
     body["begin"] = spec.span_begin;
     body["end"] = spec.span_end;
--- a/tests/serve/gang_desk_test.cpp
+++ b/tests/serve/gang_desk_test.cpp
@@ -95,6 +95,16 @@
     nothing_is_held(world);
 }
 
+FAULT_CELL_MORE(gang_reserve, upstream_cold, nothing_else_comes)
+{
+    // Every engine has just started and no other request comes. A gateway that left cold engines out of its
+    // plans would never ask, so no sidecar would warm its engine up, and the prompt would wait for good.
+    gang_world world(1, 4, 1, {}, 20'000);
+    world.ask(0, 1, two_engines);
+    is_whole(world, 1);
+    nothing_is_held(world);
+}
+
 FAULT_CELL_MORE(gang_import, process_dies, exporting_engine)
 {
     // The engine that computes the first span dies. The others' shares stand for a prompt that can't be
@@ -218,6 +228,34 @@
     nothing_is_held(world);
 }
 
+FAULT_CELL(gang_import, upstream_cold)
+{
+    // Every engine but the one that computes a span turns cold: the share where the answer was to be decoded
+    // has not begun and is taken back, and the gateway must not put the answer there all the same.
+    gang_world world(1, 4);
+    const auto computing = under_way(world, true);
+    for (std::size_t i = 0; i < world.engines.size(); ++i) {
+        if (i != computing) {
+            world.turn_cold(i);
+        }
+    }
+    is_whole(world, 1);
+    nothing_is_held(world);
+}
+
+FAULT_CELL(gang_decode, upstream_cold)
+{
+    // The decoding engine and the others turn cold in the middle of the answer: what runs goes on.
+    gang_world world(1, 4);
+    static_cast<void>(under_way(world, false));
+    for (std::size_t i = 0; i < world.engines.size(); ++i) {
+        world.turn_cold(i);
+    }
+    world.pass(1s);
+    cr_assert(world.answer_of(1).whole);
+    nothing_is_held(world);
+}
+
 FAULT_CELL(gang_import, connection_silent)
 {
     // The connection on which a span's text travelled is given up as silent: the gateway hears that it broke
--- a/tests/standins_self/engine_model_test.cpp
+++ b/tests/standins_self/engine_model_test.cpp
@@ -222,6 +222,19 @@
     cr_assert(decoder.runs().back().prefilled == 400'000);
 }
 
+Test(engine_model, a_span_of_low_priority_waits_for_a_prompt_that_came_later)
+{
+    engine_model model(warm_settings());
+    cr_assert(model.export_span("gang", "gang.0", 200'000, 2).first == 200);
+    const auto [status, work] = model.submit(order_of("medium", 20'000, 1));
+    cr_assert(status == 200);
+    std::vector<engine_event> events;
+    while (events.empty()) {
+        events = model.advance(*model.next_wake());
+    }
+    cr_assert(events.front().work == work && events.front().kind == engine_event::type::token);
+}
+
 Test(engine_model, old_fencing_number_is_refused_only_by_engines_that_honour_it)
 {
     for (const bool honours : {true, false}) {
--- /dev/null
+++ b/tests/upstream/engine_client_test.cpp
@@ -0,0 +1,169 @@
+#include "upstream/engine_client.h"
+
+#include "runtime/clock.h"
+#include "runtime/io_thread.h"
+#include "standins/answer.h"
+#include "standins/engine_standin.h"
+#include "standins/http_client.h"
+#include "standins/json_fields.h"
+#include "standins/load_plan.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+#include <condition_variable>
+#include <criterion/criterion.h>
+#include <mutex>
+#include <vector>
+
+using namespace dragonflymill;
+
+namespace {
+
+/// Far longer than anything here takes.
+constexpr auto generous = std::chrono::seconds(30);
+constexpr token_count prompt_tokens = 60'000;
+constexpr token_count exported_tokens = 40'000;
+constexpr token_count answer_tokens = 20;
+
+/// A stand-in engine that holds 50,000 tokens, and our client of it on a thread of its own.
+class engine_pair
+{
+public:
+    engine_pair()
+        : standin_(settings())
+        , client_(thread_.context(), {boost::asio::ip::address_v4::loopback(), standin_.port()}, {},
+                  [this](sidecar_event event) { take(std::move(event)); })
+    {
+        thread_.start();
+    }
+    ~engine_pair() { thread_.stop(); }
+    engine_pair(const engine_pair&) = delete;
+    auto operator=(const engine_pair&) -> engine_pair& = delete;
+
+    [[nodiscard]] auto address() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(standin_.port());
+    }
+    void start(const attempt_spec& spec, const std::string& prompt)
+    {
+        const sidecar_output::start_stream what{call_number(1), "r.1", spec, runtime::now() + generous};
+        boost::asio::post(thread_.context(), [this, what, prompt] { client_.start_stream(what, prompt); });
+    }
+    void release(const std::string& span)
+    {
+        boost::asio::post(thread_.context(), [this, span] { client_.release_span(span); });
+    }
+    /// Waits for an event of that kind; earlier ones stay.
+    template <typename Event>
+    [[nodiscard]] auto wait_for() -> Event
+    {
+        std::unique_lock lock(mutex_);
+        const Event* found = nullptr;
+        const bool came = changed_.wait_for(lock, generous, [&] {
+            for (const auto& event : events_) {
+                found = found != nullptr ? found : std::get_if<Event>(&event);
+            }
+            return found != nullptr;
+        });
+        cr_assert(came);
+        return *found;
+    }
+    /// Text of all tokens so far.
+    [[nodiscard]] auto text() -> std::string
+    {
+        const std::lock_guard lock(mutex_);
+        std::string out;
+        for (const auto& event : events_) {
+            if (const auto* tokens = std::get_if<sidecar_input::engine_tokens>(&event)) {
+                out += tokens->tokens.front();
+            }
+        }
+        return out;
+    }
+    [[nodiscard]] auto memory_used() const -> token_count
+    {
+        const auto answer = standins::call_and_wait({address(), "GET", "/_ledger"});
+        const auto ledger = standins::parse_object(answer.body);
+        return ledger ? standins::number_field(*ledger, "memory_used", -1) : -1;
+    }
+
+private:
+    static auto settings() -> standins::engine_standin_settings
+    {
+        standins::engine_standin_settings out;
+        out.time_scale = 0.01;
+        out.engine.starts_cold = false;
+        out.engine.memory_total = 50'000;
+        return out;
+    }
+    void take(sidecar_event event)
+    {
+        const std::lock_guard lock(mutex_);
+        events_.push_back(std::move(event));
+        changed_.notify_all();
+    }
+
+    standins::engine_standin standin_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<sidecar_event> events_;
+    runtime::io_thread thread_;
+    upstream::engine_client client_;
+};
+
+auto spec_of(token_count max_tokens) -> attempt_spec
+{
+    attempt_spec made;
+    made.request = request_id("r");
+    made.attempt = attempt_number(1);
+    made.model = model_id("m");
+    made.size = length_class::gang;
+    made.prompt_tokens = prompt_tokens;
+    made.max_tokens = max_tokens;
+    return made;
+}
+
+auto export_spec() -> attempt_spec
+{
+    auto made = spec_of(0);
+    made.exported_span = "r.1.source";
+    made.span_end = exported_tokens;
+    return made;
+}
+
+} // namespace
+
+Test(engine_client, a_span_computed_at_one_engine_carries_an_answer_at_another)
+{
+    const auto prompt = standins::prompt_text(prompt_tokens, 1);
+    engine_pair source;
+    engine_pair decoder;
+    source.start(export_spec(), prompt.substr(0, exported_tokens * standins::bytes_per_token));
+    const auto exported = source.wait_for<sidecar_input::engine_finished>();
+    cr_assert(exported.source == source.address() && exported.tokens == exported_tokens);
+    cr_assert(source.memory_used() == exported_tokens);
+
+    auto spec = spec_of(answer_tokens);
+    spec.imports = {{"r.1.source", exported.source, 0, exported_tokens}};
+    decoder.start(spec, prompt);
+    const auto finished = decoder.wait_for<sidecar_input::engine_finished>();
+    cr_assert(finished.source.empty());
+    cr_assert(decoder.text() == standins::expected_answer("m", prompt, answer_tokens));
+    cr_assert(decoder.memory_used() > 0, "the import stands until it is released");
+
+    for (auto* each : {&source, &decoder}) {
+        each->release("r.1.source");
+        cr_assert(each->wait_for<sidecar_input::span_released>().span == "r.1.source");
+        cr_assert(each->memory_used() == 0);
+    }
+}
+
+Test(engine_client, a_span_that_the_engine_does_not_take_is_a_failure_and_not_an_end)
+{
+    engine_pair full;
+    auto spec = export_spec();
+    spec.span_end = prompt_tokens;
+    full.start(spec, standins::prompt_text(prompt_tokens, 1));
+    cr_assert(full.wait_for<sidecar_input::engine_failed>().overloaded);
+    cr_assert(full.memory_used() == 0);
+}
