Write the source of a span with the one writer of addresses

Cause: main got one place that writes an endpoint; the adapter of the engine wrote its own. Change: it uses that one.

--- a/src/upstream/engine_client.cpp
+++ b/src/upstream/engine_client.cpp
@@ -1,6 +1,7 @@
 #include "upstream/engine_client.h"
 
 #include "runtime/clock.h"
+#include "settings/socket_endpoint.h"
 #include "upstream/engine_json.h"
 
 #include <utility>
@@ -128,8 +129,7 @@
         return;
     }
     streams_.erase(held);
-    const auto source = server_.address().to_string() + ":" + std::to_string(server_.port());
-    events_(sidecar_input::engine_finished{call, tokens, "exported", source});
+    events_(sidecar_input::engine_finished{call, tokens, "exported", to_text(server_)});
 }
 
 void engine_client::release_span(const std::string& span)
