--- a/src/upstream/engine_client.h
+++ b/src/upstream/engine_client.h
@@ -44,6 +44,8 @@
     void release_span(const std::string& span);
     /// Closes a stream's connection and cancels it at the engine.
     void cancel_stream(const sidecar_output::cancel_stream& what);
+    /// Gives the engine an order and reports how it went.
+    void give_order(const sidecar_output::give_order& what);
 
 private:
     struct stream
