--- a/include/dragonflymill/serve/gang_desk.h
+++ b/include/dragonflymill/serve/gang_desk.h
@@ -57,10 +57,12 @@
     /// Gives the shares of a request back for good.
     void finish(instant now, exchange_number exchange, std::vector<gateway_action>& actions);
 
+    /// Whether a part of the request's prompt may have left for an engine.
+    [[nodiscard]] auto may_have_run(exchange_number exchange) const -> bool;
     /// Whether the try computes a span, now or some time ago.
     [[nodiscard]] static auto is_export(const attempt_key& key) -> bool;
     /// A sidecar took the try at a span: its text may travel.
-    void granted(const attempt_key& key, std::vector<gateway_action>& actions) const;
+    void granted(const attempt_key& key, std::vector<gateway_action>& actions);
     /// A try at a span was refused or lost.
     void refused(instant now, const gateway_input::attempt_refused& input,
                  std::vector<gateway_action>& actions);
@@ -101,6 +103,7 @@
         std::vector<kv_span> spans{};
         std::vector<span_import> computed{};
         attempt_number exporting{0}; // the running try at a span
+        bool text_sent = false;      // of a span, in this round or an earlier one
     };
     using gangs = std::map<exchange_number, gang>;
     using model_key = std::pair<model_id, adapter_id>;
--- a/include/dragonflymill/serve/gateway_messages.h
+++ b/include/dragonflymill/serve/gateway_messages.h
@@ -263,6 +263,16 @@
 {
     upstream_id upstream; ///< The upstream.
 };
+/// Log that a request's work is paused.
+struct note_paused
+{
+    exchange_number exchange; ///< The request.
+};
+/// Log that a paused request's work goes on.
+struct note_resumed
+{
+    exchange_number exchange; ///< The request.
+};
 /// Everything in hand is finished.
 struct all_done
 {
@@ -277,6 +287,7 @@
                  gateway_output::refuse, gateway_output::answer_service, gateway_output::give_ticket,
                  gateway_output::tell_running, reserve_share, renew_share, release_share,
                  gateway_output::connect_upstreams, gateway_output::ask_for_share,
-                 gateway_output::probe_load, gateway_output::all_done>;
+                 gateway_output::probe_load, gateway_output::note_paused, gateway_output::note_resumed,
+                 gateway_output::all_done>;
 
 } // namespace dragonflymill
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -99,6 +99,8 @@
     void act(const gateway_output::connect_upstreams& action);
     void act(const gateway_output::ask_for_share& action);
     void act(const gateway_output::probe_load& action);
+    void act(const gateway_output::note_paused& action);
+    void act(const gateway_output::note_resumed& action);
     void act(const gateway_output::all_done& action);
 
     template <typename Wanted>
--- a/src/serve/gang_desk.cpp
+++ b/src/serve/gang_desk.cpp
@@ -78,7 +78,13 @@
     return key.attempt.value() >= first_export;
 }
 
-void gang_desk::granted(const attempt_key& key, actions_out& actions) const
+auto gang_desk::may_have_run(exchange_number exchange) const -> bool
+{
+    const auto held = gangs_.find(exchange);
+    return held != gangs_.end() && held->second.text_sent;
+}
+
+void gang_desk::granted(const attempt_key& key, actions_out& actions)
 {
     const auto held = gangs_.find(key.exchange);
     // Guards against a grant that comes after the gang was given up: the text would start work for nobody.
@@ -86,6 +92,7 @@
         actions.emplace_back(gateway_output::cancel_attempt{key});
         return;
     }
+    held->second.text_sent = true;
     actions.emplace_back(gateway_output::send_prompt{key});
 }
 
