Say that a gang's prompt may have run once a span's text has left

Cause: a request whose limit ran out while a span was computed was refused with ran `no`, and one that the overload desk pauses kept its shares.

--- a/include/dragonflymill/serve/gateway_messages.h
+++ b/include/dragonflymill/serve/gateway_messages.h
@@ -286,8 +286,7 @@
                  gateway_output::call_service, gateway_output::deliver, gateway_output::finish,
                  gateway_output::refuse, gateway_output::answer_service, gateway_output::give_ticket,
                  gateway_output::tell_running, reserve_share, renew_share, release_share,
-                 gateway_output::connect_upstreams, gateway_output::ask_for_share,
-                 gateway_output::probe_load, gateway_output::note_paused, gateway_output::note_resumed,
-                 gateway_output::all_done>;
+                 gateway_output::connect_upstreams, gateway_output::ask_for_share, gateway_output::probe_load,
+                 gateway_output::note_paused, gateway_output::note_resumed, gateway_output::all_done>;
 
 } // namespace dragonflymill
--- a/tests/serve/gang_desk_test.cpp
+++ b/tests/serve/gang_desk_test.cpp
@@ -76,6 +76,17 @@
     cr_assert(world.held() == 0);
 }
 
+Test(gang_desk, a_limit_that_ends_while_a_span_is_computed_says_that_it_may_have_run)
+{
+    gang_world world(1, 4);
+    world.ask(0, 1, two_engines, 250ms);
+    cr_assert(world.pass_until([&] { return world.busy_engine(true).has_value(); }, 200ms));
+    cr_assert(world.answered(1));
+    const auto& refused = world.answer_of(1).refused;
+    cr_assert(refused && refused->code == refusal_code::deadline && refused->ran == ran_state::unknown);
+    nothing_is_held(world);
+}
+
 Test(gang_desk, short_requests_are_answered_while_gangs_fill_the_engines)
 {
     gang_world world(2, 4);
