--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -27,6 +27,8 @@
     if(NOT sources)
         continue()
     endif()
+    # Its own helpers besides.
+    file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
     add_executable(test_${name} ${sources} ${SUPPORT_SOURCES})
     target_include_directories(test_${name} PRIVATE tests src)
     # Only where they are read: a path in every command keeps a second checkout from sharing the compiler cache.
@@ -46,7 +48,12 @@
     if(TARGET standins_parts)
         target_link_libraries(test_${name} PRIVATE standins_parts)
     endif()
-    add_test(NAME ${name} COMMAND test_${name} --jobs 2)
+    # A test with real processes mostly waits: for leases, and for a service's sidecar to know its keys.
+    set(jobs 2)
+    if(name STREQUAL process)
+        set(jobs 4)
+    endif()
+    add_test(NAME ${name} COMMAND test_${name} --jobs ${jobs})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endforeach()
 
--- a/tests/process/caller_faults_test.cpp
+++ b/tests/process/caller_faults_test.cpp
@@ -2,6 +2,8 @@
 
 #include "support/fault_cell.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
--- a/tests/standins/booking_caller.cpp
+++ b/tests/standins/booking_caller.cpp
@@ -19,12 +19,12 @@
 
 } // namespace
 
-auto booking_key(std::uint64_t seed) -> std::string
+auto booking_key(std::uint64_t seed, std::chrono::milliseconds ahead) -> std::string
 {
     random_source random(seed);
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
     const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
-    const auto time = static_cast<std::uint64_t>(now);
+    const auto time = static_cast<std::uint64_t>(now + ahead.count());
     const auto a = static_cast<unsigned>(random.below(0x1000));
     const auto b = static_cast<unsigned>(0x8000 + random.below(0x4000));
     const auto c = static_cast<unsigned long long>(random.below(1ULL << 48U));
--- a/tests/standins/booking_caller.h
+++ b/tests/standins/booking_caller.h
@@ -5,7 +5,9 @@
 namespace dragonflymill::standins {
 
 /// A key as callers make them: UUID version 7, with the present time in it.
-[[nodiscard]] auto booking_key(std::uint64_t seed) -> std::string;
+[[nodiscard]] auto booking_key(std::uint64_t seed,
+                               std::chrono::milliseconds ahead = std::chrono::milliseconds::zero())
+    -> std::string;
 
 /// A caller of one booking, that sends it twice with the same key through different gateways, and each of the
 /// two again until it is answered.
--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -45,9 +45,11 @@
             exchange.drop();
             return;
         }
+        ++waiting_;
         const auto timer = std::make_shared<boost::asio::steady_timer>(server_.io(), settings_.latency);
         timer->async_wait([this, timer, request, exchange](const auto& code) {
             if (!code) {
+                --waiting_;
                 execute(request, exchange);
             }
         });
@@ -62,6 +64,9 @@
             exchange.drop();
             return;
         }
+        if (hold_answers_) {
+            return; // it was executed, and nobody will be told
+        }
         const json::object body{{"service", settings_.name}, {"key", key}, {"execution", count}};
         exchange.send(std::exchange(next_status_, 200U), json::serialize(body));
     }
@@ -85,7 +90,7 @@
         for (const auto& [key, count] : executions_) {
             counts[key] = count;
         }
-        return {{"name", settings_.name}, {"executions", counts}};
+        return {{"name", settings_.name}, {"executions", counts}, {"waiting", waiting_}};
     }
 
     void inject(const json::object& fault)
@@ -98,6 +103,9 @@
         }
         drop_before_run_ = drop_before_run_ || flag_field(fault, "drop_before_run");
         drop_after_run_ = drop_after_run_ || flag_field(fault, "drop_after_run");
+        if (fault.contains("hold_answers")) {
+            hold_answers_ = flag_field(fault, "hold_answers");
+        }
         next_status_ = static_cast<unsigned>(number_field(fault, "status", next_status_));
         if (fault.contains("latency_ms")) {
             settings_.latency = std::chrono::milliseconds(number_field(fault, "latency_ms"));
@@ -111,9 +119,11 @@
     standin_server server_;
     std::map<std::string, std::int64_t> executions_;
     std::int64_t unnamed_ = 0;
+    std::int64_t waiting_ = 0;
     unsigned next_status_ = 200;
     bool drop_before_run_ = false;
     bool drop_after_run_ = false;
+    bool hold_answers_ = false;
 };
 
 service_standin::service_standin(const service_standin_settings& settings)
