Give up a stream at the engine that makes no progress, and resume it

Cause: a connection between sidecar and engine that stays open and says nothing was noticed after 120 s before the first token, or at the request's limit. Change: `stream_watch` in the sidecar's decisions bounds a first token by the fitted line over all the work that was ahead of it or put since, and later tokens by the usual time between them; the stream is cancelled by a new connection and refused as `upstream_gone`, so that the gateway resumes it. `stream_silence` is the floor. A pause of the sidecar, a cold engine and a long queue are no silence; warm-up requests aren't judged.

--- a/include/dragonflymill/admission/permit_gate.h
+++ b/include/dragonflymill/admission/permit_gate.h
@@ -167,6 +167,8 @@
     [[nodiscard]] auto ramp() const -> const cold_start_ramp& { return ramp_; }
     /// The first-token line, for display.
     [[nodiscard]] auto first_token_line_now() const -> first_token_line { return model_.line(); }
+    /// The same, once it can be judged by.
+    [[nodiscard]] auto trusted_first_token_line() const -> std::optional<first_token_line>;
 
 private:
     struct entry
--- a/include/dragonflymill/core/guard.h
+++ b/include/dragonflymill/core/guard.h
@@ -10,15 +10,16 @@
 /// tests of the promise behind them fail without them.
 enum class guard
 {
-    none,          ///< Every guard holds.
-    at_most_once,  ///< A ticket runs at most once.
-    cold_ramp,     ///< Outstanding work stays under the ramp.
-    drain,         ///< Nothing new goes to what is taken out.
-    bundle_revert, ///< The bundle in force never gets older.
-    lease_end,     ///< What a lease held is given back when it ends.
-    stream_offset, ///< A caller gets each token once, in order.
-    fencing,       ///< No order without the sidecar's own live lease.
-    gang_release,  ///< A gang that can't be had whole is given back whole.
+    none,           ///< Every guard holds.
+    at_most_once,   ///< A ticket runs at most once.
+    cold_ramp,      ///< Outstanding work stays under the ramp.
+    drain,          ///< Nothing new goes to what is taken out.
+    bundle_revert,  ///< The bundle in force never gets older.
+    lease_end,      ///< What a lease held is given back when it ends.
+    stream_offset,  ///< A caller gets each token once, in order.
+    fencing,        ///< No order without the sidecar's own live lease.
+    stream_silence, ///< A stream that makes no progress is given up.
+    gang_release,   ///< A gang that can't be had whole is given back whole.
 };
 
 /// The guard that this build breaks.
--- a/include/dragonflymill/serve/attempt_desk.h
+++ b/include/dragonflymill/serve/attempt_desk.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/deadline_budget.h"
 #include "dragonflymill/serve/sidecar_messages.h"
+#include "dragonflymill/serve/stream_watch.h"
 
 #include <cstdint>
 #include <map>
@@ -23,7 +24,9 @@
     /// Works under `gate`, which the owner keeps alive. `cancel_backoff` is the time between two cancels of
     /// one stream.
     /// `warm_ups` begins the names of the engine's warm-up requests, unlike those of any other start.
-    attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups);
+    /// `watch` says when a stream's silence counts.
+    attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups,
+                 const stream_watch_options& watch = {});
 
     /// Puts a request of the sidecar's own to an engine that is cold and is asked for nothing that it can
     /// take: without one it would stay cold. At most one at a time, and only if the gate grants it.
@@ -55,7 +58,7 @@
     void cancel_confirmed(instant now, const std::string& engine_request);
     /// A permit ended without its holder's word.
     void permit_ended(instant now, const ended_permit& ended, std::vector<sidecar_action>& actions);
-    /// Ends what is over its time limit and repeats cancels.
+    /// Ends what is over its time limit or silent for too long, and repeats cancels.
     void tick(instant now, std::vector<sidecar_action>& actions);
 
     /// Tries in hand, those being cancelled included.
@@ -95,10 +98,12 @@
     void end_with(instant now, attempts::iterator held, refusal_code code,
                   std::vector<sidecar_action>& actions);
     void cancel_at_engine(instant now, attempts::iterator held, std::vector<sidecar_action>& actions);
+    void give_up_silent(instant now, std::vector<sidecar_action>& actions);
     void forget(attempts::iterator held);
 
     permit_gate& gate_;
     duration cancel_backoff_;
+    stream_watch watch_;
     attempts attempts_;
     std::map<lease_id, call_number> by_lease_;
     std::map<process_id, std::set<call_number>> by_gateway_;
--- a/include/dragonflymill/serve/sidecar_core.h
+++ b/include/dragonflymill/serve/sidecar_core.h
@@ -15,6 +15,7 @@
     once_ledger_options ledger;      ///< Calls that may not be repeated.
     duration own_lease_term = 5s;    ///< A pause longer than this ends the right to run calls named by key.
     duration cancel_backoff = 200ms; ///< Time between two cancels of one stream.
+    stream_watch_options watch;      ///< When a stream's silence counts.
     std::uint64_t seed = 0;          ///< Spreads retry times.
 };
 
--- a/src/admission/permit_gate.cpp
+++ b/src/admission/permit_gate.cpp
@@ -378,6 +378,11 @@
     return {outstanding_, ramp_.allowed(), ramp_.options().ceiling, permits_.size(), draining_};
 }
 
+auto permit_gate::trusted_first_token_line() const -> std::optional<first_token_line>
+{
+    return model_.trusted() ? std::optional(model_.line()) : std::nullopt;
+}
+
 auto permit_gate::over_allowance() const -> std::vector<lease_id>
 {
     std::vector<lease_id> chosen;
--- a/src/serve/attempt_desk.cpp
+++ b/src/serve/attempt_desk.cpp
@@ -51,9 +51,11 @@
     return spec.request.text() + "." + std::to_string(spec.attempt.value());
 }
 
-attempt_desk::attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups)
+attempt_desk::attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups,
+                           const stream_watch_options& watch)
     : gate_(gate)
     , cancel_backoff_(cancel_backoff)
+    , watch_(watch)
     , warm_ups_(std::move(warm_ups))
 {
 }
@@ -91,6 +93,7 @@
     const auto& held = add(
         call, attempt{spec, granted->lease, deadline_budget(now, spec.remaining), phase::at_engine, true});
     warm_up_ = call;
+    watch_.began(now, call, spec.prompt_tokens);
     actions.push_back(
         sidecar_output::start_warm_up{call, engine_request_of(held.spec), held.spec, held.limit.end()});
 }
@@ -156,6 +159,7 @@
         return;
     }
     it.now_in = phase::at_engine;
+    watch_.began(now, call, it.spec.prompt_tokens);
     actions.push_back(
         sidecar_output::start_stream{call, engine_request_of(it.spec), it.spec, it.limit.end()});
 }
@@ -188,6 +192,7 @@
     if (held == attempts_.end()) {
         return;
     }
+    watch_.progressed(now, input.call);
     if (held->second.now_in == phase::at_engine) {
         held->second.now_in = phase::decoding;
         gate_.first_token(now, held->second.lease);
@@ -244,6 +249,7 @@
 {
     const bool started_anew = engine_start_ != incarnation{} && report.word.start != engine_start_;
     engine_start_ = report.word.start;
+    watch_.reported(report.word.queued_prefill, report.word.cold);
     if (started_anew) {
         cancels_.clear(); // the engine's memory is empty; the gate has taken the permits back itself
     }
@@ -306,6 +312,7 @@
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
         end_with(now, attempts_.find(deadlines_.begin()->second), refusal_code::deadline, actions);
     }
+    give_up_silent(now, actions);
     // A cancel may be lost on its way, and then the engine would hold the stream's memory for good: it is
     // repeated until the engine confirms it, here or by its report.
     for (auto& [engine_request, pending] : cancels_) {
@@ -316,6 +323,17 @@
     }
 }
 
+void attempt_desk::give_up_silent(instant now, std::vector<sidecar_action>& actions)
+{
+    for (const auto call : watch_.silent(now, gate_.trusted_first_token_line())) {
+        const auto held = attempts_.find(call);
+        // Nobody waits for a warm-up, and a cold engine may take its time with it: it has a limit of its own.
+        if (!held->second.own) {
+            end_with(now, held, refusal_code::upstream_gone, actions);
+        }
+    }
+}
+
 auto attempt_desk::queued_prefill() const -> std::array<token_count, length_class_count>
 {
     std::array<token_count, length_class_count> queued{};
@@ -359,6 +377,7 @@
 void attempt_desk::forget(attempts::iterator held)
 {
     const auto call = held->first;
+    watch_.ended(call);
     if (held->second.own) {
         warm_up_.reset();
     }
--- a/src/settings/sidecar_settings.cpp
+++ b/src/settings/sidecar_settings.cpp
@@ -16,6 +16,11 @@
                 target.connect_timeout, {10ms, 30s});
     schema.time({"upstream", "state_interval", "between two readings of the upstream's state"},
                 target.state_interval, {10ms, 30s});
+    schema.time(
+        {"upstream", "stream_silence",
+         "shortest silence of a stream after which it is cancelled and resumed; more where the line of "
+         "first tokens or the usual time between tokens explains it"},
+        target.stream_silence, {100ms, 120s});
     schema.time(
         {"upstream", "first_token", "first-token time of an empty prompt when warm, if it was measured"},
         target.first_token, {duration::zero(), 60s});
--- a/src/settings/sidecar_settings.h
+++ b/src/settings/sidecar_settings.h
@@ -11,6 +11,7 @@
     socket_address address;          ///< Its own HTTP address.
     duration connect_timeout = 1s;   ///< For opening a connection to it.
     duration state_interval = 250ms; ///< Between two readings of its state.
+    duration stream_silence = 2s;    ///< Shortest silence of a stream that counts as lost.
     duration first_token{0}; ///< First-token time of an empty prompt when warm; 0 if it was not measured.
     double prefill_rate = 0; ///< Tokens of prefill a second when warm; 0 if it was not measured.
 
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -72,6 +72,7 @@
     options.ledger.predecessor_lease = settings.lease.order;
     options.own_lease_term = settings.lease.order;
     options.cancel_backoff = settings.lease.cancel_retry;
+    options.watch.floor = settings.upstream.stream_silence;
     options.seed = options.ledger.self.value();
     return options;
 }
--- a/tests/process/stream_faults_test.cpp
+++ b/tests/process/stream_faults_test.cpp
@@ -78,3 +78,15 @@
     cr_assert(!leaving.got().failure.empty());
     cr_assert(fleet.nothing_is_held());
 }
+
+FAULT_CELL_MORE(request_stream, connection_silent, engine_silent)
+{
+    // Something between sidecar and engine loses track of their connections: they stay open and say nothing,
+    // new ones work. A caller waits for its first token, and only the transport's bound of two minutes would
+    // end that. The caller gets its whole answer, and the engine lets go of the stream without a reader.
+    process_fleet fleet(slow_engines("10"));
+    running_stream stream(fleet, 16);
+    fleet.fault(stream.engine(), R"({"go_silent":true})");
+    cr_assert(stream.is_whole());
+    cr_assert(fleet.nothing_is_held());
+}
