--- a/tests/process/fleet_files.h
+++ b/tests/process/fleet_files.h
@@ -11,9 +11,10 @@
 /// What differs from one test's fleet to the next.
 struct fleet_options
 {
-    std::string time_scale = "1"; ///< The engines' times run at this multiple of real time.
-    std::string upstream_lines;   ///< Further lines of the sidecars' section [upstream].
-    std::string config_service;   ///< Address of the configuration service; empty for none.
+    std::string time_scale = "1";            ///< The engines' times run at this multiple of real time.
+    std::string first_model = "assistant-1"; ///< What engine-1 starts with; the bundle wants assistant-1.
+    std::string upstream_lines;              ///< Further lines of the sidecars' section [upstream].
+    std::string config_service;              ///< Address of the configuration service; empty for none.
 };
 
 /// Folder, ports, keys, settings files and bundles of one test's fleet. The folder goes with this object.
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -4,6 +4,7 @@
 #include "standins/json_fields.h"
 #include "standins/load_plan.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <criterion/criterion.h>
 #include <unistd.h>
@@ -24,7 +25,7 @@
     // Guards against a test that never ends, also in a loop of its own: the runner would wait for it for
     // ever. Its children are ended by the kernel together with it.
     alarm(test_limit_seconds);
-    start_standins(options.time_scale);
+    start_standins(options);
     (void)files_.sign_bundle(1);
     for (const std::string name : {"engine-1", "engine-2", "booking-1"}) {
         start_sidecar(name);
@@ -147,6 +148,30 @@
     return comes_true([&] { return held("engine-1") == 0 && held("engine-2") == 0; });
 }
 
+auto process_fleet::names(const std::string& engine, const std::string& list) const
+    -> std::vector<std::string>
+{
+    std::vector<std::string> out;
+    const auto state = standins::parse_object(get(upstreams_.at(engine), "/v1/state").body);
+    if (state && state->contains(list)) {
+        for (const auto& name : state->at(list).as_array()) {
+            out.emplace_back(name.as_string());
+        }
+    }
+    return out;
+}
+
+auto process_fleet::loads_ordered(const std::string& engine) const -> std::int64_t
+{
+    const auto ledger = standins::parse_object(get(upstreams_.at(engine), "/_ledger").body);
+    if (!ledger) {
+        return -1;
+    }
+    const auto& orders = ledger->at("orders").as_array();
+    return std::count_if(orders.begin(), orders.end(),
+                         [](const auto& order) { return order.at("order") == "load_model"; });
+}
+
 auto process_fleet::executions(const std::string& key) const -> std::int64_t
 {
     const auto ledger = standins::parse_object(get(upstreams_.at("booking-1"), "/_ledger").body);
@@ -178,11 +203,12 @@
     cr_assert(children_[name]->started(), "%s can't be started", program.c_str());
 }
 
-void process_fleet::start_standins(const std::string& time_scale)
+void process_fleet::start_standins(const fleet_options& options)
 {
     for (const std::string name : {"engine-1", "engine-2"}) {
+        const auto model = name == "engine-1" ? options.first_model : "assistant-1";
         start(name, "standins",
-              {"engine", "--name", name, "--model", "assistant-1", "--warm", "--time-scale", time_scale});
+              {"engine", "--name", name, "--model", model, "--warm", "--time-scale", options.time_scale});
     }
     start("booking-1", "standins", {"service", "--name", "booking-1"});
     for (const std::string name : {"engine-1", "engine-2", "booking-1"}) {
--- a/tests/process/process_fleet.h
+++ b/tests/process/process_fleet.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace dragonflymill::test {
 
@@ -59,6 +60,11 @@
     [[nodiscard]] auto held(const std::string& engine) const -> std::int64_t;
     /// Whether both engines come to hold nothing.
     [[nodiscard]] auto nothing_is_held() const -> bool;
+    /// A list of names in an engine's state; empty if it doesn't answer.
+    [[nodiscard]] auto names(const std::string& engine, const std::string& list) const
+        -> std::vector<std::string>;
+    /// Loads that an engine was ordered; -1 if it doesn't answer.
+    [[nodiscard]] auto loads_ordered(const std::string& engine) const -> std::int64_t;
     /// How often a booking was executed.
     [[nodiscard]] auto executions(const std::string& key) const -> std::int64_t;
     /// How many calls a service has taken and not executed yet.
@@ -74,7 +80,7 @@
 private:
     void start(const std::string& name, const std::string& program,
                const std::vector<std::string>& arguments);
-    void start_standins(const std::string& time_scale);
+    void start_standins(const fleet_options& options);
     void warm_up() const;
 
     fleet_files files_;
