--- a/include/dragonflymill/serve/sidecar_core.h
+++ b/include/dragonflymill/serve/sidecar_core.h
@@ -18,6 +18,7 @@
     once_ledger_options ledger;      ///< Calls that may not be repeated.
     duration own_lease_term = 5s;    ///< How long a successor waits; a longer pause ends this process.
     duration cancel_backoff = 200ms; ///< Time between two cancels of one stream.
+    stream_watch_options watch;      ///< When a stream's silence counts.
     std::uint64_t seed = 0;          ///< Spreads retry times.
     std::uint32_t start_seconds = 0; ///< Civil time of the start, for the numbers that fence orders.
 };
