Ask for the shares of a home's accounts in one message, and leave a tenth of each limit unleased

Cause: one ask an account each 2 s, 365 messages a second from one gateway of 410 with 1,500 accounts; and a gateway that joined while another held the whole limit refused the account until that lease was dealt anew.

Change: account_limiter puts the asks to one home together, only for accounts with requests since the last ask, and for a steady demand once half of the lease has passed. `ask_shares` on the wire takes the place of `ask_share`. A tenth of each limit is not leased; each gateway has its equal part of it at any time. The bound of 1.5 times the limit stays.

--- a/include/dragonflymill/limit/account_limiter.h
+++ b/include/dragonflymill/limit/account_limiter.h
@@ -20,25 +20,30 @@
 {
     process_id self;                  ///< This gateway.
     duration lease_time = 6s;         ///< How long a granted share holds without being renewed.
-    duration ask_interval = 2s;       ///< A share is asked for again after it.
+    duration ask_interval = 2s;       ///< Shortest time between two asks for one share.
+    double floor = 0.1;               ///< Part of each limit that is not leased: every gateway has its equal
+                                      ///< part of it at any time.
     duration forget_after = 60s;      ///< An account without requests for so long is no longer tracked.
     duration burst = 1s;              ///< Unused rate that is kept, in time at the share.
     std::size_t max_accounts = 4'096; ///< Accounts tracked; at the bound the longest idle one is dropped.
 };
 
-/// Ask the home gateway for a share of an account's limits.
-struct ask_share
+/// Ask a gateway for shares of the limits of accounts whose home it is.
+struct ask_shares
 {
-    process_id home;       ///< Whom to ask; it may be this gateway itself.
-    share_request request; ///< What to ask.
+    process_id home;                     ///< Whom to ask; it may be this gateway itself.
+    std::vector<share_request> requests; ///< What to ask, one request for each account.
+
+    friend auto operator==(const ask_shares&, const ask_shares&) -> bool = default;
 };
 
 /// Keeps client accounts within their limits over all gateways, without shared state.
 ///
 /// Each account has a home among the live gateways, by rendezvous hash. Every gateway that serves the account
-/// tells its demand to the home, and the home leases it a part of the limits by demand. A gateway without a
-/// lease, because it just began or can't reach the home, uses an equal part: the limit divided by the number
-/// of gateways. A home that sees no more than half of the gateways grants no more than their equal parts.
+/// tells its demand to the home, and the home leases it a part of the limits by demand. A tenth of the limits
+/// is not leased: each gateway has its equal part of that besides its lease. A gateway without a lease,
+/// because it just began or can't reach the home, uses an equal part: the limit divided by the number of
+/// gateways. A home that sees no more than half of the gateways grants no more than their equal parts.
 ///
 /// Bound: whatever is cut off from whatever, all gateways together admit at a rate of at most 1.5 times the
 /// limit, plus one request for each gateway and minute (docs/design/account-limits.md).
@@ -61,8 +66,8 @@
     /// An admitted request ended, having taken `tokens` more (or, negative, fewer) than was said.
     void done(instant now, const client_account_id& account, token_count tokens);
 
-    /// Requests for shares that are due.
-    [[nodiscard]] auto tick(instant now) -> std::vector<ask_share>;
+    /// Requests for shares that are due, those to one home together.
+    [[nodiscard]] auto tick(instant now) -> std::vector<ask_shares>;
     /// Another gateway (or this one) asks for a share of an account whose home this is.
     [[nodiscard]] auto share_asked(instant now, const share_request& request) -> share_grant;
     /// The home answered; one that is not the home (any more) is not believed.
@@ -82,12 +87,16 @@
         demand_meter demand;
         double part = 0;
         instant lease_end{};
+        instant renew_at{};
+        process_id home; // empty until it is needed again
         std::optional<instant> asked;
         instant used{};
     };
 
     [[nodiscard]] auto entry_of(const client_account_id& account) const -> const account_entry*;
     [[nodiscard]] auto track(instant now, const account_entry& entry) -> tracked&;
+    [[nodiscard]] auto home_of(const client_account_id& account, tracked& state) -> const process_id&;
+    [[nodiscard]] auto ask_due(instant now, tracked& state) const -> bool;
     [[nodiscard]] auto equal_part() const -> double;
     [[nodiscard]] auto part_of(instant now, const tracked& state) const -> double;
     [[nodiscard]] auto rules(instant now, const client_account_id& account) const -> share_rules;
--- a/include/dragonflymill/limit/rate_share.h
+++ b/include/dragonflymill/limit/rate_share.h
@@ -3,6 +3,7 @@
 #include "dragonflymill/core/time.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonflymill {
 
@@ -68,6 +69,7 @@
     {
         decay(now);
         value_ += part / window_seconds;
+        since_told_ = true;
     }
 
     /// Demand as a multiple of the limit, averaged over some seconds.
@@ -77,6 +79,22 @@
         return value_;
     }
 
+    /// The value, noted as what the account's home was told.
+    [[nodiscard]] auto tell(instant now) -> double
+    {
+        told_ = value(now);
+        since_told_ = false;
+        return told_;
+    }
+    /// Whether anything was asked for since the home was told.
+    [[nodiscard]] auto since_told() const -> bool { return since_told_; }
+    /// Whether it is about what the home was told.
+    [[nodiscard]] auto steady(instant now) -> bool
+    {
+        constexpr double steady_part = 0.25;
+        return std::abs(value(now) - told_) <= steady_part * told_;
+    }
+
 private:
     static constexpr double window_seconds = 4;
 
@@ -90,6 +108,8 @@
     }
 
     double value_ = 0;
+    double told_ = 0;
+    bool since_told_ = false;
     instant measured_{};
 };
 
--- a/include/dragonflymill/serve/gateway_core.h
+++ b/include/dragonflymill/serve/gateway_core.h
@@ -43,8 +43,9 @@
     /// Takes in one event.
     [[nodiscard]] auto step(instant now, const gateway_event& event) -> std::vector<gateway_action>;
 
-    /// Another gateway, or this one, asks for a share of an account whose home this is.
-    [[nodiscard]] auto share_asked(instant now, const share_request& request) -> share_grant;
+    /// Another gateway, or this one, asks for shares of accounts whose home this is.
+    [[nodiscard]] auto shares_asked(instant now, const std::vector<share_request>& requests)
+        -> std::vector<share_grant>;
     /// Requests and calls in hand.
     [[nodiscard]] auto in_hand() const -> std::size_t { return completions_.size() + calls_.size(); }
     /// What is known of the upstreams, for display.
@@ -77,7 +78,7 @@
     void take(instant now, const gateway_input::bundle_adopted& input, actions_out& actions);
     void take(instant now, const gateway_input::drains_changed& input, actions_out& actions);
     void take(instant now, const gateway_input::gateways_changed& input, actions_out& actions);
-    void take(instant now, const gateway_input::share_granted& input, actions_out& actions);
+    void take(instant now, const gateway_input::shares_granted& input, actions_out& actions);
     void take(instant now, const gateway_input::stop_asked& input, actions_out& actions);
     void take(instant now, const gateway_input::tick& input, actions_out& actions);
 
--- a/include/dragonflymill/serve/gateway_messages.h
+++ b/include/dragonflymill/serve/gateway_messages.h
@@ -153,10 +153,10 @@
     std::vector<process_id> live; ///< All of them, this one included.
     std::size_t configured = 1;   ///< How many there are when all are well.
 };
-/// The home of an account has granted a share of its limits.
-struct share_granted
+/// The home of some accounts has granted shares of their limits.
+struct shares_granted
 {
-    share_grant grant; ///< The grant.
+    std::vector<share_grant> grants; ///< The grants.
 };
 /// The process is to stop: what is in hand is finished.
 struct stop_asked
@@ -177,8 +177,8 @@
                  gateway_input::attempt_broken, gateway_input::service_answered,
                  gateway_input::service_refused, gateway_input::ticket_given, gateway_input::service_running,
                  gateway_input::load_heard, gateway_input::upstream_changed, gateway_input::bundle_adopted,
-                 gateway_input::drains_changed, gateway_input::gateways_changed, gateway_input::share_granted,
-                 gateway_input::stop_asked, gateway_input::tick>;
+                 gateway_input::drains_changed, gateway_input::gateways_changed,
+                 gateway_input::shares_granted, gateway_input::stop_asked, gateway_input::tick>;
 
 /// Outputs of `gateway_core`.
 namespace gateway_output {
@@ -252,10 +252,10 @@
 {
     std::vector<upstream_entry> upstreams; ///< The subset.
 };
-/// Ask the home of an account for a share of its limits.
-struct ask_for_share
+/// Ask the home of some accounts for shares of their limits.
+struct ask_for_shares
 {
-    ask_share asked; ///< Whom and what.
+    ask_shares asked; ///< Whom and what.
 };
 /// Ask an upstream's sidecar for its load.
 struct probe_load
@@ -275,6 +275,6 @@
                  gateway_output::call_service, gateway_output::deliver, gateway_output::finish,
                  gateway_output::refuse, gateway_output::answer_service, gateway_output::give_ticket,
                  gateway_output::tell_running, gateway_output::connect_upstreams,
-                 gateway_output::ask_for_share, gateway_output::probe_load, gateway_output::all_done>;
+                 gateway_output::ask_for_shares, gateway_output::probe_load, gateway_output::all_done>;
 
 } // namespace dragonflymill
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -89,14 +89,14 @@
     done(checked);
 }
 
-void control_loop::ask(const ask_share& asked, const std::function<void(std::optional<share_grant>)>& done)
+void control_loop::ask(const ask_shares& asked, const share_answer& done)
 {
     const auto* record = core_.members().table().find(asked.home);
     if (record == nullptr) {
-        done(std::nullopt);
+        done({});
         return;
     }
-    peers_.ask_share(record->update.info.peer_address, asked.request, done);
+    peers_.ask_shares(record->update.info.peer_address, asked.requests, done);
 }
 
 auto control_loop::traffic() const -> control_traffic
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -38,7 +38,7 @@
     /// Takes over an operator's word after a check of its seal.
     void drain(const sealed_drain& word, const peer_answer& done);
     /// Asks the home of an account.
-    void ask(const ask_share& asked, const std::function<void(std::optional<share_grant>)>& done);
+    void ask(const ask_shares& asked, const share_answer& done);
     /// Traffic so far; callable from every thread.
     [[nodiscard]] auto traffic() const -> control_traffic;
 
--- a/src/control/control_plane.cpp
+++ b/src/control/control_plane.cpp
@@ -94,10 +94,10 @@
         on_thread([this, subject = std::move(subject), out] { loop_->drain(subject, out); });
     }
 
-    void ask(ask_share asked, std::function<void(std::optional<share_grant>)> done)
+    void ask(ask_shares asked, share_answer done)
     {
-        if (asked.home == self().id && handlers_.on_share_asked) {
-            done(handlers_.on_share_asked(asked.request));
+        if (asked.home == self().id && handlers_.on_shares_asked) {
+            done(handlers_.on_shares_asked(asked.requests));
             return;
         }
         on_thread([this, asked = std::move(asked), done = std::move(done)] { loop_->ask(asked, done); });
@@ -116,7 +116,7 @@
         made.on_drain = [this](sealed_drain word, peer_answer done) {
             on_thread([this, word = std::move(word), done = std::move(done)] { loop_->drain(word, done); });
         };
-        made.on_share_asked = handlers_.on_share_asked;
+        made.on_shares_asked = handlers_.on_shares_asked;
         return made;
     }
 
@@ -188,7 +188,7 @@
     inner_->drain(std::move(subject), out);
 }
 
-void control_plane::request_share(ask_share asked, std::function<void(std::optional<share_grant>)> done)
+void control_plane::request_shares(ask_shares asked, share_answer done)
 {
     inner_->ask(std::move(asked), std::move(done));
 }
--- a/src/control/control_plane.h
+++ b/src/control/control_plane.h
@@ -38,8 +38,8 @@
 {
     std::function<void(std::shared_ptr<const control_snapshot>)> on_snapshot; ///< Something changed.
     std::function<void()> on_superseded;                                      ///< Stop: a successor is there.
-    std::function<share_grant(const share_request&)>
-        on_share_asked; ///< Called on gRPC's threads; empty at sidecars.
+    std::function<std::vector<share_grant>(const std::vector<share_request>&)>
+        on_shares_asked; ///< Called on gRPC's threads; empty at sidecars.
 };
 
 /// Traffic of the control plane so far, in bytes on the wire without frame overhead below IP.
@@ -78,7 +78,7 @@
     void drain(drain_subject subject, bool out);
     /// Asks the home of an account for a share; `done` comes on gRPC's threads, with nothing if there was no
     /// answer or the home is not known.
-    void request_share(ask_share asked, std::function<void(std::optional<share_grant>)> done);
+    void request_shares(ask_shares asked, share_answer done);
 
     /// This process as others see it, with its real addresses.
     [[nodiscard]] auto self() const -> const member_info&;
--- a/src/control/daemon_control.cpp
+++ b/src/control/daemon_control.cpp
@@ -172,13 +172,13 @@
                "set [control] udp_listen so that it takes bundles"));
 }
 
-void daemon_control::request_share(ask_share asked, std::function<void(std::optional<share_grant>)> done)
+void daemon_control::request_shares(ask_shares asked, share_answer done)
 {
     if (plane_) {
-        plane_->request_share(std::move(asked), std::move(done));
+        plane_->request_shares(std::move(asked), std::move(done));
         return;
     }
-    done(std::nullopt);
+    done({});
 }
 
 auto daemon_control::gossip_address() const -> std::string
--- a/src/control/daemon_control.h
+++ b/src/control/daemon_control.h
@@ -36,7 +36,7 @@
     void push(pushed_bundle pushed, const peer_answer& done);
     /// Asks the home of an account for a share; `done` comes on another thread, with nothing if there is no
     /// answer.
-    void request_share(ask_share asked, std::function<void(std::optional<share_grant>)> done);
+    void request_shares(ask_shares asked, share_answer done);
     /// Address of its gossip; empty without one.
     [[nodiscard]] auto gossip_address() const -> std::string;
 
--- a/src/control/peer_client.cpp
+++ b/src/control/peer_client.cpp
@@ -97,6 +97,21 @@
     return error(error_kind::conflict, problem, remedy);
 }
 
+/// The grants of a reply; none if it does not fit the request.
+auto grants_of(const wire::shares_ask& asked, const wire::shares_reply& reply) -> std::vector<share_grant>
+{
+    std::vector<share_grant> grants;
+    if (reply.grants_size() != asked.accounts_size()) {
+        return grants;
+    }
+    for (int at = 0; at < reply.grants_size(); ++at) {
+        const auto& grant = reply.grants(at);
+        grants.push_back({client_account_id(asked.accounts(at).client_account()), process_id(reply.home()),
+                          grant.is_home(), grant.part(), duration(grant.lease_us())});
+    }
+    return grants;
+}
+
 } // namespace
 
 void peer_client::fetch_manifest(const std::string& address,
@@ -123,28 +138,27 @@
     new section_reader_call(address, digests, std::move(each), std::move(done), deadline_, calls_);
 }
 
-void peer_client::ask_share(const std::string& address, const share_request& request,
-                            std::function<void(std::optional<share_grant>)> done) const
+void peer_client::ask_shares(const std::string& address, const std::vector<share_request>& requests,
+                             share_answer done) const
 {
-    auto call = std::make_shared<unary_call<wire::share_ask, wire::share_reply>>();
+    auto call = std::make_shared<unary_call<wire::shares_ask, wire::shares_reply>>();
     call->stub = stub_for(address);
-    call->request.set_client_account(request.account.text());
-    call->request.set_gateway(request.gateway.text());
-    call->request.set_demand(request.demand);
-    call->request.set_held(request.held);
+    for (const auto& request : requests) {
+        call->request.set_gateway(request.gateway.text()); // the same in all
+        auto& asked = *call->request.add_accounts();
+        asked.set_client_account(request.account.text());
+        asked.set_demand(request.demand);
+        asked.set_held(request.held);
+    }
     limit(call->context, deadline_);
     calls_.begin(call->context);
     auto* raw = call.get();
-    raw->stub->async()->ask_share(&raw->context, &raw->request, &raw->reply,
-                                  [this, call = std::move(call), done = std::move(done),
-                                   account = request.account](const grpc::Status& status) {
-                                      const auto& reply = call->reply;
-                                      const share_grant granted{account, process_id(reply.home()),
-                                                                reply.is_home(), reply.part(),
-                                                                duration(reply.lease_us())};
-                                      done(status.ok() ? std::optional(granted) : std::nullopt);
-                                      calls_.end(call->context);
-                                  });
+    raw->stub->async()->ask_shares(
+        &raw->context, &raw->request, &raw->reply,
+        [this, call = std::move(call), done = std::move(done)](const grpc::Status& status) {
+            done(status.ok() ? grants_of(call->request, call->reply) : std::vector<share_grant>());
+            calls_.end(call->context);
+        });
 }
 
 auto peer_client::push(const std::string& address, const pushed_bundle& bundle) const -> result<void>
--- a/src/control/peer_client.h
+++ b/src/control/peer_client.h
@@ -28,9 +28,9 @@
     /// Asks for sections: `each` gets every text, `done` whether all that the peer has came.
     void fetch_sections(const std::string& address, const std::vector<sha256_digest>& digests,
                         std::function<void(std::string)> each, std::function<void(bool)> done) const;
-    /// Asks for a part of an account's limits; `done` gets nothing if there was no answer.
-    void ask_share(const std::string& address, const share_request& request,
-                   std::function<void(std::optional<share_grant>)> done) const;
+    /// Asks for parts of accounts' limits; `done` gets nothing if there was no answer.
+    void ask_shares(const std::string& address, const std::vector<share_request>& requests,
+                    share_answer done) const;
     /// Pushes a bundle and waits for the answer.
     [[nodiscard]] auto push(const std::string& address, const pushed_bundle& bundle) const -> result<void>;
     /// Sends an operator's word and waits for the answer.
--- a/src/control/peer_service.cpp
+++ b/src/control/peer_service.cpp
@@ -187,21 +187,28 @@
     return reactor;
 }
 
-auto peer_service::ask_share(grpc::CallbackServerContext* context, const wire::share_ask* request,
-                             wire::share_reply* reply) -> grpc::ServerUnaryReactor*
+auto peer_service::ask_shares(grpc::CallbackServerContext* context, const wire::shares_ask* request,
+                              wire::shares_reply* reply) -> grpc::ServerUnaryReactor*
 {
     auto* reactor = context->DefaultReactor();
-    if (!handlers_.on_share_asked) {
+    if (!handlers_.on_shares_asked) {
         reactor->Finish({grpc::StatusCode::FAILED_PRECONDITION, "not a gateway"});
         return reactor;
     }
-    const auto grant =
-        handlers_.on_share_asked({client_account_id(request->client_account()),
-                                  process_id(request->gateway()), request->demand(), request->held()});
-    reply->set_home(grant.home.text());
-    reply->set_is_home(grant.is_home);
-    reply->set_part(grant.part);
-    reply->set_lease_us(grant.lease.count());
+    std::vector<share_request> asked;
+    for (const auto& account : request->accounts()) {
+        asked.push_back({client_account_id(account.client_account()), process_id(request->gateway()),
+                         account.demand(), account.held()});
+    }
+    for (const auto& grant : handlers_.on_shares_asked(asked)) {
+        if (grant.is_home) {
+            reply->set_home(grant.home.text());
+        }
+        auto& made = *reply->add_grants();
+        made.set_is_home(grant.is_home);
+        made.set_part(grant.part);
+        made.set_lease_us(grant.lease.count());
+    }
     reactor->Finish(grpc::Status::OK);
     return reactor;
 }
--- a/src/control/peer_service.h
+++ b/src/control/peer_service.h
@@ -38,15 +38,19 @@
     std::string seal;          ///< Seal over all of it.
 };
 
+/// Told what the home of some accounts granted; nothing if there was no answer.
+using share_answer = std::function<void(std::vector<share_grant>)>;
+
 /// Told how a request ended.
 using peer_answer = std::function<void(result<void>)>;
 
 /// What the service hands on; called on gRPC's threads.
 struct peer_service_handlers
 {
-    std::function<void(pushed_bundle, peer_answer)> on_push;         ///< An operator pushed a bundle.
-    std::function<void(sealed_drain, peer_answer)> on_drain;         ///< An operator's word arrived.
-    std::function<share_grant(const share_request&)> on_share_asked; ///< A gateway asks for a share.
+    std::function<void(pushed_bundle, peer_answer)> on_push; ///< An operator pushed a bundle.
+    std::function<void(sealed_drain, peer_answer)> on_drain; ///< An operator's word arrived.
+    std::function<std::vector<share_grant>(const std::vector<share_request>&)>
+        on_shares_asked; ///< A gateway asks for shares.
 };
 
 /// What this process offers to peers and operators over gRPC.
@@ -70,8 +74,8 @@
         -> grpc::ServerReadReactor<wire::push_part>* override;
     auto drain(grpc::CallbackServerContext* context, const wire::drain_request* request,
                wire::drain_reply* reply) -> grpc::ServerUnaryReactor* override;
-    auto ask_share(grpc::CallbackServerContext* context, const wire::share_ask* request,
-                   wire::share_reply* reply) -> grpc::ServerUnaryReactor* override;
+    auto ask_shares(grpc::CallbackServerContext* context, const wire::shares_ask* request,
+                    wire::shares_reply* reply) -> grpc::ServerUnaryReactor* override;
 
 private:
     [[nodiscard]] auto served() const -> std::shared_ptr<const served_bundle>;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -49,7 +49,7 @@
         , timeline_(std::move(timeline))
         , shell_(settings, std::move(ticket_key), timeline_, metrics_,
                  {[this] { boost::asio::post(context_, [this] { on_all_done(); }); },
-                  [this](const ask_share& asked) { ask_for_share(asked); }})
+                  [this](const ask_shares& asked) { ask_for_shares(asked); }})
         , gate_(
               {settings.process.name,
                static_cast<std::uint64_t>(runtime::wall_now().time_since_epoch().count()),
@@ -69,7 +69,7 @@
 private:
     [[nodiscard]] auto open_control() -> result<void>;
     void on_snapshot(const control::control_snapshot& snapshot);
-    void ask_for_share(const ask_share& asked);
+    void ask_for_shares(const ask_shares& asked);
     void on_stop_signal();
     void stop_accepting();
     void on_all_done();
@@ -98,7 +98,9 @@
     };
     // A gateway that finds a later start of itself has been replaced: it finishes what it has and ends.
     handlers.on_superseded = [this] { boost::asio::post(context_, [this] { on_stop_signal(); }); };
-    handlers.on_share_asked = [this](const share_request& request) { return shell_.share_asked(request); };
+    handlers.on_shares_asked = [this](const std::vector<share_request>& requests) {
+        return shell_.shares_asked(requests);
+    };
     auto opened = control::daemon_control::open(
         {process_role::gateway, settings_.process, settings_.bundle, settings_.control}, std::move(handlers));
     if (!opened) {
@@ -120,13 +122,10 @@
     gate_.adopt(snapshot.in_force);
 }
 
-void gateway_daemon::ask_for_share(const ask_share& asked)
+void gateway_daemon::ask_for_shares(const ask_shares& asked)
 {
-    control_->request_share(asked, [this](const std::optional<share_grant>& grant) {
-        if (grant) {
-            shell_.share_granted(*grant);
-        }
-    });
+    control_->request_shares(
+        asked, [this](std::vector<share_grant> grants) { shell_.shares_granted(std::move(grants)); });
 }
 
 auto gateway_daemon::run() -> int
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -92,24 +92,20 @@
         gateway_input::gateways_changed{control::live_gateways(snapshot, self), snapshot.gateways_expected}));
 }
 
-auto gateway_shell::share_asked(const share_request& request) -> share_grant
+auto gateway_shell::shares_asked(const std::vector<share_request>& requests) -> std::vector<share_grant>
 {
-    const auto answer = std::make_shared<std::promise<share_grant>>();
+    const auto answer = std::make_shared<std::promise<std::vector<share_grant>>>();
     auto future = answer->get_future();
-    const bool asked = decide_.post(share_question{request, answer});
+    const bool asked = decide_.post(share_question{requests, answer});
     if (asked && future.wait_for(share_patience) == std::future_status::ready) {
         return future.get();
     }
-    // No word: the other gateway goes on with its equal part.
-    share_grant none;
-    none.account = request.account;
-    none.is_home = false;
-    return none;
+    return {}; // no word: the other gateway goes on with its equal parts
 }
 
-void gateway_shell::share_granted(const share_grant& grant)
+void gateway_shell::shares_granted(std::vector<share_grant> grants)
 {
-    post(gateway_event(gateway_input::share_granted{grant}));
+    post(gateway_event(gateway_input::shares_granted{std::move(grants)}));
 }
 
 auto gateway_shell::arrived(arrival made) -> bool
@@ -150,7 +146,7 @@
             carry_out(core_.step(now, made->event));
         }
         else if (const auto* question = std::get_if<share_question>(&*event)) {
-            question->answer->set_value(core_.share_asked(now, question->request));
+            question->answer->set_value(core_.shares_asked(now, question->requests));
         }
         else {
             handle_link(std::move(std::get<link_event>(*event)));
@@ -448,9 +444,9 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::ask_for_share& action)
+void gateway_shell::act(const gateway_output::ask_for_shares& action)
 {
-    handlers_.ask_for_share(action.asked);
+    handlers_.ask_for_shares(action.asked);
 }
 
 void gateway_shell::act(const gateway_output::probe_load& action)
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -25,8 +25,8 @@
 /// What a gateway_shell needs of the daemon around it; called on the deciding thread.
 struct gateway_shell_handlers
 {
-    std::function<void()> on_all_done;                   ///< A planned stop is finished.
-    std::function<void(const ask_share&)> ask_for_share; ///< Ask an account's home for a share.
+    std::function<void()> on_all_done;                     ///< A planned stop is finished.
+    std::function<void(const ask_shares&)> ask_for_shares; ///< Ask the home of accounts for shares.
 };
 
 /// The thread that decides, and the hands that carry out what it decides.
@@ -41,11 +41,11 @@
     void start();
     /// Takes over what the control plane knows; called on one thread.
     void adopt(const control::control_snapshot& snapshot);
-    /// Another gateway asks for a share of an account whose home this is; waits for the deciding thread, but
-    /// not long.
-    [[nodiscard]] auto share_asked(const share_request& request) -> share_grant;
-    /// The home of an account granted a share.
-    void share_granted(const share_grant& grant);
+    /// Another gateway asks for shares of accounts whose home this is; waits for the deciding thread, but not
+    /// long.
+    [[nodiscard]] auto shares_asked(const std::vector<share_request>& requests) -> std::vector<share_grant>;
+    /// The home of some accounts granted shares.
+    void shares_granted(std::vector<share_grant> grants);
     /// A caller's request; false if there is no room for it.
     [[nodiscard]] auto arrived(arrival made) -> bool;
     /// A caller left.
@@ -64,11 +64,11 @@
         upstream_id upstream;
         length_class size = length_class::interactive;
     };
-    /// A question to this gateway as the home of an account.
+    /// A question to this gateway as the home of some accounts.
     struct share_question
     {
-        share_request request;
-        std::shared_ptr<std::promise<share_grant>> answer;
+        std::vector<share_request> requests;
+        std::shared_ptr<std::promise<std::vector<share_grant>>> answer;
     };
     using shell_event = std::variant<link_event, arrival, share_question>;
 
@@ -94,7 +94,7 @@
     void act(const gateway_output::give_ticket& action);
     void act(const gateway_output::tell_running& action);
     void act(const gateway_output::connect_upstreams& action);
-    void act(const gateway_output::ask_for_share& action);
+    void act(const gateway_output::ask_for_shares& action);
     void act(const gateway_output::probe_load& action);
     void act(const gateway_output::all_done& action);
 
--- a/src/limit/account_limiter.cpp
+++ b/src/limit/account_limiter.cpp
@@ -64,6 +64,9 @@
     if (live != gateways_) {
         gateways_before_ = std::exchange(gateways_, std::move(live));
         gateways_changed_ = now;
+        for (auto& [id, state] : tracked_) {
+            state.home = process_id();
+        }
     }
 }
 
@@ -110,19 +113,44 @@
     state.tokens.take(static_cast<double>(tokens));
 }
 
-auto account_limiter::tick(instant now) -> std::vector<ask_share>
+auto account_limiter::home_of(const client_account_id& account, tracked& state) -> const process_id&
+{
+    if (state.home.empty()) {
+        state.home = home(account);
+    }
+    return state.home;
+}
+
+auto account_limiter::ask_due(instant now, tracked& state) const -> bool
+{
+    if (!state.demand.since_told()) {
+        return false; // a lease that nobody uses runs out
+    }
+    if (!state.asked) {
+        return true;
+    }
+    if (now - *state.asked < settings_.ask_interval) {
+        return false;
+    }
+    return now >= state.renew_at || !state.demand.steady(now);
+}
+
+auto account_limiter::tick(instant now) -> std::vector<ask_shares>
 {
     std::erase_if(tracked_, [&](const auto& entry) {
         return entry.second.in_flight == 0 && now - entry.second.used >= settings_.forget_after;
     });
-    std::vector<ask_share> asked;
+    std::map<process_id, std::vector<share_request>> due;
     for (auto& [id, state] : tracked_) {
-        if (state.asked && now - *state.asked < settings_.ask_interval) {
-            continue;
+        if (ask_due(now, state)) {
+            state.asked = now;
+            const auto held = state.lease_end > now ? state.part : 0;
+            due[home_of(id, state)].push_back({id, settings_.self, state.demand.tell(now), held});
         }
-        state.asked = now;
-        const auto held = state.lease_end > now ? state.part : 0;
-        asked.push_back({home(id), {id, settings_.self, state.demand.value(now), held}});
+    }
+    std::vector<ask_shares> asked;
+    for (auto& [home, requests] : due) {
+        asked.push_back({home, std::move(requests)});
     }
     return asked;
 }
@@ -155,6 +183,7 @@
     // was paused, must not be used beyond what the home has noted.
     state.part = grant.part;
     state.lease_end = *state.asked + grant.lease;
+    state.renew_at = *state.asked + grant.lease / 2;
     apply_part(now, *entry, state);
 }
 
@@ -198,7 +227,7 @@
 // once for each part of the partition. Who has no lease uses no more than if all others were there.
 auto account_limiter::part_of(instant now, const tracked& state) const -> double
 {
-    return state.lease_end > now ? state.part : equal_part();
+    return state.lease_end > now ? std::min(1.0, state.part + settings_.floor * equal_part()) : equal_part();
 }
 
 auto account_limiter::rules(instant now, const client_account_id& account) const -> share_rules
@@ -209,6 +238,9 @@
     if (2 * gateways_.size() <= configured_) {
         rules.whole = static_cast<double>(gateways_.size()) * equal_part();
     }
+    // Guards against a gateway that joins while another holds the whole on a lease: it would refuse every
+    // request of the account until that lease is dealt anew. What is not leased is everyone's at any time.
+    rules.whole *= 1 - settings_.floor;
     // Views of who is there differ for a while after a change; another ask interval covers that.
     const bool recent = now - gateways_changed_ < settings_.lease_time + settings_.ask_interval;
     rules.only_held_parts = recent && home_among(gateways_before_, account) != settings_.self;
--- a/src/serve/gateway_core.cpp
+++ b/src/serve/gateway_core.cpp
@@ -81,9 +81,15 @@
     return actions;
 }
 
-auto gateway_core::share_asked(instant now, const share_request& request) -> share_grant
+auto gateway_core::shares_asked(instant now, const std::vector<share_request>& requests)
+    -> std::vector<share_grant>
 {
-    return limiter_.share_asked(now, request);
+    std::vector<share_grant> grants;
+    grants.reserve(requests.size());
+    for (const auto& request : requests) {
+        grants.push_back(limiter_.share_asked(now, request));
+    }
+    return grants;
 }
 
 auto gateway_core::admit(instant now, exchange_number exchange, const client_account_id& account,
@@ -290,9 +296,11 @@
     limiter_.gateways_changed(now, input.live, input.configured);
 }
 
-void gateway_core::take(instant now, const gateway_input::share_granted& input, actions_out& /*actions*/)
+void gateway_core::take(instant now, const gateway_input::shares_granted& input, actions_out& /*actions*/)
 {
-    limiter_.share_granted(now, input.grant);
+    for (const auto& grant : input.grants) {
+        limiter_.share_granted(now, grant);
+    }
 }
 
 void gateway_core::take(instant /*now*/, const gateway_input::stop_asked& /*input*/, actions_out& actions)
@@ -307,10 +315,12 @@
     calls_.tick(now, actions);
     for (auto& asked : limiter_.tick(now)) {
         if (asked.home == options_.self) {
-            limiter_.share_granted(now, limiter_.share_asked(now, asked.request));
+            for (const auto& grant : shares_asked(now, asked.requests)) {
+                limiter_.share_granted(now, grant);
+            }
         }
         else {
-            actions.push_back(gateway_output::ask_for_share{std::move(asked)});
+            actions.push_back(gateway_output::ask_for_shares{std::move(asked)});
         }
     }
     probe_old_loads(now, actions);
--- a/tests/limit/account_limiter_test.cpp
+++ b/tests/limit/account_limiter_test.cpp
@@ -93,6 +93,66 @@
     cr_assert(rate < 0.3 * limit, "%f", rate);
 }
 
+Test(account_limiter, asks_go_to_each_home_together_and_only_for_accounts_with_requests)
+{
+    constexpr std::size_t account_count = 300;
+    constexpr std::size_t gateway_count = 4;
+    account_limiter limiter({.self = limiter_world::name(0)}, instant{});
+    bundle value;
+    for (std::size_t at = 0; at < account_count; ++at) {
+        value.accounts.push_back(limiter_world::sample().accounts.front());
+        value.accounts.back().id = client_account_id("a" + std::to_string(at));
+    }
+    limiter.bundle_adopted(instant{}, value);
+    std::vector<process_id> gateways;
+    for (std::size_t at = 0; at < gateway_count; ++at) {
+        gateways.push_back(limiter_world::name(at));
+    }
+    limiter.gateways_changed(instant{}, gateways, gateway_count);
+    for (const auto& account : value.accounts) {
+        cr_assert(!limiter.admit(instant{}, account.id, 1));
+    }
+    const auto asked = limiter.tick(instant{} + 10ms);
+    cr_assert(asked.size() == gateway_count, "one message a home, not one an account");
+    std::size_t requests = 0;
+    for (const auto& each : asked) {
+        for (const auto& request : each.requests) {
+            cr_assert(limiter.home(request.account) == each.home);
+        }
+        requests += each.requests.size();
+    }
+    cr_assert(requests == account_count);
+    cr_assert(limiter.tick(instant{} + 10s).empty(), "nobody has asked for anything since");
+}
+
+Test(account_limiter, steady_demand_is_told_once_in_half_a_lease)
+{
+    limiter_world world(2, 12);
+    std::fill(world.demand.begin(), world.demand.end(), 0.4 * limit);
+    world.run(20s);
+    world.asks = 0;
+    world.run(60s);
+    cr_assert(world.asks <= 2 * 60 / 3 + 2, "%lu", world.asks);
+}
+
+FAULT_CELL_MORE(request_limit, same_twice, joins_late)
+{
+    // Callers of a gateway that has just been started are refused for seconds although their account is far
+    // from its limit there. Order: one gateway holds the whole limit on a lease; another joins, asks, and is
+    // granted nothing until that lease is dealt anew. Cause: all of the limit was out on leases.
+    limiter_world world(10, 13);
+    const auto busy = world.home(0) == 3 ? 4U : 3U;
+    const auto joins = world.home(0) == 5 ? 6U : 5U;
+    world.demand[busy] = 3 * limit;
+    world.run(20'500ms);
+    world.demand[joins] = 0.02 * limit;
+    for (int second = 0; second < 3; ++second) {
+        const auto rate = world.run(1s);
+        cr_assert(world.admitted_at[joins] >= 1, "second %d", second);
+        cr_assert(rate < 1.1 * limit, "%f", rate);
+    }
+}
+
 FAULT_CELL(request_limit, partition)
 {
     // The partner sees an account get at most one and a half times its limit while gateways are cut off.
@@ -213,7 +273,7 @@
     const auto account = limiter_world::account();
     cr_assert(!limiter.admit(instant{}, account, 1));
     const auto asked = limiter.tick(instant{} + 1s);
-    cr_assert(asked.size() == 1);
+    cr_assert(asked.size() == 1 && asked.front().requests.size() == 1);
     const share_grant grant{account, limiter.home(account), true, 1, 6s};
     limiter.share_granted(instant{} + 20s, grant);
     cr_assert(limiter.part(instant{} + 20s, account) == 0.5);
--- a/tests/limit/limiter_world.h
+++ b/tests/limit/limiter_world.h
@@ -90,6 +90,7 @@
     std::vector<std::uint64_t> admitted_at;
     std::uint64_t admitted = 0;
     double loss = 0;
+    std::uint64_t asks = 0; ///< Messages with asks.
 
 private:
     void step(std::size_t at)
@@ -108,8 +109,12 @@
         for (const auto& ask : limiters[at].tick(now)) {
             const auto home_at = std::stoul(ask.home.text().substr(1));
             const bool reached = side[at] == side[home_at] && !paused[home_at];
-            if (reached && !random_.chance(loss)) {
-                limiters[at].share_granted(now, limiters[home_at].share_asked(now, ask.request));
+            ++asks;
+            if (!reached || random_.chance(loss)) {
+                continue;
+            }
+            for (const auto& request : ask.requests) {
+                limiters[at].share_granted(now, limiters[home_at].share_asked(now, request));
             }
         }
     }
