--- /dev/null
+++ b/tests/process/config_faults_test.cpp
@@ -0,0 +1,43 @@
+#include "process/process_fleet.h"
+#include "support/fault_cell.h"
+
+using namespace dragonflymill;
+using namespace dragonflymill::test;
+
+namespace {
+
+/// Watches a process that was killed and started again: it must not say at any moment that it runs by an
+/// older bundle.
+auto comes_back_by(const process_fleet& fleet, const std::string& name, std::int64_t version) -> bool
+{
+    std::int64_t seen = 0;
+    const bool back = comes_true([&] { return (seen = fleet.bundle_of(name)) != 0; });
+    return back && seen == version && fleet.bundle_of(name) == version;
+}
+
+} // namespace
+
+FAULT_CELL_MORE(bundle_spread, two_faults, service_down_then_stale)
+{
+    // The configuration service is down when both partners need a change at once; an operator pushes it to
+    // one gateway. The service comes back and shows what it had before. Then a gateway and a sidecar are
+    // killed and start with nothing but the old bundle's file: nobody may ever serve by the old one again.
+    fleet_options options;
+    options.config_service = true;
+    process_fleet fleet(options);
+    cr_assert(comes_true([&] { return fleet.all_run_by(1); }));
+    fleet.fault("config", R"({"down":true})");
+    const auto changed = fleet.files().sign_bundle(2);
+    (void)fleet_files::command({"bundle", "push", changed, "--to", fleet.files().listener("gateway-1", 1)});
+    cr_assert(comes_true([&] { return fleet.all_run_by(2); }));
+    fleet.fault("config", R"({"down":false})");
+    fleet.files().ask_peers_at_start();
+    fleet.kill("gateway-2");
+    fleet.start_gateway("gateway-2");
+    cr_assert(comes_back_by(fleet, "gateway-2", 2));
+    fleet.kill("sidecar-engine-1");
+    fleet.start_sidecar("engine-1");
+    cr_assert(comes_back_by(fleet, "engine-1", 2));
+    cr_assert(fleet.all_run_by(2));
+    cr_assert(is_whole_answer(standins::call_and_wait(fleet.completion("gateway-2", 100, 4)), 100, 4));
+}
--- a/tests/process/fleet_files.cpp
+++ b/tests/process/fleet_files.cpp
@@ -37,8 +37,7 @@
 
 } // namespace
 
-fleet_files::fleet_files(fleet_options options)
-    : options_(std::move(options))
+fleet_files::fleet_files()
 {
     auto pattern = (std::filesystem::temp_directory_path() / "dragonflymill-XXXXXX").string();
     folder_ = mkdtemp(pattern.data());
@@ -97,6 +96,16 @@
     sidecars_[name] = address;
 }
 
+void fleet_files::set_config_service(const std::string& address)
+{
+    config_service_ = address;
+}
+
+void fleet_files::ask_peers_at_start()
+{
+    standalone_ = false;
+}
+
 auto fleet_files::command(const std::vector<std::string>& words) -> std::string
 {
     test_support::child_process child(std::string(DRAGONFLYMILL_BINARY_DIR) + "/dragonflymill", words);
@@ -122,17 +131,20 @@
 
 auto fleet_files::engine_section(const std::string& name) const -> std::string
 {
-    return "[upstream " + name + "]\nkind = engine\nfailure_domain = " + domain_of(name) + "\nhost = host-" +
-           name + "\nsidecar = " + sidecars_.at(name) +
-           "\nmodels = assistant-1\nmemory = 450k\nmax_outstanding = 440k\ncold_outstanding = 100k\n";
+    std::string out = "[upstream ";
+    out += name + "]\nkind = engine\nfailure_domain = " + domain_of(name) + "\nhost = host-" + name +
+           "\nsidecar = " + sidecars_.at(name) +
+           "\nmodels = assistant-1\nmemory = 450k\nmax_outstanding = 440k\ncold_outstanding = 50k\n";
+    return out;
 }
 
 auto fleet_files::bundle_text(int version) const -> std::string
 {
-    std::string out =
-        "[bundle]\nversion = " + std::to_string(version) + "\nterm_end = 2030-12-31T00:00:00Z\n";
+    std::string out = "[bundle]\nversion = ";
+    out += std::to_string(version) + "\nterm_end = 2030-12-31T00:00:00Z\n";
     for (const auto& [partner, key] : keys_) {
-        out += "[partner " + partner + "]\npublic_key = " + key + "\n";
+        out += "[partner ";
+        out += partner + "]\npublic_key = " + key + "\n";
     }
     for (const std::string domain : {"a", "b"}) {
         out += "[failure_domain ";
@@ -151,7 +163,7 @@
 
 auto fleet_files::sign_bundle(int version) -> std::string
 {
-    const auto signed_path = path("bundle-" + std::to_string(version) + ".signed");
+    auto signed_path = path("bundle-" + std::to_string(version) + ".signed");
     write("bundle.ini", bundle_text(version));
     (void)command({"bundle", "sign", path("bundle.ini"), "--partner", "cooperative", "--key",
                    path("cooperative.pem"), "--out", path("half.signed")});
@@ -163,15 +175,15 @@
 auto fleet_files::common(const std::string& process, const std::string& name) const -> std::string
 {
     const auto service =
-        options_.config_service.empty() ? std::string() : "\nservice = " + options_.config_service;
+        config_service_.empty() ? std::string() : "\nconfiguration_service = " + config_service_;
     return "[process]\nname = " + process + "\nhost = host-" + name +
            "\nfailure_domain = " + domain_of(name) +
-           "\nregion = north\n[bundle]\nfile = " + path("bundle-1.signed") + service +
+           "\nregion = north\n[bundle]\nfile = " + path("bundle-1.signed") +
            "\npartners = cooperative:" + keys_.at("cooperative") + ", birchlog:" + keys_.at("birchlog") +
            "\n[control]\nudp_listen = " + listener(name, 2) + "\npeer_listen = " + listener(name, 3) +
            "\nseeds = " + listener("engine-1", 2) + ", " + listener("engine-2", 2) +
-           "\nkey_file = " + path("control.key") +
-           "\nstandalone = yes\n[log]\nfile = " + path(process + ".log") +
+           "\nkey_file = " + path("control.key") + service +
+           "\nstandalone = " + (standalone_ ? "yes" : "no") + "\n[log]\nfile = " + path(process + ".log") +
            "\n[stop]\ndrain_lag = 500ms\n[once]\nkey_file = " + path("tickets.key") + "\n";
 }
 
@@ -179,7 +191,7 @@
 {
     const auto file = "sidecar-" + name + ".ini";
     write(file, common("sidecar-" + name, name) + "[upstream]\nid = " + name + "\naddress = " + upstream +
-                    "\nfirst_token = 500ms\nprefill_rate = 20k/s\n" + options_.upstream_lines +
+                    "\nfirst_token = 500ms\nprefill_rate = 20k/s\n" +
                     "[listen]\ngrpc = " + listener(name, 0) + "\nadmin = " + listener(name, 1) + "\n");
     return path(file);
 }
--- a/tests/process/fleet_files.h
+++ b/tests/process/fleet_files.h
@@ -13,8 +13,8 @@
 {
     std::string time_scale = "1";            ///< The engines' times run at this multiple of real time.
     std::string first_model = "assistant-1"; ///< What engine-1 starts with; the bundle wants assistant-1.
-    std::string upstream_lines;              ///< Further lines of the sidecars' section [upstream].
-    std::string config_service;              ///< Address of the configuration service; empty for none.
+    bool relays = false;                     ///< Whether engines' sidecars are reached through relays.
+    bool config_service = false;             ///< Whether there is one, with the fleet's first bundle.
 };
 
 /// Folder, ports, keys, settings files and bundles of one test's fleet. The folder goes with this object.
@@ -22,7 +22,7 @@
 {
 public:
     /// Chooses ports and writes keys.
-    explicit fleet_files(fleet_options options);
+    fleet_files();
     fleet_files(const fleet_files&) = delete;
     auto operator=(const fleet_files&) -> fleet_files& = delete;
     ~fleet_files();
@@ -33,6 +33,10 @@
     [[nodiscard]] auto listener(const std::string& name, std::size_t number) const -> std::string;
     /// Where gateways find a sidecar.
     void set_sidecar_address(const std::string& name, const std::string& address);
+    /// Where processes that are started from now on find the configuration service.
+    void set_config_service(const std::string& address);
+    /// Processes that are started from now on ask their peers before they serve.
+    void ask_peers_at_start();
     /// Writes and signs the bundle of that version; its path.
     auto sign_bundle(int version) -> std::string;
     /// Writes a sidecar's settings beside an upstream; their path.
@@ -51,11 +55,12 @@
     [[nodiscard]] auto bundle_text(int version) const -> std::string;
     [[nodiscard]] auto common(const std::string& process, const std::string& name) const -> std::string;
 
-    fleet_options options_;
     std::string folder_;
     std::map<std::string, std::array<std::uint16_t, 4>> ports_;
     std::map<std::string, std::string> sidecars_;
     std::map<std::string, std::string> keys_;
+    std::string config_service_;
+    bool standalone_ = true;
 };
 
 } // namespace dragonflymill::test
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -1,10 +1,15 @@
 #include "process/process_fleet.h"
 
+#include "control/bundle_package.h"
+#include "control/platform_reader.h"
+#include "dragonflymill/bundle/digest.h"
+#include "dragonflymill/bundle/signed_bundle.h"
 #include "standins/booking_caller.h"
 #include "standins/json_fields.h"
 #include "standins/load_plan.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/json.hpp>
 #include <criterion/criterion.h>
 #include <unistd.h>
@@ -20,13 +25,21 @@
 } // namespace
 
 process_fleet::process_fleet(const fleet_options& options)
-    : files_(options)
 {
     // Guards against a test that never ends, also in a loop of its own: the runner would wait for it for
     // ever. Its children are ended by the kernel together with it.
     alarm(test_limit_seconds);
     start_standins(options);
-    (void)files_.sign_bundle(1);
+    if (options.relays) {
+        for (const std::string name : {"engine-1", "engine-2"}) {
+            relays_[name] = std::make_unique<test_support::tcp_relay>(files_.listener(name, 0));
+            files_.set_sidecar_address(name, way_to(name).address());
+        }
+    }
+    const auto bundle = files_.sign_bundle(1);
+    if (options.config_service) {
+        start_config_service(bundle);
+    }
     for (const std::string name : {"engine-1", "engine-2", "booking-1"}) {
         start_sidecar(name);
     }
@@ -72,7 +85,7 @@
         if (process("sidecar-" + name).wait(duration::zero()).has_value()) {
             start_sidecar(name);
         }
-        return get(admin, "/status").status != 0;
+        return get(admin, "/admin/status").status != 0;
     }));
 }
 
@@ -148,6 +161,12 @@
     return comes_true([&] { return held("engine-1") == 0 && held("engine-2") == 0; });
 }
 
+auto process_fleet::falls(const std::string& engine) const -> std::int64_t
+{
+    const auto ledger = standins::parse_object(get(upstreams_.at(engine), "/_ledger").body);
+    return ledger ? standins::number_field(*ledger, "falls", -1) : -1;
+}
+
 auto process_fleet::names(const std::string& engine, const std::string& list) const
     -> std::vector<std::string>
 {
@@ -184,6 +203,21 @@
     return ledger ? standins::number_field(*ledger, "waiting") : -1;
 }
 
+auto process_fleet::all_run_by(std::int64_t version) const -> bool
+{
+    const std::array<std::string, 5> names{"engine-1", "engine-2", "booking-1", "gateway-1", "gateway-2"};
+    return std::all_of(names.begin(), names.end(),
+                       [&](const auto& name) { return bundle_of(name) == version; });
+}
+
+auto process_fleet::bundle_of(const std::string& name) const -> std::int64_t
+{
+    const auto status = standins::parse_object(get(files_.listener(name, 1), "/admin/status").body);
+    return status && status->contains("ready") && status->at("ready").as_bool()
+               ? standins::number_field(*status, "bundle")
+               : 0;
+}
+
 void process_fleet::fault(const std::string& upstream, const std::string& body) const
 {
     (void)standins::call_and_wait({upstreams_.at(upstream), "POST", "/_fault", {}, body, generous});
@@ -194,6 +228,11 @@
     return standins::call_and_wait({address, "GET", target, {}, {}, 2s});
 }
 
+auto process_fleet::way_to(const std::string& engine) -> test_support::tcp_relay&
+{
+    return *relays_.at(engine);
+}
+
 void process_fleet::start(const std::string& name, const std::string& program,
                           const std::vector<std::string>& arguments)
 {
@@ -218,6 +257,24 @@
     }
 }
 
+// The service has the first bundle and nothing newer: also when it answers again, it is behind.
+void process_fleet::start_config_service(const std::string& bundle)
+{
+    start("config", "standins", {"config"});
+    upstreams_["config"] = "127.0.0.1:" + std::to_string(process("config").read_port(generous));
+    files_.set_config_service(upstreams_.at("config"));
+    const auto package = load_package(bundle);
+    cr_assert(package.has_value());
+    const auto publish = [&](const std::string& key, const std::string& value) {
+        const standins::http_call call{upstreams_.at("config"), "POST", "/_operator/" + key, {}, value};
+        cr_assert(standins::call_and_wait(call).status == 200);
+    };
+    for (const auto& section : package.value().sections) {
+        publish(control::section_key(sha256(section)), section);
+    }
+    publish(control::manifest_key, encode_signed_manifest(package.value().manifest));
+}
+
 // Ready says that a bundle is in force; a link to each sidecar still has to come up.
 void process_fleet::warm_up() const
 {
--- a/tests/process/process_fleet.h
+++ b/tests/process/process_fleet.h
@@ -6,6 +6,7 @@
 #include "process/waiting.h"
 #include "standins/http_client.h"
 #include "support/child_process.h"
+#include "support/tcp_relay.h"
 
 #include <csignal>
 #include <map>
@@ -60,6 +61,8 @@
     [[nodiscard]] auto held(const std::string& engine) const -> std::int64_t;
     /// Whether both engines come to hold nothing.
     [[nodiscard]] auto nothing_is_held() const -> bool;
+    /// How often an engine fell over for too much load while it was cold; -1 if it doesn't answer.
+    [[nodiscard]] auto falls(const std::string& engine) const -> std::int64_t;
     /// A list of names in an engine's state; empty if it doesn't answer.
     [[nodiscard]] auto names(const std::string& engine, const std::string& list) const
         -> std::vector<std::string>;
@@ -69,11 +72,17 @@
     [[nodiscard]] auto executions(const std::string& key) const -> std::int64_t;
     /// How many calls a service has taken and not executed yet.
     [[nodiscard]] auto waiting(const std::string& service) const -> std::int64_t;
+    /// Whether every process says that it is ready by the bundle of `version`.
+    [[nodiscard]] auto all_run_by(std::int64_t version) const -> bool;
+    /// The bundle by which a process says that it is ready; 0 if it is not, or doesn't answer.
+    [[nodiscard]] auto bundle_of(const std::string& name) const -> std::int64_t;
     /// Switches a fault of a stand-in on.
     void fault(const std::string& upstream, const std::string& body) const;
     /// GET without a key.
     [[nodiscard]] static auto get(const std::string& address, const std::string& target)
         -> standins::http_answer;
+    /// The way to an engine's sidecar, if the fleet has relays.
+    [[nodiscard]] auto way_to(const std::string& engine) -> test_support::tcp_relay&;
     /// Keys, settings and bundles.
     [[nodiscard]] auto files() -> fleet_files& { return files_; }
 
@@ -81,10 +90,12 @@
     void start(const std::string& name, const std::string& program,
                const std::vector<std::string>& arguments);
     void start_standins(const fleet_options& options);
+    void start_config_service(const std::string& bundle);
     void warm_up() const;
 
     fleet_files files_;
     std::map<std::string, std::string> upstreams_;
+    std::map<std::string, std::unique_ptr<test_support::tcp_relay>> relays_;
     std::map<std::string, std::unique_ptr<test_support::child_process>> children_;
 };
 
--- a/tests/process/stream_faults_test.cpp
+++ b/tests/process/stream_faults_test.cpp
@@ -90,3 +90,27 @@
     cr_assert(stream.is_whole());
     cr_assert(fleet.nothing_is_held());
 }
+
+FAULT_CELL_MORE(request_stream, partition, way_to_sidecar_cut)
+{
+    // The way between gateways and one sidecar is cut in the middle of an answer: connections stay open and
+    // carry nothing, new ones neither. The caller gets its whole answer from the other engine, the first one
+    // lets go. When the way heals the gateways replace their connections: with the other sidecar gone, the
+    // first one serves.
+    auto options = slow_engines("1");
+    options.relays = true;
+    process_fleet fleet(options);
+    running_stream stream(fleet);
+    stream.wait_until_read();
+    const auto other = stream.engine() == "engine-1" ? "engine-2" : "engine-1";
+    fleet.way_to(stream.engine()).cut();
+    cr_assert(stream.is_whole());
+    cr_assert(fleet.nothing_is_held());
+    fleet.way_to(stream.engine()).heal();
+    fleet.kill(std::string("sidecar-") + other);
+    for (const std::string gateway : {"gateway-1", "gateway-2"}) {
+        cr_assert(comes_true([&] {
+            return is_whole_answer(standins::call_and_wait(fleet.completion(gateway, 100, 4)), 100, 4);
+        }));
+    }
+}
--- a/tests/serve/gateway_intake_test.cpp
+++ b/tests/serve/gateway_intake_test.cpp
@@ -223,8 +223,9 @@
 
 FAULT_CELL(request_limit, config_stale)
 {
-    // The partners lower an account's limit. The home of the account leased its share by the older bundle: the
-    // gateway with the newer one must hold to the newer limit, since a share is a part of it and not a number.
+    // The partners lower an account's limit. The home of the account leased its share by the older bundle:
+    // the gateway with the newer one must hold to the newer limit, since a share is a part of it and not a
+    // number.
     gateway_core core(start, options());
     adopt(core, bundle_for(10));
     open(core, 1);
