Bound the bodies of all requests in hand together

Cause: only the single body and the number of connections were bounded, so callers could make a gateway hold 64 GB by the defaults.

Change: `[limits] max_bodies` (96 MiB). A body's bytes are claimed from its header on, before one of them is read, and given back when the request is over; one that states no length claims `max_body`. Without room the caller gets 503 `overloaded`, `ran: no` and Retry-After at once, and what it still sends is thrown away so that it sees that answer.

Conclusion: the worst case of prompts is bounded; the memory of a whole gateway at that bound was not measured.

--- a/src/gateway/caller_gate.cpp
+++ b/src/gateway/caller_gate.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view services_prefix = "/v1/services/";
 constexpr std::size_t max_key_length = 256;
 constexpr duration full_retry_hint = 500ms;
+constexpr duration body_retry_hint = 2s;
 
 auto find_model(const bundle& current, const std::string& name) -> const model_entry*
 {
@@ -142,6 +143,12 @@
     take_for(*account, *current, session, std::move(request), id);
 }
 
+auto caller_gate::no_room() -> http::http_response
+{
+    return refusal_response(new_request(), {refusal_code::overloaded, ran_state::no, body_retry_hint,
+                                            "come back after the time given"});
+}
+
 auto caller_gate::answer_without_account(const http::http_request& request) const
     -> std::optional<http::http_response>
 {
--- a/src/gateway/caller_gate.h
+++ b/src/gateway/caller_gate.h
@@ -42,6 +42,8 @@
     /// Answers or hands on one request.
     void take(const std::shared_ptr<http::http_session>& session, http::http_request request);
 
+    /// The answer to a request for whose body there is no room; its body has not been read.
+    [[nodiscard]] auto no_room() -> http::http_response;
     /// A bundle has come into force.
     void adopt(std::shared_ptr<const bundle> in_force);
     /// Whether the gateway takes requests at all; false from the beginning of a planned stop.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -33,6 +33,7 @@
     http::http_limits limits;
     limits.max_header_bytes = settings.limits.max_header;
     limits.max_body_bytes = settings.limits.max_body;
+    limits.max_bodies_bytes = settings.limits.max_bodies;
     limits.max_connections = settings.limits.max_connections;
     limits.header_timeout = settings.timeouts.header;
     limits.body_timeout = settings.timeouts.body;
@@ -60,7 +61,8 @@
                   {[this](const std::shared_ptr<http::http_session>& session, http::http_request request) {
                        gate_.take(session, std::move(request));
                    },
-                   [this](std::uint64_t exchange) { shell_.caller_left(exchange); }})
+                   [this](std::uint64_t exchange) { shell_.caller_left(exchange); },
+                   [this] { return gate_.no_room(); }})
     {
     }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -15,6 +15,7 @@
     , limits_(limits)
     , handlers_(std::move(handlers))
     , acceptor_(context)
+    , bodies_(std::make_shared<body_budget>(limits.max_bodies_bytes))
 {
 }
 
@@ -82,7 +83,7 @@
             socket.set_option(tcp::no_delay(true),
                               ignored); // NOLINT(bugprone-unused-return-value): only slower
             const auto session =
-                std::make_shared<http_session>(std::move(socket), limits_, handlers_, numbers_);
+                std::make_shared<http_session>(std::move(socket), limits_, handlers_, numbers_, bodies_);
             if (sessions_.size() >= limits_.max_connections) {
                 forget_closed();
             }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -36,6 +36,7 @@
     request_handlers handlers_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<std::uint64_t> numbers_ = std::make_shared<std::uint64_t>(0);
+    std::shared_ptr<body_budget> bodies_;
     std::vector<std::weak_ptr<http_session>> sessions_;
     bool stopping_ = false;
 };
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -13,13 +13,21 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 
+namespace {
+
+constexpr std::size_t discard_bytes = 64 * 1024;
+
+} // namespace
+
 http_session::http_session(boost::asio::ip::tcp::socket socket, const http_limits& limits,
-                           const request_handlers& handlers, std::shared_ptr<std::uint64_t> numbers)
+                           const request_handlers& handlers, std::shared_ptr<std::uint64_t> numbers,
+                           std::shared_ptr<body_budget> bodies)
     : stream_(std::move(socket))
     , comment_timer_(stream_.get_executor())
     , limits_(limits)
     , handlers_(handlers)
     , numbers_(std::move(numbers))
+    , body_(std::move(bodies))
 {
 }
 
@@ -43,6 +51,7 @@
         return;
     }
     state_ = state::reading;
+    body_.release();
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser_->body_limit(limits_.max_body_bytes);
@@ -59,6 +68,10 @@
         reject_unreadable(failure);
         return;
     }
+    if (!claim_body()) {
+        refuse_body();
+        return;
+    }
     if (beast::iequals(parser_->get()[beast::http::field::expect], "100-continue")) {
         static const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
         boost::asio::async_write(
@@ -72,6 +85,26 @@
                             });
 }
 
+auto http_session::claim_body() -> bool
+{
+    // One that says no length may send as much as any: the rest is given back once it is read.
+    const auto length = parser_->content_length();
+    return body_.claim(length || !parser_->chunked() ? static_cast<std::size_t>(length.value_or(0))
+                                                     : limits_.max_body_bytes);
+}
+
+void http_session::refuse_body()
+{
+    state_ = state::waiting;
+    keep_alive_ = false;
+    body_unread_ = true;
+    stream_.expires_never();
+    auto answer = handlers_.on_no_room
+                      ? handlers_.on_no_room()
+                      : error_response(503, "overloaded", "send the request again a little later");
+    write_out(response_text(answer, false), true);
+}
+
 void http_session::on_body(error_code failure)
 {
     if (failure) {
@@ -109,6 +142,7 @@
         request.fields.push_back({std::string(f.name_string()), std::string(f.value())});
     }
     request.body = std::move(message.body());
+    body_.shrink(request.body.size());
     parser_.reset();
     state_ = state::waiting;
     last_queued_ = false;
@@ -261,6 +295,10 @@
 
 void http_session::exchange_done()
 {
+    if (body_unread_) {
+        discard_then_shut();
+        return;
+    }
     if (!keep_alive_ || stopping_) {
         shut();
         return;
@@ -269,6 +307,25 @@
     read_header();
 }
 
+void http_session::discard_then_shut()
+{
+    // Closed at once with bytes unread, the connection is reset and the caller may never see its answer.
+    error_code ignored;
+    // NOLINTNEXTLINE(bugprone-unused-return-value): a caller that is gone shows at the next read
+    stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    buffer_.clear();
+    stream_.expires_after(limits_.write_timeout);
+    stream_.async_read_some(buffer_.prepare(discard_bytes),
+                            [self = shared_from_this()](error_code failure, std::size_t bytes) {
+                                self->discarded_ += bytes;
+                                if (failure || self->discarded_ > self->limits_.max_body_bytes) {
+                                    self->shut();
+                                    return;
+                                }
+                                self->discard_then_shut();
+                            });
+}
+
 void http_session::schedule_comment()
 {
     comment_timer_.expires_after(limits_.comment_interval);
@@ -285,6 +342,7 @@
 void http_session::shut()
 {
     state_ = state::closed;
+    body_.release();
     comment_timer_.cancel();
     error_code ignored;
     // NOLINTNEXTLINE(bugprone-unused-return-value): the connection is given up either way
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/body_budget.h"
 #include "http/http_limits.h"
 #include "http/http_request.h"
 
@@ -26,6 +27,8 @@
     std::function<void(const std::shared_ptr<http_session>&, http_request)> on_request;
     /// Called once for a request whose caller left before it was answered whole.
     std::function<void(std::uint64_t exchange)> on_caller_left;
+    /// Gives the answer to a request for whose body there is no room; an answer of the server's own if empty.
+    std::function<http_response()> on_no_room{};
 };
 
 /// One caller's connection, a request at a time. `respond`, `open_events`, `send_event` and `close_events`
@@ -34,9 +37,11 @@
 class http_session : public std::enable_shared_from_this<http_session>
 {
 public:
-    /// Takes over an accepted connection; `numbers` gives each exchange its number.
+    /// Takes over an accepted connection; `numbers` gives each exchange its number, and bodies are claimed
+    /// from `bodies`.
     http_session(boost::asio::ip::tcp::socket socket, const http_limits& limits,
-                 const request_handlers& handlers, std::shared_ptr<std::uint64_t> numbers);
+                 const request_handlers& handlers, std::shared_ptr<std::uint64_t> numbers,
+                 std::shared_ptr<body_budget> bodies);
     ~http_session() = default;
     http_session(const http_session&) = delete;
     auto operator=(const http_session&) -> http_session& = delete;
@@ -75,6 +80,9 @@
     void on_header(boost::system::error_code failure);
     void on_body(boost::system::error_code failure);
     void reject_unreadable(boost::system::error_code failure);
+    [[nodiscard]] auto claim_body() -> bool;
+    void refuse_body();
+    void discard_then_shut();
     void hand_over();
     void watch_for_close();
     void caller_left();
@@ -90,6 +98,7 @@
     const http_limits& limits_;
     const request_handlers& handlers_;
     std::shared_ptr<std::uint64_t> numbers_;
+    body_claim body_;
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
     std::deque<std::string> unsent_;
@@ -100,6 +109,8 @@
     bool last_queued_ = false;
     bool keep_alive_ = false;
     bool stopping_ = false;
+    bool body_unread_ = false; // what the caller still sends is thrown away, so that it gets its answer
+    std::size_t discarded_ = 0;
 };
 
 } // namespace dragonflymill::http
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -20,6 +20,7 @@
 {
     std::uint64_t max_header = 16U << 10U; ///< Bytes of a request header.
     std::uint64_t max_body = 16U << 20U;   ///< Bytes of a request body.
+    std::uint64_t max_bodies = 96U << 20U; ///< Bytes of the bodies of all requests in hand together.
     std::uint64_t max_connections = 4096;  ///< Open connections.
 
     friend auto operator==(const caller_limits&, const caller_limits&) -> bool = default;
