--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -3,6 +3,7 @@
 #include "app/version.h"
 #include "dragonflymill/core/stable_hash.h"
 #include "gateway/answer_text.h"
+#include "gateway/completion_request.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 
@@ -109,24 +110,20 @@
         gateway_input::gateways_changed{control::live_gateways(snapshot, self), snapshot.gateways_expected}));
 }
 
-auto gateway_shell::share_asked(const share_request& request) -> share_grant
+auto gateway_shell::shares_asked(const std::vector<share_request>& requests) -> std::vector<share_grant>
 {
-    const auto answer = std::make_shared<std::promise<share_grant>>();
+    const auto answer = std::make_shared<std::promise<std::vector<share_grant>>>();
     auto future = answer->get_future();
-    const bool asked = decide_.post(share_question{request, answer});
+    const bool asked = decide_.post(share_question{requests, answer});
     if (asked && future.wait_for(share_patience) == std::future_status::ready) {
         return future.get();
     }
-    // No word: the other gateway goes on with its equal part.
-    share_grant none;
-    none.account = request.account;
-    none.is_home = false;
-    return none;
+    return {}; // no word: the other gateway goes on with its equal parts
 }
 
-void gateway_shell::share_granted(const share_grant& grant)
+void gateway_shell::shares_granted(std::vector<share_grant> grants)
 {
-    post(gateway_event(gateway_input::share_granted{grant}));
+    post(gateway_event(gateway_input::shares_granted{std::move(grants)}));
 }
 
 auto gateway_shell::arrived(arrival made) -> bool
@@ -169,7 +166,7 @@
             carry_out(core_.step(now, made->event));
         }
         else if (const auto* question = std::get_if<share_question>(&*event)) {
-            question->answer->set_value(core_.share_asked(now, question->request));
+            question->answer->set_value(core_.shares_asked(now, question->requests));
         }
         else {
             handle_link(std::move(std::get<link_event>(*event)));
@@ -331,7 +328,16 @@
     timeline_.record_send(held->second.request, "attempt",
                           attempt_message(action.spec.request, action.spec.attempt, open_message),
                           action.upstream.text() + " " + to_string(action.reason));
-    link->second->open_attempt(runtime::now(), action.key, action.spec, held->second.prompt);
+    if (action.spec.share != lease_id{} && !action.spec.is_export()) {
+        log_event(event::gang_reserved, field("request", action.spec.request),
+                  field("upstream", action.upstream));
+    }
+    auto prompt = held->second.prompt;
+    if (action.spec.is_export()) {
+        prompt = std::make_shared<const std::string>(
+            span_text(*prompt, action.spec.span_begin, action.spec.span_end));
+    }
+    link->second->open_attempt(runtime::now(), action.key, action.spec, std::move(prompt));
 }
 
 void gateway_shell::act(const gateway_output::send_prompt& action)
@@ -465,6 +471,32 @@
     }
 }
 
+template <typename Wanted>
+void gateway_shell::call_share(const Wanted& wanted)
+{
+    const auto link = links_.find(wanted.upstream);
+    if (link != links_.end()) {
+        link->second->call_share(runtime::now(), wanted);
+    }
+}
+
+void gateway_shell::act(const reserve_share& action)
+{
+    timeline_.record(action.gang.request, "share_asked", action.upstream.text());
+    call_share(action);
+}
+
+void gateway_shell::act(const renew_share& action)
+{
+    call_share(action);
+}
+
+void gateway_shell::act(const release_share& action)
+{
+    timeline_.record(action.gang.request, "share_released", action.upstream.text());
+    call_share(action);
+}
+
 void gateway_shell::act(const gateway_output::connect_upstreams& action)
 {
     std::set<upstream_id> wanted;
@@ -482,9 +514,9 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::ask_for_share& action)
+void gateway_shell::act(const gateway_output::ask_for_shares& action)
 {
-    handlers_.ask_for_share(action.asked);
+    handlers_.ask_for_shares(action.asked);
 }
 
 void gateway_shell::act(const gateway_output::probe_load& action)
