--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -46,6 +46,10 @@
         log_event(event::request_finished, field("request", name_of(finished->exchange)),
                   field("tokens", finished->tokens));
     }
+    else if (const auto* released = std::get_if<release_share>(&action)) {
+        log_event(event::gang_released, field("request", released->gang.request),
+                  field("upstream", released->upstream));
+    }
     else if (const auto* answered = std::get_if<gateway_output::answer_service>(&action)) {
         log_event(event::request_finished, field("request", name_of(answered->exchange)));
     }
