Call nothing too large before the bundle is there

Change: until a bundle, or its options, give a capacity it refuses as not_ready, which gateways try elsewhere. Conclusion: too_large means too large.

--- a/include/dragonflymill/serve/sidecar_core.h
+++ b/include/dragonflymill/serve/sidecar_core.h
@@ -58,6 +58,8 @@
                    std::vector<sidecar_action>& actions);
     void end_permits(instant now, std::vector<sidecar_action>& actions);
     void renew_own_lease(instant now);
+    [[nodiscard]] auto refuse_if_not_ready(call_number call, std::vector<sidecar_action>& actions) const
+        -> bool;
     [[nodiscard]] auto refuse_if_stopping(call_number call, std::vector<sidecar_action>& actions) const
         -> bool;
 
@@ -111,6 +113,7 @@
     instant reported_at_;
     upstream_report last_report_;
     token_count memory_used_ = 0;
+    bool knows_capacity_; // out of a bundle or the options
     bool drained_ = false;
     bool stopping_ = false;
     bool superseded_ = false;
--- a/src/serve/sidecar_core.cpp
+++ b/src/serve/sidecar_core.cpp
@@ -34,6 +34,7 @@
     , orders_(order_options(now, options), options.seed)
     , last_step_(now)
     , reported_at_(now)
+    , knows_capacity_(options.gate.ramp.ceiling > permit_gate_options{}.ramp.ceiling)
 {
 }
 
@@ -74,6 +75,18 @@
     return word;
 }
 
+auto sidecar_core::refuse_if_not_ready(call_number call, actions_out& actions) const -> bool
+{
+    // Guards against a request that comes before the bundle does: the gate would call it larger than the
+    // upstream can ever hold, which is not so and sends the caller away for good.
+    if (knows_capacity_) {
+        return false;
+    }
+    actions.push_back(sidecar_output::refuse_call{
+        call, {refusal_code::not_ready, ran_state::no, options_.gate.retry_base, "try another upstream"}});
+    return true;
+}
+
 auto sidecar_core::refuse_if_stopping(call_number call, actions_out& actions) const -> bool
 {
     if (!stopping_) {
@@ -97,7 +110,7 @@
             {refusal_code::upstream_gone, ran_state::no, options_.gate.retry_base, "reserve a new share"}});
         return;
     }
-    if (refuse_if_stopping(input.call, actions)) {
+    if (refuse_if_stopping(input.call, actions) || refuse_if_not_ready(input.call, actions)) {
         return;
     }
     if (shares_.keeps_line(now, input.spec)) {
@@ -223,6 +236,7 @@
 
 void sidecar_core::take(instant now, const sidecar_input::capacity_changed& input, actions_out& /*actions*/)
 {
+    knows_capacity_ = true;
     gate_.resize(now, input.cold, input.warm);
     warm_up_model_ = input.warm_up_model;
 }
--- a/tests/serve/gang_world.h
+++ b/tests/serve/gang_world.h
@@ -173,9 +173,12 @@
     void change_network(message_bag_rules rules) { share_calls_.change(rules); }
 
     /// Whether the request's gateway is dead, so that nobody can answer.
-    auto asked_of_dead(exchange_number number) const -> bool { return !gateways_[asked_at_.at(number)]; }
+    [[nodiscard]] auto asked_of_dead(exchange_number number) const -> bool
+    {
+        return !gateways_[asked_at_.at(number)];
+    }
     /// Engine that computes a span, or decodes the answer of a gang.
-    auto busy_engine(bool exporting) const -> std::optional<std::size_t>
+    [[nodiscard]] auto busy_engine(bool exporting) const -> std::optional<std::size_t>
     {
         for (std::size_t i = 0; i < engines.size(); ++i) {
             for (const auto& work : engines[i].works) {
@@ -187,7 +190,7 @@
         return std::nullopt;
     }
     /// Tokens that sidecars have promised or engines hold.
-    auto held() const -> token_count
+    [[nodiscard]] auto held() const -> token_count
     {
         token_count sum = 0;
         for (std::size_t i = 0; i < engines.size(); ++i) {
@@ -356,7 +359,7 @@
             }
         }
     }
-    auto orphaned(call_number call) const -> bool { return !calls_.at(call).open; }
+    [[nodiscard]] auto orphaned(call_number call) const -> bool { return !calls_.at(call).open; }
 
     void deliver(const message& each)
     {
--- a/tests/serve/sidecar_core_test.cpp
+++ b/tests/serve/sidecar_core_test.cpp
@@ -97,6 +97,22 @@
     cr_assert(core.load(start + 20ms).outstanding == 0);
 }
 
+Test(sidecar_core, before_its_bundle_it_is_not_ready_and_calls_nothing_too_large)
+{
+    // A request reaches a sidecar that has just started, before the bundle does. It was refused as too large,
+    // with no time to come back, though the upstream could well have held it.
+    auto before_the_bundle = options();
+    before_the_bundle.gate.ramp = {};
+    sidecar_core core(start, before_the_bundle);
+    const auto actions = core.step(start, sidecar_input::attempt_opened{call_number(1), spec("r")});
+    const auto* refused = find<sidecar_output::refuse_call>(actions);
+    cr_assert(refused != nullptr && refused->why.code == refusal_code::not_ready);
+    cr_assert(refused->why.ran == ran_state::no && refused->why.retry_after > duration::zero());
+    feed(core, start, sidecar_input::capacity_changed{10'000, 100'000, model_id{}});
+    const auto later = core.step(start, sidecar_input::attempt_opened{call_number(2), spec("r2")});
+    cr_assert(find<sidecar_output::grant_attempt>(later) != nullptr);
+}
+
 Test(sidecar_core, the_same_events_give_the_same_actions)
 {
     sidecar_core one(start, options());
