--- a/tests/serve/gateway_intake_test.cpp
+++ b/tests/serve/gateway_intake_test.cpp
@@ -230,13 +230,8 @@
     adopt(core, bundle_for(10));
     open(core, 1);
     feed(core, start, gateway_input::tick{});
-    gateway_input::share_granted granted;
-    granted.grant.account = client_account_id("a");
-    granted.grant.home = process_id("g1");
-    granted.grant.is_home = true;
-    granted.grant.part = 1.0;
-    granted.grant.lease = 6s;
-    feed(core, start, granted);
+    const share_grant granted{client_account_id("a"), process_id("g1"), true, 1.0, 6s};
+    feed(core, start, gateway_input::shares_granted{{granted}});
     open(core, 2);
     auto lower = bundle_for(2);
     lower.version = bundle_version(2);
