--- a/tests/serve/gateway_intake_test.cpp
+++ b/tests/serve/gateway_intake_test.cpp
@@ -230,12 +230,7 @@
     adopt(core, bundle_for(10));
     open(core, 1);
     feed(core, start, gateway_input::tick{});
-    share_grant granted;
-    granted.account = client_account_id("a");
-    granted.home = process_id("g1");
-    granted.is_home = true;
-    granted.part = 1.0;
-    granted.lease = 6s;
+    const share_grant granted{client_account_id("a"), process_id("g1"), true, 1.0, 6s};
     feed(core, start, gateway_input::shares_granted{{granted}});
     open(core, 2);
     auto lower = bundle_for(2);
