--- a/include/dragonflymill/serve/attempt_desk.h
+++ b/include/dragonflymill/serve/attempt_desk.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/deadline_budget.h"
 #include "dragonflymill/serve/sidecar_messages.h"
+#include "dragonflymill/serve/stream_watch.h"
 
 #include <cstdint>
 #include <map>
@@ -23,7 +24,9 @@
     /// Works under `gate`, which the owner keeps alive. `cancel_backoff` is the time between two cancels of
     /// one stream.
     /// `warm_ups` begins the names of the engine's warm-up requests, unlike those of any other start.
-    attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups);
+    /// `watch` says when a stream's silence counts.
+    attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups,
+                 const stream_watch_options& watch = {});
 
     /// Puts a request of the sidecar's own to an engine that is cold and is asked for nothing that it can
     /// take: without one it would stay cold. At most one at a time, and only if the gate grants it.
@@ -34,6 +37,11 @@
     /// A gateway puts a try: granted or refused at once.
     void opened(instant now, const sidecar_input::attempt_opened& input,
                 std::vector<sidecar_action>& actions);
+    /// A gateway puts a try under a share whose permit is `lease`.
+    void opened_under(instant now, const sidecar_input::attempt_opened& input, lease_id lease,
+                      std::vector<sidecar_action>& actions);
+    /// The share under whose permit a try may run has ended.
+    void share_ended(instant now, lease_id lease, std::vector<sidecar_action>& actions);
     /// The prompt is here: the stream goes to the engine if permit and time limit still hold.
     void prompt_received(instant now, call_number call, std::vector<sidecar_action>& actions);
     /// The gateway no longer wants it.
@@ -55,9 +63,11 @@
     void cancel_confirmed(instant now, const std::string& engine_request);
     /// A permit ended without its holder's word.
     void permit_ended(instant now, const ended_permit& ended, std::vector<sidecar_action>& actions);
-    /// Ends what is over its time limit and repeats cancels.
+    /// Ends what is over its time limit or silent for too long, and repeats cancels.
     void tick(instant now, std::vector<sidecar_action>& actions);
 
+    /// What a try in hand is about; null if there is none.
+    [[nodiscard]] auto find(call_number call) const -> const attempt_spec*;
     /// Tries in hand, those being cancelled included.
     [[nodiscard]] auto size() const -> std::size_t { return attempts_.size() + cancels_.size(); }
     /// Predicted prefill not done yet, by class.
@@ -95,10 +105,13 @@
     void end_with(instant now, attempts::iterator held, refusal_code code,
                   std::vector<sidecar_action>& actions);
     void cancel_at_engine(instant now, attempts::iterator held, std::vector<sidecar_action>& actions);
+    void give_back(instant now, const attempt& held, work_outcome outcome);
+    void give_up_silent(instant now, std::vector<sidecar_action>& actions);
     void forget(attempts::iterator held);
 
     permit_gate& gate_;
     duration cancel_backoff_;
+    stream_watch watch_;
     attempts attempts_;
     std::map<lease_id, call_number> by_lease_;
     std::map<process_id, std::set<call_number>> by_gateway_;
--- a/include/dragonflymill/serve/gateway_core.h
+++ b/include/dragonflymill/serve/gateway_core.h
@@ -45,8 +45,9 @@
     /// Takes in one event.
     [[nodiscard]] auto step(instant now, const gateway_event& event) -> std::vector<gateway_action>;
 
-    /// Another gateway, or this one, asks for a share of an account whose home this is.
-    [[nodiscard]] auto share_asked(instant now, const share_request& request) -> share_grant;
+    /// Another gateway, or this one, asks for shares of accounts whose home this is.
+    [[nodiscard]] auto shares_asked(instant now, const std::vector<share_request>& requests)
+        -> std::vector<share_grant>;
     /// Requests and calls in hand.
     [[nodiscard]] auto in_hand() const -> std::size_t { return completions_.size() + calls_.size(); }
     /// Requests in hand whose work is paused.
@@ -81,7 +82,10 @@
     void take(instant now, const gateway_input::bundle_adopted& input, actions_out& actions);
     void take(instant now, const gateway_input::drains_changed& input, actions_out& actions);
     void take(instant now, const gateway_input::gateways_changed& input, actions_out& actions);
-    void take(instant now, const gateway_input::share_granted& input, actions_out& actions);
+    void take(instant now, const gateway_input::shares_granted& input, actions_out& actions);
+    void take(instant now, const share_granted& input, actions_out& actions);
+    void take(instant now, const share_refused& input, actions_out& actions);
+    void take(instant now, const share_released& input, actions_out& actions);
     void take(instant now, const gateway_input::stop_asked& input, actions_out& actions);
     void take(instant now, const gateway_input::tick& input, actions_out& actions);
 
@@ -97,6 +101,7 @@
     void note_progress(instant now, const actions_out& actions);
     void review_overload(instant now, actions_out& actions);
     void apply_drains();
+    void follow_gangs(instant now, actions_out& actions);
     void say_if_done(actions_out& actions);
 
     gateway_core_options options_;
@@ -104,6 +109,7 @@
     retry_rules rules_;
     account_limiter limiter_;
     std::map<exchange_number, admitted> admitted_; // in step with what the desks have in hand
+    gang_desk gangs_;
     gateway_overload overload_;
     completion_desk completions_;
     call_desk calls_;
--- a/src/upstream/engine_json.cpp
+++ b/src/upstream/engine_json.cpp
@@ -59,12 +59,34 @@
     }
     for (const auto& item : list->as_array()) {
         if (item.is_object()) {
-            held.push_back({text_of(item.as_object(), "id"), number_of(item.as_object(), "tokens")});
+            const auto& fields = item.as_object();
+            held.push_back(
+                {text_of(fields, "id"), number_of(fields, "tokens"), text_of(fields, "kind") == "kv"});
         }
     }
     return held;
 }
 
+auto priority_of(const attempt_spec& spec) -> std::size_t
+{
+    // A short prompt takes so little that letting it wait would help nobody, and it counts as a short one for
+    // its caller.
+    const bool can_wait = spec.standing == priority::overnight && spec.size != length_class::interactive;
+    return can_wait ? overnight_engine_priority : engine_priority(spec.size);
+}
+
+/// The body with the prompt behind its other fields, which are short.
+auto with_prompt(const json::object& fields, const std::string& prompt) -> std::string
+{
+    auto text = json::serialize(fields);
+    text.pop_back();
+    text.reserve(text.size() + prompt.size() + prompt.size() / 16);
+    text += ",\"prompt\":";
+    text += json::serialize(json::string_view(prompt));
+    text += '}';
+    return text;
+}
+
 template <typename Name>
 auto names_of(const json::object& from, const char* name) -> std::vector<Name>
 {
@@ -140,20 +162,48 @@
     if (!spec.adapter.empty()) {
         body["adapter"] = spec.adapter.text();
     }
-    // A short prompt takes so little that letting it wait would help nobody, and it counts as a short one for
-    // its caller.
-    const bool can_wait = spec.standing == priority::overnight && spec.size != length_class::interactive;
-    body["priority"] = can_wait ? overnight_engine_priority : engine_priority(spec.size);
+    body["priority"] = priority_of(spec);
     body["max_tokens"] = spec.max_tokens;
     body["resume_offset"] = spec.resume_offset;
     body["stream"] = true;
-    auto text = json::serialize(body);
-    text.pop_back();
-    text.reserve(text.size() + prompt.size() + prompt.size() / 16);
-    text += ",\"prompt\":";
-    text += json::serialize(json::string_view(prompt));
-    text += '}';
-    return text;
+    if (!spec.imports.empty()) {
+        json::array spans;
+        for (const auto& each : spec.imports) {
+            spans.emplace_back(each.span);
+        }
+        body["kv_imports"] = std::move(spans);
+    }
+    return with_prompt(body, prompt);
+}
+
+auto export_body(const std::string& engine_request, const attempt_spec& spec, const std::string& prompt)
+    -> std::string
+{
+    json::object body;
+    body["request_id"] = engine_request;
+    body["priority"] = priority_of(spec);
+    body["span"] = spec.exported_span;
+    body["begin"] = spec.span_begin;
+    body["end"] = spec.span_end;
+    return with_prompt(body, prompt);
+}
+
+auto import_body(const std::string& engine_request, const span_import& what) -> std::string
+{
+    json::object body;
+    body["request_id"] = engine_request;
+    body["span"] = what.span;
+    body["source"] = what.source;
+    body["begin"] = what.begin;
+    body["end"] = what.end;
+    return json::serialize(body);
+}
+
+auto release_body(const std::string& span) -> std::string
+{
+    json::object body;
+    body["span"] = span;
+    return json::serialize(body);
 }
 
 auto cancel_body(const std::string& engine_request) -> std::string
--- a/tests/serve/gateway_intake_test.cpp
+++ b/tests/serve/gateway_intake_test.cpp
@@ -223,19 +223,20 @@
 
 FAULT_CELL(request_limit, config_stale)
 {
-    // The partners lower an account's limit. The home of the account leased its share by the older bundle: the
-    // gateway with the newer one must hold to the newer limit, since a share is a part of it and not a number.
+    // The partners lower an account's limit. The home of the account leased its share by the older bundle:
+    // the gateway with the newer one must hold to the newer limit, since a share is a part of it and not a
+    // number.
     gateway_core core(start, options());
     adopt(core, bundle_for(10));
     open(core, 1);
     feed(core, start, gateway_input::tick{});
-    gateway_input::share_granted granted;
-    granted.grant.account = client_account_id("a");
-    granted.grant.home = process_id("g1");
-    granted.grant.is_home = true;
-    granted.grant.part = 1.0;
-    granted.grant.lease = 6s;
-    feed(core, start, granted);
+    share_grant granted;
+    granted.account = client_account_id("a");
+    granted.home = process_id("g1");
+    granted.is_home = true;
+    granted.part = 1.0;
+    granted.lease = 6s;
+    feed(core, start, gateway_input::shares_granted{{granted}});
     open(core, 2);
     auto lower = bundle_for(2);
     lower.version = bundle_version(2);
