Go on trying what the gateway made wait, until its limit

Cause: overnight work that had been held or paused went on in a moment in which the upstreams had no room, and the retry rules gave it up: its caller had waited for nothing.

Change: such work is tried again every 2 s until its limit; its limit's timer ends it.

Seen to fail first: request_resume / same_twice with the rule broken.

--- a/include/dragonflymill/core/refusal.h
+++ b/include/dragonflymill/core/refusal.h
@@ -32,6 +32,8 @@
     conflict,       ///< The ticket or key was used before with another body; this one was not run.
 };
 
+/// Whether the reason passes, so that another try could end differently.
+[[nodiscard]] auto is_passing(refusal_code code) -> bool;
 /// Name of a refusal code, as it stands in answers and logs.
 [[nodiscard]] auto to_string(refusal_code code) -> const char*;
 /// Name of a ran state, as it stands in answers and logs.
--- a/include/dragonflymill/serve/completion_desk.h
+++ b/include/dragonflymill/serve/completion_desk.h
@@ -85,6 +85,7 @@
         bool prompt_sent = false;  // of the running try
         bool may_have_run = false; // of the tries before it
         bool on_hold = false;
+        bool was_on_hold = false;
         timer_id limit_timer;
         std::optional<timer_id> other_timer{};
     };
@@ -94,6 +95,8 @@
                                std::vector<gateway_action>& actions) -> requests::iterator;
     void dispatch(instant now, requests::iterator held, std::vector<gateway_action>& actions);
     void end_attempt(instant now, request& item);
+    [[nodiscard]] auto wait_again(instant now, requests::iterator held, refusal_code code, duration after)
+        -> bool;
     void act_on(instant now, requests::iterator held, std::vector<stream_output> outputs, const refusal& why,
                 std::vector<gateway_action>& actions);
     void try_again(instant now, requests::iterator held, const refusal& why,
--- a/src/core/refusal.cpp
+++ b/src/core/refusal.cpp
@@ -42,4 +42,19 @@
     return ran == ran_state::no ? "no" : "unknown";
 }
 
+auto is_passing(refusal_code code) -> bool
+{
+    switch (code) {
+    case refusal_code::overloaded:
+    case refusal_code::upstream_cold:
+    case refusal_code::upstream_gone:
+    case refusal_code::draining:
+    case refusal_code::stopping:
+    case refusal_code::not_ready:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace dragonflymill
--- a/src/retry/retry_rules.cpp
+++ b/src/retry/retry_rules.cpp
@@ -8,22 +8,6 @@
 
 constexpr std::uint64_t most_doublings = 20;
 
-/// Whether another try could end differently.
-auto is_passing(refusal_code code) -> bool
-{
-    switch (code) {
-    case refusal_code::overloaded:
-    case refusal_code::upstream_cold:
-    case refusal_code::upstream_gone:
-    case refusal_code::draining:
-    case refusal_code::stopping:
-    case refusal_code::not_ready:
-        return true;
-    default:
-        return false;
-    }
-}
-
 auto remedy_for(const failed_attempt& attempt) -> const char*
 {
     if (attempt.ran == ran_state::unknown && attempt.kind == call_kind::non_repeatable) {
--- a/src/serve/completion_desk.cpp
+++ b/src/serve/completion_desk.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t timers_per_request = 2;
 constexpr duration full_retry_hint = 500ms;
 constexpr duration routeless_retry_hint = 200ms;
+/// Shortest time from a refusal to the next try of work that this gateway made wait.
+constexpr duration waiting_retry = 2s;
 
 auto refusal_of(const route_refusal& none) -> refusal
 {
@@ -89,6 +91,7 @@
         return; // past its limit it is the limit's timer that ends it
     }
     held->second.on_hold = false;
+    held->second.was_on_hold = true;
     actions.push_back(gateway_output::note_resumed{exchange});
     dispatch(now, held, actions);
 }
@@ -110,7 +113,7 @@
     const auto made = requests_.emplace(input.exchange,
                                         request{input, limit, stream_joiner(input.request, attempt_number(1)),
                                                 routing, upstream_id{}, attempt_number(1), 0, false, false,
-                                                false, false, limit_timer.value()});
+                                                false, false, false, limit_timer.value()});
     DRAGONFLYMILL_ASSERT(made.second, "the shell numbers each request once");
     return made.first;
 }
@@ -125,6 +128,9 @@
         decision = routes_.choose(now, item.routing);
     }
     if (const auto* none = std::get_if<route_refusal>(&decision)) {
+        if (wait_again(now, held, none->code, none->retry_after)) {
+            return;
+        }
         give_up(now, held, refusal_of(*none), actions);
         return;
     }
@@ -176,6 +182,9 @@
         item.routing.excluded.push_back(item.at);
         item.may_have_run = item.may_have_run || input.why.ran == ran_state::unknown;
         end_attempt(now, item);
+        if (wait_again(now, held, input.why.code, input.why.retry_after)) {
+            return;
+        }
     }
     act_on(now, held, item.joiner.step(now, loss), input.why, actions);
 }
@@ -322,6 +331,22 @@
     item.at = upstream_id{};
 }
 
+auto completion_desk::wait_again(instant now, requests::iterator held, refusal_code code, duration after)
+    -> bool
+{
+    auto& item = held->second;
+    if (!item.was_on_hold || !is_passing(code)) {
+        return false;
+    }
+    // Guards against work that this gateway took in, made wait, and then gives up because the upstreams have
+    // no room in the moment in which it goes on: its caller would have waited for nothing. It is tried at a
+    // pace that loads nobody until its limit, which its timer keeps.
+    item.joiner.change_attempt();
+    item.routing.excluded.clear();
+    set_other_timer(held, now + std::max(after, waiting_retry), due::retry);
+    return true;
+}
+
 void completion_desk::watch_gap(requests::iterator held)
 {
     auto& item = held->second;
--- a/tests/serve/gateway_overload_test.cpp
+++ b/tests/serve/gateway_overload_test.cpp
@@ -277,6 +277,40 @@
     cr_assert(find<gateway_output::refuse>(actions)->why.ran == ran_state::unknown);
 }
 
+FAULT_CELL_MORE(request_resume, same_twice, paused)
+{
+    // Paused work goes on, and every engine refuses it again and again: they are cold. Given up then, its
+    // caller would have waited for nothing. It is tried at an easy pace until there is room, and its answer
+    // is whole.
+    paused_with_two_tokens story;
+    auto opened = story.calm_down(start + 30s);
+    int tries = 0;
+    const refusal cold{refusal_code::upstream_cold, ran_state::no, 50ms, ""};
+    auto now = start + 30s;
+    auto actions = story.core.step(now, gateway_input::attempt_refused{opened.key, cold});
+    for (; now < start + 90s; now += 100ms) {
+        cr_assert(find<gateway_output::refuse>(actions) == nullptr);
+        if (const auto* again = find<gateway_output::open_attempt>(actions)) {
+            ++tries;
+            opened = *again;
+            actions = story.core.step(now, gateway_input::attempt_refused{opened.key, cold});
+        }
+        else {
+            actions = story.core.step(now, gateway_input::tick{});
+        }
+    }
+    cr_assert(tries >= 10 && tries <= 30, "%d", tries);
+    while (find<gateway_output::open_attempt>(actions) == nullptr && now < start + 100s) {
+        now += 100ms;
+        actions = story.core.step(now, gateway_input::tick{});
+    }
+    const auto last = *find<gateway_output::open_attempt>(actions);
+    cr_assert(last.spec.resume_offset == 2);
+    const auto ended = story.core.step(now, gateway_input::attempt_finished{last.key, 2, "stop"});
+    cr_assert(find<gateway_output::finish>(ended) != nullptr);
+    cr_assert(story.core.in_hand() == 0);
+}
+
 FAULT_CELL_MORE(request_cancel, message_lost, paused)
 {
     // A caller leaves while its work is paused. Nothing of it may start later, and what its account held is
