--- a/include/dragonflymill/serve/sidecar_core.h
+++ b/include/dragonflymill/serve/sidecar_core.h
@@ -4,6 +4,7 @@
 #include "dragonflymill/serve/order_desk.h"
 #include "dragonflymill/serve/self_check.h"
 #include "dragonflymill/serve/service_desk.h"
+#include "dragonflymill/serve/share_desk.h"
 #include "dragonflymill/serve/sidecar_messages.h"
 
 #include <vector>
@@ -17,6 +18,7 @@
     once_ledger_options ledger;      ///< Calls that may not be repeated.
     duration own_lease_term = 5s;    ///< How long a successor waits; a longer pause ends this process.
     duration cancel_backoff = 200ms; ///< Time between two cancels of one stream.
+    stream_watch_options watch;      ///< When a stream's silence counts.
     std::uint64_t seed = 0;          ///< Spreads retry times.
     std::uint32_t start_seconds = 0; ///< Civil time of the start, for the numbers that fence orders.
 };
@@ -37,8 +39,11 @@
 
     /// The upstream's load as gateways get it with answers and heartbeats.
     [[nodiscard]] auto load(instant now) const -> upstream_load;
-    /// Tries and calls in hand.
-    [[nodiscard]] auto in_hand() const -> std::size_t { return attempts_.size() + services_.size(); }
+    /// Tries, calls and shares in hand.
+    [[nodiscard]] auto in_hand() const -> std::size_t
+    {
+        return attempts_.size() + services_.size() + shares_.size();
+    }
     /// Whether this process was paused for longer than its own lease, or another start of this sidecar
     /// answers at its address: it has to be started anew, since a successor may have taken its place.
     [[nodiscard]] auto superseded() const -> bool { return superseded_ || self_check_.superseded(); }
@@ -51,6 +56,7 @@
     void on_tick(instant now, std::vector<sidecar_action>& actions);
     void on_report(instant now, const sidecar_input::engine_reported& report,
                    std::vector<sidecar_action>& actions);
+    void end_permits(instant now, std::vector<sidecar_action>& actions);
     void renew_own_lease(instant now);
     [[nodiscard]] auto refuse_if_stopping(call_number call, std::vector<sidecar_action>& actions) const
         -> bool;
@@ -65,6 +71,11 @@
     void take(instant now, const sidecar_input::engine_reported& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::cancel_confirmed& input,
               std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::span_released& input, std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::share_asked& input, std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::share_renewal_asked& input,
+              std::vector<sidecar_action>& actions);
+    void take(instant now, const sidecar_input::share_returned& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::ticket_asked& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::service_called& input, std::vector<sidecar_action>& actions);
     void take(instant now, const sidecar_input::status_asked& input, std::vector<sidecar_action>& actions);
@@ -91,6 +102,7 @@
     permit_gate gate_;
     once_ledger ledger_;
     attempt_desk attempts_;
+    share_desk shares_;
     service_desk services_;
     self_check self_check_;
     order_desk orders_;
--- a/src/gateway/sidecar_link.h
+++ b/src/gateway/sidecar_link.h
@@ -37,6 +37,14 @@
     /// Calls the plain service, once the connection is proven alive; if that takes too long, nothing is sent
     /// and `tick` says so.
     void call_service(instant now, const attempt_key& key, service_wish wish, const service_spec& spec);
+    /// Asks for, renews or gives back a share.
+    template <typename Wanted>
+    void call_share(instant now, const Wanted& wanted)
+    {
+        auto& connection = lane(now, length_class::interactive);
+        connection.call_share(wanted);
+        schedule_.work(now, length_class::interactive, connection.work());
+    }
     /// Asks for a heartbeat, whose answer brings the upstream's load.
     void probe(instant now) { schedule_.check(now, length_class::interactive); }
     /// Hands a try's prompt or cancel to the connection it was opened on.
