--- a/tests/process/fleet_files.cpp
+++ b/tests/process/fleet_files.cpp
@@ -143,8 +143,7 @@
     std::string out = "[bundle]\nversion = ";
     out += std::to_string(version) + "\nterm_end = 2030-12-31T00:00:00Z\n";
     for (const auto& [partner, key] : keys_) {
-        out += "[partner ";
-        out += partner + "]\npublic_key = " + key + "\n";
+        out.append("[partner ").append(partner).append("]\npublic_key = ").append(key).append("\n");
     }
     for (const std::string domain : {"a", "b"}) {
         out += "[failure_domain ";
