--- a/src/limit/account_limiter.cpp
+++ b/src/limit/account_limiter.cpp
@@ -149,6 +149,7 @@
         }
     }
     std::vector<ask_shares> asked;
+    asked.reserve(due.size());
     for (auto& [home, requests] : due) {
         asked.push_back({home, std::move(requests)});
     }
