--- a/src/gateway/lane_connection.h
+++ b/src/gateway/lane_connection.h
@@ -32,6 +32,12 @@
     void cancel_attempt(const attempt_key& key);
     /// Calls the plain service.
     void call_service(const attempt_key& key, service_wish wish, const service_spec& spec);
+    /// Asks for, renews or gives back a share. Nothing comes back if the call breaks: the planner asks again.
+    void call_share(const reserve_share& wanted);
+    /// Renews a share.
+    void call_share(const renew_share& wanted);
+    /// Gives a share back.
+    void call_share(const release_share& wanted);
     /// Sends a heartbeat.
     void send_heartbeat();
 
@@ -45,6 +51,9 @@
     [[nodiscard]] auto work() -> std::size_t;
 
 private:
+    template <typename Method, typename Answer>
+    void ask_about_share(wire::gang_share_request request, Method method, Answer answer);
+
     heartbeat_call::identity who_;
     link_sink sink_;
     rpc::call_tracker& calls_;
--- a/tests/process/order_faults_test.cpp
+++ b/tests/process/order_faults_test.cpp
@@ -9,7 +9,9 @@
 {
     // An engine comes up with a model that the bundle doesn't name, and later falls over and comes up like
     // that again. Callers ask for the declared one. Each time its sidecar brings it there, with one load.
-    process_fleet fleet("1", "left-over");
+    fleet_options options;
+    options.first_model = "left-over";
+    process_fleet fleet(options);
     const std::vector<std::string> wanted{"assistant-1"};
     cr_assert(comes_true([&] { return fleet.names("engine-1", "models") == wanted; }));
     cr_assert(fleet.loads_ordered("engine-1") == 1);
