Count a share's lease from the ask that it answers, and say when to come back after a lost sidecar

Cause: account_limiter counted an answer from the newest ask, whichever it answered, so one that had been overtaken gave the whole limit for up to an ask interval beyond what the home held to. And a request that lost every sidecar before its prompt left was refused with no time to come back. Change: ask_shares carries when it was asked, the answer brings it back, an overtaken answer is dropped; a lost connection's refusal says 500 ms. Before: request_limit/message_reordered and request_dispatch/process_dies/all_sidecars fail.

--- a/include/dragonflymill/limit/account_limiter.h
+++ b/include/dragonflymill/limit/account_limiter.h
@@ -33,6 +33,7 @@
 {
     process_id home;                     ///< Whom to ask; it may be this gateway itself.
     std::vector<share_request> requests; ///< What to ask, one request for each account.
+    instant asked;                       ///< When, by the asker's clock; does not travel.
 
     friend auto operator==(const ask_shares&, const ask_shares&) -> bool = default;
 };
@@ -70,8 +71,8 @@
     [[nodiscard]] auto tick(instant now) -> std::vector<ask_shares>;
     /// Another gateway (or this one) asks for a share of an account whose home this is.
     [[nodiscard]] auto share_asked(instant now, const share_request& request) -> share_grant;
-    /// The home answered; one that is not the home (any more) is not believed.
-    void share_granted(instant now, const share_grant& grant);
+    /// The home answered what was asked at `asked`; one that is not the home (any more) is not believed.
+    void share_granted(instant now, const share_grant& grant, instant asked);
 
     /// The home of an account; empty while no gateway is known.
     [[nodiscard]] auto home(const client_account_id& account) const -> process_id;
@@ -90,6 +91,7 @@
         instant renew_at{};
         process_id home; // empty until it is needed again
         std::optional<instant> asked;
+        instant granted{}; // when the newest answer so far was asked for
         instant used{};
     };
 
--- a/include/dragonflymill/serve/gateway_messages.h
+++ b/include/dragonflymill/serve/gateway_messages.h
@@ -164,6 +164,7 @@
 struct shares_granted
 {
     std::vector<share_grant> grants; ///< The grants.
+    instant asked;                   ///< When they were asked for.
 };
 /// The process is to stop: what is in hand is finished.
 struct stop_asked
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -131,8 +131,9 @@
 
 void gateway_daemon::ask_for_shares(const ask_shares& asked)
 {
-    control_->request_shares(
-        asked, [this](std::vector<share_grant> grants) { shell_.shares_granted(std::move(grants)); });
+    control_->request_shares(asked, [this, at = asked.asked](std::vector<share_grant> grants) {
+        shell_.shares_granted(std::move(grants), at);
+    });
 }
 
 auto gateway_daemon::run() -> int
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -121,9 +121,9 @@
     return {}; // no word: the other gateway goes on with its equal parts
 }
 
-void gateway_shell::shares_granted(std::vector<share_grant> grants)
+void gateway_shell::shares_granted(std::vector<share_grant> grants, instant asked)
 {
-    post(gateway_event(gateway_input::shares_granted{std::move(grants)}));
+    post(gateway_event(gateway_input::shares_granted{std::move(grants), asked}));
 }
 
 auto gateway_shell::arrived(arrival made) -> bool
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -45,8 +45,8 @@
     /// Another gateway asks for shares of accounts whose home this is; waits for the deciding thread, but not
     /// long.
     [[nodiscard]] auto shares_asked(const std::vector<share_request>& requests) -> std::vector<share_grant>;
-    /// The home of some accounts granted shares.
-    void shares_granted(std::vector<share_grant> grants);
+    /// The home of some accounts granted shares that were asked for at `asked`.
+    void shares_granted(std::vector<share_grant> grants, instant asked);
     /// A caller's request; false if there is no room for it.
     [[nodiscard]] auto arrived(arrival made) -> bool;
     /// A caller left.
--- a/src/limit/account_limiter.cpp
+++ b/src/limit/account_limiter.cpp
@@ -151,7 +151,7 @@
     std::vector<ask_shares> asked;
     asked.reserve(due.size());
     for (auto& [home, requests] : due) {
-        asked.push_back({home, std::move(requests)});
+        asked.push_back({home, std::move(requests), now});
     }
     return asked;
 }
@@ -168,7 +168,7 @@
     return grant;
 }
 
-void account_limiter::share_granted(instant now, const share_grant& grant)
+void account_limiter::share_granted(instant now, const share_grant& grant, instant asked)
 {
     const auto found = tracked_.find(grant.account);
     const auto* entry = entry_of(grant.account);
@@ -181,10 +181,15 @@
         return;
     }
     // The lease counts from the asking: an answer that was long under way, or that waited while this process
-    // was paused, must not be used beyond what the home has noted.
+    // was paused, must not be used beyond what the home has noted. One that a later answer has overtaken says
+    // what the home no longer holds to.
+    if (asked < state.granted) {
+        return;
+    }
+    state.granted = asked;
     state.part = grant.part;
-    state.lease_end = *state.asked + grant.lease;
-    state.renew_at = *state.asked + grant.lease / 2;
+    state.lease_end = asked + grant.lease;
+    state.renew_at = asked + grant.lease / 2;
     apply_part(now, *entry, state);
 }
 
--- a/src/serve/gateway_core.cpp
+++ b/src/serve/gateway_core.cpp
@@ -19,9 +19,12 @@
     return settings;
 }
 
+/// A sidecar that was lost is replaced, or left out of the choice, within about this time.
+constexpr duration broken_retry_hint = 500ms;
+
 auto broken_refusal(bool sent) -> refusal
 {
-    return {refusal_code::upstream_gone, sent ? ran_state::unknown : ran_state::no, duration::zero(),
+    return {refusal_code::upstream_gone, sent ? ran_state::unknown : ran_state::no, broken_retry_hint,
             "ask again"};
 }
 
@@ -407,7 +410,7 @@
 void gateway_core::take(instant now, const gateway_input::shares_granted& input, actions_out& /*actions*/)
 {
     for (const auto& grant : input.grants) {
-        limiter_.share_granted(now, grant);
+        limiter_.share_granted(now, grant, input.asked);
     }
 }
 
@@ -428,7 +431,7 @@
     for (auto& asked : limiter_.tick(now)) {
         if (asked.home == options_.self) {
             for (const auto& grant : shares_asked(now, asked.requests)) {
-                limiter_.share_granted(now, grant);
+                limiter_.share_granted(now, grant, asked.asked);
             }
         }
         else {
--- a/tests/bench/account_share_bench.cpp
+++ b/tests/bench/account_share_bench.cpp
@@ -84,8 +84,8 @@
                 made.set_client_account(request.account.text());
                 made.set_demand(request.demand);
                 made.set_held(request.held);
-                limiter.share_granted(now,
-                                      {request.account, ask.home, true, 0.9 / static_cast<double>(size), 6s});
+                const share_grant grant{request.account, ask.home, true, 0.9 / static_cast<double>(size), 6s};
+                limiter.share_granted(now, grant, ask.asked);
             }
             if (ask.home != gateways.front()) {
                 ++messages;
--- a/tests/limit/account_limiter_test.cpp
+++ b/tests/limit/account_limiter_test.cpp
@@ -275,12 +275,41 @@
     const auto asked = limiter.tick(instant{} + 1s);
     cr_assert(asked.size() == 1 && asked.front().requests.size() == 1);
     const share_grant grant{account, limiter.home(account), true, 1, 6s};
-    limiter.share_granted(instant{} + 20s, grant);
+    limiter.share_granted(instant{} + 20s, grant, asked.front().asked);
     cr_assert(limiter.part(instant{} + 20s, account) == 0.5);
-    limiter.share_granted(instant{} + 2s, grant);
+    limiter.share_granted(instant{} + 2s, grant, asked.front().asked);
     cr_assert(limiter.part(instant{} + 2s, account) == 1);
 }
 
+FAULT_CELL(request_limit, message_reordered)
+{
+    // The partner sees more than the limit: a gateway goes on with the whole of it after its lease.
+    // Order: a gateway asks, and asks again; the home's second answer leaves it a tenth, its first one, with
+    // the whole, comes last. Cause: an answer was counted from the newest ask, whichever it answered.
+    account_limiter limiter({.self = limiter_world::name(0)}, instant{});
+    limiter.bundle_adopted(instant{}, limiter_world::sample());
+    limiter.gateways_changed(instant{}, {limiter_world::name(0), limiter_world::name(1)}, 2);
+    const auto account = limiter_world::account();
+    const auto ask_at = [&](instant now) {
+        cr_assert(!limiter.admit(now, account, 1));
+        const auto asked = limiter.tick(now);
+        cr_assert(asked.size() == 1 && asked.front().asked == now);
+        return now;
+    };
+    const auto granted = [&](double part) {
+        return share_grant{account, limiter.home(account), true, part, 6s};
+    };
+    const auto first = ask_at(instant{} + 1s);
+    const auto second = ask_at(instant{} + 4s);
+    limiter.share_granted(instant{} + 5s, granted(1), first);
+    cr_assert(limiter.part(instant{} + 6s, account) == 1);
+    cr_assert(limiter.part(instant{} + 8s, account) == 0.5, "the first lease ended at 7 s");
+    limiter.share_granted(instant{} + 8s, granted(0.1), second);
+    const auto held = limiter.part(instant{} + 8s, account);
+    limiter.share_granted(instant{} + 9s, granted(1), first);
+    cr_assert(limiter.part(instant{} + 9s, account) == held && held < 0.2);
+}
+
 FAULT_CELL(request_limit, message_doubled)
 {
     // The partner sees no more than the limit when an ask arrives twice.
--- a/tests/limit/limiter_world.h
+++ b/tests/limit/limiter_world.h
@@ -114,7 +114,7 @@
                 continue;
             }
             for (const auto& request : ask.requests) {
-                limiters[at].share_granted(now, limiters[home_at].share_asked(now, request));
+                limiters[at].share_granted(now, limiters[home_at].share_asked(now, request), ask.asked);
             }
         }
     }
--- a/tests/serve/gateway_intake_test.cpp
+++ b/tests/serve/gateway_intake_test.cpp
@@ -231,10 +231,34 @@
     open(core, 1);
     feed(core, start, gateway_input::tick{});
     const share_grant granted{client_account_id("a"), process_id("g1"), true, 1.0, 6s};
-    feed(core, start, gateway_input::shares_granted{{granted}});
+    feed(core, start, gateway_input::shares_granted{{granted}, start});
     open(core, 2);
     auto lower = bundle_for(2);
     lower.version = bundle_version(2);
     feed(core, start, gateway_input::bundle_adopted{std::make_shared<const bundle>(lower)});
     cr_assert(refusal_of(core.step(start, asked(3))).code == refusal_code::account_limit);
 }
+
+FAULT_CELL_MORE(request_dispatch, process_dies, all_sidecars)
+{
+    // A caller is told that its question was not run, but not when to come back, and gives up for good.
+    // Order: the sidecars of a model are lost one after the other before the prompt leaves for any of them.
+    // Cause: the refusal of a lost connection carried no time.
+    gateway_core core(start, options());
+    adopt(core, small_bundle());
+    auto actions = core.step(start, asked(1));
+    const gateway_output::refuse* refused = nullptr;
+    for (auto now = start; now < start + 9s && refused == nullptr; now += 100ms) {
+        if (const auto* opened = find<gateway_output::open_attempt>(actions)) {
+            const auto key = opened->key;
+            actions = core.step(now, gateway_input::attempt_broken{key, false});
+        }
+        else {
+            actions = core.step(now, gateway_input::tick{});
+        }
+        refused = find<gateway_output::refuse>(actions);
+    }
+    cr_assert(refused != nullptr);
+    cr_assert(refused->why.ran == ran_state::no);
+    cr_assert(refused->why.retry_after > duration::zero());
+}
