--- a/src/gateway/attempt_call.cpp
+++ b/src/gateway/attempt_call.cpp
@@ -16,15 +16,14 @@
 
 } // namespace
 
-auto attempt_call::open(wire::sidecar_gate::Stub& stub, const identity& who, const attempt_spec& spec,
-                        std::shared_ptr<const std::string> prompt, pulse_ptr pulse, link_sink sink,
-                        rpc::call_tracker& calls) -> std::shared_ptr<attempt_call>
+auto attempt_call::open(wire::sidecar_gate::Stub& stub, const identity& who, content what, pulse_ptr pulse,
+                        link_sink sink, rpc::call_tracker& calls) -> std::shared_ptr<attempt_call>
 {
     std::shared_ptr<attempt_call> made(
-        new attempt_call(who, std::move(prompt), std::move(pulse), std::move(sink), calls));
+        new attempt_call(who, std::move(what.prompt), std::move(pulse), std::move(sink), calls));
     made->self_ = made;
-    made->context_.set_deadline(std::chrono::system_clock::now() + spec.remaining + deadline_slack);
-    *made->outgoing_.mutable_open() = rpc::to_wire(spec);
+    made->context_.set_deadline(std::chrono::system_clock::now() + what.spec.remaining + deadline_slack);
+    *made->outgoing_.mutable_open() = rpc::to_wire(what.spec);
     calls.begin(made->context_);
     stub.async()->attempt(&made->context_, made.get());
     made->AddHold();
--- a/src/gateway/attempt_call.h
+++ b/src/gateway/attempt_call.h
@@ -25,10 +25,16 @@
         attempt_key key;      ///< The try.
     };
 
+    /// What is put to the sidecar.
+    struct content
+    {
+        attempt_spec spec;                         ///< What is asked.
+        std::shared_ptr<const std::string> prompt; ///< The prompt, sent once it is wanted.
+    };
+
     /// Opens the call.
-    static auto open(wire::sidecar_gate::Stub& stub, const identity& who, const attempt_spec& spec,
-                     std::shared_ptr<const std::string> prompt, pulse_ptr pulse, link_sink sink,
-                     rpc::call_tracker& calls) -> std::shared_ptr<attempt_call>;
+    static auto open(wire::sidecar_gate::Stub& stub, const identity& who, content what, pulse_ptr pulse,
+                     link_sink sink, rpc::call_tracker& calls) -> std::shared_ptr<attempt_call>;
 
     /// Sends the prompt, a piece at a time.
     void send_prompt();
--- a/src/gateway/lane_connection.cpp
+++ b/src/gateway/lane_connection.cpp
@@ -120,8 +120,8 @@
 void lane_connection::open_attempt(const attempt_key& key, const attempt_spec& spec,
                                    std::shared_ptr<const std::string> prompt)
 {
-    attempts_.insert_or_assign(key, attempt_call::open(*stub_, {who_.upstream, key}, spec, std::move(prompt),
-                                                       pulse_, sink_, calls_));
+    attempts_.insert_or_assign(key, attempt_call::open(*stub_, {who_.upstream, key},
+                                                       {spec, std::move(prompt)}, pulse_, sink_, calls_));
 }
 
 void lane_connection::send_prompt(const attempt_key& key)
