--- a/tests/bench/heartbeat_bench.cpp
+++ b/tests/bench/heartbeat_bench.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <exception>
 #include <mutex>
 #include <thread>
 
@@ -155,14 +156,20 @@
 
 auto main() -> int
 {
-    std::puts(
-        "| links | count | payload sent, B/s | received, B/s | pieces sent/s | received/s | with headers and "
-        "an acknowledgement each, sent B/s | received B/s |\n|---|---|---|---|---|---|---|---|");
-    for (const std::size_t count : {8, 32, 128}) {
-        measure("idle", count, false);
+    try {
+        std::puts("| links | count | payload sent, B/s | received, B/s | pieces sent/s | received/s | with "
+                  "headers and "
+                  "an acknowledgement each, sent B/s | received B/s |\n|---|---|---|---|---|---|---|---|");
+        for (const std::size_t count : {8, 32, 128}) {
+            measure("idle", count, false);
+        }
+        for (const std::size_t count : {8, 32, 128}) {
+            measure("a try waits without a word", count, true);
+        }
+        return 0;
     }
-    for (const std::size_t count : {8, 32, 128}) {
-        measure("a try waits without a word", count, true);
+    catch (const std::exception& failed) {
+        std::fprintf(stderr, "%s\n", failed.what());
+        return 1;
     }
-    return 0;
 }
