Compile the tests' support once, and read addresses there as everywhere

Cause: each of 27 test programs compiled tests/support anew, so the linter read tcp_relay.cpp 27 times: over six minutes for one file. Ruled out: a check or a template that does not end, since each group of checks alone took as long. Change: test_support is one library; the relay uses settings/socket_endpoint and named steps in place of nested lambdas.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -21,6 +21,11 @@
     endforeach()
 endif()
 
+# Once for all test programs: the linter reads a file as often as it is compiled.
+add_library(test_support STATIC ${SUPPORT_SOURCES})
+target_include_directories(test_support PRIVATE tests src)
+target_link_libraries(test_support PRIVATE dragonflymill_daemon PkgConfig::CRITERION)
+
 foreach(folder ${TEST_FOLDERS})
     get_filename_component(name ${folder} NAME)
     file(GLOB sources CONFIGURE_DEPENDS ${folder}/*_test.cpp)
@@ -29,7 +34,7 @@
     endif()
     # Its own helpers besides.
     file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
-    add_executable(test_${name} ${sources} ${SUPPORT_SOURCES})
+    add_executable(test_${name} ${sources})
     target_include_directories(test_${name} PRIVATE tests src)
     # Only where they are read: a path in every command keeps a second checkout from sharing the compiler cache.
     file(GLOB readers CONFIGURE_DEPENDS ${folder}/*)
@@ -44,7 +49,7 @@
         # These start programs of ours, so one test program can be built and run alone.
         add_dependencies(test_${name} dragonflymill_exe standins)
     endif()
-    target_link_libraries(test_${name} PRIVATE dragonflymill_daemon PkgConfig::CRITERION)
+    target_link_libraries(test_${name} PRIVATE test_support dragonflymill_daemon PkgConfig::CRITERION)
     if(TARGET standins_parts)
         target_link_libraries(test_${name} PRIVATE standins_parts)
     endif()
--- a/tests/support/tcp_relay.cpp
+++ b/tests/support/tcp_relay.cpp
@@ -1,25 +1,16 @@
 #include "support/tcp_relay.h"
 
+#include "settings/socket_endpoint.h"
+
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <cstdlib>
 
 namespace dragonflymill::test_support {
 
 using boost::asio::ip::tcp;
-
-namespace {
-
-auto endpoint_of(const std::string& text) -> tcp::endpoint
-{
-    const auto colon = text.rfind(':');
-    return {boost::asio::ip::make_address(text.substr(0, colon)),
-            static_cast<std::uint16_t>(std::strtoul(text.c_str() + colon + 1, nullptr, 10))};
-}
-
-} // namespace
+using boost::system::error_code;
 
 /// Two sockets and what goes from each to the other.
 class tcp_relay::connection : public std::enable_shared_from_this<connection>
@@ -32,13 +23,13 @@
     }
     void start(const tcp::endpoint& target)
     {
-        callee_.async_connect(target, [self = shared_from_this()](const auto& failure) {
+        callee_.async_connect(target, [self = shared_from_this()](error_code failure) {
             if (failure) {
                 self->close();
                 return;
             }
-            self->pass(self->caller_, self->callee_, self->forth_);
-            self->pass(self->callee_, self->caller_, self->back_);
+            self->pass({self->caller_, self->callee_, self->forth_});
+            self->pass({self->callee_, self->caller_, self->back_});
         });
     }
     void cut() { is_cut_ = true; }
@@ -46,26 +37,45 @@
 private:
     using piece = std::array<char, 16 * 1024>;
 
-    void pass(tcp::socket& from, tcp::socket& to, piece& space)
+    struct direction
     {
-        from.async_read_some(boost::asio::buffer(space), [self = shared_from_this(), &from, &to,
-                                                          &space](const auto& failure, std::size_t size) {
-            if (self->is_cut_) {
-                return; // also an end is not passed on
-            }
-            if (failure) {
-                self->close();
-                return;
-            }
-            boost::asio::async_write(to, boost::asio::buffer(space, size),
-                                     [self, &from, &to, &space](const auto& write_failure, std::size_t) {
-                                         write_failure ? self->close() : self->pass(from, to, space);
-                                     });
-        });
+        tcp::socket& from;
+        tcp::socket& to;
+        piece& space;
+    };
+
+    void pass(direction way)
+    {
+        way.from.async_read_some(boost::asio::buffer(way.space),
+                                 [self = shared_from_this(), way](error_code failure, std::size_t size) {
+                                     self->on_read(way, failure, size);
+                                 });
+    }
+    void on_read(direction way, error_code failure, std::size_t size)
+    {
+        if (is_cut_) {
+            return; // also an end is not passed on
+        }
+        if (failure) {
+            close();
+            return;
+        }
+        boost::asio::async_write(way.to, boost::asio::buffer(way.space, size),
+                                 [self = shared_from_this(), way](error_code failed, std::size_t /*size*/) {
+                                     self->on_written(way, failed);
+                                 });
+    }
+    void on_written(direction way, error_code failure)
+    {
+        if (failure) {
+            close();
+            return;
+        }
+        pass(way);
     }
     void close()
     {
-        boost::system::error_code ignored;
+        error_code ignored;
         caller_.close(ignored);
         callee_.close(ignored);
     }
@@ -78,7 +88,7 @@
 };
 
 tcp_relay::tcp_relay(const std::string& target)
-    : target_(endpoint_of(target))
+    : target_(tcp_endpoint(parse_socket_address(target).value()).value())
     , acceptor_(io_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
     , address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()))
 {
@@ -109,7 +119,7 @@
 
 void tcp_relay::accept()
 {
-    acceptor_.async_accept([this](const auto& failure, tcp::socket caller) {
+    acceptor_.async_accept([this](error_code failure, tcp::socket caller) {
         if (failure) {
             return;
         }
