Gather answers, write errors and notice pauses in one place each

Cause: a read of the whole code found logic that stood twice or more: three clients gathered an answer's body alike, the two shells noticed their pauses alike, refusals and rejections built the same JSON, and four test files looked for a sidecar's action by the same template and set up the same sidecar. Change: http/whole_answer, log/pause_log, error_object in answer_text, tests/serve/sidecar_core_fixture. Left: tests/bench/counting_relay.h and tests/support/tcp_relay are two relays of one kind.

--- a/src/app/admin_client.cpp
+++ b/src/app/admin_client.cpp
@@ -1,12 +1,11 @@
 #include "app/admin_client.h"
 
-#include "http/http_call.h"
+#include "http/whole_answer.h"
 #include "runtime/clock.h"
 #include "settings/socket_endpoint.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/parse.hpp>
-#include <optional>
 
 namespace dragonflymill::app {
 
@@ -15,13 +14,6 @@
 constexpr duration answer_timeout = 5s;
 constexpr unsigned first_failure_status = 300;
 
-/// The answer so far, and how the call ended.
-struct call_result
-{
-    http::http_response response;
-    std::optional<http::call_end> end;
-};
-
 auto unreachable(const socket_address& address, http::call_end end) -> error
 {
     const bool sent = end != http::call_end::not_sent;
@@ -53,24 +45,22 @@
     boost::asio::io_context context;
     http::call_limits limits;
     limits.first_byte_timeout = answer_timeout;
-    call_result got;
+    auto end = http::call_end::broken;
+    http::http_response response;
     const auto call = std::make_shared<http::http_call>(context, server.value(), limits);
     call->start(std::move(request), runtime::now() + answer_timeout,
-                {[&got](unsigned status, const std::string& type) {
-                     got.response.status = status;
-                     got.response.content_type = type;
-                 },
-                 [&got](std::string_view bytes) { got.response.body += bytes; },
-                 [&got](http::call_end end) { got.end = end; }});
+                http::gather_answer([&](http::call_end how, const http::http_response& answer) {
+                    end = how;
+                    response = answer;
+                }));
     context.run();
-    const http::call_end end = got.end.value_or(http::call_end::broken);
     if (end != http::call_end::whole) {
         return unreachable(address, end);
     }
-    if (got.response.status >= first_failure_status) {
-        return refused(got.response);
+    if (response.status >= first_failure_status) {
+        return refused(response);
     }
-    return got.response;
+    return response;
 }
 
 } // namespace dragonflymill::app
--- a/src/gateway/answer_text.cpp
+++ b/src/gateway/answer_text.cpp
@@ -35,19 +35,25 @@
     return body;
 }
 
-auto refusal_object(const request_id& request, const refusal& why) -> json::object
+auto error_object(const request_id& request, std::string_view code, ran_state ran, duration retry_after,
+                  const std::string& remedy) -> json::object
 {
     json::object detail;
-    detail["code"] = to_string(why.code);
-    detail["ran"] = to_string(why.ran);
-    detail["retry_after_ms"] = std::chrono::ceil<std::chrono::milliseconds>(why.retry_after).count();
-    detail["remedy"] = why.remedy;
+    detail["code"] = code;
+    detail["ran"] = to_string(ran);
+    detail["retry_after_ms"] = std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
+    detail["remedy"] = remedy;
     detail["request_id"] = request.text();
     json::object body;
     body["error"] = std::move(detail);
     return body;
 }
 
+auto refusal_object(const request_id& request, const refusal& why) -> json::object
+{
+    return error_object(request, to_string(why.code), why.ran, why.retry_after, why.remedy);
+}
+
 } // namespace
 
 auto status_of(refusal_code code) -> unsigned
@@ -97,15 +103,7 @@
 auto rejection(const request_id& request, unsigned status, const std::string& code, const std::string& remedy)
     -> http::http_response
 {
-    json::object detail;
-    detail["code"] = code;
-    detail["ran"] = "no";
-    detail["retry_after_ms"] = 0;
-    detail["remedy"] = remedy;
-    detail["request_id"] = request.text();
-    json::object body;
-    body["error"] = std::move(detail);
-    return with_id(request, status, body);
+    return with_id(request, status, error_object(request, code, ran_state::no, duration::zero(), remedy));
 }
 
 auto completion_chunk(const request_id& request, const std::string& model, const std::string& text,
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_shell.cpp
@@ -17,8 +17,6 @@
 constexpr duration tick_interval = 10ms;
 constexpr duration share_patience = 200ms;
 constexpr duration status_interval = 250ms;
-/// A tick that comes later than this was kept from running.
-constexpr duration longest_tick_gap = 1s;
 constexpr metric_name first_token_name{"dragonflymill_first_token_seconds",
                                        "Time from a request's arrival to its first token, by length class"};
 constexpr metric_name pauses_name{"dragonflymill_pauses_total",
@@ -173,19 +171,12 @@
         }
     }
     if (now - last_tick_ >= tick_interval) {
-        note_pause(now);
+        pauses_.tick(now);
         last_tick_ = now;
         tick(now);
     }
 }
 
-void gateway_shell::note_pause(instant now) const
-{
-    if (last_tick_ != instant{} && now - last_tick_ > longest_tick_gap) {
-        log_event(event::process_paused, field("paused_us", now - last_tick_));
-    }
-}
-
 void gateway_shell::handle_link(link_event event)
 {
     const auto now = runtime::now();
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_shell.h
@@ -8,6 +8,7 @@
 #include "gateway/gateway_log.h"
 #include "gateway/link_event.h"
 #include "gateway/sidecar_link.h"
+#include "log/pause_log.h"
 #include "metrics/metrics_registry.h"
 #include "runtime/duty_thread.h"
 #include "runtime/latest.h"
@@ -79,7 +80,6 @@
     void forget_placement(const gateway_event& input);
     void note_message(const gateway_event& input);
     void note_received(const attempt_key& key, std::string_view step, std::string_view message);
-    void note_pause(instant now) const;
     void tick(instant now);
     static void note_state(const upstream_id& upstream, upstream_state state);
     void publish_status(instant now);
@@ -126,6 +126,7 @@
     rpc::call_tracker calls_;                 // outlives the links, and waits for what they have under way
     std::map<upstream_id, std::unique_ptr<sidecar_link>> links_;
     instant last_tick_;
+    pause_log pauses_;
     instant next_status_;
     runtime::latest<process_status> status_;
     std::shared_ptr<const bundle> adopted_; // the control thread's own
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_shell.cpp
@@ -1,7 +1,6 @@
 #include "sidecar/sidecar_shell.h"
 
 #include "app/version.h"
-#include "log/logger.h"
 #include "rpc/wire_convert.h"
 #include "runtime/clock.h"
 #include "settings/socket_endpoint.h"
@@ -18,8 +17,6 @@
 constexpr std::size_t ring_capacity = 16 * 1024;
 constexpr duration tick_interval = 20ms;
 constexpr duration status_interval = 250ms;
-/// A tick that comes later than this was kept from running.
-constexpr duration longest_tick_gap = 1s;
 constexpr std::uint64_t microseconds_a_second = 1'000'000;
 
 /// Text of about that many tokens. It begins with a name that was never used before, so that no engine has
@@ -167,7 +164,7 @@
         }
     }
     if (now - last_tick_ >= tick_interval) {
-        note_pause(now);
+        pauses_.tick(now);
         last_tick_ = now;
         carry_out(core_.step(now, sidecar_input::tick{}));
         publish_status(now);
@@ -177,13 +174,6 @@
     }
 }
 
-void sidecar_shell::note_pause(instant now) const
-{
-    if (last_tick_ != instant{} && now - last_tick_ > longest_tick_gap) {
-        log_event(event::process_paused, field("paused_us", now - last_tick_));
-    }
-}
-
 void sidecar_shell::publish_status(instant now)
 {
     if (now < next_status_) {
--- a/src/sidecar/sidecar_shell.h
+++ b/src/sidecar/sidecar_shell.h
@@ -3,6 +3,7 @@
 #include "control/control_snapshot.h"
 #include "control/process_status.h"
 #include "dragonflymill/serve/sidecar_core.h"
+#include "log/pause_log.h"
 #include "runtime/duty_thread.h"
 #include "runtime/io_thread.h"
 #include "runtime/latest.h"
@@ -55,7 +56,6 @@
     void post(sidecar_event event);
     void handle(std::optional<shell_event> event);
     void carry_out(const std::vector<sidecar_action>& actions);
-    void note_pause(instant now) const;
     void publish_status(instant now);
     void answer_heartbeat(const heartbeat_event& event);
 
@@ -94,6 +94,7 @@
     upstream::engine_client engine_;
     upstream::service_client service_client_;
     instant last_tick_;
+    pause_log pauses_;
     instant next_status_;
     runtime::latest<process_status> status_;
     bool is_engine_ = false;
--- a/src/upstream/engine_client.cpp
+++ b/src/upstream/engine_client.cpp
@@ -1,5 +1,6 @@
 #include "upstream/engine_client.h"
 
+#include "http/whole_answer.h"
 #include "runtime/clock.h"
 #include "settings/socket_endpoint.h"
 #include "upstream/engine_json.h"
@@ -31,21 +32,13 @@
                 std::function<void(unsigned status, const std::string& body)> done,
                 std::function<void()> after)
 {
-    struct reading
-    {
-        unsigned status = 0;
-        std::string body;
-    };
-    const auto held = std::make_shared<reading>();
-    http::call_handlers handlers;
-    handlers.on_header = [held](unsigned status, const std::string& /*type*/) { held->status = status; };
-    handlers.on_bytes = [held](std::string_view bytes) { held->body += bytes; };
-    handlers.on_end = [held, done = std::move(done), after = std::move(after)](http::call_end how) {
+    auto handlers = http::gather_answer([done = std::move(done), after = std::move(after)](
+                                            http::call_end how, const http::http_response& answer) {
         if (how == http::call_end::whole) {
-            done(held->status, held->body);
+            done(answer.status, answer.body);
         }
         after();
-    };
+    });
     call->start(std::move(request), not_after, std::move(handlers));
 }
 
--- a/src/upstream/service_client.cpp
+++ b/src/upstream/service_client.cpp
@@ -1,5 +1,7 @@
 #include "upstream/service_client.h"
 
+#include "http/whole_answer.h"
+
 #include <algorithm>
 #include <memory>
 #include <utility>
@@ -41,20 +43,15 @@
     limits.first_byte_timeout = what.remaining;
     limits.silence_timeout = what.remaining;
     limits.max_body_bytes = max_answer_bytes;
-    const auto answer = std::make_shared<once_answer>();
-    http::call_handlers handlers;
-    handlers.on_header = [answer](unsigned status, const std::string& content_type) {
-        answer->status = static_cast<int>(status);
-        answer->content_type = content_type;
-    };
-    handlers.on_bytes = [answer](std::string_view bytes) { answer->body += bytes; };
-    handlers.on_end = [this, answer, number = what.call](http::call_end how) {
-        if (how == http::call_end::whole) {
-            events_(sidecar_input::service_answered{number, *answer});
-            return;
-        }
-        events_(sidecar_input::service_broken{number, how != http::call_end::not_sent});
-    };
+    auto handlers = http::gather_answer(
+        [this, number = what.call](http::call_end how, const http::http_response& answer) {
+            if (how == http::call_end::whole) {
+                events_(sidecar_input::service_answered{
+                    number, {static_cast<int>(answer.status), answer.content_type, answer.body}});
+                return;
+            }
+            events_(sidecar_input::service_broken{number, how != http::call_end::not_sent});
+        });
     const auto call = std::make_shared<http::http_call>(context_, server_, limits);
     call->start(request_of(what.spec), what.not_after, std::move(handlers));
 }
--- a/tests/serve/share_desk_test.cpp
+++ b/tests/serve/share_desk_test.cpp
@@ -1,39 +1,15 @@
-#include "dragonflymill/serve/sidecar_core.h"
-#include "support/fault_cell.h"
+#include "serve/sidecar_core_fixture.h"
 
 #include <algorithm>
 #include <set>
 
 using namespace dragonflymill;
+using namespace dragonflymill::sidecar_fixture;
 
 namespace {
 
-constexpr instant start{1'000s};
 constexpr token_count room = 100'000;
 
-auto options() -> sidecar_core_options
-{
-    sidecar_core_options made;
-    made.gate.ramp.floor = room;
-    made.gate.ramp.ceiling = room;
-    made.ledger.upstream = upstream_id("u1");
-    made.ledger.self = incarnation(7);
-    made.ledger.started = start;
-    made.ledger.ticket_key = "a key of the tests";
-    return made;
-}
-
-template <typename Action>
-auto find(const std::vector<sidecar_action>& actions) -> const Action*
-{
-    for (const auto& action : actions) {
-        if (const auto* found = std::get_if<Action>(&action)) {
-            return found;
-        }
-    }
-    return nullptr;
-}
-
 auto gang(std::uint64_t round = 1) -> gang_key
 {
     return {request_id("r"), attempt_number(round)};
@@ -43,7 +19,7 @@
 class world
 {
 public:
-    sidecar_core core{start, options()};
+    sidecar_core core{start, options(room, room)};
     instant now = start;
     std::set<std::string> held;  ///< What the engine holds.
     bool loses_releases = false; ///< Whether releases are lost on the way to the engine.
--- a/tests/serve/sidecar_core_test.cpp
+++ b/tests/serve/sidecar_core_test.cpp
@@ -1,24 +1,15 @@
-#include "dragonflymill/serve/sidecar_core.h"
-#include "support/fault_cell.h"
+#include "serve/sidecar_core_fixture.h"
 
 #include <algorithm>
 
 using namespace dragonflymill;
+using namespace dragonflymill::sidecar_fixture;
 
 namespace {
 
-constexpr instant start{1'000s};
-
-auto options() -> sidecar_core_options
+auto engine_options() -> sidecar_core_options
 {
-    sidecar_core_options made;
-    made.gate.ramp.floor = 10'000;
-    made.gate.ramp.ceiling = 100'000;
-    made.ledger.upstream = upstream_id("u1");
-    made.ledger.self = incarnation(7);
-    made.ledger.started = start;
-    made.ledger.ticket_key = "a key of the tests";
-    return made;
+    return options(10'000, 100'000);
 }
 
 auto spec(std::string name, duration remaining = 10s) -> attempt_spec
@@ -35,17 +26,6 @@
     return made;
 }
 
-template <typename Action>
-auto find(const std::vector<sidecar_action>& actions) -> const Action*
-{
-    for (const auto& action : actions) {
-        if (const auto* found = std::get_if<Action>(&action)) {
-            return found;
-        }
-    }
-    return nullptr;
-}
-
 /// A core with one stream at the engine, as call 1.
 auto begin_stream(sidecar_core& core) -> std::string
 {
@@ -88,7 +68,7 @@
 
 Test(sidecar_core, a_stream_goes_through_and_frees_its_permit)
 {
-    sidecar_core core(start, options());
+    sidecar_core core(start, engine_options());
     begin_stream(core);
     const auto passed = core.step(start + 10ms, sidecar_input::engine_tokens{call_number(1), 0, {"a", "b"}});
     cr_assert(find<sidecar_output::send_tokens>(passed)->tokens.size() == 2);
@@ -101,7 +81,7 @@
 {
     // A request reaches a sidecar that has just started, before the bundle does. It was refused as too large,
     // with no time to come back, though the upstream could well have held it.
-    auto before_the_bundle = options();
+    auto before_the_bundle = engine_options();
     before_the_bundle.gate.ramp = {};
     sidecar_core core(start, before_the_bundle);
     const auto actions = core.step(start, sidecar_input::attempt_opened{call_number(1), spec("r")});
@@ -115,8 +95,8 @@
 
 Test(sidecar_core, the_same_events_give_the_same_actions)
 {
-    sidecar_core one(start, options());
-    sidecar_core two(start, options());
+    sidecar_core one(start, engine_options());
+    sidecar_core two(start, engine_options());
     for (std::uint64_t i = 1; i <= 40; ++i) {
         const auto now = start + duration(static_cast<std::int64_t>(i) * 1'000);
         const sidecar_event event = sidecar_input::attempt_opened{call_number(i), spec(std::to_string(i))};
@@ -135,7 +115,7 @@
     // A caller with a 10 s limit waits. The sidecar grants its permit and is paused for 11 s while the prompt
     // is on its way. It wakes and finds the prompt. Had it sent it, the engine would work for nobody: the
     // caller has its refusal already.
-    sidecar_core core(start, options());
+    sidecar_core core(start, engine_options());
     const auto granted = core.step(start, sidecar_input::attempt_opened{call_number(1), spec("r")});
     cr_assert(find<sidecar_output::grant_attempt>(granted) != nullptr);
     const auto late = core.step(start + 11s, sidecar_input::prompt_received{call_number(1)});
@@ -147,7 +127,7 @@
 {
     // A caller leaves; the engine goes on for nobody and its memory is gone for good. The gateway's cancel
     // reaches the sidecar, whose own cancel to the engine is lost on the way.
-    sidecar_core core(start, options());
+    sidecar_core core(start, engine_options());
     const auto name = begin_stream(core);
     const auto first = core.step(start + 1s, sidecar_input::call_cancelled{call_number(1)});
     cr_assert(find<sidecar_output::cancel_stream>(first)->engine_request == name);
@@ -164,7 +144,7 @@
     // A caller's gateway dies while the answer streams. Nobody cancels; the engine would hold the stream's
     // memory until the answer's last token, and the permit with it. The gateway was last heard of after one
     // second.
-    sidecar_core core(start, options());
+    sidecar_core core(start, engine_options());
     const auto name = begin_stream(core);
     feed(core, start + 1s, sidecar_input::gateway_heard{process_id("g1")});
     const auto term = permit_gate_options{}.lease_term;
@@ -177,7 +157,7 @@
     // A long answer is cut off although its gateway lives and puts new work to the same engine all the time.
     // Order: the renewal is lost with its connection; another try of the gateway comes before the term ends.
     // Cause: only heartbeats counted as a sign of life.
-    sidecar_core core(start, options());
+    sidecar_core core(start, engine_options());
     begin_stream(core);
     const auto term = permit_gate_options{}.lease_term;
     cr_assert(tick_until_cancel(core, start, start + term - 200ms).empty());
@@ -189,7 +169,7 @@
 {
     // Memory at an engine shrinks from day to day. A sidecar dies in the middle of a stream and its successor
     // starts with an empty table: only the engine knows of the stream.
-    sidecar_core successor(start, options());
+    sidecar_core successor(start, engine_options());
     const auto found = successor.step(start, report({{"r.1", 1'000}}));
     cr_assert(find<sidecar_output::cancel_stream>(found)->engine_request == "r.1");
     const auto repeated = successor.step(start + 1s, sidecar_input::tick{});
@@ -204,7 +184,7 @@
     // A stream stops in the middle of the answer. The engine died and is up again within one report interval,
     // so that its port answers and only its start number differs; the stream would wait until the caller's
     // limit.
-    sidecar_core core(start, options());
+    sidecar_core core(start, engine_options());
     feed(core, start, report({}, 1));
     begin_stream(core);
     const auto lost = core.step(start + 1s, report({}, 2));
@@ -216,7 +196,7 @@
 {
     // An upgrade stops a sidecar while a caller reads an answer. The stop comes first, the last token later:
     // the sidecar refuses new work, keeps the stream, and ends only after its last token.
-    sidecar_core core(start, options());
+    sidecar_core core(start, engine_options());
     begin_stream(core);
     cr_assert(find<sidecar_output::all_done>(core.step(start + 1s, sidecar_input::stop_asked{})) == nullptr);
     const auto refused = core.step(start + 1s, sidecar_input::attempt_opened{call_number(2), spec("s")});
--- a/tests/serve/sidecar_service_test.cpp
+++ b/tests/serve/sidecar_service_test.cpp
@@ -1,22 +1,10 @@
-#include "dragonflymill/serve/sidecar_core.h"
-#include "support/fault_cell.h"
+#include "serve/sidecar_core_fixture.h"
 
 using namespace dragonflymill;
+using namespace dragonflymill::sidecar_fixture;
 
 namespace {
 
-constexpr instant start{1'000s};
-
-auto options() -> sidecar_core_options
-{
-    sidecar_core_options made;
-    made.ledger.upstream = upstream_id("u1");
-    made.ledger.self = incarnation(7);
-    made.ledger.started = start;
-    made.ledger.ticket_key = "a key of the tests";
-    return made;
-}
-
 auto booking(std::string ticket, std::string body, duration remaining = 10s) -> service_spec
 {
     service_spec made;
@@ -32,17 +20,6 @@
     return made;
 }
 
-template <typename Action>
-auto find(const std::vector<sidecar_action>& actions) -> const Action*
-{
-    for (const auto& action : actions) {
-        if (const auto* found = std::get_if<Action>(&action)) {
-            return found;
-        }
-    }
-    return nullptr;
-}
-
 auto take_ticket(sidecar_core& core) -> std::string
 {
     const auto given = core.step(start, sidecar_input::ticket_asked{call_number(1), booking({}, {})});
--- a/tests/serve/sidecar_warm_up_test.cpp
+++ b/tests/serve/sidecar_warm_up_test.cpp
@@ -1,7 +1,7 @@
-#include "dragonflymill/serve/sidecar_core.h"
-#include "support/fault_cell.h"
+#include "serve/sidecar_core_fixture.h"
 
 using namespace dragonflymill;
+using sidecar_fixture::find;
 
 namespace {
 
@@ -22,17 +22,6 @@
 
 using actions_of_step = std::vector<sidecar_action>;
 
-template <typename Action>
-auto find(const actions_of_step& actions) -> const Action*
-{
-    for (const auto& action : actions) {
-        if (const auto* found = std::get_if<Action>(&action)) {
-            return found;
-        }
-    }
-    return nullptr;
-}
-
 auto ask_large(sidecar_core& core, instant now, std::uint64_t call) -> bool
 {
     attempt_spec spec;
