--- /dev/null
+++ b/include/dragonflymill/direct/attempt_rules.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "dragonflymill/core/time.h"
+
+namespace dragonflymill::direct {
+
+/// How an attempt at an upstream ended without an answer that may be passed on.
+enum class attempt_end
+{
+    not_sent, ///< No connection: no byte of the request left.
+    rejected, ///< The upstream says that it has not run the request and won't.
+    failed,   ///< A failure that the upstream itself answered; the request ran.
+    broken,   ///< Connection lost, silence or an answer that can't be used; it may have run.
+};
+
+/// What is known of a request when an attempt has ended.
+struct request_progress
+{
+    bool repeatable = false;   ///< Whether it may run more than once.
+    bool answer_begun = false; ///< Whether the caller has the head of an answer.
+    bool may_have_run = false; ///< Whether any attempt so far may have run.
+    int attempts_run = 0;      ///< Attempts that may have run.
+    int attempts_sent = 0;     ///< Attempts of which a byte left.
+    int max_attempts = 1;      ///< Upstreams that it may run at.
+    duration time_left{};      ///< Until its deadline or the route's time limit.
+    bool budget_left = false;  ///< Whether the retry budget allows another arrival.
+
+    friend auto operator==(const request_progress&, const request_progress&) -> bool = default;
+};
+
+/// What to do next.
+enum class next_step
+{
+    try_again,      ///< Send it to another upstream.
+    pass_failure,   ///< Pass on the failure that the upstream answered.
+    refuse_not_run, ///< Answer that it was not run; the caller may come back.
+    fail_unknown,   ///< Answer a failure that says nothing about whether it ran.
+    cut,            ///< Close the caller's connection, so that a part can't be taken for the whole.
+};
+
+/// Rejections that one request tries to get round. Each may mean that an engine was full by a hair; more
+/// would spend the shared retry budget on one request.
+inline constexpr int max_rejections = 3;
+
+/// No attempt begins with less time than this left: a plain call takes some 20 ms and a connection 3 ms, so
+/// its answer would come too late and the work would be for nothing.
+inline constexpr duration least_time_for_attempt = 30ms;
+
+/// Decides what follows an attempt that ended without an answer.
+///
+/// Guards against running a call twice: an upstream that fell silent may have run it, and a second attempt
+/// would then book twice. Only calls that may be repeated go on after such an end; a refusal that the caller
+/// may take as "not run" is given only if no attempt can have run.
+[[nodiscard]] auto after_attempt(attempt_end end, const request_progress& progress) -> next_step;
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "dragonflymill/core/time.h"
+#include "dragonflymill/direct/cold_share.h"
+#include "dragonflymill/direct/dispatch_policy.h"
+#include "dragonflymill/direct/load_board.h"
+#include "dragonflymill/direct/retry_window.h"
+#include "dragonflymill/direct/upstream_health.h"
+#include "dragonflymill/direct/upstream_list.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflymill::direct {
+
+/// A call that waits for an upstream.
+struct waiting_call
+{
+    std::uint64_t id = 0;           ///< Given by the caller of the desk.
+    std::string service;            ///< Where it has to run.
+    std::int64_t prompt_tokens = 0; ///< 0 for plain services.
+    std::int64_t answer_tokens = 0; ///< Most tokens of the answer.
+    int priority = 0;               ///< 0 goes first.
+    instant aim_at{};               ///< An answer that begins later is late.
+    instant give_up_at{};           ///< Refused if it still waits then.
+    std::vector<std::string> tried; ///< Upstreams that it has been sent to.
+
+    friend auto operator==(const waiting_call&, const waiting_call&) -> bool = default;
+};
+
+/// A call is to be sent now. Its load is on the board; `finish` takes it off.
+struct dispatch_order
+{
+    std::uint64_t call = 0;              ///< Which.
+    placement_id placed = 0;             ///< Its place on the board.
+    dispatch_choice choice;              ///< Where and why.
+    upstream_entry upstream;             ///< Answers it.
+    std::vector<upstream_entry> helpers; ///< Read a part of its prompt each.
+
+    friend auto operator==(const dispatch_order&, const dispatch_order&) -> bool = default;
+};
+
+/// A call can't be served in time.
+struct dispatch_refusal
+{
+    std::uint64_t call = 0; ///< Which.
+    duration retry_after{}; ///< When room is expected.
+    std::string reason;     ///< For the log.
+
+    friend auto operator==(const dispatch_refusal&, const dispatch_refusal&) -> bool = default;
+};
+
+/// What became of the calls that waited.
+struct dispatch_round
+{
+    std::vector<dispatch_order> orders;     ///< To be sent.
+    std::vector<dispatch_refusal> refusals; ///< To be answered.
+};
+
+/// Settings of a dispatch desk.
+struct dispatch_settings
+{
+    std::string failure_domain; ///< Where this gateway runs.
+    retry_bounds retries;       ///< Of second attempts.
+};
+
+/// Holds the calls that have no upstream yet and decides where and when each goes.
+///
+/// A call is bound to an upstream at the moment of sending, never before: an upstream may leave, and a
+/// failure domain may be taken out, while calls wait.
+class dispatch_desk
+{
+public:
+    explicit dispatch_desk(dispatch_settings settings)
+        : settings_(std::move(settings))
+    {
+    }
+
+    /// A call arrives, or comes back after an attempt that failed.
+    void add(waiting_call call);
+    /// A call ended while it waited.
+    void drop(std::uint64_t call);
+    /// Decides for all that wait.
+    [[nodiscard]] auto decide(const upstream_list& fleet, instant now) -> dispatch_round;
+
+    /// The first token of a placed call came.
+    void first_token(placement_id placed, instant now) { board_.reading_done(placed, now); }
+    /// A placed call is over.
+    void finish(placement_id placed, instant now) { board_.finish(placed, now); }
+    /// Whether a second attempt at this service would be allowed.
+    [[nodiscard]] auto retry_left(const std::string& service, instant now) -> bool;
+
+    /// How calls to upstreams ended.
+    [[nodiscard]] auto health() -> upstream_health& { return health_; }
+    /// Work in hand everywhere.
+    [[nodiscard]] auto board() -> load_board& { return board_; }
+    /// Calls that wait.
+    [[nodiscard]] auto waiting() const -> std::size_t { return waiting_.size(); }
+    /// Gateways that share bounds with this one, itself included.
+    void set_gateways(int count) { gateways_ = count; }
+    /// New settings.
+    void set_settings(dispatch_settings settings) { settings_ = std::move(settings); }
+
+    /// Calls of one service and length that are tried in a round after the first had to wait: a smaller one
+    /// may fit where a larger one doesn't, but a whole line isn't gone through for it.
+    static constexpr int tries_past_blocked = 4;
+    /// When a refused caller is asked to come back: about the time in which a short answer ends and frees a
+    /// place.
+    static constexpr duration retry_after_full = 400ms;
+    /// When a caller is asked to come back after no upstream could take work at all.
+    static constexpr duration retry_after_none = 700ms;
+
+private:
+    [[nodiscard]] auto candidates(const upstream_list& fleet, const service_rule& service,
+                                  const waiting_call& call, instant now) const
+        -> std::vector<dispatch_candidate>;
+    [[nodiscard]] auto choose(const upstream_list& fleet, const waiting_call& call, instant now) const
+        -> std::optional<dispatch_choice>;
+    [[nodiscard]] auto order_for(const upstream_list& fleet, const waiting_call& call,
+                                 const dispatch_choice& choice, instant now) -> dispatch_order;
+    [[nodiscard]] auto any_upstream(const upstream_list& fleet, const std::string& service) const -> bool;
+    [[nodiscard]] auto cold_rate(const upstream_list& fleet, const upstream_state& upstream,
+                                 instant now) const -> double;
+    void sort_waiting(instant now);
+
+    dispatch_settings settings_;
+    load_board board_;
+    upstream_health health_;
+    std::unordered_map<std::string, cold_share> cold_;
+    std::unordered_map<std::string, retry_window> retries_;
+    std::vector<waiting_call> waiting_;
+    int gateways_ = 1;
+};
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/include/dragonflymill/direct/load_board.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "dragonflymill/core/time.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflymill::direct {
+
+/// Work in hand at one upstream, as one gateway tells it or summed over all.
+struct upstream_load
+{
+    std::int32_t short_calls = 0;   ///< Calls with a short prompt, or plain calls.
+    std::int32_t long_calls = 0;    ///< Calls with a long prompt that the upstream answers.
+    std::int32_t parts = 0;         ///< Prompts of others that it reads a part of.
+    std::int64_t memory_tokens = 0; ///< Engine memory that these calls fill in the end.
+    duration reading{};             ///< Reading that is still to be done, at normal pace.
+
+    friend auto operator==(const upstream_load&, const upstream_load&) -> bool = default;
+};
+
+/// A gateway's word about its own work in hand.
+struct load_report
+{
+    std::string gateway;                        ///< Who.
+    std::uint64_t sequence = 0;                 ///< Rises with each report of one start of a gateway.
+    std::map<std::string, upstream_load> loads; ///< By upstream id; upstreams without work are left out.
+
+    friend auto operator==(const load_report&, const load_report&) -> bool = default;
+};
+
+/// What a call takes up at the upstreams that it is sent to.
+struct placement
+{
+    std::string upstream;                  ///< Answers the call.
+    std::vector<std::string> helpers;      ///< Read a part of the prompt each.
+    bool is_long = false;                  ///< Whether the prompt is long.
+    std::int64_t memory_tokens = 0;        ///< Engine memory filled at `upstream`.
+    std::int64_t helper_memory_tokens = 0; ///< Engine memory reserved at each helper.
+    duration reading{};                    ///< Reading at each of the upstreams.
+
+    friend auto operator==(const placement&, const placement&) -> bool = default;
+};
+
+/// Names a placement on the board.
+using placement_id = std::uint64_t;
+
+/// Work in hand at every upstream: this gateway's own, exactly, and the other gateways', as they told it.
+///
+/// Gateways that don't know of each other's calls choose the same idle upstream at the same moment, so that
+/// calls wait there while others stand idle.
+class load_board
+{
+public:
+    /// Notes a call that is being sent.
+    auto place(placement call, instant now) -> placement_id;
+    /// The first token of a call came: its reading is done.
+    void reading_done(placement_id id, instant now);
+    /// A call ended.
+    void finish(placement_id id, instant now);
+    /// Takes another gateway's report; one that is older than the last of its start is left out.
+    void take_report(const load_report& report, instant now);
+    /// Forgets what a gateway that is gone has told.
+    void forget_gateway(const std::string& gateway);
+
+    /// All work in hand at an upstream.
+    [[nodiscard]] auto load_of(const std::string& upstream, instant now) const -> upstream_load;
+    /// This gateway's own work, to be told to the others.
+    [[nodiscard]] auto own_loads(instant now) const -> std::map<std::string, upstream_load>;
+    /// Rises whenever own work changes.
+    [[nodiscard]] auto own_changes() const -> std::uint64_t { return own_changes_; }
+    /// Own calls in hand at an upstream.
+    [[nodiscard]] auto own_calls(const std::string& upstream) const -> int;
+
+private:
+    /// One gateway's load at one upstream; reading shrinks with time.
+    struct told_load
+    {
+        upstream_load load;
+        instant read_until{};
+
+        [[nodiscard]] auto at(instant now) const -> upstream_load;
+    };
+    struct told_report
+    {
+        std::uint64_t sequence = 0;
+        std::unordered_map<std::string, told_load> loads;
+    };
+
+    void add(const placement& call, int sign, instant now);
+
+    std::unordered_map<std::string, told_load> own_;
+    std::unordered_map<placement_id, placement> placed_;
+    std::unordered_map<std::string, told_report> others_;
+    std::uint64_t next_id_ = 0;
+    std::uint64_t own_changes_ = 0;
+};
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/include/dragonflymill/direct/peer_table.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "dragonflymill/core/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonflymill::direct {
+
+/// What a gateway says of itself in each datagram.
+struct peer_word
+{
+    std::string gateway;            ///< Name of this start of the gateway.
+    std::uint64_t sequence = 0;     ///< Rises with each word of this start.
+    std::string address;            ///< Where datagrams and requests for records reach it.
+    std::uint64_t revision = 0;     ///< All published changes up to this one are known there.
+    bool leaving = false;           ///< It is stopping.
+    std::vector<std::string> peers; ///< Addresses of gateways that it hears from.
+
+    friend auto operator==(const peer_word&, const peer_word&) -> bool = default;
+};
+
+/// A peer, as this process knows it.
+struct known_peer
+{
+    peer_word word;  ///< Its newest word.
+    instant heard{}; ///< When that came.
+
+    friend auto operator==(const known_peer&, const known_peer&) -> bool = default;
+};
+
+/// The other gateways: each tells every other one its state a few times a second. A few dozen gateways hear
+/// each other directly, so that no failure detector is needed beyond the age of the last word.
+class peer_table
+{
+public:
+    /// This gateway's name and address, and the addresses to begin with.
+    peer_table(std::string self, std::string address, std::vector<std::string> seeds);
+
+    /// Takes a word; true if the peer is new. Words of this process, and older ones, are left out.
+    auto take(const peer_word& word, instant now) -> bool;
+    /// Forgets peers that were silent for long; gives their names.
+    [[nodiscard]] auto forget_silent(instant now) -> std::vector<std::string>;
+    /// Where the next word goes: all peers, and seeds and hearsay that nothing was heard of.
+    [[nodiscard]] auto targets(instant now) const -> std::vector<std::string>;
+    /// Gateways that are there, this one included; peers that are stopping still count, as they still send.
+    [[nodiscard]] auto gateways() const -> int { return static_cast<int>(peers_.size()) + 1; }
+    /// The peer that knows most of the published changes; nothing if none knows more than `revision`.
+    [[nodiscard]] auto newer_than(std::uint64_t revision) const -> std::optional<peer_word>;
+    /// Addresses of the peers.
+    [[nodiscard]] auto addresses() const -> std::vector<std::string>;
+    /// Whether a word with this sequence is news of that gateway.
+    [[nodiscard]] auto peers() const -> const std::map<std::string, known_peer>& { return peers_; }
+    /// Seeds may change with the settings.
+    void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+
+    /// A peer that was silent for so long is taken as gone: eight of its words in a row are missing.
+    static constexpr duration silence_limit = 3s;
+    /// Addresses known by hearsay only are tried for so long.
+    static constexpr duration hearsay_limit = 3s;
+    /// Peers remembered.
+    static constexpr std::size_t max_peers = 512;
+
+private:
+    std::string self_;
+    std::string address_;
+    std::vector<std::string> seeds_;
+    std::map<std::string, known_peer> peers_;
+    std::map<std::string, instant> hearsay_;
+};
+
+} // namespace dragonflymill::direct
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -8,6 +8,7 @@
 #include "app/command_status.h"
 #include "app/command_timeline.h"
 #include "app/command_version.h"
+#include "platform/platform_gateway.h"
 
 #include <array>
 
@@ -20,6 +21,7 @@
     {"cordon", "takes a failure domain or host out of service, or back", run_cordon},
     {"drain", "begins a planned stop of processes", run_drain},
     {"gateway", "runs a gateway", run_gateway_command},
+    {"platform-gateway", "runs a gateway on the users' platform", platform::run_platform_gateway},
     {"settings", "prints a settings file to start from", run_settings},
     {"sidecar", "runs a sidecar", run_sidecar_command},
     {"status", "shows how processes are", run_status},
--- /dev/null
+++ b/src/direct/dispatch_desk.cpp
@@ -0,0 +1,150 @@
+#include "dragonflymill/direct/dispatch_desk.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace dragonflymill::direct {
+
+void dispatch_desk::add(waiting_call call)
+{
+    waiting_.push_back(std::move(call));
+}
+
+void dispatch_desk::drop(std::uint64_t call)
+{
+    std::erase_if(waiting_, [&](const waiting_call& other) { return other.id == call; });
+}
+
+auto dispatch_desk::retry_left(const std::string& service, instant now) -> bool
+{
+    return retries_[service].available(now, settings_.retries, gateways_);
+}
+
+void dispatch_desk::sort_waiting(instant now)
+{
+    const auto rank = [now](const waiting_call& call) {
+        return std::tuple(call.aim_at <= now, call.priority, call.aim_at, call.id);
+    };
+    std::sort(waiting_.begin(), waiting_.end(),
+              [&](const waiting_call& a, const waiting_call& b) { return rank(a) < rank(b); });
+}
+
+auto dispatch_desk::decide(const upstream_list& fleet, instant now) -> dispatch_round
+{
+    dispatch_round round;
+    if (waiting_.empty() || fleet.config() == nullptr) {
+        return round;
+    }
+    sort_waiting(now);
+    std::map<std::pair<std::string, bool>, int> blocked;
+    std::vector<waiting_call> still;
+    for (waiting_call& call : waiting_) {
+        int& failures = blocked[{call.service, call.prompt_tokens > 0}];
+        auto choice = failures < tries_past_blocked ? choose(fleet, call, now) : std::nullopt;
+        if (choice) {
+            round.orders.push_back(order_for(fleet, call, *choice, now));
+            continue;
+        }
+        ++failures;
+        const bool none = !any_upstream(fleet, call.service);
+        if (none || now >= call.give_up_at) {
+            round.refusals.push_back({call.id, none ? retry_after_none : retry_after_full,
+                                      none ? "no upstream takes work" : "all upstreams are full"});
+            continue;
+        }
+        still.push_back(std::move(call));
+    }
+    waiting_ = std::move(still);
+    return round;
+}
+
+auto dispatch_desk::choose(const upstream_list& fleet, const waiting_call& call, instant now) const
+    -> std::optional<dispatch_choice>
+{
+    const service_rule* service = fleet.config()->service_of(call.service);
+    if (service == nullptr) {
+        return std::nullopt;
+    }
+    call_shape shape{call.prompt_tokens, call.answer_tokens, call.aim_at - now, settings_.failure_domain};
+    const auto found = candidates(fleet, *service, call, now);
+    if (!service->engine) {
+        return plain_dispatch().choose(shape, found);
+    }
+    const duration pause = fleet.config()->tightest_pause(call.service).value_or(duration::zero());
+    return engine_dispatch(*service->engine, pause).choose(shape, found);
+}
+
+auto dispatch_desk::candidates(const upstream_list& fleet, const service_rule& service,
+                               const waiting_call& call, instant now) const -> std::vector<dispatch_candidate>
+{
+    std::vector<dispatch_candidate> found;
+    for (const auto& [id, state] : fleet.upstreams()) {
+        if (state.entry.service != service.name || !fleet.takes_work(state)) {
+            continue;
+        }
+        const bool tried = std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end();
+        const double cold = cold_rate(fleet, state, now);
+        const auto share = cold_.find(id);
+        const bool cold_full =
+            cold > 0 && share != cold_.end() && !share->second.available(now, cold, gateways_);
+        if (cold_full) {
+            continue;
+        }
+        dispatch_candidate candidate;
+        candidate.id = id;
+        candidate.failure_domain = state.entry.failure_domain;
+        candidate.slots = state.entry.slots;
+        candidate.suspect = tried || health_.suspect(id, board_.own_calls(id), now);
+        candidate.load = board_.load_of(id, now);
+        found.push_back(std::move(candidate));
+    }
+    sort_for_border(found);
+    return found;
+}
+
+auto dispatch_desk::cold_rate(const upstream_list& fleet, const upstream_state& upstream, instant now) const
+    -> double
+{
+    if (now >= upstream.cold_until) {
+        return 0.0;
+    }
+    const service_rule* service = fleet.config()->service_of(upstream.entry.service);
+    return service == nullptr ? 0.0 : service->cold_calls_per_s;
+}
+
+auto dispatch_desk::order_for(const upstream_list& fleet, const waiting_call& call,
+                              const dispatch_choice& choice, instant now) -> dispatch_order
+{
+    dispatch_order order;
+    order.call = call.id;
+    order.choice = choice;
+    const upstream_state& upstream = fleet.upstreams().at(choice.upstream);
+    order.upstream = upstream.entry;
+    for (const std::string& helper : choice.helpers) {
+        order.helpers.push_back(fleet.upstreams().at(helper).entry);
+    }
+    order.placed = board_.place({choice.upstream, choice.helpers, choice.is_long, choice.memory_tokens,
+                                 choice.helper_memory, choice.reading},
+                                now);
+    if (const double cold = cold_rate(fleet, upstream, now); cold > 0) {
+        (void)cold_[choice.upstream].take(now, cold, gateways_);
+    }
+    retry_window& retries = retries_[call.service];
+    if (call.tried.empty()) {
+        retries.count_first(now);
+    }
+    else {
+        (void)retries.take(now, settings_.retries, gateways_);
+    }
+    return order;
+}
+
+auto dispatch_desk::any_upstream(const upstream_list& fleet, const std::string& service) const -> bool
+{
+    return std::any_of(fleet.upstreams().begin(), fleet.upstreams().end(), [&](const auto& item) {
+        return item.second.entry.service == service && fleet.takes_work(item.second);
+    });
+}
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/src/direct/engine_forecast.cpp
@@ -0,0 +1,39 @@
+#include "dragonflymill/direct/engine_forecast.h"
+
+#include <algorithm>
+
+namespace dragonflymill::direct {
+
+namespace {
+
+constexpr double us_per_ms = 1000.0;
+
+auto from_ms(double ms) -> duration
+{
+    return duration(static_cast<duration::rep>(ms * us_per_ms));
+}
+
+} // namespace
+
+auto engine_forecast::read_alone(std::int64_t prompt_tokens) const -> duration
+{
+    return read_part(prompt_tokens, 1);
+}
+
+auto engine_forecast::read_part(std::int64_t prompt_tokens, int parts) const -> duration
+{
+    const auto tokens = static_cast<double>(prompt_tokens);
+    const double pairs_millions = tokens * tokens / 2.0 / 1e6;
+    const double linear_ms = tokens / std::max(figures_.read_tokens_per_ms, 1e-3);
+    const double pairs_ms = pairs_millions * figures_.pairs_ms_per_million;
+    return from_ms((linear_ms + pairs_ms) / std::max(parts, 1));
+}
+
+auto engine_forecast::pass(int writers, std::int64_t context_tokens) const -> duration
+{
+    const double context = static_cast<double>(context_tokens) / 1000.0;
+    const double each = figures_.step_ms_per_writer + context * figures_.step_ms_per_1k_context;
+    return from_ms((figures_.step_ms + each * writers) * figures_.steps_per_pass);
+}
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/src/direct/fleet_config.cpp
@@ -0,0 +1,69 @@
+#include "dragonflymill/direct/fleet_config.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill::direct {
+
+fleet_config::fleet_config(parts whole)
+    : parts_(std::move(whole))
+{
+    for (std::size_t i = 0; i < parts_.routes.size(); ++i) {
+        const route_rule& route = parts_.routes[i];
+        routes_by_host_[route.host].push_back(i);
+        if (route.pause_aim <= duration::zero()) {
+            continue;
+        }
+        for (const service_share& share : route.services) {
+            const auto [found, added] = tightest_pause_.emplace(share.service, route.pause_aim);
+            found->second = std::min(found->second, route.pause_aim);
+        }
+    }
+    for (auto& [host, indexes] : routes_by_host_) {
+        std::stable_sort(indexes.begin(), indexes.end(), [this](std::size_t a, std::size_t b) {
+            return parts_.routes[a].path_prefix.size() > parts_.routes[b].path_prefix.size();
+        });
+    }
+    for (std::size_t i = 0; i < parts_.accounts.size(); ++i) {
+        for (const std::string& key : parts_.accounts[i].keys) {
+            account_by_key_.emplace(key, i);
+        }
+    }
+    for (std::size_t i = 0; i < parts_.services.size(); ++i) {
+        service_by_name_.emplace(parts_.services[i].name, i);
+    }
+}
+
+auto fleet_config::route_of(std::string_view host, std::string_view path) const -> const route_rule*
+{
+    const auto found = routes_by_host_.find(host);
+    if (found == routes_by_host_.end()) {
+        return nullptr;
+    }
+    for (const std::size_t index : found->second) {
+        if (path.starts_with(parts_.routes[index].path_prefix)) {
+            return &parts_.routes[index];
+        }
+    }
+    return nullptr;
+}
+
+auto fleet_config::account_of(const std::string& key) const -> const account_rule*
+{
+    const auto found = account_by_key_.find(key);
+    return found == account_by_key_.end() ? nullptr : &parts_.accounts[found->second];
+}
+
+auto fleet_config::service_of(const std::string& name) const -> const service_rule*
+{
+    const auto found = service_by_name_.find(name);
+    return found == service_by_name_.end() ? nullptr : &parts_.services[found->second];
+}
+
+auto fleet_config::tightest_pause(const std::string& service) const -> std::optional<duration>
+{
+    const auto found = tightest_pause_.find(service);
+    return found == tightest_pause_.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/src/direct/load_board.cpp
@@ -0,0 +1,139 @@
+#include "dragonflymill/direct/load_board.h"
+
+#include "dragonflymill/core/assert.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill::direct {
+
+auto load_board::told_load::at(instant now) const -> upstream_load
+{
+    upstream_load current = load;
+    current.reading = std::max(read_until - now, duration::zero());
+    return current;
+}
+
+auto load_board::place(placement call, instant now) -> placement_id
+{
+    add(call, 1, now);
+    const placement_id id = ++next_id_;
+    placed_.emplace(id, std::move(call));
+    ++own_changes_;
+    return id;
+}
+
+void load_board::reading_done(placement_id id, instant now)
+{
+    const auto found = placed_.find(id);
+    if (found == placed_.end() || found->second.reading == duration::zero()) {
+        return;
+    }
+    placement& call = found->second;
+    std::vector<std::string> readers = call.helpers;
+    readers.push_back(call.upstream);
+    for (const std::string& reader : readers) {
+        told_load& own = own_[reader];
+        // Reading is done in the order of arrival, so that what was forecast for it is over now, and only
+        // what was added later remains.
+        own.load.reading = std::max(own.load.reading - call.reading, duration::zero());
+        own.read_until = std::min(own.read_until, now + own.load.reading);
+    }
+    call.reading = duration::zero();
+}
+
+void load_board::finish(placement_id id, instant now)
+{
+    reading_done(id, now);
+    const auto found = placed_.find(id);
+    if (found == placed_.end()) {
+        return;
+    }
+    add(found->second, -1, now);
+    placed_.erase(found);
+    ++own_changes_;
+}
+
+void load_board::add(const placement& call, int sign, instant now)
+{
+    const auto change_reading = [&](told_load& own) {
+        if (sign > 0) {
+            own.load.reading += call.reading;
+            own.read_until = std::max(own.read_until, now) + call.reading;
+        }
+    };
+    told_load& own = own_[call.upstream];
+    (call.is_long ? own.load.long_calls : own.load.short_calls) += sign;
+    own.load.memory_tokens += sign * call.memory_tokens;
+    change_reading(own);
+    for (const std::string& helper : call.helpers) {
+        told_load& other = own_[helper];
+        other.load.parts += sign;
+        other.load.memory_tokens += sign * call.helper_memory_tokens;
+        change_reading(other);
+    }
+    DRAGONFLYMILL_ASSERT(own.load.short_calls >= 0 && own.load.long_calls >= 0, "a call is finished once");
+    if (own.load == upstream_load{}) {
+        own_.erase(call.upstream);
+    }
+}
+
+void load_board::take_report(const load_report& report, instant now)
+{
+    told_report& known = others_[report.gateway];
+    if (report.sequence <= known.sequence) {
+        return;
+    }
+    known.sequence = report.sequence;
+    known.loads.clear();
+    for (const auto& [upstream, load] : report.loads) {
+        known.loads[upstream] = told_load{load, now + load.reading};
+    }
+}
+
+void load_board::forget_gateway(const std::string& gateway)
+{
+    others_.erase(gateway);
+}
+
+auto load_board::load_of(const std::string& upstream, instant now) const -> upstream_load
+{
+    upstream_load sum;
+    const auto add_to_sum = [&](const std::unordered_map<std::string, told_load>& loads) {
+        const auto found = loads.find(upstream);
+        if (found == loads.end()) {
+            return;
+        }
+        const upstream_load load = found->second.at(now);
+        sum.short_calls += load.short_calls;
+        sum.long_calls += load.long_calls;
+        sum.parts += load.parts;
+        sum.memory_tokens += load.memory_tokens;
+        sum.reading += load.reading;
+    };
+    add_to_sum(own_);
+    for (const auto& [gateway, report] : others_) {
+        add_to_sum(report.loads);
+    }
+    return sum;
+}
+
+auto load_board::own_loads(instant now) const -> std::map<std::string, upstream_load>
+{
+    std::map<std::string, upstream_load> loads;
+    for (const auto& [upstream, load] : own_) {
+        const upstream_load current = load.at(now);
+        if (current != upstream_load{}) {
+            loads.emplace(upstream, current);
+        }
+    }
+    return loads;
+}
+
+auto load_board::own_calls(const std::string& upstream) const -> int
+{
+    const auto found = own_.find(upstream);
+    return found == own_.end() ? 0 : found->second.load.short_calls + found->second.load.long_calls;
+}
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/src/direct/peer_table.cpp
@@ -0,0 +1,91 @@
+#include "dragonflymill/direct/peer_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace dragonflymill::direct {
+
+peer_table::peer_table(std::string self, std::string address, std::vector<std::string> seeds)
+    : self_(std::move(self))
+    , address_(std::move(address))
+    , seeds_(std::move(seeds))
+{
+}
+
+auto peer_table::take(const peer_word& word, instant now) -> bool
+{
+    if (word.gateway == self_ || word.gateway.empty()) {
+        return false;
+    }
+    const auto known = peers_.find(word.gateway);
+    if (known == peers_.end() && peers_.size() >= max_peers) {
+        return false;
+    }
+    if (known != peers_.end() && word.sequence <= known->second.word.sequence) {
+        return false;
+    }
+    const bool is_new = known == peers_.end();
+    if (is_new) {
+        // A later start at the same address has replaced this one.
+        std::erase_if(peers_, [&](const auto& peer) { return peer.second.word.address == word.address; });
+    }
+    peers_[word.gateway] = known_peer{word, now};
+    for (const std::string& address : word.peers) {
+        if (address != address_ && hearsay_.size() < max_peers) {
+            hearsay_.emplace(address, now);
+        }
+    }
+    return is_new;
+}
+
+auto peer_table::forget_silent(instant now) -> std::vector<std::string>
+{
+    std::vector<std::string> gone;
+    std::erase_if(peers_, [&](const auto& peer) {
+        const bool silent = now - peer.second.heard > silence_limit;
+        if (silent) {
+            gone.push_back(peer.first);
+        }
+        return silent;
+    });
+    std::erase_if(hearsay_, [&](const auto& heard) { return now - heard.second > hearsay_limit; });
+    return gone;
+}
+
+auto peer_table::targets(instant now) const -> std::vector<std::string>
+{
+    (void)now;
+    std::set<std::string> all;
+    for (const auto& [name, peer] : peers_) {
+        all.insert(peer.word.address);
+    }
+    for (const auto& [address, since] : hearsay_) {
+        all.insert(address);
+    }
+    all.insert(seeds_.begin(), seeds_.end());
+    all.erase(address_);
+    return {all.begin(), all.end()};
+}
+
+auto peer_table::newer_than(std::uint64_t revision) const -> std::optional<peer_word>
+{
+    std::optional<peer_word> best;
+    for (const auto& [name, peer] : peers_) {
+        if (peer.word.revision > revision && (!best || peer.word.revision > best->revision)) {
+            best = peer.word;
+        }
+    }
+    return best;
+}
+
+auto peer_table::addresses() const -> std::vector<std::string>
+{
+    std::vector<std::string> all;
+    for (const auto& [name, peer] : peers_) {
+        all.push_back(peer.word.address);
+    }
+    return all;
+}
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/src/direct/upstream_health.cpp
@@ -0,0 +1,56 @@
+#include "dragonflymill/direct/upstream_health.h"
+
+#include <algorithm>
+
+namespace dragonflymill::direct {
+
+void upstream_health::lost(const std::string& upstream, instant now)
+{
+    suspect_for(records_[upstream], now);
+}
+
+void upstream_health::failed(const std::string& upstream, instant now)
+{
+    record& found = records_[upstream];
+    found.failure_share += failure_weight * (1.0 - found.failure_share);
+    if (found.failure_share > suspect_share) {
+        suspect_for(found, now);
+    }
+}
+
+void upstream_health::suspect_for(record& found, instant now)
+{
+    // Calls that were under way together fail together: that is one failure, not many.
+    if (found.on_trial && now < found.suspect_until) {
+        return;
+    }
+    constexpr int most_doublings = 4;
+    const duration pause =
+        std::min(first_pause * (1 << std::min(found.losses, most_doublings)), longest_pause);
+    ++found.losses;
+    found.on_trial = true;
+    found.suspect_until = now + pause;
+}
+
+void upstream_health::succeeded(const std::string& upstream)
+{
+    const auto known = records_.find(upstream);
+    if (known == records_.end()) {
+        return;
+    }
+    record& found = known->second;
+    found.failure_share *= 1.0 - failure_weight;
+    found.on_trial = false;
+    found.losses = std::max(found.losses - 1, 0);
+}
+
+auto upstream_health::suspect(const std::string& upstream, int own_calls, instant now) const -> bool
+{
+    const auto found = records_.find(upstream);
+    if (found == records_.end() || !found->second.on_trial) {
+        return false;
+    }
+    return now < found->second.suspect_until || own_calls > 0;
+}
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/src/direct/upstream_list.cpp
@@ -0,0 +1,93 @@
+#include "dragonflymill/direct/upstream_list.h"
+
+#include <algorithm>
+
+namespace dragonflymill::direct {
+
+void upstream_list::take(const std::string& key, const fleet_fact& fact, instant now)
+{
+    if (const auto* config = std::get_if<std::shared_ptr<const fleet_config>>(&fact)) {
+        if (config_ == nullptr || (*config)->version() > config_->version()) {
+            config_ = *config;
+        }
+        return;
+    }
+    if (const auto* entry = std::get_if<upstream_entry>(&fact)) {
+        take_entry(key, *entry, now);
+        return;
+    }
+    if (const auto* out = std::get_if<domain_out>(&fact)) {
+        domain_by_key_[key] = out->failure_domain;
+        domains_out_.insert(out->failure_domain);
+        return;
+    }
+    // An entry that can't be read names no upstream to use.
+    remove(key, false, now);
+}
+
+void upstream_list::take_entry(const std::string& key, const upstream_entry& entry, instant now)
+{
+    const auto [known, is_new] = upstreams_.emplace(entry.id, upstream_state{});
+    upstream_state& state = known->second;
+    const bool restarted = !is_new && state.entry.started_ms != entry.started_ms;
+    if (is_new || restarted) {
+        state.cold_until = now + entry.cold_left;
+    }
+    else if (entry.cold_left > duration::zero()) {
+        state.cold_until = std::max(state.cold_until, now + entry.cold_left);
+    }
+    state.entry = entry;
+    state.removed_at.reset();
+    id_by_key_[key] = entry.id;
+}
+
+void upstream_list::remove(const std::string& key, bool after_outage, instant now)
+{
+    if (const auto domain = domain_by_key_.find(key); domain != domain_by_key_.end()) {
+        domains_out_.erase(domain->second);
+        for (auto& [id, state] : upstreams_) {
+            // While a failure domain is out its upstreams may have been restarted or gone cold unseen.
+            if (state.entry.failure_domain == domain->second) {
+                state.cold_until = std::max(state.cold_until, now + cold_time(state.entry.service));
+            }
+        }
+        domain_by_key_.erase(domain);
+        return;
+    }
+    const auto id = id_by_key_.find(key);
+    if (id == id_by_key_.end()) {
+        return;
+    }
+    if (after_outage) {
+        upstreams_[id->second].removed_at = now;
+        return;
+    }
+    upstreams_.erase(id->second);
+    id_by_key_.erase(id);
+}
+
+void upstream_list::tick(instant now)
+{
+    for (auto it = id_by_key_.begin(); it != id_by_key_.end();) {
+        const auto& removed_at = upstreams_[it->second].removed_at;
+        if (removed_at && now - *removed_at >= removal_hold) {
+            upstreams_.erase(it->second);
+            it = id_by_key_.erase(it);
+            continue;
+        }
+        ++it;
+    }
+}
+
+auto upstream_list::takes_work(const upstream_state& upstream) const -> bool
+{
+    return !upstream.entry.leaving && !domains_out_.contains(upstream.entry.failure_domain);
+}
+
+auto upstream_list::cold_time(const std::string& service) const -> duration
+{
+    const service_rule* rule = config_ == nullptr ? nullptr : config_->service_of(service);
+    return rule == nullptr ? duration::zero() : rule->cold_time;
+}
+
+} // namespace dragonflymill::direct
--- /dev/null
+++ b/src/edge/direct_gateway.cpp
@@ -0,0 +1,476 @@
+#include "edge/direct_gateway.h"
+
+#include "log/logger.h"
+#include "runtime/clock.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <utility>
+
+namespace dragonflymill::edge {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// How often the gateway looks after what no event tells: silent peers, held removals, calls that waited
+/// long.
+constexpr duration tick_interval = 100ms;
+/// While calls wait for an upstream, room that other gateways made is looked for this often.
+constexpr duration waiting_tick_interval = 25ms;
+/// Words about new work go out at most this often: within it another gateway may choose the same engine.
+constexpr duration word_interval = 40ms;
+/// Beyond this many gateways words become rarer in proportion, so that listening stays below a hundredth of a
+/// small host's processor.
+constexpr int gateways_at_full_rate = 4;
+/// A gateway that has nothing to tell says so this often.
+constexpr duration idle_word_interval = 400ms;
+/// A peer that knows more is asked after the source had this long to tell the same.
+constexpr duration source_patience = 150ms;
+/// From the signal to stop, callers are still accepted for so long: the balancer asks once a second and takes
+/// a gateway out after the second refusal, and the connections that it made before arrive a little later.
+constexpr duration balancer_lag = 3s;
+/// Before the process is killed it ends what is left, so that callers see an end rather than silence.
+constexpr duration end_before_kill = 400ms;
+/// Removals seen so soon after the source's return may be those of living upstreams that lapsed meanwhile.
+constexpr duration outage_shadow = 1s;
+
+} // namespace
+
+/// Answers the balancer and serves the counters.
+class direct_gateway::status_handler : public request_handler
+{
+public:
+    explicit status_handler(direct_gateway& gateway)
+        : gateway_(gateway)
+    {
+    }
+
+    auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
+        -> std::shared_ptr<open_request> override
+    {
+        if (request.path() == gateway_.names_.ready_path) {
+            const bool ready = gateway_.ready();
+            session->answer(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", {}, "");
+        }
+        else if (request.path() == "/metrics") {
+            session->answer(200, "OK", {{"Content-Type", "text/plain; version=0.0.4"}},
+                            gateway_.metrics_.text());
+        }
+        else {
+            session->answer(404, "Not Found", {}, "");
+        }
+        return nullptr;
+    }
+    [[nodiscard]] auto limits() const -> direct::caller_limits override { return {}; }
+    [[nodiscard]] auto closing() const -> bool override { return false; }
+    void session_ended(caller_session* session) override { gateway_.session_ended(session); }
+
+private:
+    direct_gateway& gateway_;
+};
+
+direct_gateway::direct_gateway(asio::io_context& loop, direct_gateway_settings settings, header_names names,
+                               record_source& source, settings_reader reread)
+    : loop_(loop)
+    , timers_(loop)
+    , settings_(std::move(settings))
+    , names_(std::move(names))
+    , source_(source)
+    , reread_(std::move(reread))
+    , desk_({settings_.failure_domain, settings_.retries})
+    , peers_("", "", {})
+    , context_{loop,
+               timers_,
+               names_,
+               desk_,
+               fleet_,
+               records_,
+               metrics_,
+               [this] { decide_soon(); },
+               [this](std::uint64_t over) {
+                   // Not here: the exchange that ends is still on the stack.
+                   asio::post(loop_, [this, over] {
+                       exchanges_.erase(over);
+                       end_if_done();
+                   });
+               }}
+    , link_(loop, timers_,
+            {[this](const peer_message& message) { take_message(message); },
+             [this](std::uint64_t after) { return records_.since(after); },
+             [this](const direct::records_extract& extract, const std::string& peer) {
+                 take_records(extract, peer);
+             },
+             [](const std::string& why) { log_event(event::peer_fetch_failed, field("why", why)); }})
+    , callers_(loop)
+    , ready_listener_(loop)
+    , metrics_listener_(loop)
+    , signals_(loop, SIGTERM, SIGINT, SIGHUP)
+    , status_(std::make_unique<status_handler>(*this))
+{
+    const auto started = runtime::wall_now().time_since_epoch().count();
+    start_name_ = settings_.name + "#" + std::to_string(started);
+    peers_ = direct::peer_table(start_name_, to_text(settings_.peers), settings_.seeds);
+}
+
+direct_gateway::~direct_gateway() = default;
+
+auto direct_gateway::start() -> result<void>
+{
+    if (auto opened = listen(ready_listener_, settings_.ready, *status_); !opened) {
+        return opened;
+    }
+    if (auto opened = listen(callers_, settings_.callers, *this); !opened) {
+        return opened;
+    }
+    if (!settings_.metrics.empty()) {
+        if (auto opened = listen(metrics_listener_, settings_.metrics, *status_); !opened) {
+            return opened;
+        }
+    }
+    if (auto opened = link_.listen(settings_.peers); !opened) {
+        return opened;
+    }
+    log_event(event::gateway_started, field("gateway", start_name_));
+    wait_for_signals();
+    start_source();
+    send_word(true);
+    schedule_tick();
+    return success();
+}
+
+auto direct_gateway::listen(tcp::acceptor& acceptor, const socket_address& address, request_handler& handler)
+    -> result<void>
+{
+    boost::system::error_code failed;
+    const auto ip = asio::ip::make_address(address.ip, failed);
+    const auto check = [&] { return !failed; };
+    const bool opened = check() && (acceptor.open(tcp::v4(), failed), check()) &&
+                        (acceptor.set_option(tcp::acceptor::reuse_address(true), failed), check()) &&
+                        (acceptor.bind({ip, address.port}, failed), check()) &&
+                        (acceptor.listen(asio::socket_base::max_listen_connections, failed), check());
+    if (!opened) {
+        log_event(event::listen_failed, field("address", to_text(address)), field("why", failed.message()));
+        return error(error_kind::unavailable, "can't listen on " + to_text(address) + ": " + failed.message(),
+                     "free the address or change it in the settings");
+    }
+    accept(acceptor, handler);
+    return success();
+}
+
+void direct_gateway::accept(tcp::acceptor& acceptor, request_handler& handler)
+{
+    acceptor.async_accept(
+        [this, &acceptor, &handler](const boost::system::error_code& failed, tcp::socket socket) {
+            if (failed == asio::error::operation_aborted) {
+                return;
+            }
+            if (!failed) {
+                auto session = std::make_shared<caller_session>(std::move(socket), timers_, handler);
+                sessions_.insert(session);
+                session->start();
+            }
+            accept(acceptor, handler);
+        });
+}
+
+void direct_gateway::session_ended(caller_session* session)
+{
+    asio::post(loop_, [this, kept = session->shared_from_this()] {
+        sessions_.erase(kept);
+        end_if_done();
+    });
+}
+
+auto direct_gateway::limits() const -> direct::caller_limits
+{
+    return fleet_.config() == nullptr ? direct::caller_limits{} : fleet_.config()->limits();
+}
+
+auto direct_gateway::begin(const std::shared_ptr<caller_session>& session, caller_request request)
+    -> std::shared_ptr<open_request>
+{
+    const std::uint64_t id = ++next_exchange_;
+    auto made = std::make_shared<exchange>(id, session, std::move(request), context_);
+    exchanges_.emplace(id, made);
+    const bool late = stopping_ && runtime::now() - stop_begun_ > balancer_lag;
+    if (late) {
+        made->stop();
+    }
+    else {
+        made->begin();
+    }
+    return made;
+}
+
+void direct_gateway::start_source()
+{
+    source_.start({[this](const direct::records_extract& extract) { take_records(extract, "source"); },
+                   [this](const std::string& why) {
+                       if (!std::exchange(source_lost_, true)) {
+                           log_event(event::record_source_lost, field("why", why),
+                                     field("fleet_revision", records_.revision()));
+                       }
+                   },
+                   [this] {
+                       if (std::exchange(source_lost_, false)) {
+                           source_regained_at_ = runtime::now();
+                           log_event(event::record_source_regained,
+                                     field("fleet_revision", records_.revision()));
+                       }
+                   },
+                   [this] { return records_.revision(); }});
+}
+
+void direct_gateway::take_records(const direct::records_extract& extract, const std::string& from)
+{
+    const auto news = records_.apply(extract);
+    for (const direct::fleet_record& record : news) {
+        take_record(record, from);
+    }
+    if (!news.empty()) {
+        decide_soon();
+        send_word(false);
+    }
+    note_ready();
+}
+
+void direct_gateway::take_record(const direct::fleet_record& record, const std::string& from)
+{
+    const instant now = runtime::now();
+    const std::uint64_t version_before = fleet_.config() == nullptr ? 0 : fleet_.config()->version();
+    if (record.removed) {
+        const bool shadow = source_lost_ || now - source_regained_at_ < outage_shadow;
+        const bool after_outage = shadow && source_regained_at_ != instant{};
+        fleet_.remove(record.key, after_outage, now);
+        log_event(event::fleet_changed, field("record", record.key), field("change", "removed"),
+                  field("held_back", after_outage), field("revision", record.revision), field("from", from));
+        return;
+    }
+    const direct::fleet_fact fact = source_.decode(record);
+    fleet_.take(record.key, fact, now);
+    if (const auto* unusable = std::get_if<direct::unusable_record>(&fact)) {
+        log_event(event::record_unusable, field("record", record.key), field("why", unusable->reason),
+                  field("revision", record.revision));
+        return;
+    }
+    if (const auto* entry = std::get_if<direct::upstream_entry>(&fact)) {
+        log_event(event::fleet_changed, field("record", record.key),
+                  field("change", entry->leaving ? "leaving" : "present"), field("cold_us", entry->cold_left),
+                  field("revision", record.revision), field("from", from));
+        return;
+    }
+    if (std::holds_alternative<direct::domain_out>(fact)) {
+        log_event(event::fleet_changed, field("record", record.key), field("change", "out"),
+                  field("revision", record.revision), field("from", from));
+        return;
+    }
+    if (fleet_.config() != nullptr && fleet_.config()->version() != version_before) {
+        metrics_.config_version.set(static_cast<std::int64_t>(fleet_.config()->version()));
+        log_event(event::config_taken, field("config_version", fleet_.config()->version()),
+                  field("revision", record.revision), field("from", from));
+    }
+}
+
+void direct_gateway::take_message(const peer_message& message)
+{
+    const instant now = runtime::now();
+    if (peers_.take(message.word, now)) {
+        log_event(event::peer_gateway_found, field("peer", message.word.gateway),
+                  field("address", message.word.address));
+        desk_.set_gateways(peers_.gateways());
+        send_word(true);
+    }
+    desk_.board().take_report(message.report, now);
+    catch_up_from_peers();
+}
+
+void direct_gateway::catch_up_from_peers()
+{
+    const auto newer = peers_.newer_than(records_.revision());
+    const instant now = runtime::now();
+    if (!newer) {
+        behind_since_ = instant{};
+        return;
+    }
+    if (behind_since_ == instant{}) {
+        behind_since_ = now;
+    }
+    // The source tells most changes itself; asking a peer each time would double the traffic.
+    if (now - behind_since_ >= source_patience || source_lost_ || records_.revision() == 0) {
+        link_.fetch(newer->address, records_.revision());
+    }
+}
+
+void direct_gateway::send_word(bool at_once)
+{
+    const instant now = runtime::now();
+    const int spread = std::max(1, peers_.gateways() / gateways_at_full_rate);
+    const bool changed =
+        told_changes_ != desk_.board().own_changes() || told_revision_ != records_.revision();
+    const duration since = now - told_at_;
+    const bool due = changed ? since >= word_interval * spread : since >= idle_word_interval;
+    if (!at_once && !due) {
+        return;
+    }
+    peer_message message;
+    message.word = {start_name_,         ++word_sequence_, to_text(settings_.peers),
+                    records_.revision(), stopping_,        peers_.addresses()};
+    message.report.loads = desk_.board().own_loads(now);
+    link_.send(encode_peer_message(message), peers_.targets(now));
+    told_changes_ = desk_.board().own_changes();
+    told_revision_ = records_.revision();
+    told_at_ = now;
+}
+
+void direct_gateway::decide_soon()
+{
+    if (std::exchange(decide_pending_, true)) {
+        return;
+    }
+    asio::post(loop_, [this] {
+        decide_pending_ = false;
+        decide();
+    });
+}
+
+void direct_gateway::decide()
+{
+    const direct::dispatch_round round = desk_.decide(fleet_, runtime::now());
+    for (const direct::dispatch_order& order : round.orders) {
+        if (const auto found = exchanges_.find(order.call); found != exchanges_.end()) {
+            const auto kept = found->second;
+            kept->dispatched(order);
+        }
+    }
+    for (const direct::dispatch_refusal& refusal : round.refusals) {
+        if (const auto found = exchanges_.find(refusal.call); found != exchanges_.end()) {
+            const auto kept = found->second;
+            kept->refused(refusal);
+        }
+    }
+    metrics_.waiting.set(static_cast<std::int64_t>(desk_.waiting()));
+    send_word(false);
+}
+
+void direct_gateway::schedule_tick()
+{
+    const duration interval = desk_.waiting() > 0 ? waiting_tick_interval : tick_interval;
+    timers_.at(runtime::now() + interval, [this] { tick(); });
+}
+
+void direct_gateway::tick()
+{
+    const instant now = runtime::now();
+    fleet_.tick(now);
+    for (const std::string& gone : peers_.forget_silent(now)) {
+        desk_.board().forget_gateway(gone);
+        desk_.set_gateways(peers_.gateways());
+        log_event(event::peer_gateway_lost, field("peer", gone));
+    }
+    metrics_.gateways.set(peers_.gateways());
+    catch_up_from_peers();
+    if (desk_.waiting() > 0) {
+        decide();
+    }
+    send_word(false);
+    schedule_tick();
+}
+
+auto direct_gateway::ready() const -> bool
+{
+    return fleet_.config() != nullptr && !stopping_;
+}
+
+void direct_gateway::note_ready()
+{
+    if (ready() != was_ready_) {
+        was_ready_ = ready();
+        if (was_ready_) {
+            log_event(event::gateway_ready, field("fleet_revision", records_.revision()));
+        }
+        else {
+            log_event(event::gateway_not_ready, field("why", stopping_ ? "stopping" : "no configuration"));
+        }
+    }
+}
+
+void direct_gateway::wait_for_signals()
+{
+    signals_.async_wait([this](const boost::system::error_code& failed, int number) {
+        if (failed) {
+            return;
+        }
+        if (number == SIGHUP) {
+            reload();
+        }
+        else {
+            begin_stop();
+        }
+        wait_for_signals();
+    });
+}
+
+void direct_gateway::reload()
+{
+    const auto fresh = reread_();
+    if (!fresh) {
+        log_event(event::settings_kept);
+        return;
+    }
+    // Addresses that are listened on stay until the process starts again.
+    settings_.seeds = fresh->seeds;
+    settings_.retries = fresh->retries;
+    settings_.grace = fresh->grace;
+    peers_.set_seeds(settings_.seeds);
+    desk_.set_settings({settings_.failure_domain, settings_.retries});
+    log_event(event::settings_reloaded, field("seeds", settings_.seeds.size()));
+}
+
+void direct_gateway::begin_stop()
+{
+    if (std::exchange(stopping_, true)) {
+        return;
+    }
+    stop_begun_ = runtime::now();
+    log_event(event::gateway_stopping, field("requests", exchanges_.size()));
+    note_ready();
+    send_word(true);
+    timers_.at(stop_begun_ + balancer_lag, [this] { stop_accepting(); });
+    timers_.at(stop_begun_ + std::max(settings_.grace - end_before_kill, balancer_lag), [this] { end(); });
+}
+
+void direct_gateway::stop_accepting()
+{
+    accepting_ = false;
+    boost::system::error_code ignored; // closed either way
+    callers_.close(ignored);
+    const auto all = sessions_;
+    for (const auto& session : all) {
+        session->close_when_idle();
+    }
+    end_if_done();
+}
+
+void direct_gateway::end_if_done()
+{
+    const bool all_over =
+        std::all_of(sessions_.begin(), sessions_.end(), [](const auto& session) { return session->over(); });
+    if (stopping_ && !accepting_ && exchanges_.empty() && all_over) {
+        loop_.stop();
+    }
+}
+
+void direct_gateway::end()
+{
+    const auto all = exchanges_;
+    for (const auto& [id, open] : all) {
+        open->stop();
+    }
+    asio::post(loop_, [this] { loop_.stop(); });
+}
+
+} // namespace dragonflymill::edge
--- /dev/null
+++ b/src/edge/direct_gateway.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "dragonflymill/core/error.h"
+#include "dragonflymill/direct/dispatch_desk.h"
+#include "dragonflymill/direct/fleet_records.h"
+#include "dragonflymill/direct/peer_table.h"
+#include "dragonflymill/direct/upstream_list.h"
+#include "edge/caller_session.h"
+#include "edge/exchange.h"
+#include "edge/gateway_metrics.h"
+#include "edge/header_names.h"
+#include "edge/loop_timers.h"
+#include "edge/peer_link.h"
+#include "edge/record_source.h"
+#include "settings/socket_address.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace dragonflymill::edge {
+
+/// Settings of a gateway that reaches upstreams directly.
+struct direct_gateway_settings
+{
+    std::string name;               ///< Of this host's process, in logs.
+    std::string failure_domain;     ///< Where it runs.
+    socket_address callers;         ///< Where callers come.
+    socket_address ready;           ///< Where the balancer asks.
+    socket_address peers;           ///< Where other gateways reach it.
+    socket_address metrics;         ///< Where counters are served; empty for nowhere.
+    std::vector<std::string> seeds; ///< Addresses of gateways to begin with.
+    direct::retry_bounds retries;   ///< Of second attempts.
+    duration grace = 8s;            ///< From the signal to stop until the process is killed.
+
+    friend auto operator==(const direct_gateway_settings&, const direct_gateway_settings&) -> bool = default;
+};
+
+/// A gateway process that reaches upstreams directly: one event loop, no thread but the log's. The processor
+/// of its hosts runs one thread at a time and each hand-over costs a wake-up, so a ring between threads would
+/// only make each event of a stream dearer.
+class direct_gateway : public request_handler
+{
+public:
+    /// `reread` gives the settings anew; nothing if they can't be read.
+    using settings_reader = std::function<std::optional<direct_gateway_settings>()>;
+
+    direct_gateway(boost::asio::io_context& loop, direct_gateway_settings settings, header_names names,
+                   record_source& source, settings_reader reread);
+    ~direct_gateway() override;
+    direct_gateway(const direct_gateway&) = delete;
+    auto operator=(const direct_gateway&) -> direct_gateway& = delete;
+
+    /// Opens its sockets and begins.
+    [[nodiscard]] auto start() -> result<void>;
+
+    auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
+        -> std::shared_ptr<open_request> override;
+    [[nodiscard]] auto limits() const -> direct::caller_limits override;
+    [[nodiscard]] auto closing() const -> bool override { return stopping_; }
+    void session_ended(caller_session* session) override;
+
+private:
+    class status_handler;
+
+    [[nodiscard]] auto listen(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& address,
+                              request_handler& handler) -> result<void>;
+    void accept(boost::asio::ip::tcp::acceptor& acceptor, request_handler& handler);
+    void start_source();
+    void take_records(const direct::records_extract& extract, const std::string& from);
+    void take_record(const direct::fleet_record& record, const std::string& from);
+    void take_message(const peer_message& message);
+    void catch_up_from_peers();
+    void send_word(bool now);
+    void decide_soon();
+    void decide();
+    void tick();
+    void schedule_tick();
+    void wait_for_signals();
+    void reload();
+    void begin_stop();
+    void stop_accepting();
+    void end_if_done();
+    void end();
+    [[nodiscard]] auto ready() const -> bool;
+    void note_ready();
+
+    boost::asio::io_context& loop_;
+    loop_timers timers_;
+    direct_gateway_settings settings_;
+    header_names names_;
+    record_source& source_;
+    settings_reader reread_;
+    gateway_metrics metrics_;
+    direct::fleet_records records_;
+    direct::upstream_list fleet_;
+    direct::dispatch_desk desk_;
+    direct::peer_table peers_;
+    exchange_context context_;
+    peer_link link_;
+    boost::asio::ip::tcp::acceptor callers_;
+    boost::asio::ip::tcp::acceptor ready_listener_;
+    boost::asio::ip::tcp::acceptor metrics_listener_;
+    boost::asio::signal_set signals_;
+    std::unique_ptr<status_handler> status_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
+    std::unordered_set<std::shared_ptr<caller_session>> sessions_;
+    std::string start_name_;
+    std::uint64_t next_exchange_ = 0;
+    std::uint64_t word_sequence_ = 0;
+    std::uint64_t told_changes_ = 0;
+    std::uint64_t told_revision_ = 0;
+    instant told_at_{};
+    instant behind_since_{};
+    instant source_regained_at_{};
+    bool source_lost_ = false;
+    bool decide_pending_ = false;
+    bool was_ready_ = false;
+    bool stopping_ = false;
+    bool accepting_ = true;
+    instant stop_begun_{};
+};
+
+} // namespace dragonflymill::edge
--- /dev/null
+++ b/src/edge/exchange.cpp
@@ -0,0 +1,672 @@
+#include "edge/exchange.h"
+
+#include "dragonflymill/core/stable_hash.h"
+#include "log/logger.h"
+#include "runtime/clock.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace dragonflymill::edge {
+
+namespace {
+
+using boost::beast::iequals;
+using direct::attempt_end;
+using direct::next_step;
+
+/// An upstream that is silent for three times the answer's aim has most likely lost the request. Callers of
+/// streams leave after four times the aim at the earliest, so that a second attempt still reaches them.
+constexpr int silent_aims = 3;
+/// A pause between two events that lasts four times its aim means the same; callers wait for eight.
+constexpr int silent_pauses = 4;
+/// No silence shorter than this counts: callers bear a gap of two seconds, and a second attempt needs some
+/// hundred milliseconds for its first event.
+constexpr duration least_silence = 1s;
+/// Largest answer that is gathered before it is passed on; it can still be replaced by another attempt's.
+constexpr std::size_t max_gathered_bytes = 1'048'576;
+/// Callers take the time to come back in seconds.
+constexpr double us_per_s = 1e6;
+
+auto number_of(std::string_view text) -> std::optional<std::int64_t>
+{
+    std::int64_t number = 0;
+    const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (failed != std::errc() || end != text.data() + text.size() || number < 0) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+auto lower(std::string_view text) -> std::string
+{
+    std::string small(text);
+    std::transform(small.begin(), small.end(), small.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return small;
+}
+
+auto host_of(std::string_view field) -> std::string
+{
+    return lower(field.substr(0, field.rfind(':')));
+}
+
+auto service_for(const direct::route_rule& route, std::string_view request) -> const std::string&
+{
+    std::uint64_t whole = 0;
+    for (const auto& share : route.services) {
+        whole += share.weight;
+    }
+    std::uint64_t at = whole == 0 ? 0 : stable_hash(request) % whole;
+    for (const auto& share : route.services) {
+        if (at < share.weight) {
+            return share.service;
+        }
+        at -= share.weight;
+    }
+    return route.services.front().service;
+}
+
+auto seconds_text(duration value) -> std::string
+{
+    std::array<char, 32> text{};
+    (void)std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(value.count()) / us_per_s);
+    return text.data();
+}
+
+auto to_text(attempt_end end) -> const char*
+{
+    switch (end) {
+    case attempt_end::not_sent:
+        return "not_sent";
+    case attempt_end::rejected:
+        return "rejected";
+    case attempt_end::failed:
+        return "failed";
+    case attempt_end::broken:
+        return "broken";
+    }
+    return "broken";
+}
+
+auto to_text(next_step step) -> const char*
+{
+    switch (step) {
+    case next_step::try_again:
+        return "try_again";
+    case next_step::pass_failure:
+        return "pass_failure";
+    case next_step::refuse_not_run:
+        return "refuse_not_run";
+    case next_step::fail_unknown:
+        return "fail_unknown";
+    case next_step::cut:
+        return "cut";
+    }
+    return "cut";
+}
+
+} // namespace
+
+exchange::exchange(std::uint64_t id, const std::shared_ptr<caller_session>& session, caller_request request,
+                   exchange_context& context)
+    : id_(id)
+    , session_(session)
+    , request_(std::move(request))
+    , context_(context)
+    , config_(context.fleet.config())
+    , request_name_(request_.value_of(context.names.request_id))
+    , arrived_(runtime::now())
+    , relay_(std::string(request_.value_of(context.names.resume_after)))
+{
+}
+
+exchange::~exchange()
+{
+    if (call_) {
+        call_->cancel();
+    }
+}
+
+void exchange::begin()
+{
+    context_.metrics.requests.add();
+    if (config_ == nullptr) {
+        refuse(503, {refusal_code::not_ready, ran_state::no, 1s, "come back"},
+               "no configuration is known yet");
+        return;
+    }
+    const header_names& names = context_.names;
+    if (request_.count_of(names.request_id) > 1 || request_.count_of(names.time_left_ms) > 1 ||
+        request_.count_of(names.account_key) > 1 || request_.count_of(names.token_counts) > 1) {
+        refuse(400, {refusal_code::conflict, ran_state::no, 0s, "send each field once"},
+               "a field came twice");
+        return;
+    }
+    route_ = config_->route_of(host_of(request_.value_of("host")), request_.path());
+    if (route_ == nullptr) {
+        refuse(404, {refusal_code::no_route, ran_state::no, 0s, "check host and path"}, "no route matches");
+        return;
+    }
+    if (!authenticate()) {
+        refuse(401, {refusal_code::account_limit, ran_state::no, 0s, "check the key"},
+               "the key is not known");
+        return;
+    }
+    const auto asked = number_of(request_.value_of(names.time_left_ms));
+    const duration limit = asked ? std::min(route_->time_limit, duration(std::chrono::milliseconds(*asked)))
+                                 : route_->time_limit;
+    limit_at_ = arrived_ + limit;
+    limit_timer_ = context_.timers.at(limit_at_, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->limit_timer_.reset();
+            self->limit_reached();
+        }
+    });
+    wait_.id = id_;
+    wait_.service = service_for(*route_, request_name_);
+    const std::string_view counts = request_.value_of(names.token_counts);
+    const auto comma = counts.find(',');
+    wait_.prompt_tokens = number_of(counts.substr(0, comma)).value_or(0);
+    wait_.answer_tokens =
+        comma == std::string_view::npos ? 0 : number_of(counts.substr(comma + 1)).value_or(0);
+    wait_.priority = account_ != nullptr ? account_->priority.value_or(route_->priority) : route_->priority;
+    wait_.aim_at = arrived_ + route_->answer_aim;
+    wait_.give_up_at =
+        std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + 2 * route_->answer_aim);
+    wait_for_upstream(arrived_);
+}
+
+auto exchange::authenticate() -> bool
+{
+    std::string_view key = request_.value_of(context_.names.account_key);
+    const std::string& scheme = context_.names.key_scheme;
+    if (key.size() > scheme.size() && iequals(key.substr(0, scheme.size()), scheme)) {
+        key.remove_prefix(scheme.size());
+        account_ = config_->account_of(std::string(key));
+    }
+    return account_ != nullptr || route_->anonymous || !config_->keys_needed();
+}
+
+void exchange::wait_for_upstream(instant /*now*/)
+{
+    waiting_ = true;
+    context_.desk.add(wait_);
+    context_.decide_soon();
+}
+
+void exchange::dispatched(const direct::dispatch_order& order)
+{
+    const instant now = runtime::now();
+    waiting_ = false;
+    order_ = order;
+    sent_at_ = now;
+    heard_at_ = now;
+    ++attempt_;
+    mode_ = answer_mode::none;
+    head_ = {};
+    body_.clear();
+    relay_.begin_attempt();
+    wait_.tried.push_back(order.upstream.id);
+    context_.metrics.attempts.add();
+    log_event(event::call_dispatched, field("request", request_name_), field("attempt", attempt_),
+              field("upstream", order.upstream.id), field("helpers", order.helpers.size()),
+              field("reason", order.choice.reason), field("waited_us", now - arrived_),
+              field("forecast_us", order.choice.first_token), field("config_version", config_->version()),
+              field("fleet_revision", context_.records.revision()));
+    call_ = std::make_shared<upstream_call>(context_.loop, context_.timers, *this);
+    call_->start(order.upstream.address, request_text(order, now), request_.method == "HEAD");
+    watch_silence();
+}
+
+auto exchange::passes_on(const header_field& field, std::string_view connection) const -> bool
+{
+    const header_names& names = context_.names;
+    const auto is_own = [&](const std::string& name) { return iequals(field.name, name); };
+    return !concerns_connection(field.name, connection) && !is_own(names.time_left_ms) &&
+           !is_own(names.account) && !is_own(names.expected_upstream) && !is_own(names.helpers) &&
+           !is_own(names.engine_priority) && !is_own(names.resume_after) && !is_own(names.account_key);
+}
+
+auto exchange::request_text(const direct::dispatch_order& order, instant now) const -> std::string
+{
+    std::string text = request_.method + " " + request_.target + " HTTP/1.1\r\n";
+    const std::string_view connection = request_.value_of("connection");
+    for (const header_field& field : request_.fields) {
+        if (passes_on(field, connection)) {
+            text.append(field.name).append(": ").append(field.value).append("\r\n");
+        }
+    }
+    add_own_fields(text, order, now);
+    const bool has_body = !request_.body.empty() || request_.method == "POST" || request_.method == "PUT";
+    if (has_body) {
+        text.append("Content-Length: ").append(std::to_string(request_.body.size())).append("\r\n");
+    }
+    text.append("\r\n").append(request_.body);
+    return text;
+}
+
+void exchange::add_own_fields(std::string& text, const direct::dispatch_order& order, instant now) const
+{
+    const header_names& names = context_.names;
+    const auto add = [&](const std::string& name, std::string_view value) {
+        text.append(name).append(": ").append(value).append("\r\n");
+    };
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(limit_at_ - now);
+    add(names.time_left_ms, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    add(names.expected_upstream, order.upstream.id);
+    if (account_ != nullptr) {
+        add(names.account, account_->name);
+    }
+    if (!relay_.last_id().empty()) {
+        add(names.resume_after, relay_.last_id());
+    }
+    if (!order.helpers.empty()) {
+        std::string list;
+        for (const auto& helper : order.helpers) {
+            list.append(list.empty() ? "" : ",").append(helper.address);
+        }
+        add(names.helpers, list);
+    }
+}
+
+void exchange::watch_silence()
+{
+    if (!route_->repeatable()) {
+        return;
+    }
+    const duration first = std::max(least_silence, silent_aims * route_->answer_aim);
+    const duration later = std::max(least_silence, silent_pauses * route_->pause_aim);
+    const bool begun = mode_ == answer_mode::events && events_ > 0;
+    const instant due = heard_at_ + (begun ? later : first);
+    silence_timer_ = context_.timers.at(due, [weak = weak_from_this(), attempt = attempt_] {
+        if (const auto self = weak.lock()) {
+            self->silence_timer_.reset();
+            self->silence(attempt);
+        }
+    });
+}
+
+void exchange::silence(std::uint64_t attempt)
+{
+    if (over_ || attempt != attempt_ || !call_) {
+        return;
+    }
+    const instant now = runtime::now();
+    const bool begun = mode_ == answer_mode::events && events_ > 0;
+    const duration bound = begun ? std::max(least_silence, silent_pauses * route_->pause_aim)
+                                 : std::max(least_silence, silent_aims * route_->answer_aim);
+    if (now - heard_at_ < bound) {
+        watch_silence();
+        return;
+    }
+    direct::request_progress state = progress(now);
+    state.may_have_run = true;
+    state.attempts_run = attempts_run_ + 1;
+    // An answer that may still come is better than a failure: the upstream is given up only for another.
+    if (direct::after_attempt(attempt_end::broken, state) != next_step::try_again) {
+        return;
+    }
+    end_attempt(attempt_end::broken, "the upstream is silent");
+}
+
+auto exchange::answer_head_came(const answer_head& head) -> bool
+{
+    heard_at_ = runtime::now();
+    const header_names& names = context_.names;
+    const std::string_view echoed = head.value_of(names.request_id);
+    if (!echoed.empty() && echoed != request_name_) {
+        end_attempt(attempt_end::broken, "the answer belongs to another request");
+        return false;
+    }
+    head_ = head;
+    constexpr unsigned misdirected = 421;
+    if (head.status == misdirected || !head.value_of(names.not_run).empty()) {
+        mode_ = answer_mode::rejected;
+        end_attempt(attempt_end::rejected, "status " + std::to_string(head.status));
+        return false;
+    }
+    const bool is_stream = head.status == 200 && route_->kind == direct::call_kind::streaming &&
+                           lower(head.value_of("content-type")).starts_with("text/event-stream");
+    if (answer_begun_ && !is_stream) {
+        end_attempt(attempt_end::failed, "a resumed stream got status " + std::to_string(head.status));
+        return false;
+    }
+    mode_ = is_stream ? answer_mode::events : answer_mode::whole;
+    return true;
+}
+
+void exchange::answer_body_came(const std::string& bytes)
+{
+    heard_at_ = runtime::now();
+    if (mode_ == answer_mode::events) {
+        relay(bytes);
+        return;
+    }
+    body_.append(bytes);
+    if (body_.size() > max_gathered_bytes) {
+        // Too large to keep: passed on as it comes. It can no longer be replaced.
+        pass_head();
+        if (const auto session = session_.lock()) {
+            session->send_piece(body_);
+        }
+        body_.clear();
+    }
+}
+
+void exchange::relay(const std::string& bytes)
+{
+    direct::relayed_events events = relay_.take(bytes);
+    if (events.broken) {
+        end_attempt(attempt_end::broken, "an event is too long");
+        return;
+    }
+    if (events.events == 0) {
+        return;
+    }
+    if (!first_event_at_) {
+        first_event_at_ = heard_at_;
+        context_.metrics.first_answer.record(static_cast<double>((heard_at_ - arrived_).count()) / us_per_s);
+    }
+    if (events_ == 0 || order_) {
+        context_.desk.first_token(order_->placed, heard_at_);
+    }
+    events_ += events.events;
+    context_.metrics.events.add(events.events);
+    pass_head();
+    if (const auto session = session_.lock()) {
+        session->send_piece(events.bytes);
+    }
+}
+
+void exchange::pass_head()
+{
+    if (answer_begun_) {
+        return;
+    }
+    answer_begun_ = true;
+    const auto session = session_.lock();
+    if (!session) {
+        return;
+    }
+    std::vector<header_field> fields;
+    const std::string_view connection = head_.value_of("connection");
+    for (const header_field& field : head_.fields) {
+        if (!concerns_connection(field.name, connection)) {
+            fields.push_back(field);
+        }
+    }
+    session->begin_answer(head_.status, head_.reason, fields);
+}
+
+void exchange::answer_completed()
+{
+    const instant now = runtime::now();
+    if (mode_ == answer_mode::events) {
+        if (relay_.inside_event()) {
+            end_attempt(attempt_end::broken, "the stream ended inside an event");
+            return;
+        }
+        pass_head();
+    }
+    constexpr unsigned first_server_failure = 500;
+    const bool failure = head_.status >= first_server_failure;
+    if (failure && !answer_begun_) {
+        end_attempt(attempt_end::failed, "status " + std::to_string(head_.status));
+        return;
+    }
+    context_.desk.health().succeeded(order_->upstream.id);
+    context_.desk.first_token(order_->placed, now);
+    answer_whole();
+}
+
+void exchange::answer_whole()
+{
+    release_upstream();
+    if (const auto session = session_.lock()) {
+        if (answer_begun_) {
+            session->send_piece(body_);
+            session->end_answer();
+        }
+        else {
+            std::vector<header_field> fields;
+            const std::string_view connection = head_.value_of("connection");
+            for (const header_field& field : head_.fields) {
+                if (!concerns_connection(field.name, connection)) {
+                    fields.push_back(field);
+                }
+            }
+            session->answer(head_.status, head_.reason, fields, body_);
+        }
+    }
+    context_.metrics.answered.add();
+    log_answered(head_.status);
+    finish();
+}
+
+void exchange::answer_failed(attempt_end end, const std::string& why)
+{
+    end_attempt(end, why);
+}
+
+auto exchange::progress(instant now) const -> direct::request_progress
+{
+    direct::request_progress state;
+    state.repeatable = route_->repeatable();
+    state.answer_begun = answer_begun_;
+    state.may_have_run = may_have_run_;
+    state.attempts_run = attempts_run_;
+    state.attempts_sent = attempts_sent_;
+    state.max_attempts = route_->max_attempts;
+    state.time_left = limit_at_ - now;
+    state.budget_left = context_.desk.retry_left(wait_.service, now);
+    return state;
+}
+
+void exchange::note_health(attempt_end end, instant now)
+{
+    direct::upstream_health& health = context_.desk.health();
+    const std::string& upstream = order_->upstream.id;
+    constexpr unsigned misdirected = 421;
+    if (end == attempt_end::failed) {
+        health.failed(upstream, now);
+    }
+    else if (end != attempt_end::rejected || head_.status == misdirected) {
+        health.lost(upstream, now);
+    }
+}
+
+void exchange::end_attempt(attempt_end end, const std::string& why)
+{
+    if (over_ || !order_) {
+        return;
+    }
+    const instant now = runtime::now();
+    const std::string upstream = order_->upstream.id;
+    note_health(end, now);
+    if (end != attempt_end::not_sent) {
+        ++attempts_sent_;
+    }
+    if (end == attempt_end::failed || end == attempt_end::broken) {
+        ++attempts_run_;
+        may_have_run_ = true;
+    }
+    release_upstream();
+    const next_step step = direct::after_attempt(end, progress(now));
+    context_.metrics.attempts_failed.add();
+    log_event(event::call_attempt_ended, field("request", request_name_), field("attempt", attempt_),
+              field("upstream", upstream), field("end", to_text(end)), field("why", why),
+              field("after_us", now - sent_at_), field("ran", may_have_run_ ? "unknown" : "no"),
+              field("next", to_text(step)));
+    take_step(step, why);
+}
+
+void exchange::take_step(next_step step, const std::string& why)
+{
+    switch (step) {
+    case next_step::try_again:
+        wait_.give_up_at = limit_at_ - direct::least_time_for_attempt;
+        wait_for_upstream(runtime::now());
+        return;
+    case next_step::pass_failure:
+        answer_whole();
+        return;
+    case next_step::refuse_not_run:
+        refuse(
+            503,
+            {refusal_code::overloaded, ran_state::no, direct::dispatch_desk::retry_after_full, "come back"},
+            why);
+        return;
+    case next_step::fail_unknown:
+        refuse(502, {refusal_code::upstream_gone, ran_state::unknown, 0s, "check whether it was done"}, why);
+        return;
+    case next_step::cut:
+        context_.metrics.cut.add();
+        log_event(event::call_cut, field("request", request_name_), field("why", why),
+                  field("events", events_), field("total_us", runtime::now() - arrived_));
+        if (const auto session = session_.lock()) {
+            session->cut();
+        }
+        finish();
+        return;
+    }
+}
+
+void exchange::refused(const direct::dispatch_refusal& refusal)
+{
+    waiting_ = false;
+    if (answer_begun_) {
+        take_step(next_step::cut, refusal.reason);
+        return;
+    }
+    if (may_have_run_) {
+        take_step(next_step::fail_unknown, refusal.reason);
+        return;
+    }
+    refuse(503, {refusal_code::overloaded, ran_state::no, refusal.retry_after, "come back"}, refusal.reason);
+}
+
+void exchange::limit_reached()
+{
+    if (over_) {
+        return;
+    }
+    const std::string why =
+        call_ ? "the time limit ran out at the upstream" : "the time limit ran out in line";
+    if (answer_begun_) {
+        take_step(next_step::cut, why);
+        return;
+    }
+    const bool sent = call_ && call_->any_sent();
+    release_upstream();
+    if (sent || may_have_run_) {
+        refuse(504, {refusal_code::deadline, ran_state::unknown, 0s, "check whether it was done"}, why);
+        return;
+    }
+    refuse(503, {refusal_code::deadline, ran_state::no, direct::dispatch_desk::retry_after_full, "come back"},
+           why);
+}
+
+void exchange::refuse(unsigned status, const refusal& refused, const std::string& why)
+{
+    (refused.ran == ran_state::no ? context_.metrics.refused : context_.metrics.failed).add();
+    log_event(event::call_refused, field("request", request_name_), field("status", status),
+              field("code", to_string(refused.code)), field("ran", to_string(refused.ran)), field("why", why),
+              field("retry_after_us", refused.retry_after), field("attempts", attempt_),
+              field("total_us", runtime::now() - arrived_),
+              field("config_version", config_ == nullptr ? 0 : config_->version()),
+              field("fleet_revision", context_.records.revision()));
+    if (const auto session = session_.lock()) {
+        std::vector<header_field> fields{{"Content-Type", "application/json"}};
+        if (!request_name_.empty()) {
+            fields.push_back({context_.names.request_id, request_name_});
+        }
+        if (refused.retry_after > duration::zero()) {
+            fields.push_back({"Retry-After", seconds_text(refused.retry_after)});
+        }
+        const std::string body = std::string(R"({"error":{"code":")") + to_string(refused.code) +
+                                 R"(","ran":")" + to_string(refused.ran) + R"(","retry_after_ms":)" +
+                                 std::to_string(refused.retry_after / 1ms) + R"(,"remedy":")" +
+                                 refused.remedy + "\"}}";
+        session->answer(status, status == 503 ? "Service Unavailable" : "Failed", fields, body);
+    }
+    finish();
+}
+
+void exchange::log_answered(unsigned status)
+{
+    const instant now = runtime::now();
+    context_.metrics.whole_answer.record(static_cast<double>((now - arrived_).count()) / us_per_s);
+    log_event(event::call_answered, field("request", request_name_), field("status", status),
+              field("attempts", attempt_), field("events", events_),
+              field("first_us", first_event_at_.value_or(now) - arrived_), field("total_us", now - arrived_));
+}
+
+void exchange::caller_left()
+{
+    if (over_) {
+        return;
+    }
+    context_.metrics.left.add();
+    log_event(event::call_cancelled, field("request", request_name_), field("events", events_),
+              field("waiting", waiting_), field("total_us", runtime::now() - arrived_));
+    finish();
+}
+
+void exchange::stop()
+{
+    if (over_) {
+        return;
+    }
+    if (answer_begun_) {
+        take_step(next_step::cut, "the gateway stops");
+        return;
+    }
+    const bool sent = call_ && call_->any_sent();
+    release_upstream();
+    const bool unknown = sent || may_have_run_;
+    refuse(unknown ? 502 : 503,
+           {refusal_code::stopping, unknown ? ran_state::unknown : ran_state::no, unknown ? 0s : 100ms,
+            "come back"},
+           "the gateway stops");
+}
+
+void exchange::release_upstream()
+{
+    if (silence_timer_) {
+        context_.timers.cancel(*silence_timer_);
+        silence_timer_.reset();
+    }
+    if (call_) {
+        call_->cancel();
+        call_.reset();
+    }
+    if (order_) {
+        context_.desk.finish(order_->placed, runtime::now());
+        order_.reset();
+        context_.decide_soon();
+    }
+}
+
+void exchange::finish()
+{
+    if (over_) {
+        return;
+    }
+    over_ = true;
+    release_upstream();
+    if (waiting_) {
+        context_.desk.drop(id_);
+        waiting_ = false;
+    }
+    if (limit_timer_) {
+        context_.timers.cancel(*limit_timer_);
+        limit_timer_.reset();
+    }
+    context_.over(id_);
+}
+
+} // namespace dragonflymill::edge
--- /dev/null
+++ b/src/edge/exchange.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "dragonflymill/core/refusal.h"
+#include "dragonflymill/direct/dispatch_desk.h"
+#include "dragonflymill/direct/event_relay.h"
+#include "dragonflymill/direct/fleet_records.h"
+#include "dragonflymill/direct/upstream_list.h"
+#include "edge/caller_session.h"
+#include "edge/gateway_metrics.h"
+#include "edge/header_names.h"
+#include "edge/upstream_call.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonflymill::edge {
+
+/// What exchanges share.
+struct exchange_context
+{
+    boost::asio::io_context& loop;           ///< The event loop.
+    loop_timers& timers;                     ///< Its timers.
+    const header_names& names;               ///< Of the outside systems.
+    direct::dispatch_desk& desk;             ///< Decides where calls go.
+    const direct::upstream_list& fleet;      ///< Configuration and upstreams.
+    const direct::fleet_records& records;    ///< For the revision in log lines.
+    gateway_metrics& metrics;                ///< Counts.
+    std::function<void()> decide_soon;       ///< Asks for a round of decisions.
+    std::function<void(std::uint64_t)> over; ///< An exchange has ended.
+};
+
+/// One request of a caller, from its arrival to its answer, over all attempts.
+class exchange : public open_request, public answer_receiver, public std::enable_shared_from_this<exchange>
+{
+public:
+    exchange(std::uint64_t id, const std::shared_ptr<caller_session>& session, caller_request request,
+             exchange_context& context);
+    ~exchange() override;
+    exchange(const exchange&) = delete;
+    auto operator=(const exchange&) -> exchange& = delete;
+
+    /// Checks the request and lets it wait for an upstream, or answers it at once.
+    void begin();
+    /// It goes to an upstream now.
+    void dispatched(const direct::dispatch_order& order);
+    /// It can't be served.
+    void refused(const direct::dispatch_refusal& refusal);
+    /// The process stops now: ends it as it is.
+    void stop();
+
+    void caller_left() override;
+    auto answer_head_came(const answer_head& head) -> bool override;
+    void answer_body_came(const std::string& bytes) override;
+    void answer_completed() override;
+    void answer_failed(direct::attempt_end end, const std::string& why) override;
+
+private:
+    enum class answer_mode
+    {
+        none,     ///< No head yet.
+        whole,    ///< The body is gathered and passed on when it is complete.
+        events,   ///< A stream, passed on event by event.
+        rejected, ///< The upstream has not run the request.
+    };
+
+    [[nodiscard]] auto authenticate() -> bool;
+    void wait_for_upstream(instant now);
+    [[nodiscard]] auto request_text(const direct::dispatch_order& order, instant now) const -> std::string;
+    void add_own_fields(std::string& text, const direct::dispatch_order& order, instant now) const;
+    [[nodiscard]] auto passes_on(const header_field& field, std::string_view connection) const -> bool;
+    void relay(const std::string& bytes);
+    void pass_head();
+    void watch_silence();
+    void silence(std::uint64_t attempt);
+    void end_attempt(direct::attempt_end end, const std::string& why);
+    void note_health(direct::attempt_end end, instant now);
+    [[nodiscard]] auto progress(instant now) const -> direct::request_progress;
+    void take_step(direct::next_step step, const std::string& why);
+    void release_upstream();
+    void limit_reached();
+    void refuse(unsigned status, const refusal& refused, const std::string& why);
+    void answer_whole();
+    void log_answered(unsigned status);
+    void finish();
+
+    std::uint64_t id_;
+    std::weak_ptr<caller_session> session_;
+    caller_request request_;
+    exchange_context& context_;
+    std::shared_ptr<const direct::fleet_config> config_;
+    const direct::route_rule* route_ = nullptr;
+    const direct::account_rule* account_ = nullptr;
+    std::string request_name_;
+    instant arrived_{};
+    instant limit_at_{};
+    direct::waiting_call wait_;
+    bool waiting_ = false;
+    bool over_ = false;
+
+    std::shared_ptr<upstream_call> call_;
+    std::optional<direct::dispatch_order> order_;
+    instant sent_at_{};
+    instant heard_at_{};
+    std::uint64_t attempt_ = 0;
+    int attempts_run_ = 0;
+    int attempts_sent_ = 0;
+    bool may_have_run_ = false;
+
+    answer_mode mode_ = answer_mode::none;
+    answer_head head_;
+    std::string body_;
+    direct::event_relay relay_;
+    bool answer_begun_ = false;
+    std::size_t events_ = 0;
+    std::optional<instant> first_event_at_;
+
+    std::optional<timer_id> limit_timer_;
+    std::optional<timer_id> silence_timer_;
+};
+
+} // namespace dragonflymill::edge
--- /dev/null
+++ b/src/edge/outbox.cpp
@@ -0,0 +1,60 @@
+#include "edge/outbox.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
+namespace dragonflymill::edge {
+
+namespace asio = boost::asio;
+
+auto outbox::send(std::string_view bytes, const std::shared_ptr<void>& owner) -> bool
+{
+    if (queue_.empty()) {
+        boost::system::error_code failed;
+        const std::size_t written = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), failed);
+        sent_ += written;
+        bytes.remove_prefix(written);
+        if (failed && failed != asio::error::would_block && failed != asio::error::try_again) {
+            return false;
+        }
+    }
+    queue_.append(bytes);
+    if (!queue_.empty()) {
+        wait_for_room(owner);
+    }
+    return true;
+}
+
+void outbox::wait_for_room(const std::shared_ptr<void>& owner)
+{
+    if (writing_) {
+        return;
+    }
+    writing_ = true;
+    socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                       [this, owner](const boost::system::error_code& failed) {
+                           writing_ = false;
+                           boost::system::error_code broken = failed;
+                           std::size_t written = 0;
+                           if (!broken) {
+                               written = socket_.write_some(asio::buffer(queue_), broken);
+                           }
+                           sent_ += written;
+                           queue_.erase(0, written);
+                           if (broken == asio::error::would_block || broken == asio::error::try_again) {
+                               broken = {};
+                           }
+                           if (broken) {
+                               queue_.clear();
+                           }
+                           else if (!queue_.empty()) {
+                               wait_for_room(owner);
+                               return;
+                           }
+                           if (done_) {
+                               done_(static_cast<bool>(broken));
+                           }
+                       });
+}
+
+} // namespace dragonflymill::edge
--- /dev/null
+++ b/src/edge/peer_link.cpp
@@ -0,0 +1,374 @@
+#include "edge/peer_link.h"
+
+#include "edge/socket_options.h"
+#include "fleet.pb.h"
+#include "runtime/clock.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+#include <utility>
+
+namespace dragonflymill::edge {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using udp = asio::ip::udp;
+
+namespace {
+
+/// Frames between gateways: a length in four bytes, most significant first, and a message.
+constexpr std::size_t length_bytes = 4;
+/// Longest frame: some thousand records of a few hundred bytes and a configuration of a megabyte.
+constexpr std::uint32_t max_frame = 16'777'216;
+
+auto framed(const std::string& message) -> std::string
+{
+    std::string frame(length_bytes, '\0');
+    boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()), // NOLINT
+                                 static_cast<std::uint32_t>(message.size()));
+    return frame + message;
+}
+
+auto length_of(const std::array<char, length_bytes>& head) -> std::uint32_t
+{
+    return boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(head.data())); // NOLINT
+}
+
+template <typename Message>
+auto parsed(std::string_view bytes) -> std::optional<Message>
+{
+    Message message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+} // namespace
+
+auto encode_peer_message(const peer_message& message) -> std::string
+{
+    wire::GatewayWord word;
+    word.set_gateway(message.word.gateway);
+    word.set_sequence(message.word.sequence);
+    word.set_address(message.word.address);
+    word.set_revision(message.word.revision);
+    word.set_leaving(message.word.leaving);
+    for (const std::string& peer : message.word.peers) {
+        word.add_peers(peer);
+    }
+    for (const auto& [upstream, load] : message.report.loads) {
+        wire::UpstreamLoad& told = *word.add_loads();
+        told.set_upstream(upstream);
+        told.set_short_calls(static_cast<std::uint32_t>(load.short_calls));
+        told.set_long_calls(static_cast<std::uint32_t>(load.long_calls));
+        told.set_parts(static_cast<std::uint32_t>(load.parts));
+        told.set_memory_tokens(static_cast<std::uint64_t>(load.memory_tokens));
+        told.set_reading_us(static_cast<std::uint64_t>(load.reading.count()));
+    }
+    return word.SerializeAsString();
+}
+
+auto decode_peer_message(std::string_view bytes) -> std::optional<peer_message>
+{
+    const auto word = parsed<wire::GatewayWord>(bytes);
+    if (!word || word->gateway().empty()) {
+        return std::nullopt;
+    }
+    peer_message message;
+    message.word.gateway = word->gateway();
+    message.word.sequence = word->sequence();
+    message.word.address = word->address();
+    message.word.revision = word->revision();
+    message.word.leaving = word->leaving();
+    message.word.peers.assign(word->peers().begin(), word->peers().end());
+    message.report.gateway = word->gateway();
+    message.report.sequence = word->sequence();
+    for (const wire::UpstreamLoad& told : word->loads()) {
+        direct::upstream_load& load = message.report.loads[told.upstream()];
+        load.short_calls = static_cast<std::int32_t>(told.short_calls());
+        load.long_calls = static_cast<std::int32_t>(told.long_calls());
+        load.parts = static_cast<std::int32_t>(told.parts());
+        load.memory_tokens = static_cast<std::int64_t>(told.memory_tokens());
+        load.reading = duration(static_cast<duration::rep>(told.reading_us()));
+    }
+    return message;
+}
+
+auto encode_extract(const direct::records_extract& extract) -> std::string
+{
+    wire::RecordsReply reply;
+    reply.set_as_of(extract.as_of);
+    reply.set_whole(extract.whole);
+    for (const direct::fleet_record& record : extract.records) {
+        wire::FleetRecord& told = *reply.add_records();
+        told.set_key(record.key);
+        told.set_value(record.value);
+        told.set_revision(record.revision);
+        told.set_removed(record.removed);
+    }
+    return reply.SerializeAsString();
+}
+
+auto decode_extract(std::string_view bytes) -> std::optional<direct::records_extract>
+{
+    const auto reply = parsed<wire::RecordsReply>(bytes);
+    if (!reply) {
+        return std::nullopt;
+    }
+    direct::records_extract extract;
+    extract.as_of = reply->as_of();
+    extract.whole = reply->whole();
+    for (const wire::FleetRecord& told : reply->records()) {
+        extract.records.push_back({told.key(), told.value(), told.revision(), told.removed()});
+    }
+    return extract;
+}
+
+/// Answers one question of a peer.
+class peer_link::serving : public std::enable_shared_from_this<peer_link::serving>
+{
+public:
+    serving(tcp::socket socket, loop_timers& timers, handlers& taken)
+        : socket_(std::move(socket))
+        , timers_(timers)
+        , handlers_(taken)
+    {
+    }
+
+    void start()
+    {
+        prepare_socket(socket_);
+        timer_ = timers_.at(runtime::now() + fetch_limit, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                boost::system::error_code ignored; // the peer asks again elsewhere
+                self->socket_.close(ignored);
+            }
+        });
+        asio::async_read(socket_, asio::buffer(head_),
+                         [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) {
+                             if (!failed && length_of(self->head_) <= max_question) {
+                                 self->read_question();
+                             }
+                         });
+    }
+
+private:
+    static constexpr std::uint32_t max_question = 64;
+
+    void read_question()
+    {
+        question_.resize(length_of(head_));
+        asio::async_read(socket_, asio::buffer(question_),
+                         [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) {
+                             if (!failed) {
+                                 self->answer();
+                             }
+                         });
+    }
+
+    void answer()
+    {
+        const auto question = parsed<wire::RecordsRequest>(question_);
+        if (!question) {
+            return;
+        }
+        reply_ = framed(encode_extract(handlers_.records_since(question->after())));
+        asio::async_write(socket_, asio::buffer(reply_),
+                          [self = shared_from_this()](const boost::system::error_code&, std::size_t) {
+                              self->timers_.cancel(*self->timer_);
+                          });
+    }
+
+    tcp::socket socket_;
+    loop_timers& timers_;
+    handlers& handlers_;
+    std::array<char, length_bytes> head_{};
+    std::string question_;
+    std::string reply_;
+    std::optional<timer_id> timer_;
+};
+
+/// Puts one question to a peer.
+class peer_link::asking : public std::enable_shared_from_this<peer_link::asking>
+{
+public:
+    asking(peer_link& link, std::string address, std::uint64_t after)
+        : link_(link)
+        , socket_(link.loop_)
+        , address_(std::move(address))
+    {
+        wire::RecordsRequest request;
+        request.set_after(after);
+        question_ = framed(request.SerializeAsString());
+    }
+
+    void start()
+    {
+        const auto where = parse_socket_address(address_);
+        boost::system::error_code failed;
+        const auto ip = where ? asio::ip::make_address(where.value().ip, failed) : asio::ip::address();
+        timer_ = link_.timers_.at(runtime::now() + fetch_limit, [self = shared_from_this()] {
+            self->timer_.reset();
+            self->end("no answer within its limit");
+        });
+        if (!where || failed) {
+            end("its address can't be read");
+            return;
+        }
+        socket_.async_connect({ip, where.value().port},
+                              [self = shared_from_this()](const boost::system::error_code& refused) {
+                                  refused ? self->end(refused.message()) : self->ask();
+                              });
+    }
+
+private:
+    void ask()
+    {
+        if (over_) {
+            return;
+        }
+        prepare_socket(socket_);
+        asio::async_write(socket_, asio::buffer(question_),
+                          [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) {
+                              failed ? self->end(failed.message()) : self->read_head();
+                          });
+    }
+
+    void read_head()
+    {
+        asio::async_read(socket_, asio::buffer(head_),
+                         [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) {
+                             const bool usable = !failed && length_of(self->head_) <= max_frame;
+                             usable ? self->read_reply() : self->end("the answer can't be read");
+                         });
+    }
+
+    void read_reply()
+    {
+        reply_.resize(length_of(head_));
+        asio::async_read(socket_, asio::buffer(reply_),
+                         [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) {
+                             self->end(failed ? failed.message() : "");
+                         });
+    }
+
+    void end(const std::string& why)
+    {
+        if (std::exchange(over_, true)) {
+            return;
+        }
+        if (timer_) {
+            link_.timers_.cancel(*timer_);
+        }
+        boost::system::error_code ignored; // the question is over either way
+        socket_.close(ignored);
+        link_.fetching_ = false;
+        const auto extract = why.empty() ? decode_extract(reply_) : std::nullopt;
+        if (extract) {
+            link_.handlers_.on_records(*extract, address_);
+        }
+        else {
+            link_.handlers_.on_fetch_failed(why.empty() ? "the answer can't be decoded" : why);
+        }
+    }
+
+    peer_link& link_;
+    tcp::socket socket_;
+    std::string address_;
+    std::string question_;
+    std::string reply_;
+    std::array<char, length_bytes> head_{};
+    std::optional<timer_id> timer_;
+    bool over_ = false;
+};
+
+peer_link::peer_link(asio::io_context& loop, loop_timers& timers, handlers taken)
+    : loop_(loop)
+    , timers_(timers)
+    , handlers_(std::move(taken))
+    , datagrams_(loop)
+    , acceptor_(loop)
+{
+}
+
+peer_link::~peer_link() = default;
+
+auto peer_link::listen(const socket_address& address) -> result<void>
+{
+    boost::system::error_code failed;
+    const auto ip = asio::ip::make_address(address.ip, failed);
+    const auto check = [&] { return !failed; };
+    const bool opened = check() && (datagrams_.open(udp::v4(), failed), check()) &&
+                        (datagrams_.bind({ip, address.port}, failed), check()) &&
+                        (acceptor_.open(tcp::v4(), failed), check()) &&
+                        (acceptor_.set_option(tcp::acceptor::reuse_address(true), failed), check()) &&
+                        (acceptor_.bind({ip, address.port}, failed), check()) &&
+                        (acceptor_.listen(asio::socket_base::max_listen_connections, failed), check());
+    if (!opened) {
+        return error(error_kind::unavailable,
+                     "can't listen for gateways on " + to_text(address) + ": " + failed.message(),
+                     "free the address or change it in the settings");
+    }
+    datagrams_.non_blocking(true, failed);
+    receive();
+    accept();
+    return success();
+}
+
+void peer_link::receive()
+{
+    datagrams_.async_receive_from(
+        asio::buffer(buffer_), sender_, [this](const boost::system::error_code& failed, std::size_t bytes) {
+            if (failed == asio::error::operation_aborted) {
+                return;
+            }
+            // An error here tells of an earlier datagram that could not be delivered; nothing is lost by it.
+            if (!failed) {
+                if (const auto message = decode_peer_message({buffer_.data(), bytes})) {
+                    handlers_.on_message(*message);
+                }
+            }
+            receive();
+        });
+}
+
+void peer_link::accept()
+{
+    acceptor_.async_accept([this](const boost::system::error_code& failed, tcp::socket socket) {
+        if (failed == asio::error::operation_aborted) {
+            return;
+        }
+        if (!failed) {
+            std::make_shared<serving>(std::move(socket), timers_, handlers_)->start();
+        }
+        accept();
+    });
+}
+
+void peer_link::send(const std::string& message, const std::vector<std::string>& addresses)
+{
+    for (const std::string& text : addresses) {
+        const auto address = parse_socket_address(text);
+        boost::system::error_code failed;
+        const auto ip = address ? asio::ip::make_address(address.value().ip, failed) : asio::ip::address();
+        if (address && !failed) {
+            datagrams_.send_to(asio::buffer(message), {ip, address.value().port}, 0, failed);
+        }
+        // A datagram that can't be sent is like one that is lost: the next word says it again.
+    }
+}
+
+void peer_link::fetch(const std::string& address, std::uint64_t after)
+{
+    if (fetching_) {
+        return;
+    }
+    fetching_ = true;
+    std::make_shared<asking>(*this, address, after)->start();
+}
+
+} // namespace dragonflymill::edge
--- /dev/null
+++ b/src/edge/peer_link.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "dragonflymill/core/error.h"
+#include "dragonflymill/direct/fleet_records.h"
+#include "dragonflymill/direct/load_board.h"
+#include "dragonflymill/direct/peer_table.h"
+#include "edge/loop_timers.h"
+#include "settings/socket_address.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonflymill::edge {
+
+/// A datagram of another gateway, decoded.
+struct peer_message
+{
+    direct::peer_word word;     ///< Who it is and what it knows.
+    direct::load_report report; ///< Its work in hand.
+
+    friend auto operator==(const peer_message&, const peer_message&) -> bool = default;
+};
+
+/// Writes a datagram.
+[[nodiscard]] auto encode_peer_message(const peer_message& message) -> std::string;
+/// Reads a datagram; nothing if it isn't one of ours.
+[[nodiscard]] auto decode_peer_message(std::string_view bytes) -> std::optional<peer_message>;
+/// Writes records as one gateway hands them to another.
+[[nodiscard]] auto encode_extract(const direct::records_extract& extract) -> std::string;
+/// Reads them.
+[[nodiscard]] auto decode_extract(std::string_view bytes) -> std::optional<direct::records_extract>;
+
+/// The sockets between gateways: datagrams with each one's state, and connections over which one that lacks
+/// published records takes them from another.
+class peer_link
+{
+public:
+    /// What the link tells.
+    struct handlers
+    {
+        std::function<void(const peer_message&)> on_message;                 ///< A datagram came.
+        std::function<direct::records_extract(std::uint64_t)> records_since; ///< For a peer that asks.
+        std::function<void(const direct::records_extract&, const std::string&)>
+            on_records;                                          ///< A peer answered.
+        std::function<void(const std::string&)> on_fetch_failed; ///< It didn't; why.
+    };
+
+    peer_link(boost::asio::io_context& loop, loop_timers& timers, handlers taken);
+    ~peer_link();
+    peer_link(const peer_link&) = delete;
+    auto operator=(const peer_link&) -> peer_link& = delete;
+
+    /// Opens both sockets.
+    [[nodiscard]] auto listen(const socket_address& address) -> result<void>;
+    /// Sends a datagram; a lost one is made up for by the next.
+    void send(const std::string& message, const std::vector<std::string>& addresses);
+    /// Asks a peer for all records that changed after a revision. One question is under way at a time.
+    void fetch(const std::string& address, std::uint64_t after);
+    /// Whether a question is under way.
+    [[nodiscard]] auto fetching() const -> bool { return fetching_; }
+
+    /// A peer that takes longer is given up and another one asked.
+    static constexpr duration fetch_limit = 800ms;
+
+private:
+    class serving;
+    class asking;
+
+    void receive();
+    void accept();
+
+    boost::asio::io_context& loop_;
+    loop_timers& timers_;
+    handlers handlers_;
+    boost::asio::ip::udp::socket datagrams_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::udp::endpoint sender_;
+    std::array<char, 65'536> buffer_{};
+    bool fetching_ = false;
+};
+
+} // namespace dragonflymill::edge
--- /dev/null
+++ b/src/edge/upstream_call.cpp
@@ -0,0 +1,171 @@
+#include "edge/upstream_call.h"
+
+#include "edge/socket_options.h"
+#include "runtime/clock.h"
+#include "settings/socket_address.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <utility>
+
+namespace dragonflymill::edge {
+
+namespace asio = boost::asio;
+using direct::attempt_end;
+
+upstream_call::upstream_call(asio::io_context& loop, loop_timers& timers, answer_receiver& receiver)
+    : socket_(loop)
+    , timers_(timers)
+    , receiver_(&receiver)
+    , out_(socket_)
+{
+}
+
+void upstream_call::start(const std::string& address, std::string request, bool no_body)
+{
+    request_ = std::move(request);
+    no_body_ = no_body;
+    parser_.emplace(no_body);
+    const auto where = parse_socket_address(address);
+    boost::system::error_code failed;
+    const auto ip = where ? asio::ip::make_address(where.value().ip, failed) : asio::ip::address();
+    if (!where || failed) {
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            self->fail(attempt_end::not_sent, "the upstream's address can't be read");
+        });
+        return;
+    }
+    connect_timer_ = timers_.at(runtime::now() + connect_limit, [self = shared_from_this()] {
+        self->connect_timer_.reset();
+        self->fail(attempt_end::not_sent, "no connection within its limit");
+    });
+    socket_.async_connect(
+        {ip, where.value().port},
+        [self = shared_from_this()](const boost::system::error_code& refused) { self->connected(refused); });
+}
+
+void upstream_call::connected(const boost::system::error_code& failed)
+{
+    if (connect_timer_) {
+        timers_.cancel(*connect_timer_);
+        connect_timer_.reset();
+    }
+    if (receiver_ == nullptr) {
+        return;
+    }
+    if (failed) {
+        fail(attempt_end::not_sent, "no connection: " + failed.message());
+        return;
+    }
+    prepare_socket(socket_);
+    out_.on_done([this](bool broken) {
+        // The answer may have been sent before the upstream closed its reading side: it is read to its end.
+        (void)broken;
+    });
+    if (!out_.send(request_, shared_from_this())) {
+        fail(out_.any_sent() ? attempt_end::broken : attempt_end::not_sent, "the request could not be sent");
+        return;
+    }
+    request_.clear();
+    request_.shrink_to_fit();
+    read();
+}
+
+void upstream_call::read()
+{
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [self = shared_from_this()](const boost::system::error_code& failed,
+                                                        std::size_t bytes) { self->took(failed, bytes); });
+}
+
+void upstream_call::took(const boost::system::error_code& failed, std::size_t bytes)
+{
+    if (receiver_ == nullptr) {
+        return;
+    }
+    if (bytes > 0) {
+        take({buffer_.data(), bytes});
+    }
+    if (receiver_ == nullptr) {
+        return;
+    }
+    if (failed) {
+        ended(failed);
+        return;
+    }
+    read();
+}
+
+void upstream_call::take(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    std::string body;
+    auto state = parser_->take(bytes, body);
+    while (state == answer_state::complete && parser_->is_interim()) {
+        // An interim answer promises nothing; the real one follows.
+        const std::string rest = parser_->excess();
+        parser_.emplace(no_body_);
+        state = parser_->take(rest, body);
+    }
+    if (state == answer_state::invalid) {
+        fail(attempt_end::broken, "the answer isn't one in the protocol");
+        return;
+    }
+    if (state == answer_state::head) {
+        return;
+    }
+    if (!head_passed_) {
+        head_passed_ = true;
+        if (!receiver_->answer_head_came(parser_->head())) {
+            return;
+        }
+    }
+    if (receiver_ != nullptr && !body.empty()) {
+        receiver_->answer_body_came(body);
+    }
+    if (receiver_ != nullptr && state == answer_state::complete) {
+        answer_receiver* receiver = std::exchange(receiver_, nullptr);
+        close();
+        receiver->answer_completed();
+    }
+}
+
+void upstream_call::ended(const boost::system::error_code& failed)
+{
+    const bool in_order = failed == asio::error::eof;
+    if (in_order && parser_->take_end() == answer_state::complete && head_passed_) {
+        answer_receiver* receiver = std::exchange(receiver_, nullptr);
+        close();
+        receiver->answer_completed();
+        return;
+    }
+    fail(attempt_end::broken, "the connection ended before the answer: " + failed.message());
+}
+
+void upstream_call::fail(attempt_end end, const std::string& why)
+{
+    answer_receiver* receiver = std::exchange(receiver_, nullptr);
+    close();
+    if (receiver != nullptr) {
+        receiver->answer_failed(end, why);
+    }
+}
+
+void upstream_call::cancel()
+{
+    receiver_ = nullptr;
+    close();
+}
+
+void upstream_call::close()
+{
+    if (connect_timer_) {
+        timers_.cancel(*connect_timer_);
+        connect_timer_.reset();
+    }
+    boost::system::error_code ignored; // the connection is given up either way
+    socket_.close(ignored);
+}
+
+} // namespace dragonflymill::edge
--- a/src/log/logger.cpp
+++ b/src/log/logger.cpp
@@ -59,6 +59,9 @@
     if (file.empty()) {
         return boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {});
     }
+    if (file == standard_output_file) {
+        return boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream*) {});
+    }
     auto stream = boost::make_shared<std::ofstream>(file, std::ios::app);
     if (!*stream) {
         return error(error_kind::unavailable, "the log file '" + file + "' can't be opened",
--- a/src/log/logger.h
+++ b/src/log/logger.h
@@ -18,13 +18,16 @@
     json, ///< A JSON object a line, for tools.
 };
 
+/// As a log file: standard output.
+inline constexpr const char* standard_output_file = "-";
+
 /// Where and how to log.
 struct log_settings
 {
     std::string process;                  ///< Name of the process, in every line.
     log_level level = log_level::info;    ///< Events below it are not logged.
     log_format format = log_format::text; ///< Format of the lines.
-    std::string file;                     ///< File to append to; empty for standard error.
+    std::string file; ///< File to append to; empty for standard error, `-` for standard output.
 
     friend auto operator==(const log_settings&, const log_settings&) -> bool = default;
 };
