Reserve engine memory for prompts over one engine, and keep engines with an unread prompt from helping

Cause: engines read parts for others ahead of their own prompts; an engine that helped on and on came to its own prompt seconds late (147 k tokens: forecast 0.2 s, seen 8.3 s). Parts were also counted until the call's end.

--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -26,11 +26,21 @@
     int priority = 0;               ///< 0 goes first.
     instant aim_at{};               ///< An answer that begins later is late.
     instant give_up_at{};           ///< Refused if it still waits then.
+    instant not_before{};           ///< Not sent earlier.
     std::vector<std::string> tried; ///< Upstreams that it has been sent to.
 
     friend auto operator==(const waiting_call&, const waiting_call&) -> bool = default;
 };
 
+/// An engine that reads a part of a prompt, with its address.
+struct dispatch_helper
+{
+    upstream_entry upstream;          ///< The engine.
+    std::int64_t reserved_tokens = 0; ///< Memory to be reserved there before the call is sent; 0: none.
+
+    friend auto operator==(const dispatch_helper&, const dispatch_helper&) -> bool = default;
+};
+
 /// A call is to be sent now. Its load is on the board; `finish` takes it off.
 struct dispatch_order
 {
@@ -38,7 +48,7 @@
     placement_id placed = 0;             ///< Its place on the board.
     dispatch_choice choice;              ///< Where and why.
     upstream_entry upstream;             ///< Answers it.
-    std::vector<upstream_entry> helpers; ///< Read a part of its prompt each.
+    std::vector<dispatch_helper> helpers; ///< Read a part of its prompt each.
 
     friend auto operator==(const dispatch_order&, const dispatch_order&) -> bool = default;
 };
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -39,12 +39,12 @@
 struct dispatch_choice
 {
     std::string upstream;             ///< Answers it.
-    std::vector<std::string> helpers; ///< Read a part of its prompt each.
+    std::vector<helper_share> helpers; ///< Read a part of its prompt each.
     bool is_long = false;             ///< Whether its prompt counts as long.
     duration reading{};               ///< Reading at each of them.
     duration first_token{};           ///< Expected until the first token.
     std::int64_t memory_tokens = 0;   ///< Filled at `upstream`.
-    std::int64_t helper_memory = 0;   ///< To be reserved at each helper; 0 where the prompt fits `upstream`.
+    upstream_load load;               ///< Work in hand at `upstream` when it was chosen.
     std::string reason;               ///< For the log: what decided.
 
     friend auto operator==(const dispatch_choice&, const dispatch_choice&) -> bool = default;
@@ -88,20 +88,28 @@
     static constexpr std::size_t max_readers = 16;
     /// Long calls wait in the gateway while the engines that they would use have this much to read: a call
     /// that waits here can still go where room comes first.
-    static constexpr duration max_backlog = 600ms;
+    static constexpr duration max_backlog = 300ms;
     /// The same for calls that are late already, so that they don't make others late.
-    static constexpr duration max_backlog_when_late = 150ms;
+    static constexpr duration max_backlog_when_late = 100ms;
+    /// A prompt is read in parts of about this share of the tightest pause: smaller parts reach more engines
+    /// and each waits for the end of a pass there, larger ones hold up what the engines write meanwhile.
+    static constexpr double part_share = 0.9;
+    /// Part of an engine's memory that reservations and prompts fill: answers grow beyond their estimate.
+    static constexpr double memory_fill = 0.97;
 
 private:
     [[nodiscard]] auto choose_short(const call_shape& call, std::span<const dispatch_candidate> ordered,
                                     std::size_t border) const -> std::optional<dispatch_choice>;
     [[nodiscard]] auto choose_long(const call_shape& call, std::span<const dispatch_candidate> side) const
         -> std::optional<dispatch_choice>;
+    [[nodiscard]] auto place_memory(std::vector<const dispatch_candidate*>& readers, std::int64_t tokens,
+                                    dispatch_choice& choice) const -> bool;
+    [[nodiscard]] auto parts_for(std::int64_t prompt_tokens) const -> std::size_t;
     [[nodiscard]] auto memory_need(const call_shape& call) const -> std::int64_t;
-    [[nodiscard]] auto fits(const dispatch_candidate& engine, std::int64_t tokens) const -> bool;
+    [[nodiscard]] auto free_memory(const dispatch_candidate& engine) const -> std::int64_t;
 
     engine_forecast forecast_;
-    duration long_from_;
+    duration tightest_pause_;
 };
 
 /// Puts candidates into the order that all gateways share.
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -17,13 +17,18 @@
 {
     std::int32_t short_calls = 0;   ///< Calls with a short prompt, or plain calls.
     std::int32_t long_calls = 0;    ///< Calls with a long prompt that the upstream answers.
+    std::int32_t unread_calls = 0;  ///< Of the long calls, the ones whose prompt isn't read yet.
     std::int32_t parts = 0;         ///< Prompts of others that it reads a part of.
     std::int64_t memory_tokens = 0; ///< Engine memory that these calls fill in the end.
-    duration reading{};             ///< Reading that is still to be done, at normal pace.
+    duration reading{};             ///< Reading that is still to be done, as far as can be told.
 
     friend auto operator==(const upstream_load&, const upstream_load&) -> bool = default;
 };
 
+/// While a prompt isn't read, at least this part of its reading is taken to be still to do, however long ago it
+/// was sent: the engine is behind what was forecast.
+inline constexpr double least_unread_share = 0.3;
+
 /// A gateway's word about its own work in hand.
 struct load_report
 {
@@ -34,15 +39,23 @@
     friend auto operator==(const load_report&, const load_report&) -> bool = default;
 };
 
+/// An engine that reads a part of another one's prompt.
+struct helper_share
+{
+    std::string upstream;             ///< Which.
+    std::int64_t reserved_tokens = 0; ///< Of its memory, for the call; 0: it only reads.
+
+    friend auto operator==(const helper_share&, const helper_share&) -> bool = default;
+};
+
 /// What a call takes up at the upstreams that it is sent to.
 struct placement
 {
-    std::string upstream;                  ///< Answers the call.
-    std::vector<std::string> helpers;      ///< Read a part of the prompt each.
-    bool is_long = false;                  ///< Whether the prompt is long.
-    std::int64_t memory_tokens = 0;        ///< Engine memory filled at `upstream`.
-    std::int64_t helper_memory_tokens = 0; ///< Engine memory reserved at each helper.
-    duration reading{};                    ///< Reading at each of the upstreams.
+    std::string upstream;              ///< Answers the call.
+    std::vector<helper_share> helpers; ///< Read a part of the prompt each, until its first token.
+    bool is_long = false;              ///< Whether the prompt is long.
+    std::int64_t memory_tokens = 0;    ///< Engine memory filled at `upstream`.
+    duration reading{};                ///< Reading at each of the upstreams.
 
     friend auto operator==(const placement&, const placement&) -> bool = default;
 };
@@ -92,10 +105,17 @@
         std::unordered_map<std::string, told_load> loads;
     };
 
-    void add(const placement& call, int sign, instant now);
+    struct placed_call
+    {
+        placement call;
+        bool read = false;
+    };
+
+    void add(const placement& call, instant now);
+    static void end_reading(told_load& reader, duration reading, instant now);
 
     std::unordered_map<std::string, told_load> own_;
-    std::unordered_map<placement_id, placement> placed_;
+    std::unordered_map<placement_id, placed_call> placed_;
     std::unordered_map<std::string, told_report> others_;
     std::uint64_t next_id_ = 0;
     std::uint64_t own_changes_ = 0;
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -41,7 +41,7 @@
     std::vector<waiting_call> still;
     for (waiting_call& call : waiting_) {
         int& failures = blocked[{call.service, call.prompt_tokens > 0}];
-        auto choice = failures < tries_past_blocked ? choose(fleet, call, now) : std::nullopt;
+        auto choice = failures < tries_past_blocked && now >= call.not_before ? choose(fleet, call, now) : std::nullopt;
         if (choice) {
             round.orders.push_back(order_for(fleet, call, *choice, now));
             continue;
@@ -121,12 +121,11 @@
     order.choice = choice;
     const upstream_state& upstream = fleet.upstreams().at(choice.upstream);
     order.upstream = upstream.entry;
-    for (const std::string& helper : choice.helpers) {
-        order.helpers.push_back(fleet.upstreams().at(helper).entry);
+    for (const helper_share& helper : choice.helpers) {
+        order.helpers.push_back({fleet.upstreams().at(helper.upstream).entry, helper.reserved_tokens});
     }
-    order.placed = board_.place({choice.upstream, choice.helpers, choice.is_long, choice.memory_tokens,
-                                 choice.helper_memory, choice.reading},
-                                now);
+    order.placed = board_.place(
+        {choice.upstream, choice.helpers, choice.is_long, choice.memory_tokens, choice.reading}, now);
     if (const double cold = cold_rate(fleet, upstream, now); cold > 0) {
         (void)cold_[choice.upstream].take(now, cold, gateways_);
     }
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -4,12 +4,18 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 
 namespace dragonflymill::direct {
 
 namespace {
 
+/// Backlogs that differ by less count as equal, so that the order of engines decides.
+constexpr duration backlog_step = 30ms;
+/// Engines that hold one prompt at most; the largest prompt needs three, and each holder slows its own writers.
+constexpr std::size_t max_holders = 8;
+
 auto in_hand(const dispatch_candidate& upstream) -> int
 {
     return upstream.load.short_calls + upstream.load.long_calls;
@@ -45,19 +51,20 @@
     }
     dispatch_choice choice;
     choice.upstream = best->id;
+    choice.load = best->load;
     choice.reason = "least work in hand";
     return choice;
 }
 
 engine_dispatch::engine_dispatch(const engine_figures& figures, duration tightest_pause)
     : forecast_(figures)
-    , long_from_(tightest_pause / 2)
+    , tightest_pause_(tightest_pause)
 {
 }
 
 auto engine_dispatch::is_long(std::int64_t prompt_tokens) const -> bool
 {
-    return long_from_ > duration::zero() && forecast_.read_alone(prompt_tokens) > long_from_;
+    return tightest_pause_ > duration::zero() && forecast_.read_alone(prompt_tokens) > tightest_pause_ / 2;
 }
 
 auto engine_dispatch::short_side(std::span<const dispatch_candidate> candidates) const -> std::size_t
@@ -101,7 +108,7 @@
     const dispatch_candidate* best = nullptr;
     const auto consider = [&](std::span<const dispatch_candidate> engines) {
         for (const dispatch_candidate& engine : engines) {
-            const bool usable = has_slot(engine) && fits(engine, memory_need(call));
+            const bool usable = has_slot(engine) && free_memory(engine) >= memory_need(call);
             if (usable && (best == nullptr || rank(engine) < rank(*best))) {
                 best = &engine;
             }
@@ -117,6 +124,7 @@
     }
     dispatch_choice choice;
     choice.upstream = best->id;
+    choice.load = best->load;
     choice.reading = forecast_.read_alone(call.prompt_tokens);
     choice.first_token =
         best->load.reading + choice.reading + forecast_.pass(in_hand(*best), call.prompt_tokens);
@@ -129,59 +137,104 @@
     -> std::optional<dispatch_choice>
 {
     std::vector<const dispatch_candidate*> readers;
-    for (const dispatch_candidate& engine : side) {
-        if (!engine.suspect && engine.load.parts < engine.slots) {
-            readers.push_back(&engine);
+    // From the far end: the engines next to the border are the first ones that short prompts will need.
+    for (auto engine = side.rbegin(); engine != side.rend(); ++engine) {
+        if (!engine->suspect && engine->load.parts < engine->slots) {
+            readers.push_back(&*engine);
         }
     }
-    std::stable_sort(readers.begin(), readers.end(),
-                     [](const auto* a, const auto* b) { return a->load.reading < b->load.reading; });
-    const std::int64_t need = memory_need(call);
-    const auto first = std::find_if(readers.begin(), readers.end(), [&](const dispatch_candidate* engine) {
-        return has_slot(*engine) && fits(*engine, need);
+    std::stable_sort(readers.begin(), readers.end(), [](const auto* a, const auto* b) {
+        return a->load.reading / backlog_step < b->load.reading / backlog_step;
     });
-    if (first == readers.end()) {
+    dispatch_choice choice;
+    if (!place_memory(readers, memory_need(call), choice)) {
         return std::nullopt;
     }
-    std::rotate(readers.begin(), first, first + 1);
-    dispatch_choice choice;
-    choice.upstream = readers.front()->id;
-    choice.is_long = true;
-    choice.memory_tokens = need;
-    choice.first_token = duration::max();
-    const std::size_t most = std::min(readers.size(), max_readers);
+    const std::size_t holders = choice.helpers.size();
+    // An engine reads parts for others ahead of its own prompts: one that helped on and on would never come to
+    // its own, so those with an unread prompt are not asked to help.
+    const auto busy = std::stable_partition(readers.begin() + static_cast<std::ptrdiff_t>(holders) + 1,
+                                            readers.end(),
+                                            [](const auto* engine) { return engine->load.unread_calls == 0; });
+    readers.erase(busy, readers.end());
+    const std::size_t parts =
+        std::clamp(parts_for(call.prompt_tokens), holders + 1, std::min(readers.size(), max_readers));
     duration backlog{};
-    std::size_t parts = 1;
-    for (std::size_t count = 1; count <= most; ++count) {
-        backlog = std::max(backlog, readers[count - 1]->load.reading);
-        const duration part = forecast_.read_part(call.prompt_tokens, static_cast<int>(count));
-        if (backlog + part < choice.first_token) {
-            choice.first_token = backlog + part;
-            choice.reading = part;
-            parts = count;
+    for (std::size_t i = 0; i < parts; ++i) {
+        backlog = std::max(backlog, readers[i]->load.reading);
+        if (i > holders) {
+            choice.helpers.push_back({readers[i]->id, 0});
         }
     }
-    for (std::size_t i = 1; i < parts; ++i) {
-        choice.helpers.push_back(readers[i]->id);
-    }
+    choice.upstream = readers.front()->id;
+    choice.load = readers.front()->load;
+    choice.is_long = true;
+    choice.reading = forecast_.read_part(call.prompt_tokens, static_cast<int>(parts));
+    choice.first_token = backlog + choice.reading + forecast_.pass(in_hand(*readers.front()), 0);
     const bool on_time = choice.first_token <= call.time_to_aim;
-    const duration bound = on_time ? max_backlog : max_backlog_when_late;
-    if (choice.first_token - choice.reading > bound) {
+    if (backlog > (on_time ? max_backlog : max_backlog_when_late)) {
         return std::nullopt;
     }
     choice.reason = on_time ? "parts behind the border" : "late, parts behind the border";
     return choice;
 }
 
+auto engine_dispatch::place_memory(std::vector<const dispatch_candidate*>& readers, std::int64_t tokens,
+                                   dispatch_choice& choice) const -> bool
+{
+    const auto may_answer = [&](const dispatch_candidate* engine, std::int64_t needed) {
+        return has_slot(*engine) && free_memory(*engine) >= needed && engine->load.unread_calls == 0;
+    };
+    const auto whole = std::find_if(readers.begin(), readers.end(), [&](const dispatch_candidate* engine) {
+        return may_answer(engine, tokens);
+    });
+    if (whole != readers.end()) {
+        std::rotate(readers.begin(), whole, whole + 1);
+        choice.memory_tokens = tokens;
+        return true;
+    }
+    std::vector<const dispatch_candidate*> roomy = readers;
+    std::stable_sort(roomy.begin(), roomy.end(), [this](const auto* a, const auto* b) {
+        return free_memory(*a) > free_memory(*b);
+    });
+    const std::size_t most = std::min(roomy.size(), max_holders);
+    for (std::size_t count = 2; count <= most; ++count) {
+        const std::int64_t share = tokens / static_cast<std::int64_t>(count) + 1;
+        if (free_memory(*roomy[count - 1]) < share || !may_answer(roomy.front(), share)) {
+            continue;
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto at = std::find(readers.begin(), readers.end(), roomy[i]);
+            std::rotate(readers.begin() + static_cast<std::ptrdiff_t>(i), at, at + 1);
+            if (i > 0) {
+                choice.helpers.push_back({roomy[i]->id, share});
+            }
+        }
+        choice.memory_tokens = share;
+        return true;
+    }
+    return false;
+}
+
+auto engine_dispatch::parts_for(std::int64_t prompt_tokens) const -> std::size_t
+{
+    const double part = part_share * static_cast<double>(tightest_pause_.count());
+    const double whole = static_cast<double>(forecast_.read_alone(prompt_tokens).count());
+    return static_cast<std::size_t>(std::max(1.0, std::ceil(whole / std::max(part, 1.0))));
+}
+
 auto engine_dispatch::memory_need(const call_shape& call) const -> std::int64_t
 {
     return call.prompt_tokens + call.answer_tokens;
 }
 
-auto engine_dispatch::fits(const dispatch_candidate& engine, std::int64_t tokens) const -> bool
+auto engine_dispatch::free_memory(const dispatch_candidate& engine) const -> std::int64_t
 {
     const std::int64_t whole = forecast_.figures().memory_tokens;
-    return whole <= 0 || engine.load.memory_tokens + tokens <= whole;
+    if (whole <= 0) {
+        return std::numeric_limits<std::int64_t>::max();
+    }
+    return static_cast<std::int64_t>(static_cast<double>(whole) * memory_fill) - engine.load.memory_tokens;
 }
 
 void sort_for_border(std::vector<dispatch_candidate>& candidates)
--- a/src/direct/engine_forecast.cpp
+++ b/src/direct/engine_forecast.cpp
@@ -26,7 +26,9 @@
     const double pairs_millions = tokens * tokens / 2.0 / 1e6;
     const double linear_ms = tokens / std::max(figures_.read_tokens_per_ms, 1e-3);
     const double pairs_ms = pairs_millions * figures_.pairs_ms_per_million;
-    return from_ms((linear_ms + pairs_ms) / std::max(parts, 1));
+    // Each chunk is read in a step, which costs its time besides.
+    const double steps_ms = figures_.chunk_tokens > 0 ? tokens / figures_.chunk_tokens * figures_.step_ms : 0.0;
+    return from_ms((linear_ms + pairs_ms + steps_ms) / std::max(parts, 1));
 }
 
 auto engine_forecast::pass(int writers, std::int64_t context_tokens) const -> duration
--- a/src/direct/load_board.cpp
+++ b/src/direct/load_board.cpp
@@ -10,15 +10,16 @@
 auto load_board::told_load::at(instant now) const -> upstream_load
 {
     upstream_load current = load;
-    current.reading = std::max(read_until - now, duration::zero());
+    const auto unread = static_cast<double>(load.reading.count()) * least_unread_share;
+    current.reading = std::max(read_until - now, duration(static_cast<duration::rep>(unread)));
     return current;
 }
 
 auto load_board::place(placement call, instant now) -> placement_id
 {
-    add(call, 1, now);
+    add(call, now);
     const placement_id id = ++next_id_;
-    placed_.emplace(id, std::move(call));
+    placed_.emplace(id, placed_call{std::move(call), false});
     ++own_changes_;
     return id;
 }
@@ -26,20 +27,28 @@
 void load_board::reading_done(placement_id id, instant now)
 {
     const auto found = placed_.find(id);
-    if (found == placed_.end() || found->second.reading == duration::zero()) {
+    if (found == placed_.end() || found->second.read) {
         return;
     }
-    placement& call = found->second;
-    std::vector<std::string> readers = call.helpers;
-    readers.push_back(call.upstream);
-    for (const std::string& reader : readers) {
-        told_load& own = own_[reader];
-        // Reading is done in the order of arrival, so that what was forecast for it is over now, and only
-        // what was added later remains.
-        own.load.reading = std::max(own.load.reading - call.reading, duration::zero());
-        own.read_until = std::min(own.read_until, now + own.load.reading);
+    const placement& call = found->second.call;
+    found->second.read = true;
+    told_load& own = own_[call.upstream];
+    own.load.unread_calls -= call.is_long ? 1 : 0;
+    end_reading(own, call.reading, now);
+    for (const helper_share& helper : call.helpers) {
+        told_load& other = own_[helper.upstream];
+        --other.load.parts;
+        end_reading(other, call.reading, now);
     }
-    call.reading = duration::zero();
+    ++own_changes_;
+}
+
+void load_board::end_reading(told_load& reader, duration reading, instant now)
+{
+    // Reading is done in the order of arrival, so that what was forecast for it is over now, and only what
+    // was added later remains.
+    reader.load.reading = std::max(reader.load.reading - reading, duration::zero());
+    reader.read_until = std::min(reader.read_until, now + reader.load.reading);
 }
 
 void load_board::finish(placement_id id, instant now)
@@ -49,32 +58,34 @@
     if (found == placed_.end()) {
         return;
     }
-    add(found->second, -1, now);
+    const placement call = std::move(found->second.call);
     placed_.erase(found);
+    told_load& own = own_[call.upstream];
+    --(call.is_long ? own.load.long_calls : own.load.short_calls);
+    own.load.memory_tokens -= call.memory_tokens;
+    DRAGONFLYMILL_ASSERT(own.load.short_calls >= 0 && own.load.long_calls >= 0, "a call is finished once");
+    for (const helper_share& helper : call.helpers) {
+        own_[helper.upstream].load.memory_tokens -= helper.reserved_tokens;
+    }
     ++own_changes_;
 }
 
-void load_board::add(const placement& call, int sign, instant now)
+void load_board::add(const placement& call, instant now)
 {
-    const auto change_reading = [&](told_load& own) {
-        if (sign > 0) {
-            own.load.reading += call.reading;
-            own.read_until = std::max(own.read_until, now) + call.reading;
-        }
+    const auto add_reading = [&](told_load& reader) {
+        reader.load.reading += call.reading;
+        reader.read_until = std::max(reader.read_until, now) + call.reading;
     };
     told_load& own = own_[call.upstream];
-    (call.is_long ? own.load.long_calls : own.load.short_calls) += sign;
-    own.load.memory_tokens += sign * call.memory_tokens;
-    change_reading(own);
-    for (const std::string& helper : call.helpers) {
-        told_load& other = own_[helper];
-        other.load.parts += sign;
-        other.load.memory_tokens += sign * call.helper_memory_tokens;
-        change_reading(other);
-    }
-    DRAGONFLYMILL_ASSERT(own.load.short_calls >= 0 && own.load.long_calls >= 0, "a call is finished once");
-    if (own.load == upstream_load{}) {
-        own_.erase(call.upstream);
+    ++(call.is_long ? own.load.long_calls : own.load.short_calls);
+    own.load.unread_calls += call.is_long ? 1 : 0;
+    own.load.memory_tokens += call.memory_tokens;
+    add_reading(own);
+    for (const helper_share& helper : call.helpers) {
+        told_load& other = own_[helper.upstream];
+        ++other.load.parts;
+        other.load.memory_tokens += helper.reserved_tokens;
+        add_reading(other);
     }
 }
 
@@ -107,6 +118,7 @@
         const upstream_load load = found->second.at(now);
         sum.short_calls += load.short_calls;
         sum.long_calls += load.long_calls;
+        sum.unread_calls += load.unread_calls;
         sum.parts += load.parts;
         sum.memory_tokens += load.memory_tokens;
         sum.reading += load.reading;
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -52,7 +52,7 @@
     auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
         -> std::shared_ptr<open_request> override
     {
-        if (request.path() == gateway_.names_.ready_path) {
+        if (request.path() == gateway_.words_.names.ready_path) {
             const bool ready = gateway_.ready();
             session->answer(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", {}, "");
         }
@@ -73,19 +73,20 @@
     direct_gateway& gateway_;
 };
 
-direct_gateway::direct_gateway(asio::io_context& loop, direct_gateway_settings settings, header_names names,
+direct_gateway::direct_gateway(asio::io_context& loop, direct_gateway_settings settings, outside_words words,
                                record_source& source, settings_reader reread)
     : loop_(loop)
     , timers_(loop)
     , settings_(std::move(settings))
-    , names_(std::move(names))
+    , words_(std::move(words))
     , source_(source)
     , reread_(std::move(reread))
     , desk_({settings_.failure_domain, settings_.retries})
     , peers_("", "", {})
     , context_{loop,
                timers_,
-               names_,
+               words_.names,
+               words_.orders,
                desk_,
                fleet_,
                records_,
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -42,6 +42,13 @@
     friend auto operator==(const direct_gateway_settings&, const direct_gateway_settings&) -> bool = default;
 };
 
+/// How the outside systems of a deployment name and write things; its adapter provides it.
+struct outside_words
+{
+    header_names names;     ///< Header fields.
+    upstream_orders orders; ///< Orders to engines.
+};
+
 /// A gateway process that reaches upstreams directly: one event loop, no thread but the log's. The processor
 /// of its hosts runs one thread at a time and each hand-over costs a wake-up, so a ring between threads would
 /// only make each event of a stream dearer.
@@ -51,7 +58,7 @@
     /// `reread` gives the settings anew; nothing if they can't be read.
     using settings_reader = std::function<std::optional<direct_gateway_settings>()>;
 
-    direct_gateway(boost::asio::io_context& loop, direct_gateway_settings settings, header_names names,
+    direct_gateway(boost::asio::io_context& loop, direct_gateway_settings settings, outside_words words,
                    record_source& source, settings_reader reread);
     ~direct_gateway() override;
     direct_gateway(const direct_gateway&) = delete;
@@ -94,7 +101,7 @@
     boost::asio::io_context& loop_;
     loop_timers timers_;
     direct_gateway_settings settings_;
-    header_names names_;
+    outside_words words_;
     record_source& source_;
     settings_reader reread_;
     gateway_metrics metrics_;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -28,6 +28,8 @@
 constexpr duration least_silence = 1s;
 /// Largest answer that is gathered before it is passed on; it can still be replaced by another attempt's.
 constexpr std::size_t max_gathered_bytes = 1'048'576;
+/// After engine memory could not be reserved, the next try waits this long: another call holds it.
+constexpr duration reservation_pause = 100ms;
 /// Callers take the time to come back in seconds.
 constexpr double us_per_s = 1e6;
 
@@ -129,6 +131,9 @@
     if (call_) {
         call_->cancel();
     }
+    if (memory_) {
+        memory_->release();
+    }
 }
 
 void exchange::begin()
@@ -210,13 +215,56 @@
     head_ = {};
     body_.clear();
     relay_.begin_attempt();
-    wait_.tried.push_back(order.upstream.id);
-    context_.metrics.attempts.add();
     log_event(event::call_dispatched, field("request", request_name_), field("attempt", attempt_),
               field("upstream", order.upstream.id), field("helpers", order.helpers.size()),
               field("reason", order.choice.reason), field("waited_us", now - arrived_),
-              field("forecast_us", order.choice.first_token), field("config_version", config_->version()),
+              field("forecast_us", order.choice.first_token), field("prompt_tokens", wait_.prompt_tokens),
+              field("short_calls", order.choice.load.short_calls),
+              field("long_calls", order.choice.load.long_calls), field("parts", order.choice.load.parts),
+              field("memory_tokens", order.choice.load.memory_tokens),
+              field("reading_us", order.choice.load.reading), field("config_version", config_->version()),
               field("fleet_revision", context_.records.revision()));
+    reserve_memory();
+}
+
+void exchange::reserve_memory()
+{
+    std::vector<memory_reservation::piece> pieces;
+    for (const direct::dispatch_helper& helper : order_->helpers) {
+        if (helper.reserved_tokens > 0) {
+            pieces.push_back({helper.upstream.address, helper.reserved_tokens});
+        }
+    }
+    if (pieces.empty()) {
+        send();
+        return;
+    }
+    const std::string name = request_name_ + "-" + std::to_string(attempt_);
+    memory_ = std::make_shared<memory_reservation>(context_.loop, context_.timers, context_.orders, name,
+                                                   std::move(pieces));
+    memory_->start([weak = weak_from_this(), attempt = attempt_](bool held) {
+        const auto self = weak.lock();
+        if (!self || self->over_ || self->attempt_ != attempt || !self->order_) {
+            return;
+        }
+        if (held) {
+            self->send();
+            return;
+        }
+        self->wait_.not_before = runtime::now() + reservation_pause;
+        self->release_upstream();
+        self->take_step(next_step::try_again, "engine memory could not be reserved");
+    });
+}
+
+void exchange::send()
+{
+    const instant now = runtime::now();
+    const direct::dispatch_order& order = *order_;
+    sent_at_ = now;
+    heard_at_ = now;
+    wait_.tried.push_back(order.upstream.id);
+    context_.metrics.attempts.add();
     call_ = std::make_shared<upstream_call>(context_.loop, context_.timers, *this);
     call_->start(order.upstream.address, request_text(order, now), request_.method == "HEAD");
     watch_silence();
@@ -265,11 +313,11 @@
         add(names.resume_after, relay_.last_id());
     }
     if (!order.helpers.empty()) {
-        std::string list;
-        for (const auto& helper : order.helpers) {
-            list.append(list.empty() ? "" : ",").append(helper.address);
+        std::vector<helper_reference> list;
+        for (const direct::dispatch_helper& helper : order.helpers) {
+            list.push_back({helper.upstream.address, helper.reserved_tokens > 0 ? memory_->name() : ""});
         }
-        add(names.helpers, list);
+        add(names.helpers, context_.orders.list_helpers(list));
     }
 }
 
@@ -471,6 +519,11 @@
     direct::upstream_health& health = context_.desk.health();
     const std::string& upstream = order_->upstream.id;
     constexpr unsigned misdirected = 421;
+    const std::string_view at_fault = head_.value_of(context_.names.at_fault);
+    if (end == attempt_end::rejected && !order_->helpers.empty() && !at_fault.empty()) {
+        blame_helper(at_fault, now);
+        return;
+    }
     if (end == attempt_end::failed) {
         health.failed(upstream, now);
     }
@@ -479,6 +532,18 @@
     }
 }
 
+void exchange::blame_helper(std::string_view at_fault, instant now)
+{
+    for (const direct::dispatch_helper& helper : order_->helpers) {
+        if (helper.upstream.id == at_fault || helper.upstream.address == at_fault) {
+            context_.desk.health().lost(helper.upstream.id, now);
+            // The engine that answered is sound: it may be asked again.
+            wait_.tried.clear();
+            return;
+        }
+    }
+}
+
 void exchange::end_attempt(attempt_end end, const std::string& why)
 {
     if (over_ || !order_) {
@@ -644,6 +709,10 @@
         call_->cancel();
         call_.reset();
     }
+    if (memory_) {
+        memory_->release();
+        memory_.reset();
+    }
     if (order_) {
         context_.desk.finish(order_->placed, runtime::now());
         order_.reset();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -8,6 +8,7 @@
 #include "edge/caller_session.h"
 #include "edge/gateway_metrics.h"
 #include "edge/header_names.h"
+#include "edge/memory_reservation.h"
 #include "edge/upstream_call.h"
 
 #include <cstdint>
@@ -24,6 +25,7 @@
     boost::asio::io_context& loop;           ///< The event loop.
     loop_timers& timers;                     ///< Its timers.
     const header_names& names;               ///< Of the outside systems.
+    const upstream_orders& orders;           ///< How engines are told to set memory aside.
     direct::dispatch_desk& desk;             ///< Decides where calls go.
     const direct::upstream_list& fleet;      ///< Configuration and upstreams.
     const direct::fleet_records& records;    ///< For the revision in log lines.
@@ -68,6 +70,8 @@
 
     [[nodiscard]] auto authenticate() -> bool;
     void wait_for_upstream(instant now);
+    void reserve_memory();
+    void send();
     [[nodiscard]] auto request_text(const direct::dispatch_order& order, instant now) const -> std::string;
     void add_own_fields(std::string& text, const direct::dispatch_order& order, instant now) const;
     [[nodiscard]] auto passes_on(const header_field& field, std::string_view connection) const -> bool;
@@ -77,6 +81,7 @@
     void silence(std::uint64_t attempt);
     void end_attempt(direct::attempt_end end, const std::string& why);
     void note_health(direct::attempt_end end, instant now);
+    void blame_helper(std::string_view at_fault, instant now);
     [[nodiscard]] auto progress(instant now) const -> direct::request_progress;
     void take_step(direct::next_step step, const std::string& why);
     void release_upstream();
@@ -100,6 +105,7 @@
     bool waiting_ = false;
     bool over_ = false;
 
+    std::shared_ptr<memory_reservation> memory_;
     std::shared_ptr<upstream_call> call_;
     std::optional<direct::dispatch_order> order_;
     instant sent_at_{};
