Tell other gateways of a long dispatch at once, and let long calls wait in the gateway

Cause: an engine passes on what it read at the end of a pass that holds all that waits there, so that two parts in line cost twice their length; and two gateways chose the same engines within the 40 ms between words.

--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -88,9 +88,9 @@
     static constexpr std::size_t max_readers = 16;
     /// Long calls wait in the gateway while the engines that they would use have this much to read: a call
     /// that waits here can still go where room comes first.
-    static constexpr duration max_backlog = 300ms;
+    static constexpr duration max_backlog = 120ms;
     /// The same for calls that are late already, so that they don't make others late.
-    static constexpr duration max_backlog_when_late = 100ms;
+    static constexpr duration max_backlog_when_late = 60ms;
     /// A prompt is read in parts of about this share of the tightest pause: smaller parts reach more engines
     /// and each waits for the end of a pass there, larger ones hold up what the engines write meanwhile.
     static constexpr double part_share = 0.9;
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -341,6 +341,12 @@
 void direct_gateway::decide()
 {
     const direct::dispatch_round round = desk_.decide(fleet_, runtime::now());
+    // A long prompt keeps many engines busy: another gateway that learns of it late sends its own there too.
+    const bool long_sent = std::any_of(round.orders.begin(), round.orders.end(),
+                                       [](const direct::dispatch_order& order) { return order.choice.is_long; });
+    if (long_sent) {
+        send_word(true);
+    }
     for (const direct::dispatch_order& order : round.orders) {
         if (const auto found = exchanges_.find(order.call); found != exchanges_.end()) {
             const auto kept = found->second;
