--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -93,7 +93,7 @@
     static constexpr duration max_backlog_when_late = 60ms;
     /// A prompt is read in parts of about this share of the tightest pause: smaller parts reach more engines
     /// and each waits for the end of a pass there, larger ones hold up what the engines write meanwhile.
-    static constexpr double part_share = 0.9;
+    static constexpr double part_share = 0.6;
     /// Part of an engine's memory that reservations and prompts fill: answers grow beyond their estimate.
     static constexpr double memory_fill = 0.97;
 
@@ -102,8 +102,18 @@
                                     std::size_t border) const -> std::optional<dispatch_choice>;
     [[nodiscard]] auto choose_long(const call_shape& call, std::span<const dispatch_candidate> side) const
         -> std::optional<dispatch_choice>;
-    [[nodiscard]] auto place_memory(std::vector<const dispatch_candidate*>& readers, std::int64_t tokens,
-                                    dispatch_choice& choice) const -> bool;
+    /// The engine that answers a long call, and those that hold a part of its prompt.
+    struct writer_choice
+    {
+        const dispatch_candidate* engine = nullptr;
+        std::int64_t tokens = 0;
+        std::vector<helper_share> holders;
+    };
+
+    [[nodiscard]] auto choose_writer(std::span<const dispatch_candidate> side, std::int64_t tokens) const
+        -> std::optional<writer_choice>;
+    void add_readers(const call_shape& call, std::span<const dispatch_candidate> side,
+                     dispatch_choice& choice) const;
     [[nodiscard]] auto parts_for(std::int64_t prompt_tokens) const -> std::size_t;
     [[nodiscard]] auto memory_need(const call_shape& call) const -> std::int64_t;
     [[nodiscard]] auto free_memory(const dispatch_candidate& engine) const -> std::int64_t;
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -13,6 +13,10 @@
 
 /// Backlogs that differ by less count as equal, so that the order of engines decides.
 constexpr duration backlog_step = 30ms;
+/// Reading on an engine that writes holds its streams up: worth waiting this long for one that doesn't.
+constexpr duration writer_penalty = 100ms;
+/// Prompts that an engine has to read for itself at once: each holds up what it writes by its length.
+constexpr int max_unread = 2;
 /// Engines that hold one prompt at most; the largest prompt needs three, and each holder slows its own writers.
 constexpr std::size_t max_holders = 8;
 
@@ -136,42 +140,19 @@
 auto engine_dispatch::choose_long(const call_shape& call, std::span<const dispatch_candidate> side) const
     -> std::optional<dispatch_choice>
 {
-    std::vector<const dispatch_candidate*> readers;
-    // From the far end: the engines next to the border are the first ones that short prompts will need.
-    for (auto engine = side.rbegin(); engine != side.rend(); ++engine) {
-        if (!engine->suspect && engine->load.parts < engine->slots) {
-            readers.push_back(&*engine);
-        }
-    }
-    std::stable_sort(readers.begin(), readers.end(), [](const auto* a, const auto* b) {
-        return a->load.reading / backlog_step < b->load.reading / backlog_step;
-    });
-    dispatch_choice choice;
-    if (!place_memory(readers, memory_need(call), choice)) {
+    const auto writer = choose_writer(side, memory_need(call));
+    if (!writer) {
         return std::nullopt;
     }
-    const std::size_t holders = choice.helpers.size();
-    // An engine reads parts for others ahead of its own prompts: one that helped on and on would never come to
-    // its own, so those with an unread prompt are not asked to help.
-    const auto busy = std::stable_partition(readers.begin() + static_cast<std::ptrdiff_t>(holders) + 1,
-                                            readers.end(),
-                                            [](const auto* engine) { return engine->load.unread_calls == 0; });
-    readers.erase(busy, readers.end());
-    const std::size_t parts =
-        std::clamp(parts_for(call.prompt_tokens), holders + 1, std::min(readers.size(), max_readers));
-    duration backlog{};
-    for (std::size_t i = 0; i < parts; ++i) {
-        backlog = std::max(backlog, readers[i]->load.reading);
-        if (i > holders) {
-            choice.helpers.push_back({readers[i]->id, 0});
-        }
-    }
-    choice.upstream = readers.front()->id;
-    choice.load = readers.front()->load;
+    dispatch_choice choice;
+    choice.upstream = writer->engine->id;
+    choice.load = writer->engine->load;
     choice.is_long = true;
-    choice.reading = forecast_.read_part(call.prompt_tokens, static_cast<int>(parts));
-    choice.first_token = backlog + choice.reading + forecast_.pass(in_hand(*readers.front()), 0);
+    choice.memory_tokens = writer->tokens;
+    choice.helpers = writer->holders;
+    add_readers(call, side, choice);
     const bool on_time = choice.first_token <= call.time_to_aim;
+    const duration backlog = choice.first_token - choice.reading;
     if (backlog > (on_time ? max_backlog : max_backlog_when_late)) {
         return std::nullopt;
     }
@@ -179,41 +160,91 @@
     return choice;
 }
 
-auto engine_dispatch::place_memory(std::vector<const dispatch_candidate*>& readers, std::int64_t tokens,
-                                   dispatch_choice& choice) const -> bool
+auto engine_dispatch::choose_writer(std::span<const dispatch_candidate> side, std::int64_t tokens) const
+    -> std::optional<writer_choice>
 {
-    const auto may_answer = [&](const dispatch_candidate* engine, std::int64_t needed) {
-        return has_slot(*engine) && free_memory(*engine) >= needed && engine->load.unread_calls == 0;
+    const auto may_write = [&](const dispatch_candidate& engine, std::int64_t needed) {
+        return has_slot(engine) && free_memory(engine) >= needed &&
+               engine.load.unread_calls < max_unread && engine.load.parts == 0;
     };
-    const auto whole = std::find_if(readers.begin(), readers.end(), [&](const dispatch_candidate* engine) {
-        return may_answer(engine, tokens);
-    });
-    if (whole != readers.end()) {
-        std::rotate(readers.begin(), whole, whole + 1);
-        choice.memory_tokens = tokens;
-        return true;
+    // The first that fits from the far end: long answers are written by as few engines as can hold them.
+    for (auto engine = side.rbegin(); engine != side.rend(); ++engine) {
+        if (may_write(*engine, tokens)) {
+            return writer_choice{&*engine, tokens, {}};
+        }
+    }
+    std::vector<const dispatch_candidate*> roomy;
+    for (auto engine = side.rbegin(); engine != side.rend(); ++engine) {
+        if (!engine->suspect) {
+            roomy.push_back(&*engine);
+        }
     }
-    std::vector<const dispatch_candidate*> roomy = readers;
     std::stable_sort(roomy.begin(), roomy.end(), [this](const auto* a, const auto* b) {
         return free_memory(*a) > free_memory(*b);
     });
     const std::size_t most = std::min(roomy.size(), max_holders);
     for (std::size_t count = 2; count <= most; ++count) {
         const std::int64_t share = tokens / static_cast<std::int64_t>(count) + 1;
-        if (free_memory(*roomy[count - 1]) < share || !may_answer(roomy.front(), share)) {
+        const auto writer = std::find_if(roomy.begin(), roomy.begin() + static_cast<std::ptrdiff_t>(count),
+                                         [&](const auto* engine) { return may_write(*engine, share); });
+        if (free_memory(*roomy[count - 1]) < share || writer == roomy.begin() + static_cast<std::ptrdiff_t>(count)) {
             continue;
         }
+        writer_choice gang{*writer, share, {}};
         for (std::size_t i = 0; i < count; ++i) {
-            const auto at = std::find(readers.begin(), readers.end(), roomy[i]);
-            std::rotate(readers.begin() + static_cast<std::ptrdiff_t>(i), at, at + 1);
-            if (i > 0) {
-                choice.helpers.push_back({roomy[i]->id, share});
+            if (roomy[i] != gang.engine) {
+                gang.holders.push_back({roomy[i]->id, share});
             }
         }
-        choice.memory_tokens = share;
-        return true;
+        return gang;
+    }
+    return std::nullopt;
+}
+
+void engine_dispatch::add_readers(const call_shape& call, std::span<const dispatch_candidate> side,
+                                  dispatch_choice& choice) const
+{
+    struct reader
+    {
+        const dispatch_candidate* engine;
+        duration backlog;
+    };
+    std::vector<reader> readers;
+    duration backlog = choice.load.reading;
+    for (const dispatch_candidate& engine : side) {
+        const auto holds = [&](const helper_share& share) { return share.upstream == engine.id; };
+        if (std::any_of(choice.helpers.begin(), choice.helpers.end(), holds)) {
+            backlog = std::max(backlog, engine.load.reading);
+            continue;
+        }
+        // An engine reads parts for others ahead of its own prompts: one that helped on and on would never
+        // come to its own, so those with an unread prompt are not asked to help.
+        const bool able = !engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0;
+        if (able && engine.id != choice.upstream) {
+            const duration disturbed = in_hand(engine) > 0 ? writer_penalty : duration::zero();
+            readers.push_back({&engine, engine.load.reading + disturbed});
+        }
+    }
+    std::stable_sort(readers.begin(), readers.end(), [](const reader& a, const reader& b) {
+        return a.backlog / backlog_step < b.backlog / backlog_step;
+    });
+    const std::size_t fixed = choice.helpers.size() + 1;
+    const std::size_t wanted = std::clamp(parts_for(call.prompt_tokens), fixed, max_readers);
+    std::size_t best = 0;
+    choice.reading = forecast_.read_part(call.prompt_tokens, static_cast<int>(fixed));
+    choice.first_token = backlog + choice.reading;
+    for (std::size_t more = 1; fixed + more <= wanted && more <= readers.size(); ++more) {
+        const duration part = forecast_.read_part(call.prompt_tokens, static_cast<int>(fixed + more));
+        const duration end = std::max(backlog, readers[more - 1].backlog) + part;
+        if (end < choice.first_token) {
+            choice.first_token = end;
+            choice.reading = part;
+            best = more;
+        }
+    }
+    for (std::size_t i = 0; i < best; ++i) {
+        choice.helpers.push_back({readers[i].engine->id, 0});
     }
-    return false;
 }
 
 auto engine_dispatch::parts_for(std::int64_t prompt_tokens) const -> std::size_t
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -422,6 +422,10 @@
     if (events_ == 0 || order_) {
         context_.desk.first_token(order_->placed, heard_at_);
     }
+    if (events_ > 0) {
+        longest_pause_ = std::max(longest_pause_, heard_at_ - last_event_at_);
+    }
+    last_event_at_ = heard_at_;
     events_ += events.events;
     context_.metrics.events.add(events.events);
     pass_head();
@@ -667,7 +671,8 @@
     context_.metrics.whole_answer.record(static_cast<double>((now - arrived_).count()) / us_per_s);
     log_event(event::call_answered, field("request", request_name_), field("status", status),
               field("attempts", attempt_), field("events", events_),
-              field("first_us", first_event_at_.value_or(now) - arrived_), field("total_us", now - arrived_));
+              field("first_us", first_event_at_.value_or(now) - arrived_),
+              field("longest_pause_us", longest_pause_), field("total_us", now - arrived_));
 }
 
 void exchange::caller_left()
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -122,6 +122,8 @@
     bool answer_begun_ = false;
     std::size_t events_ = 0;
     std::optional<instant> first_event_at_;
+    instant last_event_at_{};
+    duration longest_pause_{};
 
     std::optional<timer_id> limit_timer_;
     std::optional<timer_id> silence_timer_;
