--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -23,7 +23,8 @@
     std::string service;            ///< Where it has to run.
     std::int64_t prompt_tokens = 0; ///< 0 for plain services.
     std::int64_t answer_tokens = 0; ///< Most tokens of the answer.
-    int priority = 0;               ///< 0 goes first.
+    duration pause_aim{};           ///< Longest pause between its events that is on time; 0: none.
+    int priority = 0; ///< 0 goes first.
     instant aim_at{};               ///< An answer that begins later is late.
     instant give_up_at{};           ///< Refused if it still waits then.
     instant not_before{};           ///< Not sent earlier.
@@ -134,7 +135,7 @@
     [[nodiscard]] auto any_upstream(const upstream_list& fleet, const std::string& service) const -> bool;
     [[nodiscard]] auto cold_rate(const upstream_list& fleet, const upstream_state& upstream,
                                  instant now) const -> double;
-    void sort_waiting(instant now);
+    void sort_waiting(const fleet_config& config, instant now);
 
     dispatch_settings settings_;
     load_board board_;
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -17,7 +17,8 @@
 {
     std::int64_t prompt_tokens = 0; ///< 0 for plain services.
     std::int64_t answer_tokens = 0; ///< Most tokens of the answer.
-    duration time_to_aim{};         ///< Left until an answer would be late; negative once it is.
+    duration pause_aim{};           ///< Longest pause between its events that is on time; 0: none.
+    duration time_to_aim{}; ///< Left until an answer would be late; negative once it is.
     std::string failure_domain;     ///< Domain of this gateway; preferred among equals.
 
     friend auto operator==(const call_shape&, const call_shape&) -> bool = default;
@@ -78,6 +79,9 @@
         -> std::optional<dispatch_choice>;
     /// Whether a prompt counts as long: reading it alone takes over half of the tightest pause.
     [[nodiscard]] auto is_long(std::int64_t prompt_tokens) const -> bool;
+    /// Whether a call's stream bears no longer pauses than the tightest ones, so that it is written on the
+    /// short side whatever its length.
+    [[nodiscard]] auto is_tight(const call_shape& call) const -> bool;
     /// Engines of the first ones that are kept for short prompts.
     [[nodiscard]] auto short_side(std::span<const dispatch_candidate> candidates) const -> std::size_t;
 
@@ -94,14 +98,18 @@
     /// A prompt is read in parts of about this share of the tightest pause: smaller parts reach more engines
     /// and each waits for the end of a pass there, larger ones hold up what the engines write meanwhile.
     static constexpr double part_share = 0.6;
+    /// Share of the time that an engine's tightest stream bears beyond a pass which reading for others may
+    /// take at once: a second part may arrive in the same pass.
+    static constexpr double hold_share = 0.55;
     /// Part of an engine's memory that reservations and prompts fill: answers grow beyond their estimate.
     static constexpr double memory_fill = 0.97;
 
 private:
     [[nodiscard]] auto choose_short(const call_shape& call, std::span<const dispatch_candidate> ordered,
                                     std::size_t border) const -> std::optional<dispatch_choice>;
-    [[nodiscard]] auto choose_long(const call_shape& call, std::span<const dispatch_candidate> side) const
-        -> std::optional<dispatch_choice>;
+    [[nodiscard]] auto choose_long(const call_shape& call, std::span<const dispatch_candidate> ordered,
+                                   std::size_t border) const -> std::optional<dispatch_choice>;
+    [[nodiscard]] auto may_hold_up(const dispatch_candidate& engine) const -> duration;
     /// The engine that answers a long call, and those that hold a part of its prompt.
     struct writer_choice
     {
@@ -112,7 +120,7 @@
 
     [[nodiscard]] auto choose_writer(std::span<const dispatch_candidate> side, std::int64_t tokens) const
         -> std::optional<writer_choice>;
-    void add_readers(const call_shape& call, std::span<const dispatch_candidate> side,
+    void add_readers(const call_shape& call, std::span<const dispatch_candidate> ordered,
                      dispatch_choice& choice) const;
     [[nodiscard]] auto parts_for(std::int64_t prompt_tokens) const -> std::size_t;
     [[nodiscard]] auto memory_need(const call_shape& call) const -> std::int64_t;
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -21,6 +21,7 @@
     std::int32_t parts = 0;         ///< Prompts of others that it reads a part of.
     std::int64_t memory_tokens = 0; ///< Engine memory that these calls fill in the end.
     duration reading{};             ///< Reading that is still to be done, as far as can be told.
+    duration tightest_pause{};      ///< Shortest pause aim of the streams that it writes; 0: none has one.
 
     friend auto operator==(const upstream_load&, const upstream_load&) -> bool = default;
 };
@@ -56,6 +57,7 @@
     bool is_long = false;              ///< Whether the prompt is long.
     std::int64_t memory_tokens = 0;    ///< Engine memory filled at `upstream`.
     duration reading{};                ///< Reading at each of the upstreams.
+    duration pause_aim{};              ///< Longest pause between the call's events that is on time; 0: none.
 
     friend auto operator==(const placement&, const placement&) -> bool = default;
 };
@@ -96,6 +98,7 @@
     {
         upstream_load load;
         instant read_until{};
+        std::map<duration, int> pauses; // calls by pause aim; own calls only
 
         [[nodiscard]] auto at(instant now) const -> upstream_load;
     };
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -21,10 +21,17 @@
     return retries_[service].available(now, settings_.retries, gateways_);
 }
 
-void dispatch_desk::sort_waiting(instant now)
+void dispatch_desk::sort_waiting(const fleet_config& config, instant now)
 {
-    const auto rank = [now](const waiting_call& call) {
-        return std::tuple(call.aim_at <= now, call.priority, call.aim_at, call.id);
+    const auto reading = [&](const waiting_call& call) {
+        const service_rule* service = config.service_of(call.service);
+        const bool reads = service != nullptr && service->engine;
+        return reads ? engine_forecast(*service->engine).read_alone(call.prompt_tokens) : duration::zero();
+    };
+    // Shortest reading first, with age: one of a million tokens takes as much as ten usual long ones, and
+    // would make all of them late.
+    const auto rank = [&](const waiting_call& call) {
+        return std::tuple(call.aim_at <= now, call.priority, call.aim_at + reading(call), call.id);
     };
     std::sort(waiting_.begin(), waiting_.end(),
               [&](const waiting_call& a, const waiting_call& b) { return rank(a) < rank(b); });
@@ -36,7 +43,7 @@
     if (waiting_.empty() || fleet.config() == nullptr) {
         return round;
     }
-    sort_waiting(now);
+    sort_waiting(*fleet.config(), now);
     std::map<std::pair<std::string, bool>, int> blocked;
     std::vector<waiting_call> still;
     for (waiting_call& call : waiting_) {
@@ -66,7 +73,8 @@
     if (service == nullptr) {
         return std::nullopt;
     }
-    call_shape shape{call.prompt_tokens, call.answer_tokens, call.aim_at - now, settings_.failure_domain};
+    const call_shape shape{call.prompt_tokens, call.answer_tokens, call.pause_aim, call.aim_at - now,
+                           settings_.failure_domain};
     const auto found = candidates(fleet, *service, call, now);
     if (!service->engine) {
         return plain_dispatch().choose(shape, found);
@@ -125,7 +133,8 @@
         order.helpers.push_back({fleet.upstreams().at(helper.upstream).entry, helper.reserved_tokens});
     }
     order.placed = board_.place(
-        {choice.upstream, choice.helpers, choice.is_long, choice.memory_tokens, choice.reading}, now);
+        {choice.upstream, choice.helpers, choice.is_long, choice.memory_tokens, choice.reading, call.pause_aim},
+        now);
     if (const double cold = cold_rate(fleet, upstream, now); cold > 0) {
         (void)cold_[choice.upstream].take(now, cold, gateways_);
     }
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -13,8 +13,6 @@
 
 /// Backlogs that differ by less count as equal, so that the order of engines decides.
 constexpr duration backlog_step = 30ms;
-/// Reading on an engine that writes holds its streams up: worth waiting this long for one that doesn't.
-constexpr duration writer_penalty = 100ms;
 /// Prompts that an engine has to read for itself at once: each holds up what it writes by its length.
 constexpr int max_unread = 2;
 /// Engines that hold one prompt at most; the largest prompt needs three, and each holder slows its own writers.
@@ -86,6 +84,11 @@
     return std::clamp<std::size_t>(needed, 1, std::max<std::size_t>(most, 1));
 }
 
+auto engine_dispatch::is_tight(const call_shape& call) const -> bool
+{
+    return call.pause_aim > duration::zero() && call.pause_aim <= tightest_pause_;
+}
+
 auto engine_dispatch::choose(const call_shape& call, std::span<const dispatch_candidate> candidates) const
     -> std::optional<dispatch_choice>
 {
@@ -93,13 +96,10 @@
         return std::nullopt;
     }
     const std::size_t border = short_side(candidates);
-    if (!is_long(call.prompt_tokens)) {
+    if (is_tight(call) || !is_long(call.prompt_tokens)) {
         return choose_short(call, candidates, border);
     }
-    if (border < candidates.size()) {
-        return choose_long(call, candidates.subspan(border));
-    }
-    return choose_long(call, candidates.subspan(candidates.size() - 1));
+    return choose_long(call, candidates, border);
 }
 
 auto engine_dispatch::choose_short(const call_shape& call, std::span<const dispatch_candidate> ordered,
@@ -130,17 +130,21 @@
     choice.upstream = best->id;
     choice.load = best->load;
     choice.reading = forecast_.read_alone(call.prompt_tokens);
-    choice.first_token =
-        best->load.reading + choice.reading + forecast_.pass(in_hand(*best), call.prompt_tokens);
+    choice.first_token = best->load.reading + choice.reading;
     choice.memory_tokens = memory_need(call);
+    if (is_long(call.prompt_tokens)) {
+        add_readers(call, ordered, choice);
+    }
+    choice.first_token += forecast_.pass(in_hand(*best), call.prompt_tokens);
     choice.reason = inside ? "short side" : "short side full";
     return choice;
 }
 
-auto engine_dispatch::choose_long(const call_shape& call, std::span<const dispatch_candidate> side) const
-    -> std::optional<dispatch_choice>
+auto engine_dispatch::choose_long(const call_shape& call, std::span<const dispatch_candidate> ordered,
+                                  std::size_t border) const -> std::optional<dispatch_choice>
 {
-    const auto writer = choose_writer(side, memory_need(call));
+    const std::size_t first = std::min(border, ordered.size() - 1);
+    const auto writer = choose_writer(ordered.subspan(first), memory_need(call));
     if (!writer) {
         return std::nullopt;
     }
@@ -150,7 +154,7 @@
     choice.is_long = true;
     choice.memory_tokens = writer->tokens;
     choice.helpers = writer->holders;
-    add_readers(call, side, choice);
+    add_readers(call, ordered, choice);
     const bool on_time = choice.first_token <= call.time_to_aim;
     const duration backlog = choice.first_token - choice.reading;
     if (backlog > (on_time ? max_backlog : max_backlog_when_late)) {
@@ -160,6 +164,15 @@
     return choice;
 }
 
+auto engine_dispatch::may_hold_up(const dispatch_candidate& engine) const -> duration
+{
+    if (engine.load.tightest_pause <= duration::zero()) {
+        return duration::max();
+    }
+    const duration spare = engine.load.tightest_pause - forecast_.pass(in_hand(engine), 0);
+    return duration(static_cast<duration::rep>(static_cast<double>(spare.count()) * hold_share));
+}
+
 auto engine_dispatch::choose_writer(std::span<const dispatch_candidate> side, std::int64_t tokens) const
     -> std::optional<writer_choice>
 {
@@ -201,17 +214,12 @@
     return std::nullopt;
 }
 
-void engine_dispatch::add_readers(const call_shape& call, std::span<const dispatch_candidate> side,
+void engine_dispatch::add_readers(const call_shape& call, std::span<const dispatch_candidate> ordered,
                                   dispatch_choice& choice) const
 {
-    struct reader
-    {
-        const dispatch_candidate* engine;
-        duration backlog;
-    };
-    std::vector<reader> readers;
+    std::vector<const dispatch_candidate*> able;
     duration backlog = choice.load.reading;
-    for (const dispatch_candidate& engine : side) {
+    for (const dispatch_candidate& engine : ordered) {
         const auto holds = [&](const helper_share& share) { return share.upstream == engine.id; };
         if (std::any_of(choice.helpers.begin(), choice.helpers.end(), holds)) {
             backlog = std::max(backlog, engine.load.reading);
@@ -219,32 +227,40 @@
         }
         // An engine reads parts for others ahead of its own prompts: one that helped on and on would never
         // come to its own, so those with an unread prompt are not asked to help.
-        const bool able = !engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0;
-        if (able && engine.id != choice.upstream) {
-            const duration disturbed = in_hand(engine) > 0 ? writer_penalty : duration::zero();
-            readers.push_back({&engine, engine.load.reading + disturbed});
+        const bool free = !engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0;
+        if (free && engine.id != choice.upstream) {
+            able.push_back(&engine);
         }
     }
-    std::stable_sort(readers.begin(), readers.end(), [](const reader& a, const reader& b) {
-        return a.backlog / backlog_step < b.backlog / backlog_step;
+    std::stable_sort(able.begin(), able.end(), [](const auto* a, const auto* b) {
+        return std::pair(in_hand(*a) > 0, a->load.reading / backlog_step) <
+               std::pair(in_hand(*b) > 0, b->load.reading / backlog_step);
     });
-    const std::size_t fixed = choice.helpers.size() + 1;
+    const std::vector<helper_share> holders = choice.helpers;
+    const std::size_t fixed = holders.size() + 1;
     const std::size_t wanted = std::clamp(parts_for(call.prompt_tokens), fixed, max_readers);
-    std::size_t best = 0;
     choice.reading = forecast_.read_part(call.prompt_tokens, static_cast<int>(fixed));
     choice.first_token = backlog + choice.reading;
-    for (std::size_t more = 1; fixed + more <= wanted && more <= readers.size(); ++more) {
-        const duration part = forecast_.read_part(call.prompt_tokens, static_cast<int>(fixed + more));
-        const duration end = std::max(backlog, readers[more - 1].backlog) + part;
-        if (end < choice.first_token) {
-            choice.first_token = end;
+    for (std::size_t count = fixed + 1; count <= wanted; ++count) {
+        const duration part = forecast_.read_part(call.prompt_tokens, static_cast<int>(count));
+        std::vector<helper_share> helpers = holders;
+        duration longest = backlog;
+        for (const dispatch_candidate* engine : able) {
+            if (helpers.size() + 1 == count) {
+                break;
+            }
+            const duration held = engine->load.reading + part;
+            if (held <= may_hold_up(*engine)) {
+                helpers.push_back({engine->id, 0});
+                longest = std::max(longest, engine->load.reading);
+            }
+        }
+        if (helpers.size() + 1 == count && longest + part < choice.first_token) {
+            choice.first_token = longest + part;
             choice.reading = part;
-            best = more;
+            choice.helpers = std::move(helpers);
         }
     }
-    for (std::size_t i = 0; i < best; ++i) {
-        choice.helpers.push_back({readers[i].engine->id, 0});
-    }
 }
 
 auto engine_dispatch::parts_for(std::int64_t prompt_tokens) const -> std::size_t
--- a/src/direct/load_board.cpp
+++ b/src/direct/load_board.cpp
@@ -63,6 +63,12 @@
     told_load& own = own_[call.upstream];
     --(call.is_long ? own.load.long_calls : own.load.short_calls);
     own.load.memory_tokens -= call.memory_tokens;
+    if (call.pause_aim > duration::zero()) {
+        if (--own.pauses[call.pause_aim] == 0) {
+            own.pauses.erase(call.pause_aim);
+        }
+        own.load.tightest_pause = own.pauses.empty() ? duration::zero() : own.pauses.begin()->first;
+    }
     DRAGONFLYMILL_ASSERT(own.load.short_calls >= 0 && own.load.long_calls >= 0, "a call is finished once");
     for (const helper_share& helper : call.helpers) {
         own_[helper.upstream].load.memory_tokens -= helper.reserved_tokens;
@@ -80,6 +86,10 @@
     ++(call.is_long ? own.load.long_calls : own.load.short_calls);
     own.load.unread_calls += call.is_long ? 1 : 0;
     own.load.memory_tokens += call.memory_tokens;
+    if (call.pause_aim > duration::zero()) {
+        ++own.pauses[call.pause_aim];
+        own.load.tightest_pause = own.pauses.begin()->first;
+    }
     add_reading(own);
     for (const helper_share& helper : call.helpers) {
         told_load& other = own_[helper.upstream];
@@ -98,7 +108,7 @@
     known.sequence = report.sequence;
     known.loads.clear();
     for (const auto& [upstream, load] : report.loads) {
-        known.loads[upstream] = told_load{load, now + load.reading};
+        known.loads[upstream] = told_load{load, now + load.reading, {}};
     }
 }
 
@@ -122,6 +132,10 @@
         sum.parts += load.parts;
         sum.memory_tokens += load.memory_tokens;
         sum.reading += load.reading;
+        if (load.tightest_pause > duration::zero() &&
+            (sum.tightest_pause == duration::zero() || load.tightest_pause < sum.tightest_pause)) {
+            sum.tightest_pause = load.tightest_pause;
+        }
     };
     add_to_sum(own_);
     for (const auto& [gateway, report] : others_) {
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -178,6 +178,7 @@
     wait_.prompt_tokens = number_of(counts.substr(0, comma)).value_or(0);
     wait_.answer_tokens =
         comma == std::string_view::npos ? 0 : number_of(counts.substr(comma + 1)).value_or(0);
+    wait_.pause_aim = route_->pause_aim;
     wait_.priority = account_ != nullptr ? account_->priority.value_or(route_->priority) : route_->priority;
     wait_.aim_at = arrived_ + route_->answer_aim;
     wait_.give_up_at =
