--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -26,6 +26,8 @@
     duration pause_aim{};           ///< Longest pause between its events that is on time; 0: none.
     int priority = 0; ///< 0 goes first.
     instant aim_at{};               ///< An answer that begins later is late.
+    duration aim{};                 ///< The whole time from arrival to `aim_at`.
+    instant leaves_at{};            ///< When the caller leaves without an answer.
     instant give_up_at{};           ///< Refused if it still waits then.
     instant not_before{};           ///< Not sent earlier.
     std::vector<std::string> tried; ///< Upstreams that it has been sent to.
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -18,6 +18,7 @@
     std::int64_t prompt_tokens = 0; ///< 0 for plain services.
     std::int64_t answer_tokens = 0; ///< Most tokens of the answer.
     duration pause_aim{};           ///< Longest pause between its events that is on time; 0: none.
+    duration time_to_leave{};       ///< Left until the caller leaves without an answer.
     duration time_to_aim{}; ///< Left until an answer would be late; negative once it is.
     std::string failure_domain;     ///< Domain of this gateway; preferred among equals.
 
@@ -98,6 +99,12 @@
     /// A prompt is read in parts of about this share of the tightest pause: smaller parts reach more engines
     /// and each waits for the end of a pass there, larger ones hold up what the engines write meanwhile.
     static constexpr double part_share = 0.6;
+    /// A call that will be late gets only as many engines as let it begin within this share of the time that its
+    /// caller stays: late is late, and engines that it doesn't hold make no other call late.
+    static constexpr double late_share = 0.7;
+    /// Share of all engines that one prompt is read by at most: the largest takes seconds wherever it is read,
+    /// and a burst of short prompts in that time must find engines without it.
+    static constexpr double reader_share = 0.7;
     /// Share of the time that an engine's tightest stream bears beyond a pass which reading for others may
     /// take at once: a second part may arrive in the same pass.
     static constexpr double hold_share = 0.55;
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -31,7 +31,9 @@
     // Shortest reading first, with age: one of a million tokens takes as much as ten usual long ones, and
     // would make all of them late.
     const auto rank = [&](const waiting_call& call) {
-        return std::tuple(call.aim_at <= now, call.priority, call.aim_at + reading(call), call.id);
+        // A call that would be late even if it were sent now comes behind those that can still be on time.
+        const bool late = call.aim_at - call.aim / 3 <= now;
+        return std::tuple(late, call.priority, call.aim_at + reading(call), call.id);
     };
     std::sort(waiting_.begin(), waiting_.end(),
               [&](const waiting_call& a, const waiting_call& b) { return rank(a) < rank(b); });
@@ -73,7 +75,7 @@
     if (service == nullptr) {
         return std::nullopt;
     }
-    const call_shape shape{call.prompt_tokens, call.answer_tokens, call.pause_aim, call.aim_at - now,
+    const call_shape shape{call.prompt_tokens, call.answer_tokens, call.pause_aim, call.leaves_at - now, call.aim_at - now,
                            settings_.failure_domain};
     const auto found = candidates(fleet, *service, call, now);
     if (!service->engine) {
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -238,9 +238,14 @@
     });
     const std::vector<helper_share> holders = choice.helpers;
     const std::size_t fixed = holders.size() + 1;
-    const std::size_t wanted = std::clamp(parts_for(call.prompt_tokens), fixed, max_readers);
+    const auto share = static_cast<std::size_t>(static_cast<double>(ordered.size()) * reader_share);
+    const std::size_t most = std::max(fixed, std::min(max_readers, share));
+    const std::size_t wanted = std::clamp(parts_for(call.prompt_tokens), fixed, most);
     choice.reading = forecast_.read_part(call.prompt_tokens, static_cast<int>(fixed));
     choice.first_token = backlog + choice.reading;
+    const bool late = forecast_.read_part(call.prompt_tokens, static_cast<int>(most)) > call.time_to_aim;
+    const auto stays =
+        duration(static_cast<duration::rep>(static_cast<double>(call.time_to_leave.count()) * late_share));
     for (std::size_t count = fixed + 1; count <= wanted; ++count) {
         const duration part = forecast_.read_part(call.prompt_tokens, static_cast<int>(count));
         std::vector<helper_share> helpers = holders;
@@ -260,6 +265,9 @@
             choice.reading = part;
             choice.helpers = std::move(helpers);
         }
+        if (late && choice.first_token <= stays) {
+            break;
+        }
     }
 }
 
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -26,6 +26,11 @@
 /// No silence shorter than this counts: callers bear a gap of two seconds, and a second attempt needs some
 /// hundred milliseconds for its first event.
 constexpr duration least_silence = 1s;
+/// Callers leave a stream that has not begun after the longest of these: a time, so many aims of the answer, so
+/// many of its pause aims.
+constexpr duration least_patience = 2s;
+constexpr int patient_aims = 4;
+constexpr int patient_pauses = 8;
 /// Largest answer that is gathered before it is passed on; it can still be replaced by another attempt's.
 constexpr std::size_t max_gathered_bytes = 1'048'576;
 /// After engine memory could not be reserved, the next try waits this long: another call holds it.
@@ -181,6 +186,10 @@
     wait_.pause_aim = route_->pause_aim;
     wait_.priority = account_ != nullptr ? account_->priority.value_or(route_->priority) : route_->priority;
     wait_.aim_at = arrived_ + route_->answer_aim;
+    wait_.aim = route_->answer_aim;
+    const duration patience =
+        std::max({least_patience, patient_aims * route_->answer_aim, patient_pauses * route_->pause_aim});
+    wait_.leaves_at = arrived_ + std::min(limit, patience);
     wait_.give_up_at =
         std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + 2 * route_->answer_aim);
     wait_for_upstream(arrived_);
