--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,12 +31,16 @@
 /// was sent: the engine is behind what was forecast.
 inline constexpr double least_unread_share = 0.3;
 
+/// Short name of an upstream in reports: its id's hash, a quarter of the id's bytes.
+using upstream_key = std::uint64_t;
+
 /// A gateway's word about its own work in hand.
 struct load_report
 {
     std::string gateway;                        ///< Who.
-    std::uint64_t sequence = 0;                 ///< Rises with each report of one start of a gateway.
-    std::map<std::string, upstream_load> loads; ///< By upstream id; upstreams without work are left out.
+    std::uint64_t sequence = 0; ///< Rises with each report of one start of a gateway.
+    bool whole = true;          ///< Whether an upstream that isn't in `loads` has no work of it.
+    std::map<upstream_key, upstream_load> loads; ///< All upstreams with work, or the ones that changed.
 
     friend auto operator==(const load_report&, const load_report&) -> bool = default;
 };
@@ -85,8 +90,10 @@
 
     /// All work in hand at an upstream.
     [[nodiscard]] auto load_of(const std::string& upstream, instant now) const -> upstream_load;
-    /// This gateway's own work, to be told to the others.
-    [[nodiscard]] auto own_loads(instant now) const -> std::map<std::string, upstream_load>;
+    /// This gateway's own work, to be told to the others: all of it, or what changed since `own_changes` stood
+    /// at `since`.
+    [[nodiscard]] auto own_loads(instant now, std::optional<std::uint64_t> since = std::nullopt) const
+        -> std::map<upstream_key, upstream_load>;
     /// Rises whenever own work changes.
     [[nodiscard]] auto own_changes() const -> std::uint64_t { return own_changes_; }
     /// Own calls in hand at an upstream.
@@ -99,13 +106,14 @@
         upstream_load load;
         instant read_until{};
         std::map<duration, int> pauses; // calls by pause aim; own calls only
+        std::uint64_t changed = 0;      // own_changes_ at the last change; own calls only
 
         [[nodiscard]] auto at(instant now) const -> upstream_load;
     };
     struct told_report
     {
         std::uint64_t sequence = 0;
-        std::unordered_map<std::string, told_load> loads;
+        std::unordered_map<upstream_key, told_load> loads;
     };
 
     struct placed_call
@@ -115,7 +123,8 @@
     };
 
     void add(const placement& call, instant now);
-    static void end_reading(told_load& reader, duration reading, instant now);
+    void end_reading(told_load& reader, duration reading, instant now) const;
+    [[nodiscard]] auto changing(const std::string& upstream) -> told_load&;
 
     std::unordered_map<std::string, told_load> own_;
     std::unordered_map<placement_id, placed_call> placed_;
--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -19,7 +19,8 @@
     std::string address;            ///< Where datagrams and requests for records reach it.
     std::uint64_t revision = 0;     ///< All published changes up to this one are known there.
     bool leaving = false;           ///< It is stopping.
-    std::vector<std::string> peers; ///< Addresses of gateways that it hears from.
+    bool reads_source = false;      ///< It reads published records first hand, and they come.
+std::vector<std::string> peers; ///< Addresses of gateways that it hears from; not in every word.
 
     friend auto operator==(const peer_word&, const peer_word&) -> bool = default;
 };
@@ -51,9 +52,13 @@
     [[nodiscard]] auto gateways() const -> int { return static_cast<int>(peers_.size()) + 1; }
     /// The peer that knows most of the published changes; nothing if none knows more than `revision`.
     [[nodiscard]] auto newer_than(std::uint64_t revision) const -> std::optional<peer_word>;
+    /// Whether this process has to read published records first hand: fewer than `source_readers` of the
+    /// gateways that come before it in an order that all share are known to do so. Where there are many
+    /// gateways each read by each of them would cost the source more than it gives.
+    [[nodiscard]] auto has_to_read_source(instant now) const -> bool;
     /// Addresses of the peers.
     [[nodiscard]] auto addresses() const -> std::vector<std::string>;
-    /// Whether a word with this sequence is news of that gateway.
+    /// All peers by name.
     [[nodiscard]] auto peers() const -> const std::map<std::string, known_peer>& { return peers_; }
     /// Seeds may change with the settings.
     void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
@@ -62,6 +67,11 @@
     static constexpr duration silence_limit = 3s;
     /// Addresses known by hearsay only are tried for so long.
     static constexpr duration hearsay_limit = 3s;
+    /// Gateways that read published records first hand: one may be refused by the source and another one be
+    /// killed or cut off at the same time.
+    static constexpr int source_readers = 3;
+    /// A reader that was silent for so long is not relied on: two of its idle words are missing.
+    static constexpr duration reader_silence = 1s;
     /// Peers remembered.
     static constexpr std::size_t max_peers = 512;
 
--- a/include/dragonflymill/direct/upstream_health.h
+++ b/include/dragonflymill/direct/upstream_health.h
@@ -20,6 +20,8 @@
     /// The upstream itself answered a failure. Some failures are the call's own fault, so that only a share
     /// of them well above the usual makes an upstream suspect.
     void failed(const std::string& upstream, instant now);
+    /// The upstream refused a call for want of room. It is sound, but what fills it isn't on our board.
+    void full(const std::string& upstream, instant now);
     /// A whole answer came.
     void succeeded(const std::string& upstream);
     /// Whether calls should go elsewhere; `own_calls` of this gateway are in hand there.
@@ -28,6 +30,7 @@
     void forget(const std::string& upstream) { records_.erase(upstream); }
 
     static constexpr duration first_pause = 400ms; ///< After a first failure; over the usual blip of a link.
+    static constexpr duration full_pause = 300ms;   ///< After a refusal; some calls end in this time.
     static constexpr duration longest_pause = 3s;  ///< A crashed upstream is back within seconds.
     static constexpr double failure_weight = 0.15; ///< Of the newest call in the share of failures.
     static constexpr double suspect_share = 0.3;   ///< Failures above this share: twice that of services that
@@ -40,6 +43,7 @@
         double failure_share = 0.0;
         bool on_trial = false;
         instant suspect_until{};
+        instant full_until{};
     };
 
     void suspect_for(record& found, instant now);
--- a/src/direct/load_board.cpp
+++ b/src/direct/load_board.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymill/direct/load_board.h"
 
 #include "dragonflymill/core/assert.h"
+#include "dragonflymill/core/stable_hash.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,10 +18,10 @@
 
 auto load_board::place(placement call, instant now) -> placement_id
 {
+    ++own_changes_;
     add(call, now);
     const placement_id id = ++next_id_;
     placed_.emplace(id, placed_call{std::move(call), false});
-    ++own_changes_;
     return id;
 }
 
@@ -32,18 +33,25 @@
     }
     const placement& call = found->second.call;
     found->second.read = true;
-    told_load& own = own_[call.upstream];
+    ++own_changes_;
+    told_load& own = changing(call.upstream);
     own.load.unread_calls -= call.is_long ? 1 : 0;
     end_reading(own, call.reading, now);
     for (const helper_share& helper : call.helpers) {
-        told_load& other = own_[helper.upstream];
+        told_load& other = changing(helper.upstream);
         --other.load.parts;
         end_reading(other, call.reading, now);
     }
-    ++own_changes_;
 }
 
-void load_board::end_reading(told_load& reader, duration reading, instant now)
+auto load_board::changing(const std::string& upstream) -> told_load&
+{
+    told_load& own = own_[upstream];
+    own.changed = own_changes_;
+    return own;
+}
+
+void load_board::end_reading(told_load& reader, duration reading, instant now) const
 {
     // Reading is done in the order of arrival, so that what was forecast for it is over now, and only what
     // was added later remains.
@@ -60,7 +68,8 @@
     }
     const placement call = std::move(found->second.call);
     placed_.erase(found);
-    told_load& own = own_[call.upstream];
+    ++own_changes_;
+    told_load& own = changing(call.upstream);
     --(call.is_long ? own.load.long_calls : own.load.short_calls);
     own.load.memory_tokens -= call.memory_tokens;
     if (call.pause_aim > duration::zero()) {
@@ -71,9 +80,8 @@
     }
     DRAGONFLYMILL_ASSERT(own.load.short_calls >= 0 && own.load.long_calls >= 0, "a call is finished once");
     for (const helper_share& helper : call.helpers) {
-        own_[helper.upstream].load.memory_tokens -= helper.reserved_tokens;
+        changing(helper.upstream).load.memory_tokens -= helper.reserved_tokens;
     }
-    ++own_changes_;
 }
 
 void load_board::add(const placement& call, instant now)
@@ -82,7 +90,7 @@
         reader.load.reading += call.reading;
         reader.read_until = std::max(reader.read_until, now) + call.reading;
     };
-    told_load& own = own_[call.upstream];
+    told_load& own = changing(call.upstream);
     ++(call.is_long ? own.load.long_calls : own.load.short_calls);
     own.load.unread_calls += call.is_long ? 1 : 0;
     own.load.memory_tokens += call.memory_tokens;
@@ -92,7 +100,7 @@
     }
     add_reading(own);
     for (const helper_share& helper : call.helpers) {
-        told_load& other = own_[helper.upstream];
+        told_load& other = changing(helper.upstream);
         ++other.load.parts;
         other.load.memory_tokens += helper.reserved_tokens;
         add_reading(other);
@@ -106,9 +114,11 @@
         return;
     }
     known.sequence = report.sequence;
-    known.loads.clear();
+    if (report.whole) {
+        known.loads.clear();
+    }
     for (const auto& [upstream, load] : report.loads) {
-        known.loads[upstream] = told_load{load, now + load.reading, {}};
+        known.loads[upstream] = told_load{load, now + load.reading, {}, 0};
     }
 }
 
@@ -120,10 +130,14 @@
 auto load_board::load_of(const std::string& upstream, instant now) const -> upstream_load
 {
     upstream_load sum;
-    const auto add_to_sum = [&](const std::unordered_map<std::string, told_load>& loads) {
-        const auto found = loads.find(upstream);
-        if (found == loads.end()) {
-            return;
+    if (const auto own = own_.find(upstream); own != own_.end()) {
+        sum = own->second.at(now);
+    }
+    const upstream_key key = stable_hash(upstream);
+    for (const auto& [gateway, report] : others_) {
+        const auto found = report.loads.find(key);
+        if (found == report.loads.end()) {
+            continue;
         }
         const upstream_load load = found->second.at(now);
         sum.short_calls += load.short_calls;
@@ -136,21 +150,19 @@
             (sum.tightest_pause == duration::zero() || load.tightest_pause < sum.tightest_pause)) {
             sum.tightest_pause = load.tightest_pause;
         }
-    };
-    add_to_sum(own_);
-    for (const auto& [gateway, report] : others_) {
-        add_to_sum(report.loads);
     }
     return sum;
 }
 
-auto load_board::own_loads(instant now) const -> std::map<std::string, upstream_load>
+auto load_board::own_loads(instant now, std::optional<std::uint64_t> since) const
+    -> std::map<upstream_key, upstream_load>
 {
-    std::map<std::string, upstream_load> loads;
+    std::map<upstream_key, upstream_load> loads;
     for (const auto& [upstream, load] : own_) {
         const upstream_load current = load.at(now);
-        if (current != upstream_load{}) {
-            loads.emplace(upstream, current);
+        const bool told = since ? load.changed > *since : current != upstream_load{};
+        if (told) {
+            loads.emplace(stable_hash(upstream), current);
         }
     }
     return loads;
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -1,5 +1,7 @@
 #include "dragonflymill/direct/peer_table.h"
 
+#include "dragonflymill/core/stable_hash.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -79,6 +81,20 @@
     return best;
 }
 
+auto peer_table::has_to_read_source(instant now) const -> bool
+{
+    const auto own = std::pair(stable_hash(self_), self_);
+    int readers = 0;
+    for (const auto& [name, peer] : peers_) {
+        const bool relied_on =
+            peer.word.reads_source && !peer.word.leaving && now - peer.heard <= reader_silence;
+        if (relied_on && std::pair(stable_hash(name), name) < own) {
+            ++readers;
+        }
+    }
+    return readers < source_readers;
+}
+
 auto peer_table::addresses() const -> std::vector<std::string>
 {
     std::vector<std::string> all;
--- a/src/direct/upstream_health.cpp
+++ b/src/direct/upstream_health.cpp
@@ -18,6 +18,11 @@
     }
 }
 
+void upstream_health::full(const std::string& upstream, instant now)
+{
+    records_[upstream].full_until = now + full_pause;
+}
+
 void upstream_health::suspect_for(record& found, instant now)
 {
     // Calls that were under way together fail together: that is one failure, not many.
@@ -47,7 +52,13 @@
 auto upstream_health::suspect(const std::string& upstream, int own_calls, instant now) const -> bool
 {
     const auto found = records_.find(upstream);
-    if (found == records_.end() || !found->second.on_trial) {
+    if (found == records_.end()) {
+        return false;
+    }
+    if (now < found->second.full_until) {
+        return true;
+    }
+    if (!found->second.on_trial) {
         return false;
     }
     return now < found->second.suspect_until || own_calls > 0;
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -28,6 +28,15 @@
 constexpr int gateways_at_full_rate = 4;
 /// A gateway that has nothing to tell says so this often.
 constexpr duration idle_word_interval = 400ms;
+/// Only this often a word lists all work in hand and all peers; the others list what changed.
+constexpr duration whole_word_interval = 1s;
+/// The source is being read if its last answer is not older: a watch answers after two seconds at the latest,
+/// and a slow one takes some hundred milliseconds more.
+constexpr duration source_fresh = 2900ms;
+/// For so long after its start a gateway doesn't know how many others there are and takes the size to design
+/// for: each of a fleet that starts at once would else use what all may use together.
+constexpr duration settling = 5s;
+constexpr int gateways_while_settling = 410;
 /// A peer that knows more is asked after the source had this long to tell the same.
 constexpr duration source_patience = 150ms;
 /// From the signal to stop, callers are still accepted for so long: the balancer asks once a second and takes
@@ -135,6 +144,8 @@
     if (auto opened = link_.listen(settings_.peers); !opened) {
         return opened;
     }
+    started_at_ = runtime::now();
+    count_gateways();
     log_event(event::gateway_started, field("gateway", start_name_));
     wait_for_signals();
     start_source();
@@ -217,13 +228,15 @@
                        }
                    },
                    [this] {
+                       source_read_at_ = runtime::now();
                        if (std::exchange(source_lost_, false)) {
                            source_regained_at_ = runtime::now();
                            log_event(event::record_source_regained,
                                      field("fleet_revision", records_.revision()));
                        }
                    },
-                   [this] { return records_.revision(); }});
+                   [this] { return records_.revision(); },
+                   [this] { return peers_.has_to_read_source(runtime::now()); }});
 }
 
 void direct_gateway::take_records(const direct::records_extract& extract, const std::string& from)
@@ -234,7 +247,8 @@
     }
     if (!news.empty()) {
         decide_soon();
-        send_word(false);
+        // Gateways that don't read the source themselves wait for this word.
+        send_word(true);
     }
     note_ready();
 }
@@ -282,7 +296,7 @@
     if (peers_.take(message.word, now)) {
         log_event(event::peer_gateway_found, field("peer", message.word.gateway),
                   field("address", message.word.address));
-        desk_.set_gateways(peers_.gateways());
+        count_gateways();
         send_word(true);
     }
     desk_.board().take_report(message.report, now);
@@ -301,7 +315,8 @@
         behind_since_ = now;
     }
     // The source tells most changes itself; asking a peer each time would double the traffic.
-    if (now - behind_since_ >= source_patience || source_lost_ || records_.revision() == 0) {
+    const bool reads = now - source_read_at_ < source_fresh;
+    if (now - behind_since_ >= source_patience || source_lost_ || !reads) {
         link_.fetch(newer->address, records_.revision());
     }
 }
@@ -317,10 +332,22 @@
     if (!at_once && !due) {
         return;
     }
+    const bool whole = now - told_whole_at_ >= whole_word_interval;
     peer_message message;
-    message.word = {start_name_,         ++word_sequence_, to_text(settings_.peers),
-                    records_.revision(), stopping_,        peers_.addresses()};
-    message.report.loads = desk_.board().own_loads(now);
+    message.word = {start_name_,
+                    ++word_sequence_,
+                    to_text(settings_.peers),
+                    records_.revision(),
+                    stopping_,
+                    !source_lost_ && now - source_read_at_ < source_fresh,
+                    whole ? peers_.addresses() : std::vector<std::string>()};
+    message.report.whole = whole;
+    // A change is told three times, so that a lost datagram or two do no harm until the next whole report.
+    message.report.loads = whole ? desk_.board().own_loads(now) : desk_.board().own_loads(now, told_before_[0]);
+    if (whole) {
+        told_whole_at_ = now;
+    }
+    told_before_ = {told_before_[1], told_before_[2], desk_.board().own_changes()};
     link_.send(encode_peer_message(message), peers_.targets(now));
     told_changes_ = desk_.board().own_changes();
     told_revision_ = records_.revision();
@@ -375,10 +402,9 @@
     fleet_.tick(now);
     for (const std::string& gone : peers_.forget_silent(now)) {
         desk_.board().forget_gateway(gone);
-        desk_.set_gateways(peers_.gateways());
         log_event(event::peer_gateway_lost, field("peer", gone));
     }
-    metrics_.gateways.set(peers_.gateways());
+    count_gateways();
     catch_up_from_peers();
     if (desk_.waiting() > 0) {
         decide();
@@ -387,6 +413,13 @@
     schedule_tick();
 }
 
+void direct_gateway::count_gateways()
+{
+    const bool settled = runtime::now() - started_at_ >= settling;
+    desk_.set_gateways(settled ? peers_.gateways() : gateways_while_settling);
+    metrics_.gateways.set(peers_.gateways());
+}
+
 auto direct_gateway::ready() const -> bool
 {
     return fleet_.config() != nullptr && !stopping_;
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -14,6 +14,7 @@
 #include "edge/record_source.h"
 #include "settings/socket_address.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -88,6 +89,7 @@
     void decide_soon();
     void decide();
     void tick();
+    void count_gateways();
     void schedule_tick();
     void wait_for_signals();
     void reload();
@@ -123,7 +125,11 @@
     std::uint64_t word_sequence_ = 0;
     std::uint64_t told_changes_ = 0;
     std::uint64_t told_revision_ = 0;
+    instant started_at_{};
     instant told_at_{};
+    instant told_whole_at_{};
+    std::array<std::uint64_t, 3> told_before_{};
+    instant source_read_at_{};
     instant behind_since_{};
     instant source_regained_at_{};
     bool source_lost_ = false;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -228,7 +228,7 @@
     log_event(event::call_dispatched, field("request", request_name_), field("attempt", attempt_),
               field("upstream", order.upstream.id), field("helpers", order.helpers.size()),
               field("reason", order.choice.reason), field("waited_us", now - arrived_),
-              field("forecast_us", order.choice.first_token), field("prompt_tokens", wait_.prompt_tokens),
+              field("forecast_us", order.choice.first_token), field("prompt_tokens", wait_.prompt_tokens), field("answer_tokens", wait_.answer_tokens),
               field("short_calls", order.choice.load.short_calls),
               field("long_calls", order.choice.load.long_calls), field("parts", order.choice.load.parts),
               field("memory_tokens", order.choice.load.memory_tokens),
@@ -541,7 +541,10 @@
     if (end == attempt_end::failed) {
         health.failed(upstream, now);
     }
-    else if (end != attempt_end::rejected || head_.status == misdirected) {
+    else if (end == attempt_end::rejected && head_.status != misdirected) {
+        health.full(upstream, now);
+    }
+    else {
         health.lost(upstream, now);
     }
 }
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -57,6 +57,8 @@
     word.set_address(message.word.address);
     word.set_revision(message.word.revision);
     word.set_leaving(message.word.leaving);
+    word.set_reads_source(message.word.reads_source);
+    word.set_whole_loads(message.report.whole);
     for (const std::string& peer : message.word.peers) {
         word.add_peers(peer);
     }
@@ -86,6 +88,8 @@
     message.word.address = word->address();
     message.word.revision = word->revision();
     message.word.leaving = word->leaving();
+    message.word.reads_source = word->reads_source();
+    message.report.whole = word->whole_loads();
     message.word.peers.assign(word->peers().begin(), word->peers().end());
     message.report.gateway = word->gateway();
     message.report.sequence = word->sequence();
--- a/src/edge/record_source.h
+++ b/src/edge/record_source.h
@@ -19,6 +19,7 @@
         std::function<void(const std::string& why)> on_lost;            ///< It can't be reached or used.
         std::function<void()> on_regained;                              ///< It answers again.
         std::function<std::uint64_t()> known_revision;                  ///< From where it is to go on.
+        std::function<bool()> wanted; ///< Whether to read now, or to rest since others read.
     };
 
     record_source() = default;
