Spread equal choices over gateways, share what each finds faulty, refuse long waits earlier

Cause: thirty gateways whose words are 0.3 s old chose the same idle engine; each had to find a faulty upstream by itself; calls waited for two aims before a refusal.

--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -77,7 +77,8 @@
 struct dispatch_settings
 {
     std::string failure_domain; ///< Where this gateway runs.
-    retry_bounds retries;       ///< Of second attempts.
+    retry_bounds retries; ///< Of second attempts.
+    std::uint64_t seed = 0;     ///< Differs from gateway to gateway.
 };
 
 /// Holds the calls that have no upstream yet and decides where and when each goes.
@@ -99,6 +100,8 @@
     /// Decides for all that wait.
     [[nodiscard]] auto decide(const upstream_list& fleet, instant now) -> dispatch_round;
 
+    /// Puts the upstreams that this gateway finds faulty on the board, for the other gateways.
+    void tell_suspects(const upstream_list& fleet, instant now);
     /// The first token of a placed call came.
     void first_token(placement_id placed, instant now) { board_.reading_done(placed, now); }
     /// A placed call is over.
@@ -120,6 +123,9 @@
     /// Calls of one service and length that are tried in a round after the first had to wait: a smaller one
     /// may fit where a larger one doesn't, but a whole line isn't gone through for it.
     static constexpr int tries_past_blocked = 4;
+    /// Other gateways that have to find an upstream faulty before this one believes it: one may have a faulty
+    /// way to it.
+    static constexpr int suspects_to_believe = 2;
     /// When a refused caller is asked to come back: about the time in which a short answer ends and frees a
     /// place.
     static constexpr duration retry_after_full = 400ms;
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -21,6 +21,9 @@
     duration time_to_leave{};       ///< Left until the caller leaves without an answer.
     duration time_to_aim{}; ///< Left until an answer would be late; negative once it is.
     std::string failure_domain;     ///< Domain of this gateway; preferred among equals.
+    /// Differs from call to call: puts equal upstreams into another order for each. Gateways whose words are
+    /// some hundred milliseconds old would else all choose the same idle one.
+    std::uint64_t spread = 0;
 
     friend auto operator==(const call_shape&, const call_shape&) -> bool = default;
 };
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -22,7 +22,8 @@
     std::int32_t parts = 0;         ///< Prompts of others that it reads a part of.
     std::int64_t memory_tokens = 0; ///< Engine memory that these calls fill in the end.
     duration reading{};             ///< Reading that is still to be done, as far as can be told.
-    duration tightest_pause{};      ///< Shortest pause aim of the streams that it writes; 0: none has one.
+    std::int32_t suspected_by = 0;  ///< Gateways that find it faulty now.
+    duration tightest_pause{}; ///< Shortest pause aim of the streams that it writes; 0: none has one.
 
     friend auto operator==(const upstream_load&, const upstream_load&) -> bool = default;
 };
@@ -83,6 +84,8 @@
     void reading_done(placement_id id, instant now);
     /// A call ended.
     void finish(placement_id id, instant now);
+    /// Notes whether this gateway finds an upstream faulty, to be told to the others.
+    void set_suspect(const std::string& upstream, bool suspect);
     /// Takes another gateway's report; one that is older than the last of its start is left out.
     void take_report(const load_report& report, instant now);
     /// Forgets what a gateway that is gone has told.
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -1,5 +1,7 @@
 #include "dragonflymill/direct/dispatch_desk.h"
 
+#include "dragonflymill/core/stable_hash.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -16,6 +18,13 @@
     std::erase_if(waiting_, [&](const waiting_call& other) { return other.id == call; });
 }
 
+void dispatch_desk::tell_suspects(const upstream_list& fleet, instant now)
+{
+    for (const auto& [id, state] : fleet.upstreams()) {
+        board_.set_suspect(id, health_.suspect(id, 0, now));
+    }
+}
+
 auto dispatch_desk::retry_left(const std::string& service, instant now) -> bool
 {
     return retries_[service].available(now, settings_.retries, gateways_);
@@ -76,7 +85,7 @@
         return std::nullopt;
     }
     const call_shape shape{call.prompt_tokens, call.answer_tokens, call.pause_aim, call.leaves_at - now, call.aim_at - now,
-                           settings_.failure_domain};
+                           settings_.failure_domain, stable_hash(std::to_string(call.id), settings_.seed)};
     const auto found = candidates(fleet, *service, call, now);
     if (!service->engine) {
         return plain_dispatch().choose(shape, found);
@@ -107,6 +116,7 @@
         candidate.slots = state.entry.slots;
         candidate.suspect = tried || health_.suspect(id, board_.own_calls(id), now);
         candidate.load = board_.load_of(id, now);
+        candidate.suspect = candidate.suspect || candidate.load.suspected_by >= suspects_to_believe;
         found.push_back(std::move(candidate));
     }
     sort_for_border(found);
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -13,6 +13,8 @@
 
 /// Backlogs that differ by less count as equal, so that the order of engines decides.
 constexpr duration backlog_step = 30ms;
+/// Reading on an engine that writes holds its streams up: worth this much backlog on one that doesn't.
+constexpr duration writer_penalty = 60ms;
 /// Prompts that an engine has to read for itself at once: each holds up what it writes by its length.
 constexpr int max_unread = 2;
 /// Engines that hold one prompt at most; the largest prompt needs three, and each holder slows its own writers.
@@ -40,7 +42,7 @@
 {
     const auto rank = [&](const dispatch_candidate& upstream) {
         return std::tuple(upstream.suspect, in_hand(upstream), is_far(call, upstream),
-                          stable_hash(upstream.id));
+                          stable_hash(upstream.id, call.spread));
     };
     const dispatch_candidate* best = nullptr;
     for (const dispatch_candidate& upstream : candidates) {
@@ -106,8 +108,8 @@
                                    std::size_t border) const -> std::optional<dispatch_choice>
 {
     const auto rank = [&](const dispatch_candidate& engine) {
-        return std::tuple(engine.load.reading / 25ms, in_hand(engine), is_far(call, engine),
-                          stable_hash(engine.id));
+        return std::tuple(engine.load.reading / 25ms, in_hand(engine) / 2, is_far(call, engine),
+                          stable_hash(engine.id, call.spread));
     };
     const dispatch_candidate* best = nullptr;
     const auto consider = [&](std::span<const dispatch_candidate> engines) {
@@ -232,10 +234,12 @@
             able.push_back(&engine);
         }
     }
-    std::stable_sort(able.begin(), able.end(), [](const auto* a, const auto* b) {
-        return std::pair(in_hand(*a) > 0, a->load.reading / backlog_step) <
-               std::pair(in_hand(*b) > 0, b->load.reading / backlog_step);
-    });
+    const auto rank = [&](const dispatch_candidate* engine) {
+        const duration disturbed = in_hand(*engine) > 0 ? writer_penalty : duration::zero();
+        return std::pair((engine->load.reading + disturbed) / backlog_step, stable_hash(engine->id, call.spread));
+    };
+    std::stable_sort(able.begin(), able.end(),
+                     [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
     const std::vector<helper_share> holders = choice.helpers;
     const std::size_t fixed = holders.size() + 1;
     const auto share = static_cast<std::size_t>(static_cast<double>(ordered.size()) * reader_share);
--- a/src/direct/load_board.cpp
+++ b/src/direct/load_board.cpp
@@ -107,6 +107,16 @@
     }
 }
 
+void load_board::set_suspect(const std::string& upstream, bool suspect)
+{
+    const auto known = own_.find(upstream);
+    if (known == own_.end() ? !suspect : known->second.load.suspected_by == (suspect ? 1 : 0)) {
+        return;
+    }
+    ++own_changes_;
+    changing(upstream).load.suspected_by = suspect ? 1 : 0;
+}
+
 void load_board::take_report(const load_report& report, instant now)
 {
     told_report& known = others_[report.gateway];
@@ -143,6 +153,7 @@
         sum.short_calls += load.short_calls;
         sum.long_calls += load.long_calls;
         sum.unread_calls += load.unread_calls;
+        sum.suspected_by += load.suspected_by;
         sum.parts += load.parts;
         sum.memory_tokens += load.memory_tokens;
         sum.reading += load.reading;
--- a/src/direct/upstream_health.cpp
+++ b/src/direct/upstream_health.cpp
@@ -6,7 +6,9 @@
 
 void upstream_health::lost(const std::string& upstream, instant now)
 {
-    suspect_for(records_[upstream], now);
+    record& found = records_[upstream];
+    found.failure_share += loss_weight * (1.0 - found.failure_share);
+    suspect_for(found, now);
 }
 
 void upstream_health::failed(const std::string& upstream, instant now)
@@ -46,7 +48,9 @@
     record& found = known->second;
     found.failure_share *= 1.0 - failure_weight;
     found.on_trial = false;
-    found.losses = std::max(found.losses - 1, 0);
+    if (found.failure_share < sound_share) {
+        found.losses = std::max(found.losses - 1, 0);
+    }
 }
 
 auto upstream_health::suspect(const std::string& upstream, int own_calls, instant now) const -> bool
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -1,5 +1,6 @@
 #include "edge/direct_gateway.h"
 
+#include "dragonflymill/core/stable_hash.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 
@@ -90,7 +91,7 @@
     , words_(std::move(words))
     , source_(source)
     , reread_(std::move(reread))
-    , desk_({settings_.failure_domain, settings_.retries})
+    , desk_({settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))})
     , peers_("", "", {})
     , context_{loop,
                timers_,
@@ -400,6 +401,7 @@
 {
     const instant now = runtime::now();
     fleet_.tick(now);
+    desk_.tell_suspects(fleet_, now);
     for (const std::string& gone : peers_.forget_silent(now)) {
         desk_.board().forget_gateway(gone);
         log_event(event::peer_gateway_lost, field("peer", gone));
@@ -466,7 +468,8 @@
     settings_.retries = fresh->retries;
     settings_.grace = fresh->grace;
     peers_.set_seeds(settings_.seeds);
-    desk_.set_settings({settings_.failure_domain, settings_.retries});
+    desk_.set_settings(
+        {settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))});
     log_event(event::settings_reloaded, field("seeds", settings_.seeds.size()));
 }
 
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -191,7 +191,7 @@
         std::max({least_patience, patient_aims * route_->answer_aim, patient_pauses * route_->pause_aim});
     wait_.leaves_at = arrived_ + std::min(limit, patience);
     wait_.give_up_at =
-        std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + 2 * route_->answer_aim);
+        std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + route_->answer_aim * 5 / 4);
     wait_for_upstream(arrived_);
 }
 
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -69,6 +69,7 @@
         told.set_long_calls(static_cast<std::uint32_t>(load.long_calls));
         told.set_unread_calls(static_cast<std::uint32_t>(load.unread_calls));
         told.set_tightest_pause_us(static_cast<std::uint64_t>(load.tightest_pause.count()));
+        told.set_suspect(load.suspected_by > 0);
         told.set_parts(static_cast<std::uint32_t>(load.parts));
         told.set_memory_tokens(static_cast<std::uint64_t>(load.memory_tokens));
         told.set_reading_us(static_cast<std::uint64_t>(load.reading.count()));
@@ -101,6 +102,7 @@
         load.parts = static_cast<std::int32_t>(told.parts());
         load.memory_tokens = static_cast<std::int64_t>(told.memory_tokens());
         load.tightest_pause = duration(static_cast<duration::rep>(told.tightest_pause_us()));
+        load.suspected_by = told.suspect() ? 1 : 0;
         load.reading = duration(static_cast<duration::rep>(told.reading_us()));
     }
     return message;
