--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -26,7 +26,7 @@
 constexpr duration word_interval = 40ms;
 /// Beyond this many gateways words become rarer in proportion, so that listening stays below a hundredth of a
 /// small host's processor.
-constexpr int gateways_at_full_rate = 4;
+constexpr int gateways_at_full_rate = 12;
 /// A gateway that has nothing to tell says so this often.
 constexpr duration idle_word_interval = 400ms;
 /// Only this often a word lists all work in hand and all peers; the others list what changed.
