--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -55,10 +55,10 @@
         return round;
     }
     sort_waiting(*fleet.config(), now);
-    std::map<std::pair<std::string, bool>, int> blocked;
+    std::map<std::pair<std::string, duration>, int> blocked;
     std::vector<waiting_call> still;
     for (waiting_call& call : waiting_) {
-        int& failures = blocked[{call.service, call.prompt_tokens > 0}];
+        int& failures = blocked[{call.service, call.pause_aim}];
         auto choice = failures < tries_past_blocked && now >= call.not_before ? choose(fleet, call, now) : std::nullopt;
         if (choice) {
             round.orders.push_back(order_for(fleet, call, *choice, now));
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -179,14 +179,24 @@
     -> std::optional<writer_choice>
 {
     const auto may_write = [&](const dispatch_candidate& engine, std::int64_t needed) {
-        return has_slot(engine) && free_memory(engine) >= needed &&
-               engine.load.unread_calls < max_unread && engine.load.parts == 0;
+        return has_slot(engine) && free_memory(engine) >= needed && engine.load.unread_calls < max_unread;
     };
-    // The first that fits from the far end: long answers are written by as few engines as can hold them.
+    // The first that fits from the far end: long answers are written by as few engines as can hold them. One
+    // that reads for others would read for them first, so it is taken only if there is no other.
+    const dispatch_candidate* helping = nullptr;
     for (auto engine = side.rbegin(); engine != side.rend(); ++engine) {
-        if (may_write(*engine, tokens)) {
+        if (!may_write(*engine, tokens)) {
+            continue;
+        }
+        if (engine->load.parts == 0) {
             return writer_choice{&*engine, tokens, {}};
         }
+        if (helping == nullptr || engine->load.reading < helping->load.reading) {
+            helping = &*engine;
+        }
+    }
+    if (helping != nullptr) {
+        return writer_choice{helping, tokens, {}};
     }
     std::vector<const dispatch_candidate*> roomy;
     for (auto engine = side.rbegin(); engine != side.rend(); ++engine) {
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -23,10 +23,10 @@
 /// While calls wait for an upstream, room that other gateways made is looked for this often.
 constexpr duration waiting_tick_interval = 25ms;
 /// Words about new work go out at most this often: within it another gateway may choose the same engine.
-constexpr duration word_interval = 40ms;
+constexpr duration word_interval = 30ms;
 /// Beyond this many gateways words become rarer in proportion, so that listening stays below a hundredth of a
 /// small host's processor.
-constexpr int gateways_at_full_rate = 12;
+constexpr int gateways_at_full_rate = 64;
 /// A gateway that has nothing to tell says so this often.
 constexpr duration idle_word_interval = 400ms;
 /// Only this often a word lists all work in hand and all peers; the others list what changed.
