--- a/src/direct/attempt_rules.cpp
+++ b/src/direct/attempt_rules.cpp
@@ -35,7 +35,8 @@
     if (end == attempt_end::failed) {
         return next_step::pass_failure;
     }
-    return progress.may_have_run ? next_step::fail_unknown : next_step::refuse_not_run;
+    const bool may_have_run = progress.may_have_run || end == attempt_end::broken;
+    return may_have_run ? next_step::fail_unknown : next_step::refuse_not_run;
 }
 
 } // namespace dragonflymill::direct
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -260,7 +260,11 @@
     const bool late = forecast_.read_part(call.prompt_tokens, static_cast<int>(most)) > call.time_to_aim;
     const auto stays =
         duration(static_cast<duration::rep>(static_cast<double>(call.time_to_leave.count()) * late_share));
-    for (std::size_t count = fixed + 1; count <= wanted; ++count) {
+    // More parts than wanted only where no fewer ones are short enough for what the engines write.
+    for (std::size_t count = fixed + 1; count <= most; ++count) {
+        if (count > wanted && choice.helpers.size() > holders.size()) {
+            break;
+        }
         const duration part = forecast_.read_part(call.prompt_tokens, static_cast<int>(count));
         std::vector<helper_share> helpers = holders;
         duration longest = backlog;
--- /dev/null
+++ b/tests/direct/dispatch_desk_test.cpp
@@ -0,0 +1,209 @@
+#include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/direct/dispatch_desk.h"
+
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace dragonflymill;
+using namespace dragonflymill::direct;
+
+namespace {
+
+constexpr instant start(100s);
+
+auto bookings(int slots_each, int count) -> upstream_list
+{
+    upstream_list fleet;
+    fleet_config::parts parts;
+    parts.version = 1;
+    parts.services = {{"bookings", 50, 3s, 10.0, std::nullopt}};
+    fleet.take("config", std::make_shared<const fleet_config>(std::move(parts)), start);
+    for (int i = 0; i < count; ++i) {
+        upstream_entry entry;
+        entry.id = "u" + std::to_string(i);
+        entry.service = "bookings";
+        entry.failure_domain = i == 0 ? "a" : "b";
+        entry.slots = slots_each;
+        fleet.take("k" + entry.id, entry, start);
+    }
+    return fleet;
+}
+
+auto leave(upstream_list& fleet, const std::string& id)
+{
+    upstream_entry entry = fleet.upstreams().at(id).entry;
+    entry.leaving = true;
+    fleet.take("k" + id, entry, start);
+}
+
+auto call(std::uint64_t id) -> waiting_call
+{
+    waiting_call made;
+    made.id = id;
+    made.service = "bookings";
+    made.aim_at = start + 100ms;
+    made.aim = 100ms;
+    made.leaves_at = start + 1500ms;
+    made.give_up_at = start + 200ms;
+    return made;
+}
+
+auto desk() -> dispatch_desk
+{
+    return dispatch_desk({"a", {0.2, 10.0, 10s}, 1});
+}
+
+} // namespace
+
+Test(dispatch_desk, a_call_goes_to_an_upstream_with_room)
+{
+    auto fleet = bookings(1, 2);
+    auto decider = desk();
+    decider.add(call(1));
+    decider.add(call(2));
+    decider.add(call(3));
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.orders.size() == 2);
+    cr_assert(round.orders[0].upstream.id != round.orders[1].upstream.id);
+    cr_assert(decider.waiting() == 1);
+    decider.finish(round.orders[0].placed, start);
+    cr_assert(decider.decide(fleet, start).orders.size() == 1);
+}
+
+// A booking waits for room. Meanwhile the upstream that it would have gone to reports that it leaves; bound to
+// it at its arrival, the booking would be sent there after all.
+Test(dispatch_desk, a_waiting_call_is_not_sent_to_an_upstream_that_began_to_leave)
+{
+    auto fleet = bookings(1, 2);
+    auto decider = desk();
+    decider.add(call(1));
+    decider.add(call(2));
+    const auto first = decider.decide(fleet, start);
+    decider.add(call(3));
+    cr_assert(decider.decide(fleet, start).orders.empty());
+    leave(fleet, "u0");
+    for (const auto& order : first.orders) {
+        decider.finish(order.placed, start);
+    }
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.orders.size() == 1 && round.orders[0].upstream.id == "u1");
+}
+
+Test(dispatch_desk, a_domain_that_is_out_gets_no_call_that_waited)
+{
+    auto fleet = bookings(4, 2);
+    auto decider = desk();
+    fleet.take("out", domain_out{"b"}, start);
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        decider.add(call(id));
+    }
+    for (const auto& order : decider.decide(fleet, start).orders) {
+        cr_assert(order.upstream.id == "u0");
+    }
+}
+
+// Nothing can serve the call: its caller is told at once and comes back when there may be room, rather than
+// after its deadline has passed in a line that can't move.
+Test(dispatch_desk, what_no_upstream_can_take_is_refused_at_once)
+{
+    auto fleet = bookings(4, 1);
+    leave(fleet, "u0");
+    auto decider = desk();
+    decider.add(call(1));
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.refusals.size() == 1);
+    cr_assert(round.refusals[0].retry_after == dispatch_desk::retry_after_none);
+    cr_assert(decider.waiting() == 0);
+}
+
+Test(dispatch_desk, a_call_that_waited_too_long_is_refused)
+{
+    auto fleet = bookings(1, 1);
+    auto decider = desk();
+    decider.add(call(1));
+    decider.add(call(2));
+    (void)decider.decide(fleet, start);
+    cr_assert(decider.decide(fleet, start + 199ms).refusals.empty());
+    const auto round = decider.decide(fleet, start + 200ms);
+    cr_assert(round.refusals.size() == 1 && round.refusals[0].call == 2);
+}
+
+// A burst makes the line longer than what can be on time. Calls that would be late in any case come last, so
+// that they don't make the others late as well.
+Test(dispatch_desk, what_can_still_be_on_time_goes_first)
+{
+    auto fleet = bookings(1, 1);
+    auto decider = desk();
+    waiting_call late = call(1);
+    late.aim_at = start + 20ms;
+    decider.add(late);
+    decider.add(call(2));
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.orders.size() == 1 && round.orders[0].call == 2);
+}
+
+Test(dispatch_desk, a_more_urgent_call_goes_first)
+{
+    auto fleet = bookings(1, 1);
+    auto decider = desk();
+    waiting_call lesser = call(1);
+    lesser.priority = 2;
+    decider.add(lesser);
+    decider.add(call(2));
+    cr_assert(decider.decide(fleet, start).orders.front().call == 2);
+}
+
+Test(dispatch_desk, a_caller_that_left_is_not_served)
+{
+    auto fleet = bookings(1, 1);
+    auto decider = desk();
+    decider.add(call(1));
+    decider.drop(1);
+    cr_assert(decider.decide(fleet, start).orders.empty());
+}
+
+// An upstream comes back cold and idle and would be everybody's first choice; at full load it falls over.
+Test(dispatch_desk, a_cold_upstream_gets_its_part_only)
+{
+    auto fleet = bookings(100, 1);
+    upstream_entry cold = fleet.upstreams().at("u0").entry;
+    cold.cold_left = 3s;
+    fleet.take("ku0", cold, start);
+    auto decider = desk();
+    decider.set_gateways(2);
+    int sent = 0;
+    for (int ms = 0; ms < 1000; ++ms) {
+        waiting_call next = call(static_cast<std::uint64_t>(ms) + 1);
+        next.give_up_at = start + 2s;
+        decider.add(next);
+        sent += static_cast<int>(decider.decide(fleet, start + ms * 1ms).orders.size());
+    }
+    cr_assert(sent <= 6, "%d calls in a second of 10 that two gateways share", sent);
+    cr_assert(sent >= 4, "%d", sent);
+}
+
+Test(dispatch_desk, a_second_attempt_goes_elsewhere)
+{
+    auto fleet = bookings(5, 2);
+    auto decider = desk();
+    waiting_call again = call(1);
+    again.tried = {"u0"};
+    decider.add(again);
+    cr_assert(decider.decide(fleet, start).orders.front().upstream.id == "u1");
+}
+
+// One gateway may have a faulty way to an upstream; two others that also fail there prove it faulty.
+Test(dispatch_desk, what_two_others_find_faulty_is_avoided)
+{
+    auto fleet = bookings(5, 2);
+    auto decider = desk();
+    load_report report{"g1", 1, true, {}};
+    report.loads[stable_hash("u0")].suspected_by = 1;
+    decider.board().take_report(report, start);
+    decider.add(call(1));
+    cr_assert(decider.decide(fleet, start).orders.front().upstream.id == "u0");
+    report.gateway = "g2";
+    decider.board().take_report(report, start);
+    decider.add(call(2));
+    cr_assert(decider.decide(fleet, start).orders.front().upstream.id == "u1");
+}
--- /dev/null
+++ b/tests/direct/peers_test.cpp
@@ -0,0 +1,145 @@
+#include "dragonflymill/direct/peer_table.h"
+#include "dragonflymill/direct/upstream_health.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace dragonflymill;
+using namespace dragonflymill::direct;
+
+namespace {
+
+constexpr instant start(100s);
+
+auto word(const std::string& name, std::uint64_t sequence = 1) -> peer_word
+{
+    return {name, sequence, name + ":7340", 0, false, true, {}};
+}
+
+auto contains(const std::vector<std::string>& list, const std::string& text) -> bool
+{
+    return std::find(list.begin(), list.end(), text) != list.end();
+}
+
+} // namespace
+
+Test(peer_table, a_peer_is_found_by_hearsay)
+{
+    peer_table table("self", "self:7340", {"seed:7340"});
+    cr_assert(table.targets(start) == std::vector<std::string>{"seed:7340"});
+    peer_word first = word("seed");
+    first.peers = {"other:7340", "self:7340"};
+    cr_assert(table.take(first, start));
+    cr_assert(contains(table.targets(start), "other:7340"));
+    cr_assert(!contains(table.targets(start), "self:7340"), "a gateway doesn't write to itself");
+    cr_assert(table.gateways() == 2);
+}
+
+Test(peer_table, a_silent_peer_is_forgotten)
+{
+    peer_table table("self", "self:7340", {});
+    (void)table.take(word("p"), start);
+    cr_assert(table.forget_silent(start + peer_table::silence_limit).empty());
+    cr_assert(table.forget_silent(start + peer_table::silence_limit + 1ms) == std::vector<std::string>{"p"});
+    cr_assert(table.gateways() == 1);
+}
+
+Test(peer_table, a_word_that_was_overtaken_is_left_out)
+{
+    peer_table table("self", "self:7340", {});
+    peer_word newer = word("p", 5);
+    newer.revision = 9;
+    (void)table.take(newer, start);
+    (void)table.take(word("p", 4), start);
+    cr_assert(table.newer_than(8)->revision == 9);
+    cr_assert(!table.newer_than(9));
+}
+
+// A gateway is killed and starts again at its address within a second: counted twice, it would halve what
+// everybody may take of the shared bounds.
+Test(peer_table, a_new_start_replaces_the_old_one)
+{
+    peer_table table("self", "self:7340", {});
+    peer_word old = word("p#1");
+    old.address = "p:7340";
+    peer_word fresh = word("p#2");
+    fresh.address = "p:7340";
+    (void)table.take(old, start);
+    cr_assert(table.take(fresh, start));
+    cr_assert(table.gateways() == 2);
+}
+
+// The source of records refuses some hosts or dies under the reads of a large fleet. A few gateways read it for
+// all, and another one steps in as soon as one of them falls silent or can't read.
+Test(peer_table, a_few_gateways_read_the_source_and_others_step_in)
+{
+    int readers = 0;
+    constexpr int fleet = 12;
+    for (int self = 0; self < fleet; ++self) {
+        peer_table table("g" + std::to_string(self), "x", {});
+        for (int peer = 0; peer < fleet; ++peer) {
+            (void)table.take(word("g" + std::to_string(peer)), start);
+        }
+        readers += table.has_to_read_source(start) ? 1 : 0;
+        cr_assert(table.has_to_read_source(start + peer_table::reader_silence + 1ms), "nobody is heard");
+    }
+    cr_assert(readers == peer_table::source_readers, "%d", readers);
+}
+
+Test(peer_table, a_peer_that_can_not_read_is_not_relied_on)
+{
+    peer_table table("self", "x", {});
+    for (int peer = 0; peer < 20; ++peer) {
+        peer_word blind = word("g" + std::to_string(peer));
+        blind.reads_source = false;
+        (void)table.take(blind, start);
+    }
+    cr_assert(table.has_to_read_source(start));
+}
+
+Test(upstream_health, an_upstream_that_was_lost_is_left_alone_for_longer_each_time)
+{
+    upstream_health health;
+    health.lost("u", start);
+    cr_assert(health.suspect("u", 0, start + upstream_health::first_pause - 1ms));
+    cr_assert(!health.suspect("u", 0, start + upstream_health::first_pause));
+    const instant again = start + 1s;
+    health.lost("u", again);
+    cr_assert(health.suspect("u", 0, again + upstream_health::first_pause));
+    cr_assert(!health.suspect("u", 0, again + upstream_health::longest_pause));
+}
+
+// A crashed upstream is back, perhaps. One call tries it; had all waiting calls gone there at once, all would
+// fail together if it isn't.
+Test(upstream_health, one_call_at_a_time_tries_it_again)
+{
+    upstream_health health;
+    health.lost("u", start);
+    const instant later = start + upstream_health::first_pause;
+    cr_assert(!health.suspect("u", 0, later));
+    cr_assert(health.suspect("u", 1, later));
+    health.succeeded("u");
+    cr_assert(!health.suspect("u", 1, later));
+}
+
+// A service refuses one look-up in seven for reasons of its own: that is no fault of the upstream.
+Test(upstream_health, usual_failures_do_not_count)
+{
+    upstream_health health;
+    for (int call = 0; call < 700; ++call) {
+        call % 7 == 0 ? health.failed("u", start) : health.succeeded("u");
+        cr_assert(!health.suspect("u", 0, start), "call %d", call);
+    }
+    for (int call = 0; call < 4; ++call) {
+        health.failed("u", start);
+    }
+    cr_assert(health.suspect("u", 0, start), "several in a row do");
+}
+
+Test(upstream_health, a_full_upstream_is_sound)
+{
+    upstream_health health;
+    health.full("u", start);
+    cr_assert(health.suspect("u", 0, start));
+    cr_assert(!health.suspect("u", 5, start + upstream_health::full_pause));
+}
