Test the gateway over real sockets and hold the sources against the platform's words

Found by them: a gateway in its first five seconds had no second attempt at all, so that a booking that a full upstream had not run was refused; each now has one.

--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -24,7 +24,7 @@
     std::int64_t prompt_tokens = 0; ///< 0 for plain services.
     std::int64_t answer_tokens = 0; ///< Most tokens of the answer.
     duration pause_aim{};           ///< Longest pause between its events that is on time; 0: none.
-    int priority = 0; ///< 0 goes first.
+    int priority = 0;               ///< 0 goes first.
     instant aim_at{};               ///< An answer that begins later is late.
     duration aim{};                 ///< The whole time from arrival to `aim_at`.
     instant leaves_at{};            ///< When the caller leaves without an answer.
@@ -47,10 +47,10 @@
 /// A call is to be sent now. Its load is on the board; `finish` takes it off.
 struct dispatch_order
 {
-    std::uint64_t call = 0;              ///< Which.
-    placement_id placed = 0;             ///< Its place on the board.
-    dispatch_choice choice;              ///< Where and why.
-    upstream_entry upstream;             ///< Answers it.
+    std::uint64_t call = 0;               ///< Which.
+    placement_id placed = 0;              ///< Its place on the board.
+    dispatch_choice choice;               ///< Where and why.
+    upstream_entry upstream;              ///< Answers it.
     std::vector<dispatch_helper> helpers; ///< Read a part of its prompt each.
 
     friend auto operator==(const dispatch_order&, const dispatch_order&) -> bool = default;
@@ -77,7 +77,7 @@
 struct dispatch_settings
 {
     std::string failure_domain; ///< Where this gateway runs.
-    retry_bounds retries; ///< Of second attempts.
+    retry_bounds retries;       ///< Of second attempts.
     std::uint64_t seed = 0;     ///< Differs from gateway to gateway.
 };
 
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -19,7 +19,7 @@
     std::int64_t answer_tokens = 0; ///< Most tokens of the answer.
     duration pause_aim{};           ///< Longest pause between its events that is on time; 0: none.
     duration time_to_leave{};       ///< Left until the caller leaves without an answer.
-    duration time_to_aim{}; ///< Left until an answer would be late; negative once it is.
+    duration time_to_aim{};         ///< Left until an answer would be late; negative once it is.
     std::string failure_domain;     ///< Domain of this gateway; preferred among equals.
     /// Differs from call to call: puts equal upstreams into another order for each. Gateways whose words are
     /// some hundred milliseconds old would else all choose the same idle one.
@@ -43,14 +43,14 @@
 /// Where a call goes.
 struct dispatch_choice
 {
-    std::string upstream;             ///< Answers it.
+    std::string upstream;              ///< Answers it.
     std::vector<helper_share> helpers; ///< Read a part of its prompt each.
-    bool is_long = false;             ///< Whether its prompt counts as long.
-    duration reading{};               ///< Reading at each of them.
-    duration first_token{};           ///< Expected until the first token.
-    std::int64_t memory_tokens = 0;   ///< Filled at `upstream`.
-    upstream_load load;               ///< Work in hand at `upstream` when it was chosen.
-    std::string reason;               ///< For the log: what decided.
+    bool is_long = false;              ///< Whether its prompt counts as long.
+    duration reading{};                ///< Reading at each of them.
+    duration first_token{};            ///< Expected until the first token.
+    std::int64_t memory_tokens = 0;    ///< Filled at `upstream`.
+    upstream_load load;                ///< Work in hand at `upstream` when it was chosen.
+    std::string reason;                ///< For the log: what decided.
 
     friend auto operator==(const dispatch_choice&, const dispatch_choice&) -> bool = default;
 };
@@ -102,11 +102,11 @@
     /// A prompt is read in parts of about this share of the tightest pause: smaller parts reach more engines
     /// and each waits for the end of a pass there, larger ones hold up what the engines write meanwhile.
     static constexpr double part_share = 0.6;
-    /// A call that will be late gets only as many engines as let it begin within this share of the time that its
-    /// caller stays: late is late, and engines that it doesn't hold make no other call late.
+    /// A call that will be late gets only as many engines as let it begin within this share of the time that
+    /// its caller stays: late is late, and engines that it doesn't hold make no other call late.
     static constexpr double late_share = 0.7;
-    /// Share of all engines that one prompt is read by at most: the largest takes seconds wherever it is read,
-    /// and a burst of short prompts in that time must find engines without it.
+    /// Share of all engines that one prompt is read by at most: the largest takes seconds wherever it is
+    /// read, and a burst of short prompts in that time must find engines without it.
     static constexpr double reader_share = 0.7;
     /// Share of the time that an engine's tightest stream bears beyond a pass which reading for others may
     /// take at once: a second part may arrive in the same pass.
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -23,13 +23,13 @@
     std::int64_t memory_tokens = 0; ///< Engine memory that these calls fill in the end.
     duration reading{};             ///< Reading that is still to be done, as far as can be told.
     std::int32_t suspected_by = 0;  ///< Gateways that find it faulty now.
-    duration tightest_pause{}; ///< Shortest pause aim of the streams that it writes; 0: none has one.
+    duration tightest_pause{};      ///< Shortest pause aim of the streams that it writes; 0: none has one.
 
     friend auto operator==(const upstream_load&, const upstream_load&) -> bool = default;
 };
 
-/// While a prompt isn't read, at least this part of its reading is taken to be still to do, however long ago it
-/// was sent: the engine is behind what was forecast.
+/// While a prompt isn't read, at least this part of its reading is taken to be still to do, however long ago
+/// it was sent: the engine is behind what was forecast.
 inline constexpr double least_unread_share = 0.3;
 
 /// Short name of an upstream in reports: its id's hash, a quarter of the id's bytes.
@@ -38,7 +38,7 @@
 /// A gateway's word about its own work in hand.
 struct load_report
 {
-    std::string gateway;                        ///< Who.
+    std::string gateway;        ///< Who.
     std::uint64_t sequence = 0; ///< Rises with each report of one start of a gateway.
     bool whole = true;          ///< Whether an upstream that isn't in `loads` has no work of it.
     std::map<upstream_key, upstream_load> loads; ///< All upstreams with work, or the ones that changed.
@@ -93,8 +93,8 @@
 
     /// All work in hand at an upstream.
     [[nodiscard]] auto load_of(const std::string& upstream, instant now) const -> upstream_load;
-    /// This gateway's own work, to be told to the others: all of it, or what changed since `own_changes` stood
-    /// at `since`.
+    /// This gateway's own work, to be told to the others: all of it, or what changed since `own_changes`
+    /// stood at `since`.
     [[nodiscard]] auto own_loads(instant now, std::optional<std::uint64_t> since = std::nullopt) const
         -> std::map<upstream_key, upstream_load>;
     /// Rises whenever own work changes.
--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -20,7 +20,7 @@
     std::uint64_t revision = 0;     ///< All published changes up to this one are known there.
     bool leaving = false;           ///< It is stopping.
     bool reads_source = false;      ///< It reads published records first hand, and they come.
-std::vector<std::string> peers; ///< Addresses of gateways that it hears from; not in every word.
+    std::vector<std::string> peers; ///< Addresses of gateways that it hears from; not in every word.
 
     friend auto operator==(const peer_word&, const peer_word&) -> bool = default;
 };
--- a/include/dragonflymill/direct/upstream_health.h
+++ b/include/dragonflymill/direct/upstream_health.h
@@ -30,14 +30,14 @@
     void forget(const std::string& upstream) { records_.erase(upstream); }
 
     static constexpr duration first_pause = 400ms; ///< After a first failure; over the usual blip of a link.
-    static constexpr duration full_pause = 300ms;   ///< After a refusal; some calls end in this time.
+    static constexpr duration full_pause = 300ms;  ///< After a refusal; some calls end in this time.
     static constexpr duration longest_pause = 3s;  ///< A crashed upstream is back within seconds.
     static constexpr double failure_weight = 0.15; ///< Of the newest call in the share of failures.
-    static constexpr double loss_weight = 0.3;      ///< The same for a call that was lost.
-    static constexpr double sound_share = 0.15;     ///< An upstream that fails more often keeps its long pauses:
-                                                    ///< one that fails now and then would else be back at once.
-    static constexpr double suspect_share = 0.3;   ///< Failures above this share: twice that of services that
-                                                   ///< refuse one call in seven for reasons of their own.
+    static constexpr double loss_weight = 0.3;     ///< The same for a call that was lost.
+    static constexpr double sound_share = 0.15;  ///< An upstream that fails more often keeps its long pauses:
+                                                 ///< one that fails now and then would else be back at once.
+    static constexpr double suspect_share = 0.3; ///< Failures above this share: twice that of services that
+                                                 ///< refuse one call in seven for reasons of their own.
 
 private:
     struct record
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -59,7 +59,8 @@
     std::vector<waiting_call> still;
     for (waiting_call& call : waiting_) {
         int& failures = blocked[{call.service, call.pause_aim}];
-        auto choice = failures < tries_past_blocked && now >= call.not_before ? choose(fleet, call, now) : std::nullopt;
+        auto choice =
+            failures < tries_past_blocked && now >= call.not_before ? choose(fleet, call, now) : std::nullopt;
         if (choice) {
             round.orders.push_back(order_for(fleet, call, *choice, now));
             continue;
@@ -84,8 +85,13 @@
     if (service == nullptr) {
         return std::nullopt;
     }
-    const call_shape shape{call.prompt_tokens, call.answer_tokens, call.pause_aim, call.leaves_at - now, call.aim_at - now,
-                           settings_.failure_domain, stable_hash(std::to_string(call.id), settings_.seed)};
+    const call_shape shape{call.prompt_tokens,
+                           call.answer_tokens,
+                           call.pause_aim,
+                           call.leaves_at - now,
+                           call.aim_at - now,
+                           settings_.failure_domain,
+                           stable_hash(std::to_string(call.id), settings_.seed)};
     const auto found = candidates(fleet, *service, call, now);
     if (!service->engine) {
         return plain_dispatch().choose(shape, found);
@@ -144,9 +150,9 @@
     for (const helper_share& helper : choice.helpers) {
         order.helpers.push_back({fleet.upstreams().at(helper.upstream).entry, helper.reserved_tokens});
     }
-    order.placed = board_.place(
-        {choice.upstream, choice.helpers, choice.is_long, choice.memory_tokens, choice.reading, call.pause_aim},
-        now);
+    order.placed = board_.place({choice.upstream, choice.helpers, choice.is_long, choice.memory_tokens,
+                                 choice.reading, call.pause_aim},
+                                now);
     if (const double cold = cold_rate(fleet, upstream, now); cold > 0) {
         (void)cold_[choice.upstream].take(now, cold, gateways_);
     }
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -17,7 +17,8 @@
 constexpr duration writer_penalty = 60ms;
 /// Prompts that an engine has to read for itself at once: each holds up what it writes by its length.
 constexpr int max_unread = 2;
-/// Engines that hold one prompt at most; the largest prompt needs three, and each holder slows its own writers.
+/// Engines that hold one prompt at most; the largest prompt needs three, and each holder slows its own
+/// writers.
 constexpr std::size_t max_holders = 8;
 
 auto in_hand(const dispatch_candidate& upstream) -> int
@@ -204,15 +205,15 @@
             roomy.push_back(&*engine);
         }
     }
-    std::stable_sort(roomy.begin(), roomy.end(), [this](const auto* a, const auto* b) {
-        return free_memory(*a) > free_memory(*b);
-    });
+    std::stable_sort(roomy.begin(), roomy.end(),
+                     [this](const auto* a, const auto* b) { return free_memory(*a) > free_memory(*b); });
     const std::size_t most = std::min(roomy.size(), max_holders);
     for (std::size_t count = 2; count <= most; ++count) {
         const std::int64_t share = tokens / static_cast<std::int64_t>(count) + 1;
         const auto writer = std::find_if(roomy.begin(), roomy.begin() + static_cast<std::ptrdiff_t>(count),
                                          [&](const auto* engine) { return may_write(*engine, share); });
-        if (free_memory(*roomy[count - 1]) < share || writer == roomy.begin() + static_cast<std::ptrdiff_t>(count)) {
+        if (free_memory(*roomy[count - 1]) < share ||
+            writer == roomy.begin() + static_cast<std::ptrdiff_t>(count)) {
             continue;
         }
         writer_choice gang{*writer, share, {}};
@@ -239,14 +240,16 @@
         }
         // An engine reads parts for others ahead of its own prompts: one that helped on and on would never
         // come to its own, so those with an unread prompt are not asked to help.
-        const bool free = !engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0;
+        const bool free =
+            !engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0;
         if (free && engine.id != choice.upstream) {
             able.push_back(&engine);
         }
     }
     const auto rank = [&](const dispatch_candidate* engine) {
         const duration disturbed = in_hand(*engine) > 0 ? writer_penalty : duration::zero();
-        return std::pair((engine->load.reading + disturbed) / backlog_step, stable_hash(engine->id, call.spread));
+        return std::pair((engine->load.reading + disturbed) / backlog_step,
+                         stable_hash(engine->id, call.spread));
     };
     std::stable_sort(able.begin(), able.end(),
                      [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
--- a/src/direct/engine_forecast.cpp
+++ b/src/direct/engine_forecast.cpp
@@ -27,7 +27,8 @@
     const double linear_ms = tokens / std::max(figures_.read_tokens_per_ms, 1e-3);
     const double pairs_ms = pairs_millions * figures_.pairs_ms_per_million;
     // Each chunk is read in a step, which costs its time besides.
-    const double steps_ms = figures_.chunk_tokens > 0 ? tokens / figures_.chunk_tokens * figures_.step_ms : 0.0;
+    const double steps_ms =
+        figures_.chunk_tokens > 0 ? tokens / figures_.chunk_tokens * figures_.step_ms : 0.0;
     return from_ms((linear_ms + pairs_ms + steps_ms) / std::max(parts, 1));
 }
 
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -34,10 +34,10 @@
 /// The source is being read if its last answer is not older: a watch answers after two seconds at the latest,
 /// and a slow one takes some hundred milliseconds more.
 constexpr duration source_fresh = 2900ms;
-/// For so long after its start a gateway doesn't know how many others there are and takes the size to design
-/// for: each of a fleet that starts at once would else use what all may use together.
+/// For so long after its start a gateway doesn't know how many others there are and takes so many that one
+/// second attempt is left for each: each of a fleet that starts at once would else use what all may use
+/// together.
 constexpr duration settling = 5s;
-constexpr int gateways_while_settling = 410;
 /// A peer that knows more is asked after the source had this long to tell the same.
 constexpr duration source_patience = 150ms;
 /// From the signal to stop, callers are still accepted for so long: the balancer asks once a second and takes
@@ -219,6 +219,11 @@
     return made;
 }
 
+auto direct_gateway::caller_port() const -> std::uint16_t
+{
+    return callers_.local_endpoint().port();
+}
+
 void direct_gateway::start_source()
 {
     source_.start({[this](const direct::records_extract& extract) { take_records(extract, "source"); },
@@ -344,7 +349,8 @@
                     whole ? peers_.addresses() : std::vector<std::string>()};
     message.report.whole = whole;
     // A change is told three times, so that a lost datagram or two do no harm until the next whole report.
-    message.report.loads = whole ? desk_.board().own_loads(now) : desk_.board().own_loads(now, told_before_[0]);
+    message.report.loads =
+        whole ? desk_.board().own_loads(now) : desk_.board().own_loads(now, told_before_[0]);
     if (whole) {
         told_whole_at_ = now;
     }
@@ -370,8 +376,9 @@
 {
     const direct::dispatch_round round = desk_.decide(fleet_, runtime::now());
     // A long prompt keeps many engines busy: another gateway that learns of it late sends its own there too.
-    const bool long_sent = std::any_of(round.orders.begin(), round.orders.end(),
-                                       [](const direct::dispatch_order& order) { return order.choice.is_long; });
+    const bool long_sent =
+        std::any_of(round.orders.begin(), round.orders.end(),
+                    [](const direct::dispatch_order& order) { return order.choice.is_long; });
     if (long_sent) {
         send_word(true);
     }
@@ -418,7 +425,8 @@
 void direct_gateway::count_gateways()
 {
     const bool settled = runtime::now() - started_at_ >= settling;
-    desk_.set_gateways(settled ? peers_.gateways() : gateways_while_settling);
+    const int most = static_cast<int>(settings_.retries.slack * direct::retry_window::safety);
+    desk_.set_gateways(settled ? peers_.gateways() : std::max(peers_.gateways(), most));
     metrics_.gateways.set(peers_.gateways());
 }
 
@@ -468,8 +476,7 @@
     settings_.retries = fresh->retries;
     settings_.grace = fresh->grace;
     peers_.set_seeds(settings_.seeds);
-    desk_.set_settings(
-        {settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))});
+    desk_.set_settings({settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))});
     log_event(event::settings_reloaded, field("seeds", settings_.seeds.size()));
 }
 
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -68,6 +68,9 @@
     /// Opens its sockets and begins.
     [[nodiscard]] auto start() -> result<void>;
 
+    /// Port at which callers are served; chosen by the system if the settings say 0.
+    [[nodiscard]] auto caller_port() const -> std::uint16_t;
+
     auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
         -> std::shared_ptr<open_request> override;
     [[nodiscard]] auto limits() const -> direct::caller_limits override;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -26,8 +26,8 @@
 /// No silence shorter than this counts: callers bear a gap of two seconds, and a second attempt needs some
 /// hundred milliseconds for its first event.
 constexpr duration least_silence = 1s;
-/// Callers leave a stream that has not begun after the longest of these: a time, so many aims of the answer, so
-/// many of its pause aims.
+/// Callers leave a stream that has not begun after the longest of these: a time, so many aims of the answer,
+/// so many of its pause aims.
 constexpr duration least_patience = 2s;
 constexpr int patient_aims = 4;
 constexpr int patient_pauses = 8;
@@ -228,7 +228,8 @@
     log_event(event::call_dispatched, field("request", request_name_), field("attempt", attempt_),
               field("upstream", order.upstream.id), field("helpers", order.helpers.size()),
               field("reason", order.choice.reason), field("waited_us", now - arrived_),
-              field("forecast_us", order.choice.first_token), field("prompt_tokens", wait_.prompt_tokens), field("answer_tokens", wait_.answer_tokens),
+              field("forecast_us", order.choice.first_token), field("prompt_tokens", wait_.prompt_tokens),
+              field("answer_tokens", wait_.answer_tokens),
               field("short_calls", order.choice.load.short_calls),
               field("long_calls", order.choice.load.long_calls), field("parts", order.choice.load.parts),
               field("memory_tokens", order.choice.load.memory_tokens),
--- a/src/edge/memory_reservation.h
+++ b/src/edge/memory_reservation.h
@@ -43,8 +43,8 @@
     /// Name under which the pieces are held.
     [[nodiscard]] auto name() const -> const std::string& { return name_; }
 
-    /// Length of the lease. Engines may carry an unanswered order out twelve seconds late; memory that is then
-    /// held for nobody is free again after this.
+    /// Length of the lease. Engines may carry an unanswered order out twelve seconds late; memory that is
+    /// then held for nobody is free again after this.
     static constexpr duration hold = 3s;
     /// Renewed three times within the lease, so that one lost order does no harm.
     static constexpr duration renew_interval = 1s;
--- a/src/edge/upstream_orders.h
+++ b/src/edge/upstream_orders.h
@@ -33,9 +33,9 @@
 /// How orders to engines are written; the adapter of a deployment provides it.
 struct upstream_orders
 {
-    std::function<std::string(const reserve_order&)> reserve;                       ///< A whole request.
-    std::function<std::string(const release_order&)> release;                       ///< A whole request.
-    std::function<std::string(const std::vector<helper_reference>&)> list_helpers;  ///< A field's value.
+    std::function<std::string(const reserve_order&)> reserve;                      ///< A whole request.
+    std::function<std::string(const release_order&)> release;                      ///< A whole request.
+    std::function<std::string(const std::vector<helper_reference>&)> list_helpers; ///< A field's value.
 };
 
 } // namespace dragonflymill::edge
--- a/tests/direct/attempt_rules_test.cpp
+++ b/tests/direct/attempt_rules_test.cpp
@@ -11,7 +11,8 @@
 /// Calls `check` for every end and every combination of what can be known.
 void for_each_case(const std::function<void(attempt_end, const request_progress&)>& check)
 {
-    for (const auto end : {attempt_end::not_sent, attempt_end::rejected, attempt_end::failed, attempt_end::broken}) {
+    for (const auto end :
+         {attempt_end::not_sent, attempt_end::rejected, attempt_end::failed, attempt_end::broken}) {
         for (int bits = 0; bits < 16; ++bits) {
             for (int run = 0; run <= 3; ++run) {
                 request_progress state;
@@ -44,8 +45,8 @@
     });
 }
 
-// A caller is told that its booking was not run and makes it again; it had run. "Not run" is said only when no
-// attempt can have run.
+// A caller is told that its booking was not run and makes it again; it had run. "Not run" is said only when
+// no attempt can have run.
 Test(attempt_rules, not_run_is_said_only_when_it_is_certain)
 {
     for_each_case([](attempt_end end, const request_progress& state) {
--- a/tests/direct/dispatch_desk_test.cpp
+++ b/tests/direct/dispatch_desk_test.cpp
@@ -70,8 +70,8 @@
     cr_assert(decider.decide(fleet, start).orders.size() == 1);
 }
 
-// A booking waits for room. Meanwhile the upstream that it would have gone to reports that it leaves; bound to
-// it at its arrival, the booking would be sent there after all.
+// A booking waits for room. Meanwhile the upstream that it would have gone to reports that it leaves; bound
+// to it at its arrival, the booking would be sent there after all.
 Test(dispatch_desk, a_waiting_call_is_not_sent_to_an_upstream_that_began_to_leave)
 {
     auto fleet = bookings(1, 2);
--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -12,7 +12,8 @@
 constexpr duration tight_pause = 200ms;
 constexpr std::int64_t memory = 450'000;
 
-/// A model engine of eight accelerators: 256 tokens are read in a millisecond, an event is a pass of 46 steps.
+/// A model engine of eight accelerators: 256 tokens are read in a millisecond, an event is a pass of 46
+/// steps.
 auto figures() -> engine_figures
 {
     return {16, memory, 46, 0.925, 0.00483, 0.00254, 256.0, 0.0917, 2048};
@@ -73,7 +74,8 @@
     cr_assert(plain_dispatch().choose(call, upstreams)->upstream == "u2");
 }
 
-// A suspect upstream is still better than none: the only booking service that failed once must not be cut off.
+// A suspect upstream is still better than none: the only booking service that failed once must not be cut
+// off.
 Test(plain_dispatch, a_suspect_upstream_is_the_last_choice)
 {
     std::vector<dispatch_candidate> upstreams{{"u1", "a", 6, true, {}}, {"u2", "a", 6, false, {5}}};
@@ -82,8 +84,8 @@
     cr_assert(plain_dispatch().choose({}, upstreams)->upstream == "u1");
 }
 
-// Members on a call wait for short answers while a dossier of 210,000 tokens is read. Written on the engine that
-// reads it, each of their events would be held up by the reading: the two kinds go to different engines.
+// Members on a call wait for short answers while a dossier of 210,000 tokens is read. Written on the engine
+// that reads it, each of their events would be held up by the reading: the two kinds go to different engines.
 Test(engine_dispatch, short_and_long_prompts_go_to_different_engines)
 {
     auto all = engines(16);
@@ -126,8 +128,8 @@
     cr_assert(policy().short_side(all) == 15, "one engine is left for long prompts while there are any");
 }
 
-// A prompt's first token comes seconds late: its engine read parts of other prompts, one after the other, ahead
-// of its own. An engine with an unread prompt isn't asked to help.
+// A prompt's first token comes seconds late: its engine read parts of other prompts, one after the other,
+// ahead of its own. An engine with an unread prompt isn't asked to help.
 Test(engine_dispatch, an_engine_with_an_unread_prompt_does_not_help)
 {
     auto all = engines(16);
--- a/tests/direct/fleet_records_test.cpp
+++ b/tests/direct/fleet_records_test.cpp
@@ -33,8 +33,8 @@
     cr_assert(records.all().at("config").value == "v7");
 }
 
-// The same changes reach two gateways over different sources, late, twice and in any order. Both must end with
-// the same records, or they would send the same caller to different services.
+// The same changes reach two gateways over different sources, late, twice and in any order. Both must end
+// with the same records, or they would send the same caller to different services.
 Test(fleet_records, any_order_of_the_same_changes_ends_the_same)
 {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
--- a/tests/direct/load_board_test.cpp
+++ b/tests/direct/load_board_test.cpp
@@ -40,7 +40,8 @@
     cr_assert(board.load_of("first", now).unread_calls == 1);
     board.reading_done(id, now + 200ms);
     cr_assert(board.load_of("helper", now + 200ms) == upstream_load{});
-    cr_assert(board.load_of("holder", now + 200ms).memory_tokens == 700, "reserved memory stays until the end");
+    cr_assert(board.load_of("holder", now + 200ms).memory_tokens == 700,
+              "reserved memory stays until the end");
     cr_assert(board.load_of("first", now + 200ms).unread_calls == 0);
     cr_assert(board.load_of("first", now + 200ms).long_calls == 1);
     board.finish(id, now + 1s);
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -69,8 +69,8 @@
     cr_assert(table.gateways() == 2);
 }
 
-// The source of records refuses some hosts or dies under the reads of a large fleet. A few gateways read it for
-// all, and another one steps in as soon as one of them falls silent or can't read.
+// The source of records refuses some hosts or dies under the reads of a large fleet. A few gateways read it
+// for all, and another one steps in as soon as one of them falls silent or can't read.
 Test(peer_table, a_few_gateways_read_the_source_and_others_step_in)
 {
     int readers = 0;
--- a/tests/direct/shared_bounds_test.cpp
+++ b/tests/direct/shared_bounds_test.cpp
@@ -55,7 +55,8 @@
                 sum.add(now, true);
             }
             const double allowed = bounds.share * sum.count(false) + bounds.slack;
-            cr_assert(sum.count(true) <= allowed, "seed %llu step %d", static_cast<unsigned long long>(seed), step);
+            cr_assert(sum.count(true) <= allowed, "seed %llu step %d", static_cast<unsigned long long>(seed),
+                      step);
         }
     }
 }
--- /dev/null
+++ b/tests/edge/gateway_world.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include "edge/direct_gateway.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <criterion/criterion.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dragonflymill::edge {
+
+/// A connection that a stand-in upstream took, and what came on it.
+struct taken_connection : std::enable_shared_from_this<taken_connection>
+{
+    explicit taken_connection(boost::asio::ip::tcp::socket accepted)
+        : socket(std::move(accepted))
+    {
+    }
+
+    /// Whether head and stated body are there.
+    [[nodiscard]] auto whole() const -> bool
+    {
+        const auto head = received.find("\r\n\r\n");
+        const auto length = received.find("Content-Length: ");
+        if (head == std::string::npos) {
+            return false;
+        }
+        const std::size_t body = length < head ? std::stoul(received.substr(length + 16)) : 0;
+        return received.size() >= head + 4 + body;
+    }
+    void send(const std::string& bytes) { boost::asio::write(socket, boost::asio::buffer(bytes)); }
+    void close() { socket.close(); }
+    /// Closes so that the other side sees a reset.
+    void reset()
+    {
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        socket.close();
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    std::string received;
+    bool ended = false; ///< The gateway has closed it.
+    std::array<char, 4096> buffer{};
+};
+
+/// An upstream that does what a test tells it to for each whole request.
+class standin_upstream
+{
+public:
+    using script = std::function<void(taken_connection&)>;
+
+    standin_upstream(boost::asio::io_context& loop, script told)
+        : acceptor_(loop, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , script_(std::move(told))
+    {
+        accept();
+    }
+
+    [[nodiscard]] auto address() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    /// Connections on which a whole request came.
+    std::vector<std::shared_ptr<taken_connection>> requests;
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](const auto& failed, boost::asio::ip::tcp::socket socket) {
+            if (failed) {
+                return;
+            }
+            read(std::make_shared<taken_connection>(std::move(socket)));
+            accept();
+        });
+    }
+    void read(const std::shared_ptr<taken_connection>& taken)
+    {
+        taken->socket.async_read_some(boost::asio::buffer(taken->buffer),
+                                      [this, taken](const auto& failed, std::size_t bytes) {
+                                          if (failed) {
+                                              taken->ended = true;
+                                              return;
+                                          }
+                                          const bool before = taken->whole();
+                                          taken->received.append(taken->buffer.data(), bytes);
+                                          if (!before && taken->whole()) {
+                                              requests.push_back(taken);
+                                              script_(*taken);
+                                          }
+                                          if (taken->socket.is_open()) {
+                                              read(taken);
+                                          }
+                                      });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    script script_;
+};
+
+/// A source of records that has them all from the start.
+class fixed_source : public record_source
+{
+public:
+    void start(handlers told) override
+    {
+        direct::records_extract extract;
+        for (const auto& [key, fact] : facts) {
+            extract.records.push_back({key, "", ++extract.as_of, false});
+        }
+        extract.whole = true;
+        told.on_regained();
+        told.on_records(extract);
+    }
+    void stop() override {}
+    [[nodiscard]] auto decode(const direct::fleet_record& record) const -> direct::fleet_fact override
+    {
+        return facts.at(record.key);
+    }
+
+    std::map<std::string, direct::fleet_fact> facts;
+};
+
+/// A gateway over real sockets on one event loop, with stand-in upstreams and callers.
+class gateway_world
+{
+public:
+    /// Adds an upstream of the service `name`.
+    auto add_upstream(const std::string& name, standin_upstream::script script) -> standin_upstream&
+    {
+        upstreams_.push_back(std::make_unique<standin_upstream>(loop, std::move(script)));
+        direct::upstream_entry entry;
+        entry.id = name + "-" + std::to_string(upstreams_.size());
+        entry.service = name;
+        entry.address = upstreams_.back()->address();
+        entry.failure_domain = "a";
+        entry.slots = 8;
+        source.facts["upstream/" + entry.id] = entry;
+        return *upstreams_.back();
+    }
+
+    /// Starts the gateway with two routes: `/book/` for calls that run once, `/chat/` for streams.
+    void start(bool configured = true)
+    {
+        if (configured) {
+            source.facts["config"] = std::make_shared<const direct::fleet_config>(config());
+        }
+        direct_gateway_settings settings;
+        settings.name = "g";
+        settings.failure_domain = "a";
+        settings.callers = settings.ready = settings.peers = {"127.0.0.1", 0};
+        settings.retries = {0.2, 100.0, 10s};
+        header_names names;
+        names.request_id = "Request-Id";
+        names.time_left_ms = "Time-Left";
+        names.account = "Account";
+        names.expected_upstream = "Expected";
+        names.not_run = "Not-Run";
+        names.at_fault = "At-Fault";
+        names.token_counts = "Tokens";
+        names.helpers = "Helpers";
+        names.engine_priority = "Engine-Priority";
+        names.resume_after = "Last-Event-Id";
+        names.account_key = "Authorization";
+        names.key_scheme = "Bearer ";
+        names.ready_path = "/ready";
+        gateway = std::make_unique<direct_gateway>(loop, settings, outside_words{names, {}}, source,
+                                                   [] { return std::nullopt; });
+        cr_assert(gateway->start().has_value());
+        caller.connect({boost::asio::ip::make_address("127.0.0.1"), gateway->caller_port()});
+        listen_to_caller();
+    }
+
+    /// Sends a request as the caller.
+    void send(const std::string& method, const std::string& path, const std::string& fields = "",
+              const std::string& body = "")
+    {
+        send_raw(method + " " + path +
+                 " HTTP/1.1\r\nHost: H.example:80\r\nRequest-Id: r1\r\nTime-Left: 9000\r\n" +
+                 "Authorization: Bearer key1\r\n" + fields +
+                 "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+    void send_raw(const std::string& bytes) { boost::asio::write(caller, boost::asio::buffer(bytes)); }
+
+    /// Runs the loop until `done`, or fails the test after a time that no right outcome needs.
+    void run_until(const std::function<bool()>& done)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+        while (!done()) {
+            cr_assert(std::chrono::steady_clock::now() < end,
+                      "what the test waits for doesn't come; seen: %s", answer.c_str());
+            loop.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+    /// Runs the loop until the caller has seen this.
+    void run_until_seen(const std::string& text)
+    {
+        run_until([&] { return answer.find(text) != std::string::npos; });
+    }
+
+    boost::asio::io_context loop{1};
+    fixed_source source;
+    std::unique_ptr<direct_gateway> gateway;
+    boost::asio::ip::tcp::socket caller{loop};
+    std::string answer;
+    bool caller_ended = false;
+
+private:
+    static auto config() -> direct::fleet_config
+    {
+        direct::route_rule book;
+        book.name = "book";
+        book.host = "h.example";
+        book.path_prefix = "/book/";
+        book.time_limit = 5s;
+        book.answer_aim = 1s;
+        book.services = {{"bookings", 1}};
+        direct::route_rule chat = book;
+        chat.name = "chat";
+        chat.path_prefix = "/chat/";
+        chat.kind = direct::call_kind::streaming;
+        chat.resumable = true;
+        chat.max_attempts = 2;
+        chat.services = {{"engines", 1}};
+        direct::fleet_config::parts parts;
+        parts.version = 1;
+        parts.routes = {book, chat};
+        parts.services = {{"bookings", 10, 0s, 0.0, std::nullopt}, {"engines", 10, 0s, 0.0, std::nullopt}};
+        parts.accounts = {{"acme", {"key1"}, std::nullopt}};
+        parts.keys_needed = true;
+        return direct::fleet_config(std::move(parts));
+    }
+
+    void listen_to_caller()
+    {
+        caller.async_read_some(boost::asio::buffer(buffer_), [this](const auto& failed, std::size_t bytes) {
+            if (failed) {
+                caller_ended = true;
+                return;
+            }
+            answer.append(buffer_.data(), bytes);
+            listen_to_caller();
+        });
+    }
+
+    std::vector<std::unique_ptr<standin_upstream>> upstreams_;
+    std::array<char, 4096> buffer_{};
+};
+
+} // namespace dragonflymill::edge
--- /dev/null
+++ b/tests/platform/settings_file_test.cpp
@@ -0,0 +1,57 @@
+#include "platform/replica_orders.h"
+#include "platform/settings_file.h"
+
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace dragonflymill;
+using namespace dragonflymill::platform;
+
+namespace {
+
+constexpr const char* good = "nodeName=front-a-1\nzone=a\nip=10.1.0.40\nlisten.front=10.1.0.40:8227\n"
+                             "listen.ready=10.1.0.40:8220\ninternalPorts=7340,7355\nunknown.field=1\n"
+                             "seeds=10.1.0.40:8229,10.2.0.29:8229\nbounds.graceS=8\nbounds.retrySlack=102\n"
+                             "bounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\n"
+                             "platform.address=10.200.1.7:8223\n";
+
+auto without(const std::string& field) -> std::string
+{
+    std::string text = good;
+    const auto at = text.find(field + "=");
+    return text.erase(at, text.find('\n', at) - at + 1);
+}
+
+} // namespace
+
+Test(settings_file, a_good_file_has_no_mistake)
+{
+    const auto reading = read_node_settings(good);
+    cr_assert(reading.mistakes.empty());
+    const auto& gateway = reading.settings.gateway;
+    cr_assert(gateway.name == "front-a-1" && gateway.failure_domain == "a");
+    cr_assert(to_text(gateway.callers) == "10.1.0.40:8227" && to_text(gateway.peers) == "10.1.0.40:7340");
+    cr_assert(gateway.seeds == std::vector<std::string>({"10.1.0.40:7340", "10.2.0.29:7340"}));
+    cr_assert(gateway.grace == duration(8s) && gateway.retries.slack == 102.0);
+    cr_assert(reading.settings.store_address == "10.200.1.7:8223");
+}
+
+Test(settings_file, every_mistake_is_named_at_once)
+{
+    std::string text = without("zone");
+    text += "listen.front=nowhere\nbounds.graceS=soon\n";
+    const auto reading = read_node_settings(text);
+    cr_assert(reading.mistakes.size() == 3, "%zu", reading.mistakes.size());
+    cr_assert(read_node_settings("").mistakes.size() >= 6);
+}
+
+Test(replica_orders, orders_are_whole_requests)
+{
+    const auto orders = replica_orders();
+    const std::string reserve = orders.reserve({"10.0.0.9:80", "t1", 500, 3s});
+    cr_assert(reserve.starts_with("POST /dragonflymill/order HTTP/1.1\r\nHost: 10.0.0.9:80\r\n"));
+    cr_assert(reserve.ends_with(R"({"operation":"reserve","id":"t1","tokens":500,"holdMs":3000})"));
+    cr_assert(orders.release({"10.0.0.9:80", "t1"}).ends_with(R"({"operation":"release","id":"t1"})"));
+    cr_assert(orders.list_helpers({{"10.0.0.9:80", "t1"}, {"10.0.0.8:80", ""}}) ==
+              "10.0.0.9:80/t1,10.0.0.8:80");
+}
