--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -130,6 +130,9 @@
 
     [[nodiscard]] auto choose_writer(std::span<const dispatch_candidate> side, std::int64_t tokens) const
         -> std::optional<writer_choice>;
+    [[nodiscard]] auto able_readers(const call_shape& call, std::span<const dispatch_candidate> ordered,
+                                    const dispatch_choice& choice) const
+        -> std::vector<const dispatch_candidate*>;
     void add_readers(const call_shape& call, std::span<const dispatch_candidate> ordered,
                      dispatch_choice& choice) const;
     [[nodiscard]] auto parts_for(std::int64_t prompt_tokens) const -> std::size_t;
--- a/include/dragonflymill/direct/upstream_list.h
+++ b/include/dragonflymill/direct/upstream_list.h
@@ -3,6 +3,7 @@
 #include "dragonflymill/core/time.h"
 #include "dragonflymill/direct/fleet_config.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -74,6 +75,12 @@
     void remove(const std::string& key, bool after_outage, instant now);
     /// Time passes: removals that were held back are believed.
     void tick(instant now);
+    /// Work may reach an upstream for so long after its removal: no removal is held back longer than that
+    /// allows.
+    void set_leave_bound(duration bound)
+    {
+        hold_ = std::clamp(bound - leave_reserve, duration(), removal_hold);
+    }
 
     /// The configuration in force; nothing before the first.
     [[nodiscard]] auto config() const -> const std::shared_ptr<const fleet_config>& { return config_; }
@@ -90,6 +97,9 @@
     /// How long a removal after an outage is held back: living upstreams are back within two seconds of the
     /// registry's return, and a removal is first seen up to half a second after that.
     static constexpr duration removal_hold = 1600ms;
+    /// Of the time in which work may still reach a leaving upstream, kept for the word to get here and the
+    /// work to get there.
+    static constexpr duration leave_reserve = 700ms;
 
 private:
     void take_entry(const std::string& key, const upstream_entry& entry, instant now);
@@ -100,6 +110,7 @@
     std::map<std::string, std::string> id_by_key_;
     std::map<std::string, std::string> domain_by_key_;
     std::set<std::string> domains_out_;
+    duration hold_ = removal_hold;
 };
 
 } // namespace dragonflymill::direct
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -227,22 +227,20 @@
     return std::nullopt;
 }
 
-void engine_dispatch::add_readers(const call_shape& call, std::span<const dispatch_candidate> ordered,
-                                  dispatch_choice& choice) const
+auto engine_dispatch::able_readers(const call_shape& call, std::span<const dispatch_candidate> ordered,
+                                   const dispatch_choice& choice) const
+    -> std::vector<const dispatch_candidate*>
 {
     std::vector<const dispatch_candidate*> able;
-    duration backlog = choice.load.reading;
     for (const dispatch_candidate& engine : ordered) {
         const auto holds = [&](const helper_share& share) { return share.upstream == engine.id; };
-        if (std::any_of(choice.helpers.begin(), choice.helpers.end(), holds)) {
-            backlog = std::max(backlog, engine.load.reading);
-            continue;
-        }
+        const bool chosen =
+            engine.id == choice.upstream || std::any_of(choice.helpers.begin(), choice.helpers.end(), holds);
         // An engine reads parts for others ahead of its own prompts: one that helped on and on would never
         // come to its own, so those with an unread prompt are not asked to help.
         const bool free =
             !engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0;
-        if (free && engine.id != choice.upstream) {
+        if (free && !chosen) {
             able.push_back(&engine);
         }
     }
@@ -253,30 +251,41 @@
     };
     std::stable_sort(able.begin(), able.end(),
                      [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
+    return able;
+}
+
+void engine_dispatch::add_readers(const call_shape& call, std::span<const dispatch_candidate> ordered,
+                                  dispatch_choice& choice) const
+{
     const std::vector<helper_share> holders = choice.helpers;
+    const auto able = able_readers(call, ordered, choice);
+    duration backlog = choice.load.reading;
+    for (const dispatch_candidate& engine : ordered) {
+        const auto holds = [&](const helper_share& share) { return share.upstream == engine.id; };
+        if (std::any_of(holders.begin(), holders.end(), holds)) {
+            backlog = std::max(backlog, engine.load.reading);
+        }
+    }
     const std::size_t fixed = holders.size() + 1;
     const auto share = static_cast<std::size_t>(static_cast<double>(ordered.size()) * reader_share);
     const std::size_t most = std::max(fixed, std::min(max_readers, share));
     const std::size_t wanted = std::clamp(parts_for(call.prompt_tokens), fixed, most);
-    choice.reading = forecast_.read_part(call.prompt_tokens, static_cast<int>(fixed));
-    choice.first_token = backlog + choice.reading;
     const bool late = forecast_.read_part(call.prompt_tokens, static_cast<int>(most)) > call.time_to_aim;
     const auto stays =
         duration(static_cast<duration::rep>(static_cast<double>(call.time_to_leave.count()) * late_share));
+    choice.reading = forecast_.read_part(call.prompt_tokens, static_cast<int>(fixed));
+    choice.first_token = backlog + choice.reading;
     // More parts than wanted only where no fewer ones are short enough for what the engines write.
     for (std::size_t count = fixed + 1; count <= most; ++count) {
-        if (count > wanted && choice.helpers.size() > holders.size()) {
+        const bool found = choice.helpers.size() > holders.size();
+        if ((count > wanted && found) || (late && choice.first_token <= stays)) {
             break;
         }
         const duration part = forecast_.read_part(call.prompt_tokens, static_cast<int>(count));
         std::vector<helper_share> helpers = holders;
         duration longest = backlog;
         for (const dispatch_candidate* engine : able) {
-            if (helpers.size() + 1 == count) {
-                break;
-            }
-            const duration held = engine->load.reading + part;
-            if (held <= may_hold_up(*engine)) {
+            if (helpers.size() + 1 < count && engine->load.reading + part <= may_hold_up(*engine)) {
                 helpers.push_back({engine->id, 0});
                 longest = std::max(longest, engine->load.reading);
             }
@@ -286,9 +295,6 @@
             choice.reading = part;
             choice.helpers = std::move(helpers);
         }
-        if (late && choice.first_token <= stays) {
-            break;
-        }
     }
 }
 
--- a/src/direct/upstream_list.cpp
+++ b/src/direct/upstream_list.cpp
@@ -58,7 +58,7 @@
     if (id == id_by_key_.end()) {
         return;
     }
-    if (after_outage) {
+    if (after_outage && !upstreams_[id->second].entry.leaving) {
         upstreams_[id->second].removed_at = now;
         return;
     }
@@ -70,7 +70,7 @@
 {
     for (auto it = id_by_key_.begin(); it != id_by_key_.end();) {
         const auto& removed_at = upstreams_[it->second].removed_at;
-        if (removed_at && now - *removed_at >= removal_hold) {
+        if (removed_at && now - *removed_at >= hold_) {
             upstreams_.erase(it->second);
             it = id_by_key_.erase(it);
             continue;
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -45,8 +45,6 @@
 constexpr duration balancer_lag = 3s;
 /// Before the process is killed it ends what is left, so that callers see an end rather than silence.
 constexpr duration end_before_kill = 400ms;
-/// Removals seen so soon after the source's return may be those of living upstreams that lapsed meanwhile.
-constexpr duration outage_shadow = 1s;
 
 } // namespace
 
@@ -124,6 +122,7 @@
 {
     const auto started = runtime::wall_now().time_since_epoch().count();
     start_name_ = settings_.name + "#" + std::to_string(started);
+    fleet_.set_leave_bound(settings_.leave_bound);
     peers_ = direct::peer_table(start_name_, to_text(settings_.peers), settings_.seeds);
 }
 
@@ -228,15 +227,17 @@
 {
     source_.start({[this](const direct::records_extract& extract) { take_records(extract, "source"); },
                    [this](const std::string& why) {
-                       if (!std::exchange(source_lost_, true)) {
+                       const bool news = !outage_.is_lost();
+                       outage_.lost(runtime::now());
+                       if (news) {
                            log_event(event::record_source_lost, field("why", why),
                                      field("fleet_revision", records_.revision()));
                        }
                    },
                    [this] {
                        source_read_at_ = runtime::now();
-                       if (std::exchange(source_lost_, false)) {
-                           source_regained_at_ = runtime::now();
+                       if (outage_.is_lost()) {
+                           outage_.regained(source_read_at_);
                            log_event(event::record_source_regained,
                                      field("fleet_revision", records_.revision()));
                        }
@@ -264,8 +265,7 @@
     const instant now = runtime::now();
     const std::uint64_t version_before = fleet_.config() == nullptr ? 0 : fleet_.config()->version();
     if (record.removed) {
-        const bool shadow = source_lost_ || now - source_regained_at_ < outage_shadow;
-        const bool after_outage = shadow && source_regained_at_ != instant{};
+        const bool after_outage = outage_.casts_doubt(now);
         fleet_.remove(record.key, after_outage, now);
         log_event(event::fleet_changed, field("record", record.key), field("change", "removed"),
                   field("held_back", after_outage), field("revision", record.revision), field("from", from));
@@ -306,6 +306,9 @@
         send_word(true);
     }
     desk_.board().take_report(message.report, now);
+    if (message.word.reads_source) {
+        outage_.peer_reads(now);
+    }
     catch_up_from_peers();
 }
 
@@ -322,7 +325,7 @@
     }
     // The source tells most changes itself; asking a peer each time would double the traffic.
     const bool reads = now - source_read_at_ < source_fresh;
-    if (now - behind_since_ >= source_patience || source_lost_ || !reads) {
+    if (now - behind_since_ >= source_patience || outage_.is_lost() || !reads) {
         link_.fetch(newer->address, records_.revision());
     }
 }
@@ -345,7 +348,7 @@
                     to_text(settings_.peers),
                     records_.revision(),
                     stopping_,
-                    !source_lost_ && now - source_read_at_ < source_fresh,
+                    !outage_.is_lost() && now - source_read_at_ < source_fresh,
                     whole ? peers_.addresses() : std::vector<std::string>()};
     message.report.whole = whole;
     // A change is told three times, so that a lost datagram or two do no harm until the next whole report.
@@ -475,6 +478,8 @@
     settings_.seeds = fresh->seeds;
     settings_.retries = fresh->retries;
     settings_.grace = fresh->grace;
+    settings_.leave_bound = fresh->leave_bound;
+    fleet_.set_leave_bound(settings_.leave_bound);
     peers_.set_seeds(settings_.seeds);
     desk_.set_settings({settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))});
     log_event(event::settings_reloaded, field("seeds", settings_.seeds.size()));
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -4,6 +4,7 @@
 #include "dragonflymill/direct/dispatch_desk.h"
 #include "dragonflymill/direct/fleet_records.h"
 #include "dragonflymill/direct/peer_table.h"
+#include "dragonflymill/direct/source_outage.h"
 #include "dragonflymill/direct/upstream_list.h"
 #include "edge/caller_session.h"
 #include "edge/exchange.h"
@@ -38,6 +39,7 @@
     socket_address metrics;         ///< Where counters are served; empty for nowhere.
     std::vector<std::string> seeds; ///< Addresses of gateways to begin with.
     direct::retry_bounds retries;   ///< Of second attempts.
+    duration leave_bound = 2s;      ///< Work may reach an upstream for so long after it said that it leaves.
     duration grace = 8s;            ///< From the signal to stop until the process is killed.
 
     friend auto operator==(const direct_gateway_settings&, const direct_gateway_settings&) -> bool = default;
@@ -88,7 +90,7 @@
     void take_record(const direct::fleet_record& record, const std::string& from);
     void take_message(const peer_message& message);
     void catch_up_from_peers();
-    void send_word(bool now);
+    void send_word(bool at_once);
     void decide_soon();
     void decide();
     void tick();
@@ -134,8 +136,7 @@
     std::array<std::uint64_t, 3> told_before_{};
     instant source_read_at_{};
     instant behind_since_{};
-    instant source_regained_at_{};
-    bool source_lost_ = false;
+    direct::source_outage outage_;
     bool decide_pending_ = false;
     bool was_ready_ = false;
     bool stopping_ = false;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -268,10 +268,24 @@
     });
 }
 
+auto exchange::may_still_send(const direct::dispatch_order& order) const -> bool
+{
+    // Memory was being reserved since the decision: the upstream may have begun to leave in that time.
+    const auto& upstreams = context_.fleet.upstreams();
+    const auto known = upstreams.find(order.upstream.id);
+    return known != upstreams.end() && context_.fleet.takes_work(known->second);
+}
+
 void exchange::send()
 {
     const instant now = runtime::now();
     const direct::dispatch_order& order = *order_;
+    if (!may_still_send(order)) {
+        wait_.not_before = now;
+        release_upstream();
+        take_step(next_step::try_again, "the upstream began to leave");
+        return;
+    }
     sent_at_ = now;
     heard_at_ = now;
     wait_.tried.push_back(order.upstream.id);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -71,6 +71,7 @@
     [[nodiscard]] auto authenticate() -> bool;
     void wait_for_upstream(instant now);
     void reserve_memory();
+    [[nodiscard]] auto may_still_send(const direct::dispatch_order& order) const -> bool;
     void send();
     [[nodiscard]] auto request_text(const direct::dispatch_order& order, instant now) const -> std::string;
     void add_own_fields(std::string& text, const direct::dispatch_order& order, instant now) const;
--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -22,6 +22,7 @@
 auto engines(int count) -> std::vector<dispatch_candidate>
 {
     std::vector<dispatch_candidate> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         made.push_back({"engine-" + std::to_string(i), "a", 16, false, {}});
     }
