--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -4,6 +4,7 @@
 #include "app/command_cordon.h"
 #include "app/command_daemon.h"
 #include "app/command_drain.h"
+#include "app/command_explain.h"
 #include "app/command_settings.h"
 #include "app/command_status.h"
 #include "app/command_timeline.h"
@@ -20,6 +21,7 @@
     {"bundle", "makes, checks, compares and signs configuration bundles", run_bundle},
     {"cordon", "takes a failure domain or host out of service, or back", run_cordon},
     {"drain", "begins a planned stop of processes", run_drain},
+    {"explain", "prints what all processes decided about one request", run_explain},
     {"gateway", "runs a gateway", run_gateway_command},
     {"platform-gateway", "runs a gateway on the users' platform", platform::run_platform_gateway},
     {"settings", "prints a settings file to start from", run_settings},
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -122,7 +122,7 @@
         }
     };
     consider(ordered.first(border));
-    const bool inside = best != nullptr;
+    const bool inside = best != nullptr && best->load.reading <= max_backlog;
     if (!inside) {
         consider(ordered.subspan(border));
     }
