A fault soak of our own; a stopping process no longer waits for a log that nobody reads

The soak runs real gateways on loopback between callers, stand-ins and a store, with faults by a seed in series and overlapping, and holds what callers and upstreams see against the promises. Its first seed found that a gateway whose standard output is a full pipe never ended after SIGTERM: the end waited for the log's writer, which was stuck in the pipe. The log now gives up what it can't write within half a second; a test without the soak fails before (60 s) and passes after (0.5 s).

--- a/src/app/command_explain.cpp
+++ b/src/app/command_explain.cpp
@@ -28,8 +28,8 @@
     return found != nullptr && found->is_string() ? std::string(found->get_string()) : std::string();
 }
 
-/// The line in short, if it is a JSON log line whose fields name the request. What stands before the object, such
-/// as a collector's own prefix, is left out.
+/// The line in short, if it is a JSON log line whose fields name the request. What stands before the object,
+/// such as a collector's own prefix, is left out.
 auto explain_line(std::string_view line, const std::string& request) -> std::optional<explained_line>
 {
     const auto begin = line.find('{');
--- a/src/log/logger.cpp
+++ b/src/log/logger.cpp
@@ -14,7 +14,9 @@
 #include <boost/make_shared.hpp>
 #include <cstdio>
 #include <fstream>
+#include <future>
 #include <iostream>
+#include <thread>
 
 namespace dragonflymill {
 
@@ -22,6 +24,9 @@
 
 constexpr std::size_t queue_bound = 8192;
 constexpr int level_off = 1000;
+/// What is queued at the end is written within this, or given up: the queue takes a few milliseconds to
+/// write.
+constexpr auto close_limit = std::chrono::milliseconds(500);
 constexpr const char* record_attribute = "Record";
 
 // The process's one logger; Boost.Log's core is global as well, so there can't be two.
@@ -126,14 +131,22 @@
         return;
     }
     enabled_level.store(level_off);
-    try {
-        boost::log::core::get()->remove_sink(state_->sink);
-        state_->sink->stop();
-        state_->sink->flush();
-    }
-    catch (...) {
-        std::fputs("the log could not be closed; its last lines may be missing\n", stderr);
-    }
+    // On a thread of its own: the writer may be stuck in a pipe that nobody reads, and a process that is to
+    // stop would then never end. What is not written by the limit is given up.
+    auto closed = std::make_shared<std::promise<void>>();
+    auto done = closed->get_future();
+    std::thread([closed, sink = state_->sink] {
+        try {
+            boost::log::core::get()->remove_sink(sink);
+            sink->stop();
+            sink->flush();
+        }
+        catch (...) {
+            std::fputs("the log could not be closed; its last lines may be missing\n", stderr);
+        }
+        closed->set_value();
+    }).detach();
+    done.wait_for(close_limit);
 }
 
 void logger::flush()
--- a/tests/app/command_explain_test.cpp
+++ b/tests/app/command_explain_test.cpp
@@ -31,8 +31,8 @@
     std::filesystem::path path_;
 };
 
-auto line(const std::string& time, const std::string& process, const std::string& name, const std::string& request)
-    -> std::string
+auto line(const std::string& time, const std::string& process, const std::string& name,
+          const std::string& request) -> std::string
 {
     return R"({"time":")" + time + R"(","process":")" + process + R"(","name":")" + name +
            R"(","fields":{"request":")" + request + R"(","attempt":1}})" + "\n";
@@ -40,12 +40,12 @@
 
 } // namespace
 
-// A member complains about one request. Its lines stand in the logs of two gateways, among thousands of others
-// and behind a collector's prefix; on-call engineers want them in one order.
+// A member complains about one request. Its lines stand in the logs of two gateways, among thousands of
+// others and behind a collector's prefix; on-call engineers want them in one order.
 Test(command_explain, lines_of_a_request_come_in_order_over_all_logs)
 {
-    const log_file one("collector: " + line("T2", "g1", "call_refused", "r7") + line("T1", "g1", "other", "r70") +
-                       "not json r7\n{broken r7\n");
+    const log_file one("collector: " + line("T2", "g1", "call_refused", "r7") +
+                       line("T1", "g1", "other", "r70") + "not json r7\n{broken r7\n");
     const log_file two(line("T1", "g2", "call_dispatched", "r7"));
     std::ostringstream out;
     std::ostringstream err;
--- a/tests/edge/gateway_world.h
+++ b/tests/edge/gateway_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/direct_gateway.h"
+#include "support/standin_upstream.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -18,94 +19,8 @@
 
 namespace dragonflymill::edge {
 
-/// A connection that a stand-in upstream took, and what came on it.
-struct taken_connection : std::enable_shared_from_this<taken_connection>
-{
-    explicit taken_connection(boost::asio::ip::tcp::socket accepted)
-        : socket(std::move(accepted))
-    {
-    }
-
-    /// Whether head and stated body are there.
-    [[nodiscard]] auto whole() const -> bool
-    {
-        const auto head = received.find("\r\n\r\n");
-        const auto length = received.find("Content-Length: ");
-        if (head == std::string::npos) {
-            return false;
-        }
-        const std::size_t body = length < head ? std::stoul(received.substr(length + 16)) : 0;
-        return received.size() >= head + 4 + body;
-    }
-    void send(const std::string& bytes) { boost::asio::write(socket, boost::asio::buffer(bytes)); }
-    void close() { socket.close(); }
-    /// Closes so that the other side sees a reset.
-    void reset()
-    {
-        socket.set_option(boost::asio::socket_base::linger(true, 0));
-        socket.close();
-    }
-
-    boost::asio::ip::tcp::socket socket;
-    std::string received;
-    bool ended = false; ///< The gateway has closed it.
-    std::array<char, 4096> buffer{};
-};
-
-/// An upstream that does what a test tells it to for each whole request.
-class standin_upstream
-{
-public:
-    using script = std::function<void(taken_connection&)>;
-
-    standin_upstream(boost::asio::io_context& loop, script told)
-        : acceptor_(loop, {boost::asio::ip::make_address("127.0.0.1"), 0})
-        , script_(std::move(told))
-    {
-        accept();
-    }
-
-    [[nodiscard]] auto address() const -> std::string
-    {
-        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-    }
-    /// Connections on which a whole request came.
-    std::vector<std::shared_ptr<taken_connection>> requests;
-
-private:
-    void accept()
-    {
-        acceptor_.async_accept([this](const auto& failed, boost::asio::ip::tcp::socket socket) {
-            if (failed) {
-                return;
-            }
-            read(std::make_shared<taken_connection>(std::move(socket)));
-            accept();
-        });
-    }
-    void read(const std::shared_ptr<taken_connection>& taken)
-    {
-        taken->socket.async_read_some(boost::asio::buffer(taken->buffer),
-                                      [this, taken](const auto& failed, std::size_t bytes) {
-                                          if (failed) {
-                                              taken->ended = true;
-                                              return;
-                                          }
-                                          const bool before = taken->whole();
-                                          taken->received.append(taken->buffer.data(), bytes);
-                                          if (!before && taken->whole()) {
-                                              requests.push_back(taken);
-                                              script_(*taken);
-                                          }
-                                          if (taken->socket.is_open()) {
-                                              read(taken);
-                                          }
-                                      });
-    }
-
-    boost::asio::ip::tcp::acceptor acceptor_;
-    script script_;
-};
+using test_support::standin_upstream;
+using test_support::taken_connection;
 
 /// A source of records that has them all from the start.
 class fixed_source : public record_source
--- a/tests/log/logger_test.cpp
+++ b/tests/log/logger_test.cpp
@@ -3,9 +3,11 @@
 
 #include "dragonflymill/core/ids.h"
 
+#include <array>
 #include <atomic>
 #include <boost/json/parse.hpp>
 #include <criterion/criterion.h>
+#include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
@@ -144,3 +146,26 @@
 }
 
 } // namespace dragonflymill
+
+// Operators stop a process whose standard output is a pipe that nobody reads any more. It never ended: the
+// log's writer was stuck in the pipe, and the end of the process waited for it.
+Test(logger, a_pipe_that_nobody_reads_does_not_hold_up_the_end, .timeout = 60)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::array<int, 2> ends{};
+    cr_assert(pipe(ends.data()) == 0);
+    cr_assert(fcntl(ends[1], F_SETFL, O_NONBLOCK) == 0);
+    const std::array<char, 4096> filler{};
+    while (write(ends[1], filler.data(), filler.size()) > 0) {
+    }
+    cr_assert(fcntl(ends[1], F_SETFL, 0) == 0);
+    cr_assert(dup2(ends[1], STDOUT_FILENO) == STDOUT_FILENO);
+    {
+        auto log = logger::start({"p", log_level::info, log_format::json, standard_output_file});
+        cr_assert(log.has_value());
+        for (int i = 0; i < 100; ++i) {
+            log_event(event::gateway_started, field("gateway", "g"));
+        }
+    }
+    close(ends[0]);
+}
--- /dev/null
+++ b/tests/soak/soak_upstream.cpp
@@ -0,0 +1,130 @@
+#include "soak/soak_world.h"
+
+namespace dragonflymill::soak {
+
+using test_support::taken_connection;
+
+namespace {
+
+constexpr int events = 8;
+
+auto field(const std::string& request, const std::string& name) -> std::string
+{
+    const auto at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + name.size() + 4;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+void send(taken_connection& call, const std::string& bytes)
+{
+    boost::system::error_code gone; // the gateway was killed or has cancelled
+    boost::asio::write(call.socket, boost::asio::buffer(bytes), gone);
+}
+
+auto event(const std::string& request, int id) -> std::string
+{
+    return "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
+}
+
+auto chunk(const std::string& bytes) -> std::string
+{
+    std::array<char, 16> size{};
+    (void)std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
+} // namespace
+
+soak_upstream::soak_upstream(boost::asio::io_context& loop, std::string id, std::string service,
+                             promises& kept)
+    : loop_(loop)
+    , id_(std::move(id))
+    , service_(std::move(service))
+    , promises_(kept)
+    , server_(loop, [this](taken_connection& call) { run(call); })
+{
+}
+
+auto soak_upstream::entry(bool leaving) const -> std::string
+{
+    return R"({"service":")" + service_ + R"(","address":")" + server_.address() +
+           R"(","zone":"a","state":")" + (leaving ? "draining" : "ready") + R"(","slots":8,"coldLeftMs":0})";
+}
+
+void soak_upstream::later(std::chrono::milliseconds wait, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, wait);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+            action();
+        }
+    });
+}
+
+void soak_upstream::run(taken_connection& call)
+{
+    const std::string request = field(call.received, "Dragonflymill-Attempt-Id");
+    const std::string head = "Dragonflymill-Attempt-Id: " + request + "\r\nDragonflymill-Server-Seal: s\r\n";
+    if (field(call.received, "Dragonflymill-Expect-Instance") != id_) {
+        send(call, "HTTP/1.1 421 M\r\n" + head + "Content-Length: 0\r\n\r\n");
+        return;
+    }
+    if (left_) {
+        promises_.reached_leaving(request, *left_, soak_world::leave_bound);
+    }
+    if (fault_ == fault::full) {
+        send(call,
+             "HTTP/1.1 503 F\r\n" + head + "Dragonflymill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
+    const bool is_stream = service_ == "engines";
+    promises_.ran(request, is_stream);
+    if (fault_ == fault::hang) {
+        return;
+    }
+    const auto kept = call.shared_from_this();
+    if (is_stream) {
+        const std::string after = field(call.received, "Last-Event-Id");
+        send(call, "HTTP/1.1 200 OK\r\n" + head +
+                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        stream(kept, request, after.empty() ? 1 : std::atoi(after.c_str()) + 1); // NOLINT(cert-err34-c)
+        return;
+    }
+    later(std::chrono::milliseconds(10), [this, kept, request, head] {
+        if (fault_ == fault::reset) {
+            kept->reset();
+            return;
+        }
+        const std::string body = "booked " + request;
+        send(*kept, "HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + std::to_string(body.size()) +
+                        "\r\n\r\n" + body);
+    });
+}
+
+void soak_upstream::stream(const std::shared_ptr<taken_connection>& call, const std::string& request,
+                           int next)
+{
+    if (call->ended) {
+        return;
+    }
+    if (next > events) {
+        send(*call, "0\r\n\r\n");
+        return;
+    }
+    const std::string bytes = event(request, next);
+    if (fault_ == fault::reset && next == events / 2) {
+        send(*call, chunk(bytes.substr(0, bytes.size() / 2)));
+        call->reset();
+        return;
+    }
+    if (fault_ == fault::hang) {
+        return;
+    }
+    send(*call, chunk(bytes));
+    later(std::chrono::milliseconds(15), [this, call, request, next] { stream(call, request, next + 1); });
+}
+
+} // namespace dragonflymill::soak
--- /dev/null
+++ b/tests/soak/soak_world.cpp
@@ -0,0 +1,382 @@
+#include "soak/soak_world.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace dragonflymill::soak {
+
+using namespace std::chrono_literals;
+using test_support::child_process;
+using test_support::tcp_relay;
+
+namespace {
+
+constexpr int events = 8;
+
+auto expected_answer(const std::string& request, bool is_stream) -> std::string
+{
+    if (!is_stream) {
+        return "booked " + request;
+    }
+    std::string all;
+    for (int id = 1; id <= events; ++id) {
+        all += "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
+    }
+    return all;
+}
+
+/// A port that is free on an address now.
+auto free_port(boost::asio::io_context& loop, const std::string& ip) -> std::uint16_t
+{
+    boost::asio::ip::tcp::acceptor probe(loop, {boost::asio::ip::make_address(ip), 0});
+    return probe.local_endpoint().port();
+}
+
+} // namespace
+
+/// One caller's try: a new connection, a request, and what came back.
+class soak_world::caller : public std::enable_shared_from_this<soak_world::caller>
+{
+public:
+    caller(soak_world& world, std::string request, bool is_stream, bool calm)
+        : world_(world)
+        , socket_(world.loop_)
+        , request_(std::move(request))
+        , is_stream_(is_stream)
+        , calm_(calm)
+    {
+    }
+
+    void start(const std::string& ip, std::uint16_t port)
+    {
+        socket_.async_connect({boost::asio::ip::make_address(ip), port},
+                              [self = shared_from_this()](const boost::system::error_code& failed) {
+                                  if (!failed) {
+                                      self->ask();
+                                  }
+                              });
+    }
+
+private:
+    void ask()
+    {
+        const std::string path = is_stream_ ? "/chat/" : "/book/";
+        boost::system::error_code gone; // the gateway was killed
+        const std::string text = "POST " + path + "x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" +
+                                 "Dragonflymill-Attempt-Id: " + request_ +
+                                 "\r\nDragonflymill-Request-Deadline: 4000\r\nContent-Length: 2\r\n\r\nhi";
+        boost::asio::write(socket_, boost::asio::buffer(text), gone);
+        read();
+    }
+
+    void read()
+    {
+        socket_.async_read_some(
+            boost::asio::buffer(buffer_), [self = shared_from_this()](const auto& failed, std::size_t bytes) {
+                auto state = self->parser_.take({self->buffer_.data(), bytes}, self->body_);
+                if (failed) {
+                    state = failed == boost::asio::error::eof ? self->parser_.take_end()
+                                                              : edge::answer_state::invalid;
+                }
+                const bool over =
+                    failed || state == edge::answer_state::complete || state == edge::answer_state::invalid;
+                over ? self->end(state) : self->read();
+            });
+    }
+
+    void end(edge::answer_state state)
+    {
+        const std::string expected = expected_answer(request_, is_stream_);
+        promises& kept = world_.promises_;
+        const unsigned status = parser_.head().status;
+        if (state == edge::answer_state::complete && status == 200) {
+            kept.answered(request_, body_, expected);
+            world_.calm_answers_ += calm_ ? 1 : 0;
+        }
+        else if (status == 200) {
+            kept.part(request_, body_, expected);
+        }
+        else if (status == 503 || status == 429) {
+            kept.told_not_run(request_, is_stream_);
+        }
+        socket_.close();
+    }
+
+    soak_world& world_;
+    boost::asio::ip::tcp::socket socket_;
+    std::string request_;
+    bool is_stream_;
+    bool calm_;
+    edge::answer_parser parser_{false};
+    std::string body_;
+    std::array<char, 4096> buffer_{};
+};
+
+soak_world::soak_world(std::uint64_t seed, std::string program)
+    : random_(seed)
+    , program_(std::move(program))
+    , store_(loop_)
+{
+    // An own network of the loopback range for each run, so that two runs don't meet.
+    const std::string net =
+        "127." + std::to_string(1 + getpid() / 250 % 250) + "." + std::to_string(1 + getpid() % 250) + ".";
+    const std::uint16_t peer_port = free_port(loop_, net + "1");
+    caller_port_ = free_port(loop_, net + "1");
+    for (const char* service : {"bookings", "bookings", "bookings", "engines", "engines", "engines"}) {
+        add_upstream(service);
+    }
+    put_config();
+    for (int i = 0; i < gateways; ++i) {
+        soak_gateway& made = gateways_.emplace_back();
+        made.ip = net + std::to_string(i + 1);
+        made.store_path = std::make_unique<tcp_relay>(store_.address());
+    }
+    for (soak_gateway& gateway : gateways_) {
+        write_settings(gateway, peer_port);
+        start_gateway(gateway);
+    }
+}
+
+soak_world::~soak_world()
+{
+    for (soak_gateway& gateway : gateways_) {
+        gateway.process.reset();
+        std::filesystem::remove(gateway.settings);
+    }
+}
+
+void soak_world::write_settings(soak_gateway& gateway, std::uint16_t port)
+{
+    gateway.settings = (std::filesystem::temp_directory_path() / ("soak-" + gateway.ip + ".conf")).string();
+    std::ofstream file(gateway.settings);
+    file << "nodeName=" << gateway.ip << "\nzone=a\nip=" << gateway.ip << "\nlisten.front=" << gateway.ip
+         << ':' << caller_port_ << "\nlisten.ready=" << gateway.ip << ":0\ninternalPorts=" << port
+         << "\nseeds=";
+    for (const soak_gateway& other : gateways_) {
+        file << (&other == gateways_.data() ? "" : ",") << other.ip << ":1";
+    }
+    file << "\nbounds.graceS=6\nbounds.drainMs=2000\nplatform.address=" << gateway.store_path->address()
+         << '\n';
+}
+
+void soak_world::put_config()
+{
+    ++version_;
+    const auto route = [](const char* name, const char* kind, const char* service) {
+        return std::string(R"({"name":")") + name + R"(","host":"h.example","pathPrefix":"/)" + name +
+               R"(/","kind":")" + kind + R"(","service":")" + service +
+               R"(","timeoutMs":4000,"latencyGoalMs":300,"maxAttempts":2,"streamResume":true,"gapAimMs":200})";
+    };
+    store_.put("op/config", R"({"version":)" + std::to_string(version_) + R"(,"routes":[)" +
+                                route("book", "non_idempotent", "bookings") + "," +
+                                route("chat", "streaming", "engines") +
+                                R"(],"services":[{"name":"bookings"},{"name":"engines"}],"limits":{}})");
+}
+
+void soak_world::add_upstream(const std::string& service)
+{
+    const std::string id = service + "-" + std::to_string(++made_);
+    upstreams_.push_back(std::make_unique<soak_upstream>(loop_, id, service, promises_));
+    store_.put("servers/" + id, upstreams_.back()->entry(false));
+}
+
+void soak_world::start_gateway(soak_gateway& gateway)
+{
+    gateway.process = std::make_unique<child_process>(
+        program_, std::vector<std::string>{"platform-gateway", "--settings", gateway.settings});
+    gateway.ends_by.reset();
+    gateway.paused = false;
+}
+
+void soak_world::tell(const std::string& what)
+{
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - started_);
+    story_.push_back(std::to_string(ms.count()) + " ms: " + what);
+}
+
+void soak_world::later(std::chrono::milliseconds wait, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, wait);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+            action();
+        }
+    });
+}
+
+void soak_world::next_call(bool faults)
+{
+    const bool is_stream = random_.chance(0.5);
+    const soak_gateway& gateway = gateways_[random_.below(gateways_.size())];
+    calm_calls_ += faults ? 0 : 1;
+    std::make_shared<caller>(*this, "r" + std::to_string(++made_), is_stream, !faults)
+        ->start(gateway.ip, caller_port_);
+}
+
+void soak_world::next_fault()
+{
+    strike(random_.below(13));
+}
+
+void soak_world::strike(std::uint64_t kind)
+{
+    soak_upstream& upstream = *upstreams_[random_.below(upstreams_.size())];
+    switch (kind) {
+    case 0:
+    case 1:
+    case 2: {
+        const auto fault = static_cast<soak_upstream::fault>(kind + 1);
+        tell(upstream.id() + " fault " + std::to_string(kind));
+        upstream.set_fault(fault);
+        later(1500ms, [&upstream] { upstream.set_fault(soak_upstream::fault::none); });
+        return;
+    }
+    case 3:
+        tell("store busy");
+        store_.set_mood(store_standin::mood::busy);
+        later(2s, [this] { store_.set_mood(store_standin::mood::well); });
+        return;
+    case 4:
+        tell("store silent");
+        store_.set_mood(store_standin::mood::silent);
+        later(2s, [this] { store_.set_mood(store_standin::mood::well); });
+        return;
+    case 5:
+        tell("history forgotten");
+        store_.forget_history();
+        return;
+    case 6:
+        tell("configuration");
+        put_config();
+        return;
+    case 7:
+        if (!upstream.left() && upstreams_.size() < 40) {
+            const std::string service = upstream.id().substr(0, upstream.id().find('-'));
+            tell(upstream.id() + " leaves, another one comes");
+            upstream.leave();
+            store_.put("servers/" + upstream.id(), upstream.entry(true));
+            later(1s, [this, id = upstream.id()] { store_.remove("servers/" + id); });
+            add_upstream(service);
+        }
+        return;
+    default:
+        strike_gateway(gateways_[random_.below(gateways_.size())], kind);
+    }
+}
+
+void soak_world::strike_gateway(soak_gateway& gateway, std::uint64_t kind)
+{
+    if (!gateway.process || gateway.ends_by || gateway.paused) {
+        return;
+    }
+    switch (kind) {
+    case 8:
+        tell(gateway.ip + " killed");
+        gateway.process->signal(SIGKILL);
+        return;
+    case 9:
+        tell(gateway.ip + " asked to stop");
+        gateway.process->signal(SIGTERM);
+        gateway.ends_by = std::chrono::steady_clock::now() + 12s;
+        return;
+    case 10:
+        tell(gateway.ip + " paused");
+        gateway.paused = true;
+        gateway.process->signal(SIGSTOP);
+        later(std::chrono::milliseconds(300 + random_.below(1500)), [&gateway] {
+            gateway.paused = false;
+            if (gateway.process) {
+                gateway.process->signal(SIGCONT);
+            }
+        });
+        return;
+    case 11:
+        tell(gateway.ip + " cut off from the store");
+        gateway.store_path->cut();
+        later(2500ms, [&gateway] { gateway.store_path->heal(); });
+        return;
+    default:
+        tell(gateway.ip + " settings changed");
+        gateway.process->signal(SIGHUP);
+    }
+}
+
+void soak_world::look_after_gateways()
+{
+    for (soak_gateway& gateway : gateways_) {
+        if (!gateway.process) {
+            continue;
+        }
+        const auto code = gateway.process->wait(0us);
+        const bool asked = gateway.ends_by.has_value();
+        if (code) {
+            if (asked && *code != 0) {
+                promises_.broken(gateway.ip + " ended with " + std::to_string(*code) +
+                                 " after a planned stop");
+            }
+            if (!asked && *code != 128 + SIGKILL) {
+                promises_.broken(gateway.ip + " ended by itself with " + std::to_string(*code));
+            }
+            start_gateway(gateway);
+        }
+        else if (asked && std::chrono::steady_clock::now() > *gateway.ends_by) {
+            promises_.broken(gateway.ip + " still runs twelve seconds after it was asked to stop");
+            gateway.process->signal(SIGKILL);
+            gateway.ends_by.reset();
+        }
+    }
+}
+
+void soak_world::poll(std::chrono::milliseconds length, bool faults)
+{
+    const moment end = std::chrono::steady_clock::now() + length;
+    moment call = std::chrono::steady_clock::now();
+    moment fault = call + 500ms;
+    while (std::chrono::steady_clock::now() < end) {
+        const moment now = std::chrono::steady_clock::now();
+        if (now >= call) {
+            next_call(faults);
+            call = now + 15ms;
+        }
+        if (faults && now >= fault) {
+            next_fault();
+            fault = now + std::chrono::milliseconds(100 + random_.below(500));
+        }
+        look_after_gateways();
+        loop_.run_one_for(5ms);
+        loop_.restart();
+    }
+}
+
+void soak_world::heal()
+{
+    store_.set_mood(store_standin::mood::well);
+    for (soak_gateway& gateway : gateways_) {
+        gateway.store_path->heal();
+    }
+}
+
+void soak_world::run(std::chrono::milliseconds length)
+{
+    poll(length, true);
+    heal();
+    // Faults that are under way end, stopping gateways finish and start again.
+    poll(14s, false);
+    calm_calls_ = 0;
+    calm_answers_ = 0;
+    poll(3s, false);
+    poll(1s, false);
+    // Calls of the last second may still be under way; what a broken service would miss is far more.
+    if (calm_answers_ * 10 < (calm_calls_ - 100) * 9) {
+        promises_.broken("service is not back: " + std::to_string(calm_answers_) + " of " +
+                         std::to_string(calm_calls_) + " calls answered");
+    }
+    promises_.close();
+}
+
+} // namespace dragonflymill::soak
--- /dev/null
+++ b/tests/soak/store_standin.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "support/standin_upstream.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflymill::soak {
+
+/// The platform's metadata store, as far as gateways use it: listing and watching all keys.
+class store_standin
+{
+public:
+    /// How it answers.
+    enum class mood
+    {
+        well,   ///< As it should.
+        busy,   ///< 503 to each call.
+        silent, ///< Not at all.
+    };
+
+    explicit store_standin(boost::asio::io_context& loop);
+
+    /// Where it listens.
+    [[nodiscard]] auto address() const -> std::string { return server_.address(); }
+    /// Writes a record; watches hear of it.
+    void put(const std::string& key, const std::string& value);
+    /// Removes a record.
+    void remove(const std::string& key);
+    /// Changes how it answers; calls that wait are left without an answer when it falls silent.
+    void set_mood(mood now) { mood_ = now; }
+    /// Forgets what has changed so far: watches from before must list anew.
+    void forget_history() { history_from_ = revision_; }
+
+private:
+    struct record
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        bool removed = false;
+    };
+    struct watch
+    {
+        std::shared_ptr<test_support::taken_connection> connection;
+        std::uint64_t after = 0;
+        std::unique_ptr<boost::asio::steady_timer> end;
+    };
+
+    void answer(test_support::taken_connection& call);
+    void answer_watch(const std::shared_ptr<test_support::taken_connection>& call, std::uint64_t after);
+    [[nodiscard]] auto changes(std::uint64_t after) const -> std::string;
+    void changed();
+
+    boost::asio::io_context& loop_;
+    test_support::standin_upstream server_;
+    std::map<std::string, record> items_;
+    std::vector<watch> watches_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t history_from_ = 0;
+    mood mood_ = mood::well;
+};
+
+} // namespace dragonflymill::soak
