--- a/src/log/logger.cpp
+++ b/src/log/logger.cpp
@@ -13,10 +13,12 @@
 #include <boost/log/sources/logger.hpp>
 #include <boost/make_shared.hpp>
 #include <cstdio>
+#include <ext/stdio_filebuf.h>
 #include <fstream>
 #include <future>
 #include <iostream>
 #include <thread>
+#include <unistd.h>
 
 namespace dragonflymill {
 
@@ -59,13 +61,29 @@
     return wall_instant(std::chrono::duration_cast<duration>(since_epoch));
 }
 
+/// Standard output without the lock of `std::cout`: the writer may be stuck in a pipe that nobody reads, and
+/// the end of the process flushes `std::cout`.
+class standard_output : public std::ostream
+{
+public:
+    standard_output()
+        : std::ostream(nullptr)
+        , buffer_(STDOUT_FILENO, std::ios::out)
+    {
+        rdbuf(&buffer_);
+    }
+
+private:
+    __gnu_cxx::stdio_filebuf<char> buffer_;
+};
+
 auto open_stream(const std::string& file) -> result<boost::shared_ptr<std::ostream>>
 {
     if (file.empty()) {
         return boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {});
     }
     if (file == standard_output_file) {
-        return boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream*) {});
+        return boost::shared_ptr<std::ostream>(boost::make_shared<standard_output>());
     }
     auto stream = boost::make_shared<std::ofstream>(file, std::ios::app);
     if (!*stream) {
--- a/tests/log/logger_test.cpp
+++ b/tests/log/logger_test.cpp
@@ -145,8 +145,6 @@
     std::filesystem::remove(file);
 }
 
-} // namespace dragonflymill
-
 // Operators stop a process whose standard output is a pipe that nobody reads any more. It never ended: the
 // log's writer was stuck in the pipe, and the end of the process waited for it.
 Test(logger, a_pipe_that_nobody_reads_does_not_hold_up_the_end, .timeout = 60)
@@ -169,3 +167,5 @@
     }
     close(ends[0]);
 }
+
+} // namespace dragonflymill
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -41,6 +41,12 @@
     void set_fault(fault now) { fault_ = now; }
     /// It has said that it leaves.
     void leave() { left_ = std::chrono::steady_clock::now(); }
+    /// For how long the store has been well; nothing while it isn't. While it can't be read no gateway can
+    /// know that an upstream leaves.
+    void set_store_well(std::function<std::optional<moment>()> well_since)
+    {
+        well_since_ = std::move(well_since);
+    }
     /// Whether it has left.
     [[nodiscard]] auto left() const -> bool { return left_.has_value(); }
 
@@ -57,6 +63,7 @@
     test_support::standin_upstream server_;
     fault fault_ = fault::none;
     std::optional<moment> left_;
+    std::function<std::optional<moment>()> well_since_;
 };
 
 /// A gateway process, its own way to the store, and its settings file.
@@ -106,6 +113,7 @@
     void strike_gateway(soak_gateway& gateway, std::uint64_t kind);
     void heal();
     void look_after_gateways();
+    void set_mood(store_standin::mood now);
     void poll(std::chrono::milliseconds length, bool faults);
     void tell(const std::string& what);
     void later(std::chrono::milliseconds wait, std::function<void()> action);
@@ -118,6 +126,7 @@
     std::vector<std::unique_ptr<soak_upstream>> upstreams_;
     std::vector<soak_gateway> gateways_;
     std::vector<std::string> story_;
+    std::optional<moment> store_well_since_ = std::chrono::steady_clock::now();
     std::uint64_t version_ = 1;
     std::uint64_t made_ = 0;
     std::uint16_t caller_port_ = 0;
