A process that has listed the source hands over whole lists to whoever is further behind

Cause: a gateway that had just started and listed knows no removal from before its listing; its difference for a peer that was further behind lacked the removal and yet moved the peer's revision past it. Ruled out: load (the state never healed), the held removals, the stand-in store. The test without the soak failed before and passes after.

--- a/src/direct/fleet_records.cpp
+++ b/src/direct/fleet_records.cpp
@@ -37,6 +37,8 @@
         }
     }
     if (extract.whole) {
+        // A listing doesn't tell of records that were removed before it and were never known here.
+        forgotten_to_ = std::max(forgotten_to_, extract.as_of);
         std::vector<std::string> missing;
         for (const auto& [key, record] : records_) {
             if (!record.removed && record.revision < extract.as_of && !present.contains(key)) {
@@ -64,7 +66,7 @@
 {
     records_extract extract;
     extract.as_of = revision_;
-    // Removals up to `forgotten_to_` are no longer remembered, so that only the whole list tells of them.
+    // Removals up to `forgotten_to_` aren't all known here, so that only the whole list tells of them.
     extract.whole = after == 0 || after < forgotten_to_;
     for (const auto& [key, record] : records_) {
         const bool wanted = extract.whole ? !record.removed : record.revision > after;
--- a/tests/direct/fleet_records_test.cpp
+++ b/tests/direct/fleet_records_test.cpp
@@ -106,6 +106,21 @@
     cr_assert(other.revision() == 4);
 }
 
+// A gateway starts and lists the source after an upstream has left; it never heard of that upstream. A peer
+// that missed the removal asks it for what changed: a difference would lack the removal and yet count as
+// complete, and the peer would send work to the upstream that left for as long as it ran.
+Test(fleet_records, a_process_that_has_listed_knows_no_removal_from_before)
+{
+    fleet_records behind;
+    (void)behind.apply(records_extract{{written("left", 5), written("stays", 6)}, 16, true});
+    fleet_records fresh;
+    (void)fresh.apply(records_extract{{written("stays", 6), written("new", 19)}, 21, true});
+    const auto news = behind.apply(fresh.since(behind.revision()));
+    cr_assert(behind.all().at("left").removed);
+    cr_assert(news.size() == 2);
+    cr_assert(behind.revision() == 21);
+}
+
 // A gateway was cut off for so long that removals of that time are forgotten everywhere: a difference would
 // leave it with upstreams that are gone, so it gets the whole list.
 Test(fleet_records, a_peer_that_is_too_far_behind_gets_the_whole_list)
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -203,6 +203,7 @@
         program_, std::vector<std::string>{"platform-gateway", "--settings", gateway.settings});
     gateway.ends_by.reset();
     gateway.paused = false;
+    gateway.started = std::chrono::steady_clock::now();
 }
 
 void soak_world::tell(const std::string& what)
@@ -314,6 +315,10 @@
         later(2500ms, [&gateway] { gateway.store_path->heal(); });
         return;
     default:
+        // Before its first instruction a program can't take a signal, and this one's default ends it.
+        if (std::chrono::steady_clock::now() - gateway.started < 1s) {
+            return;
+        }
         tell(gateway.ip + " settings changed");
         gateway.process->signal(SIGHUP);
     }
