End the log's pipe test as the program ends: the stuck writer must not meet destroyed static objects

Seen once under the address sanitizer: heap-use-after-free at the test's own exit. Cause: the test left by exit(), the program by quick_exit(). Passes with and without sanitizers; the hang that it guards against still times out.

--- a/tests/log/logger_test.cpp
+++ b/tests/log/logger_test.cpp
@@ -165,7 +165,9 @@
             log_event(event::gateway_started, field("gateway", "g"));
         }
     }
-    close(ends[0]);
+    // As the program ends: the writer may still be stuck, and must not meet static objects that are
+    // destroyed.
+    std::quick_exit(EXIT_SUCCESS);
 }
 
 } // namespace dragonflymill
