--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -192,7 +192,7 @@
     wait_.leaves_at = arrived_ + std::min(limit, patience);
     wait_.give_up_at =
         std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + route_->answer_aim * 5 / 4);
-    wait_for_upstream(arrived_);
+    wait_for_upstream();
 }
 
 auto exchange::authenticate() -> bool
@@ -206,7 +206,7 @@
     return account_ != nullptr || route_->anonymous || !config_->keys_needed();
 }
 
-void exchange::wait_for_upstream(instant /*now*/)
+void exchange::wait_for_upstream()
 {
     waiting_ = true;
     context_.desk.add(wait_);
@@ -444,9 +444,7 @@
         first_event_at_ = heard_at_;
         context_.metrics.first_answer.record(static_cast<double>((heard_at_ - arrived_).count()) / us_per_s);
     }
-    if (events_ == 0 || order_) {
-        context_.desk.first_token(order_->placed, heard_at_);
-    }
+    context_.desk.first_token(order_->placed, heard_at_);
     if (events_ > 0) {
         longest_pause_ = std::max(longest_pause_, heard_at_ - last_event_at_);
     }
@@ -606,7 +604,7 @@
     switch (step) {
     case next_step::try_again:
         wait_.give_up_at = limit_at_ - direct::least_time_for_attempt;
-        wait_for_upstream(runtime::now());
+        wait_for_upstream();
         return;
     case next_step::pass_failure:
         answer_whole();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -69,7 +69,7 @@
     };
 
     [[nodiscard]] auto authenticate() -> bool;
-    void wait_for_upstream(instant now);
+    void wait_for_upstream();
     void reserve_memory();
     [[nodiscard]] auto may_still_send(const direct::dispatch_order& order) const -> bool;
     void send();
