--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t max_gathered_bytes = 1'048'576;
 /// After engine memory could not be reserved, the next try waits this long: another call holds it.
 constexpr duration reservation_pause = 100ms;
+/// Status of an upstream that isn't the one that was meant; it has not run the request.
+constexpr unsigned misdirected = 421;
 /// Callers take the time to come back in seconds.
 constexpr double us_per_s = 1e6;
 
@@ -346,15 +348,19 @@
     }
 }
 
+auto exchange::silence_bound() const -> duration
+{
+    const bool begun = mode_ == answer_mode::events && events_ > 0;
+    const duration bound = begun ? silent_pauses * route_->pause_aim : silent_aims * route_->answer_aim;
+    return std::max(least_silence, bound);
+}
+
 void exchange::watch_silence()
 {
     if (!route_->repeatable()) {
         return;
     }
-    const duration first = std::max(least_silence, silent_aims * route_->answer_aim);
-    const duration later = std::max(least_silence, silent_pauses * route_->pause_aim);
-    const bool begun = mode_ == answer_mode::events && events_ > 0;
-    const instant due = heard_at_ + (begun ? later : first);
+    const instant due = heard_at_ + silence_bound();
     silence_timer_ = context_.timers.at(due, [weak = weak_from_this(), attempt = attempt_] {
         if (const auto self = weak.lock()) {
             self->silence_timer_.reset();
@@ -369,10 +375,7 @@
         return;
     }
     const instant now = runtime::now();
-    const bool begun = mode_ == answer_mode::events && events_ > 0;
-    const duration bound = begun ? std::max(least_silence, silent_pauses * route_->pause_aim)
-                                 : std::max(least_silence, silent_aims * route_->answer_aim);
-    if (now - heard_at_ < bound) {
+    if (now - heard_at_ < silence_bound()) {
         watch_silence();
         return;
     }
@@ -396,7 +399,6 @@
         return false;
     }
     head_ = head;
-    constexpr unsigned misdirected = 421;
     if (head.status == misdirected || !head.value_of(names.not_run).empty()) {
         mode_ = answer_mode::rejected;
         end_attempt(attempt_end::rejected, "status " + std::to_string(head.status));
@@ -457,6 +459,18 @@
     }
 }
 
+auto exchange::passed_fields() const -> std::vector<header_field>
+{
+    std::vector<header_field> fields;
+    const std::string_view connection = head_.value_of("connection");
+    for (const header_field& field : head_.fields) {
+        if (!concerns_connection(field.name, connection)) {
+            fields.push_back(field);
+        }
+    }
+    return fields;
+}
+
 void exchange::pass_head()
 {
     if (answer_begun_) {
@@ -467,14 +481,7 @@
     if (!session) {
         return;
     }
-    std::vector<header_field> fields;
-    const std::string_view connection = head_.value_of("connection");
-    for (const header_field& field : head_.fields) {
-        if (!concerns_connection(field.name, connection)) {
-            fields.push_back(field);
-        }
-    }
-    session->begin_answer(head_.status, head_.reason, fields);
+    session->begin_answer(head_.status, head_.reason, passed_fields());
 }
 
 void exchange::answer_completed()
@@ -507,14 +514,7 @@
             session->end_answer();
         }
         else {
-            std::vector<header_field> fields;
-            const std::string_view connection = head_.value_of("connection");
-            for (const header_field& field : head_.fields) {
-                if (!concerns_connection(field.name, connection)) {
-                    fields.push_back(field);
-                }
-            }
-            session->answer(head_.status, head_.reason, fields, body_);
+            session->answer(head_.status, head_.reason, passed_fields(), body_);
         }
     }
     context_.metrics.answered.add();
@@ -545,7 +545,6 @@
 {
     direct::upstream_health& health = context_.desk.health();
     const std::string& upstream = order_->upstream.id;
-    constexpr unsigned misdirected = 421;
     const std::string_view at_fault = head_.value_of(context_.names.at_fault);
     if (end == attempt_end::rejected && !order_->helpers.empty() && !at_fault.empty()) {
         blame_helper(at_fault, now);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -77,7 +77,9 @@
     void add_own_fields(std::string& text, const direct::dispatch_order& order, instant now) const;
     [[nodiscard]] auto passes_on(const header_field& field, std::string_view connection) const -> bool;
     void relay(const std::string& bytes);
+    [[nodiscard]] auto passed_fields() const -> std::vector<header_field>;
     void pass_head();
+    [[nodiscard]] auto silence_bound() const -> duration;
     void watch_silence();
     void silence(std::uint64_t attempt);
     void end_attempt(direct::attempt_end end, const std::string& why);
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -28,9 +28,7 @@
     std::string expected_upstream; ///< Id of the only upstream that may run the request.
     std::string not_run;           ///< In an upstream's answer: it has not run the request and won't.
     std::string at_fault;          ///< In a refusal: the upstream that caused it, by id or address.
-    std::string model;             ///< Model that is asked for.
     std::string token_counts; ///< Tokens of the prompt and most tokens of the answer, with a comma between.
-    std::string prompt_parts; ///< Shared parts of the prompt.
     std::string helpers;      ///< Engines that read a part of the prompt.
     std::string engine_priority; ///< Order of admission at an engine.
     std::string resume_after;    ///< Last event that the caller has.
