Weigh how a long prompt is read: what it earns less the streams that it makes late

An engine that reads for others is no longer taken for lost after a second of silence: its calls were sent elsewhere and read twice (six to twelve calls at a time).

--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -91,7 +91,8 @@
                            call.leaves_at - now,
                            call.aim_at - now,
                            settings_.failure_domain,
-                           stable_hash(std::to_string(call.id), settings_.seed)};
+                           stable_hash(std::to_string(call.id), settings_.seed),
+                           call.aim};
     const auto found = candidates(fleet, *service, call, now);
     if (!service->engine) {
         return plain_dispatch().choose(shape, found);
--- /dev/null
+++ b/src/direct/reading_plan.cpp
@@ -0,0 +1,287 @@
+#include "dragonflymill/direct/reading_plan.h"
+
+#include "dragonflymill/core/stable_hash.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <string>
+#include <tuple>
+
+namespace dragonflymill::direct {
+
+namespace {
+
+/// Backlogs that differ by less count as equal, so that the order of engines decides.
+constexpr duration backlog_step = 30ms;
+/// Reading on an engine that writes holds its streams up: worth this much backlog on one that doesn't.
+constexpr duration writer_penalty = 60ms;
+/// Prompts that an engine has to read for itself at once: each holds up what it writes by its length.
+constexpr int max_unread = 2;
+/// Engines that hold one prompt at most; the largest prompt needs three, and each holder slows its own
+/// writers.
+constexpr std::size_t max_holders = 8;
+/// Engines that are tried as a call's writer: the first that fit from the far end.
+constexpr std::size_t max_writers = 4;
+/// A plan with another writer, or another number of readers than wanted, has to be better by this share of
+/// the call's worth: long answers stay at few engines, and parts keep their length.
+constexpr double writer_margin = 0.05;
+constexpr double readers_margin = 0.02;
+/// Numbers of readers that are tried; between them a part's length changes by less than a fifth.
+constexpr std::array<std::size_t, 11> reader_counts{1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16};
+
+auto ramp(double value, double begins, double full) -> double
+{
+    return std::clamp((value - begins) / (full - begins), 0.0, 1.0);
+}
+
+auto share_of(duration value, double share) -> duration
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * share));
+}
+
+auto ratio(duration value, duration whole) -> double
+{
+    return static_cast<double>(value.count()) /
+           static_cast<double>(std::max<duration::rep>(whole.count(), 1));
+}
+
+} // namespace
+
+reading_planner::reading_planner(const engine_forecast& forecast, duration wanted_part,
+                                 const call_shape& call, std::span<const dispatch_candidate> ordered)
+    : forecast_(forecast)
+    , wanted_part_(wanted_part)
+    , call_(call)
+    , ordered_(ordered)
+{
+}
+
+auto reading_planner::best(std::span<const dispatch_candidate> side) const -> std::optional<reading_plan>
+{
+    std::optional<reading_plan> chosen;
+    for (const writer_choice& writer : writers(side)) {
+        reading_plan plan = plan_for(writer);
+        const double margin = writer_margin * worth();
+        if (!chosen || plan.gain - plan.harm > chosen->gain - chosen->harm + margin) {
+            chosen = std::move(plan);
+        }
+    }
+    return chosen;
+}
+
+auto reading_planner::best_for(const dispatch_candidate& writer) const -> reading_plan
+{
+    return plan_for({&writer, memory_need(call_), {}});
+}
+
+auto reading_planner::acceptable(const reading_plan& plan) const -> bool
+{
+    const duration first = plan.first_token();
+    const bool on_time = first <= call_.time_to_aim;
+    const duration stays = share_of(call_.time_to_leave, stay_share);
+    const duration left = (on_time ? call_.time_to_aim : stays) - first;
+    const duration whole = on_time ? std::max(call_.aim, call_.time_to_aim) : stays;
+    const double patience = std::clamp(ratio(left, whole), 0.0, 1.0);
+    return plan.harm <= plan.gain * (1.0 - patience);
+}
+
+auto reading_planner::writers(std::span<const dispatch_candidate> side) const -> std::vector<writer_choice>
+{
+    const std::int64_t tokens = memory_need(call_);
+    std::vector<writer_choice> found;
+    const dispatch_candidate* helping = nullptr;
+    for (auto engine = side.rbegin(); engine != side.rend() && found.size() < max_writers; ++engine) {
+        const bool fits = has_slot(*engine) && free_memory(forecast_.figures(), *engine) >= tokens &&
+                          engine->load.unread_calls < max_unread;
+        if (!fits) {
+            continue;
+        }
+        if (engine->load.parts == 0) {
+            found.push_back({&*engine, tokens, {}});
+        }
+        else if (helping == nullptr || engine->load.reading < helping->load.reading) {
+            helping = &*engine;
+        }
+    }
+    // One that reads for others would read for them first, so it is taken only if there is no other.
+    if (found.empty() && helping != nullptr) {
+        found.push_back({helping, tokens, {}});
+    }
+    if (found.empty()) {
+        if (auto gang = memory_gang(side)) {
+            found.push_back(std::move(*gang));
+        }
+    }
+    return found;
+}
+
+auto reading_planner::memory_gang(std::span<const dispatch_candidate> side) const
+    -> std::optional<writer_choice>
+{
+    const auto room = [this](const dispatch_candidate* engine) {
+        return free_memory(forecast_.figures(), *engine);
+    };
+    std::vector<const dispatch_candidate*> roomy;
+    for (auto engine = side.rbegin(); engine != side.rend(); ++engine) {
+        if (!engine->suspect) {
+            roomy.push_back(&*engine);
+        }
+    }
+    std::stable_sort(roomy.begin(), roomy.end(),
+                     [&](const auto* a, const auto* b) { return room(a) > room(b); });
+    const std::size_t most = std::min(roomy.size(), max_holders);
+    for (std::size_t count = 2; count <= most; ++count) {
+        const std::int64_t share = memory_need(call_) / static_cast<std::int64_t>(count) + 1;
+        const auto end = roomy.begin() + static_cast<std::ptrdiff_t>(count);
+        const auto writer = std::find_if(roomy.begin(), end, [&](const auto* engine) {
+            return has_slot(*engine) && room(engine) >= share && engine->load.unread_calls < max_unread;
+        });
+        if (room(roomy[count - 1]) < share || writer == end) {
+            continue;
+        }
+        writer_choice gang{*writer, share, {}};
+        for (auto engine = roomy.begin(); engine != end; ++engine) {
+            if (engine != writer) {
+                gang.holders.push_back({(*engine)->id, share});
+            }
+        }
+        return gang;
+    }
+    return std::nullopt;
+}
+
+auto reading_planner::plan_for(const writer_choice& writer) const -> reading_plan
+{
+    const std::size_t fixed = writer.holders.size() + 1;
+    const auto wanted = static_cast<double>(std::max(fixed, wanted_readers()));
+    std::optional<reading_plan> chosen;
+    double chosen_value = 0.0;
+    const auto consider = [&](std::size_t readers) {
+        auto plan = plan_of(writer, readers);
+        if (!plan) {
+            return;
+        }
+        const double off = std::abs(std::log2(static_cast<double>(readers) / wanted));
+        const double value = plan->gain - plan->harm - off * readers_margin * worth();
+        if (!chosen || value > chosen_value) {
+            chosen_value = value;
+            chosen = std::move(plan);
+        }
+    };
+    consider(fixed);
+    for (const std::size_t readers : reader_counts) {
+        if (readers > fixed && readers <= most_readers()) {
+            consider(readers);
+        }
+    }
+    return *chosen; // the fixed readers alone are always a plan
+}
+
+auto reading_planner::plan_of(const writer_choice& writer, std::size_t readers) const
+    -> std::optional<reading_plan>
+{
+    reading_plan plan;
+    plan.writer = writer.engine;
+    plan.writer_tokens = writer.tokens;
+    plan.helpers = writer.holders;
+    plan.part = forecast_.read_part(call_.prompt_tokens, static_cast<int>(readers));
+    plan.backlog = writer.engine->load.reading;
+    plan.harm = harm_at(*writer.engine, plan.part);
+    for (const helper_share& holder : writer.holders) {
+        const dispatch_candidate& engine = find(holder.upstream);
+        plan.backlog = std::max(plan.backlog, engine.load.reading);
+        plan.harm += harm_at(engine, plan.part);
+    }
+    for (const ranked_reader& reader : ranked(writer, plan.part)) {
+        if (plan.helpers.size() + 1 == readers) {
+            break;
+        }
+        plan.helpers.push_back({reader.engine->id, 0});
+        plan.backlog = std::max(plan.backlog, reader.engine->load.reading);
+        plan.harm += reader.harm;
+    }
+    if (plan.helpers.size() + 1 != readers) {
+        return std::nullopt;
+    }
+    plan.gain = gain_of(plan.first_token());
+    return plan;
+}
+
+auto reading_planner::ranked(const writer_choice& writer, duration part) const -> std::vector<ranked_reader>
+{
+    std::vector<ranked_reader> able;
+    for (const dispatch_candidate& engine : ordered_) {
+        const auto holds = [&](const helper_share& share) { return share.upstream == engine.id; };
+        const bool chosen = engine.id == writer.engine->id ||
+                            std::any_of(writer.holders.begin(), writer.holders.end(), holds);
+        // An engine reads parts for others ahead of its own prompts: one that helped on and on would never
+        // come to its own, so those with an unread prompt are not asked to help.
+        const bool free =
+            !engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0;
+        if (!free || chosen) {
+            continue;
+        }
+        const duration disturbed = in_hand(engine) > 0 ? writer_penalty : duration::zero();
+        able.push_back({&engine, harm_at(engine, part), (engine.load.reading + disturbed) / backlog_step,
+                        stable_hash(engine.id, call_.spread)});
+    }
+    std::sort(able.begin(), able.end(), [](const ranked_reader& a, const ranked_reader& b) {
+        return std::tuple(a.harm, a.backlog_steps, a.spread) < std::tuple(b.harm, b.backlog_steps, b.spread);
+    });
+    return able;
+}
+
+auto reading_planner::harm_at(const dispatch_candidate& engine, duration part) const -> double
+{
+    if (engine.load.tightest_pause <= duration::zero()) {
+        return 0.0;
+    }
+    const int writers = std::max(in_hand(engine), 1);
+    const duration pass = forecast_.pass(writers, engine.load.memory_tokens / writers);
+    const double pause = ratio(engine.load.reading + part + pass, engine.load.tightest_pause);
+    const double streams = writers + static_cast<double>(engine.load.memory_tokens) / tokens_per_worth;
+    return streams * (1.0 - late_worth) * ramp(pause, harm_begins, harm_full);
+}
+
+auto reading_planner::gain_of(duration first_token) const -> double
+{
+    if (first_token > share_of(call_.time_to_leave, stay_share)) {
+        return 0.0;
+    }
+    const double late = call_.time_to_aim <= duration::zero()
+                            ? 1.0
+                            : ramp(ratio(first_token, call_.time_to_aim), late_begins, late_full);
+    return worth() * (1.0 - (1.0 - late_worth) * late);
+}
+
+auto reading_planner::worth() const -> double
+{
+    return 1.0 + static_cast<double>(call_.prompt_tokens) / tokens_per_worth;
+}
+
+auto reading_planner::wanted_readers() const -> std::size_t
+{
+    const duration whole = forecast_.read_alone(call_.prompt_tokens);
+    const bool late =
+        forecast_.read_part(call_.prompt_tokens, static_cast<int>(most_readers())) > call_.time_to_aim;
+    // Late is late: a call that can't begin in time gets only as many engines as let it begin while its
+    // caller stays, and the others make no other call late.
+    const duration part = late ? share_of(call_.time_to_leave, stay_share) : wanted_part_;
+    const double parts = std::ceil(ratio(whole, part));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::max(parts, 1.0)), 1, most_readers());
+}
+
+auto reading_planner::most_readers() const -> std::size_t
+{
+    const auto share = static_cast<std::size_t>(static_cast<double>(ordered_.size()) * reader_share);
+    return std::clamp<std::size_t>(share, 1, max_readers);
+}
+
+auto reading_planner::find(const std::string& id) const -> const dispatch_candidate&
+{
+    return *std::find_if(ordered_.begin(), ordered_.end(),
+                         [&](const dispatch_candidate& engine) { return engine.id == id; });
+}
+
+} // namespace dragonflymill::direct
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -26,6 +26,9 @@
 /// No silence shorter than this counts: callers bear a gap of two seconds, and a second attempt needs some
 /// hundred milliseconds for its first event.
 constexpr duration least_silence = 1s;
+/// An engine that has so much to read for others is silent because of it, not lost: its calls are given up
+/// only shortly before their callers leave. Sent elsewhere sooner, they were read a second time.
+constexpr duration busy_reading = 250ms;
 /// Callers leave a stream that has not begun after the longest of these: a time, so many aims of the answer,
 /// so many of its pause aims.
 constexpr duration least_patience = 2s;
@@ -40,6 +43,12 @@
 /// Callers take the time to come back in seconds.
 constexpr double us_per_s = 1e6;
 
+/// How long callers of a route bear a stream's silence.
+auto patience(const direct::route_rule& route) -> duration
+{
+    return std::max({least_patience, patient_aims * route.answer_aim, patient_pauses * route.pause_aim});
+}
+
 auto number_of(std::string_view text) -> std::optional<std::int64_t>
 {
     std::int64_t number = 0;
@@ -50,6 +59,16 @@
     return number;
 }
 
+/// Ids of the engines that read a part, for the log: at most as many as read one prompt.
+auto helper_list(const direct::dispatch_order& order) -> std::string
+{
+    std::string list;
+    for (const direct::dispatch_helper& helper : order.helpers) {
+        list.append(list.empty() ? "" : " ").append(helper.upstream.id);
+    }
+    return list;
+}
+
 auto lower(std::string_view text) -> std::string
 {
     std::string small(text);
@@ -189,9 +208,7 @@
     wait_.priority = account_ != nullptr ? account_->priority.value_or(route_->priority) : route_->priority;
     wait_.aim_at = arrived_ + route_->answer_aim;
     wait_.aim = route_->answer_aim;
-    const duration patience =
-        std::max({least_patience, patient_aims * route_->answer_aim, patient_pauses * route_->pause_aim});
-    wait_.leaves_at = arrived_ + std::min(limit, patience);
+    wait_.leaves_at = arrived_ + std::min(limit, patience(*route_));
     wait_.give_up_at =
         std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + route_->answer_aim * 5 / 4);
     wait_for_upstream();
@@ -228,7 +245,7 @@
     body_.clear();
     relay_.begin_attempt();
     log_event(event::call_dispatched, field("request", request_name_), field("attempt", attempt_),
-              field("upstream", order.upstream.id), field("helpers", order.helpers.size()),
+              field("upstream", order.upstream.id), field("helpers", helper_list(order)),
               field("reason", order.choice.reason), field("waited_us", now - arrived_),
               field("forecast_us", order.choice.first_token), field("prompt_tokens", wait_.prompt_tokens),
               field("answer_tokens", wait_.answer_tokens),
@@ -352,7 +369,9 @@
 {
     const bool begun = mode_ == answer_mode::events && events_ > 0;
     const duration bound = begun ? silent_pauses * route_->pause_aim : silent_aims * route_->answer_aim;
-    return std::max(least_silence, bound);
+    const duration reading = context_.desk.board().load_of(order_->upstream.id, runtime::now()).reading;
+    const duration busy = reading > busy_reading ? patience(*route_) * 4 / 5 : duration::zero();
+    return std::max({least_silence, bound, busy});
 }
 
 void exchange::watch_silence()
--- /dev/null
+++ b/tests/direct/reading_plan_test.cpp
@@ -0,0 +1,124 @@
+#include "dragonflymill/direct/dispatch_policy.h"
+#include "dragonflymill/direct/reading_plan.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace dragonflymill;
+using namespace dragonflymill::direct;
+
+namespace {
+
+constexpr duration tight_pause = 200ms;
+
+auto figures() -> engine_figures
+{
+    return {16, 450'000, 46, 0.925, 0.00483, 0.00254, 256.0, 0.0917, 2048};
+}
+
+auto engines(int count) -> std::vector<dispatch_candidate>
+{
+    std::vector<dispatch_candidate> made;
+    made.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        made.push_back({"engine-" + std::to_string(i), "a", 16, false, {}});
+    }
+    sort_for_border(made);
+    return made;
+}
+
+void write_short_streams(dispatch_candidate& engine, int count)
+{
+    engine.load.short_calls = count;
+    engine.load.memory_tokens = 6'600 * count;
+    engine.load.tightest_pause = tight_pause;
+}
+
+auto long_call(std::int64_t tokens, duration time_to_aim) -> call_shape
+{
+    return {tokens, 800, 800ms, 12s, time_to_aim, "a", 1, 3s};
+}
+
+auto engine_named(const std::vector<dispatch_candidate>& all, const std::string& id)
+    -> const dispatch_candidate&
+{
+    return *std::find_if(all.begin(), all.end(), [&](const auto& engine) { return engine.id == id; });
+}
+
+} // namespace
+
+// A burst of short questions fills all engines but two while a document comes that is late already. Read
+// alone at the first engine with room, for three seconds, it made the ten answers written there late: each
+// of their events waited for the reading. It is read where nobody waits for an event.
+Test(reading_plan, a_late_prompt_is_not_read_beside_streams)
+{
+    auto all = engines(14);
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        if (i != 11 && i != 12) {
+            write_short_streams(all[i], 10);
+        }
+    }
+    const auto choice = engine_dispatch(figures(), tight_pause).choose(long_call(210'000, -100ms), all);
+    cr_assert(choice.has_value());
+    cr_assert(in_hand(engine_named(all, choice->upstream)) == 0, "%s writes", choice->upstream.c_str());
+}
+
+// All engines write a few short streams when a review of 100,000 tokens comes. No part was short enough for a
+// strict bound on what may be read beside streams, so that it was read alone, 0.9 s, at the cost of every
+// stream there. Parts of 0.1 s at nine engines cost none of them its pause.
+Test(reading_plan, parts_beside_streams_are_better_than_one_long_reading)
+{
+    auto all = engines(14);
+    for (auto& engine : all) {
+        write_short_streams(engine, 6);
+    }
+    const auto choice = engine_dispatch(figures(), tight_pause).choose(long_call(100'000, 3s), all);
+    cr_assert(choice.has_value());
+    cr_assert(choice->reading < 120ms, "%ld us each", static_cast<long>(choice->reading.count()));
+}
+
+// A reading that would make many streams late waits while its caller has time, and is done at last rather
+// than that the caller goes without: a document is worth as many questions as it has pages.
+Test(reading_plan, a_call_accepts_more_harm_the_longer_it_waits)
+{
+    auto all = engines(4);
+    for (auto& engine : all) {
+        write_short_streams(engine, 5);
+    }
+    const engine_forecast forecast(figures());
+    const auto acceptable = [&](duration time_to_aim) {
+        const call_shape call = long_call(210'000, time_to_aim);
+        const reading_planner planner(forecast, 120ms, call, all);
+        const auto plan = planner.best(all);
+        return plan && planner.acceptable(*plan);
+    };
+    cr_assert(!acceptable(3s));
+    cr_assert(acceptable(1600ms));
+}
+
+Test(reading_plan, streams_with_longer_pauses_bear_longer_parts)
+{
+    auto all = engines(2);
+    const call_shape call = long_call(45'000, 3s);
+    const engine_forecast forecast(figures());
+    const reading_planner planner(forecast, 120ms, call, all);
+    all[0].load.long_calls = 2;
+    all[0].load.tightest_pause = 800ms;
+    cr_assert(planner.best_for(all[0]).harm == 0.0);
+    all[0].load.tightest_pause = tight_pause;
+    cr_assert(planner.best_for(all[0]).harm > 1.0);
+}
+
+// Long answers stay at few engines, so that the others can read: a writer is given up only for one that is
+// clearly better.
+Test(reading_plan, long_answers_are_written_by_few_engines)
+{
+    auto all = engines(14);
+    const engine_dispatch policy(figures(), tight_pause);
+    const auto first = policy.choose(long_call(45'000, 3s), all);
+    auto& writer = *std::find_if(all.begin(), all.end(), [&](auto& e) { return e.id == first->upstream; });
+    writer.load.long_calls = 1;
+    writer.load.tightest_pause = 800ms;
+    cr_assert(policy.choose(long_call(45'000, 3s), all)->upstream == first->upstream);
+}
