Let waiting long calls of several gateways take turns; memory from all engines in a burst

Three gateways had each held one until a burst left room, sent all three to one engine within 7 ms, and each took from the others the memory that it had to reserve; after the same pause they met again. And they had waited for the burst's end because only the engines behind the border were asked for memory.

Change: a long call that found no room goes at a moment of its own within 2 ms a gateway; the pause after a refused reservation differs from call to call; if no engine behind the border has room, all are asked, weighed by harm. The bounds of silence are a module of their own (direct/silence_rules), with the test that was missing.

Each new test was seen to fail with its change taken out.

--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -132,6 +133,14 @@
     /// When a caller is asked to come back after no upstream could take work at all.
     static constexpr duration retry_after_none = 700ms;
 
+    /// A long call that waited goes at a moment of its own within so much time a gateway, once there is room:
+    /// that is how long a word takes to the other gateways, with the processor time of the smallest of them.
+    /// Three of thirty gateways sent prompts of half a million tokens to one engine within 7 ms, and none of
+    /// them got the memory that it had to reserve.
+    static constexpr duration turn_a_gateway = 2ms;
+    /// No call waits longer than this for its turn.
+    static constexpr duration longest_turn = 80ms;
+
 private:
     [[nodiscard]] auto candidates(const upstream_list& fleet, const service_rule& service,
                                   const waiting_call& call, instant now) const
@@ -144,6 +153,8 @@
     [[nodiscard]] auto cold_rate(const upstream_list& fleet, const upstream_state& upstream,
                                  instant now) const -> double;
     void sort_waiting(const fleet_config& config, instant now);
+    [[nodiscard]] auto has_turn(const waiting_call& call, const dispatch_choice& choice, instant now) -> bool;
+    void note_blocked(const waiting_call& call);
 
     dispatch_settings settings_;
     load_board board_;
@@ -151,6 +162,8 @@
     std::unordered_map<std::string, cold_share> cold_;
     std::unordered_map<std::string, retry_window> retries_;
     std::vector<waiting_call> waiting_;
+    /// Calls that found no room, and since when there is room again; nothing: there is none.
+    std::unordered_map<std::uint64_t, std::optional<instant>> blocked_;
     int gateways_ = 1;
 };
 
--- a/include/dragonflymill/direct/reading_plan.h
+++ b/include/dragonflymill/direct/reading_plan.h
@@ -45,7 +45,8 @@
     reading_planner(const engine_forecast& forecast, duration wanted_part, const call_shape& call,
                     std::span<const dispatch_candidate> ordered);
 
-    /// The best plan with a writer among `side`; nothing if none has room.
+    /// The best plan with a writer among `side`, or among all if none of those has room; nothing if none has.
+    /// A burst of short prompts leaves one engine to the long ones, whose memory the largest prompts exceed.
     [[nodiscard]] auto best(std::span<const dispatch_candidate> side) const -> std::optional<reading_plan>;
     /// The best plan for a writer that is chosen already.
     [[nodiscard]] auto best_for(const dispatch_candidate& writer) const -> reading_plan;
--- /dev/null
+++ b/include/dragonflymill/direct/silence_rules.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "dragonflymill/core/time.h"
+#include "dragonflymill/direct/fleet_config.h"
+
+namespace dragonflymill::direct {
+
+/// What is known of an attempt whose upstream is silent.
+struct silent_attempt
+{
+    bool begun = false; ///< Whether an event of its stream came.
+    duration reading{}; ///< Reading that the upstream has to do, as the load board tells.
+
+    friend auto operator==(const silent_attempt&, const silent_attempt&) -> bool = default;
+};
+
+/// How long callers of a route bear a stream's silence before they leave.
+[[nodiscard]] auto caller_patience(const route_rule& route) -> duration;
+
+/// How long an upstream may be silent before its call is sent to another one.
+///
+/// Too short, and calls of a busy engine are read a second time elsewhere, which makes the next engine
+/// silent; too long, and a lost engine's callers leave first.
+[[nodiscard]] auto silence_bound(const route_rule& route, const silent_attempt& attempt) -> duration;
+
+} // namespace dragonflymill::direct
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -16,6 +16,7 @@
 void dispatch_desk::drop(std::uint64_t call)
 {
     std::erase_if(waiting_, [&](const waiting_call& other) { return other.id == call; });
+    blocked_.erase(call);
 }
 
 void dispatch_desk::tell_suspects(const upstream_list& fleet, instant now)
@@ -61,15 +62,22 @@
         int& failures = blocked[{call.service, call.pause_aim}];
         auto choice =
             failures < tries_past_blocked && now >= call.not_before ? choose(fleet, call, now) : std::nullopt;
+        if (choice && !has_turn(call, *choice, now)) {
+            still.push_back(std::move(call));
+            continue;
+        }
         if (choice) {
             round.orders.push_back(order_for(fleet, call, *choice, now));
+            blocked_.erase(call.id);
             continue;
         }
         ++failures;
+        note_blocked(call);
         const bool none = !any_upstream(fleet, call.service);
         if (none || now >= call.give_up_at) {
             round.refusals.push_back({call.id, none ? retry_after_none : retry_after_full,
                                       none ? "no upstream takes work" : "all upstreams are full"});
+            blocked_.erase(call.id);
             continue;
         }
         still.push_back(std::move(call));
@@ -78,6 +86,28 @@
     return round;
 }
 
+void dispatch_desk::note_blocked(const waiting_call& call)
+{
+    if (call.prompt_tokens > 0) {
+        blocked_[call.id] = std::nullopt;
+    }
+}
+
+auto dispatch_desk::has_turn(const waiting_call& call, const dispatch_choice& choice, instant now) -> bool
+{
+    const auto blocked = blocked_.find(call.id);
+    if (!choice.is_long || blocked == blocked_.end()) {
+        return true;
+    }
+    if (!blocked->second) {
+        blocked->second = now;
+    }
+    const duration window = std::min(turn_a_gateway * gateways_, longest_turn);
+    const std::uint64_t draw = stable_hash(std::to_string(call.id), settings_.seed);
+    const duration turn(static_cast<duration::rep>(draw % static_cast<std::uint64_t>(window.count())));
+    return now - *blocked->second >= turn;
+}
+
 auto dispatch_desk::choose(const upstream_list& fleet, const waiting_call& call, instant now) const
     -> std::optional<dispatch_choice>
 {
--- a/src/direct/reading_plan.cpp
+++ b/src/direct/reading_plan.cpp
@@ -59,8 +59,12 @@
 
 auto reading_planner::best(std::span<const dispatch_candidate> side) const -> std::optional<reading_plan>
 {
+    std::vector<writer_choice> found = writers(side);
+    if (found.empty()) {
+        found = writers(ordered_);
+    }
     std::optional<reading_plan> chosen;
-    for (const writer_choice& writer : writers(side)) {
+    for (const writer_choice& writer : found) {
         reading_plan plan = plan_for(writer);
         const double margin = writer_margin * worth();
         if (!chosen || plan.gain - plan.harm > chosen->gain - chosen->harm + margin) {
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -1,6 +1,7 @@
 #include "edge/exchange.h"
 
 #include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/direct/silence_rules.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 
@@ -18,37 +19,16 @@
 using direct::attempt_end;
 using direct::next_step;
 
-/// An upstream that is silent for three times the answer's aim has most likely lost the request. Callers of
-/// streams leave after four times the aim at the earliest, so that a second attempt still reaches them.
-constexpr int silent_aims = 3;
-/// A pause between two events that lasts four times its aim means the same; callers wait for eight.
-constexpr int silent_pauses = 4;
-/// No silence shorter than this counts: callers bear a gap of two seconds, and a second attempt needs some
-/// hundred milliseconds for its first event.
-constexpr duration least_silence = 1s;
-/// An engine that has so much to read for others is silent because of it, not lost: its calls are given up
-/// only shortly before their callers leave. Sent elsewhere sooner, they were read a second time.
-constexpr duration busy_reading = 250ms;
-/// Callers leave a stream that has not begun after the longest of these: a time, so many aims of the answer,
-/// so many of its pause aims.
-constexpr duration least_patience = 2s;
-constexpr int patient_aims = 4;
-constexpr int patient_pauses = 8;
 /// Largest answer that is gathered before it is passed on; it can still be replaced by another attempt's.
 constexpr std::size_t max_gathered_bytes = 1'048'576;
-/// After engine memory could not be reserved, the next try waits this long: another call holds it.
+/// After engine memory could not be reserved, the next try waits between half of this and one and a half: two
+/// calls that took it from each other would else meet again.
 constexpr duration reservation_pause = 100ms;
 /// Status of an upstream that isn't the one that was meant; it has not run the request.
 constexpr unsigned misdirected = 421;
 /// Callers take the time to come back in seconds.
 constexpr double us_per_s = 1e6;
 
-/// How long callers of a route bear a stream's silence.
-auto patience(const direct::route_rule& route) -> duration
-{
-    return std::max({least_patience, patient_aims * route.answer_aim, patient_pauses * route.pause_aim});
-}
-
 auto number_of(std::string_view text) -> std::optional<std::int64_t>
 {
     std::int64_t number = 0;
@@ -208,7 +188,7 @@
     wait_.priority = account_ != nullptr ? account_->priority.value_or(route_->priority) : route_->priority;
     wait_.aim_at = arrived_ + route_->answer_aim;
     wait_.aim = route_->answer_aim;
-    wait_.leaves_at = arrived_ + std::min(limit, patience(*route_));
+    wait_.leaves_at = arrived_ + std::min(limit, direct::caller_patience(*route_));
     wait_.give_up_at =
         std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + route_->answer_aim * 5 / 4);
     wait_for_upstream();
@@ -281,7 +261,8 @@
             self->send();
             return;
         }
-        self->wait_.not_before = runtime::now() + reservation_pause;
+        const auto spread = stable_hash(self->request_name_, attempt) % 1000;
+        self->wait_.not_before = runtime::now() + reservation_pause / 2 + reservation_pause * spread / 1000;
         self->release_upstream();
         self->take_step(next_step::try_again, "engine memory could not be reserved");
     });
@@ -368,10 +349,8 @@
 auto exchange::silence_bound() const -> duration
 {
     const bool begun = mode_ == answer_mode::events && events_ > 0;
-    const duration bound = begun ? silent_pauses * route_->pause_aim : silent_aims * route_->answer_aim;
-    const duration reading = context_.desk.board().load_of(order_->upstream.id, runtime::now()).reading;
-    const duration busy = reading > busy_reading ? patience(*route_) * 4 / 5 : duration::zero();
-    return std::max({least_silence, bound, busy});
+    const auto load = context_.desk.board().load_of(order_->upstream.id, runtime::now());
+    return direct::silence_bound(*route_, {begun, load.reading});
 }
 
 void exchange::watch_silence()
--- a/tests/direct/dispatch_desk_test.cpp
+++ b/tests/direct/dispatch_desk_test.cpp
@@ -2,6 +2,7 @@
 #include "dragonflymill/direct/dispatch_desk.h"
 
 #include <criterion/criterion.h>
+#include <set>
 #include <string>
 
 using namespace dragonflymill;
@@ -207,3 +208,100 @@
     decider.add(call(2));
     cr_assert(decider.decide(fleet, start).orders.front().upstream.id == "u1");
 }
+
+namespace {
+
+constexpr int engine_count = 16;
+
+auto engines() -> upstream_list
+{
+    upstream_list fleet;
+    fleet_config::parts parts;
+    parts.version = 1;
+    const engine_figures figures{16, 450'000, 46, 0.925, 0.00483, 0.00254, 256.0, 0.0917, 2048};
+    parts.services = {{"answers", 400, 3s, 0.0, figures}};
+    route_rule route;
+    route.services = {{"answers", 1}};
+    route.kind = call_kind::streaming;
+    route.pause_aim = 200ms;
+    parts.routes = {route};
+    fleet.take("config", std::make_shared<const fleet_config>(std::move(parts)), start);
+    for (int i = 0; i < engine_count; ++i) {
+        upstream_entry entry;
+        entry.id = "e" + std::to_string(i);
+        entry.service = "answers";
+        entry.slots = 16;
+        fleet.take("k" + entry.id, entry, start);
+    }
+    return fleet;
+}
+
+auto document(std::uint64_t id) -> waiting_call
+{
+    waiting_call made = call(id);
+    made.service = "answers";
+    made.prompt_tokens = 210'000;
+    made.answer_tokens = 800;
+    made.pause_aim = 800ms;
+    made.aim = 3s;
+    made.aim_at = start + made.aim;
+    made.leaves_at = start + 12s;
+    made.give_up_at = start + 4s;
+    return made;
+}
+
+/// A gateway's word that each engine has so much to read.
+auto reading_word(std::uint64_t sequence, duration reading) -> load_report
+{
+    load_report word{"reader", sequence, true, {}};
+    for (int i = 0; i < engine_count && reading > 0s; ++i) {
+        upstream_load& load = word.loads[stable_hash("e" + std::to_string(i))];
+        load.reading = reading;
+        load.parts = 1;
+    }
+    return word;
+}
+
+/// When a gateway of thirty sends a document that found all engines busy until `start` + 100 ms.
+auto sent_after_waiting(std::uint64_t seed) -> instant
+{
+    const auto fleet = engines();
+    dispatch_desk decider({"a", {0.2, 10.0, 10s}, seed});
+    decider.set_gateways(30);
+    decider.add(document(1));
+    decider.board().take_report(reading_word(1, 2s), start);
+    cr_assert(decider.decide(fleet, start).orders.empty());
+    decider.board().take_report(reading_word(2, 0s), start + 100ms);
+    for (instant now = start + 100ms; now < start + 300ms; now += 1ms) {
+        if (!decider.decide(fleet, now).orders.empty()) {
+            return now;
+        }
+    }
+    return start + 300ms;
+}
+
+} // namespace
+
+// Three gateways hold documents that wait, and learn in the same moment that engines are idle. All sent at
+// once, to the same engines: each document was read behind the two others, and those that had to reserve
+// memory took it from each other and began again, together. Now each goes at a moment of its own, and the
+// next gateway has heard of it by then.
+Test(dispatch_desk, waiting_documents_of_several_gateways_do_not_go_at_once)
+{
+    std::set<instant> moments;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        const instant sent = sent_after_waiting(seed);
+        cr_assert(sent <= start + 100ms + dispatch_desk::longest_turn);
+        moments.insert(sent);
+    }
+    cr_assert(moments.size() >= 8, "%zu moments of 10 gateways", moments.size());
+}
+
+Test(dispatch_desk, a_document_that_finds_room_goes_at_once)
+{
+    const auto fleet = engines();
+    auto decider = desk();
+    decider.set_gateways(30);
+    decider.add(document(1));
+    cr_assert(decider.decide(fleet, start).orders.size() == 1);
+}
--- a/tests/direct/reading_plan_test.cpp
+++ b/tests/direct/reading_plan_test.cpp
@@ -122,3 +122,23 @@
     writer.load.tightest_pause = 800ms;
     cr_assert(policy.choose(long_call(45'000, 3s), all)->upstream == first->upstream);
 }
+
+// A burst of short questions leaves one engine behind the border. A document of a million tokens needs the
+// memory of three: while only that one was asked, it waited until the burst was over, with memory free
+// everywhere.
+Test(reading_plan, the_largest_prompts_use_memory_beside_short_streams)
+{
+    auto all = engines(14);
+    for (std::size_t i = 0; i + 1 < all.size(); ++i) {
+        write_short_streams(all[i], 12);
+    }
+    const engine_forecast forecast(figures());
+    const call_shape call = long_call(1'000'000, 3s);
+    const auto plan = reading_planner(forecast, 120ms, call, all).best(std::span(all).last(1));
+    cr_assert(plan.has_value());
+    std::int64_t held = plan->writer_tokens;
+    for (const auto& helper : plan->helpers) {
+        held += helper.reserved_tokens;
+    }
+    cr_assert(held >= 1'000'800);
+}
--- /dev/null
+++ b/tests/direct/silence_rules_test.cpp
@@ -0,0 +1,46 @@
+#include "dragonflymill/direct/silence_rules.h"
+
+#include <criterion/criterion.h>
+
+using namespace dragonflymill;
+using namespace dragonflymill::direct;
+
+namespace {
+
+auto short_answers() -> route_rule
+{
+    route_rule route;
+    route.kind = call_kind::streaming;
+    route.answer_aim = 300ms;
+    route.pause_aim = 200ms;
+    return route;
+}
+
+} // namespace
+
+// An engine reads its part of a long document for 1.2 s, and the dozen short streams that it writes get no
+// event meanwhile. All of them were sent to other engines after one second, read there again, and made those
+// engines silent in turn.
+Test(silence_rules, a_busy_engine_is_not_taken_for_a_lost_one)
+{
+    cr_assert(silence_bound(short_answers(), {true, 1200ms}) > 1200ms);
+    cr_assert(silence_bound(short_answers(), {false, 1200ms}) > 1200ms);
+}
+
+// An engine loses power. Its callers leave after two seconds without an event; a second attempt needs some
+// hundred milliseconds of them, also if the lost engine's reading is still on the board.
+Test(silence_rules, a_lost_engine_is_given_up_before_its_callers_leave)
+{
+    cr_assert(silence_bound(short_answers(), {true, 0ms}) == 1s);
+    cr_assert(silence_bound(short_answers(), {true, 5s}) <= caller_patience(short_answers()) - 300ms);
+}
+
+Test(silence_rules, callers_of_long_answers_bear_longer_silences)
+{
+    route_rule route = short_answers();
+    route.answer_aim = 3s;
+    route.pause_aim = 800ms;
+    cr_assert(silence_bound(route, {false, 0ms}) == 9s);
+    cr_assert(silence_bound(route, {true, 0ms}) == 3200ms);
+    cr_assert(caller_patience(route) == 12s);
+}
