--- a/include/dragonflymill/direct/attempt_rules.h
+++ b/include/dragonflymill/direct/attempt_rules.h
@@ -38,6 +38,10 @@
     cut,            ///< Close the caller's connection, so that a part can't be taken for the whole.
 };
 
+/// Names for logs.
+[[nodiscard]] auto to_string(attempt_end end) -> const char*;
+[[nodiscard]] auto to_string(next_step step) -> const char*;
+
 /// Rejections that one request tries to get round. Each may mean that an engine was full by a hair; more
 /// would spend the shared retry budget on one request.
 inline constexpr int max_rejections = 3;
--- a/include/dragonflymill/direct/fleet_config.h
+++ b/include/dragonflymill/direct/fleet_config.h
@@ -46,6 +46,9 @@
     bool anonymous = false;              ///< Whether no key is asked for.
     bool resumable = false;              ///< Whether a stream may go on at another upstream.
 
+    /// The service that a request goes to, by its name and the services' weights: the same one at each
+    /// gateway and each attempt.
+    [[nodiscard]] auto service_for(std::string_view request) const -> const std::string&;
     /// Whether a call may run again.
     [[nodiscard]] auto repeatable() const -> bool
     {
--- a/src/direct/attempt_rules.cpp
+++ b/src/direct/attempt_rules.cpp
@@ -39,4 +39,36 @@
     return may_have_run ? next_step::fail_unknown : next_step::refuse_not_run;
 }
 
+auto to_string(attempt_end end) -> const char*
+{
+    switch (end) {
+    case attempt_end::not_sent:
+        return "not_sent";
+    case attempt_end::rejected:
+        return "rejected";
+    case attempt_end::failed:
+        return "failed";
+    case attempt_end::broken:
+        return "broken";
+    }
+    return "broken";
+}
+
+auto to_string(next_step step) -> const char*
+{
+    switch (step) {
+    case next_step::try_again:
+        return "try_again";
+    case next_step::pass_failure:
+        return "pass_failure";
+    case next_step::refuse_not_run:
+        return "refuse_not_run";
+    case next_step::fail_unknown:
+        return "fail_unknown";
+    case next_step::cut:
+        return "cut";
+    }
+    return "cut";
+}
+
 } // namespace dragonflymill::direct
--- a/src/direct/fleet_config.cpp
+++ b/src/direct/fleet_config.cpp
@@ -1,10 +1,28 @@
 #include "dragonflymill/direct/fleet_config.h"
 
+#include "dragonflymill/core/stable_hash.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace dragonflymill::direct {
 
+auto route_rule::service_for(std::string_view request) const -> const std::string&
+{
+    std::uint64_t whole = 0;
+    for (const service_share& share : services) {
+        whole += share.weight;
+    }
+    std::uint64_t at = whole == 0 ? 0 : stable_hash(request) % whole;
+    for (const service_share& share : services) {
+        if (at < share.weight) {
+            return share.service;
+        }
+        at -= share.weight;
+    }
+    return services.front().service;
+}
+
 fleet_config::fleet_config(parts whole)
     : parts_(std::move(whole))
 {
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -1,11 +1,11 @@
 #include "edge/direct_gateway.h"
 
 #include "dragonflymill/core/stable_hash.h"
+#include "edge/listening_socket.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <utility>
@@ -157,17 +157,10 @@
 auto direct_gateway::listen(tcp::acceptor& acceptor, const socket_address& address, request_handler& handler)
     -> result<void>
 {
-    boost::system::error_code failed;
-    const auto ip = asio::ip::make_address(address.ip, failed);
-    const auto check = [&] { return !failed; };
-    const bool opened = check() && (acceptor.open(tcp::v4(), failed), check()) &&
-                        (acceptor.set_option(tcp::acceptor::reuse_address(true), failed), check()) &&
-                        (acceptor.bind({ip, address.port}, failed), check()) &&
-                        (acceptor.listen(asio::socket_base::max_listen_connections, failed), check());
-    if (!opened) {
-        log_event(event::listen_failed, field("address", to_text(address)), field("why", failed.message()));
-        return error(error_kind::unavailable, "can't listen on " + to_text(address) + ": " + failed.message(),
-                     "free the address or change it in the settings");
+    if (auto opened = open_listening(acceptor, address); !opened) {
+        log_event(event::listen_failed, field("address", to_text(address)),
+                  field("why", opened.error().message()));
+        return opened;
     }
     accept(acceptor, handler);
     return success();
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -62,22 +62,6 @@
     return lower(field.substr(0, field.rfind(':')));
 }
 
-auto service_for(const direct::route_rule& route, std::string_view request) -> const std::string&
-{
-    std::uint64_t whole = 0;
-    for (const auto& share : route.services) {
-        whole += share.weight;
-    }
-    std::uint64_t at = whole == 0 ? 0 : stable_hash(request) % whole;
-    for (const auto& share : route.services) {
-        if (at < share.weight) {
-            return share.service;
-        }
-        at -= share.weight;
-    }
-    return route.services.front().service;
-}
-
 auto seconds_text(duration value) -> std::string
 {
     std::array<char, 32> text{};
@@ -85,38 +69,6 @@
     return text.data();
 }
 
-auto to_text(attempt_end end) -> const char*
-{
-    switch (end) {
-    case attempt_end::not_sent:
-        return "not_sent";
-    case attempt_end::rejected:
-        return "rejected";
-    case attempt_end::failed:
-        return "failed";
-    case attempt_end::broken:
-        return "broken";
-    }
-    return "broken";
-}
-
-auto to_text(next_step step) -> const char*
-{
-    switch (step) {
-    case next_step::try_again:
-        return "try_again";
-    case next_step::pass_failure:
-        return "pass_failure";
-    case next_step::refuse_not_run:
-        return "refuse_not_run";
-    case next_step::fail_unknown:
-        return "fail_unknown";
-    case next_step::cut:
-        return "cut";
-    }
-    return "cut";
-}
-
 } // namespace
 
 exchange::exchange(std::uint64_t id, const std::shared_ptr<caller_session>& session, caller_request request,
@@ -178,7 +130,7 @@
         }
     });
     wait_.id = id_;
-    wait_.service = service_for(*route_, request_name_);
+    wait_.service = route_->service_for(request_name_);
     const std::string_view counts = request_.value_of(names.token_counts);
     const auto comma = counts.find(',');
     wait_.prompt_tokens = number_of(counts.substr(0, comma)).value_or(0);
@@ -291,59 +243,26 @@
     wait_.tried.push_back(order.upstream.id);
     context_.metrics.attempts.add();
     call_ = std::make_shared<upstream_call>(context_.loop, context_.timers, *this);
-    call_->start(order.upstream.address, request_text(order, now), request_.method == "HEAD");
+    call_->start(order.upstream.address, upstream_request(request_, context_.names, own_fields(order, now)),
+                 request_.method == "HEAD");
     watch_silence();
 }
 
-auto exchange::passes_on(const header_field& field, std::string_view connection) const -> bool
-{
-    const header_names& names = context_.names;
-    const auto is_own = [&](const std::string& name) { return iequals(field.name, name); };
-    return !concerns_connection(field.name, connection) && !is_own(names.time_left_ms) &&
-           !is_own(names.account) && !is_own(names.expected_upstream) && !is_own(names.helpers) &&
-           !is_own(names.engine_priority) && !is_own(names.resume_after) && !is_own(names.account_key);
-}
-
-auto exchange::request_text(const direct::dispatch_order& order, instant now) const -> std::string
+auto exchange::own_fields(const direct::dispatch_order& order, instant now) const -> gateway_fields
 {
-    std::string text = request_.method + " " + request_.target + " HTTP/1.1\r\n";
-    const std::string_view connection = request_.value_of("connection");
-    for (const header_field& field : request_.fields) {
-        if (passes_on(field, connection)) {
-            text.append(field.name).append(": ").append(field.value).append("\r\n");
-        }
-    }
-    add_own_fields(text, order, now);
-    const bool has_body = !request_.body.empty() || request_.method == "POST" || request_.method == "PUT";
-    if (has_body) {
-        text.append("Content-Length: ").append(std::to_string(request_.body.size())).append("\r\n");
-    }
-    text.append("\r\n").append(request_.body);
-    return text;
-}
-
-void exchange::add_own_fields(std::string& text, const direct::dispatch_order& order, instant now) const
-{
-    const header_names& names = context_.names;
-    const auto add = [&](const std::string& name, std::string_view value) {
-        text.append(name).append(": ").append(value).append("\r\n");
-    };
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(limit_at_ - now);
-    add(names.time_left_ms, std::to_string(std::max<std::int64_t>(left.count(), 1)));
-    add(names.expected_upstream, order.upstream.id);
-    if (account_ != nullptr) {
-        add(names.account, account_->name);
-    }
-    if (!relay_.last_id().empty()) {
-        add(names.resume_after, relay_.last_id());
-    }
+    gateway_fields own;
+    own.time_left = limit_at_ - now;
+    own.upstream = order.upstream.id;
+    own.account = account_ == nullptr ? "" : account_->name;
+    own.resume_after = relay_.last_id();
     if (!order.helpers.empty()) {
         std::vector<helper_reference> list;
         for (const direct::dispatch_helper& helper : order.helpers) {
             list.push_back({helper.upstream.address, helper.reserved_tokens > 0 ? memory_->name() : ""});
         }
-        add(names.helpers, context_.orders.list_helpers(list));
+        own.helpers = context_.orders.list_helpers(list);
     }
+    return own;
 }
 
 auto exchange::silence_bound() const -> duration
@@ -590,9 +509,9 @@
     const next_step step = direct::after_attempt(end, progress(now));
     context_.metrics.attempts_failed.add();
     log_event(event::call_attempt_ended, field("request", request_name_), field("attempt", attempt_),
-              field("upstream", upstream), field("end", to_text(end)), field("why", why),
+              field("upstream", upstream), field("end", direct::to_string(end)), field("why", why),
               field("after_us", now - sent_at_), field("ran", may_have_run_ ? "unknown" : "no"),
-              field("next", to_text(step)));
+              field("next", direct::to_string(step)));
     take_step(step, why);
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -10,6 +10,7 @@
 #include "edge/header_names.h"
 #include "edge/memory_reservation.h"
 #include "edge/upstream_call.h"
+#include "edge/upstream_request.h"
 
 #include <cstdint>
 #include <memory>
@@ -73,9 +74,7 @@
     void reserve_memory();
     [[nodiscard]] auto may_still_send(const direct::dispatch_order& order) const -> bool;
     void send();
-    [[nodiscard]] auto request_text(const direct::dispatch_order& order, instant now) const -> std::string;
-    void add_own_fields(std::string& text, const direct::dispatch_order& order, instant now) const;
-    [[nodiscard]] auto passes_on(const header_field& field, std::string_view connection) const -> bool;
+    [[nodiscard]] auto own_fields(const direct::dispatch_order& order, instant now) const -> gateway_fields;
     void relay(const std::string& bytes);
     [[nodiscard]] auto passed_fields() const -> std::vector<header_field>;
     void pass_head();
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "edge/peer_link.h"
 
+#include "edge/listening_socket.h"
 #include "edge/socket_options.h"
 #include "fleet.pb.h"
 #include "runtime/clock.h"
@@ -313,16 +314,15 @@
     const auto ip = asio::ip::make_address(address.ip, failed);
     const auto check = [&] { return !failed; };
     const bool opened = check() && (datagrams_.open(udp::v4(), failed), check()) &&
-                        (datagrams_.bind({ip, address.port}, failed), check()) &&
-                        (acceptor_.open(tcp::v4(), failed), check()) &&
-                        (acceptor_.set_option(tcp::acceptor::reuse_address(true), failed), check()) &&
-                        (acceptor_.bind({ip, address.port}, failed), check()) &&
-                        (acceptor_.listen(asio::socket_base::max_listen_connections, failed), check());
+                        (datagrams_.bind({ip, address.port}, failed), check());
     if (!opened) {
         return error(error_kind::unavailable,
                      "can't listen for gateways on " + to_text(address) + ": " + failed.message(),
                      "free the address or change it in the settings");
     }
+    if (auto listening = open_listening(acceptor_, address); !listening) {
+        return listening;
+    }
     datagrams_.non_blocking(true, failed);
     receive();
     accept();
--- a/tests/direct/fleet_config_test.cpp
+++ b/tests/direct/fleet_config_test.cpp
@@ -66,3 +66,20 @@
     rule.kind = call_kind::non_idempotent;
     cr_assert(!rule.repeatable());
 }
+
+// Half of a route's calls go to a new service. A call that is tried again, at this gateway or another, must
+// meet the same service: the other may not know what the first has done.
+Test(fleet_config, a_request_goes_to_the_same_service_each_time_by_weight)
+{
+    route_rule route;
+    route.services = {{"old", 1}, {"new", 3}};
+    int fresh = 0;
+    for (int i = 0; i < 400; ++i) {
+        const std::string request = "request-" + std::to_string(i);
+        cr_assert(route.service_for(request) == route.service_for(request));
+        fresh += route.service_for(request) == "new" ? 1 : 0;
+    }
+    cr_assert(fresh > 260 && fresh < 340, "%d of 400 with three quarters of the weight", fresh);
+    route.services = {{"only", 0}};
+    cr_assert(route.service_for("request") == "only");
+}
