--- a/include/dragonflymill/direct/dispatch_call.h
+++ b/include/dragonflymill/direct/dispatch_call.h
@@ -35,6 +35,7 @@
     int slots = 1;              ///< Requests that it runs at once.
     bool suspect = false;       ///< Calls to it failed a moment ago.
     upstream_load load;         ///< Work in hand there, of all gateways.
+    std::uint64_t place = 0;    ///< Hash of `id`, set by `sort_for_border`.
 
     friend auto operator==(const dispatch_candidate&, const dispatch_candidate&) -> bool = default;
 };
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace dragonflymill::direct {
@@ -116,8 +117,10 @@
     struct told_report
     {
         std::uint64_t sequence = 0;
-        std::unordered_map<upstream_key, told_load> loads;
+        std::unordered_set<upstream_key> upstreams; // with an entry in others_loads_
     };
+    /// What other gateways told of one upstream, by gateway; only of those that have work there.
+    using told_by_gateway = std::map<std::string, told_load, std::less<>>;
 
     struct placed_call
     {
@@ -126,12 +129,16 @@
     };
 
     void add(const placement& call, instant now);
+    void forget_loads(const std::string& gateway, told_report& report);
     void end_reading(told_load& reader, duration reading, instant now) const;
     [[nodiscard]] auto changing(const std::string& upstream) -> told_load&;
 
     std::unordered_map<std::string, told_load> own_;
     std::unordered_map<placement_id, placed_call> placed_;
     std::unordered_map<std::string, told_report> others_;
+    /// By upstream, since each decision asks for all upstreams: summing over all gateways for each of them
+    /// cost 3,000 times 300 look-ups a decision in a fleet of that size, of which nine in ten found nothing.
+    std::unordered_map<upstream_key, told_by_gateway> others_loads_;
     std::uint64_t next_id_ = 0;
     std::uint64_t own_changes_ = 0;
 };
--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -50,14 +50,18 @@
     [[nodiscard]] auto targets(instant now) const -> std::vector<std::string>;
     /// Gateways that are there, this one included; peers that are stopping still count, as they still send.
     [[nodiscard]] auto gateways() const -> int { return static_cast<int>(peers_.size()) + 1; }
-    /// The peer that knows most of the published changes; nothing if none knows more than `revision`.
-    [[nodiscard]] auto newer_than(std::uint64_t revision) const -> std::optional<peer_word>;
+    /// A peer that knows most of the published changes; nothing if none knows more than `revision`. Of
+    /// several that know the same, each gateway gets another one, and another one for each `attempt`: in a
+    /// start of all, hundreds would else ask the same peer, and ask it again after it had not answered.
+    [[nodiscard]] auto newer_than(std::uint64_t revision, std::uint64_t attempt = 0) const
+        -> std::optional<peer_word>;
     /// Whether this process has to read published records first hand: fewer than `source_readers` of the
     /// gateways that come before it in an order that all share are known to do so. Where there are many
     /// gateways each read by each of them would cost the source more than it gives.
     [[nodiscard]] auto has_to_read_source(instant now) const -> bool;
-    /// Addresses of the peers.
-    [[nodiscard]] auto addresses() const -> std::vector<std::string>;
+    /// Addresses of up to `max_told_peers` peers, others for each `round`: in a word that goes to hundreds of
+    /// gateways, all addresses would be most of its bytes. All are told within some rounds.
+    [[nodiscard]] auto some_addresses(std::uint64_t round) const -> std::vector<std::string>;
     /// All peers by name.
     [[nodiscard]] auto peers() const -> const std::map<std::string, known_peer>& { return peers_; }
     /// Seeds may change with the settings.
@@ -72,6 +76,8 @@
     static constexpr int source_readers = 3;
     /// A reader that was silent for so long is not relied on: two of its idle words are missing.
     static constexpr duration reader_silence = 1s;
+    /// Addresses of peers in one word.
+    static constexpr std::size_t max_told_peers = 32;
     /// Peers remembered.
     static constexpr std::size_t max_peers = 512;
 
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -174,9 +174,12 @@
 
 void sort_for_border(std::vector<dispatch_candidate>& candidates)
 {
+    for (dispatch_candidate& candidate : candidates) {
+        candidate.place = stable_hash(candidate.id);
+    }
     std::sort(candidates.begin(), candidates.end(),
               [](const dispatch_candidate& a, const dispatch_candidate& b) {
-                  return std::pair(stable_hash(a.id), a.id) < std::pair(stable_hash(b.id), b.id);
+                  return std::tie(a.place, a.id) < std::tie(b.place, b.id);
               });
 }
 
--- a/src/direct/load_board.cpp
+++ b/src/direct/load_board.cpp
@@ -125,16 +125,37 @@
     }
     known.sequence = report.sequence;
     if (report.whole) {
-        known.loads.clear();
+        forget_loads(report.gateway, known);
     }
     for (const auto& [upstream, load] : report.loads) {
-        known.loads[upstream] = told_load{load, now + load.reading, {}, 0};
+        if (load == upstream_load{}) {
+            others_loads_[upstream].erase(report.gateway);
+            known.upstreams.erase(upstream);
+            continue;
+        }
+        others_loads_[upstream][report.gateway] = told_load{load, now + load.reading, {}, 0};
+        known.upstreams.insert(upstream);
     }
 }
 
+void load_board::forget_loads(const std::string& gateway, told_report& report)
+{
+    for (const upstream_key upstream : report.upstreams) {
+        const auto told = others_loads_.find(upstream);
+        told->second.erase(gateway);
+        if (told->second.empty()) {
+            others_loads_.erase(told);
+        }
+    }
+    report.upstreams.clear();
+}
+
 void load_board::forget_gateway(const std::string& gateway)
 {
-    others_.erase(gateway);
+    if (const auto known = others_.find(gateway); known != others_.end()) {
+        forget_loads(gateway, known->second);
+        others_.erase(known);
+    }
 }
 
 auto load_board::load_of(const std::string& upstream, instant now) const -> upstream_load
@@ -143,13 +164,12 @@
     if (const auto own = own_.find(upstream); own != own_.end()) {
         sum = own->second.at(now);
     }
-    const upstream_key key = stable_hash(upstream);
-    for (const auto& [gateway, report] : others_) {
-        const auto found = report.loads.find(key);
-        if (found == report.loads.end()) {
-            continue;
-        }
-        const upstream_load load = found->second.at(now);
+    const auto told = others_loads_.find(stable_hash(upstream));
+    if (told == others_loads_.end()) {
+        return sum;
+    }
+    for (const auto& [gateway, told_of_it] : told->second) {
+        const upstream_load load = told_of_it.at(now);
         sum.short_calls += load.short_calls;
         sum.long_calls += load.long_calls;
         sum.unread_calls += load.unread_calls;
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -70,15 +70,18 @@
     return {all.begin(), all.end()};
 }
 
-auto peer_table::newer_than(std::uint64_t revision) const -> std::optional<peer_word>
+auto peer_table::newer_than(std::uint64_t revision, std::uint64_t attempt) const -> std::optional<peer_word>
 {
-    std::optional<peer_word> best;
+    const auto rank = [&](const peer_word& word) {
+        return std::pair(word.revision, stable_hash(self_ + word.gateway, attempt));
+    };
+    const peer_word* best = nullptr;
     for (const auto& [name, peer] : peers_) {
-        if (peer.word.revision > revision && (!best || peer.word.revision > best->revision)) {
-            best = peer.word;
+        if (peer.word.revision > revision && (best == nullptr || rank(peer.word) > rank(*best))) {
+            best = &peer.word;
         }
     }
-    return best;
+    return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
 auto peer_table::has_to_read_source(instant now) const -> bool
@@ -95,12 +98,19 @@
     return readers < source_readers;
 }
 
-auto peer_table::addresses() const -> std::vector<std::string>
+auto peer_table::some_addresses(std::uint64_t round) const -> std::vector<std::string>
 {
     std::vector<std::string> all;
+    all.reserve(peers_.size());
     for (const auto& [name, peer] : peers_) {
         all.push_back(peer.word.address);
     }
+    if (all.size() <= max_told_peers) {
+        return all;
+    }
+    const auto first = static_cast<std::ptrdiff_t>((round * max_told_peers) % all.size());
+    std::rotate(all.begin(), all.begin() + first, all.end());
+    all.resize(max_told_peers);
     return all;
 }
 
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -38,6 +38,8 @@
 /// second attempt is left for each: each of a fleet that starts at once would else use what all may use
 /// together.
 constexpr duration settling = 5s;
+/// Name of the source in logs; peers are named by their address.
+constexpr const char* source_name = "source";
 /// A peer that knows more is asked after the source had this long to tell the same.
 constexpr duration source_patience = 150ms;
 /// From the signal to stop, callers are still accepted for so long: the balancer asks once a second and takes
@@ -113,7 +115,10 @@
              [this](const direct::records_extract& extract, const std::string& peer) {
                  take_records(extract, peer);
              },
-             [](const std::string& why) { log_event(event::peer_fetch_failed, field("why", why)); }})
+             [this](const std::string& why) {
+                 ++fetches_failed_;
+                 log_event(event::peer_fetch_failed, field("why", why));
+             }})
     , callers_(loop)
     , ready_listener_(loop)
     , metrics_listener_(loop)
@@ -218,7 +223,7 @@
 
 void direct_gateway::start_source()
 {
-    source_.start({[this](const direct::records_extract& extract) { take_records(extract, "source"); },
+    source_.start({[this](const direct::records_extract& extract) { take_records(extract, source_name); },
                    [this](const std::string& why) {
                        const bool news = !outage_.is_lost();
                        outage_.lost(runtime::now());
@@ -247,8 +252,10 @@
     }
     if (!news.empty()) {
         decide_soon();
-        // Gateways that don't read the source themselves wait for this word.
-        send_word(true);
+        // Gateways that don't read the source themselves wait for this word. What was learned from one of
+        // them is told with the next word: if each passed it on at once, a change would cost as many words as
+        // there are pairs of gateways.
+        send_word(from == source_name);
     }
     note_ready();
 }
@@ -296,7 +303,9 @@
         log_event(event::peer_gateway_found, field("peer", message.word.gateway),
                   field("address", message.word.address));
         count_gateways();
-        send_word(true);
+        // Only the new one is answered. A word to all for each that is found is the cube of their number
+        // when all start at once: 300 gateways served again only after 7 s.
+        link_.send(encode_peer_message(whole_word()), {message.word.address});
     }
     desk_.board().take_report(message.report, now);
     if (message.word.reads_source) {
@@ -307,7 +316,7 @@
 
 void direct_gateway::catch_up_from_peers()
 {
-    const auto newer = peers_.newer_than(records_.revision());
+    const auto newer = peers_.newer_than(records_.revision(), fetches_failed_);
     const instant now = runtime::now();
     if (!newer) {
         behind_since_ = instant{};
@@ -323,6 +332,37 @@
     }
 }
 
+auto direct_gateway::word_without_loads() -> peer_message
+{
+    const instant now = runtime::now();
+    peer_message message;
+    message.word = {start_name_,
+                    ++word_sequence_,
+                    to_text(settings_.peers),
+                    records_.revision(),
+                    stopping_,
+                    !outage_.is_lost() && now - source_read_at_ < source_fresh,
+                    {}};
+    return message;
+}
+
+auto direct_gateway::whole_word() -> peer_message
+{
+    peer_message message = word_without_loads();
+    message.word.peers = peers_.some_addresses(message.word.sequence);
+    message.report.whole = true;
+    message.report.loads = desk_.board().own_loads(runtime::now());
+    return message;
+}
+
+auto direct_gateway::changes_word(std::uint64_t since) -> peer_message
+{
+    peer_message message = word_without_loads();
+    message.report.whole = false;
+    message.report.loads = desk_.board().own_loads(runtime::now(), since);
+    return message;
+}
+
 void direct_gateway::send_word(bool at_once)
 {
     const instant now = runtime::now();
@@ -335,18 +375,8 @@
         return;
     }
     const bool whole = now - told_whole_at_ >= whole_word_interval;
-    peer_message message;
-    message.word = {start_name_,
-                    ++word_sequence_,
-                    to_text(settings_.peers),
-                    records_.revision(),
-                    stopping_,
-                    !outage_.is_lost() && now - source_read_at_ < source_fresh,
-                    whole ? peers_.addresses() : std::vector<std::string>()};
-    message.report.whole = whole;
     // A change is told three times, so that a lost datagram or two do no harm until the next whole report.
-    message.report.loads =
-        whole ? desk_.board().own_loads(now) : desk_.board().own_loads(now, told_before_[0]);
+    const peer_message message = whole ? whole_word() : changes_word(told_before_[0]);
     if (whole) {
         told_whole_at_ = now;
     }
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -90,6 +90,9 @@
     void take_record(const direct::fleet_record& record, const std::string& from);
     void take_message(const peer_message& message);
     void catch_up_from_peers();
+    [[nodiscard]] auto word_without_loads() -> peer_message;
+    [[nodiscard]] auto whole_word() -> peer_message;
+    [[nodiscard]] auto changes_word(std::uint64_t since) -> peer_message;
     void send_word(bool at_once);
     void decide_soon();
     void decide();
@@ -127,6 +130,7 @@
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
     std::string start_name_;
     std::uint64_t next_exchange_ = 0;
+    std::uint64_t fetches_failed_ = 0;
     std::uint64_t word_sequence_ = 0;
     std::uint64_t told_changes_ = 0;
     std::uint64_t told_revision_ = 0;
--- a/tests/direct/load_board_test.cpp
+++ b/tests/direct/load_board_test.cpp
@@ -120,3 +120,28 @@
     teller.set_suspect("u1", true);
     cr_assert(teller.own_changes() == told, "no news is no change");
 }
+
+// A gateway tells that its calls at an upstream are over, then that it has others, then it is gone. Work that
+// it no longer has must not keep other gateways away from the upstream.
+Test(load_board, what_a_gateway_no_longer_has_is_forgotten)
+{
+    load_board board;
+    const auto word = [](std::uint64_t sequence, bool whole, int first, int second) {
+        load_report report{"g1", sequence, whole, {}};
+        report.loads[stable_hash("u1")].short_calls = first;
+        report.loads[stable_hash("u2")].short_calls = second;
+        return report;
+    };
+    board.take_report(word(1, true, 3, 4), instant(1s));
+    board.take_report(word(2, false, 0, 5), instant(1s));
+    cr_assert(board.load_of("u1", instant(1s)) == upstream_load{});
+    cr_assert(board.load_of("u2", instant(1s)).short_calls == 5);
+    load_report only_first{"g1", 3, true, {}};
+    only_first.loads[stable_hash("u1")].short_calls = 2;
+    board.take_report(only_first, instant(1s));
+    cr_assert(board.load_of("u2", instant(1s)) == upstream_load{});
+    board.forget_gateway("g1");
+    cr_assert(board.load_of("u1", instant(1s)) == upstream_load{});
+    board.take_report(word(1, true, 7, 0), instant(1s));
+    cr_assert(board.load_of("u1", instant(1s)).short_calls == 7, "a new start counts its words anew");
+}
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <set>
+#include <string>
 
 using namespace dragonflymill;
 using namespace dragonflymill::direct;
@@ -143,3 +145,25 @@
     cr_assert(health.suspect("u", 0, start));
     cr_assert(!health.suspect("u", 5, start + upstream_health::full_pause));
 }
+
+// A whole fleet starts again and most gateways learn the configuration from others. All asked the first of
+// those that had it; while it answered one after the other, the others ran out of time and asked it again.
+Test(peer_table, gateways_ask_different_peers_that_know_the_same)
+{
+    std::set<std::string> asked;
+    for (int own = 0; own < 20; ++own) {
+        peer_table table("gateway-" + std::to_string(own), "10.0.1.1:1", {});
+        for (int i = 0; i < 10; ++i) {
+            const std::string name = "peer-" + std::to_string(i);
+            (void)table.take({name, 1, "10.0.0." + std::to_string(i) + ":1", 7, false, true, {}},
+                             instant(1s));
+        }
+        asked.insert(table.newer_than(3)->gateway);
+        std::set<std::string> again;
+        for (std::uint64_t attempt = 0; attempt < 10; ++attempt) {
+            again.insert(table.newer_than(3, attempt)->gateway);
+        }
+        cr_assert(again.size() >= 4, "%zu", again.size());
+    }
+    cr_assert(asked.size() >= 6, "%zu", asked.size());
+}
