Gather the upstreams once a round of decisions, not once a call

One round now gathers them once and looks again only at those that it has sent work to. The choices are the same: a test decides sixty calls together and one by one; it fails when the view isn't refreshed.

--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -142,11 +142,19 @@
     static constexpr duration longest_turn = 80ms;
 
 private:
-    [[nodiscard]] auto candidates(const upstream_list& fleet, const service_rule& service,
-                                  const waiting_call& call, instant now) const
+    /// The upstreams of each service as one round sees them, in the order that all gateways share. Gathering
+    /// them costs a look at the board for each upstream, so that it is done once a round and not once a call:
+    /// a line of a dozen calls is gone through forty times a second.
+    using round_view = std::map<std::string, std::vector<dispatch_candidate>, std::less<>>;
+
+    [[nodiscard]] auto candidates(const upstream_list& fleet, const service_rule& service, instant now) const
         -> std::vector<dispatch_candidate>;
-    [[nodiscard]] auto choose(const upstream_list& fleet, const waiting_call& call, instant now) const
-        -> std::optional<dispatch_choice>;
+    [[nodiscard]] auto choose(const upstream_list& fleet, const waiting_call& call, instant now,
+                              round_view& view) const -> std::optional<dispatch_choice>;
+    void refresh(const upstream_list& fleet, const dispatch_order& order, instant now,
+                 std::vector<dispatch_candidate>& candidates) const;
+    [[nodiscard]] auto cold_full(const upstream_list& fleet, const upstream_state& upstream,
+                                 instant now) const -> bool;
     [[nodiscard]] auto order_for(const upstream_list& fleet, const waiting_call& call,
                                  const dispatch_choice& choice, instant now) -> dispatch_order;
     [[nodiscard]] auto any_upstream(const upstream_list& fleet, const std::string& service) const -> bool;
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -58,16 +58,18 @@
     sort_waiting(*fleet.config(), now);
     std::map<std::pair<std::string, duration>, int> blocked;
     std::vector<waiting_call> still;
+    round_view view;
     for (waiting_call& call : waiting_) {
         int& failures = blocked[{call.service, call.pause_aim}];
-        auto choice =
-            failures < tries_past_blocked && now >= call.not_before ? choose(fleet, call, now) : std::nullopt;
+        auto choice = failures < tries_past_blocked && now >= call.not_before ? choose(fleet, call, now, view)
+                                                                              : std::nullopt;
         if (choice && !has_turn(call, *choice, now)) {
             still.push_back(std::move(call));
             continue;
         }
         if (choice) {
             round.orders.push_back(order_for(fleet, call, *choice, now));
+            refresh(fleet, round.orders.back(), now, view[call.service]);
             blocked_.erase(call.id);
             continue;
         }
@@ -108,8 +110,8 @@
     return now - *blocked->second >= turn;
 }
 
-auto dispatch_desk::choose(const upstream_list& fleet, const waiting_call& call, instant now) const
-    -> std::optional<dispatch_choice>
+auto dispatch_desk::choose(const upstream_list& fleet, const waiting_call& call, instant now,
+                           round_view& view) const -> std::optional<dispatch_choice>
 {
     const service_rule* service = fleet.config()->service_of(call.service);
     if (service == nullptr) {
@@ -123,7 +125,21 @@
                            settings_.failure_domain,
                            stable_hash(std::to_string(call.id), settings_.seed),
                            call.aim};
-    const auto found = candidates(fleet, *service, call, now);
+    auto known = view.find(call.service);
+    if (known == view.end()) {
+        known = view.emplace(call.service, candidates(fleet, *service, now)).first;
+    }
+    std::span<const dispatch_candidate> found = known->second;
+    std::vector<dispatch_candidate> without_tried;
+    if (!call.tried.empty()) {
+        without_tried = known->second;
+        for (dispatch_candidate& candidate : without_tried) {
+            const bool tried =
+                std::find(call.tried.begin(), call.tried.end(), candidate.id) != call.tried.end();
+            candidate.suspect = candidate.suspect || tried;
+        }
+        found = without_tried;
+    }
     if (!service->engine) {
         return plain_dispatch().choose(shape, found);
     }
@@ -131,35 +147,55 @@
     return engine_dispatch(*service->engine, pause).choose(shape, found);
 }
 
-auto dispatch_desk::candidates(const upstream_list& fleet, const service_rule& service,
-                               const waiting_call& call, instant now) const -> std::vector<dispatch_candidate>
+auto dispatch_desk::candidates(const upstream_list& fleet, const service_rule& service, instant now) const
+    -> std::vector<dispatch_candidate>
 {
     std::vector<dispatch_candidate> found;
     for (const auto& [id, state] : fleet.upstreams()) {
-        if (state.entry.service != service.name || !fleet.takes_work(state)) {
-            continue;
-        }
-        const bool tried = std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end();
-        const double cold = cold_rate(fleet, state, now);
-        const auto share = cold_.find(id);
-        const bool cold_full =
-            cold > 0 && share != cold_.end() && !share->second.available(now, cold, gateways_);
-        if (cold_full) {
+        if (state.entry.service != service.name || !fleet.takes_work(state) || cold_full(fleet, state, now)) {
             continue;
         }
         dispatch_candidate candidate;
         candidate.id = id;
         candidate.failure_domain = state.entry.failure_domain;
         candidate.slots = state.entry.slots;
-        candidate.suspect = tried || health_.suspect(id, board_.own_calls(id), now);
         candidate.load = board_.load_of(id, now);
-        candidate.suspect = candidate.suspect || candidate.load.suspected_by >= suspects_to_believe;
+        candidate.suspect = health_.suspect(id, board_.own_calls(id), now) ||
+                            candidate.load.suspected_by >= suspects_to_believe;
         found.push_back(std::move(candidate));
     }
     sort_for_border(found);
     return found;
 }
 
+void dispatch_desk::refresh(const upstream_list& fleet, const dispatch_order& order, instant now,
+                            std::vector<dispatch_candidate>& candidates) const
+{
+    const auto touched = [&](const dispatch_candidate& candidate) {
+        const auto is_it = [&](const dispatch_helper& helper) { return helper.upstream.id == candidate.id; };
+        return candidate.id == order.upstream.id ||
+               std::any_of(order.helpers.begin(), order.helpers.end(), is_it);
+    };
+    for (dispatch_candidate& candidate : candidates) {
+        if (touched(candidate)) {
+            candidate.load = board_.load_of(candidate.id, now);
+            candidate.suspect = health_.suspect(candidate.id, board_.own_calls(candidate.id), now) ||
+                                candidate.load.suspected_by >= suspects_to_believe;
+        }
+    }
+    std::erase_if(candidates, [&](const dispatch_candidate& candidate) {
+        return candidate.id == order.upstream.id && cold_full(fleet, fleet.upstreams().at(candidate.id), now);
+    });
+}
+
+auto dispatch_desk::cold_full(const upstream_list& fleet, const upstream_state& upstream, instant now) const
+    -> bool
+{
+    const double cold = cold_rate(fleet, upstream, now);
+    const auto share = cold_.find(upstream.entry.id);
+    return cold > 0 && share != cold_.end() && !share->second.available(now, cold, gateways_);
+}
+
 auto dispatch_desk::cold_rate(const upstream_list& fleet, const upstream_state& upstream, instant now) const
     -> double
 {
--- a/tests/direct/dispatch_desk_test.cpp
+++ b/tests/direct/dispatch_desk_test.cpp
@@ -305,3 +305,33 @@
     decider.add(document(1));
     cr_assert(decider.decide(fleet, start).orders.size() == 1);
 }
+
+// A gateway starts again and the calls of all its callers come at once. Decided in one round they must go
+// where they would have gone one by one: each sees what the ones before it take up, on cold upstreams too.
+Test(dispatch_desk, calls_of_one_round_see_each_other)
+{
+    const auto fleet = engines();
+    const auto nth = [](std::uint64_t id) {
+        waiting_call made = document(id);
+        const bool middle = id % 7 == 0;
+        made.prompt_tokens = middle ? 40'000 : 5'000;
+        made.pause_aim = middle ? 500ms : 200ms;
+        made.aim = 300ms + id * 1us;
+        made.aim_at = start + made.aim;
+        return made;
+    };
+    auto together = desk();
+    for (std::uint64_t id = 1; id <= 60; ++id) {
+        together.add(nth(id));
+    }
+    const auto round = together.decide(fleet, start);
+    cr_assert(round.orders.size() >= 50, "%zu", round.orders.size());
+    auto one_by_one = desk();
+    for (const auto& order : round.orders) {
+        one_by_one.add(nth(order.call));
+        const auto single = one_by_one.decide(fleet, start);
+        cr_assert(single.orders.size() == 1);
+        cr_assert(single.orders[0].choice == order.choice, "call %lu",
+                  static_cast<unsigned long>(order.call));
+    }
+}
