Test slow and half-closed callers and a second answer on one connection

Cause: three lines of the list of bad input had no test of their own. All held: a caller too slow with head or body gets 408 and nothing is sent on; one that closes its sending side is taken to have left and its upstream is let go; bytes behind a complete answer reach nobody.

--- /dev/null
+++ b/tests/edge/bad_input_test.cpp
@@ -0,0 +1,75 @@
+#include "gateway_world.h"
+
+using namespace dragonflymill;
+using namespace dragonflymill::edge;
+
+namespace {
+
+auto whole_answer(const std::string& body) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s1\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+} // namespace
+
+// A caller sends the head of a request and then nothing, for as long as the connection lives. It would hold a
+// descriptor for good: it is told so after the configured time, and nothing is sent anywhere.
+Test(bad_input, a_caller_that_is_too_slow_with_its_head_is_told)
+{
+    gateway_world world;
+    world.limits.header_time = 40ms;
+    auto& upstream = world.add_upstream("bookings", [](taken_connection&) {});
+    world.start();
+    world.send_raw("POST /book/1 HTTP/1.1\r\nHost: h.exam");
+    world.run_until([&] { return world.caller_ended; });
+    cr_assert(world.answer.starts_with("HTTP/1.1 408 "), "%s", world.answer.c_str());
+    cr_assert(upstream.requests.empty());
+}
+
+// The body is announced and doesn't come.
+Test(bad_input, a_caller_that_is_too_slow_with_its_body_is_told)
+{
+    gateway_world world;
+    world.limits.idle_time = 40ms;
+    auto& upstream = world.add_upstream("bookings", [](taken_connection&) {});
+    world.start();
+    world.send_raw(
+        "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nContent-Length: 10\r\n\r\nhalf");
+    world.run_until([&] { return world.caller_ended; });
+    cr_assert(world.answer.starts_with("HTTP/1.1 408 "), "%s", world.answer.c_str());
+    cr_assert(upstream.requests.empty());
+}
+
+// A caller closes its sending side while its stream is prepared. Whether it still reads can't be told from
+// one that has gone, and an engine that works on for nobody makes others wait: the upstream is let go.
+Test(bad_input, a_caller_that_closes_its_side_is_taken_to_have_left)
+{
+    gateway_world world;
+    auto& upstream = world.add_upstream("engines", [](taken_connection&) {});
+    world.start();
+    world.send("POST", "/chat/1", "", "prompt");
+    world.run_until([&] { return !upstream.requests.empty(); });
+    world.caller.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    world.run_until([&] { return upstream.requests.at(0)->ended; });
+    cr_assert(world.answer.empty(), "%s", world.answer.c_str());
+}
+
+// An upstream sends a second answer behind the first. It belongs to no request; passed on, the caller's next
+// request on the connection would get it.
+Test(bad_input, a_second_answer_on_a_connection_reaches_nobody)
+{
+    gateway_world world;
+    int answered = 0;
+    world.add_upstream("bookings", [&](taken_connection& taken) {
+        ++answered;
+        taken.send(answered == 1 ? whole_answer("first") + whole_answer("stray") : whole_answer("second"));
+    });
+    world.start();
+    world.send("POST", "/book/1", "", "a");
+    world.run_until_seen("first");
+    world.send("POST", "/book/1", "", "b");
+    world.run_until_seen("second");
+    cr_assert(world.answer.find("stray") == std::string::npos, "%s", world.answer.c_str());
+    cr_assert(answered == 2);
+}
--- a/tests/edge/gateway_world.h
+++ b/tests/edge/gateway_world.h
@@ -128,9 +128,11 @@
     boost::asio::ip::tcp::socket caller{loop};
     std::string answer;
     bool caller_ended = false;
+    /// In the configuration that the gateway starts with.
+    direct::caller_limits limits;
 
 private:
-    static auto config() -> direct::fleet_config
+    [[nodiscard]] auto config() const -> direct::fleet_config
     {
         direct::route_rule book;
         book.name = "book";
@@ -152,6 +154,7 @@
         parts.services = {{"bookings", 10, 0s, 0.0, std::nullopt}, {"engines", 10, 0s, 0.0, std::nullopt}};
         parts.accounts = {{"acme", {"key1"}, std::nullopt}};
         parts.keys_needed = true;
+        parts.limits = limits;
         return direct::fleet_config(std::move(parts));
     }
 
