--- a/tests/direct/dispatch_desk_test.cpp
+++ b/tests/direct/dispatch_desk_test.cpp
@@ -1,5 +1,6 @@
 #include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/direct/dispatch_desk.h"
+#include "engine_samples.h"
 
 #include <criterion/criterion.h>
 #include <set>
@@ -218,8 +219,7 @@
     upstream_list fleet;
     fleet_config::parts parts;
     parts.version = 1;
-    const engine_figures figures{16, 450'000, 46, 0.925, 0.00483, 0.00254, 256.0, 0.0917, 2048};
-    parts.services = {{"answers", 400, 3s, 0.0, figures}};
+    parts.services = {{"answers", 400, 3s, 0.0, sample_figures()}};
     route_rule route;
     route.services = {{"answers", 1}};
     route.kind = call_kind::streaming;
--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -1,4 +1,5 @@
 #include "dragonflymill/direct/dispatch_policy.h"
+#include "engine_samples.h"
 
 #include <criterion/criterion.h>
 #include <set>
@@ -9,27 +10,6 @@
 
 namespace {
 
-constexpr duration tight_pause = 200ms;
-constexpr std::int64_t memory = 450'000;
-
-/// A model engine of eight accelerators: 256 tokens are read in a millisecond, an event is a pass of 46
-/// steps.
-auto figures() -> engine_figures
-{
-    return {16, memory, 46, 0.925, 0.00483, 0.00254, 256.0, 0.0917, 2048};
-}
-
-auto engines(int count) -> std::vector<dispatch_candidate>
-{
-    std::vector<dispatch_candidate> made;
-    made.reserve(static_cast<std::size_t>(count));
-    for (int i = 0; i < count; ++i) {
-        made.push_back({"engine-" + std::to_string(i), "a", 16, false, {}});
-    }
-    sort_for_border(made);
-    return made;
-}
-
 auto short_call() -> call_shape
 {
     return {5000, 1600, tight_pause, 2s, 300ms, "a", 1};
@@ -42,14 +22,14 @@
 
 auto policy() -> engine_dispatch
 {
-    return {figures(), tight_pause};
+    return {sample_figures(), tight_pause};
 }
 
 } // namespace
 
 Test(engine_forecast, reading_grows_with_the_pairs_of_a_prompt)
 {
-    const engine_forecast forecast(figures());
+    const engine_forecast forecast(sample_figures());
     const duration small = forecast.read_alone(5'000);
     const duration large = forecast.read_alone(1'000'000);
     cr_assert(small > 20ms && small < 25ms);
@@ -89,7 +69,7 @@
 // that reads it, each of their events would be held up by the reading: the two kinds go to different engines.
 Test(engine_dispatch, short_and_long_prompts_go_to_different_engines)
 {
-    auto all = engines(16);
+    auto all = idle_engines(16);
     const auto first_short = policy().choose(short_call(), all);
     const auto first_long = policy().choose(long_call(), all);
     cr_assert(first_short && first_long);
@@ -102,7 +82,7 @@
 
 Test(engine_dispatch, a_long_prompt_is_read_in_parts_that_begin_within_its_aim)
 {
-    const auto choice = policy().choose(long_call(), engines(16));
+    const auto choice = policy().choose(long_call(), idle_engines(16));
     cr_assert(choice->helpers.size() >= 8, "%zu helpers", choice->helpers.size());
     cr_assert(choice->first_token < 500ms);
     std::set<std::string> readers{choice->upstream};
@@ -116,7 +96,7 @@
 // calls in hand, so that it follows with each call.
 Test(engine_dispatch, the_border_follows_the_short_calls_in_hand)
 {
-    auto all = engines(16);
+    auto all = idle_engines(16);
     cr_assert(policy().short_side(all) == 1);
     for (auto& engine : all) {
         engine.load.short_calls = 6;
@@ -133,7 +113,7 @@
 // ahead of its own. An engine with an unread prompt isn't asked to help.
 Test(engine_dispatch, an_engine_with_an_unread_prompt_does_not_help)
 {
-    auto all = engines(16);
+    auto all = idle_engines(16);
     std::set<std::string> unread;
     for (std::size_t i = 4; i < 10; ++i) {
         all[i].load.unread_calls = 1;
@@ -150,7 +130,7 @@
 // Engines that write streams read for others only as long as the tightest of those streams bears.
 Test(engine_dispatch, reading_for_others_stays_within_what_an_engine_writes)
 {
-    auto all = engines(16);
+    auto all = idle_engines(16);
     for (auto& engine : all) {
         engine.load.short_calls = 4;
         engine.load.tightest_pause = tight_pause;
@@ -165,7 +145,7 @@
 
 Test(engine_dispatch, long_calls_wait_while_what_they_need_is_busy)
 {
-    auto all = engines(16);
+    auto all = idle_engines(16);
     for (auto& engine : all) {
         engine.load.reading = 2s;
         engine.load.parts = 1;
@@ -173,42 +153,42 @@
     cr_assert(!policy().choose(long_call(), all));
 }
 
-// A prompt of a million tokens is more than twice one engine's memory: its memory is reserved at several
-// engines, each with a share that fits, and the rest lies at the one that answers.
+// A prompt of a million tokens is more than twice one engine's memory: its sample_memory is reserved at
+// several engines, each with a share that fits, and the rest lies at the one that answers.
 Test(engine_dispatch, a_prompt_over_one_engines_memory_is_held_by_several)
 {
-    const auto choice = policy().choose(long_call(1'000'000), engines(16));
+    const auto choice = policy().choose(long_call(1'000'000), idle_engines(16));
     cr_assert(choice.has_value());
     std::int64_t held = choice->memory_tokens;
     for (const auto& helper : choice->helpers) {
         held += helper.reserved_tokens;
-        cr_assert(helper.reserved_tokens <= memory);
+        cr_assert(helper.reserved_tokens <= sample_memory);
     }
     cr_assert(held >= 1'000'800);
-    cr_assert(choice->memory_tokens <= memory);
+    cr_assert(choice->memory_tokens <= sample_memory);
 }
 
 Test(engine_dispatch, a_prompt_over_all_memory_is_not_placed)
 {
-    cr_assert(!policy().choose(long_call(1'000'000), engines(2)));
+    cr_assert(!policy().choose(long_call(1'000'000), idle_engines(2)));
 }
 
 Test(engine_dispatch, memory_that_others_fill_is_not_used_twice)
 {
-    auto all = engines(3);
+    auto all = idle_engines(3);
     for (auto& engine : all) {
         engine.load.memory_tokens = 300'000;
     }
     const auto choice = policy().choose(long_call(210'000), all);
     cr_assert(choice.has_value());
-    cr_assert(choice->memory_tokens <= memory - 300'000);
+    cr_assert(choice->memory_tokens <= sample_memory - 300'000);
 }
 
 // The longest prompts of a class whose streams bear short pauses only are written where the others are, and
 // read with help: written beside long answers they would be late by their pauses.
 Test(engine_dispatch, a_tight_stream_is_written_on_the_short_side_whatever_its_length)
 {
-    auto all = engines(16);
+    auto all = idle_engines(16);
     call_shape call = short_call();
     call.prompt_tokens = 60'000;
     const auto choice = policy().choose(call, all);
@@ -222,7 +202,7 @@
 {
     call_shape late = long_call(400'000);
     late.time_to_aim = 100ms;
-    const auto choice = policy().choose(late, engines(16));
+    const auto choice = policy().choose(late, idle_engines(16));
     cr_assert(choice.has_value());
     cr_assert(choice->helpers.size() <= 2, "%zu", choice->helpers.size());
     cr_assert(choice->first_token <= 12s);
@@ -232,7 +212,7 @@
 // choose the first of them, it would get thirty calls and the others none.
 Test(engine_dispatch, equal_engines_are_chosen_by_turns)
 {
-    auto all = engines(16);
+    auto all = idle_engines(16);
     for (auto& engine : all) {
         engine.load.short_calls = 6;
     }
@@ -247,7 +227,7 @@
 
 Test(engine_dispatch, the_same_inputs_give_the_same_choice)
 {
-    const auto all = engines(16);
+    const auto all = idle_engines(16);
     cr_assert(policy().choose(long_call(), all) == policy().choose(long_call(), all));
     cr_assert(!policy().choose(short_call(), {}));
 }
--- a/tests/direct/reading_plan_test.cpp
+++ b/tests/direct/reading_plan_test.cpp
@@ -1,5 +1,5 @@
-#include "dragonflymill/direct/dispatch_policy.h"
 #include "dragonflymill/direct/reading_plan.h"
+#include "engine_samples.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
@@ -10,24 +10,6 @@
 
 namespace {
 
-constexpr duration tight_pause = 200ms;
-
-auto figures() -> engine_figures
-{
-    return {16, 450'000, 46, 0.925, 0.00483, 0.00254, 256.0, 0.0917, 2048};
-}
-
-auto engines(int count) -> std::vector<dispatch_candidate>
-{
-    std::vector<dispatch_candidate> made;
-    made.reserve(static_cast<std::size_t>(count));
-    for (int i = 0; i < count; ++i) {
-        made.push_back({"engine-" + std::to_string(i), "a", 16, false, {}});
-    }
-    sort_for_border(made);
-    return made;
-}
-
 void write_short_streams(dispatch_candidate& engine, int count)
 {
     engine.load.short_calls = count;
@@ -53,13 +35,14 @@
 // of their events waited for the reading. It is read where nobody waits for an event.
 Test(reading_plan, a_late_prompt_is_not_read_beside_streams)
 {
-    auto all = engines(14);
+    auto all = idle_engines(14);
     for (std::size_t i = 0; i < all.size(); ++i) {
         if (i != 11 && i != 12) {
             write_short_streams(all[i], 10);
         }
     }
-    const auto choice = engine_dispatch(figures(), tight_pause).choose(long_call(210'000, -100ms), all);
+    const auto choice =
+        engine_dispatch(sample_figures(), tight_pause).choose(long_call(210'000, -100ms), all);
     cr_assert(choice.has_value());
     cr_assert(in_hand(engine_named(all, choice->upstream)) == 0, "%s writes", choice->upstream.c_str());
 }
@@ -69,11 +52,11 @@
 // stream there. Parts of 0.1 s at nine engines cost none of them its pause.
 Test(reading_plan, parts_beside_streams_are_better_than_one_long_reading)
 {
-    auto all = engines(14);
+    auto all = idle_engines(14);
     for (auto& engine : all) {
         write_short_streams(engine, 6);
     }
-    const auto choice = engine_dispatch(figures(), tight_pause).choose(long_call(100'000, 3s), all);
+    const auto choice = engine_dispatch(sample_figures(), tight_pause).choose(long_call(100'000, 3s), all);
     cr_assert(choice.has_value());
     cr_assert(choice->reading < 120ms, "%ld us each", static_cast<long>(choice->reading.count()));
 }
@@ -82,11 +65,11 @@
 // than that the caller goes without: a document is worth as many questions as it has pages.
 Test(reading_plan, a_call_accepts_more_harm_the_longer_it_waits)
 {
-    auto all = engines(4);
+    auto all = idle_engines(4);
     for (auto& engine : all) {
         write_short_streams(engine, 5);
     }
-    const engine_forecast forecast(figures());
+    const engine_forecast forecast(sample_figures());
     const auto acceptable = [&](duration time_to_aim) {
         const call_shape call = long_call(210'000, time_to_aim);
         const reading_planner planner(forecast, 120ms, call, all);
@@ -99,9 +82,9 @@
 
 Test(reading_plan, streams_with_longer_pauses_bear_longer_parts)
 {
-    auto all = engines(2);
+    auto all = idle_engines(2);
     const call_shape call = long_call(45'000, 3s);
-    const engine_forecast forecast(figures());
+    const engine_forecast forecast(sample_figures());
     const reading_planner planner(forecast, 120ms, call, all);
     all[0].load.long_calls = 2;
     all[0].load.tightest_pause = 800ms;
@@ -114,8 +97,8 @@
 // clearly better.
 Test(reading_plan, long_answers_are_written_by_few_engines)
 {
-    auto all = engines(14);
-    const engine_dispatch policy(figures(), tight_pause);
+    auto all = idle_engines(14);
+    const engine_dispatch policy(sample_figures(), tight_pause);
     const auto first = policy.choose(long_call(45'000, 3s), all);
     auto& writer = *std::find_if(all.begin(), all.end(), [&](auto& e) { return e.id == first->upstream; });
     writer.load.long_calls = 1;
@@ -128,11 +111,11 @@
 // everywhere.
 Test(reading_plan, the_largest_prompts_use_memory_beside_short_streams)
 {
-    auto all = engines(14);
+    auto all = idle_engines(14);
     for (std::size_t i = 0; i + 1 < all.size(); ++i) {
         write_short_streams(all[i], 12);
     }
-    const engine_forecast forecast(figures());
+    const engine_forecast forecast(sample_figures());
     const call_shape call = long_call(1'000'000, 3s);
     const auto plan = reading_planner(forecast, 120ms, call, all).best(std::span(all).last(1));
     cr_assert(plan.has_value());
