--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -153,7 +153,7 @@
     cr_assert(!policy().choose(long_call(), all));
 }
 
-// A prompt of a million tokens is more than twice one engine's memory: its sample_memory is reserved at
+// A prompt of a million tokens is more than twice one engine's memory: its memory is reserved at
 // several engines, each with a share that fits, and the rest lies at the one that answers.
 Test(engine_dispatch, a_prompt_over_one_engines_memory_is_held_by_several)
 {
