--- a/include/dragonflymill/core/time.h
+++ b/include/dragonflymill/core/time.h
@@ -26,6 +26,18 @@
 /// A moment of civil time, in microseconds since 1970 UTC.
 using wall_instant = std::chrono::time_point<civil_time, duration>;
 
+/// So many times a duration, in whole microseconds.
+[[nodiscard]] constexpr auto scaled(duration value, double factor) -> duration
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+/// A duration of so many milliseconds, in whole microseconds.
+[[nodiscard]] constexpr auto from_ms(double ms) -> duration
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
 using namespace std::chrono_literals; // NOLINT(google-build-using-namespace): times read best with their unit
 
 } // namespace dragonflymill
--- a/include/dragonflymill/core/units.h
+++ b/include/dragonflymill/core/units.h
@@ -36,6 +36,9 @@
 /// Writes a time with the largest unit that leaves a whole number, the way `parse_duration` reads it.
 [[nodiscard]] auto to_text(duration value) -> std::string;
 
+/// The text with its ASCII letters in lower case.
+[[nodiscard]] auto to_lower(std::string_view text) -> std::string;
+
 /// The text without blanks at both ends.
 [[nodiscard]] auto trim(std::string_view text) -> std::string_view;
 
--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -151,6 +151,7 @@
         -> std::vector<dispatch_candidate>;
     [[nodiscard]] auto choose(const upstream_list& fleet, const waiting_call& call, instant now,
                               round_view& view) const -> std::optional<dispatch_choice>;
+    void look_at(dispatch_candidate& candidate, instant now) const;
     void refresh(const upstream_list& fleet, const dispatch_order& order, instant now,
                  std::vector<dispatch_candidate>& candidates) const;
     [[nodiscard]] auto cold_full(const upstream_list& fleet, const upstream_state& upstream,
@@ -162,7 +163,9 @@
                                  instant now) const -> double;
     void sort_waiting(const fleet_config& config, instant now);
     [[nodiscard]] auto has_turn(const waiting_call& call, const dispatch_choice& choice, instant now) -> bool;
-    void note_blocked(const waiting_call& call);
+    void note_no_room(const waiting_call& call);
+    [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
+        -> std::optional<dispatch_refusal>;
 
     dispatch_settings settings_;
     load_board board_;
@@ -171,7 +174,7 @@
     std::unordered_map<std::string, retry_window> retries_;
     std::vector<waiting_call> waiting_;
     /// Calls that found no room, and since when there is room again; nothing: there is none.
-    std::unordered_map<std::uint64_t, std::optional<instant>> blocked_;
+    std::unordered_map<std::uint64_t, std::optional<instant>> room_since_;
     int gateways_ = 1;
 };
 
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -130,6 +130,7 @@
 
     void add(const placement& call, instant now);
     void forget_loads(const std::string& gateway, told_report& report);
+    void remove_load(upstream_key upstream, const std::string& gateway);
     void end_reading(told_load& reader, duration reading, instant now) const;
     [[nodiscard]] auto changing(const std::string& upstream) -> told_load&;
 
--- a/include/dragonflymill/direct/reading_plan.h
+++ b/include/dragonflymill/direct/reading_plan.h
@@ -92,13 +92,29 @@
         std::uint64_t spread = 0;
     };
 
+    /// So many readers of a prompt, and the engines that may help, the best first. Worked out once for all
+    /// writers that are tried.
+    struct readers_option
+    {
+        std::size_t readers = 1;
+        duration part{};
+        std::vector<ranked_reader> able;
+    };
+
     [[nodiscard]] auto writers(std::span<const dispatch_candidate> side) const -> std::vector<writer_choice>;
     [[nodiscard]] auto memory_gang(std::span<const dispatch_candidate> side) const
         -> std::optional<writer_choice>;
-    [[nodiscard]] auto plan_for(const writer_choice& writer) const -> reading_plan;
-    [[nodiscard]] auto plan_of(const writer_choice& writer, std::size_t readers) const
+    [[nodiscard]] auto may_write(const dispatch_candidate& engine, std::int64_t tokens) const -> bool;
+    [[nodiscard]] auto plan_for(const writer_choice& writer, const std::vector<readers_option>& options) const
+        -> reading_plan;
+    [[nodiscard]] auto plan_alone(const writer_choice& writer) const -> reading_plan;
+    [[nodiscard]] auto plan_with(const writer_choice& writer, const readers_option& option) const
         -> std::optional<reading_plan>;
-    [[nodiscard]] auto ranked(const writer_choice& writer, duration part) const -> std::vector<ranked_reader>;
+    [[nodiscard]] auto begin_plan(const writer_choice& writer, duration part) const -> reading_plan;
+    [[nodiscard]] static auto is_chosen(const writer_choice& writer, const dispatch_candidate& engine)
+        -> bool;
+    [[nodiscard]] auto readers_options() const -> std::vector<readers_option>;
+    [[nodiscard]] auto ranked(duration part) const -> std::vector<ranked_reader>;
     [[nodiscard]] auto harm_at(const dispatch_candidate& engine, duration part) const -> double;
     [[nodiscard]] auto gain_of(duration first_token) const -> double;
     [[nodiscard]] auto worth() const -> double;
--- a/src/control/platform_reader.cpp
+++ b/src/control/platform_reader.cpp
@@ -1,11 +1,12 @@
 #include "control/platform_reader.h"
 
+#include "runtime/base64.h"
+
 #include "http/http_call.h"
 #include "runtime/clock.h"
 
 #include <boost/json.hpp>
 #include <memory>
-#include <openssl/evp.h>
 #include <utility>
 
 namespace dragonflymill::control {
@@ -37,21 +38,6 @@
     }
 }
 
-auto from_base64(const std::string& text) -> std::string
-{
-    std::string bytes(text.size() / 4 * 3 + 3, '\0');
-    const auto size =
-        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                        reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-    if (size < 0) {
-        return {};
-    }
-    // OpenSSL counts the padding as bytes.
-    const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with("=") ? 1 : 0);
-    bytes.resize(static_cast<std::size_t>(size) - padding);
-    return bytes;
-}
-
 auto text_of(const json::object& object, std::string_view key) -> std::string
 {
     const auto* value = object.if_contains(key);
@@ -88,7 +74,7 @@
     }
     boost::system::error_code failure;
     read.revision = revision->to_number<std::uint64_t>(failure);
-    read.value = from_base64(text_of(*object, "value"));
+    read.value = runtime::decode_base64(text_of(*object, "value")).value_or("");
     return failure ? config_value{} : read;
 }
 
--- a/src/core/units.cpp
+++ b/src/core/units.cpp
@@ -1,6 +1,8 @@
 #include "dragonflymill/core/units.h"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
@@ -124,6 +126,14 @@
 
 } // namespace
 
+auto to_lower(std::string_view text) -> std::string
+{
+    std::string small(text);
+    std::transform(small.begin(), small.end(), small.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return small;
+}
+
 auto trim(std::string_view text) -> std::string_view
 {
     while (!text.empty() && is_blank(text.front())) {
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -16,7 +16,7 @@
 void dispatch_desk::drop(std::uint64_t call)
 {
     std::erase_if(waiting_, [&](const waiting_call& other) { return other.id == call; });
-    blocked_.erase(call);
+    room_since_.erase(call);
 }
 
 void dispatch_desk::tell_suspects(const upstream_list& fleet, instant now)
@@ -33,20 +33,30 @@
 
 void dispatch_desk::sort_waiting(const fleet_config& config, instant now)
 {
+    struct ranked_call
+    {
+        std::tuple<bool, int, instant, std::uint64_t> rank;
+        waiting_call call;
+    };
+    // Shortest reading first, with age: one of a million tokens takes as much as ten usual long ones, and
+    // would make all of them late.
     const auto reading = [&](const waiting_call& call) {
         const service_rule* service = config.service_of(call.service);
         const bool reads = service != nullptr && service->engine;
         return reads ? engine_forecast(*service->engine).read_alone(call.prompt_tokens) : duration::zero();
     };
-    // Shortest reading first, with age: one of a million tokens takes as much as ten usual long ones, and
-    // would make all of them late.
-    const auto rank = [&](const waiting_call& call) {
+    std::vector<ranked_call> ranked;
+    ranked.reserve(waiting_.size());
+    for (waiting_call& call : waiting_) {
         // A call that would be late even if it were sent now comes behind those that can still be on time.
         const bool late = call.aim_at - call.aim / 3 <= now;
-        return std::tuple(late, call.priority, call.aim_at + reading(call), call.id);
-    };
-    std::sort(waiting_.begin(), waiting_.end(),
-              [&](const waiting_call& a, const waiting_call& b) { return rank(a) < rank(b); });
+        const std::tuple rank(late, call.priority, call.aim_at + reading(call), call.id);
+        ranked.push_back({rank, std::move(call)});
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const ranked_call& a, const ranked_call& b) { return a.rank < b.rank; });
+    std::transform(ranked.begin(), ranked.end(), waiting_.begin(),
+                   [](ranked_call& held) { return std::move(held.call); });
 }
 
 auto dispatch_desk::decide(const upstream_list& fleet, instant now) -> dispatch_round
@@ -56,31 +66,27 @@
         return round;
     }
     sort_waiting(*fleet.config(), now);
-    std::map<std::pair<std::string, duration>, int> blocked;
+    std::map<std::pair<std::string, duration>, int> failed_tries;
     std::vector<waiting_call> still;
     round_view view;
     for (waiting_call& call : waiting_) {
-        int& failures = blocked[{call.service, call.pause_aim}];
-        auto choice = failures < tries_past_blocked && now >= call.not_before ? choose(fleet, call, now, view)
-                                                                              : std::nullopt;
-        if (choice && !has_turn(call, *choice, now)) {
-            still.push_back(std::move(call));
-            continue;
-        }
-        if (choice) {
+        int& failures = failed_tries[{call.service, call.pause_aim}];
+        const bool tries = failures < tries_past_blocked && now >= call.not_before;
+        const auto choice = tries ? choose(fleet, call, now, view) : std::nullopt;
+        if (choice && has_turn(call, *choice, now)) {
             round.orders.push_back(order_for(fleet, call, *choice, now));
             refresh(fleet, round.orders.back(), now, view[call.service]);
-            blocked_.erase(call.id);
+            room_since_.erase(call.id);
             continue;
         }
-        ++failures;
-        note_blocked(call);
-        const bool none = !any_upstream(fleet, call.service);
-        if (none || now >= call.give_up_at) {
-            round.refusals.push_back({call.id, none ? retry_after_none : retry_after_full,
-                                      none ? "no upstream takes work" : "all upstreams are full"});
-            blocked_.erase(call.id);
-            continue;
+        if (!choice) {
+            ++failures;
+            note_no_room(call);
+            if (auto refusal = refusal_of(fleet, call, now)) {
+                round.refusals.push_back(std::move(*refusal));
+                room_since_.erase(call.id);
+                continue;
+            }
         }
         still.push_back(std::move(call));
     }
@@ -88,26 +94,38 @@
     return round;
 }
 
-void dispatch_desk::note_blocked(const waiting_call& call)
+auto dispatch_desk::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
+    -> std::optional<dispatch_refusal>
+{
+    if (!any_upstream(fleet, call.service)) {
+        return dispatch_refusal{call.id, retry_after_none, "no upstream takes work"};
+    }
+    if (now >= call.give_up_at) {
+        return dispatch_refusal{call.id, retry_after_full, "all upstreams are full"};
+    }
+    return std::nullopt;
+}
+
+void dispatch_desk::note_no_room(const waiting_call& call)
 {
     if (call.prompt_tokens > 0) {
-        blocked_[call.id] = std::nullopt;
+        room_since_[call.id] = std::nullopt;
     }
 }
 
 auto dispatch_desk::has_turn(const waiting_call& call, const dispatch_choice& choice, instant now) -> bool
 {
-    const auto blocked = blocked_.find(call.id);
-    if (!choice.is_long || blocked == blocked_.end()) {
+    const auto waited = room_since_.find(call.id);
+    if (!choice.is_long || waited == room_since_.end()) {
         return true;
     }
-    if (!blocked->second) {
-        blocked->second = now;
+    if (!waited->second) {
+        waited->second = now;
     }
     const duration window = std::min(turn_a_gateway * gateways_, longest_turn);
     const std::uint64_t draw = stable_hash(std::to_string(call.id), settings_.seed);
     const duration turn(static_cast<duration::rep>(draw % static_cast<std::uint64_t>(window.count())));
-    return now - *blocked->second >= turn;
+    return now - *waited->second >= turn;
 }
 
 auto dispatch_desk::choose(const upstream_list& fleet, const waiting_call& call, instant now,
@@ -159,9 +177,7 @@
         candidate.id = id;
         candidate.failure_domain = state.entry.failure_domain;
         candidate.slots = state.entry.slots;
-        candidate.load = board_.load_of(id, now);
-        candidate.suspect = health_.suspect(id, board_.own_calls(id), now) ||
-                            candidate.load.suspected_by >= suspects_to_believe;
+        look_at(candidate, now);
         found.push_back(std::move(candidate));
     }
     sort_for_border(found);
@@ -178,9 +194,7 @@
     };
     for (dispatch_candidate& candidate : candidates) {
         if (touched(candidate)) {
-            candidate.load = board_.load_of(candidate.id, now);
-            candidate.suspect = health_.suspect(candidate.id, board_.own_calls(candidate.id), now) ||
-                                candidate.load.suspected_by >= suspects_to_believe;
+            look_at(candidate, now);
         }
     }
     std::erase_if(candidates, [&](const dispatch_candidate& candidate) {
@@ -188,6 +202,13 @@
     });
 }
 
+void dispatch_desk::look_at(dispatch_candidate& candidate, instant now) const
+{
+    candidate.load = board_.load_of(candidate.id, now);
+    candidate.suspect = health_.suspect(candidate.id, board_.own_calls(candidate.id), now) ||
+                        candidate.load.suspected_by >= suspects_to_believe;
+}
+
 auto dispatch_desk::cold_full(const upstream_list& fleet, const upstream_state& upstream, instant now) const
     -> bool
 {
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -155,7 +155,7 @@
 
 auto engine_dispatch::wanted_part() const -> duration
 {
-    return duration(static_cast<duration::rep>(static_cast<double>(tightest_pause_.count()) * part_share));
+    return scaled(tightest_pause_, part_share);
 }
 
 auto memory_need(const call_shape& call) -> std::int64_t
--- a/src/direct/engine_forecast.cpp
+++ b/src/direct/engine_forecast.cpp
@@ -4,17 +4,6 @@
 
 namespace dragonflymill::direct {
 
-namespace {
-
-constexpr double us_per_ms = 1000.0;
-
-auto from_ms(double ms) -> duration
-{
-    return duration(static_cast<duration::rep>(ms * us_per_ms));
-}
-
-} // namespace
-
 auto engine_forecast::read_alone(std::int64_t prompt_tokens) const -> duration
 {
     return read_part(prompt_tokens, 1);
--- a/src/direct/load_board.cpp
+++ b/src/direct/load_board.cpp
@@ -11,8 +11,7 @@
 auto load_board::told_load::at(instant now) const -> upstream_load
 {
     upstream_load current = load;
-    const auto unread = static_cast<double>(load.reading.count()) * least_unread_share;
-    current.reading = std::max(read_until - now, duration(static_cast<duration::rep>(unread)));
+    current.reading = std::max(read_until - now, scaled(load.reading, least_unread_share));
     return current;
 }
 
@@ -129,7 +128,7 @@
     }
     for (const auto& [upstream, load] : report.loads) {
         if (load == upstream_load{}) {
-            others_loads_[upstream].erase(report.gateway);
+            remove_load(upstream, report.gateway);
             known.upstreams.erase(upstream);
             continue;
         }
@@ -141,15 +140,23 @@
 void load_board::forget_loads(const std::string& gateway, told_report& report)
 {
     for (const upstream_key upstream : report.upstreams) {
-        const auto told = others_loads_.find(upstream);
-        told->second.erase(gateway);
-        if (told->second.empty()) {
-            others_loads_.erase(told);
-        }
+        remove_load(upstream, gateway);
     }
     report.upstreams.clear();
 }
 
+void load_board::remove_load(upstream_key upstream, const std::string& gateway)
+{
+    const auto told = others_loads_.find(upstream);
+    if (told == others_loads_.end()) {
+        return;
+    }
+    told->second.erase(gateway);
+    if (told->second.empty()) {
+        others_loads_.erase(told);
+    }
+}
+
 void load_board::forget_gateway(const std::string& gateway)
 {
     if (const auto known = others_.find(gateway); known != others_.end()) {
--- a/src/direct/reading_plan.cpp
+++ b/src/direct/reading_plan.cpp
@@ -35,11 +35,6 @@
     return std::clamp((value - begins) / (full - begins), 0.0, 1.0);
 }
 
-auto share_of(duration value, double share) -> duration
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * share));
-}
-
 auto ratio(duration value, duration whole) -> double
 {
     return static_cast<double>(value.count()) /
@@ -63,9 +58,10 @@
     if (found.empty()) {
         found = writers(ordered_);
     }
+    const std::vector<readers_option> options = readers_options();
     std::optional<reading_plan> chosen;
     for (const writer_choice& writer : found) {
-        reading_plan plan = plan_for(writer);
+        reading_plan plan = plan_for(writer, options);
         const double margin = writer_margin * worth();
         if (!chosen || plan.gain - plan.harm > chosen->gain - chosen->harm + margin) {
             chosen = std::move(plan);
@@ -76,14 +72,14 @@
 
 auto reading_planner::best_for(const dispatch_candidate& writer) const -> reading_plan
 {
-    return plan_for({&writer, memory_need(call_), {}});
+    return plan_for({&writer, memory_need(call_), {}}, readers_options());
 }
 
 auto reading_planner::acceptable(const reading_plan& plan) const -> bool
 {
     const duration first = plan.first_token();
     const bool on_time = first <= call_.time_to_aim;
-    const duration stays = share_of(call_.time_to_leave, stay_share);
+    const duration stays = scaled(call_.time_to_leave, stay_share);
     const duration left = (on_time ? call_.time_to_aim : stays) - first;
     const duration whole = on_time ? std::max(call_.aim, call_.time_to_aim) : stays;
     const double patience = std::clamp(ratio(left, whole), 0.0, 1.0);
@@ -96,9 +92,7 @@
     std::vector<writer_choice> found;
     const dispatch_candidate* helping = nullptr;
     for (auto engine = side.rbegin(); engine != side.rend() && found.size() < max_writers; ++engine) {
-        const bool fits = has_slot(*engine) && free_memory(forecast_.figures(), *engine) >= tokens &&
-                          engine->load.unread_calls < max_unread;
-        if (!fits) {
+        if (!may_write(*engine, tokens)) {
             continue;
         }
         if (engine->load.parts == 0) {
@@ -138,9 +132,8 @@
     for (std::size_t count = 2; count <= most; ++count) {
         const std::int64_t share = memory_need(call_) / static_cast<std::int64_t>(count) + 1;
         const auto end = roomy.begin() + static_cast<std::ptrdiff_t>(count);
-        const auto writer = std::find_if(roomy.begin(), end, [&](const auto* engine) {
-            return has_slot(*engine) && room(engine) >= share && engine->load.unread_calls < max_unread;
-        });
+        const auto writer =
+            std::find_if(roomy.begin(), end, [&](const auto* engine) { return may_write(*engine, share); });
         if (room(roomy[count - 1]) < share || writer == end) {
             continue;
         }
@@ -155,75 +148,106 @@
     return std::nullopt;
 }
 
-auto reading_planner::plan_for(const writer_choice& writer) const -> reading_plan
+auto reading_planner::may_write(const dispatch_candidate& engine, std::int64_t tokens) const -> bool
+{
+    return has_slot(engine) && free_memory(forecast_.figures(), engine) >= tokens &&
+           engine.load.unread_calls < max_unread;
+}
+
+auto reading_planner::plan_for(const writer_choice& writer, const std::vector<readers_option>& options) const
+    -> reading_plan
 {
     const std::size_t fixed = writer.holders.size() + 1;
     const auto wanted = static_cast<double>(std::max(fixed, wanted_readers()));
-    std::optional<reading_plan> chosen;
-    double chosen_value = 0.0;
-    const auto consider = [&](std::size_t readers) {
-        auto plan = plan_of(writer, readers);
-        if (!plan) {
-            return;
-        }
-        const double off = std::abs(std::log2(static_cast<double>(readers) / wanted));
-        const double value = plan->gain - plan->harm - off * readers_margin * worth();
-        if (!chosen || value > chosen_value) {
-            chosen_value = value;
-            chosen = std::move(plan);
-        }
+    const auto value_of = [&](const reading_plan& plan) {
+        const auto readers = static_cast<double>(plan.helpers.size() + 1);
+        return plan.gain - plan.harm - std::abs(std::log2(readers / wanted)) * readers_margin * worth();
     };
-    consider(fixed);
-    for (const std::size_t readers : reader_counts) {
-        if (readers > fixed && readers <= most_readers()) {
-            consider(readers);
+    reading_plan chosen = plan_alone(writer);
+    for (const readers_option& option : options) {
+        if (option.readers <= fixed) {
+            continue;
+        }
+        if (auto plan = plan_with(writer, option); plan && value_of(*plan) > value_of(chosen)) {
+            chosen = std::move(*plan);
         }
     }
-    return *chosen; // the fixed readers alone are always a plan
+    return chosen;
+}
+
+auto reading_planner::plan_alone(const writer_choice& writer) const -> reading_plan
+{
+    const std::size_t readers = writer.holders.size() + 1;
+    reading_plan plan =
+        begin_plan(writer, forecast_.read_part(call_.prompt_tokens, static_cast<int>(readers)));
+    plan.gain = gain_of(plan.first_token());
+    return plan;
 }
 
-auto reading_planner::plan_of(const writer_choice& writer, std::size_t readers) const
+auto reading_planner::plan_with(const writer_choice& writer, const readers_option& option) const
     -> std::optional<reading_plan>
+{
+    reading_plan plan = begin_plan(writer, option.part);
+    for (const ranked_reader& reader : option.able) {
+        if (plan.helpers.size() + 1 == option.readers) {
+            break;
+        }
+        if (is_chosen(writer, *reader.engine)) {
+            continue;
+        }
+        plan.helpers.push_back({reader.engine->id, 0});
+        plan.backlog = std::max(plan.backlog, reader.engine->load.reading);
+        plan.harm += reader.harm;
+    }
+    if (plan.helpers.size() + 1 != option.readers) {
+        return std::nullopt;
+    }
+    plan.gain = gain_of(plan.first_token());
+    return plan;
+}
+
+auto reading_planner::begin_plan(const writer_choice& writer, duration part) const -> reading_plan
 {
     reading_plan plan;
     plan.writer = writer.engine;
     plan.writer_tokens = writer.tokens;
     plan.helpers = writer.holders;
-    plan.part = forecast_.read_part(call_.prompt_tokens, static_cast<int>(readers));
+    plan.part = part;
     plan.backlog = writer.engine->load.reading;
-    plan.harm = harm_at(*writer.engine, plan.part);
+    plan.harm = harm_at(*writer.engine, part);
     for (const helper_share& holder : writer.holders) {
         const dispatch_candidate& engine = find(holder.upstream);
         plan.backlog = std::max(plan.backlog, engine.load.reading);
-        plan.harm += harm_at(engine, plan.part);
+        plan.harm += harm_at(engine, part);
     }
-    for (const ranked_reader& reader : ranked(writer, plan.part)) {
-        if (plan.helpers.size() + 1 == readers) {
-            break;
+    return plan;
+}
+
+auto reading_planner::is_chosen(const writer_choice& writer, const dispatch_candidate& engine) -> bool
+{
+    const auto holds = [&](const helper_share& share) { return share.upstream == engine.id; };
+    return engine.id == writer.engine->id || std::any_of(writer.holders.begin(), writer.holders.end(), holds);
+}
+
+auto reading_planner::readers_options() const -> std::vector<readers_option>
+{
+    std::vector<readers_option> options;
+    for (const std::size_t readers : reader_counts) {
+        if (readers <= most_readers()) {
+            const duration part = forecast_.read_part(call_.prompt_tokens, static_cast<int>(readers));
+            options.push_back({readers, part, ranked(part)});
         }
-        plan.helpers.push_back({reader.engine->id, 0});
-        plan.backlog = std::max(plan.backlog, reader.engine->load.reading);
-        plan.harm += reader.harm;
-    }
-    if (plan.helpers.size() + 1 != readers) {
-        return std::nullopt;
     }
-    plan.gain = gain_of(plan.first_token());
-    return plan;
+    return options;
 }
 
-auto reading_planner::ranked(const writer_choice& writer, duration part) const -> std::vector<ranked_reader>
+auto reading_planner::ranked(duration part) const -> std::vector<ranked_reader>
 {
     std::vector<ranked_reader> able;
     for (const dispatch_candidate& engine : ordered_) {
-        const auto holds = [&](const helper_share& share) { return share.upstream == engine.id; };
-        const bool chosen = engine.id == writer.engine->id ||
-                            std::any_of(writer.holders.begin(), writer.holders.end(), holds);
         // An engine reads parts for others ahead of its own prompts: one that helped on and on would never
         // come to its own, so those with an unread prompt are not asked to help.
-        const bool free =
-            !engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0;
-        if (!free || chosen) {
+        if (engine.suspect || engine.load.parts >= engine.slots || engine.load.unread_calls > 0) {
             continue;
         }
         const duration disturbed = in_hand(engine) > 0 ? writer_penalty : duration::zero();
@@ -250,7 +274,7 @@
 
 auto reading_planner::gain_of(duration first_token) const -> double
 {
-    if (first_token > share_of(call_.time_to_leave, stay_share)) {
+    if (first_token > scaled(call_.time_to_leave, stay_share)) {
         return 0.0;
     }
     const double late = call_.time_to_aim <= duration::zero()
@@ -271,7 +295,7 @@
         forecast_.read_part(call_.prompt_tokens, static_cast<int>(most_readers())) > call_.time_to_aim;
     // Late is late: a call that can't begin in time gets only as many engines as let it begin while its
     // caller stays, and the others make no other call late.
-    const duration part = late ? share_of(call_.time_to_leave, stay_share) : wanted_part_;
+    const duration part = late ? scaled(call_.time_to_leave, stay_share) : wanted_part_;
     const double parts = std::ceil(ratio(whole, part));
     return std::clamp<std::size_t>(static_cast<std::size_t>(std::max(parts, 1.0)), 1, most_readers());
 }
--- a/src/edge/answer_parser.cpp
+++ b/src/edge/answer_parser.cpp
@@ -1,21 +1,15 @@
 #include "edge/answer_parser.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace dragonflymill::edge {
 
-namespace http = boost::beast::http;
+namespace beast_http = boost::beast::http;
 
 auto answer_head::value_of(std::string_view name) const -> std::string_view
 {
-    for (const header_field& field : fields) {
-        if (boost::beast::iequals(field.name, name)) {
-            return field.value;
-        }
-    }
-    return {};
+    return http::first_value(fields, name);
 }
 
 answer_parser::answer_parser(bool no_body)
@@ -36,11 +30,11 @@
         const std::size_t taken =
             parser_.put(boost::asio::const_buffer(rest_.data() + used, rest_.size() - used), failed);
         used += taken;
-        if (failed && failed != http::error::need_more) {
+        if (failed && failed != beast_http::error::need_more) {
             state_ = answer_state::invalid;
             return state_;
         }
-        if (failed == http::error::need_more || taken == 0) {
+        if (failed == beast_http::error::need_more || taken == 0) {
             break;
         }
     }
--- a/src/edge/answer_parser.h
+++ b/src/edge/answer_parser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/http_request.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 #include <cstddef>
 #include <string>
@@ -9,14 +11,7 @@
 
 namespace dragonflymill::edge {
 
-/// A header field as it came.
-struct header_field
-{
-    std::string name;  ///< Name, in the sender's case.
-    std::string value; ///< Value.
-
-    friend auto operator==(const header_field&, const header_field&) -> bool = default;
-};
+using http::header_field;
 
 /// Head of an upstream's answer.
 struct answer_head
--- a/src/edge/caller_request.cpp
+++ b/src/edge/caller_request.cpp
@@ -1,5 +1,7 @@
 #include "edge/caller_request.h"
 
+#include "dragonflymill/core/units.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
@@ -10,20 +12,11 @@
 
 using boost::beast::iequals;
 
-auto trimmed(std::string_view text) -> std::string_view
-{
-    const auto first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 auto lists(std::string_view list, std::string_view word) -> bool
 {
     while (!list.empty()) {
         const auto comma = list.find(',');
-        if (iequals(trimmed(list.substr(0, comma)), word)) {
+        if (iequals(trim(list.substr(0, comma)), word)) {
             return true;
         }
         list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
@@ -35,12 +28,7 @@
 
 auto caller_request::value_of(std::string_view name) const -> std::string_view
 {
-    for (const header_field& field : fields) {
-        if (iequals(field.name, name)) {
-            return field.value;
-        }
-    }
-    return {};
+    return http::first_value(fields, name);
 }
 
 auto caller_request::count_of(std::string_view name) const -> int
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -1,19 +1,19 @@
 #include "edge/caller_session.h"
 
 #include "edge/socket_options.h"
+#include "http/http_text.h"
 #include "runtime/clock.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
-#include <charconv>
 #include <utility>
 
 namespace dragonflymill::edge {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
+namespace beast_http = boost::beast::http;
 
 caller_session::caller_session(asio::ip::tcp::socket socket, loop_timers& timers, request_handler& handler)
     : socket_(std::move(socket))
@@ -94,7 +94,7 @@
         boost::beast::error_code failed;
         const std::size_t used = parser_->put(asio::const_buffer(in_.data(), in_.size()), failed);
         in_.erase(0, used);
-        if (failed == http::error::need_more || (!failed && used == 0)) {
+        if (failed == beast_http::error::need_more || (!failed && used == 0)) {
             break;
         }
         if (failed) {
@@ -109,7 +109,7 @@
     if (parser_->is_header_done()) {
         wait_until(handler_.limits().idle_time);
         const auto& head = parser_->get();
-        if (!continue_sent_ && boost::beast::iequals(head[http::field::expect], "100-continue")) {
+        if (!continue_sent_ && boost::beast::iequals(head[beast_http::field::expect], "100-continue")) {
             continue_sent_ = true;
             write("HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -120,10 +120,10 @@
 {
     keep_open_ = false;
     phase_ = phase::answering;
-    if (failed == http::error::header_limit) {
+    if (failed == beast_http::error::header_limit) {
         answer(431, "Request Header Fields Too Large", {}, "");
     }
-    else if (failed == http::error::body_limit) {
+    else if (failed == beast_http::error::body_limit) {
         answer(413, "Payload Too Large", {}, "");
     }
     else {
@@ -229,11 +229,7 @@
         write(bytes);
         return;
     }
-    std::array<char, 20> size{};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
-    std::string chunk(size.data(), end);
-    chunk.append("\r\n").append(bytes).append("\r\n");
-    write(chunk);
+    write(http::chunk_text(bytes));
 }
 
 void caller_session::end_answer()
@@ -242,7 +238,7 @@
         return;
     }
     if (!old_protocol_) {
-        write("0\r\n\r\n");
+        write(http::last_chunk_text());
     }
     answered();
 }
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -50,13 +50,6 @@
     virtual void session_ended(caller_session* session) = 0;
 };
 
-/// How the end of an answer's body is told.
-enum class body_framing
-{
-    length,  ///< By its length; the whole body is there.
-    chunked, ///< It comes in pieces.
-};
-
 /// A caller's connection: reads requests one after the other, writes their answers and notices when the
 /// caller leaves.
 class caller_session : public std::enable_shared_from_this<caller_session>
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -1,9 +1,9 @@
 #include "edge/direct_gateway.h"
 
 #include "dragonflymill/core/stable_hash.h"
-#include "edge/listening_socket.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
+#include "settings/listening_socket.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -1,13 +1,15 @@
 #include "edge/exchange.h"
 
 #include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/core/units.h"
 #include "dragonflymill/direct/silence_rules.h"
+#include "http/error_body.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
-#include <charconv>
+#include <boost/json/serialize.hpp>
 #include <cstdio>
 #include <utility>
 
@@ -29,14 +31,11 @@
 /// Callers take the time to come back in seconds.
 constexpr double us_per_s = 1e6;
 
-auto number_of(std::string_view text) -> std::optional<std::int64_t>
+/// A count of tokens; what isn't one is taken for none, as from a caller that states no counts.
+auto count_or_zero(std::string_view text) -> std::int64_t
 {
-    std::int64_t number = 0;
-    const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (failed != std::errc() || end != text.data() + text.size() || number < 0) {
-        return std::nullopt;
-    }
-    return number;
+    const auto count = parse_count(text);
+    return count ? count.value() : 0;
 }
 
 /// Ids of the engines that read a part, for the log: at most as many as read one prompt.
@@ -49,17 +48,9 @@
     return list;
 }
 
-auto lower(std::string_view text) -> std::string
-{
-    std::string small(text);
-    std::transform(small.begin(), small.end(), small.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return small;
-}
-
 auto host_of(std::string_view field) -> std::string
 {
-    return lower(field.substr(0, field.rfind(':')));
+    return to_lower(field.substr(0, field.rfind(':')));
 }
 
 auto seconds_text(duration value) -> std::string
@@ -119,9 +110,10 @@
                "the key is not known");
         return;
     }
-    const auto asked = number_of(request_.value_of(names.time_left_ms));
-    const duration limit = asked ? std::min(route_->time_limit, duration(std::chrono::milliseconds(*asked)))
-                                 : route_->time_limit;
+    const auto asked = parse_count(request_.value_of(names.time_left_ms));
+    const duration limit =
+        asked ? std::min(route_->time_limit, duration(std::chrono::milliseconds(asked.value())))
+              : route_->time_limit;
     limit_at_ = arrived_ + limit;
     limit_timer_ = context_.timers.at(limit_at_, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
@@ -133,9 +125,8 @@
     wait_.service = route_->service_for(request_name_);
     const std::string_view counts = request_.value_of(names.token_counts);
     const auto comma = counts.find(',');
-    wait_.prompt_tokens = number_of(counts.substr(0, comma)).value_or(0);
-    wait_.answer_tokens =
-        comma == std::string_view::npos ? 0 : number_of(counts.substr(comma + 1)).value_or(0);
+    wait_.prompt_tokens = count_or_zero(counts.substr(0, comma));
+    wait_.answer_tokens = comma == std::string_view::npos ? 0 : count_or_zero(counts.substr(comma + 1));
     wait_.pause_aim = route_->pause_aim;
     wait_.priority = account_ != nullptr ? account_->priority.value_or(route_->priority) : route_->priority;
     wait_.aim_at = arrived_ + route_->answer_aim;
@@ -322,7 +313,7 @@
         return false;
     }
     const bool is_stream = head.status == 200 && route_->kind == direct::call_kind::streaming &&
-                           lower(head.value_of("content-type")).starts_with("text/event-stream");
+                           to_lower(head.value_of("content-type")).starts_with("text/event-stream");
     if (answer_begun_ && !is_stream) {
         end_attempt(attempt_end::failed, "a resumed stream got status " + std::to_string(head.status));
         return false;
@@ -449,7 +440,7 @@
     direct::request_progress state;
     state.repeatable = route_->repeatable();
     state.answer_begun = answer_begun_;
-    state.may_have_run = may_have_run_;
+    state.may_have_run = may_have_run();
     state.attempts_run = attempts_run_;
     state.attempts_sent = attempts_sent_;
     state.max_attempts = route_->max_attempts;
@@ -503,14 +494,13 @@
     }
     if (end == attempt_end::failed || end == attempt_end::broken) {
         ++attempts_run_;
-        may_have_run_ = true;
     }
     release_upstream();
     const next_step step = direct::after_attempt(end, progress(now));
     context_.metrics.attempts_failed.add();
     log_event(event::call_attempt_ended, field("request", request_name_), field("attempt", attempt_),
               field("upstream", upstream), field("end", direct::to_string(end)), field("why", why),
-              field("after_us", now - sent_at_), field("ran", may_have_run_ ? "unknown" : "no"),
+              field("after_us", now - sent_at_), field("ran", may_have_run() ? "unknown" : "no"),
               field("next", direct::to_string(step)));
     take_step(step, why);
 }
@@ -553,7 +543,7 @@
         take_step(next_step::cut, refusal.reason);
         return;
     }
-    if (may_have_run_) {
+    if (may_have_run()) {
         take_step(next_step::fail_unknown, refusal.reason);
         return;
     }
@@ -573,7 +563,7 @@
     }
     const bool sent = call_ && call_->any_sent();
     release_upstream();
-    if (sent || may_have_run_) {
+    if (sent || may_have_run()) {
         refuse(504, {refusal_code::deadline, ran_state::unknown, 0s, "check whether it was done"}, why);
         return;
     }
@@ -598,10 +588,8 @@
         if (refused.retry_after > duration::zero()) {
             fields.push_back({"Retry-After", seconds_text(refused.retry_after)});
         }
-        const std::string body = std::string(R"({"error":{"code":")") + to_string(refused.code) +
-                                 R"(","ran":")" + to_string(refused.ran) + R"(","retry_after_ms":)" +
-                                 std::to_string(refused.retry_after / 1ms) + R"(,"remedy":")" +
-                                 refused.remedy + "\"}}";
+        const std::string body = boost::json::serialize(
+            http::error_body(to_string(refused.code), refused.ran, refused.retry_after, refused.remedy));
         session->answer(status, status == 503 ? "Service Unavailable" : "Failed", fields, body);
     }
     finish();
@@ -639,7 +627,7 @@
     }
     const bool sent = call_ && call_->any_sent();
     release_upstream();
-    const bool unknown = sent || may_have_run_;
+    const bool unknown = sent || may_have_run();
     refuse(unknown ? 502 : 503,
            {refusal_code::stopping, unknown ? ran_state::unknown : ran_state::no, unknown ? 0s : 100ms,
             "come back"},
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -84,6 +84,7 @@
     void end_attempt(direct::attempt_end end, const std::string& why);
     void note_health(direct::attempt_end end, instant now);
     void blame_helper(std::string_view at_fault, instant now);
+    [[nodiscard]] auto may_have_run() const -> bool { return attempts_run_ > 0; }
     [[nodiscard]] auto progress(instant now) const -> direct::request_progress;
     void take_step(direct::next_step step, const std::string& why);
     void release_upstream();
@@ -115,7 +116,6 @@
     std::uint64_t attempt_ = 0;
     int attempts_run_ = 0;
     int attempts_sent_ = 0;
-    bool may_have_run_ = false;
 
     answer_mode mode_ = answer_mode::none;
     answer_head head_;
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -1,12 +1,12 @@
 #include "edge/peer_link.h"
 
-#include "edge/listening_socket.h"
 #include "edge/socket_options.h"
 #include "fleet.pb.h"
 #include "runtime/clock.h"
+#include "settings/listening_socket.h"
+#include "settings/socket_endpoint.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
@@ -219,18 +219,16 @@
 
     void start()
     {
-        const auto where = parse_socket_address(address_);
-        boost::system::error_code failed;
-        const auto ip = where ? asio::ip::make_address(where.value().ip, failed) : asio::ip::address();
+        const auto where = parse_tcp_endpoint(address_);
         timer_ = link_.timers_.at(runtime::now() + fetch_limit, [self = shared_from_this()] {
             self->timer_.reset();
             self->end("no answer within its limit");
         });
-        if (!where || failed) {
+        if (!where) {
             end("its address can't be read");
             return;
         }
-        socket_.async_connect({ip, where.value().port},
+        socket_.async_connect(where.value(),
                               [self = shared_from_this()](const boost::system::error_code& refused) {
                                   refused ? self->end(refused.message()) : self->ask();
                               });
@@ -310,12 +308,16 @@
 
 auto peer_link::listen(const socket_address& address) -> result<void>
 {
+    const auto where = udp_endpoint(address);
+    if (!where) {
+        return where.error();
+    }
     boost::system::error_code failed;
-    const auto ip = asio::ip::make_address(address.ip, failed);
-    const auto check = [&] { return !failed; };
-    const bool opened = check() && (datagrams_.open(udp::v4(), failed), check()) &&
-                        (datagrams_.bind({ip, address.port}, failed), check());
-    if (!opened) {
+    datagrams_.open(where.value().protocol(), failed);
+    if (!failed) {
+        datagrams_.bind(where.value(), failed);
+    }
+    if (failed) {
         return error(error_kind::unavailable,
                      "can't listen for gateways on " + to_text(address) + ": " + failed.message(),
                      "free the address or change it in the settings");
@@ -362,13 +364,11 @@
 void peer_link::send(const std::string& message, const std::vector<std::string>& addresses)
 {
     for (const std::string& text : addresses) {
-        const auto address = parse_socket_address(text);
-        boost::system::error_code failed;
-        const auto ip = address ? asio::ip::make_address(address.value().ip, failed) : asio::ip::address();
-        if (address && !failed) {
-            datagrams_.send_to(asio::buffer(message), {ip, address.value().port}, 0, failed);
-        }
         // A datagram that can't be sent is like one that is lost: the next word says it again.
+        if (const auto where = parse_udp_endpoint(text)) {
+            boost::system::error_code ignored;
+            datagrams_.send_to(asio::buffer(message), where.value(), 0, ignored);
+        }
     }
 }
 
--- a/src/edge/upstream_call.cpp
+++ b/src/edge/upstream_call.cpp
@@ -2,11 +2,10 @@
 
 #include "edge/socket_options.h"
 #include "runtime/clock.h"
-#include "settings/socket_address.h"
+#include "settings/socket_endpoint.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <utility>
 
 namespace dragonflymill::edge {
@@ -27,10 +26,8 @@
     request_ = std::move(request);
     no_body_ = no_body;
     parser_.emplace(no_body);
-    const auto where = parse_socket_address(address);
-    boost::system::error_code failed;
-    const auto ip = where ? asio::ip::make_address(where.value().ip, failed) : asio::ip::address();
-    if (!where || failed) {
+    const auto where = parse_tcp_endpoint(address);
+    if (!where) {
         asio::post(socket_.get_executor(), [self = shared_from_this()] {
             self->fail(attempt_end::not_sent, "the upstream's address can't be read");
         });
@@ -41,7 +38,7 @@
         self->fail(attempt_end::not_sent, "no connection within its limit");
     });
     socket_.async_connect(
-        {ip, where.value().port},
+        where.value(),
         [self = shared_from_this()](const boost::system::error_code& refused) { self->connected(refused); });
 }
 
--- a/src/gateway/answer_text.cpp
+++ b/src/gateway/answer_text.cpp
@@ -1,5 +1,7 @@
 #include "gateway/answer_text.h"
 
+#include "http/error_body.h"
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -38,14 +40,8 @@
 auto error_object(const request_id& request, std::string_view code, ran_state ran, duration retry_after,
                   const std::string& remedy) -> json::object
 {
-    json::object detail;
-    detail["code"] = code;
-    detail["ran"] = to_string(ran);
-    detail["retry_after_ms"] = std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
-    detail["remedy"] = remedy;
-    detail["request_id"] = request.text();
-    json::object body;
-    body["error"] = std::move(detail);
+    json::object body = http::error_body(code, ran, retry_after, remedy);
+    body["error"].as_object()["request_id"] = request.text();
     return body;
 }
 
--- a/src/http/http_request.cpp
+++ b/src/http/http_request.cpp
@@ -4,16 +4,21 @@
 
 namespace dragonflymill::http {
 
-auto http_request::field(const std::string& name) const -> std::string
+auto first_value(const std::vector<header_field>& fields, std::string_view name) -> std::string_view
 {
-    for (const auto& f : fields) {
-        if (boost::beast::iequals(f.name, name)) {
-            return f.value;
+    for (const header_field& field : fields) {
+        if (boost::beast::iequals(field.name, name)) {
+            return field.value;
         }
     }
     return {};
 }
 
+auto http_request::field(const std::string& name) const -> std::string
+{
+    return std::string(first_value(fields, name));
+}
+
 auto http_request::path() const -> std::string
 {
     return target.substr(0, target.find('?'));
--- a/src/http/http_request.h
+++ b/src/http/http_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace dragonflymill::http {
@@ -14,6 +15,10 @@
     friend auto operator==(const header_field&, const header_field&) -> bool = default;
 };
 
+/// Value of the first of `fields` with this name, in any case; empty without one.
+[[nodiscard]] auto first_value(const std::vector<header_field>& fields, std::string_view name)
+    -> std::string_view;
+
 /// A caller's request, read whole.
 struct http_request
 {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http/http_server.h"
 
 #include "log/logger.h"
+#include "settings/listening_socket.h"
 #include "settings/socket_endpoint.h"
 
 #include <algorithm>
@@ -26,24 +27,8 @@
     if (!parsed) {
         return parsed.error();
     }
-    const auto endpoint = tcp_endpoint(parsed.value());
-    if (!endpoint) {
-        return endpoint.error();
-    }
-    error_code failure;
-    // NOLINTBEGIN(bugprone-unused-return-value): each call's failure is kept in `failure`
-    acceptor_.open(endpoint.value().protocol(), failure);
-    if (!failure) {
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), failure);
-        acceptor_.bind(endpoint.value(), failure);
-    }
-    if (!failure) {
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, failure);
-    }
-    // NOLINTEND(bugprone-unused-return-value)
-    if (failure) {
-        return error(error_kind::unavailable, "can't listen on " + address + ": " + failure.message(),
-                     "choose a free port of this host or stop what holds it");
+    if (auto opened = open_listening(acceptor_, parsed.value()); !opened) {
+        return opened;
     }
     accept_next();
     return success();
--- a/src/http/http_text.cpp
+++ b/src/http/http_text.cpp
@@ -1,12 +1,13 @@
 #include "http/http_text.h"
 
+#include "http/error_body.h"
+
+#include <array>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <iomanip>
-#include <sstream>
+#include <charconv>
 
 namespace dragonflymill::http {
 
@@ -50,11 +51,13 @@
     return text;
 }
 
-auto chunk_text(const std::string& payload) -> std::string
+auto chunk_text(std::string_view payload) -> std::string
 {
-    std::ostringstream text;
-    text << std::hex << payload.size() << "\r\n" << payload << "\r\n";
-    return text.str();
+    std::array<char, 16> size{};
+    const auto* end = std::to_chars(size.data(), size.data() + size.size(), payload.size(), 16).ptr;
+    std::string text(static_cast<const char*>(size.data()), end);
+    text.append("\r\n").append(payload).append("\r\n");
+    return text;
 }
 
 auto last_chunk_text() -> std::string
@@ -64,14 +67,10 @@
 
 auto error_response(unsigned status, const std::string& code, const std::string& remedy) -> http_response
 {
-    boost::json::object detail;
-    detail["code"] = code;
-    detail["ran"] = "no";
-    detail["retry_after_ms"] = 0;
-    detail["remedy"] = remedy;
-    boost::json::object body;
-    body["error"] = std::move(detail);
-    return http_response{status, "application/json", {}, boost::json::serialize(body) + "\n"};
+    return http_response{status,
+                         "application/json",
+                         {},
+                         boost::json::serialize(error_body(code, ran_state::no, 0s, remedy)) + "\n"};
 }
 
 auto unreadable_response(boost::system::error_code failure, const http_limits& limits) -> http_response
--- a/src/http/http_text.h
+++ b/src/http/http_text.h
@@ -5,6 +5,7 @@
 
 #include <boost/system/error_code.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace dragonflymill::http {
@@ -15,7 +16,7 @@
 [[nodiscard]] auto event_stream_header(const std::vector<header_field>& fields, bool keep_alive)
     -> std::string;
 /// One chunk of a chunked answer.
-[[nodiscard]] auto chunk_text(const std::string& payload) -> std::string;
+[[nodiscard]] auto chunk_text(std::string_view payload) -> std::string;
 /// The chunk that ends a chunked answer.
 [[nodiscard]] auto last_chunk_text() -> std::string;
 
--- a/src/serve/stream_watch.cpp
+++ b/src/serve/stream_watch.cpp
@@ -11,11 +11,6 @@
 /// Weight of a new gap between tokens against the usual one: about the last 50 count.
 constexpr duration::rep gap_memory = 50;
 
-auto times(duration value, double multiple) -> duration
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * multiple));
-}
-
 } // namespace
 
 stream_watch::stream_watch(stream_watch_options options)
@@ -98,14 +93,14 @@
 {
     const double stretch = cold_ ? options_.cold_multiple : 1.0;
     if (stream.decoding) {
-        return std::max(options_.floor, times(usual_gap_, options_.token_multiple * stretch));
+        return std::max(options_.floor, scaled(usual_gap_, options_.token_multiple * stretch));
     }
     if (!line) {
         return std::nullopt;
     }
     const auto work = static_cast<double>(stream.work_until + put_);
     const auto predicted = line->base + duration(static_cast<duration::rep>(line->us_per_token * work));
-    return std::max(options_.floor, times(predicted, options_.first_token_multiple * stretch));
+    return std::max(options_.floor, scaled(predicted, options_.first_token_multiple * stretch));
 }
 
 } // namespace dragonflymill
--- a/src/settings/socket_endpoint.cpp
+++ b/src/settings/socket_endpoint.cpp
@@ -20,6 +20,16 @@
     return ip::basic_endpoint<Protocol>(number, address.port);
 }
 
+template <typename Protocol>
+auto parse_endpoint(std::string_view text) -> result<ip::basic_endpoint<Protocol>>
+{
+    const auto address = parse_socket_address(text);
+    if (!address) {
+        return address.error();
+    }
+    return make_endpoint<Protocol>(address.value());
+}
+
 template <typename Protocol>
 auto text_of(const ip::basic_endpoint<Protocol>& endpoint) -> std::string
 {
@@ -38,6 +48,16 @@
     return make_endpoint<ip::udp>(address);
 }
 
+auto parse_tcp_endpoint(std::string_view text) -> result<ip::tcp::endpoint>
+{
+    return parse_endpoint<ip::tcp>(text);
+}
+
+auto parse_udp_endpoint(std::string_view text) -> result<ip::udp::endpoint>
+{
+    return parse_endpoint<ip::udp>(text);
+}
+
 auto to_text(const ip::tcp::endpoint& endpoint) -> std::string
 {
     return text_of(endpoint);
--- a/src/settings/socket_endpoint.h
+++ b/src/settings/socket_endpoint.h
@@ -12,6 +12,11 @@
 /// Where to send or receive datagrams; fails as `tcp_endpoint` does.
 [[nodiscard]] auto udp_endpoint(const socket_address& address) -> result<boost::asio::ip::udp::endpoint>;
 
+/// Reads `127.0.0.1:8080` or `[::1]:8080` as a place to connect to or listen at over TCP.
+[[nodiscard]] auto parse_tcp_endpoint(std::string_view text) -> result<boost::asio::ip::tcp::endpoint>;
+/// Reads the same as a place to send datagrams to.
+[[nodiscard]] auto parse_udp_endpoint(std::string_view text) -> result<boost::asio::ip::udp::endpoint>;
+
 /// Writes an endpoint the way `parse_socket_address` reads it.
 [[nodiscard]] auto to_text(const boost::asio::ip::tcp::endpoint& endpoint) -> std::string;
 /// Writes an endpoint the way `parse_socket_address` reads it.
--- a/tests/edge/bad_input_test.cpp
+++ b/tests/edge/bad_input_test.cpp
@@ -3,16 +3,6 @@
 using namespace dragonflymill;
 using namespace dragonflymill::edge;
 
-namespace {
-
-auto whole_answer(const std::string& body) -> std::string
-{
-    return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s1\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
-}
-
-} // namespace
-
 // A caller sends the head of a request and then nothing, for as long as the connection lives. It would hold a
 // descriptor for good: it is told so after the configured time, and nothing is sent anywhere.
 Test(bad_input, a_caller_that_is_too_slow_with_its_head_is_told)
--- a/tests/edge/gateway_flow_test.cpp
+++ b/tests/edge/gateway_flow_test.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-auto whole_answer(const std::string& body, const std::string& fields = "") -> std::string
-{
-    return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s1\r\n" + fields +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 constexpr const char* stream_head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Type: text/event-stream\r\n"
                                     "Transfer-Encoding: chunked\r\n";
 
--- a/tests/edge/gateway_world.h
+++ b/tests/edge/gateway_world.h
@@ -22,6 +22,13 @@
 using test_support::standin_upstream;
 using test_support::taken_connection;
 
+/// An answer of an upstream to the request that `gateway_world` sends, with a body of stated length.
+inline auto whole_answer(const std::string& body, const std::string& fields = "") -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s1\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 /// A source of records that has them all from the start.
 class fixed_source : public record_source
 {
