Take a stated time that microseconds can't hold as the route's limit

Cause: the caller's milliseconds were turned into microseconds before they were compared with the route's limit. From 9e15 ms on that overflows: the upstream was told that one millisecond was left, and the gateway's own limit never came.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -38,6 +38,15 @@
     return count ? count.value() : 0;
 }
 
+/// The route's limit, or the time that the caller states in milliseconds if that is shorter. Compared in
+/// milliseconds: a stated time may be more than fits in microseconds.
+auto time_limit(const direct::route_rule& route, std::string_view stated_ms) -> duration
+{
+    const auto stated = parse_count(stated_ms);
+    const bool shorter = stated && stated.value() < route.time_limit / 1ms;
+    return shorter ? duration(std::chrono::milliseconds(stated.value())) : route.time_limit;
+}
+
 /// Ids of the engines that read a part, for the log: at most as many as read one prompt.
 auto helper_list(const direct::dispatch_order& order) -> std::string
 {
@@ -110,10 +119,7 @@
                "the key is not known");
         return;
     }
-    const auto asked = parse_count(request_.value_of(names.time_left_ms));
-    const duration limit =
-        asked ? std::min(route_->time_limit, duration(std::chrono::milliseconds(asked.value())))
-              : route_->time_limit;
+    const duration limit = time_limit(*route_, request_.value_of(names.time_left_ms));
     limit_at_ = arrived_ + limit;
     limit_timer_ = context_.timers.at(limit_at_, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
--- a/tests/edge/bad_input_test.cpp
+++ b/tests/edge/bad_input_test.cpp
@@ -63,3 +63,23 @@
     cr_assert(world.answer.find("stray") == std::string::npos, "%s", world.answer.c_str());
     cr_assert(answered == 2);
 }
+
+// A caller states a time of three hundred thousand years, in milliseconds. In microseconds it is more than a
+// number holds and became a time long past: the upstream was told that one millisecond is left and gave the
+// request up. The route's limit holds.
+Test(bad_input, a_stated_time_beyond_all_bounds_counts_as_the_routes_limit)
+{
+    gateway_world world;
+    auto& upstream =
+        world.add_upstream("bookings", [](taken_connection& taken) { taken.send(whole_answer("done")); });
+    world.start();
+    world.send_raw(
+        "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nTime-Left: 10000000000000000\r\n"
+        "Authorization: Bearer key1\r\nContent-Length: 0\r\n\r\n");
+    world.run_until_seen("done");
+    const std::string& seen = upstream.requests.at(0)->received;
+    const auto told = seen.find("Time-Left: ");
+    cr_assert(told != std::string::npos);
+    const int left_ms = std::stoi(seen.substr(told + std::string("Time-Left: ").size()));
+    cr_assert(left_ms > 1 && left_ms <= 5000, "%d", left_ms);
+}
