Part the schedule of words and the status pages from the gateway; bound the forecast of absurd prompts

A stated prompt of 10^17 tokens made a negative forecast of its reading, so that the call stood first in line for good; the test failed first.

--- a/src/direct/engine_forecast.cpp
+++ b/src/direct/engine_forecast.cpp
@@ -4,6 +4,14 @@
 
 namespace dragonflymill::direct {
 
+namespace {
+
+/// No reading is forecast to take longer, 28 hours: a stated prompt may be of any size, and a sum of
+/// forecasts has to stay a number.
+constexpr double longest_reading_ms = 1e8;
+
+} // namespace
+
 auto engine_forecast::read_alone(std::int64_t prompt_tokens) const -> duration
 {
     return read_part(prompt_tokens, 1);
@@ -18,7 +26,7 @@
     // Each chunk is read in a step, which costs its time besides.
     const double steps_ms =
         figures_.chunk_tokens > 0 ? tokens / figures_.chunk_tokens * figures_.step_ms : 0.0;
-    return from_ms((linear_ms + pairs_ms + steps_ms) / std::max(parts, 1));
+    return from_ms(std::min((linear_ms + pairs_ms + steps_ms) / std::max(parts, 1), longest_reading_ms));
 }
 
 auto engine_forecast::pass(int writers, std::int64_t context_tokens) const -> duration
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -22,15 +22,6 @@
 constexpr duration tick_interval = 100ms;
 /// While calls wait for an upstream, room that other gateways made is looked for this often.
 constexpr duration waiting_tick_interval = 25ms;
-/// Words about new work go out at most this often: within it another gateway may choose the same engine.
-constexpr duration word_interval = 30ms;
-/// Beyond this many gateways words become rarer in proportion, so that listening stays below a hundredth of a
-/// small host's processor.
-constexpr int gateways_at_full_rate = 64;
-/// A gateway that has nothing to tell says so this often.
-constexpr duration idle_word_interval = 400ms;
-/// Only this often a word lists all work in hand and all peers; the others list what changed.
-constexpr duration whole_word_interval = 1s;
 /// The source is being read if its last answer is not older: a watch answers after two seconds at the latest,
 /// and a slow one takes some hundred milliseconds more.
 constexpr duration source_fresh = 2900ms;
@@ -50,39 +41,6 @@
 
 } // namespace
 
-/// Answers the balancer and serves the counters.
-class direct_gateway::status_handler : public request_handler
-{
-public:
-    explicit status_handler(direct_gateway& gateway)
-        : gateway_(gateway)
-    {
-    }
-
-    auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
-        -> std::shared_ptr<open_request> override
-    {
-        if (request.path() == gateway_.words_.names.ready_path) {
-            const bool ready = gateway_.ready();
-            session->answer(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", {}, "");
-        }
-        else if (request.path() == "/metrics") {
-            session->answer(200, "OK", {{"Content-Type", "text/plain; version=0.0.4"}},
-                            gateway_.metrics_.text());
-        }
-        else {
-            session->answer(404, "Not Found", {}, "");
-        }
-        return nullptr;
-    }
-    [[nodiscard]] auto limits() const -> direct::caller_limits override { return {}; }
-    [[nodiscard]] auto closing() const -> bool override { return false; }
-    void session_ended(caller_session* session) override { gateway_.session_ended(session); }
-
-private:
-    direct_gateway& gateway_;
-};
-
 direct_gateway::direct_gateway(asio::io_context& loop, direct_gateway_settings settings, outside_words words,
                                record_source& source, settings_reader reread)
     : loop_(loop)
@@ -123,7 +81,8 @@
     , ready_listener_(loop)
     , metrics_listener_(loop)
     , signals_(loop, SIGTERM, SIGINT, SIGHUP)
-    , status_(std::make_unique<status_handler>(*this))
+    , status_({words_.names.ready_path, [this] { return ready(); }, metrics_,
+               [this](caller_session* session) { session_ended(session); }})
 {
     const auto started = runtime::wall_now().time_since_epoch().count();
     start_name_ = settings_.name + "#" + std::to_string(started);
@@ -135,14 +94,14 @@
 
 auto direct_gateway::start() -> result<void>
 {
-    if (auto opened = listen(ready_listener_, settings_.ready, *status_); !opened) {
+    if (auto opened = listen(ready_listener_, settings_.ready, status_); !opened) {
         return opened;
     }
     if (auto opened = listen(callers_, settings_.callers, *this); !opened) {
         return opened;
     }
     if (!settings_.metrics.empty()) {
-        if (auto opened = listen(metrics_listener_, settings_.metrics, *status_); !opened) {
+        if (auto opened = listen(metrics_listener_, settings_.metrics, status_); !opened) {
             return opened;
         }
     }
@@ -366,25 +325,13 @@
 void direct_gateway::send_word(bool at_once)
 {
     const instant now = runtime::now();
-    const int spread = std::max(1, peers_.gateways() / gateways_at_full_rate);
-    const bool changed =
-        told_changes_ != desk_.board().own_changes() || told_revision_ != records_.revision();
-    const duration since = now - told_at_;
-    const bool due = changed ? since >= word_interval * spread : since >= idle_word_interval;
-    if (!at_once && !due) {
+    const direct::tellable_state state{desk_.board().own_changes(), records_.revision(), peers_.gateways()};
+    const auto due = words_due_.next(state, at_once, now);
+    if (!due) {
         return;
     }
-    const bool whole = now - told_whole_at_ >= whole_word_interval;
-    // A change is told three times, so that a lost datagram or two do no harm until the next whole report.
-    const peer_message message = whole ? whole_word() : changes_word(told_before_[0]);
-    if (whole) {
-        told_whole_at_ = now;
-    }
-    told_before_ = {told_before_[1], told_before_[2], desk_.board().own_changes()};
+    const peer_message message = due->whole ? whole_word() : changes_word(due->changes_since);
     link_.send(encode_peer_message(message), peers_.targets(now));
-    told_changes_ = desk_.board().own_changes();
-    told_revision_ = records_.revision();
-    told_at_ = now;
 }
 
 void direct_gateway::decide_soon()
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -6,6 +6,7 @@
 #include "dragonflymill/direct/peer_table.h"
 #include "dragonflymill/direct/source_outage.h"
 #include "dragonflymill/direct/upstream_list.h"
+#include "dragonflymill/direct/word_schedule.h"
 #include "edge/caller_session.h"
 #include "edge/exchange.h"
 #include "edge/gateway_metrics.h"
@@ -13,9 +14,9 @@
 #include "edge/loop_timers.h"
 #include "edge/peer_link.h"
 #include "edge/record_source.h"
+#include "edge/status_pages.h"
 #include "settings/socket_address.h"
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -80,8 +81,6 @@
     void session_ended(caller_session* session) override;
 
 private:
-    class status_handler;
-
     [[nodiscard]] auto listen(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& address,
                               request_handler& handler) -> result<void>;
     void accept(boost::asio::ip::tcp::acceptor& acceptor, request_handler& handler);
@@ -125,19 +124,15 @@
     boost::asio::ip::tcp::acceptor ready_listener_;
     boost::asio::ip::tcp::acceptor metrics_listener_;
     boost::asio::signal_set signals_;
-    std::unique_ptr<status_handler> status_;
+    status_pages status_;
     std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
     std::string start_name_;
     std::uint64_t next_exchange_ = 0;
     std::uint64_t fetches_failed_ = 0;
     std::uint64_t word_sequence_ = 0;
-    std::uint64_t told_changes_ = 0;
-    std::uint64_t told_revision_ = 0;
+    direct::word_schedule words_due_;
     instant started_at_{};
-    instant told_at_{};
-    instant told_whole_at_{};
-    std::array<std::uint64_t, 3> told_before_{};
     instant source_read_at_{};
     instant behind_since_{};
     direct::source_outage outage_;
--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -39,6 +39,14 @@
     cr_assert(forecast.pass(12, 5'000) > forecast.pass(1, 5'000));
 }
 
+// A caller states a prompt of 10^17 tokens. Its reading was more than a number of microseconds holds and
+// became less than nothing: the call stood before all others, fitted nowhere, and held the line up.
+Test(engine_forecast, reading_of_an_absurd_prompt_is_long_not_negative)
+{
+    const engine_forecast forecast(sample_figures());
+    cr_assert(forecast.read_alone(100'000'000'000'000'000) >= forecast.read_alone(10'000'000));
+}
+
 Test(plain_dispatch, the_least_loaded_upstream_is_taken_and_a_full_one_never)
 {
     std::vector<dispatch_candidate> upstreams{{"u1", "a", 2, false, {2}}, {"u2", "b", 2, false, {1}}};
