Serve on time first by observed first-token times; tell returns from first attempts; wait for engines rather than read late

Cause: with many short prompts before few engines each call waited until it was late and was then served late: a call counted as late only when a third of its aim was left, while engines took two thirds of it. Refused callers were asked back after 400 ms into the same burst and refused for good. Engines read the part that came last first (a call sent first, forecast 129 ms, began after 2.6 s, when the last of the later ones did), so a part that is sent while another is unread delays it; the board took 0.3 of a reading for left at the least. An engine that was silent while it read a long prompt was taken for lost, left alone for up to 3 s, and the burst had fewer engines.

--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -3,8 +3,10 @@
 #include "dragonflymill/core/time.h"
 #include "dragonflymill/direct/cold_share.h"
 #include "dragonflymill/direct/dispatch_policy.h"
+#include "dragonflymill/direct/first_token_times.h"
 #include "dragonflymill/direct/load_board.h"
 #include "dragonflymill/direct/retry_window.h"
+#include "dragonflymill/direct/saturation_clock.h"
 #include "dragonflymill/direct/upstream_health.h"
 #include "dragonflymill/direct/upstream_list.h"
 
@@ -29,6 +31,7 @@
     instant aim_at{};               ///< An answer that begins later is late.
     duration aim{};                 ///< The whole time from arrival to `aim_at`.
     instant leaves_at{};            ///< When the caller leaves without an answer.
+    instant limit_at{};             ///< When its time ends, returns included.
     instant give_up_at{};           ///< Refused if it still waits then.
     instant not_before{};           ///< Not sent earlier.
     std::vector<std::string> tried; ///< Upstreams that it has been sent to.
@@ -104,9 +107,9 @@
     /// Puts the upstreams that this gateway finds faulty on the board, for the other gateways.
     void tell_suspects(const upstream_list& fleet, instant now);
     /// The first token of a placed call came.
-    void first_token(placement_id placed, instant now) { board_.reading_done(placed, now); }
+    void first_token(placement_id placed, instant now);
     /// A placed call is over.
-    void finish(placement_id placed, instant now) { board_.finish(placed, now); }
+    void finish(placement_id placed, instant now);
     /// Whether a second attempt at this service would be allowed.
     [[nodiscard]] auto retry_left(const std::string& service, instant now) -> bool;
 
@@ -162,9 +165,11 @@
     [[nodiscard]] auto cold_rate(const upstream_list& fleet, const upstream_state& upstream,
                                  instant now) const -> double;
     void sort_waiting(const fleet_config& config, instant now);
+    [[nodiscard]] auto expected_first_token(const waiting_call& call) const -> duration;
+    [[nodiscard]] auto is_late(const waiting_call& call, instant now) const -> bool;
     [[nodiscard]] auto has_turn(const waiting_call& call, const dispatch_choice& choice, instant now) -> bool;
     void note_no_room(const waiting_call& call);
-    [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
+    [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now)
         -> std::optional<dispatch_refusal>;
 
     dispatch_settings settings_;
@@ -175,6 +180,8 @@
     std::vector<waiting_call> waiting_;
     /// Calls that found no room, and since when there is room again; nothing: there is none.
     std::unordered_map<std::uint64_t, std::optional<instant>> room_since_;
+    std::map<call_class, saturation_clock> saturated_;
+    first_token_times first_tokens_;
     int gateways_ = 1;
 };
 
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -30,8 +30,9 @@
 };
 
 /// While a prompt isn't read, at least this part of its reading is taken to be still to do, however long ago
-/// it was sent: the engine is behind what was forecast.
-inline constexpr double least_unread_share = 0.3;
+/// it was sent. Engines read the newest part first, so that one which is sent before the last is read delays
+/// it.
+inline constexpr double least_unread_share = 0.6;
 
 /// Short name of an upstream in reports: its id's hash, a quarter of the id's bytes.
 using upstream_key = std::uint64_t;
--- a/include/dragonflymill/direct/reading_plan.h
+++ b/include/dragonflymill/direct/reading_plan.h
@@ -53,6 +53,8 @@
     /// Whether a plan is worth its harm now, rather than that the call waits for a better one: a call with
     /// all its time left accepts little harm, one that waited accepts up to what it is worth.
     [[nodiscard]] auto acceptable(const reading_plan& plan) const -> bool;
+    /// Time to read the prompt at as many engines as may read it together.
+    [[nodiscard]] auto fastest() const -> duration;
 
     /// Worth of a call: a short one counts one, and each so many tokens of prompt one more. Operators of
     /// engines charge by token; a document of 200,000 tokens counts as twenty questions.
--- a/include/dragonflymill/direct/silence_rules.h
+++ b/include/dragonflymill/direct/silence_rules.h
@@ -17,6 +17,9 @@
 /// How long callers of a route bear a stream's silence before they leave.
 [[nodiscard]] auto caller_patience(const route_rule& route) -> duration;
 
+/// Whether an upstream has so much to read that its silence doesn't mean that it is lost.
+[[nodiscard]] auto is_busy_reading(duration reading) -> bool;
+
 /// How long an upstream may be silent before its call is sent to another one.
 ///
 /// Too short, and calls of a busy engine are read a second time elsewhere, which makes the next engine
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -8,6 +8,15 @@
 
 namespace dragonflymill::direct {
 
+namespace {
+
+auto class_of(const waiting_call& call) -> call_class
+{
+    return {call.service, call.pause_aim};
+}
+
+} // namespace
+
 void dispatch_desk::add(waiting_call call)
 {
     waiting_.push_back(std::move(call));
@@ -19,6 +28,18 @@
     room_since_.erase(call);
 }
 
+void dispatch_desk::first_token(placement_id placed, instant now)
+{
+    board_.reading_done(placed, now);
+    first_tokens_.first_token(placed, now);
+}
+
+void dispatch_desk::finish(placement_id placed, instant now)
+{
+    board_.finish(placed, now);
+    first_tokens_.finished(placed);
+}
+
 void dispatch_desk::tell_suspects(const upstream_list& fleet, instant now)
 {
     for (const auto& [id, state] : fleet.upstreams()) {
@@ -48,9 +69,7 @@
     std::vector<ranked_call> ranked;
     ranked.reserve(waiting_.size());
     for (waiting_call& call : waiting_) {
-        // A call that would be late even if it were sent now comes behind those that can still be on time.
-        const bool late = call.aim_at - call.aim / 3 <= now;
-        const std::tuple rank(late, call.priority, call.aim_at + reading(call), call.id);
+        const std::tuple rank(is_late(call, now), call.priority, call.aim_at + reading(call), call.id);
         ranked.push_back({rank, std::move(call)});
     }
     std::sort(ranked.begin(), ranked.end(),
@@ -59,6 +78,18 @@
                    [](ranked_call& held) { return std::move(held.call); });
 }
 
+auto dispatch_desk::expected_first_token(const waiting_call& call) const -> duration
+{
+    return std::clamp(first_tokens_.expected(class_of(call)), call.aim / 3, call.aim * 2 / 3);
+}
+
+auto dispatch_desk::is_late(const waiting_call& call, instant now) const -> bool
+{
+    // Calls that can still be on time go first: while upstreams are saturated each served late would make
+    // another one late.
+    return now + expected_first_token(call) >= call.aim_at;
+}
+
 auto dispatch_desk::decide(const upstream_list& fleet, instant now) -> dispatch_round
 {
     dispatch_round round;
@@ -66,11 +97,11 @@
         return round;
     }
     sort_waiting(*fleet.config(), now);
-    std::map<std::pair<std::string, duration>, int> failed_tries;
+    std::map<call_class, int> failed_tries;
     std::vector<waiting_call> still;
     round_view view;
     for (waiting_call& call : waiting_) {
-        int& failures = failed_tries[{call.service, call.pause_aim}];
+        int& failures = failed_tries[class_of(call)];
         const bool tries = failures < tries_past_blocked && now >= call.not_before;
         const auto choice = tries ? choose(fleet, call, now, view) : std::nullopt;
         if (choice && has_turn(call, *choice, now)) {
@@ -94,14 +125,18 @@
     return round;
 }
 
-auto dispatch_desk::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
+auto dispatch_desk::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now)
     -> std::optional<dispatch_refusal>
 {
+    saturation_clock& saturation = saturated_[class_of(call)];
+    saturation.no_room(now);
     if (!any_upstream(fleet, call.service)) {
         return dispatch_refusal{call.id, retry_after_none, "no upstream takes work"};
     }
     if (now >= call.give_up_at) {
-        return dispatch_refusal{call.id, retry_after_full, "all upstreams are full"};
+        const std::uint64_t draw = stable_hash(std::to_string(call.id), settings_.seed);
+        const duration back = return_time(saturation.lasting(now), call.limit_at - now, draw);
+        return dispatch_refusal{call.id, back, "all upstreams are full"};
     }
     return std::nullopt;
 }
@@ -241,6 +276,7 @@
     order.placed = board_.place({choice.upstream, choice.helpers, choice.is_long, choice.memory_tokens,
                                  choice.reading, call.pause_aim},
                                 now);
+    first_tokens_.dispatched(order.placed, class_of(call), now);
     if (const double cold = cold_rate(fleet, upstream, now); cold > 0) {
         (void)cold_[choice.upstream].take(now, cold, gateways_);
     }
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -138,6 +138,10 @@
         return std::nullopt;
     }
     const bool on_time = plan->first_token() <= call.time_to_aim;
+    // Engines are busy for moments, but a late reading by the few that are free keeps them for seconds.
+    if (!on_time && planner.fastest() <= call.time_to_aim) {
+        return std::nullopt;
+    }
     if (plan->backlog > (on_time ? max_backlog : max_backlog_when_late) || !planner.acceptable(*plan)) {
         return std::nullopt;
     }
--- a/src/direct/reading_plan.cpp
+++ b/src/direct/reading_plan.cpp
@@ -86,6 +86,11 @@
     return plan.harm <= plan.gain * (1.0 - patience);
 }
 
+auto reading_planner::fastest() const -> duration
+{
+    return forecast_.read_part(call_.prompt_tokens, static_cast<int>(most_readers()));
+}
+
 auto reading_planner::writers(std::span<const dispatch_candidate> side) const -> std::vector<writer_choice>
 {
     const std::int64_t tokens = memory_need(call_);
@@ -291,8 +296,7 @@
 auto reading_planner::wanted_readers() const -> std::size_t
 {
     const duration whole = forecast_.read_alone(call_.prompt_tokens);
-    const bool late =
-        forecast_.read_part(call_.prompt_tokens, static_cast<int>(most_readers())) > call_.time_to_aim;
+    const bool late = fastest() > call_.time_to_aim;
     // Late is late: a call that can't begin in time gets only as many engines as let it begin while its
     // caller stays, and the others make no other call late.
     const duration part = late ? scaled(call_.time_to_leave, stay_share) : wanted_part_;
--- a/src/direct/silence_rules.cpp
+++ b/src/direct/silence_rules.cpp
@@ -33,10 +33,15 @@
     return std::max({least_patience, patient_aims * route.answer_aim, patient_pauses * route.pause_aim});
 }
 
+auto is_busy_reading(duration reading) -> bool
+{
+    return reading > busy_reading;
+}
+
 auto silence_bound(const route_rule& route, const silent_attempt& attempt) -> duration
 {
     const duration usual = attempt.begun ? silent_pauses * route.pause_aim : silent_aims * route.answer_aim;
-    const bool busy = attempt.reading > busy_reading;
+    const bool busy = is_busy_reading(attempt.reading);
     const duration bound = busy ? caller_patience(route) * busy_share_percent / 100 : duration::zero();
     return std::max({least_silence, usual, bound});
 }
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -56,6 +56,7 @@
                words_.names,
                words_.orders,
                desk_,
+               returns_,
                fleet_,
                records_,
                metrics_,
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -117,6 +117,7 @@
     direct::fleet_records records_;
     direct::upstream_list fleet_;
     direct::dispatch_desk desk_;
+    direct::return_detector returns_;
     direct::peer_table peers_;
     exchange_context context_;
     peer_link link_;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -28,6 +28,13 @@
 constexpr duration reservation_pause = 100ms;
 /// Status of an upstream that isn't the one that was meant; it has not run the request.
 constexpr unsigned misdirected = 421;
+/// Why an attempt ended at an upstream that has not come to its call yet; that upstream is sound.
+constexpr const char* silent_while_reading = "the upstream is busy with other prompts";
+/// A caller that was refused before has no other chance, so it waits for this share of its patience: the rest
+/// is for its first event.
+constexpr int last_wait_percent = 50;
+/// A longer stated time tells nothing of when a caller began.
+constexpr duration longest_stated_time = 24h;
 /// Callers take the time to come back in seconds.
 constexpr double us_per_s = 1e6;
 
@@ -138,11 +145,25 @@
     wait_.aim_at = arrived_ + route_->answer_aim;
     wait_.aim = route_->answer_aim;
     wait_.leaves_at = arrived_ + std::min(limit, direct::caller_patience(*route_));
-    wait_.give_up_at =
-        std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + route_->answer_aim * 5 / 4);
+    wait_.limit_at = limit_at_;
+    const duration elapsed = elapsed_before_arrival();
+    const duration longest_wait = elapsed > duration::zero()
+                                      ? (wait_.leaves_at - arrived_) * last_wait_percent / 100
+                                      : route_->answer_aim * 5 / 4;
+    wait_.give_up_at = std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + longest_wait);
     wait_for_upstream();
 }
 
+auto exchange::elapsed_before_arrival() const -> duration
+{
+    const auto stated = parse_count(request_.value_of(context_.names.time_left_ms));
+    if (!stated || stated.value() > longest_stated_time / 1ms) {
+        return duration::zero();
+    }
+    const duration left = std::chrono::milliseconds(stated.value());
+    return context_.returns.elapsed(route_->name, left, arrived_);
+}
+
 auto exchange::authenticate() -> bool
 {
     std::string_view key = request_.value_of(context_.names.account_key);
@@ -300,7 +321,9 @@
     if (direct::after_attempt(attempt_end::broken, state) != next_step::try_again) {
         return;
     }
-    end_attempt(attempt_end::broken, "the upstream is silent");
+    const auto load = context_.desk.board().load_of(order_->upstream.id, now);
+    end_attempt(attempt_end::broken,
+                direct::is_busy_reading(load.reading) ? silent_while_reading : "the upstream is silent");
 }
 
 auto exchange::answer_head_came(const answer_head& head) -> bool
@@ -455,7 +478,7 @@
     return state;
 }
 
-void exchange::note_health(attempt_end end, instant now)
+void exchange::note_health(attempt_end end, const std::string& why, instant now)
 {
     direct::upstream_health& health = context_.desk.health();
     const std::string& upstream = order_->upstream.id;
@@ -467,7 +490,7 @@
     if (end == attempt_end::failed) {
         health.failed(upstream, now);
     }
-    else if (end == attempt_end::rejected && head_.status != misdirected) {
+    else if ((end == attempt_end::rejected && head_.status != misdirected) || why == silent_while_reading) {
         health.full(upstream, now);
     }
     else {
@@ -494,7 +517,7 @@
     }
     const instant now = runtime::now();
     const std::string upstream = order_->upstream.id;
-    note_health(end, now);
+    note_health(end, why, now);
     if (end != attempt_end::not_sent) {
         ++attempts_sent_;
     }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -4,6 +4,7 @@
 #include "dragonflymill/direct/dispatch_desk.h"
 #include "dragonflymill/direct/event_relay.h"
 #include "dragonflymill/direct/fleet_records.h"
+#include "dragonflymill/direct/return_detector.h"
 #include "dragonflymill/direct/upstream_list.h"
 #include "edge/caller_session.h"
 #include "edge/gateway_metrics.h"
@@ -28,6 +29,7 @@
     const header_names& names;               ///< Of the outside systems.
     const upstream_orders& orders;           ///< How engines are told to set memory aside.
     direct::dispatch_desk& desk;             ///< Decides where calls go.
+    direct::return_detector& returns;        ///< Tells returning callers.
     const direct::upstream_list& fleet;      ///< Configuration and upstreams.
     const direct::fleet_records& records;    ///< For the revision in log lines.
     gateway_metrics& metrics;                ///< Counts.
@@ -70,6 +72,7 @@
     };
 
     [[nodiscard]] auto authenticate() -> bool;
+    [[nodiscard]] auto elapsed_before_arrival() const -> duration;
     void wait_for_upstream();
     void reserve_memory();
     [[nodiscard]] auto may_still_send(const direct::dispatch_order& order) const -> bool;
@@ -82,7 +85,7 @@
     void watch_silence();
     void silence(std::uint64_t attempt);
     void end_attempt(direct::attempt_end end, const std::string& why);
-    void note_health(direct::attempt_end end, instant now);
+    void note_health(direct::attempt_end end, const std::string& why, instant now);
     void blame_helper(std::string_view at_fault, instant now);
     [[nodiscard]] auto may_have_run() const -> bool { return attempts_run_ > 0; }
     [[nodiscard]] auto progress(instant now) const -> direct::request_progress;
--- a/tests/direct/dispatch_desk_test.cpp
+++ b/tests/direct/dispatch_desk_test.cpp
@@ -335,3 +335,47 @@
                   static_cast<unsigned long>(order.call));
     }
 }
+
+// Pattern: more short calls than the upstreams serve. Guards against serving each call late by serving them
+// in the order of arrival: one that is late even if it goes now comes behind one that is not.
+Test(dispatch_desk, lateness_is_judged_by_the_first_token_times_seen)
+{
+    dispatch_desk decider = desk();
+    upstream_list fleet = bookings(1, 1);
+    decider.add(call(1));
+    const auto first = decider.decide(fleet, start).orders;
+    cr_assert(first.size() == 1);
+    decider.first_token(first[0].placed, start + 60ms);
+    decider.finish(first[0].placed, start + 60ms);
+    waiting_call older = call(2);
+    older.aim_at = start + 110ms;
+    older.give_up_at = start + 300ms;
+    waiting_call newer = call(3);
+    newer.aim_at = start + 150ms;
+    decider.add(older);
+    decider.add(newer);
+    const auto next = decider.decide(fleet, start + 60ms).orders;
+    cr_assert(next.size() == 1 && next[0].call == 3, "50 ms are left of the older one's aim");
+}
+
+// Pattern: a burst that outlasts the first refusals. Guards against asking all callers back into it.
+Test(dispatch_desk, the_longer_there_is_no_room_the_later_callers_are_asked_back)
+{
+    dispatch_desk decider = desk();
+    upstream_list fleet = bookings(1, 1);
+    decider.add(call(1));
+    (void)decider.decide(fleet, start);
+    std::vector<duration> returns;
+    for (std::uint64_t id = 2; id <= 22; ++id) {
+        const instant now = start + 100ms * static_cast<int>(id);
+        waiting_call refused = call(id);
+        refused.give_up_at = now;
+        refused.limit_at = now + 10s;
+        decider.add(refused);
+        const auto round = decider.decide(fleet, now);
+        cr_assert(round.refusals.size() == 1);
+        returns.push_back(round.refusals[0].retry_after);
+    }
+    cr_assert(returns.front() <= 500ms);
+    cr_assert(returns.back() >= 1600ms && returns.back() <= 2400ms);
+}
--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -163,6 +163,22 @@
 
 // A prompt of a million tokens is more than twice one engine's memory: its memory is reserved at
 // several engines, each with a share that fits, and the rest lies at the one that answers.
+// Pattern: a burst of long prompts. Guards against a prompt that is read for seconds by the one engine that
+// is free at the moment, though all others are free in a moment and would read it in time.
+Test(engine_dispatch, a_long_call_waits_for_engines_rather_than_be_read_late)
+{
+    auto engines = idle_engines(16);
+    for (std::size_t i = 0; i + 1 < engines.size(); ++i) {
+        engines[i].load.long_calls = 1;
+        engines[i].load.unread_calls = 1;
+        engines[i].load.reading = 300ms;
+    }
+    call_shape call = long_call(300'000);
+    cr_assert(!policy().choose(call, engines));
+    call.time_to_aim = 100ms;
+    cr_assert(policy().choose(call, engines).has_value(), "late in any case");
+}
+
 Test(engine_dispatch, a_prompt_over_one_engines_memory_is_held_by_several)
 {
     const auto choice = policy().choose(long_call(1'000'000), idle_engines(16));
--- a/tests/direct/silence_rules_test.cpp
+++ b/tests/direct/silence_rules_test.cpp
@@ -44,3 +44,10 @@
     cr_assert(silence_bound(route, {true, 0ms}) == 3200ms);
     cr_assert(caller_patience(route) == 12s);
 }
+
+// Guards against leaving sound engines alone for seconds because they are busy with a long prompt.
+Test(silence_rules, silence_of_an_engine_that_reads_is_no_fault_of_it)
+{
+    cr_assert(is_busy_reading(1200ms));
+    cr_assert(!is_busy_reading(0ms));
+}
