Answer callers while a gateway stops instead of closing its socket

Cause: when all gateways are stopped in turn, the balancer finds none ready and sends callers to any of them.

Change: the socket stays open until the process ends; late callers are told that their request has not run and to come back after the balancer's next round of questions.

Ruled out: serving late callers, which would be cut at the end of the grace time.

--- a/include/dragonflymill/direct/first_token_times.h
+++ b/include/dragonflymill/direct/first_token_times.h
@@ -16,6 +16,7 @@
     std::string service;  ///< Where they run.
     duration pause_aim{}; ///< Longest pause between their events that is on time; 0 for plain calls.
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the zero of a rewritten a < b for a pointer
     friend auto operator<=>(const call_class&, const call_class&) -> std::strong_ordering = default;
     friend auto operator==(const call_class&, const call_class&) -> bool = default;
 };
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -33,9 +33,11 @@
 constexpr const char* source_name = "source";
 /// A peer that knows more is asked after the source had this long to tell the same.
 constexpr duration source_patience = 150ms;
-/// From the signal to stop, callers are still accepted for so long: the balancer asks once a second and takes
-/// a gateway out after the second refusal, and the connections that it made before arrive a little later.
-constexpr duration balancer_lag = 3s;
+/// A caller that comes to a gateway which has been stopping for so long finds no other: it is asked back
+/// after the balancer has asked all gateways once more.
+constexpr duration next_ready_check = 1s;
+/// A caller whose request is given up at the end of the grace time may go to another gateway at once.
+constexpr duration retry_after_stop = 100ms;
 /// Before the process is killed it ends what is left, so that callers see an end rather than silence.
 constexpr duration end_before_kill = 400ms;
 
@@ -166,9 +168,8 @@
     const std::uint64_t id = ++next_exchange_;
     auto made = std::make_shared<exchange>(id, session, std::move(request), context_);
     exchanges_.emplace(id, made);
-    const bool late = stopping_ && runtime::now() - stop_begun_ > balancer_lag;
-    if (late) {
-        made->stop();
+    if (!accepting_) {
+        made->stop(next_ready_check);
     }
     else {
         made->begin();
@@ -465,15 +466,16 @@
     log_event(event::gateway_stopping, field("requests", exchanges_.size()));
     note_ready();
     send_word(true);
-    timers_.at(stop_begun_ + balancer_lag, [this] { stop_accepting(); });
-    timers_.at(stop_begun_ + std::max(settings_.grace - end_before_kill, balancer_lag), [this] { end(); });
+    timers_.at(stop_begun_ + settings_.balancer_lag, [this] { stop_accepting(); });
+    timers_.at(stop_begun_ + std::max(settings_.grace - end_before_kill, settings_.balancer_lag),
+               [this] { end(); });
 }
 
 void direct_gateway::stop_accepting()
 {
+    // The listening socket stays open: while no gateway is ready the balancer sends callers to any, and one
+    // that is told when to come back is better off than one that finds no connection.
     accepting_ = false;
-    boost::system::error_code ignored; // closed either way
-    callers_.close(ignored);
     const auto all = sessions_;
     for (const auto& session : all) {
         session->close_when_idle();
@@ -483,9 +485,10 @@
 
 void direct_gateway::end_if_done()
 {
-    const bool all_over =
-        std::all_of(sessions_.begin(), sessions_.end(), [](const auto& session) { return session->over(); });
-    if (stopping_ && !accepting_ && exchanges_.empty() && all_over) {
+    const bool all_answered = std::all_of(sessions_.begin(), sessions_.end(), [](const auto& session) {
+        return session->over() || session->idle();
+    });
+    if (stopping_ && !accepting_ && exchanges_.empty() && all_answered) {
         loop_.stop();
     }
 }
@@ -494,7 +497,7 @@
 {
     const auto all = exchanges_;
     for (const auto& [id, open] : all) {
-        open->stop();
+        open->stop(retry_after_stop);
     }
     asio::post(loop_, [this] { loop_.stop(); });
 }
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -42,6 +42,10 @@
     direct::retry_bounds retries;   ///< Of second attempts.
     duration leave_bound = 2s;      ///< Work may reach an upstream for so long after it said that it leaves.
     duration grace = 8s;            ///< From the signal to stop until the process is killed.
+    /// From the signal to stop, callers are still served for so long: the balancer asks once a second and
+    /// takes a gateway out after the second refusal, and the connections that it made before arrive a little
+    /// later.
+    duration balancer_lag = 3s;
 
     friend auto operator==(const direct_gateway_settings&, const direct_gateway_settings&) -> bool = default;
 };
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -645,7 +645,7 @@
     finish();
 }
 
-void exchange::stop()
+void exchange::stop(duration retry_after)
 {
     if (over_) {
         return;
@@ -658,7 +658,7 @@
     release_upstream();
     const bool unknown = sent || may_have_run();
     refuse(unknown ? 502 : 503,
-           {refusal_code::stopping, unknown ? ran_state::unknown : ran_state::no, unknown ? 0s : 100ms,
+           {refusal_code::stopping, unknown ? ran_state::unknown : ran_state::no, unknown ? 0s : retry_after,
             "come back"},
            "the gateway stops");
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -53,8 +53,9 @@
     void dispatched(const direct::dispatch_order& order);
     /// It can't be served.
     void refused(const direct::dispatch_refusal& refusal);
-    /// The process stops now: ends it as it is.
-    void stop();
+    /// The process stops now: ends it as it is. A caller whose request has not run is asked to come back
+    /// after `retry_after`.
+    void stop(duration retry_after);
 
     void caller_left() override;
     auto answer_head_came(const answer_head& head) -> bool override;
--- a/tests/edge/gateway_flow_test.cpp
+++ b/tests/edge/gateway_flow_test.cpp
@@ -251,3 +251,26 @@
     cr_assert(world.answer.find(event(2)) != std::string::npos);
     world.run_until([&] { return world.loop.stopped(); });
 }
+
+// Guards against callers that find no connection, at whichever gateway they try, while all are stopped in
+// turn.
+Test(gateway_flow, a_stopping_gateway_tells_late_callers_when_to_come_back)
+{
+    gateway_world world;
+    world.settings.balancer_lag = 0ms;
+    auto& engine = world.add_upstream("engines", [](taken_connection& taken) {
+        taken.send(stream_head + std::string("\r\n") + chunk(event(1)));
+    });
+    world.start();
+    world.send("POST", "/chat/1", "Tokens: 100,10\r\n", "hello");
+    world.run_until_seen(event(1));
+    std::raise(SIGTERM);
+    world.run_until([&] { return world.gateway->closing(); });
+    world.loop.run_for(1ms);
+    world.come_as_another_caller();
+    world.send("POST", "/chat/2", "Tokens: 100,10\r\n", "hello");
+    world.run_until_seen("Retry-After: 1.00");
+    cr_assert(world.answer.find("HTTP/1.1 503") != std::string::npos);
+    cr_assert(world.answer.find("\"ran\":\"no\"") != std::string::npos);
+    cr_assert(engine.requests.size() == 1, "the late call ran nowhere");
+}
--- a/tests/edge/gateway_world.h
+++ b/tests/edge/gateway_world.h
@@ -76,7 +76,6 @@
         if (configured) {
             source.facts["config"] = std::make_shared<const direct::fleet_config>(config());
         }
-        direct_gateway_settings settings;
         settings.name = "g";
         settings.failure_domain = "a";
         settings.callers = settings.ready = settings.peers = {"127.0.0.1", 0};
@@ -98,8 +97,15 @@
         gateway = std::make_unique<direct_gateway>(loop, settings, outside_words{names, {}}, source,
                                                    [] { return std::nullopt; });
         cr_assert(gateway->start().has_value());
-        caller.connect({boost::asio::ip::make_address("127.0.0.1"), gateway->caller_port()});
-        listen_to_caller();
+        connect_caller();
+    }
+
+    /// Goes on as another caller; the first one's connection stays open.
+    void come_as_another_caller()
+    {
+        first_caller_ = std::move(caller);
+        caller = boost::asio::ip::tcp::socket(loop);
+        connect_caller();
     }
 
     /// Sends a request as the caller.
@@ -135,6 +141,8 @@
     boost::asio::ip::tcp::socket caller{loop};
     std::string answer;
     bool caller_ended = false;
+    /// Of the gateway; addresses and names are set at its start.
+    direct_gateway_settings settings;
     /// In the configuration that the gateway starts with.
     direct::caller_limits limits;
 
@@ -165,6 +173,12 @@
         return direct::fleet_config(std::move(parts));
     }
 
+    void connect_caller()
+    {
+        caller.connect({boost::asio::ip::make_address("127.0.0.1"), gateway->caller_port()});
+        listen_to_caller();
+    }
+
     void listen_to_caller()
     {
         caller.async_read_some(boost::asio::buffer(buffer_), [this](const auto& failed, std::size_t bytes) {
@@ -178,6 +192,7 @@
     }
 
     std::vector<std::unique_ptr<standin_upstream>> upstreams_;
+    boost::asio::ip::tcp::socket first_caller_{loop};
     std::array<char, 4096> buffer_{};
 };
 
