Let callers wait in the socket's queue until a gateway that starts knows a configuration

Change: the socket is open from the start, connections are taken once a configuration is known, or after 300 ms.

--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -33,6 +33,9 @@
 constexpr const char* source_name = "source";
 /// A peer that knows more is asked after the source had this long to tell the same.
 constexpr duration source_patience = 150ms;
+/// A gateway that has just started lets callers wait for so long until it knows a configuration. Callers take
+/// a request that isn't read within a second for lost.
+constexpr duration configuration_patience = 300ms;
 /// A caller that comes to a gateway which has been stopping for so long finds no other: it is asked back
 /// after the balancer has asked all gateways once more.
 constexpr duration next_ready_check = 1s;
@@ -100,7 +103,7 @@
     if (auto opened = listen(ready_listener_, settings_.ready, status_); !opened) {
         return opened;
     }
-    if (auto opened = listen(callers_, settings_.callers, *this); !opened) {
+    if (auto opened = open_socket(callers_, settings_.callers); !opened) {
         return opened;
     }
     if (!settings_.metrics.empty()) {
@@ -112,6 +115,7 @@
         return opened;
     }
     started_at_ = runtime::now();
+    timers_.at(started_at_ + configuration_patience, [this] { accept_callers(); });
     count_gateways();
     log_event(event::gateway_started, field("gateway", start_name_));
     wait_for_signals();
@@ -124,15 +128,32 @@
 auto direct_gateway::listen(tcp::acceptor& acceptor, const socket_address& address, request_handler& handler)
     -> result<void>
 {
-    if (auto opened = open_listening(acceptor, address); !opened) {
-        log_event(event::listen_failed, field("address", to_text(address)),
-                  field("why", opened.error().message()));
+    if (auto opened = open_socket(acceptor, address); !opened) {
         return opened;
     }
     accept(acceptor, handler);
     return success();
 }
 
+auto direct_gateway::open_socket(tcp::acceptor& acceptor, const socket_address& address) -> result<void>
+{
+    auto opened = open_listening(acceptor, address);
+    if (!opened) {
+        log_event(event::listen_failed, field("address", to_text(address)),
+                  field("why", opened.error().message()));
+    }
+    return opened;
+}
+
+void direct_gateway::accept_callers()
+{
+    // Callers that came back to a gateway which has just started would be refused for the few milliseconds
+    // until it knows a configuration; their connections wait in the socket's queue instead.
+    if (!std::exchange(accepts_callers_, true)) {
+        accept(callers_, *this);
+    }
+}
+
 void direct_gateway::accept(tcp::acceptor& acceptor, request_handler& handler)
 {
     acceptor.async_accept(
@@ -415,6 +436,7 @@
     if (ready() != was_ready_) {
         was_ready_ = ready();
         if (was_ready_) {
+            accept_callers();
             log_event(event::gateway_ready, field("fleet_revision", records_.revision()));
         }
         else {
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -87,7 +87,10 @@
 private:
     [[nodiscard]] auto listen(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& address,
                               request_handler& handler) -> result<void>;
+    [[nodiscard]] auto open_socket(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& address)
+        -> result<void>;
     void accept(boost::asio::ip::tcp::acceptor& acceptor, request_handler& handler);
+    void accept_callers();
     void start_source();
     void take_records(const direct::records_extract& extract, const std::string& from);
     void take_record(const direct::fleet_record& record, const std::string& from);
@@ -144,6 +147,7 @@
     bool decide_pending_ = false;
     bool was_ready_ = false;
     bool stopping_ = false;
+    bool accepts_callers_ = false;
     bool accepting_ = true;
     instant stop_begun_{};
 };
--- a/tests/edge/gateway_flow_test.cpp
+++ b/tests/edge/gateway_flow_test.cpp
@@ -274,3 +274,17 @@
     cr_assert(world.answer.find("\"ran\":\"no\"") != std::string::npos);
     cr_assert(engine.requests.size() == 1, "the late call ran nowhere");
 }
+
+// Guards against refusing the callers that come back to a gateway in the moment of its start.
+Test(gateway_flow, callers_wait_for_the_configuration_of_a_gateway_that_starts)
+{
+    gateway_world world;
+    world.source.held_back = true;
+    world.add_upstream("bookings", [](taken_connection& taken) { taken.send(whole_answer("booked")); });
+    world.start();
+    world.send("POST", "/book/1");
+    world.loop.run_for(1ms);
+    cr_assert(world.answer.empty());
+    world.source.tell();
+    world.run_until_seen("booked");
+}
--- a/tests/edge/gateway_world.h
+++ b/tests/edge/gateway_world.h
@@ -34,14 +34,22 @@
 {
 public:
     void start(handlers told) override
+    {
+        told_ = std::move(told);
+        if (!held_back) {
+            tell();
+        }
+    }
+    /// Hands all records over.
+    void tell()
     {
         direct::records_extract extract;
         for (const auto& [key, fact] : facts) {
             extract.records.push_back({key, "", ++extract.as_of, false});
         }
         extract.whole = true;
-        told.on_regained();
-        told.on_records(extract);
+        told_.on_regained();
+        told_.on_records(extract);
     }
     void stop() override {}
     [[nodiscard]] auto decode(const direct::fleet_record& record) const -> direct::fleet_fact override
@@ -50,6 +58,11 @@
     }
 
     std::map<std::string, direct::fleet_fact> facts;
+    /// Whether records come only when `tell` is called, rather than at the start.
+    bool held_back = false;
+
+private:
+    handlers told_;
 };
 
 /// A gateway over real sockets on one event loop, with stand-in upstreams and callers.
