Bound what a caller states by its route's limit before returns are told apart

The limit that the exchange works with is bounded already; it is used now, and the second reading of the field goes. The saturation is noted where calls find no room, so that refusals decide without a side effect.

--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/dispatch_desk.h
@@ -168,8 +168,8 @@
     [[nodiscard]] auto expected_first_token(const waiting_call& call) const -> duration;
     [[nodiscard]] auto is_late(const waiting_call& call, instant now) const -> bool;
     [[nodiscard]] auto has_turn(const waiting_call& call, const dispatch_choice& choice, instant now) -> bool;
-    void note_no_room(const waiting_call& call);
-    [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now)
+    void note_no_room(const waiting_call& call, instant now);
+    [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
         -> std::optional<dispatch_refusal>;
 
     dispatch_settings settings_;
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/dispatch_desk.cpp
@@ -112,7 +112,7 @@
         }
         if (!choice) {
             ++failures;
-            note_no_room(call);
+            note_no_room(call, now);
             if (auto refusal = refusal_of(fleet, call, now)) {
                 round.refusals.push_back(std::move(*refusal));
                 room_since_.erase(call.id);
@@ -125,24 +125,24 @@
     return round;
 }
 
-auto dispatch_desk::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now)
+auto dispatch_desk::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
     -> std::optional<dispatch_refusal>
 {
-    saturation_clock& saturation = saturated_[class_of(call)];
-    saturation.no_room(now);
     if (!any_upstream(fleet, call.service)) {
         return dispatch_refusal{call.id, retry_after_none, "no upstream takes work"};
     }
     if (now >= call.give_up_at) {
         const std::uint64_t draw = stable_hash(std::to_string(call.id), settings_.seed);
-        const duration back = return_time(saturation.lasting(now), call.limit_at - now, draw);
+        const duration saturated = saturated_.at(class_of(call)).lasting(now);
+        const duration back = return_time(saturated, call.limit_at - now, draw);
         return dispatch_refusal{call.id, back, "all upstreams are full"};
     }
     return std::nullopt;
 }
 
-void dispatch_desk::note_no_room(const waiting_call& call)
+void dispatch_desk::note_no_room(const waiting_call& call, instant now)
 {
+    saturated_[class_of(call)].no_room(now);
     if (call.prompt_tokens > 0) {
         room_since_[call.id] = std::nullopt;
     }
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -33,8 +33,6 @@
 /// A caller that was refused before has no other chance, so it waits for this share of its patience: the rest
 /// is for its first event.
 constexpr int last_wait_percent = 50;
-/// A longer stated time tells nothing of when a caller began.
-constexpr duration longest_stated_time = 24h;
 /// Callers take the time to come back in seconds.
 constexpr double us_per_s = 1e6;
 
@@ -146,7 +144,7 @@
     wait_.aim = route_->answer_aim;
     wait_.leaves_at = arrived_ + std::min(limit, direct::caller_patience(*route_));
     wait_.limit_at = limit_at_;
-    const duration elapsed = elapsed_before_arrival();
+    const duration elapsed = context_.returns.elapsed(route_->name, limit, arrived_);
     const duration longest_wait = elapsed > duration::zero()
                                       ? (wait_.leaves_at - arrived_) * last_wait_percent / 100
                                       : route_->answer_aim * 5 / 4;
@@ -154,16 +152,6 @@
     wait_for_upstream();
 }
 
-auto exchange::elapsed_before_arrival() const -> duration
-{
-    const auto stated = parse_count(request_.value_of(context_.names.time_left_ms));
-    if (!stated || stated.value() > longest_stated_time / 1ms) {
-        return duration::zero();
-    }
-    const duration left = std::chrono::milliseconds(stated.value());
-    return context_.returns.elapsed(route_->name, left, arrived_);
-}
-
 auto exchange::authenticate() -> bool
 {
     std::string_view key = request_.value_of(context_.names.account_key);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -73,7 +73,6 @@
     };
 
     [[nodiscard]] auto authenticate() -> bool;
-    [[nodiscard]] auto elapsed_before_arrival() const -> duration;
     void wait_for_upstream();
     void reserve_memory();
     [[nodiscard]] auto may_still_send(const direct::dispatch_order& order) const -> bool;
