--- a/tests/edge/gateway_flow_test.cpp
+++ b/tests/edge/gateway_flow_test.cpp
@@ -32,6 +32,20 @@
     return found;
 }
 
+/// Starts the gateway, begins a stream through it and asks it to stop; returns the stream's upstream.
+auto stop_while_a_stream_runs(gateway_world& world) -> standin_upstream&
+{
+    auto& engine = world.add_upstream("engines", [](taken_connection& taken) {
+        taken.send(stream_head + std::string("\r\n") + chunk(event(1)));
+    });
+    world.start();
+    world.send("POST", "/chat/1", "Tokens: 100,10\r\n", "hello");
+    world.run_until_seen(event(1));
+    std::raise(SIGTERM);
+    world.run_until([&] { return world.gateway->closing(); });
+    return engine;
+}
+
 } // namespace
 
 Test(gateway_flow, a_call_goes_through_with_the_gateways_own_fields)
@@ -238,14 +252,7 @@
 Test(gateway_flow, a_planned_stop_finishes_what_runs)
 {
     gateway_world world;
-    auto& engine = world.add_upstream("engines", [](taken_connection& taken) {
-        taken.send(stream_head + std::string("\r\n") + chunk(event(1)));
-    });
-    world.start();
-    world.send("POST", "/chat/1", "Tokens: 100,10\r\n", "hello");
-    world.run_until_seen(event(1));
-    std::raise(SIGTERM);
-    world.run_until([&] { return world.gateway->closing(); });
+    auto& engine = stop_while_a_stream_runs(world);
     engine.requests.at(0)->send(chunk(event(2)) + "0\r\n\r\n");
     world.run_until_seen("\r\n0\r\n\r\n");
     cr_assert(world.answer.find(event(2)) != std::string::npos);
@@ -258,14 +265,7 @@
 {
     gateway_world world;
     world.settings.balancer_lag = 0ms;
-    auto& engine = world.add_upstream("engines", [](taken_connection& taken) {
-        taken.send(stream_head + std::string("\r\n") + chunk(event(1)));
-    });
-    world.start();
-    world.send("POST", "/chat/1", "Tokens: 100,10\r\n", "hello");
-    world.run_until_seen(event(1));
-    std::raise(SIGTERM);
-    world.run_until([&] { return world.gateway->closing(); });
+    auto& engine = stop_while_a_stream_runs(world);
     world.loop.run_for(1ms);
     world.come_as_another_caller();
     world.send("POST", "/chat/2", "Tokens: 100,10\r\n", "hello");
