--- a/examples/hello_world/main.cpp
+++ b/examples/hello_world/main.cpp
@@ -1,7 +1,7 @@
 // Embeds decision parts of dragonflymill without any daemon: no thread, clock or socket. Time is whatever the
 // program says it is, so the same run gives the same lines every time.
 
-#include "dragonflymill/admission/permit_gate.h"
+#include "dragonflymill/admission/permit_controller.h"
 #include "dragonflymill/once/once_ledger.h"
 #include "dragonflymill/stream/stream_joiner.h"
 #include "dragonflymill/time/timer_service.h"
@@ -17,10 +17,10 @@
 /// A cold engine gets a little work; more is refused, truthfully, with a time to come back.
 void show_admission()
 {
-    permit_gate_options options;
+    permit_controller_options options;
     options.ramp.floor = 8'000;
     options.ramp.ceiling = 64'000;
-    permit_gate gate(start, options);
+    permit_controller gate(start, options);
     const permit_ask ask{process_id("gateway-1"), length_class::interactive, 3'000, 3'000};
     for (int i = 1; i <= 4; ++i) {
         const permit_answer answer = gate.ask(start, ask);
--- a/include/dragonflymill/admission/permit_gate.h
+++ b/include/dragonflymill/admission/permit_controller.h
@@ -20,8 +20,8 @@
 
 namespace dragonflymill {
 
-/// Settings of a permit_gate.
-struct permit_gate_options
+/// Settings of a permit_controller.
+struct permit_controller_options
 {
     cold_start_options ramp;         ///< Floor, ceiling and steps of the cold start.
     first_token_options first_token; ///< How first-token times are judged.
@@ -122,11 +122,11 @@
 /// until done(), until it ends unused, or until the upstream starts anew. One whose work has begun and whose
 /// holder is gone counts on until the upstream's cancel is confirmed by done(): its work is still there.
 /// Bound: `max_permits`; at the bound an ask is refused with ran `no`.
-class permit_gate
+class permit_controller
 {
 public:
     /// A gate at its floor. `seed` spreads retry times differently from gate to gate.
-    permit_gate(instant now, permit_gate_options options, std::uint64_t seed = 0);
+    permit_controller(instant now, permit_controller_options options, std::uint64_t seed = 0);
 
     /// Grants a permit or refuses with ran `no` and a retry time.
     [[nodiscard]] auto ask(instant now, const permit_ask& request) -> permit_answer;
@@ -202,7 +202,7 @@
     void measure(instant now, entry& held);
     void credit(instant now, const entry& held);
 
-    permit_gate_options options_;
+    permit_controller_options options_;
     std::uint64_t seed_;
     cold_start_ramp ramp_;
     first_token_model model_;
--- a/include/dragonflymill/bundle/boot_answers.h
+++ b/include/dragonflymill/bundle/boot_answers.h
@@ -34,18 +34,18 @@
     void asked(const process_id& peer);
     /// A peer said what it has in force, or that it has none.
     void add(instant now, const process_id& peer, const failure_domain_id& domain,
-             const std::optional<bundle_word>& word);
+             const std::optional<bundle_notice>& word);
     /// A peer can't be reached (any more).
     void remove(const process_id& peer);
     /// A bundle was found to be bad: nobody waits for it.
-    void forget(const bundle_word& word);
+    void forget(const bundle_notice& word);
 
     /// Whether enough peers answered, or there can be none; stays true once it is.
     [[nodiscard]] auto decided(instant now) -> bool;
     /// The highest bundle that a peer has in force.
-    [[nodiscard]] auto best() const -> std::optional<bundle_word>;
+    [[nodiscard]] auto best() const -> std::optional<bundle_notice>;
     /// A peer that has it.
-    [[nodiscard]] auto holder(const bundle_word& word) const -> std::optional<process_id>;
+    [[nodiscard]] auto holder(const bundle_notice& word) const -> std::optional<process_id>;
     /// No more answers are needed.
     void close();
 
@@ -54,7 +54,7 @@
     {
         bool given = false;
         failure_domain_id domain;
-        std::optional<bundle_word> word;
+        std::optional<bundle_notice> word;
     };
 
     [[nodiscard]] auto domains(bool with_bundle) const -> std::size_t;
--- a/include/dragonflymill/bundle/bundle_keeper.h
+++ b/include/dragonflymill/bundle/bundle_manager.h
@@ -35,7 +35,7 @@
 };
 
 /// Settings of a bundle keeper.
-struct bundle_keeper_settings
+struct bundle_manager_settings
 {
     std::vector<partner_entry> trusted; ///< The two partners and the keys they are known by at first.
     bundle_version min_version;         ///< No bundle below it is ever adopted.
@@ -47,15 +47,15 @@
 /// The bundle to put in force from now on.
 struct adopt_bundle
 {
-    bundle_word word;                    ///< Its name.
+    bundle_notice word;                  ///< Its name.
     std::shared_ptr<const bundle> value; ///< The bundle.
 };
 
 /// Ask `peer` for the signed manifest that it has in force.
 struct fetch_manifest
 {
-    process_id peer;  ///< Whom to ask.
-    bundle_word word; ///< What it said it has.
+    process_id peer;    ///< Whom to ask.
+    bundle_notice word; ///< What it said it has.
 };
 
 /// Get these sections from the origin.
@@ -87,45 +87,45 @@
 };
 
 /// What the daemon is to do.
-using bundle_keeper_output =
+using bundle_manager_output =
     std::variant<adopt_bundle, fetch_manifest, fetch_sections, reject_bundle, bundle_alarm>;
 /// In the order in which they are to be done.
-using bundle_keeper_outputs = std::vector<bundle_keeper_output>;
+using bundle_manager_outputs = std::vector<bundle_manager_output>;
 
 /// Decides which bundle is in force at this process, without a store: it asks the others when it starts,
 /// takes over what is newer and signed by both partners, and never goes back.
 ///
 /// Bounds: one bundle in force and one on its way, each at most 8 MiB; 8 peers that have the latter; 16 each
 /// of refusals, bad bundles and conflicts; the oldest goes when one of these is full.
-class bundle_keeper
+class bundle_manager
 {
 public:
     /// A keeper of a process that starts at `now`.
-    bundle_keeper(bundle_keeper_settings settings, instant now);
+    bundle_manager(bundle_manager_settings settings, instant now);
 
     /// A peer is being asked what it has in force, because this process starts.
     void peer_asked(const process_id& peer) { boot_.asked(peer); }
     /// A peer in `domain` said which bundle it has in force, or that it has none.
     [[nodiscard]] auto peer_said(instant now, const process_id& peer, const failure_domain_id& domain,
-                                 const std::optional<bundle_word>& word) -> bundle_keeper_outputs;
+                                 const std::optional<bundle_notice>& word) -> bundle_manager_outputs;
     /// A peer can't be reached: what it said no longer holds back a starting process.
-    [[nodiscard]] auto peer_lost(instant now, const process_id& peer) -> bundle_keeper_outputs;
+    [[nodiscard]] auto peer_lost(instant now, const process_id& peer) -> bundle_manager_outputs;
     /// The text of a signed manifest arrived.
     [[nodiscard]] auto manifest_arrived(instant now, const bundle_origin& origin, const std::string& text)
-        -> bundle_keeper_outputs;
+        -> bundle_manager_outputs;
     /// The text of a section arrived; its digest tells which.
-    [[nodiscard]] auto section_arrived(instant now, const std::string& text) -> bundle_keeper_outputs;
+    [[nodiscard]] auto section_arrived(instant now, const std::string& text) -> bundle_manager_outputs;
     /// Time passes. `wall` is civil time, for the end of the term only.
-    [[nodiscard]] auto tick(instant now, wall_instant wall) -> bundle_keeper_outputs;
+    [[nodiscard]] auto tick(instant now, wall_instant wall) -> bundle_manager_outputs;
 
     /// Name of the bundle in force.
-    [[nodiscard]] auto word() const -> std::optional<bundle_word>;
+    [[nodiscard]] auto word() const -> std::optional<bundle_notice>;
     /// The bundle in force; null while there is none.
     [[nodiscard]] auto in_force() const -> std::shared_ptr<const bundle>;
     /// Whether the process may serve as far as the bundle goes: one is in force and its term is not over.
     [[nodiscard]] auto ready() const -> bool { return in_force_.has_value() && !term_ended_; }
     /// Name of the bundle on its way.
-    [[nodiscard]] auto pending() const -> std::optional<bundle_word>;
+    [[nodiscard]] auto pending() const -> std::optional<bundle_notice>;
     /// Signed manifest of the bundle in force, to hand to a peer; empty while there is none.
     [[nodiscard]] auto manifest_text() const -> std::string;
     /// Text of a section of the bundle in force; null if it has none of that digest.
@@ -140,7 +140,7 @@
 
     struct held_bundle
     {
-        bundle_word word;
+        bundle_notice word;
         signed_manifest manifest;
         std::shared_ptr<const bundle> value;
         section_store sections;
@@ -148,7 +148,7 @@
 
     struct pending_bundle
     {
-        bundle_word word;
+        bundle_notice word;
         bundle_origin origin;
         std::vector<process_id> holders;
         std::optional<signed_manifest> manifest;
@@ -162,47 +162,48 @@
 
     struct bad_offer
     {
-        bundle_word word;
+        bundle_notice word;
         bundle_origin origin;
 
         friend auto operator==(const bad_offer&, const bad_offer&) -> bool = default;
     };
 
-    [[nodiscard]] auto known_bad(const bundle_word& word) const -> bool;
-    [[nodiscard]] auto known_bad_offer(const bundle_word& word, const bundle_origin& origin) const -> bool;
-    [[nodiscard]] auto too_old(const bundle_word& word) const -> bool;
+    [[nodiscard]] auto known_bad(const bundle_notice& word) const -> bool;
+    [[nodiscard]] auto known_bad_offer(const bundle_notice& word, const bundle_origin& origin) const -> bool;
+    [[nodiscard]] auto too_old(const bundle_notice& word) const -> bool;
     [[nodiscard]] auto missing() const -> std::vector<sha256_digest>;
     [[nodiscard]] auto total_bytes(const bundle_manifest& manifest) const -> std::size_t;
-    void hear(instant now, const process_id& peer, const bundle_word& word, bundle_keeper_outputs& outputs);
+    void hear(instant now, const process_id& peer, const bundle_notice& word,
+              bundle_manager_outputs& outputs);
     void consider(instant now, const bundle_origin& origin, signed_manifest value,
-                  bundle_keeper_outputs& outputs);
+                  bundle_manager_outputs& outputs);
     void take_up(instant now, const bundle_origin& origin, signed_manifest value,
-                 std::vector<partner_entry> keys, bundle_keeper_outputs& outputs);
-    void ask(instant now, bundle_keeper_outputs& outputs);
-    void ask_elsewhere(instant now, bundle_keeper_outputs& outputs);
-    void drop_pending(instant now, bundle_keeper_outputs& outputs);
-    void finish_pending(instant now, bundle_keeper_outputs& outputs);
-    void adopt_pending(bundle_keeper_outputs& outputs);
-    void reject(const bundle_origin& origin, error why, bundle_keeper_outputs& outputs);
-    void reject_offer(instant now, const bundle_word& word, const bundle_origin& origin, error why,
-                      bundle_keeper_outputs& outputs);
-    void reject_for_good(const bundle_word& word, const bundle_origin& origin, error why,
-                         bundle_keeper_outputs& outputs);
-    void note_conflict(const bundle_word& other, const std::string& who, bundle_keeper_outputs& outputs);
-    void note_stale_service(const bundle_word& word, bundle_keeper_outputs& outputs);
-
-    bundle_keeper_settings settings_;
+                 std::vector<partner_entry> keys, bundle_manager_outputs& outputs);
+    void ask(instant now, bundle_manager_outputs& outputs);
+    void ask_elsewhere(instant now, bundle_manager_outputs& outputs);
+    void drop_pending(instant now, bundle_manager_outputs& outputs);
+    void finish_pending(instant now, bundle_manager_outputs& outputs);
+    void adopt_pending(bundle_manager_outputs& outputs);
+    void reject(const bundle_origin& origin, error why, bundle_manager_outputs& outputs);
+    void reject_offer(instant now, const bundle_notice& word, const bundle_origin& origin, error why,
+                      bundle_manager_outputs& outputs);
+    void reject_for_good(const bundle_notice& word, const bundle_origin& origin, error why,
+                         bundle_manager_outputs& outputs);
+    void note_conflict(const bundle_notice& other, const std::string& who, bundle_manager_outputs& outputs);
+    void note_stale_service(const bundle_notice& word, bundle_manager_outputs& outputs);
+
+    bundle_manager_settings settings_;
     std::vector<partner_entry> keys_;
     boot_answers boot_;
     std::optional<held_bundle> in_force_;
     std::optional<pending_bundle> pending_;
     std::optional<signed_manifest> from_service_;
-    std::vector<bundle_word> bad_;
+    std::vector<bundle_notice> bad_;
     std::vector<bad_offer> bad_offers_;
-    std::vector<bundle_word> conflicts_;
+    std::vector<bundle_notice> conflicts_;
     std::vector<reject_bundle> rejections_;
     std::uint64_t rejected_count_ = 0;
-    std::optional<bundle_word> stale_noted_;
+    std::optional<bundle_notice> stale_noted_;
     std::optional<wall_instant> wall_;
     bool term_ended_ = false;
 };
--- a/include/dragonflymill/bundle/signed_bundle.h
+++ b/include/dragonflymill/bundle/signed_bundle.h
@@ -15,16 +15,16 @@
 
 /// Names one bundle: what processes tell each other instead of the bundle itself. The manifest's digest
 /// decides between two bundles of one version, the lower one wins, so that every process chooses the same.
-struct bundle_word
+struct bundle_notice
 {
     bundle_version version; ///< Its version.
     sha256_digest digest;   ///< Digest of its manifest without the signatures.
 
-    friend auto operator==(const bundle_word&, const bundle_word&) -> bool = default;
+    friend auto operator==(const bundle_notice&, const bundle_notice&) -> bool = default;
 };
 
 /// Whether `a` is to be in force rather than `b`.
-[[nodiscard]] auto supersedes(const bundle_word& a, const bundle_word& b) -> bool;
+[[nodiscard]] auto supersedes(const bundle_notice& a, const bundle_notice& b) -> bool;
 
 /// One section as the manifest names it.
 struct section_reference
@@ -92,7 +92,7 @@
     -> bundle_manifest;
 
 /// Name of the bundle that a manifest belongs to.
-[[nodiscard]] auto word_of(const bundle_manifest& manifest) -> bundle_word;
+[[nodiscard]] auto word_of(const bundle_manifest& manifest) -> bundle_notice;
 
 /// Canonical text of a manifest: what is signed.
 [[nodiscard]] auto encode_manifest(const bundle_manifest& manifest) -> std::string;
--- a/include/dragonflymill/direct/dispatch_desk.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -22,7 +22,7 @@
 /// A call that waits for an upstream.
 struct waiting_call
 {
-    std::uint64_t id = 0;           ///< Given by the caller of the desk.
+    std::uint64_t id = 0;           ///< Given by the caller of the dispatcher.
     std::string service;            ///< Where it has to run.
     std::int64_t prompt_tokens = 0; ///< 0 for plain services.
     std::int64_t answer_tokens = 0; ///< Most tokens of the answer.
@@ -77,7 +77,7 @@
     std::vector<dispatch_refusal> refusals; ///< To be answered.
 };
 
-/// Settings of a dispatch desk.
+/// Settings of a dispatch dispatcher.
 struct dispatch_settings
 {
     std::string failure_domain; ///< Where this gateway runs.
@@ -89,10 +89,10 @@
 ///
 /// A call is bound to an upstream at the moment of sending, never before: an upstream may leave, and a
 /// failure domain may be taken out, while calls wait.
-class dispatch_desk
+class call_dispatcher
 {
 public:
-    explicit dispatch_desk(dispatch_settings settings)
+    explicit call_dispatcher(dispatch_settings settings)
         : settings_(std::move(settings))
     {
     }
@@ -105,7 +105,7 @@
     [[nodiscard]] auto decide(const upstream_list& fleet, instant now) -> dispatch_round;
 
     /// Puts the upstreams that this gateway finds faulty on the board, for the other gateways.
-    void tell_suspects(const upstream_list& fleet, instant now);
+    void report_suspects(const upstream_list& fleet, instant now);
     /// The first token of a placed call came.
     void first_token(placement_id placed, instant now);
     /// A placed call is over.
@@ -137,12 +137,12 @@
     static constexpr duration retry_after_none = 700ms;
 
     /// A long call that waited goes at a moment of its own within so much time a gateway, once there is room:
-    /// that is how long a word takes to the other gateways, with the processor time of the smallest of them.
-    /// Three of thirty gateways sent prompts of half a million tokens to one engine within 7 ms, and none of
-    /// them got the memory that it had to reserve.
-    static constexpr duration turn_a_gateway = 2ms;
+    /// that is how long a digest takes to the other gateways, with the processor time of the smallest of
+    /// them. Three of thirty gateways sent prompts of half a million tokens to one engine within 7 ms, and
+    /// none of them got the memory that it had to reserve.
+    static constexpr duration backoff_per_gateway = 2ms;
     /// No call waits longer than this for its turn.
-    static constexpr duration longest_turn = 80ms;
+    static constexpr duration max_backoff = 80ms;
 
 private:
     /// The upstreams of each service as one round sees them, in the order that all gateways share. Gathering
@@ -154,7 +154,7 @@
         -> std::vector<dispatch_candidate>;
     [[nodiscard]] auto choose(const upstream_list& fleet, const waiting_call& call, instant now,
                               round_view& view) const -> std::optional<dispatch_choice>;
-    void look_at(dispatch_candidate& candidate, instant now) const;
+    void refresh_load(dispatch_candidate& candidate, instant now) const;
     void refresh(const upstream_list& fleet, const dispatch_order& order, instant now,
                  std::vector<dispatch_candidate>& candidates) const;
     [[nodiscard]] auto cold_full(const upstream_list& fleet, const upstream_state& upstream,
@@ -167,7 +167,8 @@
     void sort_waiting(const fleet_config& config, instant now);
     [[nodiscard]] auto expected_first_token(const waiting_call& call) const -> duration;
     [[nodiscard]] auto is_late(const waiting_call& call, instant now) const -> bool;
-    [[nodiscard]] auto has_turn(const waiting_call& call, const dispatch_choice& choice, instant now) -> bool;
+    [[nodiscard]] auto backoff_elapsed(const waiting_call& call, const dispatch_choice& choice, instant now)
+        -> bool;
     void note_no_room(const waiting_call& call, instant now);
     [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
         -> std::optional<dispatch_refusal>;
--- a/include/dragonflymill/direct/dispatch_call.h
+++ b/include/dragonflymill/direct/dispatch_call.h
@@ -19,8 +19,8 @@
     duration time_to_leave{};       ///< Left until the caller leaves without an answer.
     duration time_to_aim{};         ///< Left until an answer would be late; negative once it is.
     std::string failure_domain;     ///< Domain of this gateway; preferred among equals.
-    /// Differs from call to call: puts equal upstreams into another order for each. Gateways whose words are
-    /// some hundred milliseconds old would else all choose the same idle one.
+    /// Differs from call to call: puts equal upstreams into another order for each. Gateways whose digests
+    /// are some hundred milliseconds old would else all choose the same idle one.
     std::uint64_t spread = 0;
     duration aim{}; ///< The whole time from arrival until an answer would be late; 0: `time_to_aim` is it.
 
@@ -35,7 +35,7 @@
     int slots = 1;              ///< Requests that it runs at once.
     bool suspect = false;       ///< Calls to it failed a moment ago.
     upstream_load load;         ///< Work in hand there, of all gateways.
-    std::uint64_t place = 0;    ///< Hash of `id`, set by `sort_for_border`.
+    std::uint64_t place = 0;    ///< Hash of `id`, set by `sort_for_partition`.
 
     friend auto operator==(const dispatch_candidate&, const dispatch_candidate&) -> bool = default;
 };
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -27,8 +27,8 @@
 /// An engine that reads a long prompt beside streams holds each of their passes up by the reading, so that
 /// short answers miss their pause aim. The engines are therefore parted: short prompts fill the first ones of
 /// an order that all gateways share, as many as the short calls in hand need; long prompts are read behind
-/// that border, in parts at many engines at once, so that no pass there is held up for long either. The
-/// border is worked out anew for each call and so follows the mix at once.
+/// that partition boundary, in parts at many engines at once, so that no pass there is held up for long
+/// either. The partition boundary is worked out anew for each call and so follows the mix at once.
 class engine_dispatch
 {
 public:
@@ -44,7 +44,7 @@
     /// short side whatever its length.
     [[nodiscard]] auto is_tight(const call_shape& call) const -> bool;
     /// Engines of the first ones that are kept for short prompts.
-    [[nodiscard]] auto short_side(std::span<const dispatch_candidate> candidates) const -> std::size_t;
+    [[nodiscard]] auto short_partition(std::span<const dispatch_candidate> candidates) const -> std::size_t;
 
     /// Share of an engine's slots that short calls fill before the next engine is taken: the rest absorbs
     /// what other gateways placed since they last reported.
@@ -60,9 +60,9 @@
 
 private:
     [[nodiscard]] auto choose_short(const call_shape& call, std::span<const dispatch_candidate> ordered,
-                                    std::size_t border) const -> std::optional<dispatch_choice>;
+                                    std::size_t boundary) const -> std::optional<dispatch_choice>;
     [[nodiscard]] auto choose_long(const call_shape& call, std::span<const dispatch_candidate> ordered,
-                                   std::size_t border) const -> std::optional<dispatch_choice>;
+                                   std::size_t boundary) const -> std::optional<dispatch_choice>;
     [[nodiscard]] auto wanted_part() const -> duration;
 
     engine_forecast forecast_;
@@ -70,6 +70,6 @@
 };
 
 /// Puts candidates into the order that all gateways share.
-void sort_for_border(std::vector<dispatch_candidate>& candidates);
+void sort_for_partition(std::vector<dispatch_candidate>& candidates);
 
 } // namespace dragonflymill::direct
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -37,7 +37,7 @@
 /// Short name of an upstream in reports: its id's hash, a quarter of the id's bytes.
 using upstream_key = std::uint64_t;
 
-/// A gateway's word about its own work in hand.
+/// A gateway's report about its own work in hand.
 struct load_report
 {
     std::string gateway;        ///< Who.
@@ -106,7 +106,7 @@
 
 private:
     /// One gateway's load at one upstream; reading shrinks with time.
-    struct told_load
+    struct reported_load
     {
         upstream_load load;
         instant read_until{};
@@ -115,13 +115,13 @@
 
         [[nodiscard]] auto at(instant now) const -> upstream_load;
     };
-    struct told_report
+    struct reported_loads
     {
         std::uint64_t sequence = 0;
         std::unordered_set<upstream_key> upstreams; // with an entry in others_loads_
     };
     /// What other gateways told of one upstream, by gateway; only of those that have work there.
-    using told_by_gateway = std::map<std::string, told_load, std::less<>>;
+    using loads_by_gateway = std::map<std::string, reported_load, std::less<>>;
 
     struct placed_call
     {
@@ -130,17 +130,17 @@
     };
 
     void add(const placement& call, instant now);
-    void forget_loads(const std::string& gateway, told_report& report);
+    void forget_loads(const std::string& gateway, reported_loads& report);
     void remove_load(upstream_key upstream, const std::string& gateway);
-    void end_reading(told_load& reader, duration reading, instant now) const;
-    [[nodiscard]] auto changing(const std::string& upstream) -> told_load&;
+    void end_reading(reported_load& reader, duration reading, instant now) const;
+    [[nodiscard]] auto changing(const std::string& upstream) -> reported_load&;
 
-    std::unordered_map<std::string, told_load> own_;
+    std::unordered_map<std::string, reported_load> own_;
     std::unordered_map<placement_id, placed_call> placed_;
-    std::unordered_map<std::string, told_report> others_;
+    std::unordered_map<std::string, reported_loads> others_;
     /// By upstream, since each decision asks for all upstreams: summing over all gateways for each of them
     /// cost 3,000 times 300 look-ups a decision in a fleet of that size, of which nine in ten found nothing.
-    std::unordered_map<upstream_key, told_by_gateway> others_loads_;
+    std::unordered_map<upstream_key, loads_by_gateway> others_loads_;
     std::uint64_t next_id_ = 0;
     std::uint64_t own_changes_ = 0;
 };
--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -12,41 +12,41 @@
 namespace dragonflymill::direct {
 
 /// What a gateway says of itself in each datagram.
-struct peer_word
+struct peer_digest
 {
     std::string gateway;            ///< Name of this start of the gateway.
-    std::uint64_t sequence = 0;     ///< Rises with each word of this start.
+    std::uint64_t sequence = 0;     ///< Rises with each digest of this start.
     std::string address;            ///< Where datagrams and requests for records reach it.
     std::uint64_t revision = 0;     ///< All published changes up to this one are known there.
     bool leaving = false;           ///< It is stopping.
     bool reads_source = false;      ///< It reads published records first hand, and they come.
-    std::vector<std::string> peers; ///< Addresses of gateways that it hears from; not in every word.
+    std::vector<std::string> peers; ///< Addresses of gateways that it hears from; not in every digest.
 
-    friend auto operator==(const peer_word&, const peer_word&) -> bool = default;
+    friend auto operator==(const peer_digest&, const peer_digest&) -> bool = default;
 };
 
 /// A peer, as this process knows it.
 struct known_peer
 {
-    peer_word word;  ///< Its newest word.
-    instant heard{}; ///< When that came.
+    peer_digest digest; ///< Its newest word.
+    instant heard{};    ///< When that came.
 
     friend auto operator==(const known_peer&, const known_peer&) -> bool = default;
 };
 
 /// The other gateways: each tells every other one its state a few times a second. A few dozen gateways hear
-/// each other directly, so that no failure detector is needed beyond the age of the last word.
+/// each other directly, so that no failure detector is needed beyond the age of the last digest.
 class peer_table
 {
 public:
     /// This gateway's name and address, and the addresses to begin with.
     peer_table(std::string self, std::string address, std::vector<std::string> seeds);
 
-    /// Takes a word; true if the peer is new. Words of this process, and older ones, are left out.
-    auto take(const peer_word& word, instant now) -> bool;
+    /// Takes a digest; true if the peer is new. Words of this process, and older ones, are left out.
+    auto take(const peer_digest& digest, instant now) -> bool;
     /// Forgets peers that were silent for long; gives their names.
     [[nodiscard]] auto forget_silent(instant now) -> std::vector<std::string>;
-    /// Where the next word goes: all peers, and seeds and hearsay that nothing was heard of.
+    /// Where the next digest goes: all peers, and seeds and hearsay that nothing was heard of.
     [[nodiscard]] auto targets(instant now) const -> std::vector<std::string>;
     /// Gateways that are there, this one included; peers that are stopping still count, as they still send.
     [[nodiscard]] auto gateways() const -> int { return static_cast<int>(peers_.size()) + 1; }
@@ -54,30 +54,30 @@
     /// several that know the same, each gateway gets another one, and another one for each `attempt`: in a
     /// start of all, hundreds would else ask the same peer, and ask it again after it had not answered.
     [[nodiscard]] auto newer_than(std::uint64_t revision, std::uint64_t attempt = 0) const
-        -> std::optional<peer_word>;
+        -> std::optional<peer_digest>;
     /// Whether this process has to read published records first hand: fewer than `source_readers` of the
     /// gateways that come before it in an order that all share are known to do so. Where there are many
     /// gateways each read by each of them would cost the source more than it gives.
     [[nodiscard]] auto has_to_read_source(instant now) const -> bool;
-    /// Addresses of up to `max_told_peers` peers, others for each `round`: in a word that goes to hundreds of
-    /// gateways, all addresses would be most of its bytes. All are told within some rounds.
+    /// Addresses of up to `max_listed_peers` peers, others for each `round`: in a digest that goes to
+    /// hundreds of gateways, all addresses would be most of its bytes. All are told within some rounds.
     [[nodiscard]] auto some_addresses(std::uint64_t round) const -> std::vector<std::string>;
     /// All peers by name.
     [[nodiscard]] auto peers() const -> const std::map<std::string, known_peer>& { return peers_; }
     /// Seeds may change with the settings.
     void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
-    /// A peer that was silent for so long is taken as gone: eight of its words in a row are missing.
+    /// A peer that was silent for so long is taken as gone: eight of its digests in a row are missing.
     static constexpr duration silence_limit = 3s;
     /// Addresses known by hearsay only are tried for so long.
     static constexpr duration hearsay_limit = 3s;
     /// Gateways that read published records first hand: one may be refused by the source and another one be
     /// killed or cut off at the same time.
     static constexpr int source_readers = 3;
-    /// A reader that was silent for so long is not relied on: two of its idle words are missing.
+    /// A reader that was silent for so long is not relied on: two of its idle digests are missing.
     static constexpr duration reader_silence = 1s;
-    /// Addresses of peers in one word.
-    static constexpr std::size_t max_told_peers = 32;
+    /// Addresses of peers in one digest.
+    static constexpr std::size_t max_listed_peers = 32;
     /// Peers remembered.
     static constexpr std::size_t max_peers = 512;
 
--- a/include/dragonflymill/direct/reading_plan.h
+++ b/include/dragonflymill/direct/reading_plan.h
@@ -20,8 +20,8 @@
     std::vector<helper_share> helpers;          ///< Read a part each.
     duration part{};                            ///< Reading at each of the engines.
     duration backlog{};                         ///< What the busiest of them has to read before.
-    double harm = 0.0;                          ///< Worth of the streams that the reading makes late.
-    double gain = 0.0;                          ///< Worth of the call if it is read so.
+    double cost = 0.0;                          ///< Worth of the streams that the reading makes late.
+    double benefit = 0.0;                       ///< Worth of the call if it is read so.
 
     /// Expected until the first token.
     [[nodiscard]] auto first_token() const -> duration { return backlog + part; }
@@ -50,8 +50,8 @@
     [[nodiscard]] auto best(std::span<const dispatch_candidate> side) const -> std::optional<reading_plan>;
     /// The best plan for a writer that is chosen already.
     [[nodiscard]] auto best_for(const dispatch_candidate& writer) const -> reading_plan;
-    /// Whether a plan is worth its harm now, rather than that the call waits for a better one: a call with
-    /// all its time left accepts little harm, one that waited accepts up to what it is worth.
+    /// Whether a plan is worth its cost now, rather than that the call waits for a better one: a call with
+    /// all its time left accepts little cost, one that waited accepts up to what it is worth.
     [[nodiscard]] auto acceptable(const reading_plan& plan) const -> bool;
     /// Time to read the prompt at as many engines as may read it together.
     [[nodiscard]] auto fastest() const -> duration;
@@ -62,11 +62,11 @@
     /// Part of its worth that a late answer keeps.
     static constexpr double late_worth = 0.25;
     /// A pass begins to be too long for a stream at this share of its pause aim: parts of other gateways may
-    /// arrive in the same pass. From `harm_full` on, the stream is taken to be late. Served worth of four
+    /// arrive in the same pass. From `cost_full` on, the stream is taken to be late. Served worth of four
     /// deployments with 0.7, 0.8, 0.88 and 0.95 here: 0.728, 0.734, 0.739 and 0.735 (48 plays each, noise
     /// 0.004): below, prompts wait for engines that are idle; above, parts that meet break pauses.
-    static constexpr double harm_begins = 0.88;
-    static constexpr double harm_full = 1.05;
+    static constexpr double cost_begins = 0.88;
+    static constexpr double cost_full = 1.05;
     /// The same for a call's own first token and its aim.
     static constexpr double late_begins = 0.85;
     static constexpr double late_full = 1.05;
@@ -89,7 +89,7 @@
     struct ranked_reader
     {
         const dispatch_candidate* engine = nullptr;
-        double harm = 0.0;
+        double cost = 0.0;
         std::int64_t backlog_steps = 0;
         std::uint64_t spread = 0;
     };
@@ -117,8 +117,8 @@
         -> bool;
     [[nodiscard]] auto readers_options() const -> std::vector<readers_option>;
     [[nodiscard]] auto ranked(duration part) const -> std::vector<ranked_reader>;
-    [[nodiscard]] auto harm_at(const dispatch_candidate& engine, duration part) const -> double;
-    [[nodiscard]] auto gain_of(duration first_token) const -> double;
+    [[nodiscard]] auto cost_at(const dispatch_candidate& engine, duration part) const -> double;
+    [[nodiscard]] auto benefit_of(duration first_token) const -> double;
     [[nodiscard]] auto worth() const -> double;
     [[nodiscard]] auto wanted_readers() const -> std::size_t;
     [[nodiscard]] auto most_readers() const -> std::size_t;
--- a/include/dragonflymill/direct/retry_window.h
+++ b/include/dragonflymill/direct/retry_window.h
@@ -19,7 +19,7 @@
 };
 
 /// Second attempts that this gateway may make at one service. Each gateway keeps to the share of its own
-/// requests and to its part of the slack, so the sum over all gateways holds without a word between them.
+/// requests and to its part of the slack, so the sum over all gateways holds without a digest between them.
 ///
 /// Guards against a retry storm: a fault that fails every call must not multiply the load on what is left.
 class retry_window
--- a/include/dragonflymill/direct/silence_rules.h
+++ b/include/dragonflymill/direct/stall_timeout.h
@@ -6,12 +6,12 @@
 namespace dragonflymill::direct {
 
 /// What is known of an attempt whose upstream is silent.
-struct silent_attempt
+struct stalled_attempt
 {
     bool begun = false; ///< Whether an event of its stream came.
     duration reading{}; ///< Reading that the upstream has to do, as the load board tells.
 
-    friend auto operator==(const silent_attempt&, const silent_attempt&) -> bool = default;
+    friend auto operator==(const stalled_attempt&, const stalled_attempt&) -> bool = default;
 };
 
 /// How long callers of a route bear a stream's silence before they leave.
@@ -24,6 +24,6 @@
 ///
 /// Too short, and calls of a busy engine are read a second time elsewhere, which makes the next engine
 /// silent; too long, and a lost engine's callers leave first.
-[[nodiscard]] auto silence_bound(const route_rule& route, const silent_attempt& attempt) -> duration;
+[[nodiscard]] auto stall_timeout_for(const route_rule& route, const stalled_attempt& attempt) -> duration;
 
 } // namespace dragonflymill::direct
--- a/include/dragonflymill/drain/drain_state.h
+++ b/include/dragonflymill/drain/drain_state.h
@@ -31,13 +31,13 @@
 
 /// An operator's word. Of two words on one subject the one with the higher number counts; of two with one
 /// number the one that says "out".
-struct drain_word
+struct drain_notice
 {
     drain_subject subject;    ///< What it is about.
     std::uint64_t number = 0; ///< Rises with every word on the subject.
     bool out = true;          ///< Out of service, or in again.
 
-    friend auto operator==(const drain_word&, const drain_word&) -> bool = default;
+    friend auto operator==(const drain_notice&, const drain_notice&) -> bool = default;
 };
 
 /// A host as the platform lists it.
@@ -82,7 +82,7 @@
     /// The process on a host is heard of: its start, and whether it is leaving.
     void process_heard(instant now, const host_id& host, incarnation start, bool leaving);
     /// An operator's word arrived. True if it is news, to be passed on.
-    [[nodiscard]] auto operator_said(instant now, const drain_word& word) -> bool;
+    [[nodiscard]] auto operator_said(instant now, const drain_notice& word) -> bool;
 
     /// Status of a failure domain; nothing if it is in service.
     [[nodiscard]] auto status(const failure_domain_id& domain) const -> std::optional<drain_status>;
@@ -96,14 +96,14 @@
     /// Hosts out of service, sorted.
     [[nodiscard]] auto drained_hosts() const -> std::vector<host_id>;
     /// Operators' words, to be told to other processes.
-    [[nodiscard]] auto words() const -> std::vector<drain_word>;
+    [[nodiscard]] auto words() const -> std::vector<drain_notice>;
     /// Number that a new operator's word on the subject needs to count.
     [[nodiscard]] auto next_number(const drain_subject& subject) const -> std::uint64_t;
 
 private:
     struct operator_entry
     {
-        drain_word word;
+        drain_notice word;
         instant since{};
     };
 
--- a/include/dragonflymill/membership/datagram.h
+++ b/include/dragonflymill/membership/datagram.h
@@ -66,15 +66,15 @@
 /// One datagram between two processes. Whatever it is for, it carries news.
 struct datagram
 {
-    member_update sender;             ///< Who sent it.
-    process_id receiver;              ///< For whom; empty if only the address is known.
-    std::uint64_t counter = 0;        ///< Rises with every datagram of this start of the sender.
-    datagram_body body;               ///< What it is for.
-    std::optional<bundle_word> word;  ///< Bundle in force at the sender.
-    std::uint64_t members_digest = 0; ///< Digest of the members that the sender believes alive.
-    std::uint32_t members_count = 0;  ///< How many these are.
-    std::vector<member_update> news;  ///< What the sender passes on about members.
-    std::vector<drain_word> drains;   ///< Operators' words that the sender passes on.
+    member_update sender;              ///< Who sent it.
+    process_id receiver;               ///< For whom; empty if only the address is known.
+    std::uint64_t counter = 0;         ///< Rises with every datagram of this start of the sender.
+    datagram_body body;                ///< What it is for.
+    std::optional<bundle_notice> word; ///< Bundle in force at the sender.
+    std::uint64_t members_digest = 0;  ///< Digest of the members that the sender believes alive.
+    std::uint32_t members_count = 0;   ///< How many these are.
+    std::vector<member_update> news;   ///< What the sender passes on about members.
+    std::vector<drain_notice> drains;  ///< Operators' words that the sender passes on.
 
     friend auto operator==(const datagram&, const datagram&) -> bool = default;
 };
--- a/include/dragonflymill/membership/membership.h
+++ b/include/dragonflymill/membership/membership.h
@@ -51,15 +51,15 @@
 /// A peer said which bundle it has in force, or that it has none.
 struct bundle_heard
 {
-    process_id peer;                 ///< Who.
-    failure_domain_id domain;        ///< Where it runs.
-    std::optional<bundle_word> word; ///< What it has.
+    process_id peer;                   ///< Who.
+    failure_domain_id domain;          ///< Where it runs.
+    std::optional<bundle_notice> word; ///< What it has.
 };
 
 /// An operator's word was passed on; `drain_state` tells whether it is news.
 struct drain_heard
 {
-    drain_word word; ///< The word.
+    drain_notice word; ///< The word.
 };
 
 /// A member answered neither this process nor others on its behalf.
@@ -113,11 +113,11 @@
     [[nodiscard]] auto ask_peers(std::size_t count) -> membership_outputs;
 
     /// The bundle in force at this process, to be told with every datagram.
-    void set_word(const std::optional<bundle_word>& word) { word_ = word; }
+    void set_word(const std::optional<bundle_notice>& word) { word_ = word; }
     /// Operators' words known here: fresh ones are passed on by `pass_on`, all are repeated slowly.
-    void set_drains(std::vector<drain_word> words) { drains_ = std::move(words); }
+    void set_drains(std::vector<drain_notice> words) { drains_ = std::move(words); }
     /// Passes on an operator's word that was news here.
-    void pass_on(const drain_word& word) { news_.add(word); }
+    void pass_on(const drain_notice& word) { news_.add(word); }
     /// More addresses to join by, such as those of the host list; at most 64 are kept.
     void add_seeds(const std::vector<std::string>& addresses);
 
@@ -160,7 +160,7 @@
     [[nodiscard]] auto same_region(const member_record& record) const -> bool;
     [[nodiscard]] auto is_bridge() const -> bool;
     [[nodiscard]] auto digest() const -> std::uint64_t;
-    [[nodiscard]] auto times_told() const -> std::uint32_t;
+    [[nodiscard]] auto repeats_of_change() const -> std::uint32_t;
     [[nodiscard]] auto known(const datagram& message) -> bool;
 
     void send(const std::string& address, const process_id& receiver, datagram_body body,
@@ -170,7 +170,7 @@
     void hear(instant now, const member_update& news, membership_outputs& outputs);
     void hear_of_self(instant now, const member_update& news, membership_outputs& outputs);
     void answer(instant now, const datagram& message, const std::string& from, membership_outputs& outputs);
-    void answer_ack(const ack_message& ack, const std::optional<bundle_word>& word);
+    void answer_ack(const ack_message& ack, const std::optional<bundle_notice>& word);
     void relay_ping(instant now, const ping_request_message& request, const datagram& message,
                     const std::string& from, membership_outputs& outputs);
     void send_page(instant now, const sync_request_message& request, const datagram& message,
@@ -196,9 +196,9 @@
     member_table table_;
     news_queue news_;
     membership_counts counts_;
-    std::optional<bundle_word> word_;
+    std::optional<bundle_notice> word_;
     std::optional<instant> bundle_confirmed_;
-    std::vector<drain_word> drains_;
+    std::vector<drain_notice> drains_;
     std::size_t next_drain_ = 0;
     std::vector<process_id> ring_;
     std::vector<std::string> seeds_;
--- a/include/dragonflymill/membership/news_queue.h
+++ b/include/dragonflymill/membership/news_queue.h
@@ -19,7 +19,7 @@
     /// Queues news about a member in place of older news about it.
     void add(const member_update& update);
     /// Queues an operator's word in place of an older one on the same subject.
-    void add(const drain_word& word);
+    void add(const drain_notice& word);
 
     /// Fills a datagram with news of at most `bytes`; each is told at most `times` times in all.
     void fill(datagram& message, std::size_t bytes, std::uint32_t times);
@@ -35,7 +35,7 @@
     };
     struct drain_news
     {
-        drain_word word;
+        drain_notice word;
         std::uint32_t told = 0;
     };
 
@@ -44,6 +44,6 @@
 };
 
 /// Upper bound of the bytes that an operator's word takes in a datagram.
-[[nodiscard]] auto size_bound(const drain_word& word) -> std::size_t;
+[[nodiscard]] auto size_bound(const drain_notice& word) -> std::size_t;
 
 } // namespace dragonflymill
--- a/include/dragonflymill/order/order_keeper.h
+++ b/include/dragonflymill/order/order_tracker.h
@@ -20,8 +20,8 @@
     decode,  ///< Decode only; KV cache is imported.
 };
 
-/// Settings of an order_keeper.
-struct order_keeper_options
+/// Settings of an order_tracker.
+struct order_tracker_options
 {
     std::uint32_t start_seconds = 0; ///< Civil time of the start, in seconds: rises from start to start.
     instant started;                 ///< When it started.
@@ -133,11 +133,11 @@
 /// the old one's lease before its first order and every sidecar looks at its own lease just before each one.
 /// Invariant: no order without the own live lease; the fencing number never falls.
 /// Bounds: one order on its way; one replica view for each model that is declared or loaded.
-class order_keeper
+class order_tracker
 {
 public:
     /// Knows nothing yet. `seed` spreads the loads.
-    order_keeper(order_keeper_options options, std::uint64_t seed);
+    order_tracker(order_tracker_options options, std::uint64_t seed);
 
     /// The bundle's word; an older version than before is ignored.
     void declare(instant now, declared_engine wanted);
@@ -173,7 +173,7 @@
     void raise_fence();
     void fail(instant now);
 
-    order_keeper_options options_;
+    order_tracker_options options_;
     random_source random_;
     std::optional<declared_engine> wanted_;
     std::optional<engine_view> view_;
--- a/include/dragonflymill/serve/attempt_desk.h
+++ b/include/dragonflymill/serve/attempt_tracker.h
@@ -18,15 +18,15 @@
 ///
 /// Invariant: a permit is given back only after the engine said that the stream ended, or confirmed its
 /// cancel, or started anew. Bound: the permit gate's, since every try in hand has a permit.
-class attempt_desk
+class attempt_tracker
 {
 public:
     /// Works under `gate`, which the owner keeps alive. `cancel_backoff` is the time between two cancels of
     /// one stream.
     /// `warm_ups` begins the names of the engine's warm-up requests, unlike those of any other start.
     /// `watch` says when a stream's silence counts.
-    attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups,
-                 const stream_watch_options& watch = {});
+    attempt_tracker(permit_controller& gate, duration cancel_backoff, std::string warm_ups,
+                    const stream_watch_options& watch = {});
 
     /// Puts a request of the sidecar's own to an engine that is cold and is asked for nothing that it can
     /// take: without one it would stay cold. At most one at a time, and only if the gate grants it.
@@ -109,7 +109,7 @@
     void give_up_silent(instant now, std::vector<sidecar_action>& actions);
     void forget(attempts::iterator held);
 
-    permit_gate& gate_;
+    permit_controller& gate_;
     duration cancel_backoff_;
     stream_watch watch_;
     attempts attempts_;
--- a/include/dragonflymill/serve/completion_desk.h
+++ b/include/dragonflymill/serve/completion_dispatcher.h
@@ -4,7 +4,7 @@
 #include "dragonflymill/retry/retry_rules.h"
 #include "dragonflymill/route/predicted_first_token.h"
 #include "dragonflymill/route/router.h"
-#include "dragonflymill/serve/gang_desk.h"
+#include "dragonflymill/serve/gang_dispatcher.h"
 #include "dragonflymill/serve/gateway_messages.h"
 #include "dragonflymill/stream/stream_joiner.h"
 #include "dragonflymill/time/timer_service.h"
@@ -19,13 +19,13 @@
 
 /// The completions that one gateway has in hand, from arrival to their final answer. Each gets exactly one
 /// final answer, at the latest at its time limit.
-class completion_desk
+class completion_dispatcher
 {
 public:
     /// Works with `routes`, `rules` and `gangs`, which the owner keeps alive, for the gateway `self`; holds
     /// at most `capacity` requests.
-    completion_desk(process_id self, gateway_router& routes, retry_rules& rules, gang_desk& gangs,
-                    std::size_t capacity);
+    completion_dispatcher(process_id self, gateway_router& routes, retry_rules& rules, gang_dispatcher& gangs,
+                          std::size_t capacity);
 
     /// A caller asks.
     void arrived(instant now, const gateway_input::completion_arrived& input,
@@ -118,7 +118,7 @@
     process_id self_;
     gateway_router& routes_;
     retry_rules& rules_;
-    gang_desk& gangs_;
+    gang_dispatcher& gangs_;
     requests requests_;
     timer_service<wake_key> timers_;
     std::size_t capacity_;
--- a/include/dragonflymill/serve/gang_desk.h
+++ b/include/dragonflymill/serve/gang_dispatcher.h
@@ -41,11 +41,11 @@
 /// and says where to decode. Every share is given back when the request ends or a member is lost.
 ///
 /// Bound: `gang_settings::max_gangs` gangs over all models; more are refused.
-class gang_desk
+class gang_dispatcher
 {
 public:
     /// Works with `table`, which the owner keeps alive, for the gateway `self`.
-    gang_desk(process_id self, const upstream_table& table, std::uint64_t seed);
+    gang_dispatcher(process_id self, const upstream_table& table, std::uint64_t seed);
 
     /// Whether no single engine could ever take the request.
     [[nodiscard]] auto needed(const route_request& request) const -> bool;
--- a/include/dragonflymill/serve/gateway_core.h
+++ b/include/dragonflymill/serve/gateway_core.h
@@ -2,10 +2,10 @@
 
 #include "dragonflymill/limit/account_limiter.h"
 #include "dragonflymill/route/subset.h"
-#include "dragonflymill/serve/call_desk.h"
-#include "dragonflymill/serve/completion_desk.h"
+#include "dragonflymill/serve/completion_dispatcher.h"
 #include "dragonflymill/serve/gateway_messages.h"
-#include "dragonflymill/serve/overload_desk.h"
+#include "dragonflymill/serve/keyed_call_dispatcher.h"
+#include "dragonflymill/serve/overload_controller.h"
 
 #include <map>
 #include <memory>
@@ -17,18 +17,18 @@
 /// Settings of a gateway_core.
 struct gateway_core_options
 {
-    process_id self;                      ///< The gateway.
-    failure_domain_id failure_domain;     ///< Where it stands.
-    region_id region;                     ///< Region of that failure domain.
-    std::string ticket_key;               ///< Key of the tickets' seal, as sidecars have it.
-    std::size_t max_requests = 4'096;     ///< Completions in hand; more are refused.
-    std::size_t max_calls = 4'096;        ///< Service calls in hand; more are refused.
-    std::size_t upstreams_per_model = 16; ///< Size of the gateway's subset of each model's upstreams.
-    retry_settings retry;                 ///< Retry rules.
-    duration probe_spacing = 400ms;       ///< Between two looks for load words that are too old.
-    double reserved_for_short = 0.25;     ///< Share of a model's upstreams that take no bulk prefill.
-    overload_desk_settings overload;      ///< Bounds above which work is refused or paused.
-    std::uint64_t seed = 0;               ///< Spreads retry times.
+    process_id self;                       ///< The gateway.
+    failure_domain_id failure_domain;      ///< Where it stands.
+    region_id region;                      ///< Region of that failure domain.
+    std::string ticket_key;                ///< Key of the tickets' seal, as sidecars have it.
+    std::size_t max_requests = 4'096;      ///< Completions in hand; more are refused.
+    std::size_t max_calls = 4'096;         ///< Service calls in hand; more are refused.
+    std::size_t upstreams_per_model = 16;  ///< Size of the gateway's subset of each model's upstreams.
+    retry_settings retry;                  ///< Retry rules.
+    duration probe_spacing = 400ms;        ///< Between two looks for load words that are too old.
+    double reserved_for_short = 0.25;      ///< Share of a model's upstreams that take no bulk prefill.
+    overload_controller_settings overload; ///< Bounds above which work is refused or paused.
+    std::uint64_t seed = 0;                ///< Spreads retry times.
 };
 
 /// Every decision of a gateway, without a socket, thread or clock: the shell feeds it events and carries out
@@ -108,11 +108,11 @@
     gateway_router routes_;
     retry_rules rules_;
     account_limiter limiter_;
-    std::map<exchange_number, admitted> admitted_; // in step with what the desks have in hand
-    gang_desk gangs_;
+    std::map<exchange_number, admitted> admitted_; // in step with what the dispatchers have in hand
+    gang_dispatcher gangs_;
     gateway_overload overload_;
-    completion_desk completions_;
-    call_desk calls_;
+    completion_dispatcher completions_;
+    keyed_call_dispatcher calls_;
     std::shared_ptr<const bundle> in_force_;
     std::optional<gateway_input::drains_changed> drains_;
     instant next_probes_ = instant::min();
--- a/include/dragonflymill/serve/call_desk.h
+++ b/include/dragonflymill/serve/keyed_call_dispatcher.h
@@ -3,7 +3,7 @@
 #include "dragonflymill/core/deadline_budget.h"
 #include "dragonflymill/once/ticket.h"
 #include "dragonflymill/retry/retry_rules.h"
-#include "dragonflymill/serve/completion_desk.h"
+#include "dragonflymill/serve/completion_dispatcher.h"
 #include "dragonflymill/serve/gateway_messages.h"
 #include "dragonflymill/time/timer_service.h"
 
@@ -15,12 +15,13 @@
 
 /// The calls of plain services that one gateway has in hand. A call that may not be repeated goes to the one
 /// sidecar that its ticket or key names, and is tried again only when a sidecar said that it was not run.
-class call_desk
+class keyed_call_dispatcher
 {
 public:
     /// Works with `routes` and `rules`, which the owner keeps alive; reads tickets with `ticket_key`; holds
     /// at most `capacity` calls.
-    call_desk(gateway_router& routes, retry_rules& rules, std::string ticket_key, std::size_t capacity);
+    keyed_call_dispatcher(gateway_router& routes, retry_rules& rules, std::string ticket_key,
+                          std::size_t capacity);
 
     /// A bundle has come into force with these routes.
     void routes_changed(const std::vector<service_route_entry>& routes);
--- a/include/dragonflymill/serve/order_desk.h
+++ b/include/dragonflymill/serve/order_dispatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflymill/order/order_keeper.h"
+#include "dragonflymill/order/order_tracker.h"
 #include "dragonflymill/serve/sidecar_messages.h"
 
 #include <cstdint>
@@ -10,15 +10,15 @@
 
 namespace dragonflymill {
 
-/// Settings of an order_desk.
-struct order_desk_options
+/// Settings of an order_dispatcher.
+struct order_dispatcher_options
 {
-    upstream_id self;            ///< The upstream that the sidecar stands beside.
-    order_keeper_options keeper; ///< Times of the orders.
-    duration answer_limit = 60s; ///< An order without an answer for so long is given up.
-    duration ask_interval = 2s;  ///< Between two rounds of questions to the other replicas.
-    duration ask_limit = 1500ms; ///< A replica that has not answered by then is not waited for.
-    std::size_t max_group = 16;  ///< Replicas that heed each other at most.
+    upstream_id self;             ///< The upstream that the sidecar stands beside.
+    order_tracker_options keeper; ///< Times of the orders.
+    duration answer_limit = 60s;  ///< An order without an answer for so long is given up.
+    duration ask_interval = 2s;   ///< Between two rounds of questions to the other replicas.
+    duration ask_limit = 1500ms;  ///< A replica that has not answered by then is not waited for.
+    std::size_t max_group = 16;   ///< Replicas that heed each other at most.
 };
 
 /// The replicas of a model that heed each other when they load: all of them, or, when they are too many, one
@@ -27,18 +27,18 @@
 [[nodiscard]] auto loading_group(const upstream_id& self, std::vector<sidecar_place> places,
                                  std::size_t max_group) -> std::vector<sidecar_place>;
 
-/// Gives an engine the orders that bring it to what the bundle declares: feeds an order_keeper from the
+/// Gives an engine the orders that bring it to what the bundle declares: feeds an order_tracker from the
 /// bundle, the engine's reports and the other replicas' answers, which are asked only while a load or unload
 /// is due.
 ///
 /// A load counts as under way until the engine no longer lists it as loading. So a load of minutes is ordered
 /// once, and one whose weights didn't come counts as failed.
 /// Bounds: one order and one round of questions at a time, of at most `max_group` replicas.
-class order_desk
+class order_dispatcher
 {
 public:
     /// `seed` spreads the loads.
-    order_desk(const order_desk_options& options, std::uint64_t seed);
+    order_dispatcher(const order_dispatcher_options& options, std::uint64_t seed);
 
     /// The bundle in force changed.
     void declared(instant now, const sidecar_input::declared_changed& input);
@@ -88,8 +88,8 @@
     void ask_replicas(instant now, const model_id& model, std::vector<sidecar_action>& actions);
     void tell_replicas(instant now);
 
-    order_desk_options options_;
-    order_keeper keeper_;
+    order_dispatcher_options options_;
+    order_tracker keeper_;
     std::optional<declared_engine> wanted_;
     std::vector<model_replicas> replicas_;
     std::vector<model_id> models_;
--- a/include/dragonflymill/serve/order_messages.h
+++ b/include/dragonflymill/serve/order_messages.h
@@ -2,7 +2,7 @@
 
 #include "dragonflymill/core/ids.h"
 #include "dragonflymill/core/time.h"
-#include "dragonflymill/order/order_keeper.h"
+#include "dragonflymill/order/order_tracker.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/dragonflymill/serve/overload_desk.h
+++ b/include/dragonflymill/serve/overload_controller.h
@@ -13,17 +13,18 @@
 namespace dragonflymill {
 
 /// Bounds of a gateway's overload decisions.
-struct overload_desk_settings
+struct overload_controller_settings
 {
     duration drain_time = 30s; ///< Time to work off what is queued, up to which nothing is refused or paused.
     duration review = 50ms;    ///< Time between two looks at what runs and what is paused.
     std::uint64_t seed = 0;    ///< Spreads the refusals over the requests of a class.
     paused_work_settings pause; ///< Bounds of what is paused, for each model.
 
-    friend auto operator==(const overload_desk_settings&, const overload_desk_settings&) -> bool = default;
+    friend auto operator==(const overload_controller_settings&, const overload_controller_settings&)
+        -> bool = default;
 };
 
-/// The request may come in, but its work starts later: `overload_desk::review` says when.
+/// The request may come in, but its work starts later: `overload_controller::review` says when.
 struct hold_work
 {
     friend auto operator==(const hold_work&, const hold_work&) -> bool = default;
@@ -48,11 +49,11 @@
 /// `ended`; as many paused as `paused_work_settings` says, for each model: what comes above that is refused,
 /// what runs goes on running.
 template <overload_policy Policy>
-class overload_desk
+class overload_controller
 {
 public:
     /// Looks at `upstreams`, which the owner keeps alive.
-    explicit overload_desk(const upstream_table& upstreams, overload_desk_settings settings = {});
+    explicit overload_controller(const upstream_table& upstreams, overload_controller_settings settings = {});
 
     /// Takes over models and weights of accounts.
     void bundle_adopted(const bundle& in_force);
@@ -98,7 +99,7 @@
     void resume_some(instant now, const load_signal& load, model_work& held, overload_review& review);
 
     const upstream_table& upstreams_;
-    overload_desk_settings settings_;
+    overload_controller_settings settings_;
     std::map<model_id, model_work> models_;         // those of the bundle
     std::map<exchange_number, held_work> held_;     // in step with the requests of the gateway
     std::map<request_id, exchange_number> by_name_; // in step with held_
@@ -106,12 +107,12 @@
     bool stopping_ = false;
 };
 
-extern template class overload_desk<no_shedding>;
-extern template class overload_desk<random_shedding>;
-extern template class overload_desk<priority_shedding>;
-extern template class overload_desk<contribution_shedding>;
+extern template class overload_controller<no_shedding>;
+extern template class overload_controller<random_shedding>;
+extern template class overload_controller<priority_shedding>;
+extern template class overload_controller<contribution_shedding>;
 
 /// The overload decisions that gateways use.
-using gateway_overload = overload_desk<contribution_shedding>;
+using gateway_overload = overload_controller<contribution_shedding>;
 
 } // namespace dragonflymill
--- a/include/dragonflymill/serve/service_desk.h
+++ b/include/dragonflymill/serve/service_dispatcher.h
@@ -13,11 +13,11 @@
 
 /// The calls of a plain service that one sidecar has in hand. Calls that may not be repeated go through the
 /// ledger; all go through the permit gate.
-class service_desk
+class service_dispatcher
 {
 public:
     /// Works under `gate` and `ledger`, which the owner keeps alive, for the upstream `self`.
-    service_desk(permit_gate& gate, once_ledger& ledger, const upstream_id& self);
+    service_dispatcher(permit_controller& gate, once_ledger& ledger, const upstream_id& self);
 
     /// A bundle has come into force with these routes.
     void routes_changed(instant now, const std::vector<sidecar_input::route_view>& routes);
@@ -69,7 +69,7 @@
     void tell(const once_outcome& outcome, call_number call, std::vector<sidecar_action>& actions);
     void tell_waiting(call_serial serial, const once_outcome& outcome, std::vector<sidecar_action>& actions);
 
-    permit_gate& gate_;
+    permit_controller& gate_;
     once_ledger& ledger_;
     key_home homes_;
     std::map<route_id, duration> remember_; // routes of the bundle in force
--- a/include/dragonflymill/serve/share_desk.h
+++ b/include/dragonflymill/serve/share_coordinator.h
@@ -18,11 +18,11 @@
 /// permit of the gate and a lease of its gateway; when the lease ends the span is released at the engine,
 /// again and again until the engine confirms, and only then is its permit free. Bound: the gate's permits and
 /// the lease table's holdings.
-class share_desk
+class share_coordinator
 {
 public:
     /// Works under `gate`, which the owner keeps alive, beside the engine `self`.
-    share_desk(permit_gate& gate, upstream_id self, std::uint64_t seed);
+    share_coordinator(permit_controller& gate, upstream_id self, std::uint64_t seed);
 
     /// A gateway asks for a share: granted, refused, or refused with a place in line.
     void asked(instant now, const sidecar_input::share_asked& input, std::vector<sidecar_action>& actions);
@@ -90,7 +90,7 @@
     void close(instant now, shares::iterator held);
     void close_owner_of(instant now, lease_id lease);
 
-    permit_gate& gate_;
+    permit_controller& gate_;
     upstream_id self_;
     lease_table leases_;
     shares shares_;
--- a/include/dragonflymill/serve/sidecar_core.h
+++ b/include/dragonflymill/serve/sidecar_core.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "dragonflymill/serve/attempt_desk.h"
-#include "dragonflymill/serve/order_desk.h"
+#include "dragonflymill/serve/attempt_tracker.h"
+#include "dragonflymill/serve/order_dispatcher.h"
 #include "dragonflymill/serve/self_check.h"
-#include "dragonflymill/serve/service_desk.h"
-#include "dragonflymill/serve/share_desk.h"
+#include "dragonflymill/serve/service_dispatcher.h"
+#include "dragonflymill/serve/share_coordinator.h"
 #include "dragonflymill/serve/sidecar_messages.h"
 
 #include <vector>
@@ -14,7 +14,7 @@
 /// Settings of a sidecar_core.
 struct sidecar_core_options
 {
-    permit_gate_options gate;        ///< Permits of the upstream.
+    permit_controller_options gate;  ///< Permits of the upstream.
     once_ledger_options ledger;      ///< Calls that may not be repeated.
     duration own_lease_term = 5s;    ///< How long a successor waits; a longer pause ends this process.
     duration cancel_backoff = 200ms; ///< Time between two cancels of one stream.
@@ -50,7 +50,7 @@
     /// Whether calls by key are run and orders are given now.
     [[nodiscard]] auto acts(instant now) const -> bool { return now < ledger_.own_lease(); }
     /// What is ordered of the engine.
-    [[nodiscard]] auto orders() const -> const order_desk& { return orders_; }
+    [[nodiscard]] auto orders() const -> const order_dispatcher& { return orders_; }
 
 private:
     void on_tick(instant now, std::vector<sidecar_action>& actions);
@@ -101,13 +101,13 @@
     void take(instant now, const sidecar_input::tick& input, std::vector<sidecar_action>& actions);
 
     sidecar_core_options options_;
-    permit_gate gate_;
+    permit_controller gate_;
     once_ledger ledger_;
-    attempt_desk attempts_;
-    share_desk shares_;
-    service_desk services_;
+    attempt_tracker attempts_;
+    share_coordinator shares_;
+    service_dispatcher services_;
     self_check self_check_;
-    order_desk orders_;
+    order_dispatcher orders_;
     model_id warm_up_model_;
     instant last_step_;
     instant reported_at_;
--- a/include/dragonflymill/serve/sidecar_messages.h
+++ b/include/dragonflymill/serve/sidecar_messages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflymill/admission/permit_gate.h"
+#include "dragonflymill/admission/permit_controller.h"
 #include "dragonflymill/gang/gang_messages.h"
 #include "dragonflymill/once/once_ledger.h"
 #include "dragonflymill/route/upstream_description.h"
--- a/src/admission/permit_gate.cpp
+++ b/src/admission/permit_controller.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/admission/permit_gate.h"
+#include "dragonflymill/admission/permit_controller.h"
 
 #include "dragonflymill/core/assert.h"
 #include "dragonflymill/core/guard.h"
@@ -30,7 +30,7 @@
 
 } // namespace
 
-permit_gate::permit_gate(instant now, permit_gate_options options, std::uint64_t seed)
+permit_controller::permit_controller(instant now, permit_controller_options options, std::uint64_t seed)
     : options_(options)
     , seed_(seed)
     , ramp_(now, options.ramp)
@@ -41,7 +41,7 @@
 {
 }
 
-auto permit_gate::ask(instant now, const permit_ask& request) -> permit_answer
+auto permit_controller::ask(instant now, const permit_ask& request) -> permit_answer
 {
     DRAGONFLYMILL_ASSERT(request.cost > 0, "work has a cost");
     advance(now);
@@ -68,7 +68,7 @@
     return granted;
 }
 
-auto permit_gate::grant(instant now, const permit_ask& request) -> permit
+auto permit_controller::grant(instant now, const permit_ask& request) -> permit
 {
     const lease_id lease(next_lease_++);
     outstanding_ += request.cost;
@@ -86,7 +86,7 @@
     return granted;
 }
 
-auto permit_gate::begin(instant now, lease_id lease) -> bool
+auto permit_controller::begin(instant now, lease_id lease) -> bool
 {
     advance(now);
     const auto found = permits_.find(lease);
@@ -97,7 +97,7 @@
     return true;
 }
 
-auto permit_gate::renew(instant now, lease_id lease) -> bool
+auto permit_controller::renew(instant now, lease_id lease) -> bool
 {
     advance(now);
     const auto found = permits_.find(lease);
@@ -108,7 +108,7 @@
     return true;
 }
 
-void permit_gate::first_token(instant now, lease_id lease)
+void permit_controller::first_token(instant now, lease_id lease)
 {
     advance(now);
     const auto found = permits_.find(lease);
@@ -118,7 +118,7 @@
     measure(now, found->second);
 }
 
-void permit_gate::measure(instant now, entry& held)
+void permit_controller::measure(instant now, entry& held)
 {
     held.answered = true;
     const duration elapsed = now - *held.began;
@@ -137,21 +137,21 @@
     first_token_was(now, verdict);
 }
 
-void permit_gate::first_token_was(instant now, first_token_verdict verdict)
+void permit_controller::first_token_was(instant now, first_token_verdict verdict)
 {
     if (cold_signs_.count(now, verdict)) {
         turned_cold(now);
     }
 }
 
-void permit_gate::credit(instant now, const entry& held)
+void permit_controller::credit(instant now, const entry& held)
 {
     const bool refused_beside = last_room_refusal_ && *last_room_refusal_ >= held.granted;
     const work_cost peak = std::max(held.peak, outstanding_);
     ramp_.succeeded(now, {held.epoch, held.request.cost, peak, refused_beside, held.stretch});
 }
 
-void permit_gate::done(instant now, lease_id lease, work_outcome outcome)
+void permit_controller::done(instant now, lease_id lease, work_outcome outcome)
 {
     advance(now);
     const auto found = permits_.find(lease);
@@ -169,7 +169,7 @@
     }
 }
 
-void permit_gate::report(instant now, const upstream_report& word)
+void permit_controller::report(instant now, const upstream_report& word)
 {
     advance(now);
     const bool restarted = upstream_start_ && *upstream_start_ != word.start;
@@ -188,7 +188,7 @@
     }
 }
 
-void permit_gate::turned_cold(instant now)
+void permit_controller::turned_cold(instant now)
 {
     ramp_.fall(now);
     load_step_.forget();
@@ -198,7 +198,7 @@
     }
 }
 
-void permit_gate::set_draining(instant now, bool draining)
+void permit_controller::set_draining(instant now, bool draining)
 {
     advance(now);
     if (draining_ == draining) {
@@ -216,27 +216,27 @@
     }
 }
 
-void permit_gate::resize(instant now, work_cost floor, work_cost ceiling)
+void permit_controller::resize(instant now, work_cost floor, work_cost ceiling)
 {
     advance(now);
     ramp_.resize(now, floor, ceiling);
 }
 
-void permit_gate::upstream_changed(instant now)
+void permit_controller::upstream_changed(instant now)
 {
     advance(now);
     model_.forget();
     turned_cold(now);
 }
 
-auto permit_gate::tick(instant now) -> std::vector<ended_permit>
+auto permit_controller::tick(instant now) -> std::vector<ended_permit>
 {
     advance(now);
     find_overdue(now);
     return std::exchange(ended_, {});
 }
 
-void permit_gate::advance(instant now)
+void permit_controller::advance(instant now)
 {
     // Guarded failure: this process was paused, and the renewals that its holders sent meanwhile are still in
     // its sockets. Ending every lease on wake-up would cut off healthy streams, so the pause doesn't count.
@@ -252,7 +252,7 @@
     end_expired(now);
 }
 
-void permit_gate::end_expired(instant now)
+void permit_controller::end_expired(instant now)
 {
     // Guarded failure: a gateway dies with permits in hand and the upstream's capacity shrinks for good.
     while (guard_holds(guard::lease_end) && !ends_.empty() && ends_.begin()->first <= now) {
@@ -267,7 +267,7 @@
     }
 }
 
-void permit_gate::find_overdue(instant now)
+void permit_controller::find_overdue(instant now)
 {
     // Guarded failure: an upstream that turned cold answers nothing at all, so no slow first token is ever
     // measured. The wait itself is the sign; each request gives it once.
@@ -288,20 +288,20 @@
     }
 }
 
-void permit_gate::set_until(lease_id lease, entry& held, instant until)
+void permit_controller::set_until(lease_id lease, entry& held, instant until)
 {
     ends_.erase({held.until, lease});
     held.until = until;
     ends_.emplace(until, lease);
 }
 
-void permit_gate::end(entries::iterator held, permit_end why)
+void permit_controller::end(entries::iterator held, permit_end why)
 {
     ended_.push_back({held->first, held->second.request.asker, why, held->second.began.has_value()});
     remove(held);
 }
 
-void permit_gate::end_unbegun(permit_end why)
+void permit_controller::end_unbegun(permit_end why)
 {
     for (auto next = permits_.begin(); next != permits_.end();) {
         const auto held = next++;
@@ -311,7 +311,7 @@
     }
 }
 
-void permit_gate::remove(entries::iterator held)
+void permit_controller::remove(entries::iterator held)
 {
     const permit_ask& request = held->second.request;
     outstanding_ -= request.cost;
@@ -321,12 +321,12 @@
     permits_.erase(held);
 }
 
-auto permit_gate::reserved_for(length_class size_class, work_cost allowed) const -> work_cost
+auto permit_controller::reserved_for(length_class size_class, work_cost allowed) const -> work_cost
 {
     return static_cast<work_cost>(options_.reserved[index_of(size_class)] * static_cast<double>(allowed));
 }
 
-auto permit_gate::room_for(length_class size_class) const -> work_cost
+auto permit_controller::room_for(length_class size_class) const -> work_cost
 {
     work_cost room = ramp_.allowed() - outstanding_;
     for (const length_class other : all_length_classes) {
@@ -337,7 +337,7 @@
     return room;
 }
 
-auto permit_gate::largest_cost(length_class size_class) const -> work_cost
+auto permit_controller::largest_cost(length_class size_class) const -> work_cost
 {
     const work_cost ceiling = ramp_.options().ceiling;
     work_cost room = ceiling;
@@ -347,7 +347,7 @@
     return room;
 }
 
-auto permit_gate::refuse(instant now, const permit_ask& request, refusal_code code) -> refusal
+auto permit_controller::refuse(instant now, const permit_ask& request, refusal_code code) -> refusal
 {
     // Nothing has left for the upstream and this answer carries no permit, so `no` is certain.
     const bool hopeless = code == refusal_code::too_large;
@@ -355,7 +355,7 @@
     return {code, ran_state::no, after, remedy_of(code)};
 }
 
-auto permit_gate::retry_after(instant now, const process_id& asker) -> duration
+auto permit_controller::retry_after(instant now, const process_id& asker) -> duration
 {
     if (now - refusal_window_ >= refusal_window) {
         const bool adjoining = now - refusal_window_ < 2 * refusal_window;
@@ -373,17 +373,17 @@
     return options_.retry_base + duration(static_cast<duration::rep>(hash % places));
 }
 
-auto permit_gate::load() const -> gate_load
+auto permit_controller::load() const -> gate_load
 {
     return {outstanding_, ramp_.allowed(), ramp_.options().ceiling, permits_.size(), draining_};
 }
 
-auto permit_gate::trusted_first_token_line() const -> std::optional<first_token_line>
+auto permit_controller::trusted_first_token_line() const -> std::optional<first_token_line>
 {
     return model_.trusted() ? std::optional(model_.line()) : std::nullopt;
 }
 
-auto permit_gate::over_allowance() const -> std::vector<lease_id>
+auto permit_controller::over_allowance() const -> std::vector<lease_id>
 {
     std::vector<lease_id> chosen;
     work_cost left = outstanding_;
@@ -398,7 +398,7 @@
     return chosen;
 }
 
-auto permit_gate::warm_up_cost(instant now) const -> work_cost
+auto permit_controller::warm_up_cost(instant now) const -> work_cost
 {
     const bool wanted = last_size_refusal_ && now - *last_size_refusal_ < warm_up_interest;
     if (!wanted || ramp_.warm() || outstanding_ > 0 || draining_) {
--- a/src/bundle/boot_answers.cpp
+++ b/src/bundle/boot_answers.cpp
@@ -28,7 +28,7 @@
 }
 
 void boot_answers::add(instant now, const process_id& peer, const failure_domain_id& domain,
-                       const std::optional<bundle_word>& word)
+                       const std::optional<bundle_notice>& word)
 {
     if (answers_.size() >= max_answers && !answers_.contains(peer)) {
         return;
@@ -44,7 +44,7 @@
     answers_.erase(peer);
 }
 
-void boot_answers::forget(const bundle_word& word)
+void boot_answers::forget(const bundle_notice& word)
 {
     std::erase_if(answers_, [&word](const auto& entry) { return entry.second.word == word; });
 }
@@ -81,9 +81,9 @@
     return decided_;
 }
 
-auto boot_answers::best() const -> std::optional<bundle_word>
+auto boot_answers::best() const -> std::optional<bundle_notice>
 {
-    std::optional<bundle_word> highest;
+    std::optional<bundle_notice> highest;
     for (const auto& [peer, given] : answers_) {
         if (given.word && (!highest || supersedes(*given.word, *highest))) {
             highest = given.word;
@@ -92,7 +92,7 @@
     return highest;
 }
 
-auto boot_answers::holder(const bundle_word& word) const -> std::optional<process_id>
+auto boot_answers::holder(const bundle_notice& word) const -> std::optional<process_id>
 {
     for (const auto& [peer, given] : answers_) {
         if (given.word == word) {
--- a/src/bundle/bundle_keeper.cpp
+++ b/src/bundle/bundle_manager.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/bundle/bundle_keeper.h"
+#include "dragonflymill/bundle/bundle_manager.h"
 
 #include "dragonflymill/bundle/bundle_source.h"
 #include "dragonflymill/core/assert.h"
@@ -16,17 +16,17 @@
 
 } // namespace
 
-bundle_keeper::bundle_keeper(bundle_keeper_settings settings, instant now)
+bundle_manager::bundle_manager(bundle_manager_settings settings, instant now)
     : settings_(std::move(settings))
     , keys_(settings_.trusted)
     , boot_(settings_.boot, now)
 {
 }
 
-auto bundle_keeper::peer_said(instant now, const process_id& peer, const failure_domain_id& domain,
-                              const std::optional<bundle_word>& word) -> bundle_keeper_outputs
+auto bundle_manager::peer_said(instant now, const process_id& peer, const failure_domain_id& domain,
+                               const std::optional<bundle_notice>& word) -> bundle_manager_outputs
 {
-    bundle_keeper_outputs outputs;
+    bundle_manager_outputs outputs;
     if (!in_force_ && !(word && (known_bad(*word) || word->version < settings_.min_version))) {
         boot_.add(now, peer, domain, word);
     }
@@ -37,9 +37,9 @@
     return outputs;
 }
 
-auto bundle_keeper::peer_lost(instant now, const process_id& peer) -> bundle_keeper_outputs
+auto bundle_manager::peer_lost(instant now, const process_id& peer) -> bundle_manager_outputs
 {
-    bundle_keeper_outputs outputs;
+    bundle_manager_outputs outputs;
     boot_.remove(peer);
     if (pending_) {
         std::erase(pending_->holders, peer);
@@ -51,10 +51,10 @@
     return outputs;
 }
 
-auto bundle_keeper::manifest_arrived(instant now, const bundle_origin& origin, const std::string& text)
-    -> bundle_keeper_outputs
+auto bundle_manager::manifest_arrived(instant now, const bundle_origin& origin, const std::string& text)
+    -> bundle_manager_outputs
 {
-    bundle_keeper_outputs outputs;
+    bundle_manager_outputs outputs;
     auto read = decode_signed_manifest(text);
     if (read.has_error()) {
         reject(origin, read.error(), outputs);
@@ -67,9 +67,9 @@
     return outputs;
 }
 
-auto bundle_keeper::section_arrived(instant now, const std::string& text) -> bundle_keeper_outputs
+auto bundle_manager::section_arrived(instant now, const std::string& text) -> bundle_manager_outputs
 {
-    bundle_keeper_outputs outputs;
+    bundle_manager_outputs outputs;
     if (!pending_ || !pending_->manifest || text.size() > max_section_bytes) {
         return outputs;
     }
@@ -83,9 +83,9 @@
     return outputs;
 }
 
-auto bundle_keeper::tick(instant now, wall_instant wall) -> bundle_keeper_outputs
+auto bundle_manager::tick(instant now, wall_instant wall) -> bundle_manager_outputs
 {
-    bundle_keeper_outputs outputs;
+    bundle_manager_outputs outputs;
     wall_ = wall;
     const bool ended = in_force_ && in_force_->value->term_end <= wall;
     if (ended && !term_ended_) {
@@ -100,27 +100,27 @@
     return outputs;
 }
 
-auto bundle_keeper::word() const -> std::optional<bundle_word>
+auto bundle_manager::word() const -> std::optional<bundle_notice>
 {
     return in_force_ ? std::optional(in_force_->word) : std::nullopt;
 }
 
-auto bundle_keeper::in_force() const -> std::shared_ptr<const bundle>
+auto bundle_manager::in_force() const -> std::shared_ptr<const bundle>
 {
     return in_force_ ? in_force_->value : nullptr;
 }
 
-auto bundle_keeper::pending() const -> std::optional<bundle_word>
+auto bundle_manager::pending() const -> std::optional<bundle_notice>
 {
     return pending_ ? std::optional(pending_->word) : std::nullopt;
 }
 
-auto bundle_keeper::manifest_text() const -> std::string
+auto bundle_manager::manifest_text() const -> std::string
 {
     return in_force_ ? encode_signed_manifest(in_force_->manifest) : std::string();
 }
 
-auto bundle_keeper::section(const sha256_digest& digest) const -> std::shared_ptr<const std::string>
+auto bundle_manager::section(const sha256_digest& digest) const -> std::shared_ptr<const std::string>
 {
     if (!in_force_) {
         return nullptr;
@@ -129,7 +129,7 @@
     return found == in_force_->sections.end() ? nullptr : found->second;
 }
 
-auto bundle_keeper::known_bad(const bundle_word& word) const -> bool
+auto bundle_manager::known_bad(const bundle_notice& word) const -> bool
 {
     return std::find(bad_.begin(), bad_.end(), word) != bad_.end();
 }
@@ -138,7 +138,7 @@
 // offers what it had. It shows as a failure domain that was out and takes work again, or an account's old
 // key that works again. Nothing below the bundle in force, the settings' floor or (while starting) the
 // highest that a reachable peer has is ever put in force.
-auto bundle_keeper::too_old(const bundle_word& word) const -> bool
+auto bundle_manager::too_old(const bundle_notice& word) const -> bool
 {
     if (!guard_holds(guard::bundle_revert)) {
         return in_force_ && in_force_->word == word;
@@ -149,7 +149,7 @@
     return in_force_ && !supersedes(word, in_force_->word);
 }
 
-auto bundle_keeper::missing() const -> std::vector<sha256_digest>
+auto bundle_manager::missing() const -> std::vector<sha256_digest>
 {
     std::vector<sha256_digest> digests;
     for (const auto& section : pending_->manifest->manifest.sections) {
@@ -160,7 +160,7 @@
     return digests;
 }
 
-auto bundle_keeper::total_bytes(const bundle_manifest& manifest) const -> std::size_t
+auto bundle_manager::total_bytes(const bundle_manifest& manifest) const -> std::size_t
 {
     std::size_t total = 0;
     for (const auto& section : manifest.sections) {
@@ -169,13 +169,13 @@
     return total;
 }
 
-auto bundle_keeper::known_bad_offer(const bundle_word& word, const bundle_origin& origin) const -> bool
+auto bundle_manager::known_bad_offer(const bundle_notice& word, const bundle_origin& origin) const -> bool
 {
     return std::find(bad_offers_.begin(), bad_offers_.end(), bad_offer{word, origin}) != bad_offers_.end();
 }
 
-void bundle_keeper::hear(instant now, const process_id& peer, const bundle_word& word,
-                         bundle_keeper_outputs& outputs)
+void bundle_manager::hear(instant now, const process_id& peer, const bundle_notice& word,
+                          bundle_manager_outputs& outputs)
 {
     note_conflict(word, peer.text(), outputs);
     if (too_old(word) || known_bad(word) || known_bad_offer(word, {bundle_origin_kind::peer, peer})) {
@@ -199,8 +199,8 @@
     ask(now, outputs);
 }
 
-void bundle_keeper::consider(instant now, const bundle_origin& origin, signed_manifest value,
-                             bundle_keeper_outputs& outputs)
+void bundle_manager::consider(instant now, const bundle_origin& origin, signed_manifest value,
+                              bundle_manager_outputs& outputs)
 {
     const auto word = word_of(value.manifest);
     if ((in_force_ && in_force_->word == word) || known_bad(word)) {
@@ -238,8 +238,8 @@
     }
 }
 
-void bundle_keeper::take_up(instant now, const bundle_origin& origin, signed_manifest value,
-                            std::vector<partner_entry> keys, bundle_keeper_outputs& outputs)
+void bundle_manager::take_up(instant now, const bundle_origin& origin, signed_manifest value,
+                             std::vector<partner_entry> keys, bundle_manager_outputs& outputs)
 {
     const auto word = word_of(value.manifest);
     if (!pending_ || pending_->word != word) {
@@ -268,7 +268,7 @@
     finish_pending(now, outputs);
 }
 
-void bundle_keeper::ask(instant now, bundle_keeper_outputs& outputs)
+void bundle_manager::ask(instant now, bundle_manager_outputs& outputs)
 {
     pending_->asked = now;
     ++pending_->fetches;
@@ -280,7 +280,7 @@
     }
 }
 
-void bundle_keeper::ask_elsewhere(instant now, bundle_keeper_outputs& outputs)
+void bundle_manager::ask_elsewhere(instant now, bundle_manager_outputs& outputs)
 {
     const bool from_peers = !pending_->holders.empty();
     const bool from_service = from_service_ && word_of(from_service_->manifest) == pending_->word;
@@ -300,7 +300,7 @@
 }
 
 // Gives up the bundle on its way and turns to the next best one known.
-void bundle_keeper::drop_pending(instant now, bundle_keeper_outputs& outputs)
+void bundle_manager::drop_pending(instant now, bundle_manager_outputs& outputs)
 {
     const auto dropped = pending_->word;
     for (const auto& peer : pending_->holders) {
@@ -317,7 +317,7 @@
     }
 }
 
-void bundle_keeper::finish_pending(instant now, bundle_keeper_outputs& outputs)
+void bundle_manager::finish_pending(instant now, bundle_manager_outputs& outputs)
 {
     if (!pending_ || !pending_->manifest || !missing().empty()) {
         return;
@@ -351,7 +351,7 @@
     }
 }
 
-void bundle_keeper::adopt_pending(bundle_keeper_outputs& outputs)
+void bundle_manager::adopt_pending(bundle_manager_outputs& outputs)
 {
     if (guard_holds(guard::bundle_revert)) {
         DRAGONFLYMILL_ASSERT(!in_force_ || supersedes(pending_->word, in_force_->word),
--- a/src/bundle/bundle_keeper_report.cpp
+++ b/src/bundle/bundle_manager_report.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/bundle/bundle_keeper.h"
+#include "dragonflymill/bundle/bundle_manager.h"
 
 #include "keeper_text.h"
 
@@ -23,7 +23,7 @@
 
 } // namespace
 
-void bundle_keeper::reject(const bundle_origin& origin, error why, bundle_keeper_outputs& outputs)
+void bundle_manager::reject(const bundle_origin& origin, error why, bundle_manager_outputs& outputs)
 {
     reject_bundle rejection{origin, std::move(why)};
     remember(rejections_, rejection);
@@ -33,8 +33,8 @@
 
 // Signatures are not part of a bundle's name: a half-signed copy is refused, while a whole one from another
 // source is still welcome.
-void bundle_keeper::reject_offer(instant now, const bundle_word& word, const bundle_origin& origin, error why,
-                                 bundle_keeper_outputs& outputs)
+void bundle_manager::reject_offer(instant now, const bundle_notice& word, const bundle_origin& origin,
+                                  error why, bundle_manager_outputs& outputs)
 {
     remember(bad_offers_, {word, origin});
     reject(origin, std::move(why), outputs);
@@ -46,8 +46,8 @@
 }
 
 // A bad bundle is refused whole and not fetched again, however many peers offer it; the old one stays.
-void bundle_keeper::reject_for_good(const bundle_word& word, const bundle_origin& origin, error why,
-                                    bundle_keeper_outputs& outputs)
+void bundle_manager::reject_for_good(const bundle_notice& word, const bundle_origin& origin, error why,
+                                     bundle_manager_outputs& outputs)
 {
     remember(bad_, word);
     boot_.forget(word);
@@ -57,8 +57,8 @@
     }
 }
 
-void bundle_keeper::note_conflict(const bundle_word& other, const std::string& who,
-                                  bundle_keeper_outputs& outputs)
+void bundle_manager::note_conflict(const bundle_notice& other, const std::string& who,
+                                   bundle_manager_outputs& outputs)
 {
     const bool conflict =
         in_force_ && other.version == in_force_->word.version && other.digest != in_force_->word.digest;
@@ -72,7 +72,7 @@
                                        " from " + who + "; the lower digest is kept everywhere"});
 }
 
-void bundle_keeper::note_stale_service(const bundle_word& word, bundle_keeper_outputs& outputs)
+void bundle_manager::note_stale_service(const bundle_notice& word, bundle_manager_outputs& outputs)
 {
     if (stale_noted_ == word) {
         return;
--- a/src/bundle/keeper_text.h
+++ b/src/bundle/keeper_text.h
@@ -7,7 +7,7 @@
 namespace dragonflymill {
 
 /// How messages name a bundle.
-[[nodiscard]] inline auto text_of_version(const bundle_word& word) -> std::string
+[[nodiscard]] inline auto text_of_version(const bundle_notice& word) -> std::string
 {
     return "version " + std::to_string(word.version.value());
 }
--- a/src/bundle/signed_bundle.cpp
+++ b/src/bundle/signed_bundle.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-auto supersedes(const bundle_word& a, const bundle_word& b) -> bool
+auto supersedes(const bundle_notice& a, const bundle_notice& b) -> bool
 {
     return a.version != b.version ? a.version > b.version : a.digest < b.digest;
 }
@@ -72,7 +72,7 @@
     return manifest;
 }
 
-auto word_of(const bundle_manifest& manifest) -> bundle_word
+auto word_of(const bundle_manifest& manifest) -> bundle_notice
 {
     return {manifest.version, sha256(encode_manifest(manifest))};
 }
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -229,7 +229,7 @@
     }
 }
 
-void control_core::act(instant now, const bundle_keeper_outputs& outputs, control_outputs& out)
+void control_core::act(instant now, const bundle_manager_outputs& outputs, control_outputs& out)
 {
     for (const auto& output : outputs) {
         if (const auto* adopted = std::get_if<adopt_bundle>(&output)) {
@@ -264,7 +264,7 @@
     drains_.process_heard(now, update.info.host, update.number.start, update.state == member_state::leaving);
 }
 
-void control_core::hear_drain(instant now, const drain_word& word, control_outputs& out)
+void control_core::hear_drain(instant now, const drain_notice& word, control_outputs& out)
 {
     if (!drains_.operator_said(now, word)) {
         return;
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/control_snapshot.h"
-#include "dragonflymill/bundle/bundle_keeper.h"
+#include "dragonflymill/bundle/bundle_manager.h"
 #include "dragonflymill/drain/drain_state.h"
 #include "dragonflymill/membership/datagram_seal.h"
 #include "dragonflymill/membership/membership.h"
@@ -19,7 +19,7 @@
 struct control_core_options
 {
     membership_settings membership;     ///< This process and its gossip.
-    bundle_keeper_settings bundle;      ///< Trusted partners, floor, start.
+    bundle_manager_settings bundle;     ///< Trusted partners, floor, start.
     std::vector<std::string> seal_keys; ///< Keys of the datagrams' seal.
     std::uint32_t watchers = 3;         ///< Processes that watch the configuration service at a time.
     duration watch_slot = 60s;          ///< Watchers are chosen anew after it.
@@ -100,7 +100,7 @@
     /// What the rest of the daemon needs to know; null if nothing changed since the last call.
     [[nodiscard]] auto take_snapshot(instant now) -> std::shared_ptr<const control_snapshot>;
     /// The bundle in force, to hand to peers.
-    [[nodiscard]] auto keeper() const -> const bundle_keeper& { return keeper_; }
+    [[nodiscard]] auto keeper() const -> const bundle_manager& { return keeper_; }
     /// Who is there.
     [[nodiscard]] auto members() const -> const membership& { return membership_; }
     /// What is drained.
@@ -112,10 +112,10 @@
     control_core(control_core_options options, datagram_seal seal, std::uint64_t seed, instant now);
 
     void act(instant now, const membership_outputs& outputs, control_outputs& out);
-    void act(instant now, const bundle_keeper_outputs& outputs, control_outputs& out);
+    void act(instant now, const bundle_manager_outputs& outputs, control_outputs& out);
     void send(const send_datagram& sent, control_outputs& out);
     void note_member(instant now, const member_update& update);
-    void hear_drain(instant now, const drain_word& word, control_outputs& out);
+    void hear_drain(instant now, const drain_notice& word, control_outputs& out);
     void adopt(instant now, const adopt_bundle& adopted, control_outputs& out);
     void fetch(const fetch_sections& wanted, control_outputs& out);
     void note_alarm(const bundle_alarm& alarm);
@@ -125,7 +125,7 @@
     control_core_options options_;
     datagram_seal seal_;
     membership membership_;
-    bundle_keeper keeper_;
+    bundle_manager keeper_;
     drain_state drains_;
     std::vector<std::string> alarms_;
     std::uint64_t refused_datagrams_ = 0;
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -68,7 +68,7 @@
     platform_reader platform_;
     boost::asio::steady_timer timer_;
     random_source random_;
-    std::optional<bundle_word> served_;
+    std::optional<bundle_notice> served_;
     std::optional<instant> bundle_confirmed_;
     std::uint64_t revision_ = 0;
     std::uint64_t last_drain_ms_ = 0;
--- a/src/control/control_snapshot.h
+++ b/src/control/control_snapshot.h
@@ -19,7 +19,7 @@
 {
     std::uint64_t number = 0;                       ///< Rises with every snapshot of this process.
     std::shared_ptr<const bundle> in_force;         ///< The bundle in force; null while there is none.
-    std::optional<bundle_word> word;                ///< Its name.
+    std::optional<bundle_notice> word;              ///< Its name.
     bool ready = false;                             ///< Whether the bundle allows serving.
     bool isolated = false;                          ///< Whether no peer is heard although some are known.
     std::vector<member_update> members;             ///< Every other process known, sorted by name.
--- a/src/control/datagram_codec.cpp
+++ b/src/control/datagram_codec.cpp
@@ -31,7 +31,7 @@
     out.set_refutation(update.number.refutation);
 }
 
-void write(const drain_word& word, wire::gossip_drain& out)
+void write(const drain_notice& word, wire::gossip_drain& out)
 {
     if (const auto* domain = std::get_if<failure_domain_id>(&word.subject)) {
         out.set_failure_domain(domain->text());
@@ -77,7 +77,7 @@
     return update;
 }
 
-auto read_drain(const wire::gossip_drain& in) -> result<drain_word>
+auto read_drain(const wire::gossip_drain& in) -> result<drain_notice>
 {
     const bool one = in.failure_domain().empty() != in.host().empty();
     if (!one || in.failure_domain().size() > max_member_name || in.host().size() > max_member_name) {
@@ -87,7 +87,7 @@
     if (!in.host().empty()) {
         subject = host_id(in.host());
     }
-    return drain_word{std::move(subject), in.number(), in.out()};
+    return drain_notice{std::move(subject), in.number(), in.out()};
 }
 
 auto read_body(const wire::gossip_datagram& in) -> result<datagram_body>
@@ -123,7 +123,7 @@
     }
     sha256_digest::bytes_type digest{};
     std::copy(bytes.begin(), bytes.end(), digest.begin());
-    message.word = bundle_word{bundle_version(in.bundle_version()), sha256_digest(digest)};
+    message.word = bundle_notice{bundle_version(in.bundle_version()), sha256_digest(digest)};
     return true;
 }
 
--- a/src/direct/dispatch_desk.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/direct/dispatch_desk.h"
+#include "dragonflymill/direct/call_dispatcher.h"
 
 #include "dragonflymill/core/stable_hash.h"
 
@@ -17,42 +17,42 @@
 
 } // namespace
 
-void dispatch_desk::add(waiting_call call)
+void call_dispatcher::add(waiting_call call)
 {
     waiting_.push_back(std::move(call));
 }
 
-void dispatch_desk::drop(std::uint64_t call)
+void call_dispatcher::drop(std::uint64_t call)
 {
     std::erase_if(waiting_, [&](const waiting_call& other) { return other.id == call; });
     room_since_.erase(call);
 }
 
-void dispatch_desk::first_token(placement_id placed, instant now)
+void call_dispatcher::first_token(placement_id placed, instant now)
 {
     board_.reading_done(placed, now);
     first_tokens_.first_token(placed, now);
 }
 
-void dispatch_desk::finish(placement_id placed, instant now)
+void call_dispatcher::finish(placement_id placed, instant now)
 {
     board_.finish(placed, now);
     first_tokens_.finished(placed);
 }
 
-void dispatch_desk::tell_suspects(const upstream_list& fleet, instant now)
+void call_dispatcher::report_suspects(const upstream_list& fleet, instant now)
 {
     for (const auto& [id, state] : fleet.upstreams()) {
         board_.set_suspect(id, health_.suspect(id, 0, now));
     }
 }
 
-auto dispatch_desk::retry_left(const std::string& service, instant now) -> bool
+auto call_dispatcher::retry_left(const std::string& service, instant now) -> bool
 {
     return retries_[service].available(now, settings_.retries, gateways_);
 }
 
-void dispatch_desk::sort_waiting(const fleet_config& config, instant now)
+void call_dispatcher::sort_waiting(const fleet_config& config, instant now)
 {
     struct ranked_call
     {
@@ -78,19 +78,19 @@
                    [](ranked_call& held) { return std::move(held.call); });
 }
 
-auto dispatch_desk::expected_first_token(const waiting_call& call) const -> duration
+auto call_dispatcher::expected_first_token(const waiting_call& call) const -> duration
 {
     return std::clamp(first_tokens_.expected(class_of(call)), call.aim / 3, call.aim * 2 / 3);
 }
 
-auto dispatch_desk::is_late(const waiting_call& call, instant now) const -> bool
+auto call_dispatcher::is_late(const waiting_call& call, instant now) const -> bool
 {
     // Calls that can still be on time go first: while upstreams are saturated each served late would make
     // another one late.
     return now + expected_first_token(call) >= call.aim_at;
 }
 
-auto dispatch_desk::decide(const upstream_list& fleet, instant now) -> dispatch_round
+auto call_dispatcher::decide(const upstream_list& fleet, instant now) -> dispatch_round
 {
     dispatch_round round;
     if (waiting_.empty() || fleet.config() == nullptr) {
@@ -104,7 +104,7 @@
         int& failures = failed_tries[class_of(call)];
         const bool tries = failures < tries_past_blocked && now >= call.not_before;
         const auto choice = tries ? choose(fleet, call, now, view) : std::nullopt;
-        if (choice && has_turn(call, *choice, now)) {
+        if (choice && backoff_elapsed(call, *choice, now)) {
             round.orders.push_back(order_for(fleet, call, *choice, now));
             refresh(fleet, round.orders.back(), now, view[call.service]);
             room_since_.erase(call.id);
@@ -125,7 +125,7 @@
     return round;
 }
 
-auto dispatch_desk::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
+auto call_dispatcher::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
     -> std::optional<dispatch_refusal>
 {
     if (!any_upstream(fleet, call.service)) {
@@ -140,7 +140,7 @@
     return std::nullopt;
 }
 
-void dispatch_desk::note_no_room(const waiting_call& call, instant now)
+void call_dispatcher::note_no_room(const waiting_call& call, instant now)
 {
     saturated_[class_of(call)].no_room(now);
     if (call.prompt_tokens > 0) {
@@ -148,7 +148,8 @@
     }
 }
 
-auto dispatch_desk::has_turn(const waiting_call& call, const dispatch_choice& choice, instant now) -> bool
+auto call_dispatcher::backoff_elapsed(const waiting_call& call, const dispatch_choice& choice, instant now)
+    -> bool
 {
     const auto waited = room_since_.find(call.id);
     if (!choice.is_long || waited == room_since_.end()) {
@@ -157,14 +158,14 @@
     if (!waited->second) {
         waited->second = now;
     }
-    const duration window = std::min(turn_a_gateway * gateways_, longest_turn);
+    const duration window = std::min(backoff_per_gateway * gateways_, max_backoff);
     const std::uint64_t draw = stable_hash(std::to_string(call.id), settings_.seed);
     const duration turn(static_cast<duration::rep>(draw % static_cast<std::uint64_t>(window.count())));
     return now - *waited->second >= turn;
 }
 
-auto dispatch_desk::choose(const upstream_list& fleet, const waiting_call& call, instant now,
-                           round_view& view) const -> std::optional<dispatch_choice>
+auto call_dispatcher::choose(const upstream_list& fleet, const waiting_call& call, instant now,
+                             round_view& view) const -> std::optional<dispatch_choice>
 {
     const service_rule* service = fleet.config()->service_of(call.service);
     if (service == nullptr) {
@@ -200,7 +201,7 @@
     return engine_dispatch(*service->engine, pause).choose(shape, found);
 }
 
-auto dispatch_desk::candidates(const upstream_list& fleet, const service_rule& service, instant now) const
+auto call_dispatcher::candidates(const upstream_list& fleet, const service_rule& service, instant now) const
     -> std::vector<dispatch_candidate>
 {
     std::vector<dispatch_candidate> found;
@@ -212,15 +213,15 @@
         candidate.id = id;
         candidate.failure_domain = state.entry.failure_domain;
         candidate.slots = state.entry.slots;
-        look_at(candidate, now);
+        refresh_load(candidate, now);
         found.push_back(std::move(candidate));
     }
-    sort_for_border(found);
+    sort_for_partition(found);
     return found;
 }
 
-void dispatch_desk::refresh(const upstream_list& fleet, const dispatch_order& order, instant now,
-                            std::vector<dispatch_candidate>& candidates) const
+void call_dispatcher::refresh(const upstream_list& fleet, const dispatch_order& order, instant now,
+                              std::vector<dispatch_candidate>& candidates) const
 {
     const auto touched = [&](const dispatch_candidate& candidate) {
         const auto is_it = [&](const dispatch_helper& helper) { return helper.upstream.id == candidate.id; };
@@ -229,7 +230,7 @@
     };
     for (dispatch_candidate& candidate : candidates) {
         if (touched(candidate)) {
-            look_at(candidate, now);
+            refresh_load(candidate, now);
         }
     }
     std::erase_if(candidates, [&](const dispatch_candidate& candidate) {
@@ -237,14 +238,14 @@
     });
 }
 
-void dispatch_desk::look_at(dispatch_candidate& candidate, instant now) const
+void call_dispatcher::refresh_load(dispatch_candidate& candidate, instant now) const
 {
     candidate.load = board_.load_of(candidate.id, now);
     candidate.suspect = health_.suspect(candidate.id, board_.own_calls(candidate.id), now) ||
                         candidate.load.suspected_by >= suspects_to_believe;
 }
 
-auto dispatch_desk::cold_full(const upstream_list& fleet, const upstream_state& upstream, instant now) const
+auto call_dispatcher::cold_full(const upstream_list& fleet, const upstream_state& upstream, instant now) const
     -> bool
 {
     const double cold = cold_rate(fleet, upstream, now);
@@ -252,7 +253,7 @@
     return cold > 0 && share != cold_.end() && !share->second.available(now, cold, gateways_);
 }
 
-auto dispatch_desk::cold_rate(const upstream_list& fleet, const upstream_state& upstream, instant now) const
+auto call_dispatcher::cold_rate(const upstream_list& fleet, const upstream_state& upstream, instant now) const
     -> double
 {
     if (now >= upstream.cold_until) {
@@ -262,8 +263,8 @@
     return service == nullptr ? 0.0 : service->cold_calls_per_s;
 }
 
-auto dispatch_desk::order_for(const upstream_list& fleet, const waiting_call& call,
-                              const dispatch_choice& choice, instant now) -> dispatch_order
+auto call_dispatcher::order_for(const upstream_list& fleet, const waiting_call& call,
+                                const dispatch_choice& choice, instant now) -> dispatch_order
 {
     dispatch_order order;
     order.call = call.id;
@@ -290,7 +291,7 @@
     return order;
 }
 
-auto dispatch_desk::any_upstream(const upstream_list& fleet, const std::string& service) const -> bool
+auto call_dispatcher::any_upstream(const upstream_list& fleet, const std::string& service) const -> bool
 {
     return std::any_of(fleet.upstreams().begin(), fleet.upstreams().end(), [&](const auto& item) {
         return item.second.entry.service == service && fleet.takes_work(item.second);
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -53,7 +53,7 @@
     return tightest_pause_ > duration::zero() && forecast_.read_alone(prompt_tokens) > tightest_pause_ / 2;
 }
 
-auto engine_dispatch::short_side(std::span<const dispatch_candidate> candidates) const -> std::size_t
+auto engine_dispatch::short_partition(std::span<const dispatch_candidate> candidates) const -> std::size_t
 {
     int short_calls = 0;
     int long_work = 0;
@@ -79,15 +79,15 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    const std::size_t border = short_side(candidates);
+    const std::size_t boundary = short_partition(candidates);
     if (is_tight(call) || !is_long(call.prompt_tokens)) {
-        return choose_short(call, candidates, border);
+        return choose_short(call, candidates, boundary);
     }
-    return choose_long(call, candidates, border);
+    return choose_long(call, candidates, boundary);
 }
 
 auto engine_dispatch::choose_short(const call_shape& call, std::span<const dispatch_candidate> ordered,
-                                   std::size_t border) const -> std::optional<dispatch_choice>
+                                   std::size_t boundary) const -> std::optional<dispatch_choice>
 {
     const auto rank = [&](const dispatch_candidate& engine) {
         return std::tuple(engine.load.reading / 25ms, in_hand(engine) / 2, is_far(call, engine),
@@ -103,10 +103,10 @@
             }
         }
     };
-    consider(ordered.first(border));
+    consider(ordered.first(boundary));
     const bool inside = best != nullptr && best->load.reading <= max_backlog;
     if (!inside) {
-        consider(ordered.subspan(border));
+        consider(ordered.subspan(boundary));
     }
     if (best == nullptr) {
         return std::nullopt;
@@ -124,14 +124,14 @@
         choice.helpers = std::move(plan.helpers);
     }
     choice.first_token += forecast_.pass(in_hand(*best), call.prompt_tokens);
-    choice.reason = inside ? "short side" : "short side full";
+    choice.reason = inside ? "short partition" : "short partition full";
     return choice;
 }
 
 auto engine_dispatch::choose_long(const call_shape& call, std::span<const dispatch_candidate> ordered,
-                                  std::size_t border) const -> std::optional<dispatch_choice>
+                                  std::size_t boundary) const -> std::optional<dispatch_choice>
 {
-    const std::size_t first = std::min(border, ordered.size() - 1);
+    const std::size_t first = std::min(boundary, ordered.size() - 1);
     const reading_planner planner(forecast_, wanted_part(), call, ordered);
     auto plan = planner.best(ordered.subspan(first));
     if (!plan) {
@@ -153,7 +153,7 @@
     choice.reading = plan->part;
     choice.first_token = plan->first_token();
     choice.helpers = std::move(plan->helpers);
-    choice.reason = on_time ? "parts behind the border" : "late, parts behind the border";
+    choice.reason = on_time ? "long partition" : "late, long partition";
     return choice;
 }
 
@@ -176,7 +176,7 @@
            engine.load.memory_tokens;
 }
 
-void sort_for_border(std::vector<dispatch_candidate>& candidates)
+void sort_for_partition(std::vector<dispatch_candidate>& candidates)
 {
     for (dispatch_candidate& candidate : candidates) {
         candidate.place = stable_hash(candidate.id);
--- /dev/null
+++ b/src/direct/gossip_schedule.cpp
@@ -0,0 +1,27 @@
+#include "dragonflymill/direct/gossip_schedule.h"
+
+#include <algorithm>
+
+namespace dragonflymill::direct {
+
+auto gossip_schedule::next(const gossip_state& state, bool at_once, instant now) -> std::optional<due_digest>
+{
+    const int spread = std::max(1, state.gateways / gateways_at_full_rate);
+    const bool changed = state.load_changes != sent_.load_changes || state.revision != sent_.revision;
+    const duration since = now - sent_at_;
+    const bool due = changed ? since >= gossip_interval * spread : since >= idle_gossip_interval;
+    if (!at_once && !due) {
+        return std::nullopt;
+    }
+    const due_digest digest{now - full_sent_at_ >= full_digest_interval, changes_before_.front()};
+    if (digest.whole) {
+        full_sent_at_ = now;
+    }
+    std::rotate(changes_before_.begin(), changes_before_.begin() + 1, changes_before_.end());
+    changes_before_.back() = state.load_changes;
+    sent_ = state;
+    sent_at_ = now;
+    return digest;
+}
+
+} // namespace dragonflymill::direct
--- a/src/direct/load_board.cpp
+++ b/src/direct/load_board.cpp
@@ -8,7 +8,7 @@
 
 namespace dragonflymill::direct {
 
-auto load_board::told_load::at(instant now) const -> upstream_load
+auto load_board::reported_load::at(instant now) const -> upstream_load
 {
     upstream_load current = load;
     current.reading = std::max(read_until - now, scaled(load.reading, least_unread_share));
@@ -33,24 +33,24 @@
     const placement& call = found->second.call;
     found->second.read = true;
     ++own_changes_;
-    told_load& own = changing(call.upstream);
+    reported_load& own = changing(call.upstream);
     own.load.unread_calls -= call.is_long ? 1 : 0;
     end_reading(own, call.reading, now);
     for (const helper_share& helper : call.helpers) {
-        told_load& other = changing(helper.upstream);
+        reported_load& other = changing(helper.upstream);
         --other.load.parts;
         end_reading(other, call.reading, now);
     }
 }
 
-auto load_board::changing(const std::string& upstream) -> told_load&
+auto load_board::changing(const std::string& upstream) -> reported_load&
 {
-    told_load& own = own_[upstream];
+    reported_load& own = own_[upstream];
     own.changed = own_changes_;
     return own;
 }
 
-void load_board::end_reading(told_load& reader, duration reading, instant now) const
+void load_board::end_reading(reported_load& reader, duration reading, instant now) const
 {
     // Reading is done in the order of arrival, so that what was forecast for it is over now, and only what
     // was added later remains.
@@ -68,7 +68,7 @@
     const placement call = std::move(found->second.call);
     placed_.erase(found);
     ++own_changes_;
-    told_load& own = changing(call.upstream);
+    reported_load& own = changing(call.upstream);
     --(call.is_long ? own.load.long_calls : own.load.short_calls);
     own.load.memory_tokens -= call.memory_tokens;
     if (call.pause_aim > duration::zero()) {
@@ -85,11 +85,11 @@
 
 void load_board::add(const placement& call, instant now)
 {
-    const auto add_reading = [&](told_load& reader) {
+    const auto add_reading = [&](reported_load& reader) {
         reader.load.reading += call.reading;
         reader.read_until = std::max(reader.read_until, now) + call.reading;
     };
-    told_load& own = changing(call.upstream);
+    reported_load& own = changing(call.upstream);
     ++(call.is_long ? own.load.long_calls : own.load.short_calls);
     own.load.unread_calls += call.is_long ? 1 : 0;
     own.load.memory_tokens += call.memory_tokens;
@@ -99,7 +99,7 @@
     }
     add_reading(own);
     for (const helper_share& helper : call.helpers) {
-        told_load& other = changing(helper.upstream);
+        reported_load& other = changing(helper.upstream);
         ++other.load.parts;
         other.load.memory_tokens += helper.reserved_tokens;
         add_reading(other);
@@ -118,7 +118,7 @@
 
 void load_board::take_report(const load_report& report, instant now)
 {
-    told_report& known = others_[report.gateway];
+    reported_loads& known = others_[report.gateway];
     if (report.sequence <= known.sequence) {
         return;
     }
@@ -132,12 +132,12 @@
             known.upstreams.erase(upstream);
             continue;
         }
-        others_loads_[upstream][report.gateway] = told_load{load, now + load.reading, {}, 0};
+        others_loads_[upstream][report.gateway] = reported_load{load, now + load.reading, {}, 0};
         known.upstreams.insert(upstream);
     }
 }
 
-void load_board::forget_loads(const std::string& gateway, told_report& report)
+void load_board::forget_loads(const std::string& gateway, reported_loads& report)
 {
     for (const upstream_key upstream : report.upstreams) {
         remove_load(upstream, gateway);
@@ -147,13 +147,13 @@
 
 void load_board::remove_load(upstream_key upstream, const std::string& gateway)
 {
-    const auto told = others_loads_.find(upstream);
-    if (told == others_loads_.end()) {
+    const auto reported = others_loads_.find(upstream);
+    if (reported == others_loads_.end()) {
         return;
     }
-    told->second.erase(gateway);
-    if (told->second.empty()) {
-        others_loads_.erase(told);
+    reported->second.erase(gateway);
+    if (reported->second.empty()) {
+        others_loads_.erase(reported);
     }
 }
 
@@ -171,12 +171,12 @@
     if (const auto own = own_.find(upstream); own != own_.end()) {
         sum = own->second.at(now);
     }
-    const auto told = others_loads_.find(stable_hash(upstream));
-    if (told == others_loads_.end()) {
+    const auto reported = others_loads_.find(stable_hash(upstream));
+    if (reported == others_loads_.end()) {
         return sum;
     }
-    for (const auto& [gateway, told_of_it] : told->second) {
-        const upstream_load load = told_of_it.at(now);
+    for (const auto& [gateway, from_gateway] : reported->second) {
+        const upstream_load load = from_gateway.at(now);
         sum.short_calls += load.short_calls;
         sum.long_calls += load.long_calls;
         sum.unread_calls += load.unread_calls;
@@ -198,8 +198,8 @@
     std::map<upstream_key, upstream_load> loads;
     for (const auto& [upstream, load] : own_) {
         const upstream_load current = load.at(now);
-        const bool told = since ? load.changed > *since : current != upstream_load{};
-        if (told) {
+        const bool reported = since ? load.changed > *since : current != upstream_load{};
+        if (reported) {
             loads.emplace(stable_hash(upstream), current);
         }
     }
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -15,25 +15,25 @@
 {
 }
 
-auto peer_table::take(const peer_word& word, instant now) -> bool
+auto peer_table::take(const peer_digest& digest, instant now) -> bool
 {
-    if (word.gateway == self_ || word.gateway.empty()) {
+    if (digest.gateway == self_ || digest.gateway.empty()) {
         return false;
     }
-    const auto known = peers_.find(word.gateway);
+    const auto known = peers_.find(digest.gateway);
     if (known == peers_.end() && peers_.size() >= max_peers) {
         return false;
     }
-    if (known != peers_.end() && word.sequence <= known->second.word.sequence) {
+    if (known != peers_.end() && digest.sequence <= known->second.digest.sequence) {
         return false;
     }
     const bool is_new = known == peers_.end();
     if (is_new) {
         // A later start at the same address has replaced this one.
-        std::erase_if(peers_, [&](const auto& peer) { return peer.second.word.address == word.address; });
+        std::erase_if(peers_, [&](const auto& peer) { return peer.second.digest.address == digest.address; });
     }
-    peers_[word.gateway] = known_peer{word, now};
-    for (const std::string& address : word.peers) {
+    peers_[digest.gateway] = known_peer{digest, now};
+    for (const std::string& address : digest.peers) {
         if (address != address_ && hearsay_.size() < max_peers) {
             hearsay_.emplace(address, now);
         }
@@ -60,7 +60,7 @@
     (void)now;
     std::set<std::string> all;
     for (const auto& [name, peer] : peers_) {
-        all.insert(peer.word.address);
+        all.insert(peer.digest.address);
     }
     for (const auto& [address, since] : hearsay_) {
         all.insert(address);
@@ -70,15 +70,15 @@
     return {all.begin(), all.end()};
 }
 
-auto peer_table::newer_than(std::uint64_t revision, std::uint64_t attempt) const -> std::optional<peer_word>
+auto peer_table::newer_than(std::uint64_t revision, std::uint64_t attempt) const -> std::optional<peer_digest>
 {
-    const auto rank = [&](const peer_word& word) {
-        return std::pair(word.revision, stable_hash(self_ + word.gateway, attempt));
+    const auto rank = [&](const peer_digest& digest) {
+        return std::pair(digest.revision, stable_hash(self_ + digest.gateway, attempt));
     };
-    const peer_word* best = nullptr;
+    const peer_digest* best = nullptr;
     for (const auto& [name, peer] : peers_) {
-        if (peer.word.revision > revision && (best == nullptr || rank(peer.word) > rank(*best))) {
-            best = &peer.word;
+        if (peer.digest.revision > revision && (best == nullptr || rank(peer.digest) > rank(*best))) {
+            best = &peer.digest;
         }
     }
     return best == nullptr ? std::nullopt : std::optional(*best);
@@ -90,7 +90,7 @@
     int readers = 0;
     for (const auto& [name, peer] : peers_) {
         const bool relied_on =
-            peer.word.reads_source && !peer.word.leaving && now - peer.heard <= reader_silence;
+            peer.digest.reads_source && !peer.digest.leaving && now - peer.heard <= reader_silence;
         if (relied_on && std::pair(stable_hash(name), name) < own) {
             ++readers;
         }
@@ -103,14 +103,14 @@
     std::vector<std::string> all;
     all.reserve(peers_.size());
     for (const auto& [name, peer] : peers_) {
-        all.push_back(peer.word.address);
+        all.push_back(peer.digest.address);
     }
-    if (all.size() <= max_told_peers) {
+    if (all.size() <= max_listed_peers) {
         return all;
     }
-    const auto first = static_cast<std::ptrdiff_t>((round * max_told_peers) % all.size());
+    const auto first = static_cast<std::ptrdiff_t>((round * max_listed_peers) % all.size());
     std::rotate(all.begin(), all.begin() + first, all.end());
-    all.resize(max_told_peers);
+    all.resize(max_listed_peers);
     return all;
 }
 
--- a/src/direct/reading_plan.cpp
+++ b/src/direct/reading_plan.cpp
@@ -63,7 +63,7 @@
     for (const writer_choice& writer : found) {
         reading_plan plan = plan_for(writer, options);
         const double margin = writer_margin * worth();
-        if (!chosen || plan.gain - plan.harm > chosen->gain - chosen->harm + margin) {
+        if (!chosen || plan.benefit - plan.cost > chosen->benefit - chosen->cost + margin) {
             chosen = std::move(plan);
         }
     }
@@ -83,7 +83,7 @@
     const duration left = (on_time ? call_.time_to_aim : stays) - first;
     const duration whole = on_time ? std::max(call_.aim, call_.time_to_aim) : stays;
     const double patience = std::clamp(ratio(left, whole), 0.0, 1.0);
-    return plan.harm <= plan.gain * (1.0 - patience);
+    return plan.cost <= plan.benefit * (1.0 - patience);
 }
 
 auto reading_planner::fastest() const -> duration
@@ -166,7 +166,7 @@
     const auto wanted = static_cast<double>(std::max(fixed, wanted_readers()));
     const auto value_of = [&](const reading_plan& plan) {
         const auto readers = static_cast<double>(plan.helpers.size() + 1);
-        return plan.gain - plan.harm - std::abs(std::log2(readers / wanted)) * readers_margin * worth();
+        return plan.benefit - plan.cost - std::abs(std::log2(readers / wanted)) * readers_margin * worth();
     };
     reading_plan chosen = plan_alone(writer);
     for (const readers_option& option : options) {
@@ -185,7 +185,7 @@
     const std::size_t readers = writer.holders.size() + 1;
     reading_plan plan =
         begin_plan(writer, forecast_.read_part(call_.prompt_tokens, static_cast<int>(readers)));
-    plan.gain = gain_of(plan.first_token());
+    plan.benefit = benefit_of(plan.first_token());
     return plan;
 }
 
@@ -202,12 +202,12 @@
         }
         plan.helpers.push_back({reader.engine->id, 0});
         plan.backlog = std::max(plan.backlog, reader.engine->load.reading);
-        plan.harm += reader.harm;
+        plan.cost += reader.cost;
     }
     if (plan.helpers.size() + 1 != option.readers) {
         return std::nullopt;
     }
-    plan.gain = gain_of(plan.first_token());
+    plan.benefit = benefit_of(plan.first_token());
     return plan;
 }
 
@@ -219,11 +219,11 @@
     plan.helpers = writer.holders;
     plan.part = part;
     plan.backlog = writer.engine->load.reading;
-    plan.harm = harm_at(*writer.engine, part);
+    plan.cost = cost_at(*writer.engine, part);
     for (const helper_share& holder : writer.holders) {
         const dispatch_candidate& engine = find(holder.upstream);
         plan.backlog = std::max(plan.backlog, engine.load.reading);
-        plan.harm += harm_at(engine, part);
+        plan.cost += cost_at(engine, part);
     }
     return plan;
 }
@@ -256,16 +256,16 @@
             continue;
         }
         const duration disturbed = in_hand(engine) > 0 ? writer_penalty : duration::zero();
-        able.push_back({&engine, harm_at(engine, part), (engine.load.reading + disturbed) / backlog_step,
+        able.push_back({&engine, cost_at(engine, part), (engine.load.reading + disturbed) / backlog_step,
                         stable_hash(engine.id, call_.spread)});
     }
     std::sort(able.begin(), able.end(), [](const ranked_reader& a, const ranked_reader& b) {
-        return std::tuple(a.harm, a.backlog_steps, a.spread) < std::tuple(b.harm, b.backlog_steps, b.spread);
+        return std::tuple(a.cost, a.backlog_steps, a.spread) < std::tuple(b.cost, b.backlog_steps, b.spread);
     });
     return able;
 }
 
-auto reading_planner::harm_at(const dispatch_candidate& engine, duration part) const -> double
+auto reading_planner::cost_at(const dispatch_candidate& engine, duration part) const -> double
 {
     if (engine.load.tightest_pause <= duration::zero()) {
         return 0.0;
@@ -274,10 +274,10 @@
     const duration pass = forecast_.pass(writers, engine.load.memory_tokens / writers);
     const double pause = ratio(engine.load.reading + part + pass, engine.load.tightest_pause);
     const double streams = writers + static_cast<double>(engine.load.memory_tokens) / tokens_per_worth;
-    return streams * (1.0 - late_worth) * ramp(pause, harm_begins, harm_full);
+    return streams * (1.0 - late_worth) * ramp(pause, cost_begins, cost_full);
 }
 
-auto reading_planner::gain_of(duration first_token) const -> double
+auto reading_planner::benefit_of(duration first_token) const -> double
 {
     if (first_token > scaled(call_.time_to_leave, stay_share)) {
         return 0.0;
--- a/src/direct/silence_rules.cpp
+++ b/src/direct/stall_timeout.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/direct/silence_rules.h"
+#include "dragonflymill/direct/stall_timeout.h"
 
 #include <algorithm>
 
@@ -38,7 +38,7 @@
     return reading > busy_reading;
 }
 
-auto silence_bound(const route_rule& route, const silent_attempt& attempt) -> duration
+auto stall_timeout_for(const route_rule& route, const stalled_attempt& attempt) -> duration
 {
     const duration usual = attempt.begun ? silent_pauses * route.pause_aim : silent_aims * route.answer_aim;
     const bool busy = is_busy_reading(attempt.reading);
--- a/src/drain/drain_state.cpp
+++ b/src/drain/drain_state.cpp
@@ -17,7 +17,7 @@
     return b->since < a->since ? b : a;
 }
 
-auto counts_more(const drain_word& a, const drain_word& b) -> bool
+auto counts_more(const drain_notice& a, const drain_notice& b) -> bool
 {
     return a.number != b.number ? a.number > b.number : a.out && !b.out;
 }
@@ -97,7 +97,7 @@
     }
 }
 
-auto drain_state::operator_said(instant now, const drain_word& word) -> bool
+auto drain_state::operator_said(instant now, const drain_notice& word) -> bool
 {
     const auto found = operators_.find(word.subject);
     if (found == operators_.end()) {
@@ -197,9 +197,9 @@
     return drained;
 }
 
-auto drain_state::words() const -> std::vector<drain_word>
+auto drain_state::words() const -> std::vector<drain_notice>
 {
-    std::vector<drain_word> words;
+    std::vector<drain_notice> words;
     for (const auto& [subject, entry] : operators_) {
         words.push_back(entry.word);
     }
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -46,21 +46,21 @@
 
 } // namespace
 
-direct_gateway::direct_gateway(asio::io_context& loop, direct_gateway_settings settings, outside_words words,
-                               record_source& source, settings_reader reread)
+direct_gateway::direct_gateway(asio::io_context& loop, direct_gateway_settings settings,
+                               platform_adapter platform, record_source& source, settings_reader reread)
     : loop_(loop)
     , timers_(loop)
     , settings_(std::move(settings))
-    , words_(std::move(words))
+    , platform_(std::move(platform))
     , source_(source)
     , reread_(std::move(reread))
-    , desk_({settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))})
+    , dispatcher_({settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))})
     , peers_("", "", {})
     , context_{loop,
                timers_,
-               words_.names,
-               words_.orders,
-               desk_,
+               platform_.names,
+               platform_.orders,
+               dispatcher_,
                returns_,
                fleet_,
                records_,
@@ -87,7 +87,7 @@
     , ready_listener_(loop)
     , metrics_listener_(loop)
     , signals_(loop, SIGTERM, SIGINT, SIGHUP)
-    , status_({words_.names.ready_path, [this] { return ready(); }, metrics_,
+    , status_({platform_.names.ready_path, [this] { return ready(); }, metrics_,
                [this](caller_session* session) { session_ended(session); }})
 {
     const auto started = runtime::wall_now().time_since_epoch().count();
@@ -120,7 +120,7 @@
     log_event(event::gateway_started, field("gateway", start_name_));
     wait_for_signals();
     start_source();
-    send_word(true);
+    send_gossip(true);
     schedule_tick();
     return success();
 }
@@ -234,10 +234,10 @@
     }
     if (!news.empty()) {
         decide_soon();
-        // Gateways that don't read the source themselves wait for this word. What was learned from one of
-        // them is told with the next word: if each passed it on at once, a change would cost as many words as
-        // there are pairs of gateways.
-        send_word(from == source_name);
+        // Gateways that don't read the source themselves wait for this digest. What was learned from one of
+        // them is told with the next digest: if each passed it on at once, a change would cost as many
+        // digests as there are pairs of gateways.
+        send_gossip(from == source_name);
     }
     note_ready();
 }
@@ -281,16 +281,16 @@
 void direct_gateway::take_message(const peer_message& message)
 {
     const instant now = runtime::now();
-    if (peers_.take(message.word, now)) {
-        log_event(event::peer_gateway_found, field("peer", message.word.gateway),
-                  field("address", message.word.address));
+    if (peers_.take(message.digest, now)) {
+        log_event(event::peer_gateway_found, field("peer", message.digest.gateway),
+                  field("address", message.digest.address));
         count_gateways();
-        // Only the new one is answered. A word to all for each that is found is the cube of their number
+        // Only the new one is answered. A digest to all for each that is found is the cube of their number
         // when all start at once: 300 gateways served again only after 7 s.
-        link_.send(encode_peer_message(whole_word()), {message.word.address});
+        link_.send(encode_peer_message(full_digest()), {message.digest.address});
     }
-    desk_.board().take_report(message.report, now);
-    if (message.word.reads_source) {
+    dispatcher_.board().take_report(message.report, now);
+    if (message.digest.reads_source) {
         outage_.peer_reads(now);
     }
     catch_up_from_peers();
@@ -314,46 +314,47 @@
     }
 }
 
-auto direct_gateway::word_without_loads() -> peer_message
+auto direct_gateway::bare_digest() -> peer_message
 {
     const instant now = runtime::now();
     peer_message message;
-    message.word = {start_name_,
-                    ++word_sequence_,
-                    to_text(settings_.peers),
-                    records_.revision(),
-                    stopping_,
-                    !outage_.is_lost() && now - source_read_at_ < source_fresh,
-                    {}};
+    message.digest = {start_name_,
+                      ++digest_sequence_,
+                      to_text(settings_.peers),
+                      records_.revision(),
+                      stopping_,
+                      !outage_.is_lost() && now - source_read_at_ < source_fresh,
+                      {}};
     return message;
 }
 
-auto direct_gateway::whole_word() -> peer_message
+auto direct_gateway::full_digest() -> peer_message
 {
-    peer_message message = word_without_loads();
-    message.word.peers = peers_.some_addresses(message.word.sequence);
+    peer_message message = bare_digest();
+    message.digest.peers = peers_.some_addresses(message.digest.sequence);
     message.report.whole = true;
-    message.report.loads = desk_.board().own_loads(runtime::now());
+    message.report.loads = dispatcher_.board().own_loads(runtime::now());
     return message;
 }
 
-auto direct_gateway::changes_word(std::uint64_t since) -> peer_message
+auto direct_gateway::delta_digest(std::uint64_t since) -> peer_message
 {
-    peer_message message = word_without_loads();
+    peer_message message = bare_digest();
     message.report.whole = false;
-    message.report.loads = desk_.board().own_loads(runtime::now(), since);
+    message.report.loads = dispatcher_.board().own_loads(runtime::now(), since);
     return message;
 }
 
-void direct_gateway::send_word(bool at_once)
+void direct_gateway::send_gossip(bool at_once)
 {
     const instant now = runtime::now();
-    const direct::tellable_state state{desk_.board().own_changes(), records_.revision(), peers_.gateways()};
-    const auto due = words_due_.next(state, at_once, now);
+    const direct::gossip_state state{dispatcher_.board().own_changes(), records_.revision(),
+                                     peers_.gateways()};
+    const auto due = gossip_schedule_.next(state, at_once, now);
     if (!due) {
         return;
     }
-    const peer_message message = due->whole ? whole_word() : changes_word(due->changes_since);
+    const peer_message message = due->whole ? full_digest() : delta_digest(due->changes_since);
     link_.send(encode_peer_message(message), peers_.targets(now));
 }
 
@@ -370,13 +371,13 @@
 
 void direct_gateway::decide()
 {
-    const direct::dispatch_round round = desk_.decide(fleet_, runtime::now());
+    const direct::dispatch_round round = dispatcher_.decide(fleet_, runtime::now());
     // A long prompt keeps many engines busy: another gateway that learns of it late sends its own there too.
     const bool long_sent =
         std::any_of(round.orders.begin(), round.orders.end(),
                     [](const direct::dispatch_order& order) { return order.choice.is_long; });
     if (long_sent) {
-        send_word(true);
+        send_gossip(true);
     }
     for (const direct::dispatch_order& order : round.orders) {
         if (const auto found = exchanges_.find(order.call); found != exchanges_.end()) {
@@ -390,13 +391,13 @@
             kept->refused(refusal);
         }
     }
-    metrics_.waiting.set(static_cast<std::int64_t>(desk_.waiting()));
-    send_word(false);
+    metrics_.waiting.set(static_cast<std::int64_t>(dispatcher_.waiting()));
+    send_gossip(false);
 }
 
 void direct_gateway::schedule_tick()
 {
-    const duration interval = desk_.waiting() > 0 ? waiting_tick_interval : tick_interval;
+    const duration interval = dispatcher_.waiting() > 0 ? waiting_tick_interval : tick_interval;
     timers_.at(runtime::now() + interval, [this] { tick(); });
 }
 
@@ -404,17 +405,17 @@
 {
     const instant now = runtime::now();
     fleet_.tick(now);
-    desk_.tell_suspects(fleet_, now);
+    dispatcher_.report_suspects(fleet_, now);
     for (const std::string& gone : peers_.forget_silent(now)) {
-        desk_.board().forget_gateway(gone);
+        dispatcher_.board().forget_gateway(gone);
         log_event(event::peer_gateway_lost, field("peer", gone));
     }
     count_gateways();
     catch_up_from_peers();
-    if (desk_.waiting() > 0) {
+    if (dispatcher_.waiting() > 0) {
         decide();
     }
-    send_word(false);
+    send_gossip(false);
     schedule_tick();
 }
 
@@ -422,7 +423,7 @@
 {
     const bool settled = runtime::now() - started_at_ >= settling;
     const int most = static_cast<int>(settings_.retries.slack * direct::retry_window::safety);
-    desk_.set_gateways(settled ? peers_.gateways() : std::max(peers_.gateways(), most));
+    dispatcher_.set_gateways(settled ? peers_.gateways() : std::max(peers_.gateways(), most));
     metrics_.gateways.set(peers_.gateways());
 }
 
@@ -475,7 +476,8 @@
     settings_.leave_bound = fresh->leave_bound;
     fleet_.set_leave_bound(settings_.leave_bound);
     peers_.set_seeds(settings_.seeds);
-    desk_.set_settings({settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))});
+    dispatcher_.set_settings(
+        {settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))});
     log_event(event::settings_reloaded, field("seeds", settings_.seeds.size()));
 }
 
@@ -487,7 +489,7 @@
     stop_begun_ = runtime::now();
     log_event(event::gateway_stopping, field("requests", exchanges_.size()));
     note_ready();
-    send_word(true);
+    send_gossip(true);
     timers_.at(stop_begun_ + settings_.balancer_lag, [this] { stop_accepting(); });
     timers_.at(stop_begun_ + std::max(settings_.grace - end_before_kill, settings_.balancer_lag),
                [this] { end(); });
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "dragonflymill/core/error.h"
-#include "dragonflymill/direct/dispatch_desk.h"
+#include "dragonflymill/direct/call_dispatcher.h"
 #include "dragonflymill/direct/fleet_records.h"
+#include "dragonflymill/direct/gossip_schedule.h"
 #include "dragonflymill/direct/peer_table.h"
 #include "dragonflymill/direct/source_outage.h"
 #include "dragonflymill/direct/upstream_list.h"
-#include "dragonflymill/direct/word_schedule.h"
 #include "edge/caller_session.h"
 #include "edge/exchange.h"
 #include "edge/gateway_metrics.h"
@@ -51,7 +51,7 @@
 };
 
 /// How the outside systems of a deployment name and write things; its adapter provides it.
-struct outside_words
+struct platform_adapter
 {
     header_names names;     ///< Header fields.
     upstream_orders orders; ///< Orders to engines.
@@ -66,7 +66,7 @@
     /// `reread` gives the settings anew; nothing if they can't be read.
     using settings_reader = std::function<std::optional<direct_gateway_settings>()>;
 
-    direct_gateway(boost::asio::io_context& loop, direct_gateway_settings settings, outside_words words,
+    direct_gateway(boost::asio::io_context& loop, direct_gateway_settings settings, platform_adapter platform,
                    record_source& source, settings_reader reread);
     ~direct_gateway() override;
     direct_gateway(const direct_gateway&) = delete;
@@ -96,10 +96,10 @@
     void take_record(const direct::fleet_record& record, const std::string& from);
     void take_message(const peer_message& message);
     void catch_up_from_peers();
-    [[nodiscard]] auto word_without_loads() -> peer_message;
-    [[nodiscard]] auto whole_word() -> peer_message;
-    [[nodiscard]] auto changes_word(std::uint64_t since) -> peer_message;
-    void send_word(bool at_once);
+    [[nodiscard]] auto bare_digest() -> peer_message;
+    [[nodiscard]] auto full_digest() -> peer_message;
+    [[nodiscard]] auto delta_digest(std::uint64_t since) -> peer_message;
+    void send_gossip(bool at_once);
     void decide_soon();
     void decide();
     void tick();
@@ -117,13 +117,13 @@
     boost::asio::io_context& loop_;
     loop_timers timers_;
     direct_gateway_settings settings_;
-    outside_words words_;
+    platform_adapter platform_;
     record_source& source_;
     settings_reader reread_;
     gateway_metrics metrics_;
     direct::fleet_records records_;
     direct::upstream_list fleet_;
-    direct::dispatch_desk desk_;
+    direct::call_dispatcher dispatcher_;
     direct::return_detector returns_;
     direct::peer_table peers_;
     exchange_context context_;
@@ -138,8 +138,8 @@
     std::string start_name_;
     std::uint64_t next_exchange_ = 0;
     std::uint64_t fetches_failed_ = 0;
-    std::uint64_t word_sequence_ = 0;
-    direct::word_schedule words_due_;
+    std::uint64_t digest_sequence_ = 0;
+    direct::gossip_schedule gossip_schedule_;
     instant started_at_{};
     instant source_read_at_{};
     instant behind_since_{};
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -2,7 +2,7 @@
 
 #include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/core/units.h"
-#include "dragonflymill/direct/silence_rules.h"
+#include "dragonflymill/direct/stall_timeout.h"
 #include "http/error_body.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
@@ -166,7 +166,7 @@
 void exchange::wait_for_upstream()
 {
     waiting_ = true;
-    context_.desk.add(wait_);
+    context_.dispatcher.add(wait_);
     context_.decide_soon();
 }
 
@@ -251,7 +251,7 @@
     call_ = std::make_shared<upstream_call>(context_.loop, context_.timers, *this);
     call_->start(order.upstream.address, upstream_request(request_, context_.names, own_fields(order, now)),
                  request_.method == "HEAD");
-    watch_silence();
+    watch_stall();
 }
 
 auto exchange::own_fields(const direct::dispatch_order& order, instant now) const -> gateway_fields
@@ -271,22 +271,22 @@
     return own;
 }
 
-auto exchange::silence_bound() const -> duration
+auto exchange::stall_timeout_for() const -> duration
 {
     const bool begun = mode_ == answer_mode::events && events_ > 0;
-    const auto load = context_.desk.board().load_of(order_->upstream.id, runtime::now());
-    return direct::silence_bound(*route_, {begun, load.reading});
+    const auto load = context_.dispatcher.board().load_of(order_->upstream.id, runtime::now());
+    return direct::stall_timeout_for(*route_, {begun, load.reading});
 }
 
-void exchange::watch_silence()
+void exchange::watch_stall()
 {
     if (!route_->repeatable()) {
         return;
     }
-    const instant due = heard_at_ + silence_bound();
-    silence_timer_ = context_.timers.at(due, [weak = weak_from_this(), attempt = attempt_] {
+    const instant due = heard_at_ + stall_timeout_for();
+    stall_timer_ = context_.timers.at(due, [weak = weak_from_this(), attempt = attempt_] {
         if (const auto self = weak.lock()) {
-            self->silence_timer_.reset();
+            self->stall_timer_.reset();
             self->silence(attempt);
         }
     });
@@ -298,8 +298,8 @@
         return;
     }
     const instant now = runtime::now();
-    if (now - heard_at_ < silence_bound()) {
-        watch_silence();
+    if (now - heard_at_ < stall_timeout_for()) {
+        watch_stall();
         return;
     }
     direct::request_progress state = progress(now);
@@ -309,7 +309,7 @@
     if (direct::after_attempt(attempt_end::broken, state) != next_step::try_again) {
         return;
     }
-    const auto load = context_.desk.board().load_of(order_->upstream.id, now);
+    const auto load = context_.dispatcher.board().load_of(order_->upstream.id, now);
     end_attempt(attempt_end::broken,
                 direct::is_busy_reading(load.reading) ? silent_while_reading : "the upstream is silent");
 }
@@ -371,7 +371,7 @@
         first_event_at_ = heard_at_;
         context_.metrics.first_answer.record(static_cast<double>((heard_at_ - arrived_).count()) / us_per_s);
     }
-    context_.desk.first_token(order_->placed, heard_at_);
+    context_.dispatcher.first_token(order_->placed, heard_at_);
     if (events_ > 0) {
         longest_pause_ = std::max(longest_pause_, heard_at_ - last_event_at_);
     }
@@ -425,8 +425,8 @@
         end_attempt(attempt_end::failed, "status " + std::to_string(head_.status));
         return;
     }
-    context_.desk.health().succeeded(order_->upstream.id);
-    context_.desk.first_token(order_->placed, now);
+    context_.dispatcher.health().succeeded(order_->upstream.id);
+    context_.dispatcher.first_token(order_->placed, now);
     answer_whole();
 }
 
@@ -462,13 +462,13 @@
     state.attempts_sent = attempts_sent_;
     state.max_attempts = route_->max_attempts;
     state.time_left = limit_at_ - now;
-    state.budget_left = context_.desk.retry_left(wait_.service, now);
+    state.budget_left = context_.dispatcher.retry_left(wait_.service, now);
     return state;
 }
 
 void exchange::note_health(attempt_end end, const std::string& why, instant now)
 {
-    direct::upstream_health& health = context_.desk.health();
+    direct::upstream_health& health = context_.dispatcher.health();
     const std::string& upstream = order_->upstream.id;
     const std::string_view at_fault = head_.value_of(context_.names.at_fault);
     if (end == attempt_end::rejected && !order_->helpers.empty() && !at_fault.empty()) {
@@ -490,7 +490,7 @@
 {
     for (const direct::dispatch_helper& helper : order_->helpers) {
         if (helper.upstream.id == at_fault || helper.upstream.address == at_fault) {
-            context_.desk.health().lost(helper.upstream.id, now);
+            context_.dispatcher.health().lost(helper.upstream.id, now);
             // The engine that answered is sound: it may be asked again.
             wait_.tried.clear();
             return;
@@ -535,7 +535,7 @@
     case next_step::refuse_not_run:
         refuse(
             503,
-            {refusal_code::overloaded, ran_state::no, direct::dispatch_desk::retry_after_full, "come back"},
+            {refusal_code::overloaded, ran_state::no, direct::call_dispatcher::retry_after_full, "come back"},
             why);
         return;
     case next_step::fail_unknown:
@@ -584,7 +584,8 @@
         refuse(504, {refusal_code::deadline, ran_state::unknown, 0s, "check whether it was done"}, why);
         return;
     }
-    refuse(503, {refusal_code::deadline, ran_state::no, direct::dispatch_desk::retry_after_full, "come back"},
+    refuse(503,
+           {refusal_code::deadline, ran_state::no, direct::call_dispatcher::retry_after_full, "come back"},
            why);
 }
 
@@ -653,9 +654,9 @@
 
 void exchange::release_upstream()
 {
-    if (silence_timer_) {
-        context_.timers.cancel(*silence_timer_);
-        silence_timer_.reset();
+    if (stall_timer_) {
+        context_.timers.cancel(*stall_timer_);
+        stall_timer_.reset();
     }
     if (call_) {
         call_->cancel();
@@ -666,7 +667,7 @@
         memory_.reset();
     }
     if (order_) {
-        context_.desk.finish(order_->placed, runtime::now());
+        context_.dispatcher.finish(order_->placed, runtime::now());
         order_.reset();
         context_.decide_soon();
     }
@@ -680,7 +681,7 @@
     over_ = true;
     release_upstream();
     if (waiting_) {
-        context_.desk.drop(id_);
+        context_.dispatcher.drop(id_);
         waiting_ = false;
     }
     if (limit_timer_) {
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/refusal.h"
-#include "dragonflymill/direct/dispatch_desk.h"
+#include "dragonflymill/direct/call_dispatcher.h"
 #include "dragonflymill/direct/event_relay.h"
 #include "dragonflymill/direct/fleet_records.h"
 #include "dragonflymill/direct/return_detector.h"
@@ -28,7 +28,7 @@
     loop_timers& timers;                     ///< Its timers.
     const header_names& names;               ///< Of the outside systems.
     const upstream_orders& orders;           ///< How engines are told to set memory aside.
-    direct::dispatch_desk& desk;             ///< Decides where calls go.
+    direct::call_dispatcher& dispatcher;     ///< Decides where calls go.
     direct::return_detector& returns;        ///< Tells returning callers.
     const direct::upstream_list& fleet;      ///< Configuration and upstreams.
     const direct::fleet_records& records;    ///< For the revision in log lines.
@@ -81,8 +81,8 @@
     void relay(const std::string& bytes);
     [[nodiscard]] auto passed_fields() const -> std::vector<header_field>;
     void pass_head();
-    [[nodiscard]] auto silence_bound() const -> duration;
-    void watch_silence();
+    [[nodiscard]] auto stall_timeout_for() const -> duration;
+    void watch_stall();
     void silence(std::uint64_t attempt);
     void end_attempt(direct::attempt_end end, const std::string& why);
     void note_health(direct::attempt_end end, const std::string& why, instant now);
@@ -131,7 +131,7 @@
     duration longest_pause_{};
 
     std::optional<timer_id> limit_timer_;
-    std::optional<timer_id> silence_timer_;
+    std::optional<timer_id> stall_timer_;
 };
 
 } // namespace dragonflymill::edge
--- a/src/edge/memory_reservation.h
+++ b/src/edge/memory_reservation.h
@@ -46,7 +46,7 @@
     /// Length of the lease. Engines may carry an unanswered order out twelve seconds late; memory that is
     /// then held for nobody is free again after this.
     static constexpr duration hold = 3s;
-    /// Renewed three times within the lease, so that one lost order does no harm.
+    /// Renewed three times within the lease, so that one lost order does no cost.
     static constexpr duration renew_interval = 1s;
     /// An engine answers an order within a few milliseconds; one that takes longer is given up.
     static constexpr duration order_limit = 300ms;
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -52,59 +52,59 @@
 
 auto encode_peer_message(const peer_message& message) -> std::string
 {
-    wire::GatewayWord word;
-    word.set_gateway(message.word.gateway);
-    word.set_sequence(message.word.sequence);
-    word.set_address(message.word.address);
-    word.set_revision(message.word.revision);
-    word.set_leaving(message.word.leaving);
-    word.set_reads_source(message.word.reads_source);
-    word.set_whole_loads(message.report.whole);
-    for (const std::string& peer : message.word.peers) {
-        word.add_peers(peer);
+    wire::GatewayDigest encoded;
+    encoded.set_gateway(message.digest.gateway);
+    encoded.set_sequence(message.digest.sequence);
+    encoded.set_address(message.digest.address);
+    encoded.set_revision(message.digest.revision);
+    encoded.set_leaving(message.digest.leaving);
+    encoded.set_reads_source(message.digest.reads_source);
+    encoded.set_whole_loads(message.report.whole);
+    for (const std::string& peer : message.digest.peers) {
+        encoded.add_peers(peer);
     }
     for (const auto& [upstream, load] : message.report.loads) {
-        wire::UpstreamLoad& told = *word.add_loads();
-        told.set_upstream(upstream);
-        told.set_short_calls(static_cast<std::uint32_t>(load.short_calls));
-        told.set_long_calls(static_cast<std::uint32_t>(load.long_calls));
-        told.set_unread_calls(static_cast<std::uint32_t>(load.unread_calls));
-        told.set_tightest_pause_us(static_cast<std::uint64_t>(load.tightest_pause.count()));
-        told.set_suspect(load.suspected_by > 0);
-        told.set_parts(static_cast<std::uint32_t>(load.parts));
-        told.set_memory_tokens(static_cast<std::uint64_t>(load.memory_tokens));
-        told.set_reading_us(static_cast<std::uint64_t>(load.reading.count()));
+        wire::UpstreamLoad& entry = *encoded.add_loads();
+        entry.set_upstream(upstream);
+        entry.set_short_calls(static_cast<std::uint32_t>(load.short_calls));
+        entry.set_long_calls(static_cast<std::uint32_t>(load.long_calls));
+        entry.set_unread_calls(static_cast<std::uint32_t>(load.unread_calls));
+        entry.set_tightest_pause_us(static_cast<std::uint64_t>(load.tightest_pause.count()));
+        entry.set_suspect(load.suspected_by > 0);
+        entry.set_parts(static_cast<std::uint32_t>(load.parts));
+        entry.set_memory_tokens(static_cast<std::uint64_t>(load.memory_tokens));
+        entry.set_reading_us(static_cast<std::uint64_t>(load.reading.count()));
     }
-    return word.SerializeAsString();
+    return encoded.SerializeAsString();
 }
 
 auto decode_peer_message(std::string_view bytes) -> std::optional<peer_message>
 {
-    const auto word = parsed<wire::GatewayWord>(bytes);
-    if (!word || word->gateway().empty()) {
+    const auto digest = parsed<wire::GatewayDigest>(bytes);
+    if (!digest || digest->gateway().empty()) {
         return std::nullopt;
     }
     peer_message message;
-    message.word.gateway = word->gateway();
-    message.word.sequence = word->sequence();
-    message.word.address = word->address();
-    message.word.revision = word->revision();
-    message.word.leaving = word->leaving();
-    message.word.reads_source = word->reads_source();
-    message.report.whole = word->whole_loads();
-    message.word.peers.assign(word->peers().begin(), word->peers().end());
-    message.report.gateway = word->gateway();
-    message.report.sequence = word->sequence();
-    for (const wire::UpstreamLoad& told : word->loads()) {
-        direct::upstream_load& load = message.report.loads[told.upstream()];
-        load.short_calls = static_cast<std::int32_t>(told.short_calls());
-        load.long_calls = static_cast<std::int32_t>(told.long_calls());
-        load.unread_calls = static_cast<std::int32_t>(told.unread_calls());
-        load.parts = static_cast<std::int32_t>(told.parts());
-        load.memory_tokens = static_cast<std::int64_t>(told.memory_tokens());
-        load.tightest_pause = duration(static_cast<duration::rep>(told.tightest_pause_us()));
-        load.suspected_by = told.suspect() ? 1 : 0;
-        load.reading = duration(static_cast<duration::rep>(told.reading_us()));
+    message.digest.gateway = digest->gateway();
+    message.digest.sequence = digest->sequence();
+    message.digest.address = digest->address();
+    message.digest.revision = digest->revision();
+    message.digest.leaving = digest->leaving();
+    message.digest.reads_source = digest->reads_source();
+    message.report.whole = digest->whole_loads();
+    message.digest.peers.assign(digest->peers().begin(), digest->peers().end());
+    message.report.gateway = digest->gateway();
+    message.report.sequence = digest->sequence();
+    for (const wire::UpstreamLoad& encoded : digest->loads()) {
+        direct::upstream_load& load = message.report.loads[encoded.upstream()];
+        load.short_calls = static_cast<std::int32_t>(encoded.short_calls());
+        load.long_calls = static_cast<std::int32_t>(encoded.long_calls());
+        load.unread_calls = static_cast<std::int32_t>(encoded.unread_calls());
+        load.parts = static_cast<std::int32_t>(encoded.parts());
+        load.memory_tokens = static_cast<std::int64_t>(encoded.memory_tokens());
+        load.tightest_pause = duration(static_cast<duration::rep>(encoded.tightest_pause_us()));
+        load.suspected_by = encoded.suspect() ? 1 : 0;
+        load.reading = duration(static_cast<duration::rep>(encoded.reading_us()));
     }
     return message;
 }
@@ -115,11 +115,11 @@
     reply.set_as_of(extract.as_of);
     reply.set_whole(extract.whole);
     for (const direct::fleet_record& record : extract.records) {
-        wire::FleetRecord& told = *reply.add_records();
-        told.set_key(record.key);
-        told.set_value(record.value);
-        told.set_revision(record.revision);
-        told.set_removed(record.removed);
+        wire::FleetRecord& encoded = *reply.add_records();
+        encoded.set_key(record.key);
+        encoded.set_value(record.value);
+        encoded.set_revision(record.revision);
+        encoded.set_removed(record.removed);
     }
     return reply.SerializeAsString();
 }
@@ -133,8 +133,8 @@
     direct::records_extract extract;
     extract.as_of = reply->as_of();
     extract.whole = reply->whole();
-    for (const wire::FleetRecord& told : reply->records()) {
-        extract.records.push_back({told.key(), told.value(), told.revision(), told.removed()});
+    for (const wire::FleetRecord& encoded : reply->records()) {
+        extract.records.push_back({encoded.key(), encoded.value(), encoded.revision(), encoded.removed()});
     }
     return extract;
 }
@@ -364,7 +364,7 @@
 void peer_link::send(const std::string& message, const std::vector<std::string>& addresses)
 {
     for (const std::string& text : addresses) {
-        // A datagram that can't be sent is like one that is lost: the next word says it again.
+        // A datagram that can't be sent is like one that is lost: the next digest says it again.
         if (const auto where = parse_udp_endpoint(text)) {
             boost::system::error_code ignored;
             datagrams_.send_to(asio::buffer(message), where.value(), 0, ignored);
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -21,7 +21,7 @@
 /// A datagram of another gateway, decoded.
 struct peer_message
 {
-    direct::peer_word word;     ///< Who it is and what it knows.
+    direct::peer_digest digest; ///< Who it is and what it knows.
     direct::load_report report; ///< Its work in hand.
 
     friend auto operator==(const peer_message&, const peer_message&) -> bool = default;
--- a/src/edge/upstream_call.h
+++ b/src/edge/upstream_call.h
@@ -34,9 +34,10 @@
 
 /// One request at one upstream, on a connection of its own.
 ///
-/// A connection is used once. A kept one may have been dropped by the upstream without a word, may hold bytes
-/// of an earlier answer, or may deliver a late second one; each would cost a call that must not be repeated.
-/// A new connection costs about a millisecond and no processor time worth counting beside a stream's events.
+/// A connection is used once. A kept one may have been dropped by the upstream without a digest, may hold
+/// bytes of an earlier answer, or may deliver a late second one; each would cost a call that must not be
+/// repeated. A new connection costs about a millisecond and no processor time worth counting beside a
+/// stream's events.
 class upstream_call : public std::enable_shared_from_this<upstream_call>
 {
 public:
@@ -45,7 +46,7 @@
 
     /// Connects to `address` and sends `request`; `no_body` if the answer has no body whatever it says.
     void start(const std::string& address, std::string request, bool no_body);
-    /// Ends the call without a word to the receiver; the upstream sees its connection close.
+    /// Ends the call without a digest to the receiver; the upstream sees its connection close.
     void cancel();
     /// Whether a byte of the request may have left.
     [[nodiscard]] auto any_sent() const -> bool { return out_.any_sent(); }
--- a/src/gateway/caller_gate.cpp
+++ b/src/gateway/caller_admission.cpp
@@ -1,4 +1,4 @@
-#include "gateway/caller_gate.h"
+#include "gateway/caller_admission.h"
 
 #include "dragonflymill/route/prompt_blocks.h"
 #include "gateway/account_keys.h"
@@ -96,33 +96,33 @@
     return exchange_number(session.exchange());
 }
 
-caller_gate::caller_gate(caller_gate_options options, std::function<bool(arrival)> on_arrival,
-                         std::function<std::string()> metrics)
+caller_admission::caller_admission(caller_admission_options options, std::function<bool(arrival)> on_arrival,
+                                   std::function<std::string()> metrics)
     : options_(std::move(options))
     , on_arrival_(std::move(on_arrival))
     , metrics_(std::move(metrics))
 {
 }
 
-void caller_gate::adopt(std::shared_ptr<const bundle> in_force)
+void caller_admission::adopt(std::shared_ptr<const bundle> in_force)
 {
     const std::lock_guard lock(mutex_);
     in_force_ = std::move(in_force);
 }
 
-auto caller_gate::in_force() const -> std::shared_ptr<const bundle>
+auto caller_admission::in_force() const -> std::shared_ptr<const bundle>
 {
     const std::lock_guard lock(mutex_);
     return in_force_;
 }
 
-auto caller_gate::new_request() -> request_id
+auto caller_admission::new_request() -> request_id
 {
     return request_id(options_.self.text() + "-" + std::to_string(options_.start) + "-" +
                       std::to_string(++requests_));
 }
 
-void caller_gate::take(const session_ptr& session, http::http_request request)
+void caller_admission::take(const session_ptr& session, http::http_request request)
 {
     if (auto answer = answer_without_account(request)) {
         session->respond(session->exchange(), std::move(*answer));
@@ -145,13 +145,13 @@
     take_for(*account, *current, session, std::move(request), id);
 }
 
-auto caller_gate::no_room() -> http::http_response
+auto caller_admission::no_room() -> http::http_response
 {
     return refusal_response(new_request(), {refusal_code::overloaded, ran_state::no, body_retry_hint,
                                             "come back after the time given"});
 }
 
-auto caller_gate::answer_without_account(const http::http_request& request) const
+auto caller_admission::answer_without_account(const http::http_request& request) const
     -> std::optional<http::http_response>
 {
     if (request.method != "GET") {
@@ -170,7 +170,7 @@
     return std::nullopt;
 }
 
-auto caller_gate::readiness() const -> http::http_response
+auto caller_admission::readiness() const -> http::http_response
 {
     if (stopping_) {
         return {503, "text/plain", {}, "stopping\n"};
@@ -181,8 +181,8 @@
     return {200, "text/plain", {}, "ready\n"};
 }
 
-void caller_gate::take_for(const account_entry& account, const bundle& current, const session_ptr& session,
-                           http::http_request request, const request_id& id)
+void caller_admission::take_for(const account_entry& account, const bundle& current,
+                                const session_ptr& session, http::http_request request, const request_id& id)
 {
     const auto path = request.path();
     if (path == "/v1/models" && request.method == "GET") {
@@ -205,9 +205,9 @@
     }
 }
 
-void caller_gate::take_completion(const account_entry& account, const bundle& current,
-                                  const session_ptr& session, const http::http_request& request,
-                                  const request_id& id)
+void caller_admission::take_completion(const account_entry& account, const bundle& current,
+                                       const session_ptr& session, const http::http_request& request,
+                                       const request_id& id)
 {
     auto read = read_completion_request(request.body);
     if (!read) {
@@ -241,8 +241,9 @@
     hand_on(session, {std::move(held), std::move(event)});
 }
 
-void caller_gate::take_service(const account_entry& account, const bundle& current,
-                               const session_ptr& session, http::http_request request, const request_id& id)
+void caller_admission::take_service(const account_entry& account, const bundle& current,
+                                    const session_ptr& session, http::http_request request,
+                                    const request_id& id)
 {
     auto path = split_service_target(request.target);
     const auto* route = find_service(current, path.route);
@@ -283,7 +284,7 @@
     hand_on(session, {std::move(held), std::move(event)});
 }
 
-void caller_gate::hand_on(const session_ptr& session, arrival made)
+void caller_admission::hand_on(const session_ptr& session, arrival made)
 {
     const auto id = made.held.request;
     made.held.session = session;
--- a/src/gateway/caller_gate.h
+++ b/src/gateway/caller_admission.h
@@ -22,7 +22,7 @@
 };
 
 /// What a gateway's HTTP side needs to know.
-struct caller_gate_options
+struct caller_admission_options
 {
     process_id self;               ///< The gateway; part of each request's name.
     std::uint64_t start = 0;       ///< Number of this start; part of each request's name.
@@ -31,13 +31,13 @@
 
 /// Reads callers' requests: checks them against the bundle in force and hands them on. Runs on the HTTP
 /// thread, but for `adopt`, `set_ready` and `set_stopping`.
-class caller_gate
+class caller_admission
 {
 public:
     /// Hands arrivals to `on_arrival`, which says false when there is no room; `metrics` gives the metrics'
     /// text.
-    caller_gate(caller_gate_options options, std::function<bool(arrival)> on_arrival,
-                std::function<std::string()> metrics);
+    caller_admission(caller_admission_options options, std::function<bool(arrival)> on_arrival,
+                     std::function<std::string()> metrics);
 
     /// Answers or hands on one request.
     void take(const std::shared_ptr<http::http_session>& session, http::http_request request);
@@ -65,7 +65,7 @@
                       http::http_request request, const request_id& id);
     void hand_on(const session_ptr& session, arrival made);
 
-    caller_gate_options options_;
+    caller_admission_options options_;
     std::function<bool(arrival)> on_arrival_;
     std::function<std::string()> metrics_;
     mutable std::mutex mutex_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -3,8 +3,8 @@
 #include "app/version.h"
 #include "control/admin_server.h"
 #include "control/daemon_control.h"
-#include "gateway/caller_gate.h"
-#include "gateway/gateway_shell.h"
+#include "gateway/caller_admission.h"
+#include "gateway/gateway_server.h"
 #include "http/http_server.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
@@ -84,8 +84,8 @@
     boost::asio::io_context context_{1};
     boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
     boost::asio::steady_timer timer_{context_};
-    gateway::gateway_shell shell_;
-    gateway::caller_gate gate_;
+    gateway::gateway_server shell_;
+    gateway::caller_admission gate_;
     runtime::io_thread http_thread_;
     http::http_server server_;
     std::unique_ptr<control::daemon_control> control_;
--- a/src/gateway/gateway_shell.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -1,4 +1,4 @@
-#include "gateway/gateway_shell.h"
+#include "gateway/gateway_server.h"
 
 #include "app/version.h"
 #include "dragonflymill/core/stable_hash.h"
@@ -76,9 +76,9 @@
 
 } // namespace
 
-gateway_shell::gateway_shell(const gateway_settings& settings, std::string ticket_key,
-                             timeline_recorder& timeline, metrics_registry& metrics,
-                             gateway_shell_handlers handlers)
+gateway_server::gateway_server(const gateway_settings& settings, std::string ticket_key,
+                               timeline_recorder& timeline, metrics_registry& metrics,
+                               gateway_server_handlers handlers)
     : self_(settings.process.name)
     , heartbeat_{settings.heartbeat.interval, settings.heartbeat.misses, settings.heartbeat.renewal}
     , timeline_(timeline)
@@ -89,12 +89,12 @@
 {
 }
 
-void gateway_shell::start()
+void gateway_server::start()
 {
     decide_.start([this](std::optional<shell_event> event) { handle(std::move(event)); });
 }
 
-void gateway_shell::adopt(const control::control_snapshot& snapshot)
+void gateway_server::adopt(const control::control_snapshot& snapshot)
 {
     if (snapshot.in_force && snapshot.in_force != adopted_) {
         adopted_ = snapshot.in_force;
@@ -108,7 +108,7 @@
         gateway_input::gateways_changed{control::live_gateways(snapshot, self), snapshot.gateways_expected}));
 }
 
-auto gateway_shell::shares_asked(const std::vector<share_request>& requests) -> std::vector<share_grant>
+auto gateway_server::shares_asked(const std::vector<share_request>& requests) -> std::vector<share_grant>
 {
     const auto answer = std::make_shared<std::promise<std::vector<share_grant>>>();
     auto future = answer->get_future();
@@ -119,39 +119,39 @@
     return {}; // no word: the other gateway goes on with its equal parts
 }
 
-void gateway_shell::shares_granted(std::vector<share_grant> grants, instant asked)
+void gateway_server::shares_granted(std::vector<share_grant> grants, instant asked)
 {
     post(gateway_event(gateway_input::shares_granted{std::move(grants), asked}));
 }
 
-auto gateway_shell::arrived(arrival made) -> bool
+auto gateway_server::arrived(arrival made) -> bool
 {
     return decide_.post(std::move(made));
 }
 
-void gateway_shell::caller_left(std::uint64_t exchange)
+void gateway_server::caller_left(std::uint64_t exchange)
 {
     post(gateway_event(gateway_input::caller_left{exchange_number(exchange)}));
 }
 
-void gateway_shell::stop()
+void gateway_server::stop()
 {
     post(gateway_event(gateway_input::stop_asked{}));
 }
 
-void gateway_shell::join()
+void gateway_server::join()
 {
     decide_.stop();
     links_.clear();
     calls_.cancel_and_wait();
 }
 
-void gateway_shell::post(link_event event)
+void gateway_server::post(link_event event)
 {
     static_cast<void>(decide_.post_waiting(std::move(event)));
 }
 
-void gateway_shell::handle(std::optional<shell_event> event)
+void gateway_server::handle(std::optional<shell_event> event)
 {
     const auto now = runtime::now();
     if (event) {
@@ -177,7 +177,7 @@
     }
 }
 
-void gateway_shell::handle_link(link_event event)
+void gateway_server::handle_link(link_event event)
 {
     const auto now = runtime::now();
     if (const auto* answer = std::get_if<heartbeat_answered>(&event)) {
@@ -198,7 +198,7 @@
     }
 }
 
-void gateway_shell::forget_placement(const gateway_event& input)
+void gateway_server::forget_placement(const gateway_event& input)
 {
     if (const auto* refused = std::get_if<gateway_input::attempt_refused>(&input)) {
         placed_.erase(refused->key);
@@ -211,7 +211,7 @@
     }
 }
 
-void gateway_shell::note_message(const gateway_event& input)
+void gateway_server::note_message(const gateway_event& input)
 {
     if (const auto* granted = std::get_if<gateway_input::attempt_granted>(&input)) {
         note_received(granted->key, "granted", grant_message);
@@ -224,7 +224,7 @@
     }
 }
 
-void gateway_shell::note_received(const attempt_key& key, std::string_view step, std::string_view message)
+void gateway_server::note_received(const attempt_key& key, std::string_view step, std::string_view message)
 {
     const auto held = exchanges_.find(key.exchange);
     if (held != exchanges_.end() && timeline_.enabled()) {
@@ -233,7 +233,7 @@
     }
 }
 
-void gateway_shell::tick(instant now)
+void gateway_server::tick(instant now)
 {
     carry_out(core_.step(now, gateway_input::tick{}));
     publish_status(now);
@@ -252,7 +252,7 @@
     }
 }
 
-void gateway_shell::note_state(const upstream_id& upstream, upstream_state state)
+void gateway_server::note_state(const upstream_id& upstream, upstream_state state)
 {
     if (state == upstream_state::dead) {
         log_event(event::upstream_lost, field("upstream", upstream));
@@ -262,7 +262,7 @@
     }
 }
 
-void gateway_shell::publish_status(instant now)
+void gateway_server::publish_status(instant now)
 {
     if (now < next_status_) {
         return;
@@ -280,7 +280,7 @@
     status_.set(std::move(status));
 }
 
-void gateway_shell::carry_out(const std::vector<gateway_action>& actions)
+void gateway_server::carry_out(const std::vector<gateway_action>& actions)
 {
     for (const auto& action : actions) {
         carry_out(action);
@@ -294,19 +294,19 @@
     }
 }
 
-void gateway_shell::carry_out(const gateway_action& action)
+void gateway_server::carry_out(const gateway_action& action)
 {
     log_.note(action);
     std::visit([this](const auto& what) { act(what); }, action);
 }
 
-void gateway_shell::follow_up(gateway_event event)
+void gateway_server::follow_up(gateway_event event)
 {
     // Not through the ring: this thread is the one that empties it.
     follow_ups_.push_back(std::move(event));
 }
 
-void gateway_shell::act(const gateway_output::open_attempt& action)
+void gateway_server::act(const gateway_output::open_attempt& action)
 {
     const auto held = exchanges_.find(action.key.exchange);
     const auto link = links_.find(action.upstream);
@@ -331,7 +331,7 @@
     link->second->open_attempt(runtime::now(), action.key, action.spec, std::move(prompt));
 }
 
-void gateway_shell::act(const gateway_output::send_prompt& action)
+void gateway_server::act(const gateway_output::send_prompt& action)
 {
     const auto placed = placed_.find(action.key);
     const auto link = placed == placed_.end() ? links_.end() : links_.find(placed->second.upstream);
@@ -340,7 +340,7 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::cancel_attempt& action)
+void gateway_server::act(const gateway_output::cancel_attempt& action)
 {
     const auto placed = placed_.find(action.key);
     if (placed == placed_.end()) {
@@ -353,7 +353,7 @@
     placed_.erase(placed);
 }
 
-void gateway_shell::act(const gateway_output::call_service& action)
+void gateway_server::act(const gateway_output::call_service& action)
 {
     const auto link = links_.find(action.upstream);
     const bool known = link != links_.end();
@@ -367,7 +367,7 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::deliver& action)
+void gateway_server::act(const gateway_output::deliver& action)
 {
     const auto found = exchanges_.find(action.exchange);
     if (found == exchanges_.end()) {
@@ -392,7 +392,7 @@
     held.session->send_event(held.session_exchange, completion_chunk(held.request, held.model, text, ""));
 }
 
-void gateway_shell::act(const gateway_output::finish& action)
+void gateway_server::act(const gateway_output::finish& action)
 {
     const auto found = exchanges_.find(action.exchange);
     if (found == exchanges_.end()) {
@@ -416,7 +416,7 @@
     exchanges_.erase(found);
 }
 
-void gateway_shell::act(const gateway_output::refuse& action)
+void gateway_server::act(const gateway_output::refuse& action)
 {
     const auto found = exchanges_.find(action.exchange);
     if (found == exchanges_.end()) {
@@ -437,7 +437,7 @@
     exchanges_.erase(found);
 }
 
-void gateway_shell::act(const gateway_output::answer_service& action)
+void gateway_server::act(const gateway_output::answer_service& action)
 {
     const auto found = exchanges_.find(action.exchange);
     if (found != exchanges_.end()) {
@@ -446,7 +446,7 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::give_ticket& action)
+void gateway_server::act(const gateway_output::give_ticket& action)
 {
     const auto found = exchanges_.find(action.exchange);
     if (found != exchanges_.end()) {
@@ -454,7 +454,7 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::tell_running& action)
+void gateway_server::act(const gateway_output::tell_running& action)
 {
     const auto found = exchanges_.find(action.exchange);
     if (found != exchanges_.end()) {
@@ -463,7 +463,7 @@
 }
 
 template <typename Wanted>
-void gateway_shell::call_share(const Wanted& wanted)
+void gateway_server::call_share(const Wanted& wanted)
 {
     const auto link = links_.find(wanted.upstream);
     if (link != links_.end()) {
@@ -471,24 +471,24 @@
     }
 }
 
-void gateway_shell::act(const reserve_share& action)
+void gateway_server::act(const reserve_share& action)
 {
     timeline_.record(action.gang.request, "share_asked", action.upstream.text());
     call_share(action);
 }
 
-void gateway_shell::act(const renew_share& action)
+void gateway_server::act(const renew_share& action)
 {
     call_share(action);
 }
 
-void gateway_shell::act(const release_share& action)
+void gateway_server::act(const release_share& action)
 {
     timeline_.record(action.gang.request, "share_released", action.upstream.text());
     call_share(action);
 }
 
-void gateway_shell::act(const gateway_output::connect_upstreams& action)
+void gateway_server::act(const gateway_output::connect_upstreams& action)
 {
     std::set<upstream_id> wanted;
     for (const auto& upstream : action.upstreams) {
@@ -505,12 +505,12 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::ask_for_shares& action)
+void gateway_server::act(const gateway_output::ask_for_shares& action)
 {
     handlers_.ask_for_shares(action.asked);
 }
 
-void gateway_shell::act(const gateway_output::probe_load& action)
+void gateway_server::act(const gateway_output::probe_load& action)
 {
     const auto link = links_.find(action.upstream);
     if (link != links_.end()) {
@@ -518,7 +518,7 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::note_paused& action)
+void gateway_server::act(const gateway_output::note_paused& action)
 {
     const auto found = exchanges_.find(action.exchange);
     if (found != exchanges_.end()) {
@@ -528,7 +528,7 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::note_resumed& action)
+void gateway_server::act(const gateway_output::note_resumed& action)
 {
     const auto found = exchanges_.find(action.exchange);
     if (found != exchanges_.end()) {
@@ -537,19 +537,19 @@
     }
 }
 
-void gateway_shell::act(const gateway_output::all_done& /*action*/)
+void gateway_server::act(const gateway_output::all_done& /*action*/)
 {
     handlers_.on_all_done();
 }
 
-void gateway_shell::respond(exchange_number number, http::http_response response)
+void gateway_server::respond(exchange_number number, http::http_response response)
 {
     const auto found = exchanges_.find(number);
     found->second.session->respond(found->second.session_exchange, std::move(response));
     exchanges_.erase(found);
 }
 
-void gateway_shell::count_first_token(const exchange& held)
+void gateway_server::count_first_token(const exchange& held)
 {
     timeline_.record(held.request, "first_token", to_string(held.size));
     const auto waited = std::chrono::duration<double>(runtime::now() - held.arrived).count();
--- a/src/gateway/gateway_shell.h
+++ b/src/gateway/gateway_server.h
@@ -3,7 +3,7 @@
 #include "control/control_snapshot.h"
 #include "control/process_status.h"
 #include "dragonflymill/serve/gateway_core.h"
-#include "gateway/caller_gate.h"
+#include "gateway/caller_admission.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway_log.h"
 #include "gateway/link_event.h"
@@ -24,20 +24,20 @@
 
 namespace dragonflymill::gateway {
 
-/// What a gateway_shell needs of the daemon around it; called on the deciding thread.
-struct gateway_shell_handlers
+/// What a gateway_server needs of the daemon around it; called on the deciding thread.
+struct gateway_server_handlers
 {
     std::function<void()> on_all_done;                     ///< A planned stop is finished.
     std::function<void(const ask_shares&)> ask_for_shares; ///< Ask the home of accounts for shares.
 };
 
 /// The thread that decides, and the hands that carry out what it decides.
-class gateway_shell
+class gateway_server
 {
 public:
     /// A shell for `settings`.
-    gateway_shell(const gateway_settings& settings, std::string ticket_key, timeline_recorder& timeline,
-                  metrics_registry& metrics, gateway_shell_handlers handlers);
+    gateway_server(const gateway_settings& settings, std::string ticket_key, timeline_recorder& timeline,
+                   metrics_registry& metrics, gateway_server_handlers handlers);
 
     /// Starts the thread.
     void start();
@@ -116,7 +116,7 @@
     heartbeat_times heartbeat_;
     timeline_recorder& timeline_;
     metrics_registry& metrics_;
-    gateway_shell_handlers handlers_;
+    gateway_server_handlers handlers_;
     gateway_core core_;
     runtime::duty_thread<shell_event> decide_;
     std::map<exchange_number, exchange> exchanges_; // in step with what the core has in hand
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -92,7 +92,7 @@
     return self_.state == member_state::alive ? table_.digest() ^ own : table_.digest();
 }
 
-auto membership::times_told() const -> std::uint32_t
+auto membership::repeats_of_change() const -> std::uint32_t
 {
     return told_per_doubling * static_cast<std::uint32_t>(std::bit_width(table_.live_count() + 1));
 }
@@ -121,7 +121,7 @@
 void membership::add_news(datagram& message)
 {
     const auto room = std::min(settings_.news_bytes, budget_);
-    news_.fill(message, room, times_told());
+    news_.fill(message, room, repeats_of_change());
     if (!drains_.empty() && message.drains.empty()) {
         message.drains.push_back(drains_[next_drain_++ % drains_.size()]);
     }
--- a/src/membership/membership_receive.cpp
+++ b/src/membership/membership_receive.cpp
@@ -137,7 +137,7 @@
     }
 }
 
-void membership::answer_ack(const ack_message& ack, const std::optional<bundle_word>& word)
+void membership::answer_ack(const ack_message& ack, const std::optional<bundle_notice>& word)
 {
     if (!probe_ || probe_->sequence != ack.sequence) {
         return;
--- a/src/membership/news_queue.cpp
+++ b/src/membership/news_queue.cpp
@@ -43,7 +43,7 @@
     members_[update.info.id] = {update, 0};
 }
 
-void news_queue::add(const drain_word& word)
+void news_queue::add(const drain_notice& word)
 {
     if (!drains_.contains(word.subject)) {
         make_room(drains_, max_drains);
@@ -77,7 +77,7 @@
     }
 }
 
-auto size_bound(const drain_word& word) -> std::size_t
+auto size_bound(const drain_notice& word) -> std::size_t
 {
     const auto* domain = std::get_if<failure_domain_id>(&word.subject);
     return fixed_drain_bytes +
--- a/src/order/order_keeper.cpp
+++ b/src/order/order_tracker.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/order/order_keeper.h"
+#include "dragonflymill/order/order_tracker.h"
 
 #include "dragonflymill/core/assert.h"
 #include "dragonflymill/core/guard.h"
@@ -55,7 +55,7 @@
     });
 }
 
-order_keeper::order_keeper(order_keeper_options options, std::uint64_t seed)
+order_tracker::order_tracker(order_tracker_options options, std::uint64_t seed)
     : options_(options)
     , random_(seed)
     , sent_(options.started)
@@ -64,7 +64,7 @@
 {
 }
 
-void order_keeper::declare(instant now, declared_engine wanted)
+void order_tracker::declare(instant now, declared_engine wanted)
 {
     if (wanted_ && wanted.version <= wanted_->version) {
         return;
@@ -78,12 +78,12 @@
     raise_fence();
 }
 
-void order_keeper::raise_fence()
+void order_tracker::raise_fence()
 {
     fence_ = std::max(fence_, fence_of(wanted_->version, options_.start_seconds));
 }
 
-void order_keeper::engine_read(const engine_view& view)
+void order_tracker::engine_read(const engine_view& view)
 {
     if (view_ && view.asked < view_->asked) {
         return;
@@ -102,13 +102,13 @@
     }
 }
 
-auto order_keeper::concerns(const model_id& model) const -> bool
+auto order_tracker::concerns(const model_id& model) const -> bool
 {
     const bool declared = wanted_ && contains(wanted_->models, model);
     return declared || (view_ && contains(view_->models, model));
 }
 
-void order_keeper::replicas(const model_id& model, replica_view view)
+void order_tracker::replicas(const model_id& model, replica_view view)
 {
     std::erase_if(replicas_, [&](const auto& known) { return !concerns(known.first); });
     if (concerns(model)) {
@@ -116,19 +116,19 @@
     }
 }
 
-auto order_keeper::fresh_view(instant now, const model_id& model) const -> std::optional<replica_view>
+auto order_tracker::fresh_view(instant now, const model_id& model) const -> std::optional<replica_view>
 {
     const auto known = replicas_.find(model);
     const bool fresh = known != replicas_.end() && now - known->second.seen <= options_.longest_view_age;
     return fresh ? std::optional(known->second) : std::nullopt;
 }
 
-auto order_keeper::holds_own_lease(instant now) const -> bool
+auto order_tracker::holds_own_lease(instant now) const -> bool
 {
     return own_lease_ && now < *own_lease_;
 }
 
-auto order_keeper::hindered(instant now) -> std::optional<order_wait>
+auto order_tracker::hindered(instant now) -> std::optional<order_wait>
 {
     if (!wanted_) {
         return order_wait::no_bundle;
@@ -158,7 +158,7 @@
     return now < backoff_until_ ? std::optional(order_wait::backoff) : std::nullopt;
 }
 
-auto order_keeper::next(instant now) -> order_step
+auto order_tracker::next(instant now) -> order_step
 {
     if (const auto reason = hindered(now)) {
         return *reason;
@@ -180,7 +180,7 @@
     return *order;
 }
 
-auto order_keeper::difference() const -> std::optional<engine_order>
+auto order_tracker::difference() const -> std::optional<engine_order>
 {
     engine_order order;
     order.fence = fence_;
@@ -208,7 +208,7 @@
     return std::nullopt;
 }
 
-auto order_keeper::load_hindered(instant now, const model_id& model) -> std::optional<order_wait>
+auto order_tracker::load_hindered(instant now, const model_id& model) -> std::optional<order_wait>
 {
     waiting_since_ = waiting_since_.value_or(now);
     if (!load_turn_) {
@@ -237,7 +237,7 @@
     return std::nullopt;
 }
 
-auto order_keeper::unload_hindered(instant now, const model_id& model) -> std::optional<order_wait>
+auto order_tracker::unload_hindered(instant now, const model_id& model) -> std::optional<order_wait>
 {
     waiting_since_ = waiting_since_.value_or(now);
     // Still wanted elsewhere: not before another replica can take its requests. Without word from the others
@@ -248,7 +248,7 @@
     return !covered && patient ? std::optional(order_wait::others_loading) : std::nullopt;
 }
 
-auto order_keeper::sending(instant now, const engine_order& order) -> bool
+auto order_tracker::sending(instant now, const engine_order& order) -> bool
 {
     const order_step step = next(now);
     if (!std::holds_alternative<engine_order>(step) || std::get<engine_order>(step) != order) {
@@ -262,7 +262,7 @@
     return true;
 }
 
-void order_keeper::answered(instant now, order_result how)
+void order_tracker::answered(instant now, order_result how)
 {
     if (!on_its_way_) {
         return;
@@ -279,7 +279,7 @@
     fail(now);
 }
 
-void order_keeper::fail(instant now)
+void order_tracker::fail(instant now)
 {
     const duration longest =
         std::min(options_.retry_base * (1U << std::min(failures_, max_doublings)), options_.retry_limit);
--- a/src/serve/attempt_desk.cpp
+++ b/src/serve/attempt_tracker.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/serve/attempt_desk.h"
+#include "dragonflymill/serve/attempt_tracker.h"
 
 #include "dragonflymill/core/assert.h"
 #include "dragonflymill/core/guard.h"
@@ -51,8 +51,8 @@
     return spec.request.text() + "." + std::to_string(spec.attempt.value());
 }
 
-attempt_desk::attempt_desk(permit_gate& gate, duration cancel_backoff, std::string warm_ups,
-                           const stream_watch_options& watch)
+attempt_tracker::attempt_tracker(permit_controller& gate, duration cancel_backoff, std::string warm_ups,
+                                 const stream_watch_options& watch)
     : gate_(gate)
     , cancel_backoff_(cancel_backoff)
     , watch_(watch)
@@ -60,7 +60,7 @@
 {
 }
 
-void attempt_desk::warm_up(instant now, const model_id& model, std::vector<sidecar_action>& actions)
+void attempt_tracker::warm_up(instant now, const model_id& model, std::vector<sidecar_action>& actions)
 {
     const auto cost = warm_up_share(gate_.warm_up_cost(now));
     if (warm_up_ || model.empty() || now < next_warm_up_ || cost <= warm_up_answer) {
@@ -98,21 +98,21 @@
         sidecar_output::start_warm_up{call, engine_request_of(held.spec), held.spec, held.limit.end()});
 }
 
-void attempt_desk::end_warm_up(instant now, std::vector<sidecar_action>& actions)
+void attempt_tracker::end_warm_up(instant now, std::vector<sidecar_action>& actions)
 {
     if (warm_up_) {
         end_with(now, attempts_.find(*warm_up_), refusal_code::cancelled, actions);
     }
 }
 
-void attempt_desk::tell(const attempt& held, sidecar_action action, std::vector<sidecar_action>& actions)
+void attempt_tracker::tell(const attempt& held, sidecar_action action, std::vector<sidecar_action>& actions)
 {
     if (!held.own) {
         actions.push_back(std::move(action));
     }
 }
 
-auto attempt_desk::add(call_number call, attempt&& made) -> attempt&
+auto attempt_tracker::add(call_number call, attempt&& made) -> attempt&
 {
     const auto [held, is_new] = attempts_.emplace(call, std::move(made));
     DRAGONFLYMILL_ASSERT(is_new, "each call has a number of its own");
@@ -122,8 +122,8 @@
     return held->second;
 }
 
-void attempt_desk::opened(instant now, const sidecar_input::attempt_opened& input,
-                          std::vector<sidecar_action>& actions)
+void attempt_tracker::opened(instant now, const sidecar_input::attempt_opened& input,
+                             std::vector<sidecar_action>& actions)
 {
     const auto& spec = input.spec;
     gateway_heard(now, spec.gateway);
@@ -144,14 +144,14 @@
     actions.push_back(sidecar_output::grant_attempt{input.call, lease});
 }
 
-void attempt_desk::opened_under(instant now, const sidecar_input::attempt_opened& input, lease_id lease,
-                                std::vector<sidecar_action>& actions)
+void attempt_tracker::opened_under(instant now, const sidecar_input::attempt_opened& input, lease_id lease,
+                                   std::vector<sidecar_action>& actions)
 {
     add(input.call, attempt{input.spec, lease, deadline_budget(now, input.spec.remaining)});
     actions.push_back(sidecar_output::grant_attempt{input.call, lease});
 }
 
-void attempt_desk::share_ended(instant now, lease_id lease, std::vector<sidecar_action>& actions)
+void attempt_tracker::share_ended(instant now, lease_id lease, std::vector<sidecar_action>& actions)
 {
     const auto call = by_lease_.find(lease);
     if (call != by_lease_.end()) {
@@ -159,7 +159,7 @@
     }
 }
 
-void attempt_desk::give_back(instant now, const attempt& held, work_outcome outcome)
+void attempt_tracker::give_back(instant now, const attempt& held, work_outcome outcome)
 {
     // The span that a try computed stays at the engine, and the share keeps its permit until it is released.
     if (!held.spec.is_export()) {
@@ -167,7 +167,7 @@
     }
 }
 
-void attempt_desk::prompt_received(instant now, call_number call, std::vector<sidecar_action>& actions)
+void attempt_tracker::prompt_received(instant now, call_number call, std::vector<sidecar_action>& actions)
 {
     const auto held = attempts_.find(call);
     if (held == attempts_.end() || held->second.now_in != phase::waiting_for_prompt) {
@@ -188,7 +188,7 @@
         sidecar_output::start_stream{call, engine_request_of(it.spec), it.spec, it.limit.end()});
 }
 
-void attempt_desk::cancelled(instant now, call_number call, std::vector<sidecar_action>& actions)
+void attempt_tracker::cancelled(instant now, call_number call, std::vector<sidecar_action>& actions)
 {
     const auto held = attempts_.find(call);
     if (held == attempts_.end()) {
@@ -197,7 +197,7 @@
     end_with(now, held, refusal_code::cancelled, actions);
 }
 
-void attempt_desk::gateway_heard(instant now, const process_id& gateway)
+void attempt_tracker::gateway_heard(instant now, const process_id& gateway)
 {
     const auto calls = by_gateway_.find(gateway);
     if (calls == by_gateway_.end()) {
@@ -209,8 +209,8 @@
     }
 }
 
-void attempt_desk::tokens(instant now, const sidecar_input::engine_tokens& input,
-                          std::vector<sidecar_action>& actions)
+void attempt_tracker::tokens(instant now, const sidecar_input::engine_tokens& input,
+                             std::vector<sidecar_action>& actions)
 {
     const auto held = attempts_.find(input.call);
     if (held == attempts_.end()) {
@@ -224,8 +224,8 @@
     tell(held->second, sidecar_output::send_tokens{input.call, input.offset, input.tokens}, actions);
 }
 
-void attempt_desk::finished(instant now, const sidecar_input::engine_finished& input,
-                            std::vector<sidecar_action>& actions)
+void attempt_tracker::finished(instant now, const sidecar_input::engine_finished& input,
+                               std::vector<sidecar_action>& actions)
 {
     const auto held = attempts_.find(input.call);
     if (held == attempts_.end()) {
@@ -240,8 +240,8 @@
     forget(held);
 }
 
-void attempt_desk::failed(instant now, const sidecar_input::engine_failed& input,
-                          std::vector<sidecar_action>& actions)
+void attempt_tracker::failed(instant now, const sidecar_input::engine_failed& input,
+                             std::vector<sidecar_action>& actions)
 {
     const auto held = attempts_.find(input.call);
     if (held == attempts_.end()) {
@@ -272,8 +272,8 @@
     cancel_at_engine(now, held, actions);
 }
 
-void attempt_desk::reconcile(instant now, const sidecar_input::engine_reported& report,
-                             std::vector<sidecar_action>& actions)
+void attempt_tracker::reconcile(instant now, const sidecar_input::engine_reported& report,
+                                std::vector<sidecar_action>& actions)
 {
     const bool started_anew = engine_start_ != incarnation{} && report.word.start != engine_start_;
     engine_start_ = report.word.start;
@@ -297,7 +297,7 @@
     }
 }
 
-void attempt_desk::cancel_confirmed(instant now, const std::string& engine_request)
+void attempt_tracker::cancel_confirmed(instant now, const std::string& engine_request)
 {
     const auto pending = cancels_.find(engine_request);
     if (pending == cancels_.end()) {
@@ -307,7 +307,8 @@
     cancels_.erase(pending);
 }
 
-void attempt_desk::permit_ended(instant now, const ended_permit& ended, std::vector<sidecar_action>& actions)
+void attempt_tracker::permit_ended(instant now, const ended_permit& ended,
+                                   std::vector<sidecar_action>& actions)
 {
     const auto call = by_lease_.find(ended.lease);
     if (call == by_lease_.end()) {
@@ -334,7 +335,7 @@
     }
 }
 
-void attempt_desk::tick(instant now, std::vector<sidecar_action>& actions)
+void attempt_tracker::tick(instant now, std::vector<sidecar_action>& actions)
 {
     gateway_heard(now, process_id(warm_ups_)); // a warm-up is this process's own
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
@@ -351,13 +352,13 @@
     }
 }
 
-auto attempt_desk::find(call_number call) const -> const attempt_spec*
+auto attempt_tracker::find(call_number call) const -> const attempt_spec*
 {
     const auto held = attempts_.find(call);
     return held == attempts_.end() ? nullptr : &held->second.spec;
 }
 
-void attempt_desk::give_up_silent(instant now, std::vector<sidecar_action>& actions)
+void attempt_tracker::give_up_silent(instant now, std::vector<sidecar_action>& actions)
 {
     for (const auto call : watch_.silent(now, gate_.trusted_first_token_line())) {
         const auto held = attempts_.find(call);
@@ -368,7 +369,7 @@
     }
 }
 
-auto attempt_desk::queued_prefill() const -> std::array<token_count, length_class_count>
+auto attempt_tracker::queued_prefill() const -> std::array<token_count, length_class_count>
 {
     std::array<token_count, length_class_count> queued{};
     for (const auto& [call, held] : attempts_) {
@@ -379,14 +380,14 @@
     return queued;
 }
 
-auto attempt_desk::running() const -> std::int64_t
+auto attempt_tracker::running() const -> std::int64_t
 {
     return std::count_if(attempts_.begin(), attempts_.end(),
                          [](const auto& item) { return item.second.now_in == phase::decoding; });
 }
 
-void attempt_desk::end_with(instant now, attempts::iterator held, refusal_code code,
-                            std::vector<sidecar_action>& actions)
+void attempt_tracker::end_with(instant now, attempts::iterator held, refusal_code code,
+                               std::vector<sidecar_action>& actions)
 {
     const bool begun = held->second.now_in != phase::waiting_for_prompt;
     const auto ran = begun ? ran_state::unknown : ran_state::no;
@@ -399,8 +400,8 @@
     forget(held);
 }
 
-void attempt_desk::cancel_at_engine(instant now, attempts::iterator held,
-                                    std::vector<sidecar_action>& actions)
+void attempt_tracker::cancel_at_engine(instant now, attempts::iterator held,
+                                       std::vector<sidecar_action>& actions)
 {
     const auto engine_request = engine_request_of(held->second.spec);
     const auto lease = held->second.spec.is_export() ? lease_id{} : held->second.lease;
@@ -409,7 +410,7 @@
     forget(held);
 }
 
-void attempt_desk::forget(attempts::iterator held)
+void attempt_tracker::forget(attempts::iterator held)
 {
     const auto call = held->first;
     watch_.ended(call);
