--- a/src/serve/completion_desk.cpp
+++ b/src/serve/completion_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/serve/completion_desk.h"
+#include "dragonflymill/serve/completion_dispatcher.h"
 
 #include "dragonflymill/core/assert.h"
 
@@ -31,8 +31,8 @@
 
 } // namespace
 
-completion_desk::completion_desk(process_id self, gateway_router& routes, retry_rules& rules,
-                                 gang_desk& gangs, std::size_t capacity)
+completion_dispatcher::completion_dispatcher(process_id self, gateway_router& routes, retry_rules& rules,
+                                             gang_dispatcher& gangs, std::size_t capacity)
     : self_(std::move(self))
     , routes_(routes)
     , rules_(rules)
@@ -42,8 +42,8 @@
 {
 }
 
-void completion_desk::arrived(instant now, const gateway_input::completion_arrived& input,
-                              std::vector<gateway_action>& actions)
+void completion_dispatcher::arrived(instant now, const gateway_input::completion_arrived& input,
+                                    std::vector<gateway_action>& actions)
 {
     const auto held = take_in(now, input, actions);
     if (held != requests_.end()) {
@@ -51,8 +51,8 @@
     }
 }
 
-void completion_desk::arrived_on_hold(instant now, const gateway_input::completion_arrived& input,
-                                      std::vector<gateway_action>& actions)
+void completion_dispatcher::arrived_on_hold(instant now, const gateway_input::completion_arrived& input,
+                                            std::vector<gateway_action>& actions)
 {
     const auto held = take_in(now, input, actions);
     if (held != requests_.end()) {
@@ -61,7 +61,7 @@
     }
 }
 
-void completion_desk::pause(instant now, exchange_number exchange, std::vector<gateway_action>& actions)
+void completion_dispatcher::pause(instant now, exchange_number exchange, std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(exchange);
     if (held == requests_.end() || held->second.on_hold) {
@@ -86,7 +86,8 @@
     actions.push_back(gateway_output::note_paused{exchange});
 }
 
-void completion_desk::resume(instant now, exchange_number exchange, std::vector<gateway_action>& actions)
+void completion_dispatcher::resume(instant now, exchange_number exchange,
+                                   std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(exchange);
     if (held == requests_.end() || !held->second.on_hold || held->second.limit.expired(now)) {
@@ -98,8 +99,8 @@
     dispatch(now, held, actions);
 }
 
-auto completion_desk::take_in(instant now, const gateway_input::completion_arrived& input,
-                              std::vector<gateway_action>& actions) -> requests::iterator
+auto completion_dispatcher::take_in(instant now, const gateway_input::completion_arrived& input,
+                                    std::vector<gateway_action>& actions) -> requests::iterator
 {
     if (requests_.size() >= capacity_) {
         actions.push_back(gateway_output::refuse{
@@ -120,7 +121,8 @@
     return made.first;
 }
 
-void completion_desk::dispatch(instant now, requests::iterator held, std::vector<gateway_action>& actions)
+void completion_dispatcher::dispatch(instant now, requests::iterator held,
+                                     std::vector<gateway_action>& actions)
 {
     auto& item = held->second;
     if (gangs_.needed(item.routing)) {
@@ -145,9 +147,9 @@
     open(now, held, item.routing, std::get<route_choice>(decision), nullptr, actions);
 }
 
-void completion_desk::open(instant now, requests::iterator held, const route_request& routing,
-                           const route_choice& choice, const gang_decode* gang,
-                           std::vector<gateway_action>& actions)
+void completion_dispatcher::open(instant now, requests::iterator held, const route_request& routing,
+                                 const route_choice& choice, const gang_decode* gang,
+                                 std::vector<gateway_action>& actions)
 {
     auto& item = held->second;
     item.running = item.joiner.attempt();
@@ -172,7 +174,7 @@
                                                    std::move(spec), choice.reason});
 }
 
-void completion_desk::decode(instant now, const gang_decode& made, std::vector<gateway_action>& actions)
+void completion_dispatcher::decode(instant now, const gang_decode& made, std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(made.exchange);
     if (held == requests_.end() || held->second.on_hold) {
@@ -186,7 +188,7 @@
     open(now, held, part, choice, &made, actions);
 }
 
-void completion_desk::lost(instant now, const gang_lost& loss, std::vector<gateway_action>& actions)
+void completion_dispatcher::lost(instant now, const gang_lost& loss, std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(loss.exchange);
     if (held == requests_.end() || held->second.on_hold) {
@@ -206,7 +208,7 @@
     }
 }
 
-void completion_desk::granted(instant now, const attempt_key& key, std::vector<gateway_action>& actions)
+void completion_dispatcher::granted(instant now, const attempt_key& key, std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(key.exchange);
     const bool wanted =
@@ -221,8 +223,8 @@
     actions.push_back(gateway_output::send_prompt{key});
 }
 
-void completion_desk::refused(instant now, const gateway_input::attempt_refused& input,
-                              std::vector<gateway_action>& actions)
+void completion_dispatcher::refused(instant now, const gateway_input::attempt_refused& input,
+                                    std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(input.key.exchange);
     if (held == requests_.end()) {
@@ -241,8 +243,8 @@
     act_on(now, held, item.joiner.step(now, loss), input.why, actions);
 }
 
-void completion_desk::tokens(instant now, const gateway_input::attempt_tokens& input,
-                             std::vector<gateway_action>& actions)
+void completion_dispatcher::tokens(instant now, const gateway_input::attempt_tokens& input,
+                                   std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(input.key.exchange);
     if (held == requests_.end()) {
@@ -257,8 +259,8 @@
     act_on(now, held, item.joiner.step(now, chunk), refusal{}, actions);
 }
 
-void completion_desk::finished(instant now, const gateway_input::attempt_finished& input,
-                               std::vector<gateway_action>& actions)
+void completion_dispatcher::finished(instant now, const gateway_input::attempt_finished& input,
+                                     std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(input.key.exchange);
     if (held == requests_.end()) {
@@ -273,7 +275,8 @@
     act_on(now, held, item.joiner.step(now, end), refusal{}, actions);
 }
 
-void completion_desk::caller_left(instant now, exchange_number exchange, std::vector<gateway_action>& actions)
+void completion_dispatcher::caller_left(instant now, exchange_number exchange,
+                                        std::vector<gateway_action>& actions)
 {
     const auto held = requests_.find(exchange);
     if (held != requests_.end()) {
@@ -281,7 +284,7 @@
     }
 }
 
-void completion_desk::tick(instant now, std::vector<gateway_action>& actions)
+void completion_dispatcher::tick(instant now, std::vector<gateway_action>& actions)
 {
     for (const auto& timer : timers_.advance(now)) {
         const auto held = requests_.find(timer.key.exchange);
@@ -309,8 +312,8 @@
     }
 }
 
-void completion_desk::act_on(instant now, requests::iterator held, std::vector<stream_output> outputs,
-                             const refusal& why, std::vector<gateway_action>& actions)
+void completion_dispatcher::act_on(instant now, requests::iterator held, std::vector<stream_output> outputs,
+                                   const refusal& why, std::vector<gateway_action>& actions)
 {
     const auto exchange = held->first;
     for (auto& output : outputs) {
@@ -338,8 +341,8 @@
     watch_gap(held);
 }
 
-void completion_desk::try_again(instant now, requests::iterator held, const refusal& why,
-                                std::vector<gateway_action>& actions)
+void completion_dispatcher::try_again(instant now, requests::iterator held, const refusal& why,
+                                      std::vector<gateway_action>& actions)
 {
     auto& item = held->second;
     if (!item.at.empty()) {
@@ -366,8 +369,8 @@
     set_other_timer(held, when, due::retry);
 }
 
-void completion_desk::give_up(instant now, requests::iterator held, const refusal& why,
-                              std::vector<gateway_action>& actions)
+void completion_dispatcher::give_up(instant now, requests::iterator held, const refusal& why,
+                                    std::vector<gateway_action>& actions)
 {
     auto said = why;
     // Guards against a false "not run": the last try was surely not run, but an earlier one may have been.
@@ -379,14 +382,14 @@
     forget(now, held, actions);
 }
 
-void completion_desk::end_attempt(instant now, request& item)
+void completion_dispatcher::end_attempt(instant now, request& item)
 {
     routes_.table().finished(now, item.at, item.asked.request, item.running);
     item.at = upstream_id{};
 }
 
-auto completion_desk::wait_again(instant now, requests::iterator held, refusal_code code, duration after)
-    -> bool
+auto completion_dispatcher::wait_again(instant now, requests::iterator held, refusal_code code,
+                                       duration after) -> bool
 {
     auto& item = held->second;
     if (!item.was_on_hold || !is_passing(code)) {
@@ -401,7 +404,7 @@
     return true;
 }
 
-void completion_desk::watch_gap(requests::iterator held)
+void completion_dispatcher::watch_gap(requests::iterator held)
 {
     auto& item = held->second;
     const auto wake = item.joiner.next_wake();
@@ -410,7 +413,7 @@
     }
 }
 
-void completion_desk::set_other_timer(requests::iterator held, instant at, due why)
+void completion_dispatcher::set_other_timer(requests::iterator held, instant at, due why)
 {
     auto& item = held->second;
     if (item.other_timer) {
@@ -421,7 +424,7 @@
     item.other_timer = timer.value();
 }
 
-void completion_desk::forget(instant now, requests::iterator held, std::vector<gateway_action>& actions)
+void completion_dispatcher::forget(instant now, requests::iterator held, std::vector<gateway_action>& actions)
 {
     auto& item = held->second;
     if (!item.at.empty()) {
--- a/src/serve/gang_desk.cpp
+++ b/src/serve/gang_dispatcher.cpp
@@ -1,7 +1,7 @@
-#include "dragonflymill/serve/gang_desk.h"
+#include "dragonflymill/serve/gang_dispatcher.h"
 
 #include "dragonflymill/gang/gang_candidates.h"
-#include "dragonflymill/serve/share_desk.h"
+#include "dragonflymill/serve/share_coordinator.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,7 +18,7 @@
 
 } // namespace
 
-gang_desk::gang_desk(process_id self, const upstream_table& table, std::uint64_t seed)
+gang_dispatcher::gang_dispatcher(process_id self, const upstream_table& table, std::uint64_t seed)
     : self_(std::move(self))
     , table_(table)
     , seed_(seed)
@@ -26,14 +26,14 @@
 {
 }
 
-auto gang_desk::needed(const route_request& request) const -> bool
+auto gang_dispatcher::needed(const route_request& request) const -> bool
 {
     return needs_gang(table_, request.model, request.adapter, request.prompt_tokens + request.max_tokens,
                       gang_part);
 }
 
-void gang_desk::start(instant now, const gateway_input::completion_arrived& asked,
-                      const deadline_budget& limit, actions_out& actions)
+void gang_dispatcher::start(instant now, const gateway_input::completion_arrived& asked,
+                            const deadline_budget& limit, actions_out& actions)
 {
     if (under_way() >= gang_settings{}.max_gangs) {
         outcomes_.emplace_back(gang_lost{
@@ -55,7 +55,7 @@
     carry_out(now, planner_of(item).start(now, wanted, round, limit, candidates), actions);
 }
 
-void gang_desk::give_back(instant now, exchange_number exchange, actions_out& actions)
+void gang_dispatcher::give_back(instant now, exchange_number exchange, actions_out& actions)
 {
     const auto held = gangs_.find(exchange);
     if (held == gangs_.end()) {
@@ -67,24 +67,24 @@
     carry_out(now, planner_of(item).finish(now, item.asked.request), actions);
 }
 
-void gang_desk::finish(instant now, exchange_number exchange, actions_out& actions)
+void gang_dispatcher::finish(instant now, exchange_number exchange, actions_out& actions)
 {
     give_back(now, exchange, actions);
     gangs_.erase(exchange);
 }
 
-auto gang_desk::is_export(const attempt_key& key) -> bool
+auto gang_dispatcher::is_export(const attempt_key& key) -> bool
 {
     return key.attempt.value() >= first_export;
 }
 
-auto gang_desk::may_have_run(exchange_number exchange) const -> bool
+auto gang_dispatcher::may_have_run(exchange_number exchange) const -> bool
 {
     const auto held = gangs_.find(exchange);
     return held != gangs_.end() && held->second.text_sent;
 }
 
-void gang_desk::granted(const attempt_key& key, actions_out& actions)
+void gang_dispatcher::granted(const attempt_key& key, actions_out& actions)
 {
     const auto held = gangs_.find(key.exchange);
     // Guards against a grant that comes after the gang was given up: the text would start work for nobody.
@@ -96,7 +96,7 @@
     actions.emplace_back(gateway_output::send_prompt{key});
 }
 
-void gang_desk::refused(instant now, const gateway_input::attempt_refused& input, actions_out& actions)
+void gang_dispatcher::refused(instant now, const gateway_input::attempt_refused& input, actions_out& actions)
 {
     const auto held = find_export(input.key);
     if (held == gangs_.end()) {
@@ -109,7 +109,8 @@
     outcomes_.emplace_back(gang_lost{input.key.exchange, std::move(why), false});
 }
 
-void gang_desk::finished(instant now, const gateway_input::attempt_finished& input, actions_out& actions)
+void gang_dispatcher::finished(instant now, const gateway_input::attempt_finished& input,
+                               actions_out& actions)
 {
     const auto held = find_export(input.key);
     if (held == gangs_.end()) {
@@ -123,14 +124,14 @@
     next_span(now, held, actions);
 }
 
-void gang_desk::step(instant now, const share_granted& granted, actions_out& actions)
+void gang_dispatcher::step(instant now, const share_granted& granted, actions_out& actions)
 {
     const auto held = find(granted.gang.request);
     auto& planner = held == gangs_.end() ? late_ : planner_of(held->second);
     carry_out(now, planner.step(now, granted), actions);
 }
 
-void gang_desk::step(instant now, const share_refused& refused, actions_out& actions)
+void gang_dispatcher::step(instant now, const share_refused& refused, actions_out& actions)
 {
     const auto held = find(refused.gang.request);
     if (held != gangs_.end()) {
@@ -138,7 +139,7 @@
     }
 }
 
-void gang_desk::step(instant now, const share_released& released)
+void gang_dispatcher::step(instant now, const share_released& released)
 {
     late_.step(now, released);
     for (auto& [model, planner] : planners_) {
@@ -146,14 +147,14 @@
     }
 }
 
-void gang_desk::upstream_gone(instant now, const upstream_id& upstream, actions_out& actions)
+void gang_dispatcher::upstream_gone(instant now, const upstream_id& upstream, actions_out& actions)
 {
     for (auto& [model, planner] : planners_) {
         carry_out(now, planner.upstream_gone(now, upstream), actions);
     }
 }
 
-void gang_desk::tick(instant now, actions_out& actions)
+void gang_dispatcher::tick(instant now, actions_out& actions)
 {
     const auto is_due = [now](const gang_planner& planner) {
         const auto wake = planner.next_wake();
@@ -172,7 +173,7 @@
     }
 }
 
-auto gang_desk::releases() const -> std::size_t
+auto gang_dispatcher::releases() const -> std::size_t
 {
     auto sum = late_.releases();
     for (const auto& [model, planner] : planners_) {
@@ -181,36 +182,36 @@
     return sum;
 }
 
-auto gang_desk::planner_of(const gang& item) -> gang_planner&
+auto gang_dispatcher::planner_of(const gang& item) -> gang_planner&
 {
     const model_key model{item.asked.model, item.asked.adapter};
     return planners_.try_emplace(model, seed_).first->second;
 }
 
-auto gang_desk::find(const request_id& request) -> gangs::iterator
+auto gang_dispatcher::find(const request_id& request) -> gangs::iterator
 {
     return std::find_if(gangs_.begin(), gangs_.end(),
                         [&](const auto& each) { return each.second.asked.request == request; });
 }
 
-auto gang_desk::find_export(const attempt_key& key) -> gangs::iterator
+auto gang_dispatcher::find_export(const attempt_key& key) -> gangs::iterator
 {
     const auto held = gangs_.find(key.exchange);
     return held != gangs_.end() && held->second.exporting == key.attempt ? held : gangs_.end();
 }
 
-auto gang_desk::candidates_of(const model_key& model) const -> std::vector<gang_candidate>
+auto gang_dispatcher::candidates_of(const model_key& model) const -> std::vector<gang_candidate>
 {
     return gang_candidates(table_, model.first, model.second, gang_part);
 }
 
-auto gang_desk::under_way() const -> std::size_t
+auto gang_dispatcher::under_way() const -> std::size_t
 {
     return static_cast<std::size_t>(std::count_if(
         gangs_.begin(), gangs_.end(), [](const auto& each) { return each.second.state != phase::idle; }));
 }
 
-void gang_desk::carry_out(instant now, std::vector<gang_output> outputs, actions_out& actions)
+void gang_dispatcher::carry_out(instant now, std::vector<gang_output> outputs, actions_out& actions)
 {
     for (auto& output : outputs) {
         if (auto* reserve = std::get_if<reserve_share>(&output)) {
@@ -232,7 +233,7 @@
     }
 }
 
-void gang_desk::note_round(const gang_key& key)
+void gang_dispatcher::note_round(const gang_key& key)
 {
     const auto held = find(key.request);
     if (held != gangs_.end()) {
@@ -240,7 +241,7 @@
     }
 }
 
-void gang_desk::ready(instant now, const gang_ready& made, actions_out& actions)
+void gang_dispatcher::ready(instant now, const gang_ready& made, actions_out& actions)
 {
     const auto held = find(made.gang.request);
     if (held == gangs_.end()) {
@@ -251,7 +252,7 @@
     next_span(now, held, actions);
 }
 
-void gang_desk::next_span(instant now, gangs::iterator held, actions_out& actions)
+void gang_dispatcher::next_span(instant now, gangs::iterator held, actions_out& actions)
 {
     auto& item = held->second;
     const auto& span = item.spans[item.computed.size()];
@@ -283,7 +284,7 @@
         gateway_output::open_attempt{span.upstream, {held->first, item.exporting}, std::move(spec)});
 }
 
-void gang_desk::failed(const gang_failed& lost, actions_out& actions)
+void gang_dispatcher::failed(const gang_failed& lost, actions_out& actions)
 {
     const auto held = find(lost.gang.request);
     if (held == gangs_.end()) {
@@ -296,7 +297,7 @@
     outcomes_.emplace_back(gang_lost{held->first, lost.why, never_ready});
 }
 
-void gang_desk::end_export(exchange_number exchange, gang& item, actions_out& actions)
+void gang_dispatcher::end_export(exchange_number exchange, gang& item, actions_out& actions)
 {
     if (item.exporting != attempt_number{0}) {
         actions.emplace_back(gateway_output::cancel_attempt{{exchange, item.exporting}});
--- a/src/serve/gateway_core.cpp
+++ b/src/serve/gateway_core.cpp
@@ -260,7 +260,7 @@
 
 void gateway_core::take(instant now, const gateway_input::attempt_granted& input, actions_out& actions)
 {
-    if (gang_desk::is_export(input.key)) {
+    if (gang_dispatcher::is_export(input.key)) {
         gangs_.granted(input.key, actions);
         return;
     }
@@ -269,7 +269,7 @@
 
 void gateway_core::take(instant now, const gateway_input::attempt_refused& input, actions_out& actions)
 {
-    if (gang_desk::is_export(input.key)) {
+    if (gang_dispatcher::is_export(input.key)) {
         gangs_.refused(now, input, actions);
         return;
     }
@@ -284,7 +284,7 @@
 
 void gateway_core::take(instant now, const gateway_input::attempt_finished& input, actions_out& actions)
 {
-    if (gang_desk::is_export(input.key)) {
+    if (gang_dispatcher::is_export(input.key)) {
         gangs_.finished(now, input, actions);
         return;
     }
--- a/src/serve/call_desk.cpp
+++ b/src/serve/keyed_call_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/serve/call_desk.h"
+#include "dragonflymill/serve/keyed_call_dispatcher.h"
 
 #include "dragonflymill/core/assert.h"
 #include "dragonflymill/once/key_home.h"
@@ -31,7 +31,8 @@
 
 } // namespace
 
-call_desk::call_desk(gateway_router& routes, retry_rules& rules, std::string ticket_key, std::size_t capacity)
+keyed_call_dispatcher::keyed_call_dispatcher(gateway_router& routes, retry_rules& rules,
+                                             std::string ticket_key, std::size_t capacity)
     : routes_(routes)
     , rules_(rules)
     , tickets_(std::move(ticket_key))
@@ -40,7 +41,7 @@
 {
 }
 
-void call_desk::routes_changed(const std::vector<service_route_entry>& routes)
+void keyed_call_dispatcher::routes_changed(const std::vector<service_route_entry>& routes)
 {
     services_.clear();
     for (const auto& route : routes) {
@@ -48,8 +49,8 @@
     }
 }
 
-void call_desk::arrived(instant now, const gateway_input::service_arrived& input,
-                        std::vector<gateway_action>& actions)
+void keyed_call_dispatcher::arrived(instant now, const gateway_input::service_arrived& input,
+                                    std::vector<gateway_action>& actions)
 {
     const auto refuse = [&](refusal why) {
         actions.push_back(gateway_output::refuse{input.exchange, std::move(why)});
@@ -83,7 +84,7 @@
     dispatch(now, made.first, actions);
 }
 
-auto call_desk::home_for(const service_spec& spec) const -> result<std::optional<upstream_id>>
+auto keyed_call_dispatcher::home_for(const service_spec& spec) const -> result<std::optional<upstream_id>>
 {
     if (!spec.ticket.empty()) {
         const auto ticket = tickets_.decode(spec.ticket);
@@ -99,7 +100,7 @@
     return home_of(home_key(spec.route, spec.account, spec.idempotency_key), configured);
 }
 
-auto call_desk::choose(instant now, const call& item) -> route_decision
+auto keyed_call_dispatcher::choose(instant now, const call& item) -> route_decision
 {
     // A ticket is minted by any sidecar: nothing runs for it. Every other call with a home goes there or
     // nowhere.
@@ -117,7 +118,7 @@
     return route_choice{*item.home, route_reason::only_candidate};
 }
 
-void call_desk::dispatch(instant now, calls::iterator held, std::vector<gateway_action>& actions)
+void keyed_call_dispatcher::dispatch(instant now, calls::iterator held, std::vector<gateway_action>& actions)
 {
     auto& item = held->second;
     const auto decision = choose(now, item);
@@ -141,8 +142,8 @@
                                                    item.asked.wish, std::move(spec)});
 }
 
-void call_desk::answered(instant now, const gateway_input::service_answered& input,
-                         std::vector<gateway_action>& actions)
+void keyed_call_dispatcher::answered(instant now, const gateway_input::service_answered& input,
+                                     std::vector<gateway_action>& actions)
 {
     const auto held = find(input.key);
     if (held == calls_.end()) {
@@ -153,8 +154,8 @@
     forget(now, held);
 }
 
-void call_desk::ticket_given(instant now, const gateway_input::ticket_given& input,
-                             std::vector<gateway_action>& actions)
+void keyed_call_dispatcher::ticket_given(instant now, const gateway_input::ticket_given& input,
+                                         std::vector<gateway_action>& actions)
 {
     const auto held = find(input.key);
     if (held == calls_.end()) {
@@ -164,8 +165,8 @@
     forget(now, held);
 }
 
-void call_desk::running(instant now, const gateway_input::service_running& input,
-                        std::vector<gateway_action>& actions)
+void keyed_call_dispatcher::running(instant now, const gateway_input::service_running& input,
+                                    std::vector<gateway_action>& actions)
 {
     const auto held = find(input.key);
     if (held == calls_.end()) {
@@ -175,8 +176,8 @@
     forget(now, held);
 }
 
-void call_desk::refused(instant now, const gateway_input::service_refused& input,
-                        std::vector<gateway_action>& actions)
+void keyed_call_dispatcher::refused(instant now, const gateway_input::service_refused& input,
+                                    std::vector<gateway_action>& actions)
 {
     const auto held = find(input.key);
     if (held == calls_.end()) {
@@ -212,7 +213,7 @@
     item.retry_timer = timer.value();
 }
 
-void call_desk::caller_left(instant now, exchange_number exchange)
+void keyed_call_dispatcher::caller_left(instant now, exchange_number exchange)
 {
     const auto held = calls_.find(exchange);
     if (held != calls_.end()) {
@@ -220,7 +221,7 @@
     }
 }
 
-void call_desk::tick(instant now, std::vector<gateway_action>& actions)
+void keyed_call_dispatcher::tick(instant now, std::vector<gateway_action>& actions)
 {
     for (const auto& timer : timers_.advance(now)) {
         const auto held = calls_.find(timer.key.exchange);
@@ -241,7 +242,7 @@
     }
 }
 
-auto call_desk::find(const attempt_key& key) -> calls::iterator
+auto keyed_call_dispatcher::find(const attempt_key& key) -> calls::iterator
 {
     const auto held = calls_.find(key.exchange);
     const bool current =
@@ -249,13 +250,13 @@
     return current ? held : calls_.end();
 }
 
-void call_desk::end_attempt(instant now, call& item)
+void keyed_call_dispatcher::end_attempt(instant now, call& item)
 {
     routes_.table().finished(now, item.at, item.asked.spec.request, item.attempt);
     item.at = upstream_id{};
 }
 
-void call_desk::forget(instant now, calls::iterator held)
+void keyed_call_dispatcher::forget(instant now, calls::iterator held)
 {
     auto& item = held->second;
     if (!item.at.empty()) {
--- a/src/serve/order_desk.cpp
+++ b/src/serve/order_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/serve/order_desk.h"
+#include "dragonflymill/serve/order_dispatcher.h"
 
 #include "dragonflymill/core/stable_hash.h"
 
@@ -17,7 +17,7 @@
     return std::find(all.begin(), all.end(), one) != all.end();
 }
 
-auto keeper_options(const order_desk_options& options) -> order_keeper_options
+auto keeper_options(const order_dispatcher_options& options) -> order_tracker_options
 {
     auto made = options.keeper;
     made.answer_limit = until_engine_tells;
@@ -44,13 +44,13 @@
     return group;
 }
 
-order_desk::order_desk(const order_desk_options& options, std::uint64_t seed)
+order_dispatcher::order_dispatcher(const order_dispatcher_options& options, std::uint64_t seed)
     : options_(options)
     , keeper_(keeper_options(options), seed)
 {
 }
 
-void order_desk::declared(instant now, const sidecar_input::declared_changed& input)
+void order_dispatcher::declared(instant now, const sidecar_input::declared_changed& input)
 {
     wanted_ = input.wanted;
     replicas_ = input.replicas;
@@ -60,7 +60,7 @@
     }
 }
 
-void order_desk::engine_read(instant now, const sidecar_input::engine_reported& report)
+void order_dispatcher::engine_read(instant now, const sidecar_input::engine_reported& report)
 {
     models_ = report.view.models;
     loading_ = report.loading;
@@ -69,7 +69,7 @@
     keeper_.engine_read(report.view);
 }
 
-void order_desk::look_at_load(instant now, const engine_view& view)
+void order_dispatcher::look_at_load(instant now, const engine_view& view)
 {
     // A look taken right after the order may still tell of the engine as it was before.
     const bool taken = given_ && given_->taken && view.asked >= *given_->taken + options_.keeper.reread_after;
@@ -79,7 +79,7 @@
     end_order(now, contains(models_, given_->order.model) ? order_result::done : order_result::failed);
 }
 
-void order_desk::answered(instant now, const sidecar_input::order_answered& answer)
+void order_dispatcher::answered(instant now, const sidecar_input::order_answered& answer)
 {
     if (!given_ || given_->number != answer.number || given_->taken) {
         return;
@@ -91,13 +91,13 @@
     end_order(now, answer.how);
 }
 
-void order_desk::end_order(instant now, order_result how)
+void order_dispatcher::end_order(instant now, order_result how)
 {
     given_.reset();
     keeper_.answered(now, how);
 }
 
-void order_desk::answered(const sidecar_input::sidecar_answered& answer)
+void order_dispatcher::answered(const sidecar_input::sidecar_answered& answer)
 {
     // An answer to an earlier round's question tells of an earlier time than this round claims.
     if (!round_ || answer.asked < round_->asked) {
@@ -110,7 +110,7 @@
     }
 }
 
-auto order_desk::loading() const -> std::vector<model_id>
+auto order_dispatcher::loading() const -> std::vector<model_id>
 {
     auto all = loading_;
     const bool load_given = given_ && given_->order.kind == order_kind::load_model;
@@ -120,7 +120,7 @@
     return all;
 }
 
-void order_desk::tick(instant now, instant own_lease, std::vector<sidecar_action>& actions)
+void order_dispatcher::tick(instant now, instant own_lease, std::vector<sidecar_action>& actions)
 {
     keeper_.renew_own_lease(own_lease);
     if (given_ && !given_->taken && now - given_->sent >= options_.answer_limit) {
@@ -141,12 +141,12 @@
         sidecar_output::give_order{orders_, *order, std::min(now + options_.answer_limit, own_lease)});
 }
 
-auto order_desk::is_wanted(const model_id& model) const -> bool
+auto order_dispatcher::is_wanted(const model_id& model) const -> bool
 {
     return contains(wanted_->models, model);
 }
 
-auto order_desk::due_model() const -> std::optional<model_id>
+auto order_dispatcher::due_model() const -> std::optional<model_id>
 {
     const auto extra =
         std::find_if(models_.begin(), models_.end(), [this](const auto& model) { return !is_wanted(model); });
@@ -158,7 +158,7 @@
     return missing == wanted_->models.end() ? std::nullopt : std::optional(*missing);
 }
 
-void order_desk::look_at_replicas(instant now, std::vector<sidecar_action>& actions)
+void order_dispatcher::look_at_replicas(instant now, std::vector<sidecar_action>& actions)
 {
     const auto model = due_model();
     if (!model) {
@@ -172,7 +172,7 @@
     tell_replicas(now);
 }
 
-void order_desk::ask_replicas(instant now, const model_id& model, std::vector<sidecar_action>& actions)
+void order_dispatcher::ask_replicas(instant now, const model_id& model, std::vector<sidecar_action>& actions)
 {
     round_ = question_round{model, now, {}, false};
     const auto known = std::find_if(replicas_.begin(), replicas_.end(),
@@ -192,7 +192,7 @@
     }
 }
 
-void order_desk::tell_replicas(instant now)
+void order_dispatcher::tell_replicas(instant now)
 {
     const auto& others = round_->others;
     const auto answers = static_cast<std::size_t>(std::count_if(
--- a/src/serve/overload_desk.cpp
+++ b/src/serve/overload_controller.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/serve/overload_desk.h"
+#include "dragonflymill/serve/overload_controller.h"
 
 #include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/route/first_token_prediction.h"
@@ -38,14 +38,15 @@
 } // namespace
 
 template <overload_policy Policy>
-overload_desk<Policy>::overload_desk(const upstream_table& upstreams, overload_desk_settings settings)
+overload_controller<Policy>::overload_controller(const upstream_table& upstreams,
+                                                 overload_controller_settings settings)
     : upstreams_(upstreams)
     , settings_(settings)
 {
 }
 
 template <overload_policy Policy>
-void overload_desk<Policy>::bundle_adopted(const bundle& in_force)
+void overload_controller<Policy>::bundle_adopted(const bundle& in_force)
 {
     const auto gone = [&in_force](const auto& each) {
         return std::none_of(in_force.models.begin(), in_force.models.end(),
@@ -68,7 +69,7 @@
 }
 
 template <overload_policy Policy>
-auto overload_desk<Policy>::load(instant now, const model_id& model) const -> load_signal
+auto overload_controller<Policy>::load(instant now, const model_id& model) const -> load_signal
 {
     duration all{0};
     duration::rep count = 0;
@@ -82,7 +83,7 @@
 }
 
 template <overload_policy Policy>
-auto overload_desk<Policy>::offered(instant now, const gateway_input::completion_arrived& asked) const
+auto overload_controller<Policy>::offered(instant now, const gateway_input::completion_arrived& asked) const
     -> offered_work
 {
     token_count memory = 0;
@@ -102,7 +103,7 @@
 }
 
 template <overload_policy Policy>
-auto overload_desk<Policy>::offer(instant now, const gateway_input::completion_arrived& asked)
+auto overload_controller<Policy>::offer(instant now, const gateway_input::completion_arrived& asked)
     -> overload_answer
 {
     const auto found = models_.find(asked.model);
@@ -130,7 +131,7 @@
 }
 
 template <overload_policy Policy>
-void overload_desk<Policy>::sent(exchange_number exchange)
+void overload_controller<Policy>::sent(exchange_number exchange)
 {
     const auto found = held_.find(exchange);
     if (found != held_.end()) {
@@ -139,7 +140,7 @@
 }
 
 template <overload_policy Policy>
-void overload_desk<Policy>::prefilled(exchange_number exchange)
+void overload_controller<Policy>::prefilled(exchange_number exchange)
 {
     const auto found = held_.find(exchange);
     if (found != held_.end()) {
@@ -148,7 +149,7 @@
 }
 
 template <overload_policy Policy>
-void overload_desk<Policy>::ended(instant now, exchange_number exchange, bool in_time)
+void overload_controller<Policy>::ended(instant now, exchange_number exchange, bool in_time)
 {
     const auto found = held_.find(exchange);
     if (found == held_.end()) {
@@ -162,7 +163,7 @@
 }
 
 template <overload_policy Policy>
-void overload_desk<Policy>::left(exchange_number exchange)
+void overload_controller<Policy>::left(exchange_number exchange)
 {
     const auto found = held_.find(exchange);
     if (found == held_.end()) {
@@ -178,7 +179,7 @@
 }
 
 template <overload_policy Policy>
-auto overload_desk<Policy>::review(instant now) -> overload_review
+auto overload_controller<Policy>::review(instant now) -> overload_review
 {
     overload_review made;
     if (now < next_review_) {
@@ -196,8 +197,8 @@
 }
 
 template <overload_policy Policy>
-void overload_desk<Policy>::pause_some(instant now, const load_signal& load, const model_id& model,
-                                       model_work& held, overload_review& review)
+void overload_controller<Policy>::pause_some(instant now, const load_signal& load, const model_id& model,
+                                             model_work& held, overload_review& review)
 {
     // Only before the first token: a pause costs the prefill once more, and decoding takes little.
     std::vector<running_work> running;
@@ -216,8 +217,8 @@
 }
 
 template <overload_policy Policy>
-void overload_desk<Policy>::resume_some(instant now, const load_signal& load, model_work& held,
-                                        overload_review& review)
+void overload_controller<Policy>::resume_some(instant now, const load_signal& load, model_work& held,
+                                              overload_review& review)
 {
     // A stop waits for all that is in hand: what is paused goes on at once then, behind all else by its
     // priority at the engine.
@@ -233,7 +234,7 @@
 }
 
 template <overload_policy Policy>
-auto overload_desk<Policy>::paused() const -> std::size_t
+auto overload_controller<Policy>::paused() const -> std::size_t
 {
     std::size_t count = 0;
     for (const auto& [model, held] : models_) {
@@ -242,9 +243,9 @@
     return count;
 }
 
-template class overload_desk<no_shedding>;
-template class overload_desk<random_shedding>;
-template class overload_desk<priority_shedding>;
-template class overload_desk<contribution_shedding>;
+template class overload_controller<no_shedding>;
+template class overload_controller<random_shedding>;
+template class overload_controller<priority_shedding>;
+template class overload_controller<contribution_shedding>;
 
 } // namespace dragonflymill
--- a/src/serve/service_desk.cpp
+++ b/src/serve/service_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/serve/service_desk.h"
+#include "dragonflymill/serve/service_dispatcher.h"
 
 #include "dragonflymill/core/assert.h"
 
@@ -57,7 +57,7 @@
     return {refusal_code::deadline, ran_state::no, duration::zero(), "allow more time"};
 }
 
-auto service_desk::once_call_of(const service_spec& spec) const -> once_call
+auto service_dispatcher::once_call_of(const service_spec& spec) const -> once_call
 {
     const auto body = digest_of({spec.method, spec.target, spec.content_type, spec.body});
     const call_owner owner{spec.route, spec.account, remember_for(spec.route)};
@@ -70,13 +70,13 @@
     return {owner, name, body};
 }
 
-auto service_desk::remember_for(const route_id& route) const -> duration
+auto service_dispatcher::remember_for(const route_id& route) const -> duration
 {
     const auto found = remember_.find(route);
     return found == remember_.end() ? default_remember_for : found->second;
 }
 
-void service_desk::routes_changed(instant now, const std::vector<sidecar_input::route_view>& routes)
+void service_dispatcher::routes_changed(instant now, const std::vector<sidecar_input::route_view>& routes)
 {
     remember_.clear();
     for (const auto& view : routes) {
@@ -85,15 +85,15 @@
     }
 }
 
-service_desk::service_desk(permit_gate& gate, once_ledger& ledger, const upstream_id& self)
+service_dispatcher::service_dispatcher(permit_controller& gate, once_ledger& ledger, const upstream_id& self)
     : gate_(gate)
     , ledger_(ledger)
     , homes_(key_home_options{.self = self})
 {
 }
 
-void service_desk::ticket_asked(instant now, const sidecar_input::ticket_asked& input,
-                                std::vector<sidecar_action>& actions)
+void service_dispatcher::ticket_asked(instant now, const sidecar_input::ticket_asked& input,
+                                      std::vector<sidecar_action>& actions)
 {
     auto minted = ledger_.mint(now, {input.spec.route, input.spec.account, remember_for(input.spec.route)});
     if (auto* refused = std::get_if<refusal>(&minted)) {
@@ -103,8 +103,8 @@
     actions.push_back(sidecar_output::give_ticket{input.call, std::get<once_minted>(minted).text});
 }
 
-void service_desk::called(instant now, const sidecar_input::service_called& input,
-                          std::vector<sidecar_action>& actions)
+void service_dispatcher::called(instant now, const sidecar_input::service_called& input,
+                                std::vector<sidecar_action>& actions)
 {
     const bool named = !input.spec.ticket.empty() || !input.spec.idempotency_key.empty();
     if (named && !input.spec.idempotent) {
@@ -116,8 +116,8 @@
     }
 }
 
-void service_desk::run_once(instant now, const sidecar_input::service_called& input,
-                            std::vector<sidecar_action>& actions)
+void service_dispatcher::run_once(instant now, const sidecar_input::service_called& input,
+                                  std::vector<sidecar_action>& actions)
 {
     const auto call = once_call_of(input.spec);
     const auto before = ledger_.look(now, call);
@@ -144,8 +144,8 @@
     run(now, input, granted->serial, *lease, actions);
 }
 
-auto service_desk::ask_permit(instant now, const sidecar_input::service_called& input,
-                              std::vector<sidecar_action>& actions) -> std::optional<lease_id>
+auto service_dispatcher::ask_permit(instant now, const sidecar_input::service_called& input,
+                                    std::vector<sidecar_action>& actions) -> std::optional<lease_id>
 {
     const auto answer = gate_.ask(now, permit_ask{input.spec.gateway, length_class::interactive, 1, 0});
     if (const auto* refused = std::get_if<refusal>(&answer)) {
@@ -155,9 +155,9 @@
     return std::get<permit>(answer).lease;
 }
 
-void service_desk::run(instant now, const sidecar_input::service_called& input,
-                       std::optional<call_serial> serial, lease_id lease,
-                       std::vector<sidecar_action>& actions)
+void service_dispatcher::run(instant now, const sidecar_input::service_called& input,
+                             std::optional<call_serial> serial, lease_id lease,
+                             std::vector<sidecar_action>& actions)
 {
     const deadline_budget limit(now, input.spec.remaining);
     const bool may_send =
@@ -176,8 +176,8 @@
     actions.push_back(sidecar_output::run_service{input.call, input.spec, not_after, limit.remaining(now)});
 }
 
-void service_desk::status_asked(instant now, const sidecar_input::status_asked& input,
-                                std::vector<sidecar_action>& actions)
+void service_dispatcher::status_asked(instant now, const sidecar_input::status_asked& input,
+                                      std::vector<sidecar_action>& actions)
 {
     auto call = once_call_of(input.spec);
     // Guards against a false "not run": the question has no body, or another than the call asked about, and
@@ -186,8 +186,8 @@
     tell(ledger_.status(now, call), input.call, actions);
 }
 
-void service_desk::answered(instant now, const sidecar_input::service_answered& input,
-                            std::vector<sidecar_action>& actions)
+void service_dispatcher::answered(instant now, const sidecar_input::service_answered& input,
+                                  std::vector<sidecar_action>& actions)
 {
     const auto held = running_.find(input.call);
     if (held == running_.end()) {
@@ -205,8 +205,8 @@
     running_.erase(held);
 }
 
-void service_desk::broken(instant now, const sidecar_input::service_broken& input,
-                          std::vector<sidecar_action>& actions)
+void service_dispatcher::broken(instant now, const sidecar_input::service_broken& input,
+                                std::vector<sidecar_action>& actions)
 {
     const auto held = running_.find(input.call);
     if (held == running_.end()) {
@@ -229,7 +229,7 @@
     running_.erase(held);
 }
 
-void service_desk::cancelled(call_number call)
+void service_dispatcher::cancelled(call_number call)
 {
     waiting_.erase(call);
     const auto held = running_.find(call);
@@ -238,7 +238,7 @@
     }
 }
 
-void service_desk::tick(instant now, std::vector<sidecar_action>& actions)
+void service_dispatcher::tick(instant now, std::vector<sidecar_action>& actions)
 {
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         if (it->second.until > now) {
@@ -253,7 +253,8 @@
     }
 }
 
-void service_desk::tell(const once_outcome& outcome, call_number call, std::vector<sidecar_action>& actions)
+void service_dispatcher::tell(const once_outcome& outcome, call_number call,
+                              std::vector<sidecar_action>& actions)
 {
     if (const auto* replay = std::get_if<once_replay>(&outcome)) {
         actions.push_back(sidecar_output::answer_service{call, replay->answer, true});
@@ -275,8 +276,8 @@
     }
 }
 
-void service_desk::tell_waiting(call_serial serial, const once_outcome& outcome,
-                                std::vector<sidecar_action>& actions)
+void service_dispatcher::tell_waiting(call_serial serial, const once_outcome& outcome,
+                                      std::vector<sidecar_action>& actions)
 {
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         if (it->second.serial != serial) {
--- a/src/serve/share_desk.cpp
+++ b/src/serve/share_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/serve/share_desk.h"
+#include "dragonflymill/serve/share_coordinator.h"
 
 #include "dragonflymill/core/guard.h"
 
@@ -37,15 +37,15 @@
     return gang.request.text() + "." + std::to_string(gang.round.value()) + "." + upstream.text();
 }
 
-share_desk::share_desk(permit_gate& gate, upstream_id self, std::uint64_t seed)
+share_coordinator::share_coordinator(permit_controller& gate, upstream_id self, std::uint64_t seed)
     : gate_(gate)
     , self_(std::move(self))
     , leases_(table_options(), seed)
 {
 }
 
-void share_desk::asked(instant now, const sidecar_input::share_asked& input,
-                       std::vector<sidecar_action>& actions)
+void share_coordinator::asked(instant now, const sidecar_input::share_asked& input,
+                              std::vector<sidecar_action>& actions)
 {
     const auto held = shares_.find(input.wanted.gang);
     if (held == shares_.end()) {
@@ -59,8 +59,8 @@
     actions.push_back(sidecar_output::grant_share{input.call, held->second.lease, input.wanted.ask});
 }
 
-void share_desk::reserve(instant now, const sidecar_input::share_asked& input,
-                         std::vector<sidecar_action>& actions)
+void share_coordinator::reserve(instant now, const sidecar_input::share_asked& input,
+                                std::vector<sidecar_action>& actions)
 {
     const auto& wanted = input.wanted;
     if (wanted.tokens <= 0 || wanted.hold > share_term) {
@@ -92,8 +92,8 @@
     actions.push_back(sidecar_output::grant_share{input.call, lease.value().lease, wanted.ask});
 }
 
-void share_desk::refuse(instant now, const sidecar_input::share_asked& input, refusal why,
-                        std::vector<sidecar_action>& actions)
+void share_coordinator::refuse(instant now, const sidecar_input::share_asked& input, refusal why,
+                               std::vector<sidecar_action>& actions)
 {
     const bool in_line = may_wait(input.wanted, why);
     if (in_line) {
@@ -102,7 +102,7 @@
     actions.push_back(sidecar_output::refuse_share{input.call, std::move(why), in_line});
 }
 
-auto share_desk::may_wait(const reserve_share& wanted, const refusal& why) const -> bool
+auto share_coordinator::may_wait(const reserve_share& wanted, const refusal& why) const -> bool
 {
     // A line is for streams, which are about to end. Gangs in the way may stay for long, and may themselves
     // wait for the one that would wait here.
@@ -115,26 +115,26 @@
            shared <= gate_.largest_cost(length_class::gang);
 }
 
-auto share_desk::line_for_another(instant now, const gang_key& gang) const -> bool
+auto share_coordinator::line_for_another(instant now, const gang_key& gang) const -> bool
 {
     return line_ && line_->until > now && line_->gang != gang;
 }
 
-auto share_desk::keeps_line(instant now, const attempt_spec& spec) const -> bool
+auto share_coordinator::keeps_line(instant now, const attempt_spec& spec) const -> bool
 {
     const bool is_long = spec.size == length_class::bulk || spec.size == length_class::gang;
     return is_long && spec.share == lease_id{} && line_ && line_->until > now;
 }
 
-auto share_desk::renew(instant now, const share& held) -> bool
+auto share_coordinator::renew(instant now, const share& held) -> bool
 {
     const bool spans = std::all_of(held.imports.begin(), held.imports.end(),
                                    [&](lease_id lease) { return leases_.renew(now, lease); });
     return leases_.renew(now, held.lease) && spans;
 }
 
-void share_desk::renewal_asked(instant now, const sidecar_input::share_renewal_asked& input,
-                               std::vector<sidecar_action>& actions)
+void share_coordinator::renewal_asked(instant now, const sidecar_input::share_renewal_asked& input,
+                                      std::vector<sidecar_action>& actions)
 {
     const auto held = shares_.find(input.wanted.gang);
     const bool same = held != shares_.end() && held->second.lease == input.wanted.lease &&
@@ -147,8 +147,8 @@
     actions.push_back(sidecar_output::grant_share{input.call, held->second.lease, input.wanted.ask});
 }
 
-void share_desk::returned(instant now, const sidecar_input::share_returned& input,
-                          std::vector<sidecar_action>& actions)
+void share_coordinator::returned(instant now, const sidecar_input::share_returned& input,
+                                 std::vector<sidecar_action>& actions)
 {
     const auto held = shares_.find(input.gang);
     if (held != shares_.end() && held->second.gateway == input.gateway) {
@@ -160,7 +160,7 @@
     actions.push_back(sidecar_output::confirm_share_return{input.call});
 }
 
-auto share_desk::use(instant now, const attempt_spec& spec) -> std::optional<lease_id>
+auto share_coordinator::use(instant now, const attempt_spec& spec) -> std::optional<lease_id>
 {
     const auto held = std::find_if(shares_.begin(), shares_.end(),
                                    [&](const auto& item) { return item.second.lease == spec.share; });
@@ -192,7 +192,7 @@
     return item.permit;
 }
 
-void share_desk::exported(const std::string& span)
+void share_coordinator::exported(const std::string& span)
 {
     for (auto& [gang, held] : shares_) {
         if (held.span == span) {
@@ -201,7 +201,7 @@
     }
 }
 
-void share_desk::span_released(instant now, const std::string& span)
+void share_coordinator::span_released(instant now, const std::string& span)
 {
     leases_.confirmed(kv_name(span));
     const auto freed = freeing_.find(span);
@@ -211,7 +211,7 @@
     }
 }
 
-void share_desk::permit_ended(instant now, const ended_permit& ended)
+void share_coordinator::permit_ended(instant now, const ended_permit& ended)
 {
     const auto held = std::find_if(shares_.begin(), shares_.end(),
                                    [&](const auto& item) { return item.second.permit == ended.lease; });
@@ -220,7 +220,7 @@
     }
 }
 
-void share_desk::reconcile(instant now, const sidecar_input::engine_reported& report)
+void share_coordinator::reconcile(instant now, const sidecar_input::engine_reported& report)
 {
     engine_inventory inventory{now, report.word.start, {}};
     for (const auto& each : report.held) {
@@ -247,7 +247,7 @@
     });
 }
 
-void share_desk::tick(instant now, std::vector<sidecar_action>& actions)
+void share_coordinator::tick(instant now, std::vector<sidecar_action>& actions)
 {
     for (const auto& [gang, held] : shares_) {
         if (held.used_for != use_of::answer) {
@@ -264,7 +264,7 @@
     }
 }
 
-void share_desk::close_owner_of(instant now, lease_id lease)
+void share_coordinator::close_owner_of(instant now, lease_id lease)
 {
     const auto held = std::find_if(shares_.begin(), shares_.end(), [&](const auto& item) {
         const auto& imports = item.second.imports;
@@ -275,7 +275,7 @@
     }
 }
 
-void share_desk::close(instant now, shares::iterator held)
+void share_coordinator::close(instant now, shares::iterator held)
 {
     const auto& item = held->second;
     leases_.release(now, item.lease);
--- a/src/serve/sidecar_core.cpp
+++ b/src/serve/sidecar_core.cpp
@@ -11,9 +11,9 @@
 /// When a long prompt may come back that met a gang's place in line.
 constexpr duration line_retry = 500ms;
 
-auto order_options(instant now, const sidecar_core_options& options) -> order_desk_options
+auto order_options(instant now, const sidecar_core_options& options) -> order_dispatcher_options
 {
-    order_desk_options made;
+    order_dispatcher_options made;
     made.self = options.ledger.upstream;
     made.keeper.start_seconds = options.start_seconds;
     made.keeper.started = now;
@@ -34,7 +34,7 @@
     , orders_(order_options(now, options), options.seed)
     , last_step_(now)
     , reported_at_(now)
-    , knows_capacity_(options.gate.ramp.ceiling > permit_gate_options{}.ramp.ceiling)
+    , knows_capacity_(options.gate.ramp.ceiling > permit_controller_options{}.ramp.ceiling)
 {
 }
 
--- a/src/sidecar/sidecar_daemon.cpp
+++ b/src/sidecar/sidecar_daemon.cpp
@@ -6,7 +6,7 @@
 #include "log/logger.h"
 #include "runtime/text_file.h"
 #include "sidecar/gate_server.h"
-#include "sidecar/sidecar_shell.h"
+#include "sidecar/sidecar_server.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -36,7 +36,7 @@
 
 private:
     [[nodiscard]] auto serve(std::string ticket_key) -> int;
-    [[nodiscard]] auto open_control(sidecar::sidecar_shell& shell, std::function<void()> on_superseded)
+    [[nodiscard]] auto open_control(sidecar::sidecar_server& shell, std::function<void()> on_superseded)
         -> result<std::unique_ptr<control::daemon_control>>;
 
     const sidecar_settings& settings_;
@@ -80,7 +80,7 @@
             context_.stop();
         });
     };
-    sidecar::sidecar_shell shell(
+    sidecar::sidecar_server shell(
         settings_, std::move(ticket_key), timeline_, [end] { end(exit_ok); },
         [end] { end(exit_superseded); });
     auto control = open_control(shell, [end] { end(exit_superseded); });
@@ -130,7 +130,7 @@
     return exit_code_;
 }
 
-auto sidecar_daemon::open_control(sidecar::sidecar_shell& shell, std::function<void()> on_superseded)
+auto sidecar_daemon::open_control(sidecar::sidecar_server& shell, std::function<void()> on_superseded)
     -> result<std::unique_ptr<control::daemon_control>>
 {
     control::control_plane_handlers handlers;
--- a/src/sidecar/sidecar_shell.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -1,4 +1,4 @@
-#include "sidecar/sidecar_shell.h"
+#include "sidecar/sidecar_server.h"
 
 #include "app/version.h"
 #include "rpc/wire_convert.h"
@@ -31,9 +31,9 @@
 
 } // namespace
 
-sidecar_shell::sidecar_shell(const sidecar_settings& settings, std::string ticket_key,
-                             timeline_recorder& timeline, std::function<void()> on_all_done,
-                             std::function<void()> on_superseded)
+sidecar_server::sidecar_server(const sidecar_settings& settings, std::string ticket_key,
+                               timeline_recorder& timeline, std::function<void()> on_all_done,
+                               std::function<void()> on_superseded)
     : self_(settings.upstream.id)
     , process_(settings.process.name)
     , timeline_(timeline)
@@ -55,7 +55,7 @@
 {
 }
 
-auto sidecar_shell::core_options(const sidecar_settings& settings, std::string ticket_key) const
+auto sidecar_server::core_options(const sidecar_settings& settings, std::string ticket_key) const
     -> sidecar_core_options
 {
     sidecar_core_options options;
@@ -82,13 +82,13 @@
     return options;
 }
 
-void sidecar_shell::start()
+void sidecar_server::start()
 {
     decide_.start([this](std::optional<shell_event> event) { handle(std::move(event)); });
     upstream_thread_.start();
 }
 
-void sidecar_shell::adopt(const control::control_snapshot& snapshot)
+void sidecar_server::adopt(const control::control_snapshot& snapshot)
 {
     post(sidecar_input::peers_changed{!snapshot.members.empty()});
     if (!snapshot.in_force || !snapshot.ready) {
@@ -108,7 +108,7 @@
     post(sidecar_input::drain_changed{!control::accepts_new_work(snapshot, own->domain, own->host)});
 }
 
-void sidecar_shell::adopt_bundle(const bundle& in_force, const upstream_entry& own)
+void sidecar_server::adopt_bundle(const bundle& in_force, const upstream_entry& own)
 {
     sidecar_input::routes_changed routes;
     for (const auto& route : in_force.service_routes) {
@@ -127,25 +127,25 @@
     }
 }
 
-void sidecar_shell::stop()
+void sidecar_server::stop()
 {
     post(sidecar_input::stop_asked{});
 }
 
-void sidecar_shell::join()
+void sidecar_server::join()
 {
     decide_.stop();
     upstream_thread_.stop();
 }
 
-void sidecar_shell::post(sidecar_event event)
+void sidecar_server::post(sidecar_event event)
 {
     // The poster waits for room: it reads from the upstream, which then waits too. Nothing of an answer is
     // lost.
     static_cast<void>(decide_.post_waiting(std::move(event)));
 }
 
-void sidecar_shell::handle(std::optional<shell_event> event)
+void sidecar_server::handle(std::optional<shell_event> event)
 {
     const auto now = runtime::now();
     if (event) {
@@ -174,7 +174,7 @@
     }
 }
 
-void sidecar_shell::publish_status(instant now)
+void sidecar_server::publish_status(instant now)
 {
     if (now < next_status_) {
         return;
@@ -196,7 +196,7 @@
     order_log_.note(core_.acts(now), core_.orders().superseded());
 }
 
-void sidecar_shell::answer_heartbeat(const heartbeat_event& event)
+void sidecar_server::answer_heartbeat(const heartbeat_event& event)
 {
     wire::heartbeat_pong pong;
     pong.set_number(event.number);
@@ -215,7 +215,7 @@
     event.connection->answer(std::move(pong));
 }
 
-void sidecar_shell::carry_out(const std::vector<sidecar_action>& actions)
+void sidecar_server::carry_out(const std::vector<sidecar_action>& actions)
 {
     for (const auto& action : actions) {
         tries_.note(action);
@@ -225,7 +225,7 @@
     }
 }
 
-void sidecar_shell::act(const sidecar_output::grant_attempt& action)
+void sidecar_server::act(const sidecar_output::grant_attempt& action)
 {
     if (const auto call = gate_.find_attempt(action.call)) {
         wire::attempt_event event;
@@ -235,12 +235,12 @@
     }
 }
 
-void sidecar_shell::act(const sidecar_output::refuse_call& action)
+void sidecar_server::act(const sidecar_output::refuse_call& action)
 {
     gate_.refuse(action.call, action.why, core_.load(runtime::now()));
 }
 
-void sidecar_shell::act(const sidecar_output::start_stream& action)
+void sidecar_server::act(const sidecar_output::start_stream& action)
 {
     const auto call = gate_.find_attempt(action.call);
     if (!call) {
@@ -251,7 +251,7 @@
                       [this, action, prompt = call->take_prompt()] { engine_.start_stream(action, prompt); });
 }
 
-void sidecar_shell::act(const sidecar_output::start_warm_up& action)
+void sidecar_server::act(const sidecar_output::start_warm_up& action)
 {
     timeline_.record(action.spec.request, "warm_up", std::to_string(action.spec.prompt_tokens) + " tokens");
     const sidecar_output::start_stream stream{action.call, action.engine_request, action.spec,
@@ -261,7 +261,7 @@
     });
 }
 
-void sidecar_shell::act(const sidecar_output::send_tokens& action)
+void sidecar_server::act(const sidecar_output::send_tokens& action)
 {
     if (const auto call = gate_.find_attempt(action.call)) {
         wire::attempt_event event;
@@ -273,7 +273,7 @@
     }
 }
 
-void sidecar_shell::act(const sidecar_output::finish_attempt& action)
+void sidecar_server::act(const sidecar_output::finish_attempt& action)
 {
     if (const auto call = gate_.find_attempt(action.call)) {
         wire::attempt_event event;
@@ -285,17 +285,17 @@
     }
 }
 
-void sidecar_shell::act(const sidecar_output::cancel_stream& action)
+void sidecar_server::act(const sidecar_output::cancel_stream& action)
 {
     boost::asio::post(upstream_thread_.context(), [this, action] { engine_.cancel_stream(action); });
 }
 
-void sidecar_shell::act(const sidecar_output::release_span& action)
+void sidecar_server::act(const sidecar_output::release_span& action)
 {
     boost::asio::post(upstream_thread_.context(), [this, action] { engine_.release_span(action.span); });
 }
 
-void sidecar_shell::act(const sidecar_output::grant_share& action)
+void sidecar_server::act(const sidecar_output::grant_share& action)
 {
     wire::gang_share_reply reply;
     reply.set_lease(action.lease.value());
@@ -304,7 +304,7 @@
     gate_.answer_share(action.call, std::move(reply));
 }
 
-void sidecar_shell::act(const sidecar_output::refuse_share& action)
+void sidecar_server::act(const sidecar_output::refuse_share& action)
 {
     wire::gang_share_reply reply;
     *reply.mutable_refused() = rpc::to_wire(action.why);
@@ -313,18 +313,18 @@
     gate_.answer_share(action.call, std::move(reply));
 }
 
-void sidecar_shell::act(const sidecar_output::confirm_share_return& action)
+void sidecar_server::act(const sidecar_output::confirm_share_return& action)
 {
     gate_.answer_share(action.call, wire::gang_share_reply{});
 }
 
-void sidecar_shell::act(const sidecar_output::run_service& action)
+void sidecar_server::act(const sidecar_output::run_service& action)
 {
     timeline_.record(action.spec.request, "service_send", action.spec.target);
     boost::asio::post(upstream_thread_.context(), [this, action] { service_client_.run(action); });
 }
 
-void sidecar_shell::act(const sidecar_output::answer_service& action)
+void sidecar_server::act(const sidecar_output::answer_service& action)
 {
     wire::service_reply reply;
     reply.set_status(static_cast<std::uint32_t>(action.answer.status));
@@ -335,29 +335,29 @@
     gate_.answer(action.call, reply);
 }
 
-void sidecar_shell::act(const sidecar_output::give_ticket& action)
+void sidecar_server::act(const sidecar_output::give_ticket& action)
 {
     gate_.give_ticket(action.call, action.ticket);
 }
 
-void sidecar_shell::act(const sidecar_output::tell_running& action)
+void sidecar_server::act(const sidecar_output::tell_running& action)
 {
     wire::service_reply reply;
     reply.set_running(true);
     gate_.answer(action.call, reply);
 }
 
-void sidecar_shell::act(const sidecar_output::ask_sidecar& action)
+void sidecar_server::act(const sidecar_output::ask_sidecar& action)
 {
     probe_.ask(action.place.address);
 }
 
-void sidecar_shell::act(const sidecar_output::give_order& action)
+void sidecar_server::act(const sidecar_output::give_order& action)
 {
     boost::asio::post(upstream_thread_.context(), [this, action] { engine_.give_order(action); });
 }
 
-void sidecar_shell::act(const sidecar_output::all_done& /*action*/)
+void sidecar_server::act(const sidecar_output::all_done& /*action*/)
 {
     on_all_done_();
 }
--- a/src/sidecar/sidecar_shell.h
+++ b/src/sidecar/sidecar_server.h
@@ -23,13 +23,13 @@
 namespace dragonflymill::sidecar {
 
 /// The thread that decides, and the hands that carry out what it decides.
-class sidecar_shell
+class sidecar_server
 {
 public:
     /// A shell for `settings`; `on_all_done` is called on the deciding thread once a stop is finished,
     /// `on_superseded` when the process was paused for too long to go on.
-    sidecar_shell(const sidecar_settings& settings, std::string ticket_key, timeline_recorder& timeline,
-                  std::function<void()> on_all_done, std::function<void()> on_superseded);
+    sidecar_server(const sidecar_settings& settings, std::string ticket_key, timeline_recorder& timeline,
+                   std::function<void()> on_all_done, std::function<void()> on_superseded);
 
     /// Starts the threads.
     void start();
--- a/tests/admission/cold_upstream_rig.h
+++ b/tests/admission/cold_upstream_rig.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflymill/admission/permit_gate.h"
+#include "dragonflymill/admission/permit_controller.h"
 #include "dragonflymill/core/random_source.h"
 
 #include <algorithm>
@@ -127,9 +127,9 @@
         }
     };
 
-    static auto gate_options(const cold_rig_options& options) -> permit_gate_options
+    static auto gate_options(const cold_rig_options& options) -> permit_controller_options
     {
-        permit_gate_options result;
+        permit_controller_options result;
         result.ramp.floor = options.course.cold;
         result.ramp.ceiling = options.course.warm;
         result.lease_term = 60s;
@@ -225,7 +225,7 @@
 
     cold_rig_options options_;
     random_source random_;
-    permit_gate gate_;
+    permit_controller gate_;
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
     cold_rig_outcome outcome_;
     std::uint64_t next_number_ = 0;
--- a/tests/admission/permit_gate_fixture.h
+++ b/tests/admission/permit_controller_fixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflymill/admission/permit_gate.h"
+#include "dragonflymill/admission/permit_controller.h"
 
 #include "support/virtual_time.h"
 
@@ -10,9 +10,9 @@
 namespace dragonflymill::test {
 
 /// Settings of the tests' gate: 1,000 when cold, 10,000 when warm, 30 ms to the first token of 1,000 tokens.
-inline auto gate_options() -> permit_gate_options
+inline auto gate_options() -> permit_controller_options
 {
-    permit_gate_options options;
+    permit_controller_options options;
     options.ramp.floor = 1'000;
     options.ramp.ceiling = 10'000;
     options.first_token.expected = first_token_line{10ms, 20.0};
@@ -26,7 +26,7 @@
 }
 
 /// The lease that an ask leads to, if it is granted.
-inline auto granted(permit_gate& gate, instant now, const permit_ask& ask) -> std::optional<lease_id>
+inline auto granted(permit_controller& gate, instant now, const permit_ask& ask) -> std::optional<lease_id>
 {
     const auto answer = gate.ask(now, ask);
     const auto* held = std::get_if<permit>(&answer);
@@ -34,7 +34,7 @@
 }
 
 /// The refusal that an ask leads to, if it is refused.
-inline auto refused(permit_gate& gate, instant now, const permit_ask& ask) -> std::optional<refusal>
+inline auto refused(permit_controller& gate, instant now, const permit_ask& ask) -> std::optional<refusal>
 {
     const auto answer = gate.ask(now, ask);
     const auto* said = std::get_if<refusal>(&answer);
@@ -42,7 +42,7 @@
 }
 
 /// Brings the gate to its ceiling by quick successes at full load; returns when that was.
-inline auto warm_up(permit_gate& gate, instant now) -> instant
+inline auto warm_up(permit_controller& gate, instant now) -> instant
 {
     constexpr duration quick = 20ms;
     while (!gate.ramp().warm()) {
--- a/tests/admission/permit_gate_test.cpp
+++ b/tests/admission/permit_controller_test.cpp
@@ -1,13 +1,13 @@
-#include "admission/permit_gate_fixture.h"
+#include "admission/permit_controller_fixture.h"
 
 #include <criterion/criterion.h>
 
 using namespace dragonflymill;
 using namespace dragonflymill::test;
 
-Test(permit_gate, a_grant_stays_under_the_floor_of_a_cold_upstream)
+Test(permit_controller, a_grant_stays_under_the_floor_of_a_cold_upstream)
 {
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     cr_assert(granted(gate, at(0s), ask_of("g1", 500)));
     const auto second = refused(gate, at(0s), ask_of("g2", 600));
     cr_assert(second);
@@ -16,17 +16,17 @@
     cr_assert(second->retry_after > 0us);
 }
 
-Test(permit_gate, quick_successes_at_full_load_open_it_to_the_ceiling)
+Test(permit_controller, quick_successes_at_full_load_open_it_to_the_ceiling)
 {
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const instant warm = warm_up(gate, at(0s));
     cr_assert(gate.ramp().warm());
     cr_assert(warm < at(3s));
 }
 
-Test(permit_gate, time_and_an_idle_upstream_open_nothing)
+Test(permit_controller, time_and_an_idle_upstream_open_nothing)
 {
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     for (duration t = 0s; t < 100s; t += 1s) {
         const auto lease = granted(gate, at(t), ask_of("g", 100));
         cr_assert(gate.begin(at(t), *lease));
@@ -36,9 +36,9 @@
     cr_assert(gate.load().allowed == 1'000);
 }
 
-Test(permit_gate, short_requests_find_room_beside_long_ones)
+Test(permit_controller, short_requests_find_room_beside_long_ones)
 {
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const instant now = warm_up(gate, at(0s));
     while (granted(gate, now, ask_of("g", 500, length_class::bulk))) {
     }
@@ -47,18 +47,18 @@
     cr_assert(gate.load().outstanding <= gate.load().allowed);
 }
 
-Test(permit_gate, what_never_fits_is_told_so)
+Test(permit_controller, what_never_fits_is_told_so)
 {
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     cr_assert(gate.largest_cost(length_class::bulk) == 8'000);
     const auto said = refused(gate, at(0s), ask_of("g", 8'001, length_class::bulk));
     cr_assert(said->code == refusal_code::too_large);
     cr_assert(said->retry_after == 0us);
 }
 
-Test(permit_gate, only_large_requests_call_for_a_warm_up_request)
+Test(permit_controller, only_large_requests_call_for_a_warm_up_request)
 {
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     cr_assert(gate.warm_up_cost(at(0s)) == 0);
     cr_assert(refused(gate, at(0s), ask_of("g", 5'000, length_class::bulk)));
     const work_cost cost = gate.warm_up_cost(at(1s));
@@ -67,11 +67,11 @@
     cr_assert(gate.warm_up_cost(at(1s)) == 0);
 }
 
-Test(permit_gate, at_its_bound_it_refuses)
+Test(permit_controller, at_its_bound_it_refuses)
 {
-    permit_gate_options options = gate_options();
+    permit_controller_options options = gate_options();
     options.max_permits = 2;
-    permit_gate gate(at(0s), options);
+    permit_controller gate(at(0s), options);
     cr_assert(granted(gate, at(0s), ask_of("g", 1)));
     cr_assert(granted(gate, at(0s), ask_of("g", 1)));
     const auto third = refused(gate, at(0s), ask_of("g", 1));
@@ -79,9 +79,9 @@
     cr_assert(third->ran == ran_state::no);
 }
 
-Test(permit_gate, the_refused_come_back_spread_out)
+Test(permit_controller, the_refused_come_back_spread_out)
 {
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     cr_assert(granted(gate, at(0s), ask_of("g", 1'000 - 50)));
     std::array<int, 10> in_slot{};
     constexpr int askers = 400;
@@ -95,9 +95,9 @@
     }
 }
 
-Test(permit_gate, over_allowance_names_long_and_new_work_first)
+Test(permit_controller, over_allowance_names_long_and_new_work_first)
 {
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const instant now = warm_up(gate, at(0s));
     const auto bulk = granted(gate, now, ask_of("g", 5'000, length_class::bulk));
     const auto small = granted(gate, now, ask_of("g", 900));
@@ -108,9 +108,9 @@
     cr_assert(gate.over_allowance() == std::vector<lease_id>{*bulk});
 }
 
-Test(permit_gate, a_slow_answer_among_quick_ones_is_no_cold_sign_and_three_are)
+Test(permit_controller, a_slow_answer_among_quick_ones_is_no_cold_sign_and_three_are)
 {
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     instant now = warm_up(gate, at(0s));
     const auto answer_after = [&](duration time) {
         const auto lease = granted(gate, now, ask_of("g", 100));
--- a/tests/admission/permit_faults_test.cpp
+++ b/tests/admission/permit_faults_test.cpp
@@ -1,4 +1,4 @@
-#include "admission/permit_gate_fixture.h"
+#include "admission/permit_controller_fixture.h"
 #include "support/fault_cell.h"
 
 using namespace dragonflymill;
@@ -14,7 +14,7 @@
 {
     // A gateway dies between getting a permit and using it. Without an end to the permit the upstream would
     // refuse everyone else for good; its lease ends, and the capacity is there again.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto lease = granted(gate, at(0s), ask_of("dead", whole_floor));
     cr_assert(refused(gate, at(1s), ask_of("g", whole_floor)));
     cr_assert(granted(gate, at(4s), ask_of("g", whole_floor)), "the dead gateway's permit still counts");
@@ -27,7 +27,7 @@
 {
     // A gateway dies while its stream runs. The upstream still works on it, so the cost counts until the
     // cancel is confirmed: giving it away at once would put twice the work on the upstream.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto lease = granted(gate, at(0s), ask_of("dead", whole_floor));
     cr_assert(gate.begin(at(0s), *lease));
     gate.first_token(at(20ms), *lease);
@@ -43,7 +43,7 @@
 {
     // A gateway is paused for a minute with a permit in hand, and others got its capacity meanwhile. When it
     // wakes and wants to send, the permit is over.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto old = granted(gate, at(0s), ask_of("paused", whole_floor));
     for (duration t = 500ms; t < 60s; t += 500ms) {
         static_cast<void>(gate.tick(at(t)));
@@ -56,7 +56,7 @@
 {
     // The sidecar is paused for ten seconds while streams run well; their renewals wait in its sockets.
     // When it wakes, callers' streams go on, instead of all being cut off as not renewed.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto lease = granted(gate, at(0s), ask_of("g", whole_floor));
     cr_assert(gate.begin(at(0s), *lease));
     gate.first_token(at(10ms), *lease);
@@ -69,7 +69,7 @@
 {
     // The grant is lost on the way to its gateway, which asks again. The first permit is never used and ends
     // by itself; meanwhile less is granted, never more.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     cr_assert(granted(gate, at(0s), ask_of("g", 600)));
     cr_assert(refused(gate, at(10ms), ask_of("g", 600)));
     cr_assert(granted(gate, at(3'100ms), ask_of("g", 600)));
@@ -80,7 +80,7 @@
 {
     // A renewal arrives after the permit has ended and its capacity went to another. It must not bring the
     // permit back to life.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto old = granted(gate, at(0s), ask_of("late", whole_floor));
     static_cast<void>(gate.tick(at(900ms)));
     static_cast<void>(gate.tick(at(1'800ms)));
@@ -94,7 +94,7 @@
 {
     // The end of a request is told twice. Its cost comes back once: twice would let more in than the
     // upstream carries.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto first = granted(gate, at(0s), ask_of("g", 400));
     cr_assert(granted(gate, at(0s), ask_of("g", 400)));
     gate.done(at(1s), *first, work_outcome::success);
@@ -106,7 +106,7 @@
 {
     // The first token's note overtakes nothing and the end overtakes the first token: the late note is about
     // a permit that is gone and changes nothing.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto lease = granted(gate, at(0s), ask_of("g", 400));
     gate.first_token(at(1ms), *lease);
     cr_assert(gate.begin(at(2ms), *lease));
@@ -121,7 +121,7 @@
 {
     // The connection to a gateway goes silent while its stream runs: no renewal, no end. The lease ends, the
     // sidecar is told to cancel, and the capacity is free once the engine confirms.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto lease = granted(gate, at(0s), ask_of("silent", whole_floor));
     cr_assert(gate.begin(at(0s), *lease));
     gate.first_token(at(20ms), *lease);
@@ -138,7 +138,7 @@
 {
     // Half of the gateways are cut off with permits in hand. The others get all of the capacity after one
     // lease term, not before.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     cr_assert(granted(gate, at(0s), ask_of("cut-off-1", 450)));
     cr_assert(granted(gate, at(0s), ask_of("cut-off-2", 450)));
     cr_assert(refused(gate, at(2s), ask_of("near", 450)));
@@ -151,7 +151,7 @@
 {
     // A gateway hears the sidecar but its own words get lost: it believes that its permit runs on. The
     // sidecar alone decides, and refuses the use of what has ended.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto lease = granted(gate, at(0s), ask_of("unheard", 450));
     static_cast<void>(gate.tick(at(1s)));
     static_cast<void>(gate.tick(at(2s)));
@@ -164,7 +164,7 @@
 {
     // Operators take the failure domain out while 410 gateways have not heard of it. Each ask is refused
     // with `no`, and it is true.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     gate.set_draining(at(1s), true);
     for (int i = 0; i < 410; ++i) {
         const auto said = refused(gate, at(2s), ask_of("gateway-" + std::to_string(i), 1));
@@ -177,7 +177,7 @@
 {
     // The engine restarts cold, and the gateway that held most of it dies at the same time. What the old
     // start held is gone with it: the floor is free at once, and no more than the floor.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     gate.report(at(0s), {incarnation(1), false, 0, 0us});
     const instant now = warm_up(gate, at(0s));
     const auto lease = granted(gate, now, ask_of("dead", 8'000));
@@ -194,7 +194,7 @@
 FAULT_CELL(request_permit, same_twice)
 {
     // The engine restarts twice within a second; the second report of the new start is no third restart.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     gate.report(at(0s), {incarnation(1), false, 0, 0us});
     gate.report(at(1s), {incarnation(2), false, 0, 0us});
     gate.report(at(1'500ms), {incarnation(3), false, 0, 0us});
@@ -208,7 +208,7 @@
 {
     // The upstream turns cold between grant and use: a load report steps up with no more work from us. What
     // has not begun is taken back, so that it doesn't fall over under what was promised while it was warm.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     instant now = warm_up(gate, at(0s));
     const auto running = granted(gate, now, ask_of("g", 3'000));
     cr_assert(gate.begin(now, *running));
@@ -227,7 +227,7 @@
 {
     // A cold upstream takes requests and answers nothing. No first token is ever measured; the wait itself
     // closes the gate.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const instant now = warm_up(gate, at(0s));
     for (int i = 0; i < 3; ++i) {
         const auto lease = granted(gate, now, ask_of("g", 1'000));
@@ -243,7 +243,7 @@
 {
     // The sidecar is paused between granting a permit and sending the request. When it wakes the permit has
     // ended and must not be used: the request is refused with a true `no`.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto lease = granted(gate, at(0s), ask_of("g", 500));
     cr_assert(!gate.begin(at(30s), *lease));
     cr_assert(gate.load().outstanding == 0);
@@ -252,7 +252,7 @@
 FAULT_CELL(request_dispatch, message_doubled)
 {
     // The order to begin comes twice, as after a reconnect. Only the first one may send.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto lease = granted(gate, at(0s), ask_of("g", 500));
     cr_assert(gate.begin(at(1ms), *lease));
     cr_assert(!gate.begin(at(2ms), *lease));
@@ -261,7 +261,7 @@
 FAULT_CELL(request_dispatch, domain_out)
 {
     // The domain is taken out between grant and first byte: the permit must not be used any more.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto lease = granted(gate, at(0s), ask_of("g", 500));
     gate.set_draining(at(1s), true);
     cr_assert(!gate.begin(at(1s), *lease));
@@ -271,7 +271,7 @@
 {
     // The word that takes the domain out arrives by bundle and by gossip. Running work goes on to its end
     // both times, and what had not begun is handed back once.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const auto running = granted(gate, at(0s), ask_of("g", 300));
     cr_assert(gate.begin(at(0s), *running));
     cr_assert(granted(gate, at(0s), ask_of("g", 300)));
@@ -284,7 +284,7 @@
 FAULT_CELL(drain_return, upstream_cold)
 {
     // The domain comes back after an hour and its caches are cold. Work returns by the ramp, not all at once.
-    permit_gate gate(at(0s), gate_options());
+    permit_controller gate(at(0s), gate_options());
     const instant now = warm_up(gate, at(0s));
     gate.set_draining(now, true);
     gate.set_draining(now + 3600s, false);
--- a/tests/bench/gateway_decision_bench.cpp
+++ b/tests/bench/gateway_decision_bench.cpp
@@ -3,7 +3,7 @@
 #include "dragonflymill/route/baseline_policies.h"
 #include "dragonflymill/route/predicted_first_token.h"
 #include "dragonflymill/route/router.h"
-#include "dragonflymill/serve/overload_desk.h"
+#include "dragonflymill/serve/overload_controller.h"
 
 #include <chrono>
 #include <cstdio>
@@ -146,8 +146,8 @@
         in_force.accounts.back().id = client_account_id("account-" + std::to_string(i));
     }
     const std::size_t before = live;
-    gateway_overload desk(table);
-    desk.bundle_adopted(in_force);
+    gateway_overload controller(table);
+    controller.bundle_adopted(in_force);
     const std::size_t state = live - before;
     gateway_input::completion_arrived asked;
     asked.model = model_id("model");
@@ -159,8 +159,8 @@
     const auto start = std::chrono::steady_clock::now();
     for (int i = 0; i < decisions; ++i) {
         asked.account = in_force.accounts[static_cast<std::size_t>(i) % accounts].id;
-        (void)desk.offer(now, asked);
-        desk.left(asked.exchange);
+        (void)controller.offer(now, asked);
+        controller.left(asked.exchange);
     }
     const auto time = std::chrono::steady_clock::now() - start;
     const auto nanoseconds = std::chrono::duration_cast<std::chrono::nanoseconds>(time).count();
--- a/tests/bench/gateway_overload_bench.cpp
+++ b/tests/bench/gateway_overload_bench.cpp
@@ -1,5 +1,5 @@
-// A gateway's overload decisions (serve/overload_desk) before sixteen engine fakes on a virtual clock, with
-// each policy and with none, same seeds. Prints Markdown; the figures repeat to the digit.
+// A gateway's overload decisions (serve/overload_controller) before sixteen engine fakes on a virtual clock,
+// with each policy and with none, same seeds. Prints Markdown; the figures repeat to the digit.
 #include "rig_contenders.h"
 
 #include <iostream>
--- a/tests/bench/rig_traffic.h
+++ b/tests/bench/rig_traffic.h
@@ -154,7 +154,7 @@
     return made;
 }
 
-/// The request as the gateway's desks see it.
+/// The request as the gateway's dispatchers see it.
 inline auto asked(const rig_request& request) -> gateway_input::completion_arrived
 {
     gateway_input::completion_arrived made;
--- a/tests/bench/rig_world.h
+++ b/tests/bench/rig_world.h
@@ -6,7 +6,7 @@
 #include "dragonflymill/route/first_token_prediction.h"
 #include "dragonflymill/route/length_lanes.h"
 #include "dragonflymill/route/router.h"
-#include "dragonflymill/serve/overload_desk.h"
+#include "dragonflymill/serve/overload_controller.h"
 #include "rig_events.h"
 #include "rig_gang_shares.h"
 #include "rig_outcome.h"
@@ -26,7 +26,7 @@
           std::vector<rig_request> requests)
         : settings_(settings)
         , router_(std::move(policy))
-        , overload_(router_.table(), desk_settings(settings, seed))
+        , overload_(router_.table(), overload_settings_for(settings, seed))
         , planner_(1, {.max_gangs = 64})
         , requests_(std::move(requests))
         , states_(requests_.size())
@@ -92,10 +92,10 @@
         return engine % 3 == 0 ? 100us : 500us;
     }
 
-    [[nodiscard]] static auto desk_settings(const world_settings& settings, std::uint64_t seed)
-        -> overload_desk_settings
+    [[nodiscard]] static auto overload_settings_for(const world_settings& settings, std::uint64_t seed)
+        -> overload_controller_settings
     {
-        overload_desk_settings made;
+        overload_controller_settings made;
         made.drain_time = settings.overload_bound;
         made.seed = seed;
         return made;
@@ -376,7 +376,7 @@
 
     world_settings settings_;
     router<Policy> router_;
-    overload_desk<Overload> overload_;
+    overload_controller<Overload> overload_;
     gang_planner planner_;
     std::vector<rig_request> requests_;
     std::vector<request_state> states_;
--- a/tests/bench/sidecar_decision_bench.cpp
+++ b/tests/bench/sidecar_decision_bench.cpp
@@ -1,9 +1,9 @@
 // Processor time of one decision of the sidecar's parts, by how much they hold. Real time: figures vary from
 // run to run, so the middle one of several runs is printed.
 
-#include "admission/permit_gate_fixture.h"
+#include "admission/permit_controller_fixture.h"
 #include "dragonflymill/lease/lease_table.h"
-#include "dragonflymill/order/order_keeper.h"
+#include "dragonflymill/order/order_tracker.h"
 #include "once/once_fixture.h"
 
 #include <algorithm>
@@ -42,11 +42,11 @@
 
 void gate(std::size_t held)
 {
-    permit_gate_options options = test::gate_options();
+    permit_controller_options options = test::gate_options();
     options.ramp.floor = 100'000;
     options.ramp.ceiling = 100'000;
     options.max_permits = 100'000;
-    permit_gate subject(test::at(0s), options);
+    permit_controller subject(test::at(0s), options);
     for (std::size_t i = 0; i < held; ++i) {
         static_cast<void>(test::granted(subject, test::at(0s), test::ask_of("g", 1)));
     }
--- a/tests/bundle/bundle_keeper_test.cpp
+++ b/tests/bundle/bundle_manager_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/bundle/bundle_keeper.h"
+#include "dragonflymill/bundle/bundle_manager.h"
 #include "keeper_world.h"
 #include "support/fault_cell.h"
 
@@ -7,16 +7,16 @@
 
 namespace {
 
-auto lone_settings() -> bundle_keeper_settings
+auto lone_settings() -> bundle_manager_settings
 {
-    bundle_keeper_settings settings;
+    bundle_manager_settings settings;
     settings.trusted = test_partners();
     settings.boot.stands_alone = true;
     return settings;
 }
 
 template <typename Output>
-auto find_output(const bundle_keeper_outputs& outputs) -> const Output*
+auto find_output(const bundle_manager_outputs& outputs) -> const Output*
 {
     for (const auto& output : outputs) {
         if (const auto* found = std::get_if<Output>(&output)) {
@@ -27,7 +27,7 @@
 }
 
 // Gives a keeper a whole bundle from the service.
-auto offer(bundle_keeper& keeper, instant now, const bundle& value) -> bundle_keeper_outputs
+auto offer(bundle_manager& keeper, instant now, const bundle& value) -> bundle_manager_outputs
 {
     auto outputs = keeper.manifest_arrived(now, {}, encode_signed_manifest(test_signed(value)));
     for (const auto& text : section_texts(value)) {
@@ -55,9 +55,9 @@
 
 } // namespace
 
-Test(bundle_keeper, only_changed_sections_are_fetched)
+Test(bundle_manager, only_changed_sections_are_fetched)
 {
-    bundle_keeper keeper(lone_settings(), instant{});
+    bundle_manager keeper(lone_settings(), instant{});
     cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
     const auto next = test_bundle(8, 99);
     const auto outputs = keeper.manifest_arrived(instant{}, {}, encode_signed_manifest(test_signed(next)));
@@ -67,18 +67,18 @@
     cr_assert(keeper.in_force()->accounts.front().max_in_flight == 99);
 }
 
-Test(bundle_keeper, settings_floor_refuses_older_bundles)
+Test(bundle_manager, settings_floor_refuses_older_bundles)
 {
     auto settings = lone_settings();
     settings.min_version = bundle_version(8);
-    bundle_keeper keeper(settings, instant{});
+    bundle_manager keeper(settings, instant{});
     cr_assert(find_output<reject_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
     cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(8))) != nullptr);
 }
 
-Test(bundle_keeper, a_half_signed_copy_does_not_spoil_the_whole_one)
+Test(bundle_manager, a_half_signed_copy_does_not_spoil_the_whole_one)
 {
-    bundle_keeper keeper(lone_settings(), instant{});
+    bundle_manager keeper(lone_settings(), instant{});
     auto half = test_signed(test_bundle(7));
     half.signatures.pop_back();
     const auto outputs = keeper.manifest_arrived(instant{}, {}, encode_signed_manifest(half));
@@ -86,7 +86,7 @@
     cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
 }
 
-Test(bundle_keeper, same_inputs_give_the_same_bundles)
+Test(bundle_manager, same_inputs_give_the_same_bundles)
 {
     const auto words = [] {
         keeper_world world(5, {.drop = 0.2, .duplicate = 0.2, .late = 0.1});
@@ -153,9 +153,9 @@
     // Nobody sees anything: the peer that a starting process fetches from dies, and another one serves.
     // Order: the process hears of version 7 from two peers, asks the first, which dies before it answers.
     // Cause: ten hosts fail on an ordinary day, some in the middle of a fetch.
-    bundle_keeper_settings settings;
+    bundle_manager_settings settings;
     settings.trusted = test_partners();
-    bundle_keeper keeper(settings, instant{});
+    bundle_manager keeper(settings, instant{});
     const auto word = word_of(manifest_of(test_bundle(7)));
     auto outputs = keeper.peer_said(instant{}, process_id("p1"), failure_domain_id("a"), word);
     cr_assert(find_output<fetch_manifest>(outputs)->peer == process_id("p1"));
@@ -192,7 +192,7 @@
     // Operators see the reason at every process, while the old bundle goes on serving.
     // Order: version 8 is signed and published, but one of its sections breaks the cross checks.
     // Cause: it was signed by a tool that did not check it.
-    bundle_keeper keeper(lone_settings(), instant{});
+    bundle_manager keeper(lone_settings(), instant{});
     cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
     auto bad = test_bundle(8);
     bad.service_routes.front().upstreams.emplace_back("nobody");
@@ -305,7 +305,7 @@
     // Without the guard an account's old key would work again.
     // Order: version 8 is in force, then the service shows 7 again, as its replica lags.
     // Cause: the configuration service is stale; a version below the one in force is never adopted.
-    bundle_keeper keeper(lone_settings(), instant{});
+    bundle_manager keeper(lone_settings(), instant{});
     cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(8))) != nullptr);
     const auto outputs = offer(keeper, instant{}, test_bundle(7));
     cr_assert(find_output<adopt_bundle>(outputs) == nullptr);
@@ -318,7 +318,7 @@
     // Nobody sees anything: a bundle that arrives again, whole, changes nothing.
     // Order: manifest and sections of the bundle in force come a second time.
     // Cause: the operator pushes twice, or the network doubles an answer.
-    bundle_keeper keeper(lone_settings(), instant{});
+    bundle_manager keeper(lone_settings(), instant{});
     cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(8))) != nullptr);
     cr_assert(offer(keeper, instant{}, test_bundle(8)).empty());
 }
@@ -328,9 +328,9 @@
     // Operators see a replaced process with the bundle that was in force, though peers that lag answer first.
     // Order: it asks three peers; two of different failure domains still have 7, the third has 8 and answers
     // last. Cause: 8 is spreading just now; all that were asked are waited for, as long as patience lasts.
-    bundle_keeper_settings settings;
+    bundle_manager_settings settings;
     settings.trusted = test_partners();
-    bundle_keeper keeper(settings, instant{});
+    bundle_manager keeper(settings, instant{});
     const auto old_word = word_of(manifest_of(test_bundle(7)));
     const auto new_word = word_of(manifest_of(test_bundle(8)));
     for (const auto* peer : {"p1", "p2", "p3"}) {
@@ -351,7 +351,7 @@
     // Cause: the clock of a host is set wrong; only the end of the term depends on it.
     const wall_instant right(duration(1h));
     const wall_instant wrong(24h * 365 * 200);
-    bundle_keeper keeper(lone_settings(), instant{});
+    bundle_manager keeper(lone_settings(), instant{});
     auto outputs = keeper.tick(instant{}, right);
     outputs = offer(keeper, instant{}, test_bundle(7));
     outputs = keeper.tick(instant{} + 1s, wrong);
@@ -360,7 +360,7 @@
     outputs = keeper.tick(instant{} + 2s, right);
     cr_assert(keeper.ready());
 
-    bundle_keeper late(lone_settings(), instant{});
+    bundle_manager late(lone_settings(), instant{});
     outputs = late.tick(instant{}, wrong);
     outputs = offer(late, instant{}, test_bundle(7));
     cr_assert(find_output<adopt_bundle>(outputs) == nullptr);
@@ -368,7 +368,7 @@
     cr_assert(find_output<adopt_bundle>(outputs) != nullptr);
 }
 
-Test(bundle_keeper, a_peer_that_offers_a_forged_bundle_is_not_asked_again)
+Test(bundle_manager, a_peer_that_offers_a_forged_bundle_is_not_asked_again)
 {
     keeper_world world(11);
     world.publish(test_bundle(7));
@@ -390,7 +390,7 @@
     // Without the guard an account's old limit would come back. Order: the manifest of 9 overtakes that of 8,
     // whose sections are still under way; 9 is adopted, then the rest of 8 arrives. Cause: the network
     // reorders.
-    bundle_keeper keeper(lone_settings(), instant{});
+    bundle_manager keeper(lone_settings(), instant{});
     const auto older = test_bundle(8, 1);
     static_cast<void>(keeper.manifest_arrived(instant{}, {}, encode_signed_manifest(test_signed(older))));
     cr_assert(find_output<adopt_bundle>(offer(keeper, instant{} + 1ms, test_bundle(9, 2))) != nullptr);
@@ -404,7 +404,7 @@
     // Without the guard a process that slept would adopt what it had half fetched, long after the fleet went
     // on. Order: it has the manifest of 8 and sleeps for an hour; it wakes, hears of 9, and then the sections
     // of 8 come.
-    bundle_keeper keeper(lone_settings(), instant{});
+    bundle_manager keeper(lone_settings(), instant{});
     cr_assert(find_output<adopt_bundle>(offer(keeper, instant{}, test_bundle(7))) != nullptr);
     const auto slept_on = test_bundle(8, 1);
     static_cast<void>(keeper.manifest_arrived(instant{}, {}, encode_signed_manifest(test_signed(slept_on))));
@@ -439,7 +439,7 @@
     // Without the guard the second slip goes through. Order: the service shows 7 after 8, comes right with 9,
     // and shows 8 again. Cause: a stale replica is read more than once; each bundle in force is a floor for
     // the next.
-    bundle_keeper keeper(lone_settings(), instant{});
+    bundle_manager keeper(lone_settings(), instant{});
     std::uint64_t in_force = 0;
     for (const std::uint64_t version : {8U, 7U, 9U, 8U, 9U, 10U}) {
         const bool adopted =
--- a/tests/bundle/keeper_world.h
+++ b/tests/bundle/keeper_world.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflymill/bundle/bundle_keeper.h"
+#include "dragonflymill/bundle/bundle_manager.h"
 #include "signing.h"
 #include "support/message_bag.h"
 
@@ -27,7 +27,7 @@
     std::size_t from = 0;
     std::size_t to = 0;
     kind_type kind = kind_type::ask;
-    std::optional<bundle_word> word;
+    std::optional<bundle_notice> word;
     sha256_digest digest;
     std::string text;
 };
@@ -57,7 +57,7 @@
     /// Starts the process anew, with an empty memory.
     void start(std::size_t at)
     {
-        bundle_keeper_settings settings;
+        bundle_manager_settings settings;
         settings.trusted = test_partners();
         keepers[at].emplace(settings, now);
         for (std::size_t other = 0; other < size; ++other) {
@@ -118,7 +118,7 @@
     wall_instant wall = parse_wall_instant_or_die();
     random_source random;
     message_bag<keeper_message> bag;
-    std::array<std::optional<bundle_keeper>, size> keepers;
+    std::array<std::optional<bundle_manager>, size> keepers;
     std::array<int, size> side{};
     std::array<bool, size> paused{};
     bool service_up = true;
@@ -185,7 +185,7 @@
         }
     }
 
-    void act(std::size_t at, const bundle_keeper_outputs& outputs)
+    void act(std::size_t at, const bundle_manager_outputs& outputs)
     {
         for (const auto& output : outputs) {
             if (const auto* manifest = std::get_if<fetch_manifest>(&output)) {
--- a/tests/direct/dispatch_desk_test.cpp
+++ b/tests/direct/call_dispatcher_test.cpp
@@ -1,5 +1,5 @@
 #include "dragonflymill/core/stable_hash.h"
-#include "dragonflymill/direct/dispatch_desk.h"
+#include "dragonflymill/direct/call_dispatcher.h"
 #include "engine_samples.h"
 
 #include <criterion/criterion.h>
@@ -50,17 +50,17 @@
     return made;
 }
 
-auto desk() -> dispatch_desk
+auto dispatcher() -> call_dispatcher
 {
-    return dispatch_desk({"a", {0.2, 10.0, 10s}, 1});
+    return call_dispatcher({"a", {0.2, 10.0, 10s}, 1});
 }
 
 } // namespace
 
-Test(dispatch_desk, a_call_goes_to_an_upstream_with_room)
+Test(call_dispatcher, a_call_goes_to_an_upstream_with_room)
 {
     auto fleet = bookings(1, 2);
-    auto decider = desk();
+    auto decider = dispatcher();
     decider.add(call(1));
     decider.add(call(2));
     decider.add(call(3));
@@ -74,10 +74,10 @@
 
 // A booking waits for room. Meanwhile the upstream that it would have gone to reports that it leaves; bound
 // to it at its arrival, the booking would be sent there after all.
-Test(dispatch_desk, a_waiting_call_is_not_sent_to_an_upstream_that_began_to_leave)
+Test(call_dispatcher, a_waiting_call_is_not_sent_to_an_upstream_that_began_to_leave)
 {
     auto fleet = bookings(1, 2);
-    auto decider = desk();
+    auto decider = dispatcher();
     decider.add(call(1));
     decider.add(call(2));
     const auto first = decider.decide(fleet, start);
@@ -91,10 +91,10 @@
     cr_assert(round.orders.size() == 1 && round.orders[0].upstream.id == "u1");
 }
 
-Test(dispatch_desk, a_domain_that_is_out_gets_no_call_that_waited)
+Test(call_dispatcher, a_domain_that_is_out_gets_no_call_that_waited)
 {
     auto fleet = bookings(4, 2);
-    auto decider = desk();
+    auto decider = dispatcher();
     fleet.take("out", domain_out{"b"}, start);
     for (std::uint64_t id = 1; id <= 4; ++id) {
         decider.add(call(id));
@@ -104,24 +104,24 @@
     }
 }
 
-// Nothing can serve the call: its caller is told at once and comes back when there may be room, rather than
+// Nothing can serve the call: its caller is sent at once and comes back when there may be room, rather than
 // after its deadline has passed in a line that can't move.
-Test(dispatch_desk, what_no_upstream_can_take_is_refused_at_once)
+Test(call_dispatcher, what_no_upstream_can_take_is_refused_at_once)
 {
     auto fleet = bookings(4, 1);
     leave(fleet, "u0");
-    auto decider = desk();
+    auto decider = dispatcher();
     decider.add(call(1));
     const auto round = decider.decide(fleet, start);
     cr_assert(round.refusals.size() == 1);
-    cr_assert(round.refusals[0].retry_after == dispatch_desk::retry_after_none);
+    cr_assert(round.refusals[0].retry_after == call_dispatcher::retry_after_none);
     cr_assert(decider.waiting() == 0);
 }
 
-Test(dispatch_desk, a_call_that_waited_too_long_is_refused)
+Test(call_dispatcher, a_call_that_waited_too_long_is_refused)
 {
     auto fleet = bookings(1, 1);
-    auto decider = desk();
+    auto decider = dispatcher();
     decider.add(call(1));
     decider.add(call(2));
     (void)decider.decide(fleet, start);
@@ -132,10 +132,10 @@
 
 // A burst makes the line longer than what can be on time. Calls that would be late in any case come last, so
 // that they don't make the others late as well.
-Test(dispatch_desk, what_can_still_be_on_time_goes_first)
+Test(call_dispatcher, what_can_still_be_on_time_goes_first)
 {
     auto fleet = bookings(1, 1);
-    auto decider = desk();
+    auto decider = dispatcher();
     waiting_call late = call(1);
     late.aim_at = start + 20ms;
     decider.add(late);
@@ -144,10 +144,10 @@
     cr_assert(round.orders.size() == 1 && round.orders[0].call == 2);
 }
 
-Test(dispatch_desk, a_more_urgent_call_goes_first)
+Test(call_dispatcher, a_more_urgent_call_goes_first)
 {
     auto fleet = bookings(1, 1);
-    auto decider = desk();
+    auto decider = dispatcher();
     waiting_call lesser = call(1);
     lesser.priority = 2;
     decider.add(lesser);
@@ -155,23 +155,23 @@
     cr_assert(decider.decide(fleet, start).orders.front().call == 2);
 }
 
-Test(dispatch_desk, a_caller_that_left_is_not_served)
+Test(call_dispatcher, a_caller_that_left_is_not_served)
 {
     auto fleet = bookings(1, 1);
-    auto decider = desk();
+    auto decider = dispatcher();
     decider.add(call(1));
     decider.drop(1);
     cr_assert(decider.decide(fleet, start).orders.empty());
 }
 
 // An upstream comes back cold and idle and would be everybody's first choice; at full load it falls over.
-Test(dispatch_desk, a_cold_upstream_gets_its_part_only)
+Test(call_dispatcher, a_cold_upstream_gets_its_part_only)
 {
     auto fleet = bookings(100, 1);
     upstream_entry cold = fleet.upstreams().at("u0").entry;
     cold.cold_left = 3s;
     fleet.take("ku0", cold, start);
-    auto decider = desk();
+    auto decider = dispatcher();
     decider.set_gateways(2);
     int sent = 0;
     for (int ms = 0; ms < 1000; ++ms) {
@@ -184,10 +184,10 @@
     cr_assert(sent >= 4, "%d", sent);
 }
 
-Test(dispatch_desk, a_second_attempt_goes_elsewhere)
+Test(call_dispatcher, a_second_attempt_goes_elsewhere)
 {
     auto fleet = bookings(5, 2);
-    auto decider = desk();
+    auto decider = dispatcher();
     waiting_call again = call(1);
     again.tried = {"u0"};
     decider.add(again);
@@ -195,10 +195,10 @@
 }
 
 // One gateway may have a faulty way to an upstream; two others that also fail there prove it faulty.
-Test(dispatch_desk, what_two_others_find_faulty_is_avoided)
+Test(call_dispatcher, what_two_others_find_faulty_is_avoided)
 {
     auto fleet = bookings(5, 2);
-    auto decider = desk();
+    auto decider = dispatcher();
     load_report report{"g1", 1, true, {}};
     report.loads[stable_hash("u0")].suspected_by = 1;
     decider.board().take_report(report, start);
@@ -250,28 +250,28 @@
     return made;
 }
 
-/// A gateway's word that each engine has so much to read.
-auto reading_word(std::uint64_t sequence, duration reading) -> load_report
+/// A gateway's report that each engine has so much to read.
+auto reading_report(std::uint64_t sequence, duration reading) -> load_report
 {
-    load_report word{"reader", sequence, true, {}};
+    load_report report{"reader", sequence, true, {}};
     for (int i = 0; i < engine_count && reading > 0s; ++i) {
-        upstream_load& load = word.loads[stable_hash("e" + std::to_string(i))];
+        upstream_load& load = report.loads[stable_hash("e" + std::to_string(i))];
         load.reading = reading;
         load.parts = 1;
     }
-    return word;
+    return report;
 }
 
 /// When a gateway of thirty sends a document that found all engines busy until `start` + 100 ms.
 auto sent_after_waiting(std::uint64_t seed) -> instant
 {
     const auto fleet = engines();
-    dispatch_desk decider({"a", {0.2, 10.0, 10s}, seed});
+    call_dispatcher decider({"a", {0.2, 10.0, 10s}, seed});
     decider.set_gateways(30);
     decider.add(document(1));
-    decider.board().take_report(reading_word(1, 2s), start);
+    decider.board().take_report(reading_report(1, 2s), start);
     cr_assert(decider.decide(fleet, start).orders.empty());
-    decider.board().take_report(reading_word(2, 0s), start + 100ms);
+    decider.board().take_report(reading_report(2, 0s), start + 100ms);
     for (instant now = start + 100ms; now < start + 300ms; now += 1ms) {
         if (!decider.decide(fleet, now).orders.empty()) {
             return now;
@@ -286,21 +286,21 @@
 // once, to the same engines: each document was read behind the two others, and those that had to reserve
 // memory took it from each other and began again, together. Now each goes at a moment of its own, and the
 // next gateway has heard of it by then.
-Test(dispatch_desk, waiting_documents_of_several_gateways_do_not_go_at_once)
+Test(call_dispatcher, waiting_documents_of_several_gateways_do_not_go_at_once)
 {
     std::set<instant> moments;
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         const instant sent = sent_after_waiting(seed);
-        cr_assert(sent <= start + 100ms + dispatch_desk::longest_turn);
+        cr_assert(sent <= start + 100ms + call_dispatcher::max_backoff);
         moments.insert(sent);
     }
     cr_assert(moments.size() >= 8, "%zu moments of 10 gateways", moments.size());
 }
 
-Test(dispatch_desk, a_document_that_finds_room_goes_at_once)
+Test(call_dispatcher, a_document_that_finds_room_goes_at_once)
 {
     const auto fleet = engines();
-    auto decider = desk();
+    auto decider = dispatcher();
     decider.set_gateways(30);
     decider.add(document(1));
     cr_assert(decider.decide(fleet, start).orders.size() == 1);
@@ -308,7 +308,7 @@
 
 // A gateway starts again and the calls of all its callers come at once. Decided in one round they must go
 // where they would have gone one by one: each sees what the ones before it take up, on cold upstreams too.
-Test(dispatch_desk, calls_of_one_round_see_each_other)
+Test(call_dispatcher, calls_of_one_round_see_each_other)
 {
     const auto fleet = engines();
     const auto nth = [](std::uint64_t id) {
@@ -320,13 +320,13 @@
         made.aim_at = start + made.aim;
         return made;
     };
-    auto together = desk();
+    auto together = dispatcher();
     for (std::uint64_t id = 1; id <= 60; ++id) {
         together.add(nth(id));
     }
     const auto round = together.decide(fleet, start);
     cr_assert(round.orders.size() >= 50, "%zu", round.orders.size());
-    auto one_by_one = desk();
+    auto one_by_one = dispatcher();
     for (const auto& order : round.orders) {
         one_by_one.add(nth(order.call));
         const auto single = one_by_one.decide(fleet, start);
@@ -338,9 +338,9 @@
 
 // Pattern: more short calls than the upstreams serve. Guards against serving each call late by serving them
 // in the order of arrival: one that is late even if it goes now comes behind one that is not.
-Test(dispatch_desk, lateness_is_judged_by_the_first_token_times_seen)
+Test(call_dispatcher, lateness_is_judged_by_the_first_token_times_seen)
 {
-    dispatch_desk decider = desk();
+    call_dispatcher decider = dispatcher();
     upstream_list fleet = bookings(1, 1);
     decider.add(call(1));
     const auto first = decider.decide(fleet, start).orders;
@@ -359,9 +359,9 @@
 }
 
 // Pattern: a burst that outlasts the first refusals. Guards against asking all callers back into it.
-Test(dispatch_desk, the_longer_there_is_no_room_the_later_callers_are_asked_back)
+Test(call_dispatcher, the_longer_there_is_no_room_the_later_callers_are_asked_back)
 {
-    dispatch_desk decider = desk();
+    call_dispatcher decider = dispatcher();
     upstream_list fleet = bookings(1, 1);
     decider.add(call(1));
     (void)decider.decide(fleet, start);
--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -100,21 +100,21 @@
     }
 }
 
-// The mix swings within a second from many long prompts to many short ones. The border is worked out from the
-// calls in hand, so that it follows with each call.
+// The mix swings within a second from many long prompts to many short ones. The partition boundary is worked
+// out from the calls in hand, so that it follows with each call.
 Test(engine_dispatch, the_border_follows_the_short_calls_in_hand)
 {
     auto all = idle_engines(16);
-    cr_assert(policy().short_side(all) == 1);
+    cr_assert(policy().short_partition(all) == 1);
     for (auto& engine : all) {
         engine.load.short_calls = 6;
     }
-    cr_assert(policy().short_side(all) == 9, "97 calls on engines of 16 slots filled to three quarters");
+    cr_assert(policy().short_partition(all) == 9, "97 calls on engines of 16 slots filled to three quarters");
     for (auto& engine : all) {
         engine.load.short_calls = 16;
         engine.load.parts = 1;
     }
-    cr_assert(policy().short_side(all) == 15, "one engine is left for long prompts while there are any");
+    cr_assert(policy().short_partition(all) == 15, "one engine is left for long prompts while there are any");
 }
 
 // A prompt's first token comes seconds late: its engine read parts of other prompts, one after the other,
@@ -232,7 +232,7 @@
     cr_assert(choice->first_token <= 12s);
 }
 
-// Thirty gateways whose words are some tens of milliseconds old see the same idle engines. Were they all to
+// Thirty gateways whose digests are some tens of milliseconds old see the same idle engines. Were they all to
 // choose the first of them, it would get thirty calls and the others none.
 Test(engine_dispatch, equal_engines_are_chosen_by_turns)
 {
--- a/tests/direct/engine_samples.h
+++ b/tests/direct/engine_samples.h
@@ -28,7 +28,7 @@
     for (int i = 0; i < count; ++i) {
         made.push_back({"engine-" + std::to_string(i), "a", 16, false, {}});
     }
-    sort_for_border(made);
+    sort_for_partition(made);
     return made;
 }
 
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -13,7 +13,7 @@
 
 constexpr instant start(100s);
 
-auto word(const std::string& name, std::uint64_t sequence = 1) -> peer_word
+auto word(const std::string& name, std::uint64_t sequence = 1) -> peer_digest
 {
     return {name, sequence, name + ":7340", 0, false, true, {}};
 }
@@ -29,7 +29,7 @@
 {
     peer_table table("self", "self:7340", {"seed:7340"});
     cr_assert(table.targets(start) == std::vector<std::string>{"seed:7340"});
-    peer_word first = word("seed");
+    peer_digest first = word("seed");
     first.peers = {"other:7340", "self:7340"};
     cr_assert(table.take(first, start));
     cr_assert(contains(table.targets(start), "other:7340"));
@@ -49,7 +49,7 @@
 Test(peer_table, a_word_that_was_overtaken_is_left_out)
 {
     peer_table table("self", "self:7340", {});
-    peer_word newer = word("p", 5);
+    peer_digest newer = word("p", 5);
     newer.revision = 9;
     (void)table.take(newer, start);
     (void)table.take(word("p", 4), start);
@@ -62,9 +62,9 @@
 Test(peer_table, a_new_start_replaces_the_old_one)
 {
     peer_table table("self", "self:7340", {});
-    peer_word old = word("p#1");
+    peer_digest old = word("p#1");
     old.address = "p:7340";
-    peer_word fresh = word("p#2");
+    peer_digest fresh = word("p#2");
     fresh.address = "p:7340";
     (void)table.take(old, start);
     cr_assert(table.take(fresh, start));
@@ -92,7 +92,7 @@
 {
     peer_table table("self", "x", {});
     for (int peer = 0; peer < 20; ++peer) {
-        peer_word blind = word("g" + std::to_string(peer));
+        peer_digest blind = word("g" + std::to_string(peer));
         blind.reads_source = false;
         (void)table.take(blind, start);
     }
--- a/tests/direct/reading_plan_test.cpp
+++ b/tests/direct/reading_plan_test.cpp
@@ -88,9 +88,9 @@
     const reading_planner planner(forecast, 120ms, call, all);
     all[0].load.long_calls = 2;
     all[0].load.tightest_pause = 800ms;
-    cr_assert(planner.best_for(all[0]).harm == 0.0);
+    cr_assert(planner.best_for(all[0]).cost == 0.0);
     all[0].load.tightest_pause = tight_pause;
-    cr_assert(planner.best_for(all[0]).harm > 1.0);
+    cr_assert(planner.best_for(all[0]).cost > 1.0);
 }
 
 // Long answers stay at few engines, so that the others can read: a writer is given up only for one that is
@@ -106,9 +106,9 @@
     cr_assert(policy.choose(long_call(45'000, 3s), all)->upstream == first->upstream);
 }
 
-// A burst of short questions leaves one engine behind the border. A document of a million tokens needs the
-// memory of three: while only that one was asked, it waited until the burst was over, with memory free
-// everywhere.
+// A burst of short questions leaves one engine behind the partition boundary. A document of a million tokens
+// needs the memory of three: while only that one was asked, it waited until the burst was over, with memory
+// free everywhere.
 Test(reading_plan, the_largest_prompts_use_memory_beside_short_streams)
 {
     auto all = idle_engines(14);
--- a/tests/drain/drain_state_test.cpp
+++ b/tests/drain/drain_state_test.cpp
@@ -43,11 +43,11 @@
 
 Test(drain_state, words_in_any_order_end_the_same)
 {
-    const std::vector<drain_word> words{{domain_a, 1, true},
-                                        {domain_a, 2, false},
-                                        {domain_a, 3, true},
-                                        {domain_a, 3, false},
-                                        {host_1, 1, true}};
+    const std::vector<drain_notice> words{{domain_a, 1, true},
+                                          {domain_a, 2, false},
+                                          {domain_a, 3, true},
+                                          {domain_a, 3, false},
+                                          {host_1, 1, true}};
     random_source random(1);
     for (int round = 0; round < 200; ++round) {
         auto order = words;
@@ -245,8 +245,8 @@
     // lags of the leaving. In either order it must take work, or the domain stays idle.
     for (const bool lagging_first : {true, false}) {
         drain_state anew;
-        const drain_word out{domain_a, 1, true};
-        const drain_word back{domain_a, 2, false};
+        const drain_notice out{domain_a, 1, true};
+        const drain_notice back{domain_a, 2, false};
         static_cast<void>(anew.operator_said(instant{}, lagging_first ? out : back));
         static_cast<void>(anew.operator_said(instant{} + 1s, lagging_first ? back : out));
         cr_assert(anew.accepts_new_work(domain_a, host_1));
--- a/tests/edge/caller_request_test.cpp
+++ b/tests/edge/caller_request_test.cpp
@@ -51,7 +51,7 @@
 Test(peer_message, a_word_comes_back_as_it_was)
 {
     peer_message message;
-    message.word = {"g#1", 7, "10.0.0.1:7340", 42, true, true, {"10.0.0.2:7340"}};
+    message.digest = {"g#1", 7, "10.0.0.1:7340", 42, true, true, {"10.0.0.2:7340"}};
     message.report = {"g#1", 7, false, {{99, direct::upstream_load{1, 2, 1, 3, 4000, 5ms, 1, 200ms}}}};
     cr_assert(decode_peer_message(encode_peer_message(message)) == message);
     cr_assert(!decode_peer_message("garbage"));
--- a/tests/edge/gateway_world.h
+++ b/tests/edge/gateway_world.h
@@ -35,7 +35,7 @@
 public:
     void start(handlers told) override
     {
-        told_ = std::move(told);
+        sent_ = std::move(told);
         if (!held_back) {
             tell();
         }
@@ -48,8 +48,8 @@
             extract.records.push_back({key, "", ++extract.as_of, false});
         }
         extract.whole = true;
-        told_.on_regained();
-        told_.on_records(extract);
+        sent_.on_regained();
+        sent_.on_records(extract);
     }
     void stop() override {}
     [[nodiscard]] auto decode(const direct::fleet_record& record) const -> direct::fleet_fact override
@@ -62,7 +62,7 @@
     bool held_back = false;
 
 private:
-    handlers told_;
+    handlers sent_;
 };
 
 /// A gateway over real sockets on one event loop, with stand-in upstreams and callers.
@@ -107,7 +107,7 @@
         names.account_key = "Authorization";
         names.key_scheme = "Bearer ";
         names.ready_path = "/ready";
-        gateway = std::make_unique<direct_gateway>(loop, settings, outside_words{names, {}}, source,
+        gateway = std::make_unique<direct_gateway>(loop, settings, platform_adapter{names, {}}, source,
                                                    [] { return std::nullopt; });
         cr_assert(gateway->start().has_value());
         connect_caller();
--- a/tests/membership/datagram_test.cpp
+++ b/tests/membership/datagram_test.cpp
@@ -31,7 +31,7 @@
     message.receiver = process_id("p1");
     message.counter = 9;
     message.body = ping_request_message{5, process_id("p2")};
-    message.word = bundle_word{bundle_version(4), sha256("x")};
+    message.word = bundle_notice{bundle_version(4), sha256("x")};
     message.members_digest = 77;
     message.members_count = 5;
     message.news = {message.sender};
@@ -70,7 +70,7 @@
         other.sender.info.id = process_id(std::to_string(number) + std::string(36, 'x'));
         other.sender.state = number % 2 == 0 ? member_state::alive : member_state::leaving;
         other.body = number % 3 == 0 ? datagram_body(sync_request_message{}) : datagram_body(ping_message{1});
-        busy.set_word(bundle_word{bundle_version(1), sha256("x")});
+        busy.set_word(bundle_notice{bundle_version(1), sha256("x")});
         busy.set_drains(other.drains);
         for (const auto& output : busy.receive(instant{} + 1s * number, other, "a")) {
             if (const auto* sent = std::get_if<send_datagram>(&output)) {
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -330,7 +330,7 @@
     // A sidecar goes on acting by a bundle that is no longer in force. Peers with the same bundle confirm it,
     // from the moment they were asked; as soon as those that answer have a newer one nothing confirms it.
     member_world world(2, 5);
-    const auto word = [](std::uint64_t version) { return bundle_word{bundle_version(version), {}}; };
+    const auto word = [](std::uint64_t version) { return bundle_notice{bundle_version(version), {}}; };
     world.members[0]->set_word(word(3));
     world.run(10s);
     cr_assert(!world.members[0]->bundle_confirmed(), "a peer without a bundle confirms none");
--- a/tests/order/order_keeper_test.cpp
+++ b/tests/order/order_tracker_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflymill/order/order_keeper.h"
+#include "dragonflymill/order/order_tracker.h"
 
 #include "support/fault_cell.h"
 #include "support/virtual_time.h"
@@ -12,9 +12,9 @@
 const model_id new_model("m-2");
 constexpr std::uint32_t start = 1'000;
 
-auto options() -> order_keeper_options
+auto options() -> order_tracker_options
 {
-    order_keeper_options result;
+    order_tracker_options result;
     result.start_seconds = start;
     result.load_jitter = 0s;
     return result;
@@ -48,9 +48,9 @@
 }
 
 /// A keeper with a lease, a bundle of version 1 that wants `new_model`, and an engine that has nothing.
-auto ready_keeper() -> order_keeper
+auto ready_keeper() -> order_tracker
 {
-    order_keeper keeper(options(), 1);
+    order_tracker keeper(options(), 1);
     keeper.declare(at(0s), wanted(1, {new_model}));
     keeper.engine_read(view(5s, {}));
     keeper.replicas(new_model, alone(5s));
@@ -60,9 +60,9 @@
 
 } // namespace
 
-Test(order_keeper, brings_an_engine_to_what_is_declared_one_order_at_a_time)
+Test(order_tracker, brings_an_engine_to_what_is_declared_one_order_at_a_time)
 {
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     keeper.declare(at(1s), {bundle_version(2), {new_model}, {adapter_id("a")}, engine_role::prefill});
     keeper.replicas(new_model, alone(5s));
     engine_view now_is = view(5s, {});
@@ -85,23 +85,23 @@
     cr_assert(keeper.engine_fences());
 }
 
-Test(order_keeper, what_is_not_declared_any_more_goes_first)
+Test(order_tracker, what_is_not_declared_any_more_goes_first)
 {
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     keeper.engine_read(view(6s, {old_model}));
     keeper.replicas(old_model, {at(6s), 0, 0, 0, false});
     const auto order = order_of(keeper.next(at(6s)));
     cr_assert(order && order->kind == order_kind::unload_model && order->model == old_model);
 }
 
-Test(order_keeper, same_inputs_same_orders)
+Test(order_tracker, same_inputs_same_orders)
 {
-    order_keeper one = ready_keeper();
-    order_keeper other = ready_keeper();
+    order_tracker one = ready_keeper();
+    order_tracker other = ready_keeper();
     cr_assert(one.next(at(6s)) == other.next(at(6s)));
 }
 
-Test(order_keeper, exactly_one_replica_loads_last)
+Test(order_tracker, exactly_one_replica_loads_last)
 {
     const std::vector<upstream_id> all{upstream_id("e1"), upstream_id("e2"), upstream_id("e3")};
     int last = 0;
@@ -115,7 +115,7 @@
 {
     // A sidecar dies right after an order; its successor doesn't know what was ordered. It waits out the old
     // one's lease, reads the engine, and orders only what is missing.
-    order_keeper successor(options(), 2);
+    order_tracker successor(options(), 2);
     successor.declare(at(0s), wanted(1, {new_model}));
     successor.renew_own_lease(at(1'000s));
     successor.engine_read(view(1s, {new_model}));
@@ -128,7 +128,7 @@
     // A sidecar decides on an order and is paused before it sends it. A successor has taken over. The engine
     // ignores fencing numbers, so only the look at the own lease just before sending keeps the old order
     // back.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     keeper.renew_own_lease(at(8s));
     const auto order = order_of(keeper.next(at(6s)));
     cr_assert(order);
@@ -140,7 +140,7 @@
 {
     // A sidecar with a stale bundle meets an engine that has seen a newer one's orders. It gives none, and
     // never outbids the newer bundle's number.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     const std::uint64_t newer = (7ULL << 32U) | 5U;
     keeper.engine_read(view(6s, {}, newer));
     cr_assert(waits(keeper.next(at(6s)), order_wait::superseded));
@@ -153,7 +153,7 @@
 FAULT_CELL_MORE(order_give, config_stale, older_bundle)
 {
     // An older bundle arrives late from a peer. What is declared never goes back.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     keeper.declare(at(1s), wanted(5, {new_model}));
     const fencing_number before = keeper.fence();
     keeper.declare(at(2s), wanted(4, {old_model}));
@@ -167,7 +167,7 @@
     // The predecessor's clock ran ahead, so its number is higher than the successor's. After the wait for its
     // lease the successor outbids it; without that the engine would refuse every order for as long as the
     // clock was wrong.
-    order_keeper successor = ready_keeper();
+    order_tracker successor = ready_keeper();
     const std::uint64_t ahead = (1ULL << 32U) | (start + 50U);
     successor.engine_read(view(6s, {}, ahead));
     cr_assert(order_of(successor.next(at(6s)))->fence.value() == ahead + 1);
@@ -176,7 +176,7 @@
 FAULT_CELL(order_give, message_doubled)
 {
     // The wish to send comes twice, as after a retry inside the daemon. One order is on its way at a time.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     const auto order = order_of(keeper.next(at(6s)));
     cr_assert(keeper.sending(at(6s), *order));
     cr_assert(!keeper.sending(at(6s), *order));
@@ -189,7 +189,7 @@
     std::uint32_t loading = 0;
     const std::vector<upstream_id> all{upstream_id("e1"), upstream_id("e2"), upstream_id("e3")};
     for (const upstream_id& self : all) {
-        order_keeper keeper = ready_keeper();
+        order_tracker keeper = ready_keeper();
         keeper.replicas(new_model, {at(5s), 3, 0, 0, last_to_load(self, new_model, all)});
         loading += order_of(keeper.next(at(6s))) ? 1 : 0;
     }
@@ -200,7 +200,7 @@
 {
     // Two bundles in a row unload the same model everywhere. The replica that others' requests need is kept
     // until another one has the model.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     keeper.engine_read(view(6s, {old_model}));
     keeper.replicas(old_model, {at(6s), 2, 0, 1, false});
     cr_assert(waits(keeper.next(at(6s)), order_wait::others_loading));
@@ -214,7 +214,7 @@
 {
     // The answer to an order is lost. The keeper gives it up after a while, reads the engine, finds the model
     // loaded, and orders nothing a second time.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     const auto order = order_of(keeper.next(at(6s)));
     cr_assert(keeper.sending(at(6s), *order));
     cr_assert(waits(keeper.next(at(65s)), order_wait::answer));
@@ -227,7 +227,7 @@
 {
     // A look at the engine from before the order arrives after its answer. It must not lead to the same order
     // again; a look from after it is waited for.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     const auto order = order_of(keeper.next(at(6s)));
     cr_assert(keeper.sending(at(6s), *order));
     keeper.answered(at(10s), order_result::done);
@@ -242,7 +242,7 @@
 {
     // The engine restarts without its models in the middle of the day. They are loaded again, with a number
     // that has not fallen although the engine has forgotten it.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     const auto first = order_of(keeper.next(at(6s)));
     cr_assert(keeper.sending(at(6s), *first));
     keeper.answered(at(7s), order_result::done);
@@ -260,7 +260,7 @@
 {
     // An old sidecar's order reaches an engine that honours fencing and is refused. It has learned that it is
     // over, and gives no order any more, although it believes to have a lease.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     const auto order = order_of(keeper.next(at(6s)));
     cr_assert(keeper.sending(at(6s), *order));
     keeper.answered(at(7s), order_result::fenced);
@@ -273,7 +273,7 @@
 {
     // A successor's order overtakes the old sidecar's on the way to the engine. The old one reads the higher
     // number and stops, instead of outbidding it and taking turns for ever.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     const auto order = order_of(keeper.next(at(6s)));
     cr_assert(keeper.sending(at(6s), *order));
     keeper.answered(at(7s), order_result::done);
@@ -286,7 +286,7 @@
 {
     // The weight store gives no permit for a while. The order is tried again at growing intervals with
     // jitter, not at once and not by all sidecars together.
-    order_keeper keeper = ready_keeper();
+    order_tracker keeper = ready_keeper();
     instant now = at(6s);
     std::vector<duration> gaps;
     for (int i = 0; i < 5; ++i) {
--- a/tests/serve/gang_desk_test.cpp
+++ b/tests/serve/gang_dispatcher_test.cpp
@@ -58,7 +58,7 @@
 
 } // namespace
 
-Test(gang_desk, a_prompt_larger_than_any_engine_is_answered_whole_and_leaves_nothing)
+Test(gang_dispatcher, a_prompt_larger_than_any_engine_is_answered_whole_and_leaves_nothing)
 {
     gang_world world(1, 4);
     world.ask(0, 1, three_engines);
@@ -67,7 +67,7 @@
     cr_assert(world.held() == 0, "all of it is given back at once, not only when its leases end");
 }
 
-Test(gang_desk, only_what_no_group_could_ever_hold_is_too_large)
+Test(gang_dispatcher, only_what_no_group_could_ever_hold_is_too_large)
 {
     gang_world world(1, 4);
     world.ask(0, 1, 4 * gang_world::memory);
@@ -76,7 +76,7 @@
     cr_assert(world.held() == 0);
 }
 
-Test(gang_desk, a_limit_that_ends_while_a_span_is_computed_says_that_it_may_have_run)
+Test(gang_dispatcher, a_limit_that_ends_while_a_span_is_computed_says_that_it_may_have_run)
 {
     gang_world world(1, 4);
     world.ask(0, 1, two_engines, 250ms);
@@ -87,7 +87,7 @@
     nothing_is_held(world);
 }
 
-Test(gang_desk, short_requests_are_answered_while_gangs_fill_the_engines)
+Test(gang_dispatcher, short_requests_are_answered_while_gangs_fill_the_engines)
 {
     gang_world world(2, 4);
     world.ask(0, 1, three_engines);
--- a/tests/serve/order_desk_test.cpp
+++ b/tests/serve/order_dispatcher_test.cpp
@@ -38,7 +38,8 @@
 
 } // namespace
 
-Test(order_desk, an_engine_without_models_gets_the_declared_ones_and_a_bundle_without_models_orders_nothing)
+Test(order_dispatcher,
+     an_engine_without_models_gets_the_declared_ones_and_a_bundle_without_models_orders_nothing)
 {
     lone_sidecar world;
     world.engine.models = {model_id("by-hand")};
@@ -53,7 +54,7 @@
               kinds_of(world.engine.carried).c_str());
 }
 
-Test(order_desk, many_replicas_of_a_model_heed_each_other_in_equal_groups)
+Test(order_dispatcher, many_replicas_of_a_model_heed_each_other_in_equal_groups)
 {
     constexpr std::size_t replicas = 17;
     std::vector<sidecar_place> places;
--- a/tests/serve/share_desk_test.cpp
+++ b/tests/serve/share_coordinator_test.cpp
@@ -147,7 +147,7 @@
 
 } // namespace
 
-Test(share_desk, a_span_and_an_answer_run_under_their_shares_and_leave_nothing)
+Test(share_coordinator, a_span_and_an_answer_run_under_their_shares_and_leave_nothing)
 {
     world exporter;
     const auto first = exporter.granted(50'000);
@@ -177,7 +177,7 @@
     cr_assert(decoder.held.empty() && decoder.core.in_hand() == 0);
 }
 
-Test(share_desk, a_share_may_be_asked_for_again_and_is_used_once)
+Test(share_coordinator, a_share_may_be_asked_for_again_and_is_used_once)
 {
     world sidecar;
     const auto lease = sidecar.granted(50'000);
@@ -192,7 +192,7 @@
     cr_assert(!sidecar.begin(anothers));
 }
 
-Test(share_desk, a_share_that_waits_for_its_turn_stands_as_long_as_it_is_renewed)
+Test(share_coordinator, a_share_that_waits_for_its_turn_stands_as_long_as_it_is_renewed)
 {
     // The engine lists nothing of it yet, and the spans before it take longer than a lease.
     world sidecar;
@@ -204,7 +204,7 @@
     cr_assert(sidecar.begin(export_under(lease)));
 }
 
-Test(share_desk, short_requests_find_room_beside_a_gang_and_long_ones_wait_behind_its_place_in_line)
+Test(share_coordinator, short_requests_find_room_beside_a_gang_and_long_ones_wait_behind_its_place_in_line)
 {
     world sidecar;
     cr_assert(sidecar.begin(plain("long", 40'000, length_class::bulk)));
@@ -219,7 +219,7 @@
     cr_assert(sidecar.begin(plain("long-3", 20'000, length_class::bulk)), "a line ends if nobody asks again");
 }
 
-Test(share_desk, a_share_is_refused_when_cold_draining_or_stopping)
+Test(share_coordinator, a_share_is_refused_when_cold_draining_or_stopping)
 {
     world sidecar;
     static_cast<void>(sidecar.step(sidecar_input::capacity_changed{10'000, room, model_id{}}));
--- a/tests/serve/sidecar_core_test.cpp
+++ b/tests/serve/sidecar_core_test.cpp
@@ -147,7 +147,7 @@
     sidecar_core core(start, engine_options());
     const auto name = begin_stream(core);
     feed(core, start + 1s, sidecar_input::gateway_heard{process_id("g1")});
-    const auto term = permit_gate_options{}.lease_term;
+    const auto term = permit_controller_options{}.lease_term;
     cr_assert(tick_until_cancel(core, start + 1s, start + 900ms + term).empty());
     cr_assert(tick_until_cancel(core, start + 1s + term, start + 2s + term) == name);
 }
@@ -159,7 +159,7 @@
     // Cause: only heartbeats counted as a sign of life.
     sidecar_core core(start, engine_options());
     begin_stream(core);
-    const auto term = permit_gate_options{}.lease_term;
+    const auto term = permit_controller_options{}.lease_term;
     cr_assert(tick_until_cancel(core, start, start + term - 200ms).empty());
     feed(core, start + term - 100ms, sidecar_input::attempt_opened{call_number(2), spec("s")});
     cr_assert(tick_until_cancel(core, start + term, start + 2 * term - 200ms).empty());
