--- a/include/dragonflymill/core/stable_hash.h
+++ b/include/dragonflymill/core/stable_hash.h
@@ -5,6 +5,14 @@
 
 namespace dragonflymill {
 
+/// Spreads the bits of a value, so that values that differ a little differ in all bits.
+[[nodiscard]] constexpr auto mix_bits(std::uint64_t value) -> std::uint64_t
+{
+    value = (value ^ (value >> 33U)) * 0xff51afd7ed558ccdULL;
+    value = (value ^ (value >> 33U)) * 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33U);
+}
+
 /// 64-bit hash that is the same on every host and in every build (FNV-1a, then mixed). Not for secrets.
 [[nodiscard]] constexpr auto stable_hash(std::string_view text, std::uint64_t seed = 0) -> std::uint64_t
 {
@@ -12,9 +20,7 @@
     for (const char c : text) {
         value = (value ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
     }
-    value = (value ^ (value >> 33U)) * 0xff51afd7ed558ccdULL;
-    value = (value ^ (value >> 33U)) * 0xc4ceb9fe1a85ec53ULL;
-    return value ^ (value >> 33U);
+    return mix_bits(value);
 }
 
 /// Score of `node` for `key` in rendezvous hashing: the node with the highest score is the key's home.
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/core/time.h"
 
 #include <compare>
@@ -8,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -87,14 +89,19 @@
     /// A call ended.
     void finish(placement_id id, instant now);
     /// Notes whether this gateway finds an upstream faulty, to be told to the others.
-    void set_suspect(const std::string& upstream, bool suspect);
+    void set_suspect(upstream_key upstream, bool suspect);
+    void set_suspect(std::string_view upstream, bool suspect) { set_suspect(stable_hash(upstream), suspect); }
     /// Takes another gateway's report; one that is older than the last of its start is left out.
     void take_report(const load_report& report, instant now);
     /// Forgets what a gateway that is gone has told.
     void forget_gateway(const std::string& gateway);
 
     /// All work in hand at an upstream.
-    [[nodiscard]] auto load_of(const std::string& upstream, instant now) const -> upstream_load;
+    [[nodiscard]] auto load_of(upstream_key upstream, instant now) const -> upstream_load;
+    [[nodiscard]] auto load_of(std::string_view upstream, instant now) const -> upstream_load
+    {
+        return load_of(stable_hash(upstream), now);
+    }
     /// This gateway's own work, to be told to the others: all of it, or what changed since `own_changes`
     /// stood at `since`.
     [[nodiscard]] auto own_loads(instant now, std::optional<std::uint64_t> since = std::nullopt) const
@@ -102,7 +109,11 @@
     /// Rises whenever own work changes.
     [[nodiscard]] auto own_changes() const -> std::uint64_t { return own_changes_; }
     /// Own calls in hand at an upstream.
-    [[nodiscard]] auto own_calls(const std::string& upstream) const -> int;
+    [[nodiscard]] auto own_calls(upstream_key upstream) const -> int;
+    [[nodiscard]] auto own_calls(std::string_view upstream) const -> int
+    {
+        return own_calls(stable_hash(upstream));
+    }
 
 private:
     /// One gateway's load at one upstream; reading shrinks with time.
@@ -133,9 +144,9 @@
     void forget_loads(const std::string& gateway, reported_loads& report);
     void remove_load(upstream_key upstream, const std::string& gateway);
     void end_reading(reported_load& reader, duration reading, instant now) const;
-    [[nodiscard]] auto changing(const std::string& upstream) -> reported_load&;
+    [[nodiscard]] auto changing(upstream_key upstream) -> reported_load&;
 
-    std::unordered_map<std::string, reported_load> own_;
+    std::unordered_map<upstream_key, reported_load> own_;
     std::unordered_map<placement_id, placed_call> placed_;
     std::unordered_map<std::string, reported_loads> others_;
     /// By upstream, since each decision asks for all upstreams: summing over all gateways for each of them
--- a/include/dragonflymill/direct/reading_plan.h
+++ b/include/dragonflymill/direct/reading_plan.h
@@ -86,6 +86,15 @@
         std::int64_t tokens = 0;
         std::vector<helper_share> holders;
     };
+    /// An engine that may help, with what doesn't depend on the length of its part.
+    struct able_reader
+    {
+        const dispatch_candidate* engine = nullptr;
+        duration before{};         // its reading and its pass, before the part
+        double streams_cost = 0.0; // if all its streams become late
+        std::int64_t backlog_steps = 0;
+        std::uint64_t spread = 0;
+    };
     struct ranked_reader
     {
         const dispatch_candidate* engine = nullptr;
@@ -116,8 +125,11 @@
     [[nodiscard]] static auto is_chosen(const writer_choice& writer, const dispatch_candidate& engine)
         -> bool;
     [[nodiscard]] auto readers_options() const -> std::vector<readers_option>;
-    [[nodiscard]] auto ranked(duration part) const -> std::vector<ranked_reader>;
-    [[nodiscard]] auto cost_at(const dispatch_candidate& engine, duration part) const -> double;
+    [[nodiscard]] auto able_readers() const -> std::vector<able_reader>;
+    [[nodiscard]] static auto ranked(const std::vector<able_reader>& able, duration part)
+        -> std::vector<ranked_reader>;
+    [[nodiscard]] auto able_of(const dispatch_candidate& engine) const -> able_reader;
+    [[nodiscard]] static auto cost_at(const able_reader& reader, duration part) -> double;
     [[nodiscard]] auto benefit_of(duration first_token) const -> double;
     [[nodiscard]] auto worth() const -> double;
     [[nodiscard]] auto wanted_readers() const -> std::size_t;
--- a/include/dragonflymill/direct/upstream_list.h
+++ b/include/dragonflymill/direct/upstream_list.h
@@ -54,8 +54,9 @@
 /// An upstream and what this process knows of it.
 struct upstream_state
 {
-    upstream_entry entry;              ///< As published last.
-    instant cold_until{};              ///< It is cold until then.
+    upstream_entry entry;  ///< As published last.
+    std::uint64_t key = 0; ///< Hash of its id: its name in load reports, and its place in an order.
+    instant cold_until{};  ///< It is cold until then.
     std::optional<instant> removed_at; ///< When its entry went, while the removal isn't believed yet.
 
     friend auto operator==(const upstream_state&, const upstream_state&) -> bool = default;
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -43,7 +43,7 @@
 void call_dispatcher::report_suspects(const upstream_list& fleet, instant now)
 {
     for (const auto& [id, state] : fleet.upstreams()) {
-        board_.set_suspect(id, health_.suspect(id, 0, now));
+        board_.set_suspect(state.key, health_.suspect(id, 0, now));
     }
 }
 
@@ -204,19 +204,22 @@
 auto call_dispatcher::candidates(const upstream_list& fleet, const service_rule& service, instant now) const
     -> std::vector<dispatch_candidate>
 {
-    std::vector<dispatch_candidate> found;
+    std::vector<const upstream_state*> usable;
     for (const auto& [id, state] : fleet.upstreams()) {
-        if (state.entry.service != service.name || !fleet.takes_work(state) || cold_full(fleet, state, now)) {
-            continue;
+        if (state.entry.service == service.name && fleet.takes_work(state) && !cold_full(fleet, state, now)) {
+            usable.push_back(&state);
         }
-        dispatch_candidate candidate;
-        candidate.id = id;
-        candidate.failure_domain = state.entry.failure_domain;
-        candidate.slots = state.entry.slots;
-        refresh_load(candidate, now);
-        found.push_back(std::move(candidate));
     }
-    sort_for_partition(found);
+    std::sort(usable.begin(), usable.end(), [](const upstream_state* a, const upstream_state* b) {
+        return std::tie(a->key, a->entry.id) < std::tie(b->key, b->entry.id);
+    });
+    std::vector<dispatch_candidate> found;
+    found.reserve(usable.size());
+    for (const upstream_state* state : usable) {
+        const upstream_entry& entry = state->entry;
+        found.push_back({entry.id, entry.failure_domain, entry.slots, false, {}, state->key});
+        refresh_load(found.back(), now);
+    }
     return found;
 }
 
@@ -240,8 +243,8 @@
 
 void call_dispatcher::refresh_load(dispatch_candidate& candidate, instant now) const
 {
-    candidate.load = board_.load_of(candidate.id, now);
-    candidate.suspect = health_.suspect(candidate.id, board_.own_calls(candidate.id), now) ||
+    candidate.load = board_.load_of(candidate.place, now);
+    candidate.suspect = health_.suspect(candidate.id, board_.own_calls(candidate.place), now) ||
                         candidate.load.suspected_by >= suspects_to_believe;
 }
 
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -24,7 +24,7 @@
 {
     const auto rank = [&](const dispatch_candidate& upstream) {
         return std::tuple(upstream.suspect, in_hand(upstream), is_far(call, upstream),
-                          stable_hash(upstream.id, call.spread));
+                          mix_bits(upstream.place ^ call.spread));
     };
     const dispatch_candidate* best = nullptr;
     for (const dispatch_candidate& upstream : candidates) {
@@ -91,7 +91,7 @@
 {
     const auto rank = [&](const dispatch_candidate& engine) {
         return std::tuple(engine.load.reading / 25ms, in_hand(engine) / 2, is_far(call, engine),
-                          stable_hash(engine.id, call.spread));
+                          mix_bits(engine.place ^ call.spread));
     };
     const dispatch_candidate* best = nullptr;
     const auto consider = [&](std::span<const dispatch_candidate> engines) {
--- a/src/direct/load_board.cpp
+++ b/src/direct/load_board.cpp
@@ -33,17 +33,17 @@
     const placement& call = found->second.call;
     found->second.read = true;
     ++own_changes_;
-    reported_load& own = changing(call.upstream);
+    reported_load& own = changing(stable_hash(call.upstream));
     own.load.unread_calls -= call.is_long ? 1 : 0;
     end_reading(own, call.reading, now);
     for (const helper_share& helper : call.helpers) {
-        reported_load& other = changing(helper.upstream);
+        reported_load& other = changing(stable_hash(helper.upstream));
         --other.load.parts;
         end_reading(other, call.reading, now);
     }
 }
 
-auto load_board::changing(const std::string& upstream) -> reported_load&
+auto load_board::changing(upstream_key upstream) -> reported_load&
 {
     reported_load& own = own_[upstream];
     own.changed = own_changes_;
@@ -68,7 +68,7 @@
     const placement call = std::move(found->second.call);
     placed_.erase(found);
     ++own_changes_;
-    reported_load& own = changing(call.upstream);
+    reported_load& own = changing(stable_hash(call.upstream));
     --(call.is_long ? own.load.long_calls : own.load.short_calls);
     own.load.memory_tokens -= call.memory_tokens;
     if (call.pause_aim > duration::zero()) {
@@ -79,7 +79,7 @@
     }
     DRAGONFLYMILL_ASSERT(own.load.short_calls >= 0 && own.load.long_calls >= 0, "a call is finished once");
     for (const helper_share& helper : call.helpers) {
-        changing(helper.upstream).load.memory_tokens -= helper.reserved_tokens;
+        changing(stable_hash(helper.upstream)).load.memory_tokens -= helper.reserved_tokens;
     }
 }
 
@@ -89,7 +89,7 @@
         reader.load.reading += call.reading;
         reader.read_until = std::max(reader.read_until, now) + call.reading;
     };
-    reported_load& own = changing(call.upstream);
+    reported_load& own = changing(stable_hash(call.upstream));
     ++(call.is_long ? own.load.long_calls : own.load.short_calls);
     own.load.unread_calls += call.is_long ? 1 : 0;
     own.load.memory_tokens += call.memory_tokens;
@@ -99,14 +99,14 @@
     }
     add_reading(own);
     for (const helper_share& helper : call.helpers) {
-        reported_load& other = changing(helper.upstream);
+        reported_load& other = changing(stable_hash(helper.upstream));
         ++other.load.parts;
         other.load.memory_tokens += helper.reserved_tokens;
         add_reading(other);
     }
 }
 
-void load_board::set_suspect(const std::string& upstream, bool suspect)
+void load_board::set_suspect(upstream_key upstream, bool suspect)
 {
     const auto known = own_.find(upstream);
     if (known == own_.end() ? !suspect : known->second.load.suspected_by == (suspect ? 1 : 0)) {
@@ -165,13 +165,13 @@
     }
 }
 
-auto load_board::load_of(const std::string& upstream, instant now) const -> upstream_load
+auto load_board::load_of(upstream_key upstream, instant now) const -> upstream_load
 {
     upstream_load sum;
     if (const auto own = own_.find(upstream); own != own_.end()) {
         sum = own->second.at(now);
     }
-    const auto reported = others_loads_.find(stable_hash(upstream));
+    const auto reported = others_loads_.find(upstream);
     if (reported == others_loads_.end()) {
         return sum;
     }
@@ -200,13 +200,13 @@
         const upstream_load current = load.at(now);
         const bool reported = since ? load.changed > *since : current != upstream_load{};
         if (reported) {
-            loads.emplace(stable_hash(upstream), current);
+            loads.emplace(upstream, current);
         }
     }
     return loads;
 }
 
-auto load_board::own_calls(const std::string& upstream) const -> int
+auto load_board::own_calls(upstream_key upstream) const -> int
 {
     const auto found = own_.find(upstream);
     return found == own_.end() ? 0 : found->second.load.short_calls + found->second.load.long_calls;
--- a/src/direct/reading_plan.cpp
+++ b/src/direct/reading_plan.cpp
@@ -58,6 +58,9 @@
     if (found.empty()) {
         found = writers(ordered_);
     }
+    if (found.empty()) {
+        return std::nullopt;
+    }
     const std::vector<readers_option> options = readers_options();
     std::optional<reading_plan> chosen;
     for (const writer_choice& writer : found) {
@@ -219,11 +222,11 @@
     plan.helpers = writer.holders;
     plan.part = part;
     plan.backlog = writer.engine->load.reading;
-    plan.cost = cost_at(*writer.engine, part);
+    plan.cost = cost_at(able_of(*writer.engine), part);
     for (const helper_share& holder : writer.holders) {
         const dispatch_candidate& engine = find(holder.upstream);
         plan.backlog = std::max(plan.backlog, engine.load.reading);
-        plan.cost += cost_at(engine, part);
+        plan.cost += cost_at(able_of(engine), part);
     }
     return plan;
 }
@@ -236,45 +239,74 @@
 
 auto reading_planner::readers_options() const -> std::vector<readers_option>
 {
+    const std::vector<able_reader> able = able_readers();
     std::vector<readers_option> options;
     for (const std::size_t readers : reader_counts) {
         if (readers <= most_readers()) {
             const duration part = forecast_.read_part(call_.prompt_tokens, static_cast<int>(readers));
-            options.push_back({readers, part, ranked(part)});
+            options.push_back({readers, part, ranked(able, part)});
         }
     }
     return options;
 }
 
-auto reading_planner::ranked(duration part) const -> std::vector<ranked_reader>
+auto reading_planner::able_readers() const -> std::vector<able_reader>
 {
-    std::vector<ranked_reader> able;
+    std::vector<able_reader> able;
+    able.reserve(ordered_.size());
     for (const dispatch_candidate& engine : ordered_) {
         // An engine reads parts for others ahead of its own prompts: one that helped on and on would never
         // come to its own, so those with an unread prompt are not asked to help.
-        if (engine.suspect || engine.load.parts >= engine.slots || engine.load.unread_calls > 0) {
-            continue;
+        if (!engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0) {
+            able.push_back(able_of(engine));
         }
-        const duration disturbed = in_hand(engine) > 0 ? writer_penalty : duration::zero();
-        able.push_back({&engine, cost_at(engine, part), (engine.load.reading + disturbed) / backlog_step,
-                        stable_hash(engine.id, call_.spread)});
     }
-    std::sort(able.begin(), able.end(), [](const ranked_reader& a, const ranked_reader& b) {
-        return std::tuple(a.cost, a.backlog_steps, a.spread) < std::tuple(b.cost, b.backlog_steps, b.spread);
-    });
     return able;
 }
 
-auto reading_planner::cost_at(const dispatch_candidate& engine, duration part) const -> double
+auto reading_planner::able_of(const dispatch_candidate& engine) const -> able_reader
+{
+    const duration disturbed = in_hand(engine) > 0 ? writer_penalty : duration::zero();
+    able_reader reader;
+    reader.engine = &engine;
+    reader.backlog_steps = (engine.load.reading + disturbed) / backlog_step;
+    reader.spread = mix_bits(engine.place ^ call_.spread);
+    if (engine.load.tightest_pause > duration::zero()) {
+        const int writers = std::max(in_hand(engine), 1);
+        const double streams = writers + static_cast<double>(engine.load.memory_tokens) / tokens_per_worth;
+        reader.before = engine.load.reading + forecast_.pass(writers, engine.load.memory_tokens / writers);
+        reader.streams_cost = streams * (1.0 - late_worth);
+    }
+    return reader;
+}
+
+auto reading_planner::ranked(const std::vector<able_reader>& able, duration part)
+    -> std::vector<ranked_reader>
+{
+    std::vector<ranked_reader> found;
+    found.reserve(able.size());
+    for (const able_reader& reader : able) {
+        found.push_back({reader.engine, cost_at(reader, part), reader.backlog_steps, reader.spread});
+    }
+    // No plan uses more than the first ones: its readers, and the engines that it passes over because they
+    // hold a part of its memory already.
+    const std::size_t used = std::min(found.size(), max_readers + max_holders + 1);
+    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(used), found.end(),
+                      [](const ranked_reader& a, const ranked_reader& b) {
+                          return std::tuple(a.cost, a.backlog_steps, a.spread) <
+                                 std::tuple(b.cost, b.backlog_steps, b.spread);
+                      });
+    found.resize(used);
+    return found;
+}
+
+auto reading_planner::cost_at(const able_reader& reader, duration part) -> double
 {
-    if (engine.load.tightest_pause <= duration::zero()) {
+    if (reader.streams_cost == 0.0) {
         return 0.0;
     }
-    const int writers = std::max(in_hand(engine), 1);
-    const duration pass = forecast_.pass(writers, engine.load.memory_tokens / writers);
-    const double pause = ratio(engine.load.reading + part + pass, engine.load.tightest_pause);
-    const double streams = writers + static_cast<double>(engine.load.memory_tokens) / tokens_per_worth;
-    return streams * (1.0 - late_worth) * ramp(pause, cost_begins, cost_full);
+    const double pause = ratio(reader.before + part, reader.engine->load.tightest_pause);
+    return reader.streams_cost * ramp(pause, cost_begins, cost_full);
 }
 
 auto reading_planner::benefit_of(duration first_token) const -> double
--- a/src/direct/upstream_list.cpp
+++ b/src/direct/upstream_list.cpp
@@ -1,5 +1,7 @@
 #include "dragonflymill/direct/upstream_list.h"
 
+#include "dragonflymill/core/stable_hash.h"
+
 #include <algorithm>
 
 namespace dragonflymill::direct {
@@ -37,6 +39,7 @@
         state.cold_until = std::max(state.cold_until, now + entry.cold_left);
     }
     state.entry = entry;
+    state.key = stable_hash(entry.id);
     state.removed_at.reset();
     id_by_key_[key] = entry.id;
 }
