Forward gossip digests through relays in fleets of more than 48 gateways

Small gateways decided late on views that were old.

In a large fleet each gateway now subscribes to the one with most processor of its domain, which forwards digests in batches of 20 ms to its subscribers and to the relays of the other domains; urgent ones within 4 ms. A relay that is silent for half a second is given up, and until the next one is heard a gateway sends to all, as before. The codec of the datagrams is parted from the link. A refusal now says what the call waited for.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -170,8 +170,11 @@
     [[nodiscard]] auto backoff_elapsed(const waiting_call& call, const dispatch_choice& choice, instant now)
         -> bool;
     void note_no_room(const waiting_call& call, instant now);
-    [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
-        -> std::optional<dispatch_refusal>;
+    [[nodiscard]] auto shape_of(const waiting_call& call, instant now) const -> call_shape;
+    [[nodiscard]] auto why_waiting(const upstream_list& fleet, const waiting_call& call, instant now,
+                                   const round_view& view) const -> std::string;
+    [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now,
+                                  const round_view& view) const -> std::optional<dispatch_refusal>;
 
     dispatch_settings settings_;
     load_board board_;
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -3,6 +3,7 @@
 #include "dragonflymill/core/time.h"
 #include "dragonflymill/direct/dispatch_call.h"
 #include "dragonflymill/direct/engine_forecast.h"
+#include "dragonflymill/direct/reading_plan.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,6 +23,19 @@
         -> std::optional<dispatch_choice>;
 };
 
+/// Why a call isn't placed now.
+enum class wait_reason
+{
+    none,        ///< It can be placed.
+    no_engine,   ///< No engine has a slot and memory for it.
+    few_readers, ///< Those that are free would read it late; all together could read it in time.
+    backlog,     ///< The engines that would read it have other prompts to read first.
+    cost,        ///< Its reading would make answers late that are worth more.
+};
+
+/// Text of a reason, for the log.
+[[nodiscard]] auto to_string(wait_reason reason) -> const char*;
+
 /// Chooses engines for prompts of unlike lengths.
 ///
 /// An engine that reads a long prompt beside streams holds each of their passes up by the reading, so that
@@ -38,6 +52,9 @@
     /// The choice; nothing while the call had better wait.
     [[nodiscard]] auto choose(const call_shape& call, std::span<const dispatch_candidate> candidates) const
         -> std::optional<dispatch_choice>;
+    /// Why a call isn't placed now, for the log.
+    [[nodiscard]] auto why_waiting(const call_shape& call,
+                                   std::span<const dispatch_candidate> candidates) const -> wait_reason;
     /// Whether a prompt counts as long: reading it alone takes over half of the tightest pause.
     [[nodiscard]] auto is_long(std::int64_t prompt_tokens) const -> bool;
     /// Whether a call's stream bears no longer pauses than the tightest ones, so that it is written on the
@@ -63,6 +80,8 @@
                                     std::size_t boundary) const -> std::optional<dispatch_choice>;
     [[nodiscard]] auto choose_long(const call_shape& call, std::span<const dispatch_candidate> ordered,
                                    std::size_t boundary) const -> std::optional<dispatch_choice>;
+    [[nodiscard]] auto obstacle_to(const std::optional<reading_plan>& plan, const reading_planner& planner,
+                                   const call_shape& call) const -> wait_reason;
     [[nodiscard]] auto wanted_part() const -> duration;
 
     engine_forecast forecast_;
--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -21,6 +21,11 @@
     bool leaving = false;           ///< It is stopping.
     bool reads_source = false;      ///< It reads published records first hand, and they come.
     std::vector<std::string> peers; ///< Addresses of gateways that it hears from; not in every digest.
+    std::string failure_domain;     ///< Where it runs.
+    int millicores = 0;             ///< Processor of its host, in thousandths of a core; 0: not stated.
+    bool relaying = false;          ///< It forwards digests of others.
+    bool subscribes = false;        ///< The receiver is asked to be its relay.
+    bool urgent = false;            ///< A relay forwards it without waiting for others.
 
     friend auto operator==(const peer_digest&, const peer_digest&) -> bool = default;
 };
@@ -34,8 +39,8 @@
     friend auto operator==(const known_peer&, const known_peer&) -> bool = default;
 };
 
-/// The other gateways: each tells every other one its state a few times a second. A few dozen gateways hear
-/// each other directly, so that no failure detector is needed beyond the age of the last digest.
+/// The other gateways: each one's state reaches every other one a few times a second, directly or through
+/// relays, so that no failure detector is needed beyond the age of the last digest.
 class peer_table
 {
 public:
@@ -48,6 +53,8 @@
     [[nodiscard]] auto forget_silent(instant now) -> std::vector<std::string>;
     /// Where the next digest goes: all peers, and seeds and hearsay that nothing was heard of.
     [[nodiscard]] auto targets(instant now) const -> std::vector<std::string>;
+    /// Seeds and hearsay that no known peer has the address of.
+    [[nodiscard]] auto strangers() const -> std::vector<std::string>;
     /// Gateways that are there, this one included; peers that are stopping still count, as they still send.
     [[nodiscard]] auto gateways() const -> int { return static_cast<int>(peers_.size()) + 1; }
     /// A peer that knows most of the published changes; nothing if none knows more than `revision`. Of
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -113,7 +113,7 @@
         if (!choice) {
             ++failures;
             note_no_room(call, now);
-            if (auto refusal = refusal_of(fleet, call, now)) {
+            if (auto refusal = refusal_of(fleet, call, now, view)) {
                 round.refusals.push_back(std::move(*refusal));
                 room_since_.erase(call.id);
                 continue;
@@ -125,8 +125,8 @@
     return round;
 }
 
-auto call_dispatcher::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
-    -> std::optional<dispatch_refusal>
+auto call_dispatcher::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now,
+                                 const round_view& view) const -> std::optional<dispatch_refusal>
 {
     if (!any_upstream(fleet, call.service)) {
         return dispatch_refusal{call.id, retry_after_none, "no upstream takes work"};
@@ -135,7 +135,7 @@
         const std::uint64_t draw = stable_hash(std::to_string(call.id), settings_.seed);
         const duration saturated = saturated_.at(class_of(call)).lasting(now);
         const duration back = return_time(saturated, call.limit_at - now, draw);
-        return dispatch_refusal{call.id, back, "all upstreams are full"};
+        return dispatch_refusal{call.id, back, why_waiting(fleet, call, now, view)};
     }
     return std::nullopt;
 }
@@ -171,14 +171,7 @@
     if (service == nullptr) {
         return std::nullopt;
     }
-    const call_shape shape{call.prompt_tokens,
-                           call.answer_tokens,
-                           call.pause_aim,
-                           call.leaves_at - now,
-                           call.aim_at - now,
-                           settings_.failure_domain,
-                           stable_hash(std::to_string(call.id), settings_.seed),
-                           call.aim};
+    const call_shape shape = shape_of(call, now);
     auto known = view.find(call.service);
     if (known == view.end()) {
         known = view.emplace(call.service, candidates(fleet, *service, now)).first;
@@ -201,6 +194,31 @@
     return engine_dispatch(*service->engine, pause).choose(shape, found);
 }
 
+auto call_dispatcher::shape_of(const waiting_call& call, instant now) const -> call_shape
+{
+    return {call.prompt_tokens,
+            call.answer_tokens,
+            call.pause_aim,
+            call.leaves_at - now,
+            call.aim_at - now,
+            settings_.failure_domain,
+            stable_hash(std::to_string(call.id), settings_.seed),
+            call.aim};
+}
+
+auto call_dispatcher::why_waiting(const upstream_list& fleet, const waiting_call& call, instant now,
+                                  const round_view& view) const -> std::string
+{
+    const service_rule* service = fleet.config()->service_of(call.service);
+    const auto known = view.find(call.service);
+    if (service == nullptr || !service->engine || known == view.end()) {
+        return "all upstreams are full";
+    }
+    const duration pause = fleet.config()->tightest_pause(call.service).value_or(duration::zero());
+    const engine_dispatch policy(*service->engine, pause);
+    return to_string(policy.why_waiting(shape_of(call, now), known->second));
+}
+
 auto call_dispatcher::candidates(const upstream_list& fleet, const service_rule& service, instant now) const
     -> std::vector<dispatch_candidate>
 {
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -134,17 +134,10 @@
     const std::size_t first = std::min(boundary, ordered.size() - 1);
     const reading_planner planner(forecast_, wanted_part(), call, ordered);
     auto plan = planner.best(ordered.subspan(first));
-    if (!plan) {
+    if (obstacle_to(plan, planner, call) != wait_reason::none) {
         return std::nullopt;
     }
     const bool on_time = plan->first_token() <= call.time_to_aim;
-    // Engines are busy for moments, but a late reading by the few that are free keeps them for seconds.
-    if (!on_time && planner.fastest() <= call.time_to_aim) {
-        return std::nullopt;
-    }
-    if (plan->backlog > (on_time ? max_backlog : max_backlog_when_late) || !planner.acceptable(*plan)) {
-        return std::nullopt;
-    }
     dispatch_choice choice;
     choice.upstream = plan->writer->id;
     choice.load = plan->writer->load;
@@ -157,6 +150,51 @@
     return choice;
 }
 
+auto engine_dispatch::obstacle_to(const std::optional<reading_plan>& plan, const reading_planner& planner,
+                                  const call_shape& call) const -> wait_reason
+{
+    if (!plan) {
+        return wait_reason::no_engine;
+    }
+    const bool on_time = plan->first_token() <= call.time_to_aim;
+    // Engines are busy for moments, but a late reading by the few that are free keeps them for seconds.
+    if (!on_time && planner.fastest() <= call.time_to_aim) {
+        return wait_reason::few_readers;
+    }
+    if (plan->backlog > (on_time ? max_backlog : max_backlog_when_late)) {
+        return wait_reason::backlog;
+    }
+    return planner.acceptable(*plan) ? wait_reason::none : wait_reason::cost;
+}
+
+auto engine_dispatch::why_waiting(const call_shape& call,
+                                  std::span<const dispatch_candidate> candidates) const -> wait_reason
+{
+    if (candidates.empty() || is_tight(call) || !is_long(call.prompt_tokens)) {
+        return wait_reason::no_engine;
+    }
+    const std::size_t first = std::min(short_partition(candidates), candidates.size() - 1);
+    const reading_planner planner(forecast_, wanted_part(), call, candidates);
+    return obstacle_to(planner.best(candidates.subspan(first)), planner, call);
+}
+
+auto to_string(wait_reason reason) -> const char*
+{
+    switch (reason) {
+    case wait_reason::none:
+        return "engines have room";
+    case wait_reason::no_engine:
+        return "no engine has a free slot and memory";
+    case wait_reason::few_readers:
+        return "too few engines are free to read the prompt in time";
+    case wait_reason::backlog:
+        return "engines have too much to read";
+    case wait_reason::cost:
+        return "reading the prompt now would make too many answers late";
+    }
+    return "unknown";
+}
+
 auto engine_dispatch::wanted_part() const -> duration
 {
     return scaled(tightest_pause_, part_share);
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -70,6 +70,19 @@
     return {all.begin(), all.end()};
 }
 
+auto peer_table::strangers() const -> std::vector<std::string>
+{
+    std::set<std::string> found(seeds_.begin(), seeds_.end());
+    for (const auto& [address, since] : hearsay_) {
+        found.insert(address);
+    }
+    found.erase(address_);
+    for (const auto& [name, peer] : peers_) {
+        found.erase(peer.digest.address);
+    }
+    return {found.begin(), found.end()};
+}
+
 auto peer_table::newer_than(std::uint64_t revision, std::uint64_t attempt) const -> std::optional<peer_digest>
 {
     const auto rank = [&](const peer_digest& digest) {
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -56,6 +56,7 @@
     , reread_(std::move(reread))
     , dispatcher_({settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))})
     , peers_("", "", {})
+    , relay_({})
     , context_{loop,
                timers_,
                platform_.names,
@@ -74,7 +75,7 @@
                    });
                }}
     , link_(loop, timers_,
-            {[this](const peer_message& message) { take_message(message); },
+            {[this](const direct::peer_datagram& datagram) { take_datagram(datagram); },
              [this](std::uint64_t after) { return records_.since(after); },
              [this](const direct::records_extract& extract, const std::string& peer) {
                  take_records(extract, peer);
@@ -94,6 +95,7 @@
     start_name_ = settings_.name + "#" + std::to_string(started);
     fleet_.set_leave_bound(settings_.leave_bound);
     peers_ = direct::peer_table(start_name_, to_text(settings_.peers), settings_.seeds);
+    relay_ = direct::gossip_relay(own_identity());
 }
 
 direct_gateway::~direct_gateway() = default;
@@ -278,22 +280,31 @@
     }
 }
 
-void direct_gateway::take_message(const peer_message& message)
+void direct_gateway::take_datagram(const direct::peer_datagram& datagram)
 {
     const instant now = runtime::now();
+    relay_.take(datagram, now);
+    for (const direct::peer_message& message : datagram.messages) {
+        take_message(message, now);
+    }
+    catch_up_from_peers();
+    schedule_flush();
+}
+
+void direct_gateway::take_message(const direct::peer_message& message, instant now)
+{
     if (peers_.take(message.digest, now)) {
         log_event(event::peer_gateway_found, field("peer", message.digest.gateway),
                   field("address", message.digest.address));
         count_gateways();
-        // Only the new one is answered. A digest to all for each that is found is the cube of their number
-        // when all start at once: 300 gateways served again only after 7 s.
-        link_.send(encode_peer_message(full_digest()), {message.digest.address});
+        // Only the new one is answered: a digest to all for each that is found is the cube of their number
+        // when all start at once.
+        link_.send({"", false, {full_digest()}}, {message.digest.address});
     }
     dispatcher_.board().take_report(message.report, now);
     if (message.digest.reads_source) {
         outage_.peer_reads(now);
     }
-    catch_up_from_peers();
 }
 
 void direct_gateway::catch_up_from_peers()
@@ -314,32 +325,41 @@
     }
 }
 
-auto direct_gateway::bare_digest() -> peer_message
+auto direct_gateway::bare_digest() -> direct::peer_message
 {
     const instant now = runtime::now();
-    peer_message message;
-    message.digest = {start_name_,
-                      ++digest_sequence_,
-                      to_text(settings_.peers),
-                      records_.revision(),
-                      stopping_,
-                      !outage_.is_lost() && now - source_read_at_ < source_fresh,
-                      {}};
+    direct::peer_message message;
+    message.digest = own_identity();
+    message.digest.sequence = ++digest_sequence_;
+    message.digest.revision = records_.revision();
+    message.digest.leaving = stopping_;
+    message.digest.reads_source = !outage_.is_lost() && now - source_read_at_ < source_fresh;
+    message.digest.relaying = relay_.is_relay();
     return message;
 }
 
-auto direct_gateway::full_digest() -> peer_message
+auto direct_gateway::own_identity() const -> direct::peer_digest
+{
+    direct::peer_digest digest;
+    digest.gateway = start_name_;
+    digest.address = to_text(settings_.peers);
+    digest.failure_domain = settings_.failure_domain;
+    digest.millicores = settings_.millicores;
+    return digest;
+}
+
+auto direct_gateway::full_digest() -> direct::peer_message
 {
-    peer_message message = bare_digest();
+    direct::peer_message message = bare_digest();
     message.digest.peers = peers_.some_addresses(message.digest.sequence);
     message.report.whole = true;
     message.report.loads = dispatcher_.board().own_loads(runtime::now());
     return message;
 }
 
-auto direct_gateway::delta_digest(std::uint64_t since) -> peer_message
+auto direct_gateway::delta_digest(std::uint64_t since) -> direct::peer_message
 {
-    peer_message message = bare_digest();
+    direct::peer_message message = bare_digest();
     message.report.whole = false;
     message.report.loads = dispatcher_.board().own_loads(runtime::now(), since);
     return message;
@@ -349,13 +369,71 @@
 {
     const instant now = runtime::now();
     const direct::gossip_state state{dispatcher_.board().own_changes(), records_.revision(),
-                                     peers_.gateways()};
+                                     relay_.sends_to_all() ? peers_.gateways() : 1};
     const auto due = gossip_schedule_.next(state, at_once, now);
     if (!due) {
         return;
     }
-    const peer_message message = due->whole ? full_digest() : delta_digest(due->changes_since);
-    link_.send(encode_peer_message(message), peers_.targets(now));
+    direct::peer_message message = due->whole ? full_digest() : delta_digest(due->changes_since);
+    message.digest.urgent = at_once;
+    if (relay_.is_relay()) {
+        relay_.add_own(message);
+        schedule_flush();
+    }
+    if (relay_.sends_to_all()) {
+        link_.send({"", false, {message}}, peers_.targets(now));
+    }
+    else if (due->whole) {
+        // Gateways that no relay knows yet, or that were cut off from all, are found again.
+        link_.send({"", false, {message}}, peers_.strangers());
+    }
+    if (relay_.relay()) {
+        message.digest.subscribes = true;
+        link_.send({"", false, {std::move(message)}}, {*relay_.relay()});
+    }
+}
+
+void direct_gateway::schedule_flush()
+{
+    const auto due = relay_.flush_at();
+    if (!due || (flush_timer_ && flush_timer_at_ <= *due)) {
+        return;
+    }
+    if (flush_timer_) {
+        timers_.cancel(*flush_timer_);
+    }
+    flush_timer_at_ = *due;
+    flush_timer_ = timers_.at(*due, [this] {
+        flush_timer_.reset();
+        flush_relay();
+    });
+}
+
+void direct_gateway::flush_relay()
+{
+    const instant now = runtime::now();
+    const direct::relay_batch batch = relay_.take_batch();
+    relay_.flushed(now);
+    const std::string self = to_text(settings_.peers);
+    for (const direct::peer_datagram& datagram : direct::datagrams_of(batch.for_subscribers, self, false)) {
+        link_.send(datagram, relay_.subscribers());
+    }
+    for (const direct::peer_datagram& datagram : direct::datagrams_of(batch.for_relays, self, true)) {
+        link_.send(datagram, relay_.other_relays(peers_, now));
+    }
+}
+
+void direct_gateway::update_relay(instant now)
+{
+    const bool moved = relay_.update(peers_, now);
+    if (moved) {
+        log_event(event::gossip_relay_chosen, field("relay", *relay_.relay()),
+                  field("gateways", peers_.gateways()));
+    }
+    // A subscription begins with a digest, and subscribers take a silent relay for lost.
+    if (moved || relay_.keepalive_due(now)) {
+        send_gossip(true);
+    }
 }
 
 void direct_gateway::decide_soon()
@@ -411,6 +489,7 @@
         log_event(event::peer_gateway_lost, field("peer", gone));
     }
     count_gateways();
+    update_relay(now);
     catch_up_from_peers();
     if (dispatcher_.waiting() > 0) {
         decide();
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -3,6 +3,7 @@
 #include "dragonflymill/core/error.h"
 #include "dragonflymill/direct/call_dispatcher.h"
 #include "dragonflymill/direct/fleet_records.h"
+#include "dragonflymill/direct/gossip_relay.h"
 #include "dragonflymill/direct/gossip_schedule.h"
 #include "dragonflymill/direct/peer_table.h"
 #include "dragonflymill/direct/source_outage.h"
@@ -40,6 +41,7 @@
     socket_address metrics;         ///< Where counters are served; empty for nowhere.
     std::vector<std::string> seeds; ///< Addresses of gateways to begin with.
     direct::retry_bounds retries;   ///< Of second attempts.
+    int millicores = 0;             ///< Processor of its host, in thousandths of a core; 0: not stated.
     duration leave_bound = 2s;      ///< Work may reach an upstream for so long after it said that it leaves.
     duration grace = 8s;            ///< From the signal to stop until the process is killed.
     /// From the signal to stop, callers are still served for so long: the balancer asks once a second and
@@ -94,12 +96,17 @@
     void start_source();
     void take_records(const direct::records_extract& extract, const std::string& from);
     void take_record(const direct::fleet_record& record, const std::string& from);
-    void take_message(const peer_message& message);
+    void take_datagram(const direct::peer_datagram& datagram);
+    void take_message(const direct::peer_message& message, instant now);
     void catch_up_from_peers();
-    [[nodiscard]] auto bare_digest() -> peer_message;
-    [[nodiscard]] auto full_digest() -> peer_message;
-    [[nodiscard]] auto delta_digest(std::uint64_t since) -> peer_message;
+    [[nodiscard]] auto bare_digest() -> direct::peer_message;
+    [[nodiscard]] auto own_identity() const -> direct::peer_digest;
+    [[nodiscard]] auto full_digest() -> direct::peer_message;
+    [[nodiscard]] auto delta_digest(std::uint64_t since) -> direct::peer_message;
     void send_gossip(bool at_once);
+    void schedule_flush();
+    void flush_relay();
+    void update_relay(instant now);
     void decide_soon();
     void decide();
     void tick();
@@ -126,6 +133,7 @@
     direct::call_dispatcher dispatcher_;
     direct::return_detector returns_;
     direct::peer_table peers_;
+    direct::gossip_relay relay_;
     exchange_context context_;
     peer_link link_;
     boost::asio::ip::tcp::acceptor callers_;
@@ -140,6 +148,8 @@
     std::uint64_t fetches_failed_ = 0;
     std::uint64_t digest_sequence_ = 0;
     direct::gossip_schedule gossip_schedule_;
+    std::optional<timer_id> flush_timer_;
+    instant flush_timer_at_{};
     instant started_at_{};
     instant source_read_at_{};
     instant behind_since_{};
--- /dev/null
+++ b/src/edge/peer_codec.cpp
@@ -0,0 +1,134 @@
+#include "edge/peer_codec.h"
+
+#include "fleet.pb.h"
+
+namespace dragonflymill::edge {
+
+namespace {
+
+void encode_message(const direct::peer_message& message, wire::GatewayDigest& encoded)
+{
+    const direct::peer_digest& digest = message.digest;
+    encoded.set_gateway(digest.gateway);
+    encoded.set_sequence(digest.sequence);
+    encoded.set_address(digest.address);
+    encoded.set_revision(digest.revision);
+    encoded.set_leaving(digest.leaving);
+    encoded.set_reads_source(digest.reads_source);
+    encoded.set_failure_domain(digest.failure_domain);
+    encoded.set_millicores(static_cast<std::uint32_t>(digest.millicores));
+    encoded.set_relaying(digest.relaying);
+    encoded.set_subscribes(digest.subscribes);
+    encoded.set_urgent(digest.urgent);
+    encoded.set_whole_loads(message.report.whole);
+    for (const std::string& peer : digest.peers) {
+        encoded.add_peers(peer);
+    }
+    for (const auto& [upstream, load] : message.report.loads) {
+        wire::UpstreamLoad& entry = *encoded.add_loads();
+        entry.set_upstream(upstream);
+        entry.set_short_calls(static_cast<std::uint32_t>(load.short_calls));
+        entry.set_long_calls(static_cast<std::uint32_t>(load.long_calls));
+        entry.set_unread_calls(static_cast<std::uint32_t>(load.unread_calls));
+        entry.set_tightest_pause_us(static_cast<std::uint64_t>(load.tightest_pause.count()));
+        entry.set_suspect(load.suspected_by > 0);
+        entry.set_parts(static_cast<std::uint32_t>(load.parts));
+        entry.set_memory_tokens(static_cast<std::uint64_t>(load.memory_tokens));
+        entry.set_reading_us(static_cast<std::uint64_t>(load.reading.count()));
+    }
+}
+
+auto decode_message(const wire::GatewayDigest& encoded) -> direct::peer_message
+{
+    direct::peer_message message;
+    direct::peer_digest& digest = message.digest;
+    digest.gateway = encoded.gateway();
+    digest.sequence = encoded.sequence();
+    digest.address = encoded.address();
+    digest.revision = encoded.revision();
+    digest.leaving = encoded.leaving();
+    digest.reads_source = encoded.reads_source();
+    digest.peers.assign(encoded.peers().begin(), encoded.peers().end());
+    digest.failure_domain = encoded.failure_domain();
+    digest.millicores = static_cast<std::int32_t>(encoded.millicores());
+    digest.relaying = encoded.relaying();
+    digest.subscribes = encoded.subscribes();
+    digest.urgent = encoded.urgent();
+    message.report.gateway = encoded.gateway();
+    message.report.sequence = encoded.sequence();
+    message.report.whole = encoded.whole_loads();
+    for (const wire::UpstreamLoad& entry : encoded.loads()) {
+        direct::upstream_load& load = message.report.loads[entry.upstream()];
+        load.short_calls = static_cast<std::int32_t>(entry.short_calls());
+        load.long_calls = static_cast<std::int32_t>(entry.long_calls());
+        load.unread_calls = static_cast<std::int32_t>(entry.unread_calls());
+        load.parts = static_cast<std::int32_t>(entry.parts());
+        load.memory_tokens = static_cast<std::int64_t>(entry.memory_tokens());
+        load.tightest_pause = duration(static_cast<duration::rep>(entry.tightest_pause_us()));
+        load.suspected_by = entry.suspect() ? 1 : 0;
+        load.reading = duration(static_cast<duration::rep>(entry.reading_us()));
+    }
+    return message;
+}
+
+} // namespace
+
+auto encode_datagram(const direct::peer_datagram& datagram) -> std::string
+{
+    wire::GatewayDatagram encoded;
+    encoded.set_relay(datagram.relay);
+    encoded.set_for_relays(datagram.for_relays);
+    for (const direct::peer_message& message : datagram.messages) {
+        encode_message(message, *encoded.add_digests());
+    }
+    return encoded.SerializeAsString();
+}
+
+auto decode_datagram(std::string_view bytes) -> std::optional<direct::peer_datagram>
+{
+    wire::GatewayDatagram encoded;
+    if (!encoded.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || encoded.digests().empty()) {
+        return std::nullopt;
+    }
+    direct::peer_datagram datagram{encoded.relay(), encoded.for_relays(), {}};
+    datagram.messages.reserve(static_cast<std::size_t>(encoded.digests_size()));
+    for (const wire::GatewayDigest& digest : encoded.digests()) {
+        if (digest.gateway().empty()) {
+            return std::nullopt;
+        }
+        datagram.messages.push_back(decode_message(digest));
+    }
+    return datagram;
+}
+
+auto encode_extract(const direct::records_extract& extract) -> std::string
+{
+    wire::RecordsReply reply;
+    reply.set_as_of(extract.as_of);
+    reply.set_whole(extract.whole);
+    for (const direct::fleet_record& record : extract.records) {
+        wire::FleetRecord& encoded = *reply.add_records();
+        encoded.set_key(record.key);
+        encoded.set_value(record.value);
+        encoded.set_revision(record.revision);
+        encoded.set_removed(record.removed);
+    }
+    return reply.SerializeAsString();
+}
+
+auto decode_extract(std::string_view bytes) -> std::optional<direct::records_extract>
+{
+    wire::RecordsReply reply;
+    if (!reply.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    direct::records_extract extract;
+    extract.as_of = reply.as_of();
+    extract.whole = reply.whole();
+    for (const wire::FleetRecord& encoded : reply.records()) {
+        extract.records.push_back({encoded.key(), encoded.value(), encoded.revision(), encoded.removed()});
+    }
+    return extract;
+}
+
+} // namespace dragonflymill::edge
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "edge/peer_link.h"
 
+#include "edge/peer_codec.h"
 #include "edge/socket_options.h"
 #include "fleet.pb.h"
 #include "runtime/clock.h"
@@ -50,95 +51,6 @@
 
 } // namespace
 
-auto encode_peer_message(const peer_message& message) -> std::string
-{
-    wire::GatewayDigest encoded;
-    encoded.set_gateway(message.digest.gateway);
-    encoded.set_sequence(message.digest.sequence);
-    encoded.set_address(message.digest.address);
-    encoded.set_revision(message.digest.revision);
-    encoded.set_leaving(message.digest.leaving);
-    encoded.set_reads_source(message.digest.reads_source);
-    encoded.set_whole_loads(message.report.whole);
-    for (const std::string& peer : message.digest.peers) {
-        encoded.add_peers(peer);
-    }
-    for (const auto& [upstream, load] : message.report.loads) {
-        wire::UpstreamLoad& entry = *encoded.add_loads();
-        entry.set_upstream(upstream);
-        entry.set_short_calls(static_cast<std::uint32_t>(load.short_calls));
-        entry.set_long_calls(static_cast<std::uint32_t>(load.long_calls));
-        entry.set_unread_calls(static_cast<std::uint32_t>(load.unread_calls));
-        entry.set_tightest_pause_us(static_cast<std::uint64_t>(load.tightest_pause.count()));
-        entry.set_suspect(load.suspected_by > 0);
-        entry.set_parts(static_cast<std::uint32_t>(load.parts));
-        entry.set_memory_tokens(static_cast<std::uint64_t>(load.memory_tokens));
-        entry.set_reading_us(static_cast<std::uint64_t>(load.reading.count()));
-    }
-    return encoded.SerializeAsString();
-}
-
-auto decode_peer_message(std::string_view bytes) -> std::optional<peer_message>
-{
-    const auto digest = parsed<wire::GatewayDigest>(bytes);
-    if (!digest || digest->gateway().empty()) {
-        return std::nullopt;
-    }
-    peer_message message;
-    message.digest.gateway = digest->gateway();
-    message.digest.sequence = digest->sequence();
-    message.digest.address = digest->address();
-    message.digest.revision = digest->revision();
-    message.digest.leaving = digest->leaving();
-    message.digest.reads_source = digest->reads_source();
-    message.report.whole = digest->whole_loads();
-    message.digest.peers.assign(digest->peers().begin(), digest->peers().end());
-    message.report.gateway = digest->gateway();
-    message.report.sequence = digest->sequence();
-    for (const wire::UpstreamLoad& encoded : digest->loads()) {
-        direct::upstream_load& load = message.report.loads[encoded.upstream()];
-        load.short_calls = static_cast<std::int32_t>(encoded.short_calls());
-        load.long_calls = static_cast<std::int32_t>(encoded.long_calls());
-        load.unread_calls = static_cast<std::int32_t>(encoded.unread_calls());
-        load.parts = static_cast<std::int32_t>(encoded.parts());
-        load.memory_tokens = static_cast<std::int64_t>(encoded.memory_tokens());
-        load.tightest_pause = duration(static_cast<duration::rep>(encoded.tightest_pause_us()));
-        load.suspected_by = encoded.suspect() ? 1 : 0;
-        load.reading = duration(static_cast<duration::rep>(encoded.reading_us()));
-    }
-    return message;
-}
-
-auto encode_extract(const direct::records_extract& extract) -> std::string
-{
-    wire::RecordsReply reply;
-    reply.set_as_of(extract.as_of);
-    reply.set_whole(extract.whole);
-    for (const direct::fleet_record& record : extract.records) {
-        wire::FleetRecord& encoded = *reply.add_records();
-        encoded.set_key(record.key);
-        encoded.set_value(record.value);
-        encoded.set_revision(record.revision);
-        encoded.set_removed(record.removed);
-    }
-    return reply.SerializeAsString();
-}
-
-auto decode_extract(std::string_view bytes) -> std::optional<direct::records_extract>
-{
-    const auto reply = parsed<wire::RecordsReply>(bytes);
-    if (!reply) {
-        return std::nullopt;
-    }
-    direct::records_extract extract;
-    extract.as_of = reply->as_of();
-    extract.whole = reply->whole();
-    for (const wire::FleetRecord& encoded : reply->records()) {
-        extract.records.push_back({encoded.key(), encoded.value(), encoded.revision(), encoded.removed()});
-    }
-    return extract;
-}
-
 /// Answers one question of a peer.
 class peer_link::serving : public std::enable_shared_from_this<peer_link::serving>
 {
@@ -340,8 +252,8 @@
             }
             // An error here tells of an earlier datagram that could not be delivered; nothing is lost by it.
             if (!failed) {
-                if (const auto message = decode_peer_message({buffer_.data(), bytes})) {
-                    handlers_.on_message(*message);
+                if (const auto datagram = decode_datagram({buffer_.data(), bytes})) {
+                    handlers_.on_datagram(*datagram);
                 }
             }
             receive();
@@ -361,13 +273,17 @@
     });
 }
 
-void peer_link::send(const std::string& message, const std::vector<std::string>& addresses)
+void peer_link::send(const direct::peer_datagram& datagram, const std::vector<std::string>& addresses)
 {
+    if (addresses.empty()) {
+        return;
+    }
+    const std::string bytes = encode_datagram(datagram);
     for (const std::string& text : addresses) {
         // A datagram that can't be sent is like one that is lost: the next digest says it again.
         if (const auto where = parse_udp_endpoint(text)) {
             boost::system::error_code ignored;
-            datagrams_.send_to(asio::buffer(message), where.value(), 0, ignored);
+            datagrams_.send_to(asio::buffer(bytes), where.value(), 0, ignored);
         }
     }
 }
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -2,8 +2,7 @@
 
 #include "dragonflymill/core/error.h"
 #include "dragonflymill/direct/fleet_records.h"
-#include "dragonflymill/direct/load_board.h"
-#include "dragonflymill/direct/peer_table.h"
+#include "dragonflymill/direct/peer_message.h"
 #include "edge/loop_timers.h"
 #include "settings/socket_address.h"
 
@@ -18,24 +17,6 @@
 
 namespace dragonflymill::edge {
 
-/// A datagram of another gateway, decoded.
-struct peer_message
-{
-    direct::peer_digest digest; ///< Who it is and what it knows.
-    direct::load_report report; ///< Its work in hand.
-
-    friend auto operator==(const peer_message&, const peer_message&) -> bool = default;
-};
-
-/// Writes a datagram.
-[[nodiscard]] auto encode_peer_message(const peer_message& message) -> std::string;
-/// Reads a datagram; nothing if it isn't one of ours.
-[[nodiscard]] auto decode_peer_message(std::string_view bytes) -> std::optional<peer_message>;
-/// Writes records as one gateway hands them to another.
-[[nodiscard]] auto encode_extract(const direct::records_extract& extract) -> std::string;
-/// Reads them.
-[[nodiscard]] auto decode_extract(std::string_view bytes) -> std::optional<direct::records_extract>;
-
 /// The sockets between gateways: datagrams with each one's state, and connections over which one that lacks
 /// published records takes them from another.
 class peer_link
@@ -44,7 +25,7 @@
     /// What the link tells.
     struct handlers
     {
-        std::function<void(const peer_message&)> on_message;                 ///< A datagram came.
+        std::function<void(const direct::peer_datagram&)> on_datagram;       ///< A datagram came.
         std::function<direct::records_extract(std::uint64_t)> records_since; ///< For a peer that asks.
         std::function<void(const direct::records_extract&, const std::string&)>
             on_records;                                          ///< A peer answered.
@@ -59,7 +40,7 @@
     /// Opens both sockets.
     [[nodiscard]] auto listen(const socket_address& address) -> result<void>;
     /// Sends a datagram; a lost one is made up for by the next.
-    void send(const std::string& message, const std::vector<std::string>& addresses);
+    void send(const direct::peer_datagram& datagram, const std::vector<std::string>& addresses);
     /// Asks a peer for all records that changed after a revision. One question is under way at a time.
     void fetch(const std::string& address, std::uint64_t after);
     /// Whether a question is under way.
--- a/tests/bench/direct_decision_bench.cpp
+++ b/tests/bench/direct_decision_bench.cpp
@@ -2,8 +2,8 @@
 // round of long calls that find no room, and taking another gateway's digest. Prints Markdown.
 #include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/direct/call_dispatcher.h"
-#include "dragonflymill/direct/peer_table.h"
-#include "edge/peer_link.h"
+#include "dragonflymill/direct/peer_message.h"
+#include "edge/peer_codec.h"
 
 #include <chrono>
 #include <cstdio>
@@ -119,13 +119,14 @@
 
     peer_table peers("self", "10.0.0.1:1", {});
     const double digest_us = microseconds(20'000, [&](int i) {
-        edge::peer_message message;
+        peer_message message;
         message.report = report_of(i % gateways, static_cast<std::uint64_t>(2 + i), engines, 1, false);
-        message.digest = {
-            message.report.gateway, message.report.sequence, "10.2.0.1:7340", 5, false, false, {}};
-        const auto taken = edge::decode_peer_message(edge::encode_peer_message(message));
-        (void)peers.take(taken->digest, start);
-        usual.board().take_report(taken->report, start);
+        message.digest.gateway = message.report.gateway;
+        message.digest.sequence = message.report.sequence;
+        message.digest.address = "10.2.0.1:7340";
+        const auto taken = edge::decode_datagram(edge::encode_datagram({"", false, {message}}));
+        (void)peers.take(taken->messages.front().digest, start);
+        usual.board().take_report(taken->messages.front().report, start);
     });
     const double tick_us = microseconds(300, [&](int) {
         usual.report_suspects(fleet, start);
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -15,7 +15,7 @@
 
 auto word(const std::string& name, std::uint64_t sequence = 1) -> peer_digest
 {
-    return {name, sequence, name + ":7340", 0, false, true, {}};
+    return {name, sequence, name + ":7340", 0, false, true, {}, "", 0, false, false, false};
 }
 
 auto contains(const std::vector<std::string>& list, const std::string& text) -> bool
@@ -155,7 +155,18 @@
         peer_table table("gateway-" + std::to_string(own), "10.0.1.1:1", {});
         for (int i = 0; i < 10; ++i) {
             const std::string name = "peer-" + std::to_string(i);
-            (void)table.take({name, 1, "10.0.0." + std::to_string(i) + ":1", 7, false, true, {}},
+            (void)table.take({name,
+                              1,
+                              "10.0.0." + std::to_string(i) + ":1",
+                              7,
+                              false,
+                              true,
+                              {},
+                              "",
+                              0,
+                              false,
+                              false,
+                              false},
                              instant(1s));
         }
         asked.insert(table.newer_than(3)->gateway);
--- a/tests/edge/caller_request_test.cpp
+++ b/tests/edge/caller_request_test.cpp
@@ -1,5 +1,5 @@
 #include "edge/caller_request.h"
-#include "edge/peer_link.h"
+#include "edge/peer_codec.h"
 
 #include <criterion/criterion.h>
 
@@ -48,17 +48,19 @@
     cr_assert(request({{"X", "1"}}).value_of("x") == "1");
 }
 
-Test(peer_message, a_word_comes_back_as_it_was)
+Test(peer_codec, a_datagram_comes_back_as_it_was)
 {
-    peer_message message;
-    message.digest = {"g#1", 7, "10.0.0.1:7340", 42, true, true, {"10.0.0.2:7340"}};
+    direct::peer_message message;
+    message.digest = {"g#1", 7,  "10.0.0.1:7340", 42,   true, true, {"10.0.0.2:7340"},
+                      "a",   90, false,           true, false};
     message.report = {"g#1", 7, false, {{99, direct::upstream_load{1, 2, 1, 3, 4000, 5ms, 1, 200ms}}}};
-    cr_assert(decode_peer_message(encode_peer_message(message)) == message);
-    cr_assert(!decode_peer_message("garbage"));
-    cr_assert(!decode_peer_message(""));
+    const direct::peer_datagram datagram{"10.0.0.2:7340", true, {message}};
+    cr_assert(decode_datagram(encode_datagram(datagram)) == datagram);
+    cr_assert(!decode_datagram("garbage"));
+    cr_assert(!decode_datagram(""));
 }
 
-Test(peer_message, records_come_back_as_they_were)
+Test(peer_codec, records_come_back_as_they_were)
 {
     const direct::records_extract extract{
         {{"k", std::string("\0\xff", 2), 3, false}, {"gone", "", 4, true}}, 4, true};
