--- a/tests/bench/direct_decision_bench.cpp
+++ b/tests/bench/direct_decision_bench.cpp
@@ -120,7 +120,8 @@
     peer_table peers("self", "10.0.0.1:1", {});
     const double digest_us = microseconds(20'000, [&](int i) {
         peer_message message;
-        message.report = report_of(i % gateways, static_cast<std::uint64_t>(2 + i), engines, 1, false);
+        const auto sequence = static_cast<std::uint64_t>(i) + 2;
+        message.report = report_of(i % gateways, sequence, engines, 1, false);
         message.digest.gateway = message.report.gateway;
         message.digest.sequence = message.report.sequence;
         message.digest.address = "10.2.0.1:7340";
--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -255,3 +255,18 @@
     cr_assert(policy().choose(long_call(), all) == policy().choose(long_call(), all));
     cr_assert(!policy().choose(short_call(), {}));
 }
+
+// Guards against refusals that only say "full": the log has to name what a long prompt waited for.
+Test(engine_dispatch, a_waiting_call_knows_what_it_waits_for)
+{
+    auto all = idle_engines(16);
+    cr_assert(policy().why_waiting(long_call(), all) == wait_reason::none);
+    for (dispatch_candidate& engine : all) {
+        engine.load.reading = 2s;
+    }
+    cr_assert(policy().why_waiting(long_call(), all) == wait_reason::backlog);
+    for (dispatch_candidate& engine : all) {
+        engine.load.short_calls = engine.slots;
+    }
+    cr_assert(policy().why_waiting(long_call(), all) == wait_reason::no_engine);
+}
