--- a/tests/bench/direct_decision_bench.cpp
+++ b/tests/bench/direct_decision_bench.cpp
@@ -43,7 +43,7 @@
         entry.service = service_name;
         entry.failure_domain = "domain-" + std::to_string(i % 5);
         entry.slots = slots_each;
-        fleet.take("servers/" + entry.id, entry, start);
+        fleet.take("upstream " + entry.id, entry, start);
     }
     return fleet;
 }
