--- a/include/dragonflymill/direct/gossip_relay.h
+++ b/include/dragonflymill/direct/gossip_relay.h
@@ -73,7 +73,7 @@
     /// A fleet that shrinks goes back to direct digests at this size, so that it doesn't change to and fro.
     static constexpr int mesh_again = 32;
     /// A relay forwards what it gathered in so much time at once: newer data costs more datagrams.
-    static constexpr duration flush_interval = 20ms;
+    static constexpr duration flush_interval = 8ms;
     /// The same for urgent digests.
     static constexpr duration urgent_flush_interval = 4ms;
     /// A relay sends at least this often.
--- a/include/dragonflymill/direct/gossip_schedule.h
+++ b/include/dragonflymill/direct/gossip_schedule.h
@@ -13,7 +13,8 @@
 {
     std::uint64_t load_changes = 0; ///< Rises whenever its own work in hand changes.
     std::uint64_t revision = 0;     ///< Newest change of the published records that it knows.
-    int gateways = 1;               ///< Gateways that hear its digests, itself included.
+    int gateways = 1;               ///< Gateways that it sends to, itself included.
+    bool relayed = false;           ///< A relay forwards its digests.
 
     friend auto operator==(const gossip_state&, const gossip_state&) -> bool = default;
 };
@@ -40,6 +41,9 @@
 
     /// Words about new work go out at most this often: within it another gateway may choose the same engine.
     static constexpr duration gossip_interval = 30ms;
+    /// The same through a relay, which costs one datagram each and holds them back for some milliseconds
+    /// more.
+    static constexpr duration relayed_gossip_interval = 10ms;
     /// Beyond this many gateways digests become rarer in proportion, so that listening stays below a
     /// hundredth of a small host's processor.
     static constexpr int gateways_at_full_rate = 64;
--- a/tests/direct/gossip_schedule_test.cpp
+++ b/tests/direct/gossip_schedule_test.cpp
@@ -56,3 +56,14 @@
     (void)schedule.next({1, 5, 320}, true, start);
     cr_assert(schedule.next({2, 5, 320}, true, start + 1ms));
 }
+
+// Guards against views in a large fleet that are older than in a small one: a relay holds digests back too.
+Test(gossip_schedule, digests_through_a_relay_go_out_more_often)
+{
+    gossip_schedule schedule;
+    const instant now(10s);
+    cr_assert(schedule.next({1, 0, 1, true}, false, now));
+    cr_assert(!schedule.next({2, 0, 1, true}, false, now + 9ms));
+    cr_assert(schedule.next({2, 0, 1, true}, false, now + 10ms));
+    cr_assert(!schedule.next({2, 0, 1, true}, false, now + 100ms), "nothing changed");
+}
