Let relays of many subscribers send rarer batches

Batches are now stretched by subscribers beyond 24 and digests by gateways beyond 64, as in a full mesh; a domain of 20 gateways keeps 8 ms.

--- a/include/dragonflymill/direct/gossip_relay.h
+++ b/include/dragonflymill/direct/gossip_relay.h
@@ -74,6 +74,9 @@
     static constexpr int mesh_again = 32;
     /// A relay forwards what it gathered in so much time at once: newer data costs more datagrams.
     static constexpr duration flush_interval = 8ms;
+    /// With more subscribers batches become rarer in proportion, so that a relay sends some 3,000 datagrams a
+    /// second at most.
+    static constexpr int subscribers_at_full_rate = 24;
     /// The same for urgent digests.
     static constexpr duration urgent_flush_interval = 4ms;
     /// A relay sends at least this often.
--- a/include/dragonflymill/direct/gossip_schedule.h
+++ b/include/dragonflymill/direct/gossip_schedule.h
@@ -13,7 +13,7 @@
 {
     std::uint64_t load_changes = 0; ///< Rises whenever its own work in hand changes.
     std::uint64_t revision = 0;     ///< Newest change of the published records that it knows.
-    int gateways = 1;               ///< Gateways that it sends to, itself included.
+    int gateways = 1;               ///< Gateways of the fleet, itself included.
     bool relayed = false;           ///< A relay forwards its digests.
 
     friend auto operator==(const gossip_state&, const gossip_state&) -> bool = default;
--- a/src/direct/gossip_relay.cpp
+++ b/src/direct/gossip_relay.cpp
@@ -106,7 +106,8 @@
     if (from_origin) {
         gathered_.for_relays.push_back(message);
     }
-    const duration interval = message.digest.urgent ? urgent_flush_interval : flush_interval;
+    const int spread = std::max(1, static_cast<int>(subscribers_.size()) / subscribers_at_full_rate);
+    const duration interval = (message.digest.urgent ? urgent_flush_interval : flush_interval) * spread;
     const instant due = std::max(flushed_at_ + interval, now);
     flush_at_ = std::min(flush_at_.value_or(due), due);
 }
--- a/src/direct/gossip_schedule.cpp
+++ b/src/direct/gossip_schedule.cpp
@@ -9,8 +9,8 @@
     const int spread = std::max(1, state.gateways / gateways_at_full_rate);
     const bool changed = state.load_changes != sent_.load_changes || state.revision != sent_.revision;
     const duration since = now - sent_at_;
-    const duration interval = state.relayed ? relayed_gossip_interval : gossip_interval * spread;
-    const bool due = since >= (changed ? interval : idle_gossip_interval);
+    const duration interval = state.relayed ? relayed_gossip_interval : gossip_interval;
+    const bool due = since >= (changed ? interval * spread : idle_gossip_interval);
     if (!at_once && !due) {
         return std::nullopt;
     }
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -369,7 +369,7 @@
 {
     const instant now = runtime::now();
     const direct::gossip_state state{dispatcher_.board().own_changes(), records_.revision(),
-                                     relay_.sends_to_all() ? peers_.gateways() : 1, !relay_.sends_to_all()};
+                                     peers_.gateways(), !relay_.sends_to_all()};
     const auto due = gossip_schedule_.next(state, at_once, now);
     if (!due) {
         return;
--- a/tests/direct/gossip_relay_test.cpp
+++ b/tests/direct/gossip_relay_test.cpp
@@ -250,3 +250,26 @@
     cr_assert(!world.relay_of(gossip_world::address_of(100)), "28 gateways send to each other");
     cr_assert(world.oldest_digest() <= 300ms);
 }
+
+// Pattern: a failure domain with a hundred gateways. Guards against a relay that does nothing but send:
+// batches become rarer as subscribers grow.
+Test(gossip_relay, a_relay_of_many_subscribers_sends_rarer_batches)
+{
+    peer_digest self;
+    self.gateway = "relay";
+    gossip_relay relay(self);
+    const auto subscribe = [&](int number) {
+        peer_message message;
+        message.digest.gateway = "subscriber-" + std::to_string(number);
+        message.digest.address = gossip_world::address_of(number);
+        message.digest.subscribes = true;
+        relay.take({"", false, {message}}, start);
+    };
+    for (int i = 0; i < 100; ++i) {
+        subscribe(i);
+    }
+    (void)relay.take_batch();
+    relay.flushed(start);
+    subscribe(0);
+    cr_assert(relay.flush_at() == start + 4 * gossip_relay::flush_interval);
+}
