--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -141,7 +141,7 @@
     /// them. Three of thirty gateways sent prompts of half a million tokens to one engine within 7 ms, and
     /// none of them got the memory that it had to reserve.
     static constexpr duration backoff_per_gateway = 2ms;
-    /// No call waits longer than this for its turn.
+    /// Longest back-off of a call that waited.
     static constexpr duration max_backoff = 80ms;
 
 private:
--- a/include/dragonflymill/direct/gossip_relay.h
+++ b/include/dragonflymill/direct/gossip_relay.h
@@ -25,8 +25,8 @@
 ///
 /// Load that it answers: in a full mesh each gateway receives a datagram for each change at any other one,
 /// which a small host has no processor for from some dozens on, and nearly all of them cross a failure
-/// domain. Through relays a gateway receives some fifty batches a second whatever the size of the fleet, and
-/// a change crosses to each other failure domain once.
+/// domain. Through relays the batches that a gateway receives are bounded by their interval, whatever the
+/// size of the fleet, and a change crosses to each other failure domain once.
 ///
 /// A relay is a gateway like any other: it is the one with most processor of its domain, and relays as long
 /// as others subscribe to it. A subscriber that hears nothing from its relay takes the next one, and sends to
@@ -59,7 +59,7 @@
     [[nodiscard]] auto flush_at() const -> std::optional<instant>;
     /// Notes that a batch was sent.
     void flushed(instant now) { flushed_at_ = now; }
-    /// Whether subscribers have to be told that their relay lives.
+    /// Whether subscribers have to hear that their relay lives.
     [[nodiscard]] auto keepalive_due(instant now) const -> bool;
 
     /// Addresses of those that subscribed.
@@ -77,7 +77,7 @@
     /// With more subscribers batches become rarer in proportion, so that a relay sends some 3,000 datagrams a
     /// second at most.
     static constexpr int subscribers_at_full_rate = 24;
-    /// The same for urgent digests.
+    /// Urgent digests are forwarded within so much time.
     static constexpr duration urgent_flush_interval = 4ms;
     /// A relay sends at least this often.
     static constexpr duration keepalive_interval = 150ms;
--- a/include/dragonflymill/direct/gossip_schedule.h
+++ b/include/dragonflymill/direct/gossip_schedule.h
@@ -8,7 +8,7 @@
 
 namespace dragonflymill::direct {
 
-/// What a gateway would tell the others now.
+/// What the next digest of a gateway would state.
 struct gossip_state
 {
     std::uint64_t load_changes = 0; ///< Rises whenever its own work in hand changes.
@@ -35,11 +35,12 @@
 class gossip_schedule
 {
 public:
-    /// The word to be sent now; nothing if none is due. `at_once`: there is news that can't wait.
+    /// The digest to be sent now; nothing if none is due. `at_once`: there is news that can't wait.
     [[nodiscard]] auto next(const gossip_state& state, bool at_once, instant now)
         -> std::optional<due_digest>;
 
-    /// Words about new work go out at most this often: within it another gateway may choose the same engine.
+    /// Digests about new work go out at most this often: within it another gateway may choose the same
+    /// engine.
     static constexpr duration gossip_interval = 30ms;
     /// The same through a relay, which costs one datagram each and holds them back for some milliseconds
     /// more.
@@ -47,11 +48,11 @@
     /// Beyond this many gateways digests become rarer in proportion, so that listening stays below a
     /// hundredth of a small host's processor.
     static constexpr int gateways_at_full_rate = 64;
-    /// A gateway that has nothing to tell says so this often.
+    /// A gateway without changes sends a digest this often.
     static constexpr duration idle_gossip_interval = 400ms;
     /// Only this often a digest lists all work in hand and some peers; the others list what changed.
     static constexpr duration full_digest_interval = 1s;
-    /// A change is told so many times, so that a lost datagram or two do no harm until the next whole digest.
+    /// A change is sent so many times, so that a lost datagram or two do no harm until the next whole digest.
     static constexpr std::size_t repeats_of_change = 3;
 
 private:
--- a/include/dragonflymill/direct/load_board.h
+++ b/include/dragonflymill/direct/load_board.h
@@ -16,7 +16,7 @@
 
 namespace dragonflymill::direct {
 
-/// Work in hand at one upstream, as one gateway tells it or summed over all.
+/// Work in hand at one upstream, as one gateway reports it or summed over all.
 struct upstream_load
 {
     std::int32_t short_calls = 0;   ///< Calls with a short prompt, or plain calls.
@@ -24,7 +24,7 @@
     std::int32_t unread_calls = 0;  ///< Of the long calls, the ones whose prompt isn't read yet.
     std::int32_t parts = 0;         ///< Prompts of others that it reads a part of.
     std::int64_t memory_tokens = 0; ///< Engine memory that these calls fill in the end.
-    duration reading{};             ///< Reading that is still to be done, as far as can be told.
+    duration reading{};             ///< Reading that is still to be done, as far as is known.
     std::int32_t suspected_by = 0;  ///< Gateways that find it faulty now.
     duration tightest_pause{};      ///< Shortest pause aim of the streams that it writes; 0: none has one.
 
@@ -75,7 +75,7 @@
 /// Names a placement on the board.
 using placement_id = std::uint64_t;
 
-/// Work in hand at every upstream: this gateway's own, exactly, and the other gateways', as they told it.
+/// Work in hand at every upstream: this gateway's own, exactly, and the other gateways', as they reported it.
 ///
 /// Gateways that don't know of each other's calls choose the same idle upstream at the same moment, so that
 /// calls wait there while others stand idle.
@@ -88,12 +88,12 @@
     void reading_done(placement_id id, instant now);
     /// A call ended.
     void finish(placement_id id, instant now);
-    /// Notes whether this gateway finds an upstream faulty, to be told to the others.
+    /// Notes whether this gateway finds an upstream faulty, to be reported to the others.
     void set_suspect(upstream_key upstream, bool suspect);
     void set_suspect(std::string_view upstream, bool suspect) { set_suspect(stable_hash(upstream), suspect); }
     /// Takes another gateway's report; one that is older than the last of its start is left out.
     void take_report(const load_report& report, instant now);
-    /// Forgets what a gateway that is gone has told.
+    /// Forgets what a gateway that is gone has reported.
     void forget_gateway(const std::string& gateway);
 
     /// All work in hand at an upstream.
@@ -102,7 +102,7 @@
     {
         return load_of(stable_hash(upstream), now);
     }
-    /// This gateway's own work, to be told to the others: all of it, or what changed since `own_changes`
+    /// This gateway's own work, to be reported to the others: all of it, or what changed since `own_changes`
     /// stood at `since`.
     [[nodiscard]] auto own_loads(instant now, std::optional<std::uint64_t> since = std::nullopt) const
         -> std::map<upstream_key, upstream_load>;
@@ -131,7 +131,7 @@
         std::uint64_t sequence = 0;
         std::unordered_set<upstream_key> upstreams; // with an entry in others_loads_
     };
-    /// What other gateways told of one upstream, by gateway; only of those that have work there.
+    /// What other gateways reported of one upstream, by gateway; only of those that have work there.
     using loads_by_gateway = std::map<std::string, reported_load, std::less<>>;
 
     struct placed_call
--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -33,7 +33,7 @@
 /// A peer, as this process knows it.
 struct known_peer
 {
-    peer_digest digest; ///< Its newest word.
+    peer_digest digest; ///< Its newest digest.
     instant heard{};    ///< When that came.
 
     friend auto operator==(const known_peer&, const known_peer&) -> bool = default;
@@ -47,7 +47,7 @@
     /// This gateway's name and address, and the addresses to begin with.
     peer_table(std::string self, std::string address, std::vector<std::string> seeds);
 
-    /// Takes a digest; true if the peer is new. Words of this process, and older ones, are left out.
+    /// Takes a digest; true if the peer is new. Digests of this process, and older ones, are left out.
     auto take(const peer_digest& digest, instant now) -> bool;
     /// Forgets peers that were silent for long; gives their names.
     [[nodiscard]] auto forget_silent(instant now) -> std::vector<std::string>;
@@ -67,7 +67,7 @@
     /// gateways each read by each of them would cost the source more than it gives.
     [[nodiscard]] auto has_to_read_source(instant now) const -> bool;
     /// Addresses of up to `max_listed_peers` peers, others for each `round`: in a digest that goes to
-    /// hundreds of gateways, all addresses would be most of its bytes. All are told within some rounds.
+    /// hundreds of gateways, all addresses would be most of its bytes. All are sent within some rounds.
     [[nodiscard]] auto some_addresses(std::uint64_t round) const -> std::vector<std::string>;
     /// All peers by name.
     [[nodiscard]] auto peers() const -> const std::map<std::string, known_peer>& { return peers_; }
--- a/include/dragonflymill/direct/stall_timeout.h
+++ b/include/dragonflymill/direct/stall_timeout.h
@@ -9,7 +9,7 @@
 struct stalled_attempt
 {
     bool begun = false; ///< Whether an event of its stream came.
-    duration reading{}; ///< Reading that the upstream has to do, as the load board tells.
+    duration reading{}; ///< Reading that the upstream has to do, by the load board.
 
     friend auto operator==(const stalled_attempt&, const stalled_attempt&) -> bool = default;
 };
--- a/include/dragonflymill/direct/upstream_list.h
+++ b/include/dragonflymill/direct/upstream_list.h
@@ -98,7 +98,7 @@
     /// How long a removal after an outage is held back: living upstreams are back within two seconds of the
     /// registry's return, and a removal is first seen up to half a second after that.
     static constexpr duration removal_hold = 1600ms;
-    /// Of the time in which work may still reach a leaving upstream, kept for the word to get here and the
+    /// Of the time in which work may still reach a leaving upstream, kept for the news to get here and the
     /// work to get there.
     static constexpr duration leave_reserve = 700ms;
 
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -237,7 +237,7 @@
     if (!news.empty()) {
         decide_soon();
         // Gateways that don't read the source themselves wait for this digest. What was learned from one of
-        // them is told with the next digest: if each passed it on at once, a change would cost as many
+        // them is sent with the next digest: if each passed it on at once, a change would cost as many
         // digests as there are pairs of gateways.
         send_gossip(from == source_name);
     }
--- a/tests/direct/gossip_schedule_test.cpp
+++ b/tests/direct/gossip_schedule_test.cpp
@@ -13,20 +13,20 @@
 
 // A gateway fills an engine and two of its three datagrams about it are lost. The third still says so, long
 // before the next whole digest: within that second others would have sent their prompts there too.
-Test(gossip_schedule, a_change_is_told_three_times)
+Test(gossip_schedule, a_change_is_sent_three_times)
 {
     gossip_schedule schedule;
     cr_assert(schedule.next({1, 5, 4}, true, start)->whole);
-    const auto told_after = [&](std::uint64_t changes, duration since_start) {
+    const auto digest_after = [&](std::uint64_t changes, duration since_start) {
         return schedule.next({changes, 5, 4}, false, start + since_start);
     };
-    int told = 0;
+    int sent = 0;
     for (std::uint64_t step = 1; step <= 8; ++step) {
-        const auto word = told_after(2 + step, step * gossip_schedule::gossip_interval);
-        cr_assert(word && !word->whole);
-        told += word->changes_since < 3 ? 1 : 0;
+        const auto digest = digest_after(2 + step, step * gossip_schedule::gossip_interval);
+        cr_assert(digest && !digest->whole);
+        sent += digest->changes_since < 3 ? 1 : 0;
     }
-    cr_assert(told == 3, "change 3 stands in %d words", told);
+    cr_assert(sent == 3, "change 3 stands in %d digests", sent);
 }
 
 Test(gossip_schedule, an_idle_gateway_speaks_rarely)
@@ -42,7 +42,7 @@
 
 // In a fleet of hundreds each gateway hears a digest of every other one: at the rate of a small fleet, a host
 // with a tenth of a processor would do nothing else.
-Test(gossip_schedule, words_get_rarer_in_a_large_fleet)
+Test(gossip_schedule, digests_get_rarer_in_a_large_fleet)
 {
     gossip_schedule schedule;
     (void)schedule.next({1, 5, 320}, true, start);
--- a/tests/direct/load_board_test.cpp
+++ b/tests/direct/load_board_test.cpp
@@ -100,7 +100,7 @@
     const std::uint64_t told = teller.own_changes();
     (void)teller.place({"u2", {}, false, 0, 0ms, 0ms}, now);
     const auto changes = teller.own_loads(now, told);
-    cr_assert(changes.size() == 1, "only the upstream that changed is told");
+    cr_assert(changes.size() == 1, "only the upstream that changed is reported");
     board.take_report({"other", 2, false, changes}, now);
     cr_assert(board.load_of("u1", now).short_calls == 1);
     cr_assert(board.load_of("u2", now).short_calls == 1);
@@ -109,7 +109,7 @@
     cr_assert(board.load_of("u1", now).short_calls == 0, "that nothing is left is a change too");
 }
 
-Test(load_board, a_faulty_upstream_is_told)
+Test(load_board, a_faulty_upstream_is_reported)
 {
     load_board teller;
     teller.set_suspect("u1", true);
@@ -126,14 +126,14 @@
 Test(load_board, what_a_gateway_no_longer_has_is_forgotten)
 {
     load_board board;
-    const auto word = [](std::uint64_t sequence, bool whole, int first, int second) {
+    const auto report_of = [](std::uint64_t sequence, bool whole, int first, int second) {
         load_report report{"g1", sequence, whole, {}};
         report.loads[stable_hash("u1")].short_calls = first;
         report.loads[stable_hash("u2")].short_calls = second;
         return report;
     };
-    board.take_report(word(1, true, 3, 4), instant(1s));
-    board.take_report(word(2, false, 0, 5), instant(1s));
+    board.take_report(report_of(1, true, 3, 4), instant(1s));
+    board.take_report(report_of(2, false, 0, 5), instant(1s));
     cr_assert(board.load_of("u1", instant(1s)) == upstream_load{});
     cr_assert(board.load_of("u2", instant(1s)).short_calls == 5);
     load_report only_first{"g1", 3, true, {}};
@@ -142,6 +142,6 @@
     cr_assert(board.load_of("u2", instant(1s)) == upstream_load{});
     board.forget_gateway("g1");
     cr_assert(board.load_of("u1", instant(1s)) == upstream_load{});
-    board.take_report(word(1, true, 7, 0), instant(1s));
-    cr_assert(board.load_of("u1", instant(1s)).short_calls == 7, "a new start counts its words anew");
+    board.take_report(report_of(1, true, 7, 0), instant(1s));
+    cr_assert(board.load_of("u1", instant(1s)).short_calls == 7, "a new start counts its reports anew");
 }
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -13,7 +13,7 @@
 
 constexpr instant start(100s);
 
-auto word(const std::string& name, std::uint64_t sequence = 1) -> peer_digest
+auto digest_of(const std::string& name, std::uint64_t sequence = 1) -> peer_digest
 {
     return {name, sequence, name + ":7340", 0, false, true, {}, "", 0, false, false, false};
 }
@@ -29,7 +29,7 @@
 {
     peer_table table("self", "self:7340", {"seed:7340"});
     cr_assert(table.targets(start) == std::vector<std::string>{"seed:7340"});
-    peer_digest first = word("seed");
+    peer_digest first = digest_of("seed");
     first.peers = {"other:7340", "self:7340"};
     cr_assert(table.take(first, start));
     cr_assert(contains(table.targets(start), "other:7340"));
@@ -40,19 +40,19 @@
 Test(peer_table, a_silent_peer_is_forgotten)
 {
     peer_table table("self", "self:7340", {});
-    (void)table.take(word("p"), start);
+    (void)table.take(digest_of("p"), start);
     cr_assert(table.forget_silent(start + peer_table::silence_limit).empty());
     cr_assert(table.forget_silent(start + peer_table::silence_limit + 1ms) == std::vector<std::string>{"p"});
     cr_assert(table.gateways() == 1);
 }
 
-Test(peer_table, a_word_that_was_overtaken_is_left_out)
+Test(peer_table, a_digest_that_was_overtaken_is_left_out)
 {
     peer_table table("self", "self:7340", {});
-    peer_digest newer = word("p", 5);
+    peer_digest newer = digest_of("p", 5);
     newer.revision = 9;
     (void)table.take(newer, start);
-    (void)table.take(word("p", 4), start);
+    (void)table.take(digest_of("p", 4), start);
     cr_assert(table.newer_than(8)->revision == 9);
     cr_assert(!table.newer_than(9));
 }
@@ -62,9 +62,9 @@
 Test(peer_table, a_new_start_replaces_the_old_one)
 {
     peer_table table("self", "self:7340", {});
-    peer_digest old = word("p#1");
+    peer_digest old = digest_of("p#1");
     old.address = "p:7340";
-    peer_digest fresh = word("p#2");
+    peer_digest fresh = digest_of("p#2");
     fresh.address = "p:7340";
     (void)table.take(old, start);
     cr_assert(table.take(fresh, start));
@@ -80,7 +80,7 @@
     for (int self = 0; self < fleet; ++self) {
         peer_table table("g" + std::to_string(self), "x", {});
         for (int peer = 0; peer < fleet; ++peer) {
-            (void)table.take(word("g" + std::to_string(peer)), start);
+            (void)table.take(digest_of("g" + std::to_string(peer)), start);
         }
         readers += table.has_to_read_source(start) ? 1 : 0;
         cr_assert(table.has_to_read_source(start + peer_table::reader_silence + 1ms), "nobody is heard");
@@ -92,7 +92,7 @@
 {
     peer_table table("self", "x", {});
     for (int peer = 0; peer < 20; ++peer) {
-        peer_digest blind = word("g" + std::to_string(peer));
+        peer_digest blind = digest_of("g" + std::to_string(peer));
         blind.reads_source = false;
         (void)table.take(blind, start);
     }
