Keep a call away from a failure domain whose upstreams are out of reach

Cause: 16 of 45 engines of one failure domain go away; a plan for a long prompt names up to 16 readers, the answer names one that is gone, and only that one was left out of the next plan. Such calls were also sent again as if for the first time, without drawing on the retry budget.

direct/call_attempts holds what a call's attempts count for. A lost reader is no rejection of the call; two upstreams of a domain out of reach keep its next attempts away from that domain for a second. What left no byte draws nothing on the retry budget, every arrival beyond the first does. attempt_end tells a lost reader, a misdirected call and an engine that reads other prompts first apart, which the exchange read from texts before. A dispatch logs what the call waited for last.

--- a/include/dragonflymill/direct/attempt_rules.h
+++ b/include/dragonflymill/direct/attempt_rules.h
@@ -7,12 +7,21 @@
 /// How an attempt at an upstream ended without an answer that may be passed on.
 enum class attempt_end
 {
-    not_sent, ///< No connection: no byte of the request left.
-    rejected, ///< The upstream says that it has not run the request and won't.
-    failed,   ///< A failure that the upstream itself answered; the request ran.
-    broken,   ///< Connection lost, silence or an answer that can't be used; it may have run.
+    not_sent,    ///< No connection: no byte of the request left.
+    rejected,    ///< The upstream has no room; it has not run the request and won't.
+    misdirected, ///< The same, as another upstream answers at the address.
+    reader_lost, ///< The same, as an engine that was to read a part of the prompt is gone.
+    failed,      ///< A failure that the upstream itself answered; the request ran.
+    overtaken,   ///< Silence of an engine that reads other prompts first; it may have run.
+    broken,      ///< Connection lost, silence or an answer that can't be used; it may have run.
 };
 
+/// Whether the request may have run in an attempt that ended so.
+[[nodiscard]] auto may_have_run(attempt_end end) -> bool;
+/// Whether an attempt that ended so shows that an upstream can't be reached. A connection that broke doesn't:
+/// one upstream may break off one answer.
+[[nodiscard]] auto is_unreachable(attempt_end end) -> bool;
+
 /// What is known of a request when an attempt has ended.
 struct request_progress
 {
@@ -20,7 +29,7 @@
     bool answer_begun = false; ///< Whether the caller has the head of an answer.
     bool may_have_run = false; ///< Whether any attempt so far may have run.
     int attempts_run = 0;      ///< Attempts that may have run.
-    int attempts_sent = 0;     ///< Attempts of which a byte left.
+    int rejections = 0;        ///< Attempts that upstreams refused for a reason of their own.
     int max_attempts = 1;      ///< Upstreams that it may run at.
     duration time_left{};      ///< Until its deadline or the route's time limit.
     bool budget_left = false;  ///< Whether the retry budget allows another arrival.
--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
+#include "dragonflymill/direct/call_attempts.h"
 #include "dragonflymill/direct/cold_share.h"
 #include "dragonflymill/direct/dispatch_policy.h"
 #include "dragonflymill/direct/first_token_times.h"
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,19 +24,20 @@
 /// A call that waits for an upstream.
 struct waiting_call
 {
-    std::uint64_t id = 0;           ///< Given by the caller of the dispatcher.
-    std::string service;            ///< Where it has to run.
-    std::int64_t prompt_tokens = 0; ///< 0 for plain services.
-    std::int64_t answer_tokens = 0; ///< Most tokens of the answer.
-    duration pause_aim{};           ///< Longest pause between its events that is on time; 0: none.
-    int priority = 0;               ///< 0 goes first.
-    instant aim_at{};               ///< An answer that begins later is late.
-    duration aim{};                 ///< The whole time from arrival to `aim_at`.
-    instant leaves_at{};            ///< When the caller leaves without an answer.
-    instant limit_at{};             ///< When its time ends, returns included.
-    instant give_up_at{};           ///< Refused if it still waits then.
-    instant not_before{};           ///< Not sent earlier.
-    std::vector<std::string> tried; ///< Upstreams that it has been sent to.
+    std::uint64_t id = 0;                     ///< Given by the caller of the dispatcher.
+    std::string service;                      ///< Where it has to run.
+    std::int64_t prompt_tokens = 0;           ///< 0 for plain services.
+    std::int64_t answer_tokens = 0;           ///< Most tokens of the answer.
+    duration pause_aim{};                     ///< Longest pause between its events that is on time; 0: none.
+    int priority = 0;                         ///< 0 goes first.
+    instant aim_at{};                         ///< An answer that begins later is late.
+    duration aim{};                           ///< The whole time from arrival to `aim_at`.
+    instant leaves_at{};                      ///< When the caller leaves without an answer.
+    instant limit_at{};                       ///< When its time ends, returns included.
+    instant give_up_at{};                     ///< Refused if it still waits then.
+    instant not_before{};                     ///< Not sent earlier.
+    call_attempts attempts;                   ///< What was tried so far.
+    wait_reason obstacle = wait_reason::none; ///< What kept it from being placed last; set by the dispatcher.
 
     friend auto operator==(const waiting_call&, const waiting_call&) -> bool = default;
 };
@@ -51,11 +54,12 @@
 /// A call is to be sent now. Its load is on the board; `finish` takes it off.
 struct dispatch_order
 {
-    std::uint64_t call = 0;               ///< Which.
-    placement_id placed = 0;              ///< Its place on the board.
-    dispatch_choice choice;               ///< Where and why.
-    upstream_entry upstream;              ///< Answers it.
-    std::vector<dispatch_helper> helpers; ///< Read a part of its prompt each.
+    std::uint64_t call = 0;                     ///< Which.
+    placement_id placed = 0;                    ///< Its place on the board.
+    dispatch_choice choice;                     ///< Where and why.
+    upstream_entry upstream;                    ///< Answers it.
+    std::vector<dispatch_helper> helpers;       ///< Read a part of its prompt each.
+    wait_reason waited_for = wait_reason::none; ///< What kept it from being placed last.
 
     friend auto operator==(const dispatch_order&, const dispatch_order&) -> bool = default;
 };
@@ -152,8 +156,12 @@
 
     [[nodiscard]] auto candidates(const upstream_list& fleet, const service_rule& service, instant now) const
         -> std::vector<dispatch_candidate>;
+    [[nodiscard]] auto try_to_place(const upstream_list& fleet, const waiting_call& call, int failures,
+                                    instant now, round_view& view) const -> dispatch_decision;
     [[nodiscard]] auto choose(const upstream_list& fleet, const waiting_call& call, instant now,
-                              round_view& view) const -> std::optional<dispatch_choice>;
+                              round_view& view) const -> dispatch_decision;
+    [[nodiscard]] auto choose_among(const upstream_list& fleet, const waiting_call& call, instant now,
+                                    std::span<const dispatch_candidate> found) const -> dispatch_decision;
     void refresh_load(dispatch_candidate& candidate, instant now) const;
     void refresh(const upstream_list& fleet, const dispatch_order& order, instant now,
                  std::vector<dispatch_candidate>& candidates) const;
@@ -171,10 +179,8 @@
         -> bool;
     void note_no_room(const waiting_call& call, instant now);
     [[nodiscard]] auto shape_of(const waiting_call& call, instant now) const -> call_shape;
-    [[nodiscard]] auto why_waiting(const upstream_list& fleet, const waiting_call& call, instant now,
-                                   const round_view& view) const -> std::string;
-    [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now,
-                                  const round_view& view) const -> std::optional<dispatch_refusal>;
+    [[nodiscard]] auto refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
+        -> std::optional<dispatch_refusal>;
 
     dispatch_settings settings_;
     load_board board_;
--- a/include/dragonflymill/direct/dispatch_call.h
+++ b/include/dragonflymill/direct/dispatch_call.h
@@ -27,6 +27,21 @@
     friend auto operator==(const call_shape&, const call_shape&) -> bool = default;
 };
 
+/// Why a call isn't placed now.
+enum class wait_reason
+{
+    none,          ///< It can be placed.
+    full,          ///< No upstream has a free slot.
+    no_engine,     ///< No engine has a slot and memory for it.
+    few_readers,   ///< Those that are free would read it late; all together could read it in time.
+    backlog,       ///< The engines that would read it have other prompts to read first.
+    cost,          ///< Its reading would make answers late that are worth more.
+    behind_others, ///< Calls of its kind that go before it found no room.
+};
+
+/// Text of a reason, for the log.
+[[nodiscard]] auto to_string(wait_reason reason) -> const char*;
+
 /// An upstream that a call may be sent to.
 struct dispatch_candidate
 {
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -13,6 +13,15 @@
 
 namespace dragonflymill::direct {
 
+/// Where a call goes, or why it waits.
+struct dispatch_decision
+{
+    std::optional<dispatch_choice> choice;    ///< Nothing while it waits.
+    wait_reason obstacle = wait_reason::none; ///< What it waits for.
+
+    friend auto operator==(const dispatch_decision&, const dispatch_decision&) -> bool = default;
+};
+
 /// Chooses the upstream of a plain call: the one with the least work in hand, in the gateway's own failure
 /// domain among equals.
 class plain_dispatch
@@ -20,22 +29,9 @@
 public:
     /// The choice; nothing while all are full.
     [[nodiscard]] auto choose(const call_shape& call, std::span<const dispatch_candidate> candidates) const
-        -> std::optional<dispatch_choice>;
+        -> dispatch_decision;
 };
 
-/// Why a call isn't placed now.
-enum class wait_reason
-{
-    none,        ///< It can be placed.
-    no_engine,   ///< No engine has a slot and memory for it.
-    few_readers, ///< Those that are free would read it late; all together could read it in time.
-    backlog,     ///< The engines that would read it have other prompts to read first.
-    cost,        ///< Its reading would make answers late that are worth more.
-};
-
-/// Text of a reason, for the log.
-[[nodiscard]] auto to_string(wait_reason reason) -> const char*;
-
 /// Chooses engines for prompts of unlike lengths.
 ///
 /// An engine that reads a long prompt beside streams holds each of their passes up by the reading, so that
@@ -51,10 +47,7 @@
 
     /// The choice; nothing while the call had better wait.
     [[nodiscard]] auto choose(const call_shape& call, std::span<const dispatch_candidate> candidates) const
-        -> std::optional<dispatch_choice>;
-    /// Why a call isn't placed now, for the log.
-    [[nodiscard]] auto why_waiting(const call_shape& call,
-                                   std::span<const dispatch_candidate> candidates) const -> wait_reason;
+        -> dispatch_decision;
     /// Whether a prompt counts as long: reading it alone takes over half of the tightest pause.
     [[nodiscard]] auto is_long(std::int64_t prompt_tokens) const -> bool;
     /// Whether a call's stream bears no longer pauses than the tightest ones, so that it is written on the
@@ -77,9 +70,9 @@
 
 private:
     [[nodiscard]] auto choose_short(const call_shape& call, std::span<const dispatch_candidate> ordered,
-                                    std::size_t boundary) const -> std::optional<dispatch_choice>;
+                                    std::size_t boundary) const -> dispatch_decision;
     [[nodiscard]] auto choose_long(const call_shape& call, std::span<const dispatch_candidate> ordered,
-                                   std::size_t boundary) const -> std::optional<dispatch_choice>;
+                                   std::size_t boundary) const -> dispatch_decision;
     [[nodiscard]] auto obstacle_to(const std::optional<reading_plan>& plan, const reading_planner& planner,
                                    const call_shape& call) const -> wait_reason;
     [[nodiscard]] auto wanted_part() const -> duration;
--- a/include/dragonflymill/direct/upstream_health.h
+++ b/include/dragonflymill/direct/upstream_health.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
+#include "dragonflymill/direct/attempt_rules.h"
 
 #include <string>
 #include <unordered_map>
@@ -15,6 +16,8 @@
 class upstream_health
 {
 public:
+    /// An attempt ended that this upstream is at fault for.
+    void ended(const std::string& upstream, attempt_end end, instant now);
     /// No connection, silence, or an answer that can't be used.
     void lost(const std::string& upstream, instant now);
     /// The upstream itself answered a failure. Some failures are the call's own fault, so that only a share
--- a/src/direct/attempt_rules.cpp
+++ b/src/direct/attempt_rules.cpp
@@ -15,15 +15,24 @@
     if (!progress.budget_left) {
         return false;
     }
-    if (end == attempt_end::rejected) {
-        const bool allowed = progress.repeatable || !progress.may_have_run;
-        return allowed && progress.attempts_sent - progress.attempts_run <= max_rejections;
+    if (may_have_run(end)) {
+        return progress.repeatable && progress.attempts_run < progress.max_attempts;
     }
-    return progress.repeatable && progress.attempts_run < progress.max_attempts;
+    return (progress.repeatable || !progress.may_have_run) && progress.rejections <= max_rejections;
 }
 
 } // namespace
 
+auto may_have_run(attempt_end end) -> bool
+{
+    return end == attempt_end::failed || end == attempt_end::overtaken || end == attempt_end::broken;
+}
+
+auto is_unreachable(attempt_end end) -> bool
+{
+    return end == attempt_end::not_sent || end == attempt_end::reader_lost;
+}
+
 auto after_attempt(attempt_end end, const request_progress& progress) -> next_step
 {
     if (may_try_again(end, progress)) {
@@ -35,8 +44,8 @@
     if (end == attempt_end::failed) {
         return next_step::pass_failure;
     }
-    const bool may_have_run = progress.may_have_run || end == attempt_end::broken;
-    return may_have_run ? next_step::fail_unknown : next_step::refuse_not_run;
+    const bool unknown = progress.may_have_run || may_have_run(end);
+    return unknown ? next_step::fail_unknown : next_step::refuse_not_run;
 }
 
 auto to_string(attempt_end end) -> const char*
@@ -46,8 +55,14 @@
         return "not_sent";
     case attempt_end::rejected:
         return "rejected";
+    case attempt_end::misdirected:
+        return "misdirected";
+    case attempt_end::reader_lost:
+        return "reader_lost";
     case attempt_end::failed:
         return "failed";
+    case attempt_end::overtaken:
+        return "overtaken";
     case attempt_end::broken:
         return "broken";
     }
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -15,6 +15,19 @@
     return {call.service, call.pause_aim};
 }
 
+/// The candidates with those marked as suspect that attempts were lost at, and if `whole_domains`, those of
+/// the same failure domains too.
+auto without_tried(const std::vector<dispatch_candidate>& all, const call_attempts& attempts,
+                   bool whole_domains, instant now) -> std::vector<dispatch_candidate>
+{
+    std::vector<dispatch_candidate> marked = all;
+    for (dispatch_candidate& candidate : marked) {
+        const bool avoided = whole_domains && attempts.avoids(candidate.failure_domain, now);
+        candidate.suspect = candidate.suspect || avoided || attempts.tried(candidate.id);
+    }
+    return marked;
+}
+
 } // namespace
 
 void call_dispatcher::add(waiting_call call)
@@ -102,8 +115,8 @@
     round_view view;
     for (waiting_call& call : waiting_) {
         int& failures = failed_tries[class_of(call)];
-        const bool tries = failures < tries_past_blocked && now >= call.not_before;
-        const auto choice = tries ? choose(fleet, call, now, view) : std::nullopt;
+        const dispatch_decision decision = try_to_place(fleet, call, failures, now, view);
+        const auto& choice = decision.choice;
         if (choice && backoff_elapsed(call, *choice, now)) {
             round.orders.push_back(order_for(fleet, call, *choice, now));
             refresh(fleet, round.orders.back(), now, view[call.service]);
@@ -112,8 +125,9 @@
         }
         if (!choice) {
             ++failures;
+            call.obstacle = decision.obstacle;
             note_no_room(call, now);
-            if (auto refusal = refusal_of(fleet, call, now, view)) {
+            if (auto refusal = refusal_of(fleet, call, now)) {
                 round.refusals.push_back(std::move(*refusal));
                 room_since_.erase(call.id);
                 continue;
@@ -125,8 +139,8 @@
     return round;
 }
 
-auto call_dispatcher::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now,
-                                 const round_view& view) const -> std::optional<dispatch_refusal>
+auto call_dispatcher::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
+    -> std::optional<dispatch_refusal>
 {
     if (!any_upstream(fleet, call.service)) {
         return dispatch_refusal{call.id, retry_after_none, "no upstream takes work"};
@@ -135,7 +149,7 @@
         const std::uint64_t draw = stable_hash(std::to_string(call.id), settings_.seed);
         const duration saturated = saturated_.at(class_of(call)).lasting(now);
         const duration back = return_time(saturated, call.limit_at - now, draw);
-        return dispatch_refusal{call.id, back, why_waiting(fleet, call, now, view)};
+        return dispatch_refusal{call.id, back, to_string(call.obstacle)};
     }
     return std::nullopt;
 }
@@ -164,34 +178,52 @@
     return now - *waited->second >= turn;
 }
 
+auto call_dispatcher::try_to_place(const upstream_list& fleet, const waiting_call& call, int failures,
+                                   instant now, round_view& view) const -> dispatch_decision
+{
+    if (failures >= tries_past_blocked) {
+        return {std::nullopt, wait_reason::behind_others};
+    }
+    if (now < call.not_before) {
+        return {std::nullopt, wait_reason::no_engine};
+    }
+    return choose(fleet, call, now, view);
+}
+
 auto call_dispatcher::choose(const upstream_list& fleet, const waiting_call& call, instant now,
-                             round_view& view) const -> std::optional<dispatch_choice>
+                             round_view& view) const -> dispatch_decision
 {
     const service_rule* service = fleet.config()->service_of(call.service);
     if (service == nullptr) {
-        return std::nullopt;
+        return {std::nullopt, wait_reason::full};
     }
-    const call_shape shape = shape_of(call, now);
     auto known = view.find(call.service);
     if (known == view.end()) {
         known = view.emplace(call.service, candidates(fleet, *service, now)).first;
     }
-    std::span<const dispatch_candidate> found = known->second;
-    std::vector<dispatch_candidate> without_tried;
-    if (!call.tried.empty()) {
-        without_tried = known->second;
-        for (dispatch_candidate& candidate : without_tried) {
-            const bool tried =
-                std::find(call.tried.begin(), call.tried.end(), candidate.id) != call.tried.end();
-            candidate.suspect = candidate.suspect || tried;
+    const std::vector<dispatch_candidate>& all = known->second;
+    if (call.attempts.count() == 0) {
+        return choose_among(fleet, call, now, all);
+    }
+    if (call.attempts.avoids_any(now)) {
+        const auto decision = choose_among(fleet, call, now, without_tried(all, call.attempts, true, now));
+        if (decision.obstacle != wait_reason::full && decision.obstacle != wait_reason::no_engine) {
+            return decision;
         }
-        found = without_tried;
     }
-    if (!service->engine) {
+    return choose_among(fleet, call, now, without_tried(all, call.attempts, false, now));
+}
+
+auto call_dispatcher::choose_among(const upstream_list& fleet, const waiting_call& call, instant now,
+                                   std::span<const dispatch_candidate> found) const -> dispatch_decision
+{
+    const service_rule& service = *fleet.config()->service_of(call.service);
+    const call_shape shape = shape_of(call, now);
+    if (!service.engine) {
         return plain_dispatch().choose(shape, found);
     }
     const duration pause = fleet.config()->tightest_pause(call.service).value_or(duration::zero());
-    return engine_dispatch(*service->engine, pause).choose(shape, found);
+    return engine_dispatch(*service.engine, pause).choose(shape, found);
 }
 
 auto call_dispatcher::shape_of(const waiting_call& call, instant now) const -> call_shape
@@ -206,19 +238,6 @@
             call.aim};
 }
 
-auto call_dispatcher::why_waiting(const upstream_list& fleet, const waiting_call& call, instant now,
-                                  const round_view& view) const -> std::string
-{
-    const service_rule* service = fleet.config()->service_of(call.service);
-    const auto known = view.find(call.service);
-    if (service == nullptr || !service->engine || known == view.end()) {
-        return "all upstreams are full";
-    }
-    const duration pause = fleet.config()->tightest_pause(call.service).value_or(duration::zero());
-    const engine_dispatch policy(*service->engine, pause);
-    return to_string(policy.why_waiting(shape_of(call, now), known->second));
-}
-
 auto call_dispatcher::candidates(const upstream_list& fleet, const service_rule& service, instant now) const
     -> std::vector<dispatch_candidate>
 {
@@ -292,6 +311,7 @@
     order.choice = choice;
     const upstream_state& upstream = fleet.upstreams().at(choice.upstream);
     order.upstream = upstream.entry;
+    order.waited_for = call.obstacle;
     for (const helper_share& helper : choice.helpers) {
         order.helpers.push_back({fleet.upstreams().at(helper.upstream).entry, helper.reserved_tokens});
     }
@@ -303,10 +323,10 @@
         (void)cold_[choice.upstream].take(now, cold, gateways_);
     }
     retry_window& retries = retries_[call.service];
-    if (call.tried.empty()) {
+    if (call.attempts.count() == 0) {
         retries.count_first(now);
     }
-    else {
+    if (call.attempts.arrivals() > 0) {
         (void)retries.take(now, settings_.retries, gateways_);
     }
     return order;
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 auto plain_dispatch::choose(const call_shape& call, std::span<const dispatch_candidate> candidates) const
-    -> std::optional<dispatch_choice>
+    -> dispatch_decision
 {
     const auto rank = [&](const dispatch_candidate& upstream) {
         return std::tuple(upstream.suspect, in_hand(upstream), is_far(call, upstream),
@@ -33,13 +33,13 @@
         }
     }
     if (best == nullptr) {
-        return std::nullopt;
+        return {std::nullopt, wait_reason::full};
     }
     dispatch_choice choice;
     choice.upstream = best->id;
     choice.load = best->load;
     choice.reason = "least work in hand";
-    return choice;
+    return {std::move(choice)};
 }
 
 engine_dispatch::engine_dispatch(const engine_figures& figures, duration tightest_pause)
@@ -74,10 +74,10 @@
 }
 
 auto engine_dispatch::choose(const call_shape& call, std::span<const dispatch_candidate> candidates) const
-    -> std::optional<dispatch_choice>
+    -> dispatch_decision
 {
     if (candidates.empty()) {
-        return std::nullopt;
+        return {std::nullopt, wait_reason::no_engine};
     }
     const std::size_t boundary = short_partition(candidates);
     if (is_tight(call) || !is_long(call.prompt_tokens)) {
@@ -87,7 +87,7 @@
 }
 
 auto engine_dispatch::choose_short(const call_shape& call, std::span<const dispatch_candidate> ordered,
-                                   std::size_t boundary) const -> std::optional<dispatch_choice>
+                                   std::size_t boundary) const -> dispatch_decision
 {
     const auto rank = [&](const dispatch_candidate& engine) {
         return std::tuple(engine.load.reading / 25ms, in_hand(engine) / 2, is_far(call, engine),
@@ -109,7 +109,7 @@
         consider(ordered.subspan(boundary));
     }
     if (best == nullptr) {
-        return std::nullopt;
+        return {std::nullopt, wait_reason::no_engine};
     }
     dispatch_choice choice;
     choice.upstream = best->id;
@@ -125,17 +125,17 @@
     }
     choice.first_token += forecast_.pass(in_hand(*best), call.prompt_tokens);
     choice.reason = inside ? "short partition" : "short partition full";
-    return choice;
+    return {std::move(choice)};
 }
 
 auto engine_dispatch::choose_long(const call_shape& call, std::span<const dispatch_candidate> ordered,
-                                  std::size_t boundary) const -> std::optional<dispatch_choice>
+                                  std::size_t boundary) const -> dispatch_decision
 {
     const std::size_t first = std::min(boundary, ordered.size() - 1);
     const reading_planner planner(forecast_, wanted_part(), call, ordered);
     auto plan = planner.best(ordered.subspan(first));
-    if (obstacle_to(plan, planner, call) != wait_reason::none) {
-        return std::nullopt;
+    if (const wait_reason obstacle = obstacle_to(plan, planner, call); obstacle != wait_reason::none) {
+        return {std::nullopt, obstacle};
     }
     const bool on_time = plan->first_token() <= call.time_to_aim;
     dispatch_choice choice;
@@ -147,7 +147,7 @@
     choice.first_token = plan->first_token();
     choice.helpers = std::move(plan->helpers);
     choice.reason = on_time ? "long partition" : "late, long partition";
-    return choice;
+    return {std::move(choice)};
 }
 
 auto engine_dispatch::obstacle_to(const std::optional<reading_plan>& plan, const reading_planner& planner,
@@ -167,22 +167,13 @@
     return planner.acceptable(*plan) ? wait_reason::none : wait_reason::cost;
 }
 
-auto engine_dispatch::why_waiting(const call_shape& call,
-                                  std::span<const dispatch_candidate> candidates) const -> wait_reason
-{
-    if (candidates.empty() || is_tight(call) || !is_long(call.prompt_tokens)) {
-        return wait_reason::no_engine;
-    }
-    const std::size_t first = std::min(short_partition(candidates), candidates.size() - 1);
-    const reading_planner planner(forecast_, wanted_part(), call, candidates);
-    return obstacle_to(planner.best(candidates.subspan(first)), planner, call);
-}
-
 auto to_string(wait_reason reason) -> const char*
 {
     switch (reason) {
     case wait_reason::none:
-        return "engines have room";
+        return "upstreams have room";
+    case wait_reason::full:
+        return "all upstreams are full";
     case wait_reason::no_engine:
         return "no engine has a free slot and memory";
     case wait_reason::few_readers:
@@ -191,6 +182,8 @@
         return "engines have too much to read";
     case wait_reason::cost:
         return "reading the prompt now would make too many answers late";
+    case wait_reason::behind_others:
+        return "calls of its kind that go before it found no room";
     }
     return "unknown";
 }
--- a/src/direct/upstream_health.cpp
+++ b/src/direct/upstream_health.cpp
@@ -4,6 +4,25 @@
 
 namespace dragonflymill::direct {
 
+void upstream_health::ended(const std::string& upstream, attempt_end end, instant now)
+{
+    switch (end) {
+    case attempt_end::failed:
+        failed(upstream, now);
+        return;
+    case attempt_end::rejected:
+    case attempt_end::overtaken:
+        full(upstream, now);
+        return;
+    case attempt_end::not_sent:
+    case attempt_end::misdirected:
+    case attempt_end::reader_lost:
+    case attempt_end::broken:
+        lost(upstream, now);
+        return;
+    }
+}
+
 void upstream_health::lost(const std::string& upstream, instant now)
 {
     record& found = records_[upstream];
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -28,8 +28,6 @@
 constexpr duration reservation_pause = 100ms;
 /// Status of an upstream that isn't the one that was meant; it has not run the request.
 constexpr unsigned misdirected = 421;
-/// Why an attempt ended at an upstream that has not come to its call yet; that upstream is sound.
-constexpr const char* silent_while_reading = "the upstream is busy with other prompts";
 /// A caller that was refused before has no other chance, so it waits for this share of its patience: the rest
 /// is for its first event.
 constexpr int last_wait_percent = 50;
@@ -177,14 +175,15 @@
     order_ = order;
     sent_at_ = now;
     heard_at_ = now;
-    ++attempt_;
+    wait_.attempts.dispatched();
     mode_ = answer_mode::none;
     head_ = {};
     body_.clear();
     relay_.begin_attempt();
-    log_event(event::call_dispatched, field("request", request_name_), field("attempt", attempt_),
-              field("upstream", order.upstream.id), field("helpers", helper_list(order)),
-              field("reason", order.choice.reason), field("waited_us", now - arrived_),
+    log_event(event::call_dispatched, field("request", request_name_),
+              field("attempt", wait_.attempts.count()), field("upstream", order.upstream.id),
+              field("helpers", helper_list(order)), field("reason", order.choice.reason),
+              field("waited_us", now - arrived_), field("waited_for", direct::to_string(order.waited_for)),
               field("forecast_us", order.choice.first_token), field("prompt_tokens", wait_.prompt_tokens),
               field("answer_tokens", wait_.answer_tokens),
               field("short_calls", order.choice.load.short_calls),
@@ -207,12 +206,12 @@
         send();
         return;
     }
-    const std::string name = request_name_ + "-" + std::to_string(attempt_);
+    const std::string name = request_name_ + "-" + std::to_string(wait_.attempts.count());
     memory_ = std::make_shared<memory_reservation>(context_.loop, context_.timers, context_.orders, name,
                                                    std::move(pieces));
-    memory_->start([weak = weak_from_this(), attempt = attempt_](bool held) {
+    memory_->start([weak = weak_from_this(), attempt = wait_.attempts.count()](bool held) {
         const auto self = weak.lock();
-        if (!self || self->over_ || self->attempt_ != attempt || !self->order_) {
+        if (!self || self->over_ || self->wait_.attempts.count() != attempt || !self->order_) {
             return;
         }
         if (held) {
@@ -246,7 +245,6 @@
     }
     sent_at_ = now;
     heard_at_ = now;
-    wait_.tried.push_back(order.upstream.id);
     context_.metrics.attempts.add();
     call_ = std::make_shared<upstream_call>(context_.loop, context_.timers, *this);
     call_->start(order.upstream.address, upstream_request(request_, context_.names, own_fields(order, now)),
@@ -284,7 +282,7 @@
         return;
     }
     const instant due = heard_at_ + stall_timeout_for();
-    stall_timer_ = context_.timers.at(due, [weak = weak_from_this(), attempt = attempt_] {
+    stall_timer_ = context_.timers.at(due, [weak = weak_from_this(), attempt = wait_.attempts.count()] {
         if (const auto self = weak.lock()) {
             self->stall_timer_.reset();
             self->silence(attempt);
@@ -294,7 +292,7 @@
 
 void exchange::silence(std::uint64_t attempt)
 {
-    if (over_ || attempt != attempt_ || !call_) {
+    if (over_ || attempt != wait_.attempts.count() || !call_) {
         return;
     }
     const instant now = runtime::now();
@@ -304,14 +302,17 @@
     }
     direct::request_progress state = progress(now);
     state.may_have_run = true;
-    state.attempts_run = attempts_run_ + 1;
+    ++state.attempts_run;
     // An answer that may still come is better than a failure: the upstream is given up only for another.
     if (direct::after_attempt(attempt_end::broken, state) != next_step::try_again) {
         return;
     }
     const auto load = context_.dispatcher.board().load_of(order_->upstream.id, now);
-    end_attempt(attempt_end::broken,
-                direct::is_busy_reading(load.reading) ? silent_while_reading : "the upstream is silent");
+    if (direct::is_busy_reading(load.reading)) {
+        end_attempt(attempt_end::overtaken, "the upstream is busy with other prompts");
+        return;
+    }
+    end_attempt(attempt_end::broken, "the upstream is silent");
 }
 
 auto exchange::answer_head_came(const answer_head& head) -> bool
@@ -326,7 +327,10 @@
     head_ = head;
     if (head.status == misdirected || !head.value_of(names.not_run).empty()) {
         mode_ = answer_mode::rejected;
-        end_attempt(attempt_end::rejected, "status " + std::to_string(head.status));
+        const attempt_end end = lost_reader() != nullptr     ? attempt_end::reader_lost
+                                : head.status == misdirected ? attempt_end::misdirected
+                                                             : attempt_end::rejected;
+        end_attempt(end, "status " + std::to_string(head.status));
         return false;
     }
     const bool is_stream = head.status == 200 && route_->kind == direct::call_kind::streaming &&
@@ -458,44 +462,22 @@
     state.repeatable = route_->repeatable();
     state.answer_begun = answer_begun_;
     state.may_have_run = may_have_run();
-    state.attempts_run = attempts_run_;
-    state.attempts_sent = attempts_sent_;
+    state.attempts_run = wait_.attempts.run();
+    state.rejections = wait_.attempts.rejections();
     state.max_attempts = route_->max_attempts;
     state.time_left = limit_at_ - now;
     state.budget_left = context_.dispatcher.retry_left(wait_.service, now);
     return state;
 }
 
-void exchange::note_health(attempt_end end, const std::string& why, instant now)
+auto exchange::lost_reader() const -> const direct::dispatch_helper*
 {
-    direct::upstream_health& health = context_.dispatcher.health();
-    const std::string& upstream = order_->upstream.id;
     const std::string_view at_fault = head_.value_of(context_.names.at_fault);
-    if (end == attempt_end::rejected && !order_->helpers.empty() && !at_fault.empty()) {
-        blame_helper(at_fault, now);
-        return;
-    }
-    if (end == attempt_end::failed) {
-        health.failed(upstream, now);
-    }
-    else if ((end == attempt_end::rejected && head_.status != misdirected) || why == silent_while_reading) {
-        health.full(upstream, now);
-    }
-    else {
-        health.lost(upstream, now);
-    }
-}
-
-void exchange::blame_helper(std::string_view at_fault, instant now)
-{
-    for (const direct::dispatch_helper& helper : order_->helpers) {
-        if (helper.upstream.id == at_fault || helper.upstream.address == at_fault) {
-            context_.dispatcher.health().lost(helper.upstream.id, now);
-            // The engine that answered is sound: it may be asked again.
-            wait_.tried.clear();
-            return;
-        }
-    }
+    const auto named = [&](const direct::dispatch_helper& helper) {
+        return helper.upstream.id == at_fault || helper.upstream.address == at_fault;
+    };
+    const auto found = std::find_if(order_->helpers.begin(), order_->helpers.end(), named);
+    return at_fault.empty() || found == order_->helpers.end() ? nullptr : &*found;
 }
 
 void exchange::end_attempt(attempt_end end, const std::string& why)
@@ -505,20 +487,17 @@
     }
     const instant now = runtime::now();
     const std::string upstream = order_->upstream.id;
-    note_health(end, why, now);
-    if (end != attempt_end::not_sent) {
-        ++attempts_sent_;
-    }
-    if (end == attempt_end::failed || end == attempt_end::broken) {
-        ++attempts_run_;
-    }
+    const direct::upstream_entry& at_fault =
+        end == attempt_end::reader_lost ? lost_reader()->upstream : order_->upstream;
+    context_.dispatcher.health().ended(at_fault.id, end, now);
+    wait_.attempts.ended(end, {at_fault.id, at_fault.failure_domain}, now);
     release_upstream();
     const next_step step = direct::after_attempt(end, progress(now));
     context_.metrics.attempts_failed.add();
-    log_event(event::call_attempt_ended, field("request", request_name_), field("attempt", attempt_),
-              field("upstream", upstream), field("end", direct::to_string(end)), field("why", why),
-              field("after_us", now - sent_at_), field("ran", may_have_run() ? "unknown" : "no"),
-              field("next", direct::to_string(step)));
+    log_event(event::call_attempt_ended, field("request", request_name_),
+              field("attempt", wait_.attempts.count()), field("upstream", upstream),
+              field("end", direct::to_string(end)), field("why", why), field("after_us", now - sent_at_),
+              field("ran", may_have_run() ? "unknown" : "no"), field("next", direct::to_string(step)));
     take_step(step, why);
 }
 
@@ -594,7 +573,7 @@
     (refused.ran == ran_state::no ? context_.metrics.refused : context_.metrics.failed).add();
     log_event(event::call_refused, field("request", request_name_), field("status", status),
               field("code", to_string(refused.code)), field("ran", to_string(refused.ran)), field("why", why),
-              field("retry_after_us", refused.retry_after), field("attempts", attempt_),
+              field("retry_after_us", refused.retry_after), field("attempts", wait_.attempts.count()),
               field("total_us", runtime::now() - arrived_),
               field("config_version", config_ == nullptr ? 0 : config_->version()),
               field("fleet_revision", context_.records.revision()));
@@ -618,7 +597,7 @@
     const instant now = runtime::now();
     context_.metrics.whole_answer.record(static_cast<double>((now - arrived_).count()) / us_per_s);
     log_event(event::call_answered, field("request", request_name_), field("status", status),
-              field("attempts", attempt_), field("events", events_),
+              field("attempts", wait_.attempts.count()), field("events", events_),
               field("first_us", first_event_at_.value_or(now) - arrived_),
               field("longest_pause_us", longest_pause_), field("total_us", now - arrived_));
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -85,9 +85,8 @@
     void watch_stall();
     void silence(std::uint64_t attempt);
     void end_attempt(direct::attempt_end end, const std::string& why);
-    void note_health(direct::attempt_end end, const std::string& why, instant now);
-    void blame_helper(std::string_view at_fault, instant now);
-    [[nodiscard]] auto may_have_run() const -> bool { return attempts_run_ > 0; }
+    [[nodiscard]] auto lost_reader() const -> const direct::dispatch_helper*;
+    [[nodiscard]] auto may_have_run() const -> bool { return wait_.attempts.run() > 0; }
     [[nodiscard]] auto progress(instant now) const -> direct::request_progress;
     void take_step(direct::next_step step, const std::string& why);
     void release_upstream();
@@ -116,9 +115,6 @@
     std::optional<direct::dispatch_order> order_;
     instant sent_at_{};
     instant heard_at_{};
-    std::uint64_t attempt_ = 0;
-    int attempts_run_ = 0;
-    int attempts_sent_ = 0;
 
     answer_mode mode_ = answer_mode::none;
     answer_head head_;
--- a/tests/direct/attempt_rules_test.cpp
+++ b/tests/direct/attempt_rules_test.cpp
@@ -12,7 +12,8 @@
 void for_each_case(const std::function<void(attempt_end, const request_progress&)>& check)
 {
     for (const auto end :
-         {attempt_end::not_sent, attempt_end::rejected, attempt_end::failed, attempt_end::broken}) {
+         {attempt_end::not_sent, attempt_end::rejected, attempt_end::misdirected, attempt_end::reader_lost,
+          attempt_end::failed, attempt_end::overtaken, attempt_end::broken}) {
         for (int bits = 0; bits < 16; ++bits) {
             for (int run = 0; run <= 3; ++run) {
                 request_progress state;
@@ -21,7 +22,7 @@
                 state.budget_left = (bits & 4) != 0;
                 state.time_left = (bits & 8) != 0 ? duration(1s) : duration(1ms);
                 state.attempts_run = run;
-                state.attempts_sent = run + (end == attempt_end::rejected ? 1 : 0);
+                state.rejections = end == attempt_end::rejected ? 1 : 0;
                 state.may_have_run = run > 0;
                 state.max_attempts = 2;
                 check(end, state);
@@ -52,7 +53,7 @@
     for_each_case([](attempt_end end, const request_progress& state) {
         if (after_attempt(end, state) == next_step::refuse_not_run) {
             cr_assert(!state.may_have_run);
-            cr_assert(end == attempt_end::not_sent || end == attempt_end::rejected);
+            cr_assert(!may_have_run(end));
         }
     });
 }
@@ -72,7 +73,7 @@
 {
     for_each_case([](attempt_end end, const request_progress& state) {
         const bool spent = state.attempts_run >= state.max_attempts;
-        if (spent && (end == attempt_end::failed || end == attempt_end::broken)) {
+        if (spent && may_have_run(end)) {
             cr_assert(after_attempt(end, state) != next_step::try_again);
         }
         if (state.time_left < least_time_for_attempt) {
@@ -89,8 +90,8 @@
     request_progress state;
     state.budget_left = true;
     state.time_left = 1s;
-    state.attempts_sent = 1;
+    state.rejections = 1;
     cr_assert(after_attempt(attempt_end::rejected, state) == next_step::try_again);
-    state.attempts_sent = max_rejections + 1;
+    state.rejections = max_rejections + 1;
     cr_assert(after_attempt(attempt_end::rejected, state) == next_step::refuse_not_run);
 }
--- a/tests/direct/call_dispatcher_test.cpp
+++ b/tests/direct/call_dispatcher_test.cpp
@@ -189,7 +189,8 @@
     auto fleet = bookings(5, 2);
     auto decider = dispatcher();
     waiting_call again = call(1);
-    again.tried = {"u0"};
+    again.attempts.dispatched();
+    again.attempts.ended(attempt_end::rejected, {"u0", "a"}, start);
     decider.add(again);
     cr_assert(decider.decide(fleet, start).orders.front().upstream.id == "u1");
 }
@@ -214,7 +215,8 @@
 
 constexpr int engine_count = 16;
 
-auto engines() -> upstream_list
+/// Engines that stand in turn in so many failure domains, "d0", "d1" and so on.
+auto engines(int domains = 1) -> upstream_list
 {
     upstream_list fleet;
     fleet_config::parts parts;
@@ -230,6 +232,7 @@
         upstream_entry entry;
         entry.id = "e" + std::to_string(i);
         entry.service = "answers";
+        entry.failure_domain = "d" + std::to_string(i % domains);
         entry.slots = 16;
         fleet.take("k" + entry.id, entry, start);
     }
@@ -379,3 +382,79 @@
     cr_assert(returns.front() <= 500ms);
     cr_assert(returns.back() >= 1600ms && returns.back() <= 2400ms);
 }
+
+namespace {
+
+/// A document that found the first two engines of a failure domain gone.
+auto document_after_losses_in(int domain) -> waiting_call
+{
+    waiting_call made = document(1);
+    for (int i = domain; i < domain + 4; i += 3) {
+        made.attempts.dispatched();
+        made.attempts.ended(attempt_end::reader_lost, {"e" + std::to_string(i), "d" + std::to_string(domain)},
+                            start);
+    }
+    return made;
+}
+
+auto domains_of(const upstream_list& fleet, const dispatch_order& order) -> std::set<std::string>
+{
+    std::set<std::string> found{fleet.upstreams().at(order.upstream.id).entry.failure_domain};
+    for (const dispatch_helper& helper : order.helpers) {
+        found.insert(helper.upstream.failure_domain);
+    }
+    return found;
+}
+
+} // namespace
+
+// A failure domain of engines goes away; each plan for a document names readers there, of which a rejection
+// tells one. Four rejections later the document was refused, with two thirds of the engines idle.
+Test(call_dispatcher, a_domain_that_went_away_reads_no_part_of_a_document)
+{
+    const auto fleet = engines(3);
+    auto decider = dispatcher();
+    decider.add(document_after_losses_in(0));
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.orders.size() == 1);
+    const std::set<std::string> others{"d1", "d2"};
+    cr_assert(domains_of(fleet, round.orders.front()) == others);
+}
+
+// Losses in the only failure domain there is must not keep a call from its other engines.
+Test(call_dispatcher, a_domain_is_not_avoided_if_there_is_no_other)
+{
+    const auto fleet = engines(1);
+    auto decider = dispatcher();
+    waiting_call lost = document(1);
+    lost.attempts.dispatched();
+    lost.attempts.ended(attempt_end::not_sent, {"e0", "d0"}, start);
+    lost.attempts.ended(attempt_end::not_sent, {"e1", "d0"}, start);
+    decider.add(lost);
+    cr_assert(decider.decide(fleet, start).orders.size() == 1);
+}
+
+// Calls whose readers were gone were sent again as if for the first time: in an outage of a domain all
+// gateways together went over the retry budget that they share.
+Test(call_dispatcher, a_call_whose_reader_was_lost_draws_on_the_retry_budget)
+{
+    const auto fleet = engines(3);
+    call_dispatcher decider({"d1", {0.0, 1.5, 10s}, 1});
+    cr_assert(decider.retry_left("answers", start));
+    decider.add(document_after_losses_in(0));
+    cr_assert(decider.decide(fleet, start).orders.size() == 1);
+    cr_assert(!decider.retry_left("answers", start));
+}
+
+// An upstream that refuses connections has had no arrival: going round it costs no second attempt.
+Test(call_dispatcher, a_call_that_reached_no_upstream_leaves_the_retry_budget_alone)
+{
+    const auto fleet = engines(3);
+    call_dispatcher decider({"d1", {0.0, 1.5, 10s}, 1});
+    waiting_call unsent = document(1);
+    unsent.attempts.dispatched();
+    unsent.attempts.ended(attempt_end::not_sent, {"e0", "d0"}, start);
+    decider.add(unsent);
+    cr_assert(decider.decide(fleet, start).orders.size() == 1);
+    cr_assert(decider.retry_left("answers", start));
+}
--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -50,9 +50,9 @@
 Test(plain_dispatch, the_least_loaded_upstream_is_taken_and_a_full_one_never)
 {
     std::vector<dispatch_candidate> upstreams{{"u1", "a", 2, false, {2}}, {"u2", "b", 2, false, {1}}};
-    cr_assert(plain_dispatch().choose({}, upstreams)->upstream == "u2");
+    cr_assert(plain_dispatch().choose({}, upstreams).choice->upstream == "u2");
     upstreams[1].load.short_calls = 2;
-    cr_assert(!plain_dispatch().choose({}, upstreams));
+    cr_assert(!plain_dispatch().choose({}, upstreams).choice);
 }
 
 Test(plain_dispatch, among_equals_the_own_failure_domain_is_taken)
@@ -60,7 +60,7 @@
     const std::vector<dispatch_candidate> upstreams{{"u1", "b", 6, false, {}}, {"u2", "a", 6, false, {}}};
     call_shape call;
     call.failure_domain = "a";
-    cr_assert(plain_dispatch().choose(call, upstreams)->upstream == "u2");
+    cr_assert(plain_dispatch().choose(call, upstreams).choice->upstream == "u2");
 }
 
 // A suspect upstream is still better than none: the only booking service that failed once must not be cut
@@ -68,9 +68,9 @@
 Test(plain_dispatch, a_suspect_upstream_is_the_last_choice)
 {
     std::vector<dispatch_candidate> upstreams{{"u1", "a", 6, true, {}}, {"u2", "a", 6, false, {5}}};
-    cr_assert(plain_dispatch().choose({}, upstreams)->upstream == "u2");
+    cr_assert(plain_dispatch().choose({}, upstreams).choice->upstream == "u2");
     upstreams.pop_back();
-    cr_assert(plain_dispatch().choose({}, upstreams)->upstream == "u1");
+    cr_assert(plain_dispatch().choose({}, upstreams).choice->upstream == "u1");
 }
 
 // Members on a call wait for short answers while a dossier of 210,000 tokens is read. Written on the engine
@@ -78,8 +78,8 @@
 Test(engine_dispatch, short_and_long_prompts_go_to_different_engines)
 {
     auto all = idle_engines(16);
-    const auto first_short = policy().choose(short_call(), all);
-    const auto first_long = policy().choose(long_call(), all);
+    const auto first_short = policy().choose(short_call(), all).choice;
+    const auto first_long = policy().choose(long_call(), all).choice;
     cr_assert(first_short && first_long);
     cr_assert(first_short->upstream != first_long->upstream);
     cr_assert(!first_short->is_long && first_long->is_long);
@@ -90,7 +90,7 @@
 
 Test(engine_dispatch, a_long_prompt_is_read_in_parts_that_begin_within_its_aim)
 {
-    const auto choice = policy().choose(long_call(), idle_engines(16));
+    const auto choice = policy().choose(long_call(), idle_engines(16)).choice;
     cr_assert(choice->helpers.size() >= 8, "%zu helpers", choice->helpers.size());
     cr_assert(choice->first_token < 500ms);
     std::set<std::string> readers{choice->upstream};
@@ -128,7 +128,7 @@
         all[i].load.long_calls = 1;
         unread.insert(all[i].id);
     }
-    const auto choice = policy().choose(long_call(), all);
+    const auto choice = policy().choose(long_call(), all).choice;
     cr_assert(choice.has_value());
     for (const auto& helper : choice->helpers) {
         cr_assert(!unread.contains(helper.upstream));
@@ -143,7 +143,7 @@
         engine.load.short_calls = 4;
         engine.load.tightest_pause = tight_pause;
     }
-    const auto choice = policy().choose(long_call(90'000), all);
+    const auto choice = policy().choose(long_call(90'000), all).choice;
     cr_assert(choice.has_value());
     for (std::size_t i = 0; i < choice->helpers.size(); ++i) {
         cr_assert(choice->reading < tight_pause / 2);
@@ -158,7 +158,7 @@
         engine.load.reading = 2s;
         engine.load.parts = 1;
     }
-    cr_assert(!policy().choose(long_call(), all));
+    cr_assert(!policy().choose(long_call(), all).choice);
 }
 
 // A prompt of a million tokens is more than twice one engine's memory: its memory is reserved at
@@ -174,14 +174,14 @@
         engines[i].load.reading = 300ms;
     }
     call_shape call = long_call(350'000);
-    cr_assert(!policy().choose(call, engines));
+    cr_assert(!policy().choose(call, engines).choice);
     call.time_to_aim = 100ms;
-    cr_assert(policy().choose(call, engines).has_value(), "late in any case");
+    cr_assert(policy().choose(call, engines).choice.has_value(), "late in any case");
 }
 
 Test(engine_dispatch, a_prompt_over_one_engines_memory_is_held_by_several)
 {
-    const auto choice = policy().choose(long_call(1'000'000), idle_engines(16));
+    const auto choice = policy().choose(long_call(1'000'000), idle_engines(16)).choice;
     cr_assert(choice.has_value());
     std::int64_t held = choice->memory_tokens;
     for (const auto& helper : choice->helpers) {
@@ -194,7 +194,7 @@
 
 Test(engine_dispatch, a_prompt_over_all_memory_is_not_placed)
 {
-    cr_assert(!policy().choose(long_call(1'000'000), idle_engines(2)));
+    cr_assert(!policy().choose(long_call(1'000'000), idle_engines(2)).choice);
 }
 
 Test(engine_dispatch, memory_that_others_fill_is_not_used_twice)
@@ -203,7 +203,7 @@
     for (auto& engine : all) {
         engine.load.memory_tokens = 300'000;
     }
-    const auto choice = policy().choose(long_call(210'000), all);
+    const auto choice = policy().choose(long_call(210'000), all).choice;
     cr_assert(choice.has_value());
     cr_assert(choice->memory_tokens <= sample_memory - 300'000);
 }
@@ -215,9 +215,9 @@
     auto all = idle_engines(16);
     call_shape call = short_call();
     call.prompt_tokens = 60'000;
-    const auto choice = policy().choose(call, all);
+    const auto choice = policy().choose(call, all).choice;
     cr_assert(choice.has_value() && !choice->is_long);
-    cr_assert(choice->upstream == policy().choose(short_call(), all)->upstream);
+    cr_assert(choice->upstream == policy().choose(short_call(), all).choice->upstream);
     cr_assert(!choice->helpers.empty());
 }
 
@@ -226,7 +226,7 @@
 {
     call_shape late = long_call(400'000);
     late.time_to_aim = 100ms;
-    const auto choice = policy().choose(late, idle_engines(16));
+    const auto choice = policy().choose(late, idle_engines(16)).choice;
     cr_assert(choice.has_value());
     cr_assert(choice->helpers.size() <= 2, "%zu", choice->helpers.size());
     cr_assert(choice->first_token <= 12s);
@@ -244,7 +244,7 @@
     for (std::uint64_t call = 0; call < 64; ++call) {
         call_shape shape = short_call();
         shape.spread = call;
-        chosen.insert(policy().choose(shape, all)->upstream);
+        chosen.insert(policy().choose(shape, all).choice->upstream);
     }
     cr_assert(chosen.size() >= 8, "%zu", chosen.size());
 }
@@ -252,21 +252,21 @@
 Test(engine_dispatch, the_same_inputs_give_the_same_choice)
 {
     const auto all = idle_engines(16);
-    cr_assert(policy().choose(long_call(), all) == policy().choose(long_call(), all));
-    cr_assert(!policy().choose(short_call(), {}));
+    cr_assert(policy().choose(long_call(), all).choice == policy().choose(long_call(), all).choice);
+    cr_assert(!policy().choose(short_call(), {}).choice);
 }
 
 // Guards against refusals that only say "full": the log has to name what a long prompt waited for.
 Test(engine_dispatch, a_waiting_call_knows_what_it_waits_for)
 {
     auto all = idle_engines(16);
-    cr_assert(policy().why_waiting(long_call(), all) == wait_reason::none);
+    cr_assert(policy().choose(long_call(), all).obstacle == wait_reason::none);
     for (dispatch_candidate& engine : all) {
         engine.load.reading = 2s;
     }
-    cr_assert(policy().why_waiting(long_call(), all) == wait_reason::backlog);
+    cr_assert(policy().choose(long_call(), all).obstacle == wait_reason::backlog);
     for (dispatch_candidate& engine : all) {
         engine.load.short_calls = engine.slots;
     }
-    cr_assert(policy().why_waiting(long_call(), all) == wait_reason::no_engine);
+    cr_assert(policy().choose(long_call(), all).obstacle == wait_reason::no_engine);
 }
--- a/tests/direct/reading_plan_test.cpp
+++ b/tests/direct/reading_plan_test.cpp
@@ -42,7 +42,7 @@
         }
     }
     const auto choice =
-        engine_dispatch(sample_figures(), tight_pause).choose(long_call(210'000, -100ms), all);
+        engine_dispatch(sample_figures(), tight_pause).choose(long_call(210'000, -100ms), all).choice;
     cr_assert(choice.has_value());
     cr_assert(in_hand(engine_named(all, choice->upstream)) == 0, "%s writes", choice->upstream.c_str());
 }
@@ -56,7 +56,8 @@
     for (auto& engine : all) {
         write_short_streams(engine, 6);
     }
-    const auto choice = engine_dispatch(sample_figures(), tight_pause).choose(long_call(100'000, 3s), all);
+    const auto choice =
+        engine_dispatch(sample_figures(), tight_pause).choose(long_call(100'000, 3s), all).choice;
     cr_assert(choice.has_value());
     cr_assert(choice->reading < 120ms, "%ld us each", static_cast<long>(choice->reading.count()));
 }
@@ -99,11 +100,11 @@
 {
     auto all = idle_engines(14);
     const engine_dispatch policy(sample_figures(), tight_pause);
-    const auto first = policy.choose(long_call(45'000, 3s), all);
+    const auto first = policy.choose(long_call(45'000, 3s), all).choice;
     auto& writer = *std::find_if(all.begin(), all.end(), [&](auto& e) { return e.id == first->upstream; });
     writer.load.long_calls = 1;
     writer.load.tightest_pause = 800ms;
-    cr_assert(policy.choose(long_call(45'000, 3s), all)->upstream == first->upstream);
+    cr_assert(policy.choose(long_call(45'000, 3s), all).choice->upstream == first->upstream);
 }
 
 // A burst of short questions leaves one engine behind the partition boundary. A document of a million tokens
