Read a long prompt by the engines that are idle if it ends sooner so

Cause: in bursts of documents 5 to 7 of them waited while 10 to 20 of 45 engines read. The planner preferred sixteen readers, some of them busy, to ten idle ones, as both forecasts were in time; then the busy ones' backlog held the call back, until it was late and read by one to three engines for five seconds.

The planner now keeps the best plan and the best that may begin now. The latter is taken if its first token comes no later; with each share of its aim that went by in vain a call accepts one that is longer by four times that share.

--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -59,11 +59,6 @@
     /// Share of an engine's slots that short calls fill before the next engine is taken: the rest absorbs
     /// what other gateways placed since they last reported.
     static constexpr double short_fill = 0.75;
-    /// Long calls wait in the gateway while the engines that they would use have this much to read: a call
-    /// that waits here can still go where room comes first.
-    static constexpr duration max_backlog = 120ms;
-    /// The same for calls that are late already, so that they don't make others late.
-    static constexpr duration max_backlog_when_late = 60ms;
     /// A prompt is read in parts of about this share of the tightest pause: smaller parts reach more engines
     /// and each waits for the end of a pass there, larger ones hold up what the engines write meanwhile.
     static constexpr double part_share = 0.6;
@@ -73,8 +68,6 @@
                                     std::size_t boundary) const -> dispatch_decision;
     [[nodiscard]] auto choose_long(const call_shape& call, std::span<const dispatch_candidate> ordered,
                                    std::size_t boundary) const -> dispatch_decision;
-    [[nodiscard]] auto obstacle_to(const std::optional<reading_plan>& plan, const reading_planner& planner,
-                                   const call_shape& call) const -> wait_reason;
     [[nodiscard]] auto wanted_part() const -> duration;
 
     engine_forecast forecast_;
--- a/include/dragonflymill/direct/reading_plan.h
+++ b/include/dragonflymill/direct/reading_plan.h
@@ -46,13 +46,17 @@
                     std::span<const dispatch_candidate> ordered);
 
     /// The best plan with a writer among `side`, or among all if none of those has room; nothing if none has.
-    /// A burst of short prompts leaves one engine to the long ones, whose memory the largest prompts exceed.
+    /// One that may begin now is better than any that has to wait, if it has enough readers: eight idle
+    /// engines rather than sixteen of which two are still reading. A burst of short prompts leaves one engine
+    /// to the long ones, whose memory the largest prompts exceed.
     [[nodiscard]] auto best(std::span<const dispatch_candidate> side) const -> std::optional<reading_plan>;
     /// The best plan for a writer that is chosen already.
     [[nodiscard]] auto best_for(const dispatch_candidate& writer) const -> reading_plan;
     /// Whether a plan is worth its cost now, rather than that the call waits for a better one: a call with
     /// all its time left accepts little cost, one that waited accepts up to what it is worth.
     [[nodiscard]] auto acceptable(const reading_plan& plan) const -> bool;
+    /// Why a plan should not begin now; none if it may.
+    [[nodiscard]] auto obstacle_to(const reading_plan& plan) const -> wait_reason;
     /// Time to read the prompt at as many engines as may read it together.
     [[nodiscard]] auto fastest() const -> duration;
 
@@ -72,8 +76,17 @@
     static constexpr double late_full = 1.05;
     /// A caller that may leave is not served: the first token is to come within this share of its time.
     static constexpr double stay_share = 0.7;
+    /// Long calls wait in the gateway while the engines that they would use have this much to read: a call
+    /// that waits here can still go where room comes first.
+    static constexpr duration max_backlog = 120ms;
+    /// The same for calls that are late already, so that they don't make others late.
+    static constexpr duration max_backlog_when_late = 60ms;
     /// Engines that read one prompt together at most, as the engines allow.
     static constexpr std::size_t max_readers = 16;
+    /// A call that has just come takes a plan that may begin now if its first token comes no later than by
+    /// the best plan, for which it would wait. That forecast leaves out what others wait for: with each share
+    /// of its aim that has gone in vain, the call takes one that is longer by so many times that share.
+    static constexpr double longer_by_wait = 4.0;
     /// Share of all engines that one prompt is read by at most: the largest takes seconds wherever it is
     /// read, and a burst of short prompts in that time must find engines without it.
     static constexpr double reader_share = 0.7;
@@ -103,6 +116,13 @@
         std::uint64_t spread = 0;
     };
 
+    /// The best plan, and the best of those that may begin now.
+    struct plan_choice
+    {
+        reading_plan best;
+        std::optional<reading_plan> now;
+    };
+
     /// So many readers of a prompt, and the engines that may help, the best first. Worked out once for all
     /// writers that are tried.
     struct readers_option
@@ -112,12 +132,13 @@
         std::vector<ranked_reader> able;
     };
 
+    [[nodiscard]] auto chosen_of(plan_choice found) const -> reading_plan;
     [[nodiscard]] auto writers(std::span<const dispatch_candidate> side) const -> std::vector<writer_choice>;
     [[nodiscard]] auto memory_gang(std::span<const dispatch_candidate> side) const
         -> std::optional<writer_choice>;
     [[nodiscard]] auto may_write(const dispatch_candidate& engine, std::int64_t tokens) const -> bool;
     [[nodiscard]] auto plan_for(const writer_choice& writer, const std::vector<readers_option>& options) const
-        -> reading_plan;
+        -> plan_choice;
     [[nodiscard]] auto plan_alone(const writer_choice& writer) const -> reading_plan;
     [[nodiscard]] auto plan_with(const writer_choice& writer, const readers_option& option) const
         -> std::optional<reading_plan>;
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -104,7 +104,7 @@
         }
     };
     consider(ordered.first(boundary));
-    const bool inside = best != nullptr && best->load.reading <= max_backlog;
+    const bool inside = best != nullptr && best->load.reading <= reading_planner::max_backlog;
     if (!inside) {
         consider(ordered.subspan(boundary));
     }
@@ -134,7 +134,8 @@
     const std::size_t first = std::min(boundary, ordered.size() - 1);
     const reading_planner planner(forecast_, wanted_part(), call, ordered);
     auto plan = planner.best(ordered.subspan(first));
-    if (const wait_reason obstacle = obstacle_to(plan, planner, call); obstacle != wait_reason::none) {
+    const wait_reason obstacle = plan ? planner.obstacle_to(*plan) : wait_reason::no_engine;
+    if (obstacle != wait_reason::none) {
         return {std::nullopt, obstacle};
     }
     const bool on_time = plan->first_token() <= call.time_to_aim;
@@ -150,23 +151,6 @@
     return {std::move(choice)};
 }
 
-auto engine_dispatch::obstacle_to(const std::optional<reading_plan>& plan, const reading_planner& planner,
-                                  const call_shape& call) const -> wait_reason
-{
-    if (!plan) {
-        return wait_reason::no_engine;
-    }
-    const bool on_time = plan->first_token() <= call.time_to_aim;
-    // Engines are busy for moments, but a late reading by the few that are free keeps them for seconds.
-    if (!on_time && planner.fastest() <= call.time_to_aim) {
-        return wait_reason::few_readers;
-    }
-    if (plan->backlog > (on_time ? max_backlog : max_backlog_when_late)) {
-        return wait_reason::backlog;
-    }
-    return planner.acceptable(*plan) ? wait_reason::none : wait_reason::cost;
-}
-
 auto to_string(wait_reason reason) -> const char*
 {
     switch (reason) {
--- a/src/direct/reading_plan.cpp
+++ b/src/direct/reading_plan.cpp
@@ -62,20 +62,30 @@
         return std::nullopt;
     }
     const std::vector<readers_option> options = readers_options();
-    std::optional<reading_plan> chosen;
+    std::optional<plan_choice> chosen;
+    const double margin = writer_margin * worth();
+    const auto better = [&](const reading_plan& plan, const reading_plan& than) {
+        return plan.benefit - plan.cost > than.benefit - than.cost + margin;
+    };
     for (const writer_choice& writer : found) {
-        reading_plan plan = plan_for(writer, options);
-        const double margin = writer_margin * worth();
-        if (!chosen || plan.benefit - plan.cost > chosen->benefit - chosen->cost + margin) {
-            chosen = std::move(plan);
+        plan_choice plans = plan_for(writer, options);
+        if (!chosen) {
+            chosen = std::move(plans);
+            continue;
+        }
+        if (better(plans.best, chosen->best)) {
+            chosen->best = std::move(plans.best);
+        }
+        if (plans.now && (!chosen->now || better(*plans.now, *chosen->now))) {
+            chosen->now = std::move(plans.now);
         }
     }
-    return chosen;
+    return chosen_of(std::move(*chosen));
 }
 
 auto reading_planner::best_for(const dispatch_candidate& writer) const -> reading_plan
 {
-    return plan_for({&writer, memory_need(call_), {}}, readers_options());
+    return plan_for({&writer, memory_need(call_), {}}, readers_options()).best;
 }
 
 auto reading_planner::acceptable(const reading_plan& plan) const -> bool
@@ -89,6 +99,30 @@
     return plan.cost <= plan.benefit * (1.0 - patience);
 }
 
+auto reading_planner::obstacle_to(const reading_plan& plan) const -> wait_reason
+{
+    const bool on_time = plan.first_token() <= call_.time_to_aim;
+    // Engines are busy for moments, but a late reading by the few that are free keeps them for seconds.
+    if (!on_time && fastest() <= call_.time_to_aim) {
+        return wait_reason::few_readers;
+    }
+    if (plan.backlog > (on_time ? max_backlog : max_backlog_when_late)) {
+        return wait_reason::backlog;
+    }
+    return acceptable(plan) ? wait_reason::none : wait_reason::cost;
+}
+
+auto reading_planner::chosen_of(plan_choice found) const -> reading_plan
+{
+    if (!found.now) {
+        return std::move(found.best);
+    }
+    const double used = 1.0 - ratio(std::max(call_.time_to_aim, duration::zero()), call_.aim);
+    const double longer = 1.0 + std::max(used, 0.0) * longer_by_wait;
+    const bool sooner = found.now->first_token() <= scaled(found.best.first_token(), longer);
+    return sooner ? std::move(*found.now) : std::move(found.best);
+}
+
 auto reading_planner::fastest() const -> duration
 {
     return forecast_.read_part(call_.prompt_tokens, static_cast<int>(most_readers()));
@@ -163,7 +197,7 @@
 }
 
 auto reading_planner::plan_for(const writer_choice& writer, const std::vector<readers_option>& options) const
-    -> reading_plan
+    -> plan_choice
 {
     const std::size_t fixed = writer.holders.size() + 1;
     const auto wanted = static_cast<double>(std::max(fixed, wanted_readers()));
@@ -171,13 +205,23 @@
         const auto readers = static_cast<double>(plan.helpers.size() + 1);
         return plan.benefit - plan.cost - std::abs(std::log2(readers / wanted)) * readers_margin * worth();
     };
-    reading_plan chosen = plan_alone(writer);
+    plan_choice chosen{plan_alone(writer), std::nullopt};
+    const auto note_begins = [&](const reading_plan& plan) {
+        const bool better = !chosen.now || value_of(plan) > value_of(*chosen.now);
+        if (better && obstacle_to(plan) == wait_reason::none) {
+            chosen.now = plan;
+        }
+    };
+    note_begins(chosen.best);
     for (const readers_option& option : options) {
         if (option.readers <= fixed) {
             continue;
         }
-        if (auto plan = plan_with(writer, option); plan && value_of(*plan) > value_of(chosen)) {
-            chosen = std::move(*plan);
+        if (auto plan = plan_with(writer, option)) {
+            note_begins(*plan);
+            if (value_of(*plan) > value_of(chosen.best)) {
+                chosen.best = std::move(*plan);
+            }
         }
     }
     return chosen;
--- a/tests/direct/reading_plan_test.cpp
+++ b/tests/direct/reading_plan_test.cpp
@@ -126,3 +126,48 @@
     }
     cr_assert(held >= 1'000'800);
 }
+
+namespace {
+
+/// Engines of which the first ones read a part each for so long.
+auto engines_with_busy(int count, std::size_t busy, duration reading) -> std::vector<dispatch_candidate>
+{
+    auto all = idle_engines(count);
+    for (std::size_t i = 0; i < busy; ++i) {
+        all[i].load.parts = 1;
+        all[i].load.reading = reading;
+    }
+    return all;
+}
+
+void assert_read_by_idle_engines(const dispatch_decision& decision,
+                                 const std::vector<dispatch_candidate>& all, std::size_t helpers)
+{
+    cr_assert(decision.choice.has_value());
+    cr_assert(decision.choice->helpers.size() >= helpers);
+    for (const helper_share& helper : decision.choice->helpers) {
+        cr_assert(engine_named(all, helper.upstream).load.parts == 0, "%s is busy", helper.upstream.c_str());
+    }
+}
+
+} // namespace
+
+// Documents come in a burst, each wanting sixteen readers of twenty-four engines. While one was read by
+// fourteen, the next waited for engines to end although ten stood idle, until it was late.
+Test(reading_plan, a_document_is_read_by_idle_engines_if_it_ends_sooner_so)
+{
+    const auto all = engines_with_busy(24, 14, 500ms);
+    const engine_dispatch policy(sample_figures(), tight_pause);
+    assert_read_by_idle_engines(policy.choose(long_call(210'000, 3s), all), all, 5);
+}
+
+// In a burst others take the engines that a document waits for. It took none of those that stood idle, as it
+// would have ended sooner with all its readers, and waited until it was late.
+Test(reading_plan, a_document_that_waited_in_vain_is_read_by_fewer_engines)
+{
+    const auto all = engines_with_busy(24, 18, 150ms);
+    const engine_dispatch policy(sample_figures(), tight_pause);
+    const auto just_came = policy.choose(long_call(210'000, 3s), all);
+    cr_assert(just_came.obstacle == wait_reason::backlog, "a short wait for all readers is better");
+    assert_read_by_idle_engines(policy.choose(long_call(210'000, 2500ms), all), all, 3);
+}
