Avoid engines that can't be reached for a reservation

Cause: a prompt over one engine's memory reserves parts at several. When one of them was gone the reservation failed without a word of which, and the next plan held the same engine: nine reservations in a row for one call.

The reservation's outcome names the engines out of reach; they count as lost for the call and for the gateway, and the failed attempt is logged.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -209,22 +209,38 @@
     const std::string name = request_name_ + "-" + std::to_string(wait_.attempts.count());
     memory_ = std::make_shared<memory_reservation>(context_.loop, context_.timers, context_.orders, name,
                                                    std::move(pieces));
-    memory_->start([weak = weak_from_this(), attempt = wait_.attempts.count()](bool held) {
+    using outcome = memory_reservation::outcome;
+    memory_->start([weak = weak_from_this(), attempt = wait_.attempts.count()](const outcome& reserved) {
         const auto self = weak.lock();
         if (!self || self->over_ || self->wait_.attempts.count() != attempt || !self->order_) {
             return;
         }
-        if (held) {
+        if (reserved.held) {
             self->send();
             return;
         }
-        const auto spread = stable_hash(self->request_name_, attempt) % 1000;
-        self->wait_.not_before = runtime::now() + reservation_pause / 2 + reservation_pause * spread / 1000;
-        self->release_upstream();
-        self->take_step(next_step::try_again, "engine memory could not be reserved");
+        self->reservation_failed(reserved.unreachable);
     });
 }
 
+void exchange::reservation_failed(const std::vector<std::string>& unreachable)
+{
+    const instant now = runtime::now();
+    for (const direct::dispatch_helper& helper : order_->helpers) {
+        const direct::upstream_entry& engine = helper.upstream;
+        if (std::find(unreachable.begin(), unreachable.end(), engine.address) != unreachable.end()) {
+            context_.dispatcher.health().ended(engine.id, attempt_end::not_sent, now);
+            wait_.attempts.ended(attempt_end::not_sent, {engine.id, engine.failure_domain}, now);
+        }
+    }
+    const auto spread = stable_hash(request_name_, wait_.attempts.count()) % 1000;
+    wait_.not_before = now + reservation_pause / 2 + reservation_pause * spread / 1000;
+    const std::string why = "engine memory could not be reserved";
+    log_attempt_ended(order_->upstream.id, attempt_end::not_sent, why, next_step::try_again);
+    release_upstream();
+    take_step(next_step::try_again, why);
+}
+
 auto exchange::may_still_send(const direct::dispatch_order& order) const -> bool
 {
     // Memory was being reserved since the decision: the upstream may have begun to leave in that time.
@@ -494,11 +510,18 @@
     release_upstream();
     const next_step step = direct::after_attempt(end, progress(now));
     context_.metrics.attempts_failed.add();
+    log_attempt_ended(upstream, end, why, step);
+    take_step(step, why);
+}
+
+void exchange::log_attempt_ended(const std::string& upstream, attempt_end end, const std::string& why,
+                                 next_step next) const
+{
     log_event(event::call_attempt_ended, field("request", request_name_),
               field("attempt", wait_.attempts.count()), field("upstream", upstream),
-              field("end", direct::to_string(end)), field("why", why), field("after_us", now - sent_at_),
-              field("ran", may_have_run() ? "unknown" : "no"), field("next", direct::to_string(step)));
-    take_step(step, why);
+              field("end", direct::to_string(end)), field("why", why),
+              field("after_us", runtime::now() - sent_at_), field("ran", may_have_run() ? "unknown" : "no"),
+              field("next", direct::to_string(next)));
 }
 
 void exchange::take_step(next_step step, const std::string& why)
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -75,6 +75,7 @@
     [[nodiscard]] auto authenticate() -> bool;
     void wait_for_upstream();
     void reserve_memory();
+    void reservation_failed(const std::vector<std::string>& unreachable);
     [[nodiscard]] auto may_still_send(const direct::dispatch_order& order) const -> bool;
     void send();
     [[nodiscard]] auto own_fields(const direct::dispatch_order& order, instant now) const -> gateway_fields;
@@ -88,6 +89,8 @@
     [[nodiscard]] auto lost_reader() const -> const direct::dispatch_helper*;
     [[nodiscard]] auto may_have_run() const -> bool { return wait_.attempts.run() > 0; }
     [[nodiscard]] auto progress(instant now) const -> direct::request_progress;
+    void log_attempt_ended(const std::string& upstream, direct::attempt_end end, const std::string& why,
+                           direct::next_step next) const;
     void take_step(direct::next_step step, const std::string& why);
     void release_upstream();
     void limit_reached();
--- a/src/edge/memory_reservation.cpp
+++ b/src/edge/memory_reservation.cpp
@@ -16,7 +16,7 @@
 class memory_reservation::order_call : public answer_receiver, public std::enable_shared_from_this<order_call>
 {
 public:
-    order_call(boost::asio::io_context& loop, loop_timers& timers, std::function<void(bool)> done)
+    order_call(boost::asio::io_context& loop, loop_timers& timers, std::function<void(order_end)> done)
         : timers_(timers)
         , call_(std::make_shared<upstream_call>(loop, timers, *this))
         , done_(std::move(done))
@@ -27,7 +27,7 @@
     {
         timer_ = timers_.at(runtime::now() + order_limit, [self = shared_from_this()] {
             self->timer_.reset();
-            self->end(false);
+            self->end(order_end::refused);
         });
         call_->start(address, std::move(request), false);
     }
@@ -38,11 +38,14 @@
         return true;
     }
     void answer_body_came(const std::string& /*bytes*/) override {}
-    void answer_completed() override { end(status_ == status_ok); }
-    void answer_failed(direct::attempt_end /*end*/, const std::string& /*why*/) override { end(false); }
+    void answer_completed() override { end(status_ == status_ok ? order_end::done : order_end::refused); }
+    void answer_failed(direct::attempt_end end, const std::string& /*why*/) override
+    {
+        this->end(end == direct::attempt_end::not_sent ? order_end::unreachable : order_end::refused);
+    }
 
 private:
-    void end(bool taken)
+    void end(order_end ended)
     {
         const auto self = shared_from_this();
         call_->cancel();
@@ -51,13 +54,13 @@
             timer_.reset();
         }
         if (const auto done = std::exchange(done_, nullptr)) {
-            done(taken);
+            done(ended);
         }
     }
 
     loop_timers& timers_;
     std::shared_ptr<upstream_call> call_;
-    std::function<void(bool)> done_;
+    std::function<void(order_end)> done_;
     std::optional<timer_id> timer_;
     unsigned status_ = 0;
 };
@@ -91,26 +94,29 @@
     waiting_ += pieces_.size();
     for (const piece& part : pieces_) {
         const auto call = std::make_shared<order_call>(
-            loop_, timers_, [self = shared_from_this()](bool taken) { self->answered(taken); });
+            loop_, timers_, [self = shared_from_this(), part](order_end end) { self->answered(part, end); });
         call->start(part.address, orders_.reserve({part.address, name_, part.tokens, hold}));
     }
 }
 
-void memory_reservation::answered(bool taken)
+void memory_reservation::answered(const piece& part, order_end end)
 {
     --waiting_;
-    refused_ = refused_ || !taken;
+    outcome_.held = outcome_.held && end == order_end::done;
+    if (end == order_end::unreachable) {
+        outcome_.unreachable.push_back(part.address);
+    }
     if (waiting_ > 0 || released_ || !done_) {
         return;
     }
     const handler done = std::exchange(done_, nullptr);
-    if (refused_) {
-        release();
+    if (outcome_.held) {
+        renew();
     }
     else {
-        renew();
+        release();
     }
-    done(!refused_);
+    done(outcome_);
 }
 
 void memory_reservation::renew()
@@ -137,7 +143,7 @@
     }
     for (const piece& part : pieces_) {
         // A release that is lost is made up for by the end of the lease.
-        const auto call = std::make_shared<order_call>(loop_, timers_, [](bool) {});
+        const auto call = std::make_shared<order_call>(loop_, timers_, [](order_end) {});
         call->start(part.address, orders_.release({part.address, name_}));
     }
 }
--- a/src/edge/memory_reservation.h
+++ b/src/edge/memory_reservation.h
@@ -27,8 +27,16 @@
         std::string address;     ///< Engine.
         std::int64_t tokens = 0; ///< How much of its memory.
     };
-    /// Called once: whether all pieces are held.
-    using handler = std::function<void(bool held)>;
+    /// What became of a reservation.
+    struct outcome
+    {
+        bool held = false;                    ///< Whether all pieces are.
+        std::vector<std::string> unreachable; ///< Addresses of engines that could not be reached.
+
+        friend auto operator==(const outcome&, const outcome&) -> bool = default;
+    };
+    /// Called once.
+    using handler = std::function<void(const outcome&)>;
 
     memory_reservation(boost::asio::io_context& loop, loop_timers& timers, const upstream_orders& orders,
                        std::string name, std::vector<piece> pieces);
@@ -53,8 +61,14 @@
 
 private:
     class order_call;
+    enum class order_end
+    {
+        done,
+        refused,
+        unreachable,
+    };
 
-    void answered(bool taken);
+    void answered(const piece& part, order_end end);
     void renew();
     void send_all();
 
@@ -65,7 +79,7 @@
     std::vector<piece> pieces_;
     handler done_;
     std::size_t waiting_ = 0;
-    bool refused_ = false;
+    outcome outcome_{true, {}};
     bool released_ = false;
     std::optional<timer_id> renew_timer_;
 };
