Spread fetches of published changes, and let large gateways read the source

Cause: a configuration of some hundred kilobytes had changed, twenty gateways asked the one that knew most for it, a small one with 20 Mbit/s; its link was shared by all of them, each ran into its limit of 800 ms, and all began anew. The leaving of an engine waited behind it.

A gateway now asks any peer that knows more, in proportion to its processor, another one in each round; and large gateways come first among those that read the source.

--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -45,7 +45,7 @@
 {
 public:
     /// This gateway's name and address, and the addresses to begin with.
-    peer_table(std::string self, std::string address, std::vector<std::string> seeds);
+    peer_table(std::string self, std::string address, std::vector<std::string> seeds, int millicores = 0);
 
     /// Takes a digest; true if the peer is new. Digests of this process, and older ones, are left out.
     auto take(const peer_digest& digest, instant now) -> bool;
@@ -57,14 +57,16 @@
     [[nodiscard]] auto strangers() const -> std::vector<std::string>;
     /// Gateways that are there, this one included; peers that are stopping still count, as they still send.
     [[nodiscard]] auto gateways() const -> int { return static_cast<int>(peers_.size()) + 1; }
-    /// A peer that knows most of the published changes; nothing if none knows more than `revision`. Of
-    /// several that know the same, each gateway gets another one, and another one for each `attempt`: in a
-    /// start of all, hundreds would else ask the same peer, and ask it again after it had not answered.
+    /// A peer that knows more of the published changes than `revision`; nothing if none does. Each gateway
+    /// gets another one, for each `attempt` again another, and larger ones more often: if all asked the one
+    /// that knows most, a large configuration would take its link for seconds, and each change would wait
+    /// behind it.
     [[nodiscard]] auto newer_than(std::uint64_t revision, std::uint64_t attempt = 0) const
         -> std::optional<peer_digest>;
     /// Whether this process has to read published records first hand: fewer than `source_readers` of the
-    /// gateways that come before it in an order that all share are known to do so. Where there are many
-    /// gateways each read by each of them would cost the source more than it gives.
+    /// gateways that come before it in an order that all share are known to do so, larger ones first: all
+    /// others fetch each change from them. Where there are many gateways each read by each of them would cost
+    /// the source more than it gives.
     [[nodiscard]] auto has_to_read_source(instant now) const -> bool;
     /// Addresses of up to `max_listed_peers` peers, others for each `round`: in a digest that goes to
     /// hundreds of gateways, all addresses would be most of its bytes. All are sent within some rounds.
@@ -91,6 +93,7 @@
 private:
     std::string self_;
     std::string address_;
+    int millicores_ = 0;
     std::vector<std::string> seeds_;
     std::map<std::string, known_peer> peers_;
     std::map<std::string, instant> hearsay_;
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -3,14 +3,30 @@
 #include "dragonflymill/core/stable_hash.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace dragonflymill::direct {
 
-peer_table::peer_table(std::string self, std::string address, std::vector<std::string> seeds)
+namespace {
+
+/// Rank of a peer whose turn comes in proportion to its weight; the lowest is next.
+auto weighted_rank(std::uint64_t draw, int weight) -> double
+{
+    constexpr auto most = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    const double share = (static_cast<double>(draw) + 1.0) / (most + 1.0);
+    return -std::log(share) / std::max(weight, 1);
+}
+
+} // namespace
+
+peer_table::peer_table(std::string self, std::string address, std::vector<std::string> seeds, int millicores)
     : self_(std::move(self))
     , address_(std::move(address))
+    , millicores_(millicores)
     , seeds_(std::move(seeds))
 {
 }
@@ -85,13 +101,15 @@
 
 auto peer_table::newer_than(std::uint64_t revision, std::uint64_t attempt) const -> std::optional<peer_digest>
 {
-    const auto rank = [&](const peer_digest& digest) {
-        return std::pair(digest.revision, stable_hash(self_ + digest.gateway, attempt));
-    };
+    const std::uint64_t round = mix_bits(revision) + attempt;
     const peer_digest* best = nullptr;
+    double best_rank = 0.0;
     for (const auto& [name, peer] : peers_) {
-        if (peer.digest.revision > revision && (best == nullptr || rank(peer.digest) > rank(*best))) {
-            best = &peer.digest;
+        const peer_digest& digest = peer.digest;
+        const double rank = weighted_rank(stable_hash(self_ + digest.gateway, round), digest.millicores);
+        if (digest.revision > revision && (best == nullptr || rank < best_rank)) {
+            best = &digest;
+            best_rank = rank;
         }
     }
     return best == nullptr ? std::nullopt : std::optional(*best);
@@ -99,12 +117,15 @@
 
 auto peer_table::has_to_read_source(instant now) const -> bool
 {
-    const auto own = std::pair(stable_hash(self_), self_);
+    const auto rank = [](const std::string& gateway, int millicores) {
+        return std::tuple(-millicores, stable_hash(gateway), gateway);
+    };
+    const auto own = rank(self_, millicores_);
     int readers = 0;
     for (const auto& [name, peer] : peers_) {
         const bool relied_on =
             peer.digest.reads_source && !peer.digest.leaving && now - peer.heard <= reader_silence;
-        if (relied_on && std::pair(stable_hash(name), name) < own) {
+        if (relied_on && rank(name, peer.digest.millicores) < own) {
             ++readers;
         }
     }
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -94,7 +94,7 @@
     const auto started = runtime::wall_now().time_since_epoch().count();
     start_name_ = settings_.name + "#" + std::to_string(started);
     fleet_.set_leave_bound(settings_.leave_bound);
-    peers_ = direct::peer_table(start_name_, to_text(settings_.peers), settings_.seeds);
+    peers_ = direct::peer_table(start_name_, to_text(settings_.peers), settings_.seeds, settings_.millicores);
     relay_ = direct::gossip_relay(own_identity());
 }
 
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -178,3 +178,45 @@
     }
     cr_assert(asked.size() >= 6, "%zu", asked.size());
 }
+
+// A configuration of half a megabyte changes while engines begin to leave. Twenty gateways all asked the one
+// that knew most, whose link took three seconds for it; calls went to the leaving engines until then.
+Test(peer_table, gateways_ask_different_peers_that_know_different_changes)
+{
+    std::set<std::string> asked;
+    int large = 0;
+    for (int own = 0; own < 40; ++own) {
+        peer_table table("gateway-" + std::to_string(own), "self:7340", {});
+        for (int i = 0; i < 10; ++i) {
+            peer_digest digest = digest_of("peer-" + std::to_string(i));
+            digest.revision = static_cast<std::uint64_t>(10 + i);
+            digest.millicores = i < 2 ? 900 : 90;
+            (void)table.take(digest, start);
+        }
+        const std::string peer = table.newer_than(9)->gateway;
+        asked.insert(peer);
+        large += peer == "peer-0" || peer == "peer-1" ? 1 : 0;
+    }
+    cr_assert(asked.size() >= 4, "%zu", asked.size());
+    cr_assert(large >= 20, "%d of 40 ask a large one", large);
+}
+
+// The gateways that read the source first hand were small ones, whose links took a second to pass a large
+// configuration on: each gateway's fetch ran into its limit, and all began anew.
+Test(peer_table, large_gateways_read_the_source)
+{
+    const auto reads = [](const std::string& self, int millicores) {
+        peer_table table(self, self + ":7340", {}, millicores);
+        for (int i = 0; i < 6; ++i) {
+            peer_digest digest = digest_of("large-" + std::to_string(i));
+            digest.millicores = 500;
+            digest.reads_source = true;
+            (void)table.take(digest, start);
+        }
+        return table.has_to_read_source(start);
+    };
+    for (int i = 0; i < 20; ++i) {
+        cr_assert(!reads("small-" + std::to_string(i), 90));
+    }
+    cr_assert(reads("largest", 900));
+}
