Let callers wait up to 0.7 s for a gateway that has no configuration yet

Cause: after all gateways were killed while the source was slow, a gateway knew its configuration after 90 to 360 ms but accepted callers after 300 ms, and refused 77 of them. Callers take a request that isn't read within a second for lost, so they may wait for 0.7 s.

--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -35,7 +35,7 @@
 constexpr duration source_patience = 150ms;
 /// A gateway that has just started lets callers wait for so long until it knows a configuration. Callers take
 /// a request that isn't read within a second for lost.
-constexpr duration configuration_patience = 300ms;
+constexpr duration configuration_patience = 700ms;
 /// A caller that comes to a gateway which has been stopping for so long finds no other: it is asked back
 /// after the balancer has asked all gateways once more.
 constexpr duration next_ready_check = 1s;
