--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -105,24 +105,40 @@
                "no configuration is known yet");
         return;
     }
+    if (!find_route()) {
+        return;
+    }
+    const duration limit = time_limit(*route_, request_.value_of(context_.names.time_left_ms));
+    set_limit(limit);
+    describe_call(limit);
+    wait_for_upstream();
+}
+
+auto exchange::find_route() -> bool
+{
     const header_names& names = context_.names;
-    if (request_.count_of(names.request_id) > 1 || request_.count_of(names.time_left_ms) > 1 ||
-        request_.count_of(names.account_key) > 1 || request_.count_of(names.token_counts) > 1) {
+    const auto twice = [&](const std::string& name) { return request_.count_of(name) > 1; };
+    if (twice(names.request_id) || twice(names.time_left_ms) || twice(names.account_key) ||
+        twice(names.token_counts)) {
         refuse(400, {refusal_code::conflict, ran_state::no, 0s, "send each field once"},
                "a field came twice");
-        return;
+        return false;
     }
     route_ = config_->route_of(host_of(request_.value_of("host")), request_.path());
     if (route_ == nullptr) {
         refuse(404, {refusal_code::no_route, ran_state::no, 0s, "check host and path"}, "no route matches");
-        return;
+        return false;
     }
     if (!authenticate()) {
         refuse(401, {refusal_code::account_limit, ran_state::no, 0s, "check the key"},
                "the key is not known");
-        return;
+        return false;
     }
-    const duration limit = time_limit(*route_, request_.value_of(names.time_left_ms));
+    return true;
+}
+
+void exchange::set_limit(duration limit)
+{
     limit_at_ = arrived_ + limit;
     limit_timer_ = context_.timers.at(limit_at_, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
@@ -130,9 +146,13 @@
             self->limit_reached();
         }
     });
+}
+
+void exchange::describe_call(duration limit)
+{
     wait_.id = id_;
     wait_.service = route_->service_for(request_name_);
-    const std::string_view counts = request_.value_of(names.token_counts);
+    const std::string_view counts = request_.value_of(context_.names.token_counts);
     const auto comma = counts.find(',');
     wait_.prompt_tokens = count_or_zero(counts.substr(0, comma));
     wait_.answer_tokens = comma == std::string_view::npos ? 0 : count_or_zero(counts.substr(comma + 1));
@@ -147,7 +167,6 @@
                                       ? (wait_.leaves_at - arrived_) * last_wait_percent / 100
                                       : route_->answer_aim * 5 / 4;
     wait_.give_up_at = std::min(limit_at_ - direct::least_time_for_attempt, arrived_ + longest_wait);
-    wait_for_upstream();
 }
 
 auto exchange::authenticate() -> bool
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -72,7 +72,11 @@
         rejected, ///< The upstream has not run the request.
     };
 
+    /// Finds the route and the account; refuses the request and returns false if it has none.
+    auto find_route() -> bool;
     [[nodiscard]] auto authenticate() -> bool;
+    void set_limit(duration limit);
+    void describe_call(duration limit);
     void wait_for_upstream();
     void reserve_memory();
     void reservation_failed(const std::vector<std::string>& unreachable);
