--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -206,7 +206,7 @@
         return choose_among(fleet, call, now, all);
     }
     if (call.attempts.avoids_any(now)) {
-        const auto decision = choose_among(fleet, call, now, without_tried(all, call.attempts, true, now));
+        auto decision = choose_among(fleet, call, now, without_tried(all, call.attempts, true, now));
         if (decision.obstacle != wait_reason::full && decision.obstacle != wait_reason::no_engine) {
             return decision;
         }
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -522,8 +522,8 @@
     }
     const instant now = runtime::now();
     const std::string upstream = order_->upstream.id;
-    const direct::upstream_entry& at_fault =
-        end == attempt_end::reader_lost ? lost_reader()->upstream : order_->upstream;
+    const direct::dispatch_helper* reader = end == attempt_end::reader_lost ? lost_reader() : nullptr;
+    const direct::upstream_entry& at_fault = reader == nullptr ? order_->upstream : reader->upstream;
     context_.dispatcher.health().ended(at_fault.id, end, now);
     wait_.attempts.ended(end, {at_fault.id, at_fault.failure_domain}, now);
     release_upstream();
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -187,9 +187,9 @@
     int large = 0;
     for (int own = 0; own < 40; ++own) {
         peer_table table("gateway-" + std::to_string(own), "self:7340", {});
-        for (int i = 0; i < 10; ++i) {
+        for (unsigned i = 0; i < 10; ++i) {
             peer_digest digest = digest_of("peer-" + std::to_string(i));
-            digest.revision = static_cast<std::uint64_t>(10 + i);
+            digest.revision = 10U + i;
             digest.millicores = i < 2 ? 900 : 90;
             (void)table.take(digest, start);
         }
