--- a/include/dragonflymill/direct/reading_plan.h
+++ b/include/dragonflymill/direct/reading_plan.h
@@ -46,9 +46,9 @@
                     std::span<const dispatch_candidate> ordered);
 
     /// The best plan with a writer among `side`, or among all if none of those has room; nothing if none has.
-    /// One that may begin now is better than any that has to wait, if it has enough readers: eight idle
-    /// engines rather than sixteen of which two are still reading. A burst of short prompts leaves one engine
-    /// to the long ones, whose memory the largest prompts exceed.
+    /// A plan that may begin now goes before one that has to wait, unless the wait is worth it: eight idle
+    /// engines rather than sixteen of which two read for long. A burst of short prompts leaves one engine to
+    /// the long ones, whose memory the largest prompts exceed.
     [[nodiscard]] auto best(std::span<const dispatch_candidate> side) const -> std::optional<reading_plan>;
     /// The best plan for a writer that is chosen already.
     [[nodiscard]] auto best_for(const dispatch_candidate& writer) const -> reading_plan;
@@ -132,6 +132,7 @@
         std::vector<ranked_reader> able;
     };
 
+    /// The plan that a call takes of two.
     [[nodiscard]] auto chosen_of(plan_choice found) const -> reading_plan;
     [[nodiscard]] auto writers(std::span<const dispatch_candidate> side) const -> std::vector<writer_choice>;
     [[nodiscard]] auto memory_gang(std::span<const dispatch_candidate> side) const
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -15,8 +15,8 @@
     return {call.service, call.pause_aim};
 }
 
-/// The candidates with those marked as suspect that attempts were lost at, and if `whole_domains`, those of
-/// the same failure domains too.
+/// The candidates, with those marked as suspect at which an attempt failed, and with `whole_domains` also
+/// those of the failure domains that the call avoids.
 auto without_tried(const std::vector<dispatch_candidate>& all, const call_attempts& attempts,
                    bool whole_domains, instant now) -> std::vector<dispatch_candidate>
 {
@@ -184,6 +184,7 @@
     if (failures >= tries_past_blocked) {
         return {std::nullopt, wait_reason::behind_others};
     }
+    // Its engine memory could not be reserved a moment ago.
     if (now < call.not_before) {
         return {std::nullopt, wait_reason::no_engine};
     }
