Show the rate limits that upstreams state, their age and the calls against them

Logs and metrics couldn't tell whether a gateway knew of a limit that an upstream had stated, from whom and since when, or how many calls all gateways had sent under it.

The adapter of the platform decodes the statement of a response; the gateway keeps it as a belief with the time of the statement, and reports it and its own calls in its digests. Nothing acts on a limit yet.

A limit doesn't expire: below one call a second any fixed time may pass without an answer. It ends with an answer to a call that was sent after the statement, with the upstream's run, or by a newer first-hand report.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -10,6 +10,7 @@
 #include "dragonflymill/direct/saturation_tracker.h"
 #include "dragonflymill/direct/upstream_health.h"
 #include "dragonflymill/direct/upstream_list.h"
+#include "dragonflymill/limit/shared_rate_limits.h"
 
 #include <cstdint>
 #include <map>
@@ -60,6 +61,8 @@
     upstream_entry upstream;                     ///< Answers the call.
     std::vector<prefill_engine> prefill_engines; ///< Other engines, each with a part of the prefill.
     wait_reason waited_for = wait_reason::none;  ///< Why the call was queued last.
+    std::optional<rate_limit_belief> rate_limit; ///< Rate limit of `upstream`; nothing: none is known.
+    std::uint64_t limited_calls = 0; ///< Calls of all gateways to `upstream` since its limit is known.
 
     friend auto operator==(const dispatch_assignment&, const dispatch_assignment&) -> bool = default;
 };
@@ -117,6 +120,20 @@
     /// Returns whether the retry budget of a service allows another attempt.
     [[nodiscard]] auto retry_allowed(const std::string& service, instant now) -> bool;
 
+    /// Records what an upstream's response to a call sent at `sent_at` says about its rate limit; returns
+    /// whether the limit changed.
+    auto record_rate_statement(const upstream_entry& upstream, const rate_statement& statement,
+                               instant sent_at, instant now) -> bool;
+    /// Removes the rate limits of upstreams that no longer run.
+    void forget_rate_limits(const upstream_list& fleet, instant now);
+    /// Applies another gateway's report about a rate limit; returns whether the limit changed.
+    auto apply_rate_limit_report(const std::string& gateway, const rate_limit_report& report, instant now)
+        -> bool;
+    /// Removes the load and the counts of a gateway that no longer runs.
+    void remove_gateway(const std::string& gateway);
+    /// Rate limits that upstreams state.
+    [[nodiscard]] auto rate_limits() const -> const shared_rate_limits& { return rate_limits_; }
+
     /// Health of the upstreams, from the outcome of calls.
     [[nodiscard]] auto health() -> upstream_health& { return health_; }
     /// Load of the upstreams from all gateways.
@@ -184,6 +201,7 @@
     dispatch_settings settings_;
     load_tracker loads_;
     upstream_health health_;
+    shared_rate_limits rate_limits_;
     std::unordered_map<std::string, cold_start_limiter> cold_limiters_;
     std::unordered_map<std::string, retry_window> retries_;
     std::vector<waiting_call> waiting_;
--- a/include/dragonflymill/direct/gossip_schedule.h
+++ b/include/dragonflymill/direct/gossip_schedule.h
@@ -11,10 +11,11 @@
 /// State that the next digest of a gateway would report.
 struct digest_state
 {
-    std::uint64_t load_changes = 0; ///< Increases with each change of the gateway's own work in flight.
-    std::uint64_t revision = 0;     ///< Newest revision of the published records that it knows.
-    int gateways = 1;               ///< Gateways of the fleet, including itself.
-    bool relayed = false;           ///< Whether a relay forwards its digests.
+    std::uint64_t load_changes = 0;       ///< Increases with each change of the gateway's own work in flight.
+    std::uint64_t revision = 0;           ///< Newest revision of the published records that it knows.
+    int gateways = 1;                     ///< Gateways of the fleet, including itself.
+    bool relayed = false;                 ///< Whether a relay forwards its digests.
+    std::uint64_t rate_limit_changes = 0; ///< Increases with each change of its rate limit reports.
 
     friend auto operator==(const digest_state&, const digest_state&) -> bool = default;
 };
@@ -24,6 +25,7 @@
 {
     bool whole = false;              ///< Lists all work in flight and some peers; otherwise only changes.
     std::uint64_t changes_since = 0; ///< Otherwise: lists the load changes after this one.
+    std::uint64_t rate_limit_changes_since = 0; ///< Otherwise: lists the rate limit changes after this one.
 
     friend auto operator==(const due_digest&, const due_digest&) -> bool = default;
 };
@@ -59,10 +61,16 @@
     static constexpr std::size_t change_transmissions = 3;
 
 private:
+    struct sent_changes
+    {
+        std::uint64_t loads = 0;
+        std::uint64_t rate_limits = 0;
+    };
+
     digest_state sent_;
     instant sent_at_{};
     instant full_sent_at_{};
-    std::array<std::uint64_t, change_transmissions> previous_load_changes_{}; // per digest, oldest first
+    std::array<sent_changes, change_transmissions> previous_changes_{}; // per digest, oldest first
 };
 
 } // namespace dragonflymill::direct
--- a/include/dragonflymill/direct/peer_message.h
+++ b/include/dragonflymill/direct/peer_message.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/direct/load_tracker.h"
 #include "dragonflymill/direct/peer_table.h"
+#include "dragonflymill/limit/shared_rate_limits.h"
 
 #include <cstddef>
 #include <string>
@@ -9,11 +10,12 @@
 
 namespace dragonflymill::direct {
 
-/// A gateway's digest and load report.
+/// A gateway's digest, load report and rate limits.
 struct peer_message
 {
-    peer_digest digest; ///< Identity and state of the gateway.
-    load_report report; ///< Its work in flight.
+    peer_digest digest;                         ///< Identity and state of the gateway.
+    load_report report;                         ///< Its work in flight.
+    std::vector<rate_limit_report> rate_limits; ///< Rate limits that it knows of; not all in every message.
 
     friend auto operator==(const peer_message&, const peer_message&) -> bool = default;
 };
--- a/include/dragonflymill/direct/upstream_list.h
+++ b/include/dragonflymill/direct/upstream_list.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/time.h"
 #include "dragonflymill/direct/fleet_config.h"
+#include "dragonflymill/limit/rate_limit_beliefs.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -31,6 +32,9 @@
     friend auto operator==(const upstream_entry&, const upstream_entry&) -> bool = default;
 };
 
+/// Returns the key of this run of an upstream. It differs after a restart if the entry states the start.
+[[nodiscard]] auto run_of(const upstream_entry& entry) -> upstream_run;
+
 /// An operator's request to send no new work to a failure domain.
 struct drained_domain
 {
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "dragonflymill/core/stable_hash.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -60,6 +61,36 @@
     }
 }
 
+auto call_dispatcher::record_rate_statement(const upstream_entry& upstream, const rate_statement& statement,
+                                            instant sent_at, instant now) -> bool
+{
+    return rate_limits_.record(run_of(upstream), statement, sent_at, now);
+}
+
+auto call_dispatcher::apply_rate_limit_report(const std::string& gateway, const rate_limit_report& report,
+                                              instant now) -> bool
+{
+    return rate_limits_.apply_report(gateway, report, now);
+}
+
+void call_dispatcher::remove_gateway(const std::string& gateway)
+{
+    loads_.remove_gateway(gateway);
+    rate_limits_.remove_gateway(gateway);
+}
+
+void call_dispatcher::forget_rate_limits(const upstream_list& fleet, instant now)
+{
+    if (rate_limits_.beliefs().all().empty()) {
+        return;
+    }
+    std::set<upstream_run> running;
+    for (const auto& [id, state] : fleet.upstreams()) {
+        running.insert(run_of(state.entry));
+    }
+    rate_limits_.retain(running, now);
+}
+
 auto call_dispatcher::retry_allowed(const std::string& service, instant now) -> bool
 {
     return retries_[service].available(now, settings_.retries, gateways_);
@@ -317,6 +348,11 @@
     const upstream_state& upstream = fleet.upstreams().at(choice.upstream);
     assignment.upstream = upstream.entry;
     assignment.waited_for = call.blocked_by;
+    if (const rate_limit_belief* limit = rate_limits_.find(run_of(upstream.entry))) {
+        assignment.rate_limit = *limit;
+        rate_limits_.count_call(run_of(upstream.entry));
+        assignment.limited_calls = rate_limits_.all_calls(run_of(upstream.entry));
+    }
     for (const prefill_share& share : choice.prefill_engines) {
         assignment.prefill_engines.push_back(
             {fleet.upstreams().at(share.upstream).entry, share.reserved_tokens});
--- a/src/direct/upstream_list.cpp
+++ b/src/direct/upstream_list.cpp
@@ -6,6 +6,11 @@
 
 namespace dragonflymill::direct {
 
+auto run_of(const upstream_entry& entry) -> upstream_run
+{
+    return stable_hash(entry.id, static_cast<std::uint64_t>(entry.started_ms));
+}
+
 void upstream_list::take(const std::string& key, const decoded_record& record, instant now)
 {
     if (const auto* config = std::get_if<std::shared_ptr<const fleet_config>>(&record)) {
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -63,12 +63,14 @@
                timers_,
                platform_.names,
                platform_.orders,
+               platform_.read_rate_statement,
                dispatcher_,
                retry_detector_,
                fleet_,
                records_,
                metrics_,
                [this] { schedule_dispatch(); },
+               [this] { send_gossip(true); },
                [this](std::uint64_t finished) {
                    // Deferred: the exchange that has finished is still on the call stack.
                    asio::post(loop_, [this, finished] {
@@ -305,11 +307,29 @@
         link_.send({"", false, {full_digest()}}, {message.digest.address});
     }
     dispatcher_.loads().apply_report(message.report, now);
+    for (const rate_limit_report& report : message.rate_limits) {
+        if (dispatcher_.apply_rate_limit_report(message.digest.gateway, report, now)) {
+            log_rate_limit(report, message.digest.gateway);
+        }
+    }
     if (message.digest.reads_source) {
         outage_.peer_reads_source(now);
     }
 }
 
+void direct_gateway::log_rate_limit(const rate_limit_report& report, const std::string& from) const
+{
+    const auto& upstreams = fleet_.upstreams();
+    const auto found = std::find_if(upstreams.begin(), upstreams.end(), [&](const auto& item) {
+        return direct::run_of(item.second.entry) == report.upstream;
+    });
+    log_event(event::upstream_limit_changed,
+              field("upstream", found == upstreams.end() ? "unknown" : found->first),
+              field("limited", report.calls_per_s.has_value()),
+              field("calls_per_s", report.calls_per_s.value_or(0.0)), field("age_us", report.age),
+              field("from", from));
+}
+
 void direct_gateway::fetch_missing_records()
 {
     const auto newer = peers_.select_newer_peer(records_.revision(), fetches_failed_);
@@ -358,14 +378,17 @@
     message.digest.peers = peers_.address_sample(message.digest.sequence);
     message.report.is_complete = true;
     message.report.loads = dispatcher_.loads().own_loads(runtime::now());
+    message.rate_limits = dispatcher_.rate_limits().reports(runtime::now(), message.digest.sequence);
     return message;
 }
 
-auto direct_gateway::delta_digest(std::uint64_t since) -> direct::peer_message
+auto direct_gateway::delta_digest(const direct::due_digest& due) -> direct::peer_message
 {
     direct::peer_message message = digest_header();
     message.report.is_complete = false;
-    message.report.loads = dispatcher_.loads().own_loads(runtime::now(), since);
+    message.report.loads = dispatcher_.loads().own_loads(runtime::now(), due.changes_since);
+    message.rate_limits = dispatcher_.rate_limits().reports(runtime::now(), message.digest.sequence,
+                                                            due.rate_limit_changes_since);
     return message;
 }
 
@@ -373,12 +396,13 @@
 {
     const instant now = runtime::now();
     const direct::digest_state state{dispatcher_.loads().own_version(), records_.revision(),
-                                     peers_.gateways(), !relay_.sends_to_all()};
+                                     peers_.gateways(), !relay_.sends_to_all(),
+                                     dispatcher_.rate_limits().version()};
     const auto due = gossip_schedule_.next(state, at_once, now);
     if (!due) {
         return;
     }
-    direct::peer_message message = due->whole ? full_digest() : delta_digest(due->changes_since);
+    direct::peer_message message = due->whole ? full_digest() : delta_digest(*due);
     message.digest.urgent = at_once;
     if (relay_.is_relay()) {
         relay_.enqueue_own(message);
@@ -490,8 +514,10 @@
     const instant now = runtime::now();
     fleet_.tick(now);
     dispatcher_.report_suspects(fleet_, now);
+    dispatcher_.forget_rate_limits(fleet_, now);
+    update_rate_limit_metrics(now);
     for (const std::string& expired : peers_.expire_peers(now)) {
-        dispatcher_.loads().remove_gateway(expired);
+        dispatcher_.remove_gateway(expired);
         log_event(event::peer_gateway_lost, field("peer", expired));
     }
     update_gateway_count();
@@ -512,6 +538,19 @@
     metrics_.gateways.set(peers_.gateways());
 }
 
+void direct_gateway::update_rate_limit_metrics(instant now)
+{
+    duration oldest{};
+    const rate_limit_beliefs& beliefs = dispatcher_.rate_limits().beliefs();
+    for (const auto& [upstream, belief] : beliefs.all()) {
+        if (belief.calls_per_s) {
+            oldest = std::max(oldest, now - belief.stated_at);
+        }
+    }
+    metrics_.limited_upstreams.set(static_cast<std::int64_t>(beliefs.limited()));
+    metrics_.oldest_limit_age.set(oldest / 1s);
+}
+
 auto direct_gateway::ready() const -> bool
 {
     return fleet_.config() != nullptr && !stopping_;
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -14,6 +14,7 @@
 #include "edge/header_names.h"
 #include "edge/loop_timers.h"
 #include "edge/peer_link.h"
+#include "edge/rate_statement_reader.h"
 #include "edge/record_source.h"
 #include "edge/status_pages.h"
 #include "settings/socket_address.h"
@@ -59,6 +60,8 @@
 {
     header_names names;     ///< Names of header fields.
     upstream_orders orders; ///< Encoders of orders to engines.
+    rate_statement_reader read_rate_statement =
+        no_rate_statement; ///< Decodes the rate limits that upstreams state.
 };
 
 /// A gateway process that connects to upstreams directly. Runs one event loop; only the logger has a thread
@@ -100,11 +103,12 @@
     void apply_record(const direct::fleet_record& record, const std::string& from);
     void handle_datagram(const direct::peer_datagram& datagram);
     void handle_message(const direct::peer_message& message, instant now);
+    void log_rate_limit(const rate_limit_report& report, const std::string& from) const;
     void fetch_missing_records();
     [[nodiscard]] auto digest_header() -> direct::peer_message;
     [[nodiscard]] auto own_identity() const -> direct::peer_digest;
     [[nodiscard]] auto full_digest() -> direct::peer_message;
-    [[nodiscard]] auto delta_digest(std::uint64_t since) -> direct::peer_message;
+    [[nodiscard]] auto delta_digest(const direct::due_digest& due) -> direct::peer_message;
     void send_gossip(bool at_once);
     void schedule_flush();
     void flush_relay();
@@ -113,6 +117,7 @@
     void dispatch_calls();
     void tick();
     void update_gateway_count();
+    void update_rate_limit_metrics(instant now);
     void schedule_tick();
     void wait_for_signals();
     void reload();
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -213,6 +213,14 @@
         field("memory_tokens", assignment.choice.load.memory_tokens),
         field("reading_us", assignment.choice.load.pending_prefill),
         field("config_version", config_->version()), field("fleet_revision", context_.records.revision()));
+    if (assignment.rate_limit) {
+        log_event(event::limited_call_dispatched, field("request", request_id_),
+                  field("attempt", queued_call_.attempts.count()), field("upstream", assignment.upstream.id),
+                  field("calls_per_s", assignment.rate_limit->calls_per_s.value_or(0.0)),
+                  field("age_us", now - assignment.rate_limit->stated_at),
+                  field("first_hand", assignment.rate_limit->first_hand),
+                  field("calls", assignment.limited_calls));
+    }
     reserve_kv_cache();
 }
 
@@ -367,6 +375,7 @@
         end_attempt(attempt_end::broken, "the answer belongs to another request");
         return false;
     }
+    record_rate_statement(head);
     head_ = head;
     if (head.status == misdirected || !head.value_of(names.not_run).empty()) {
         mode_ = response_mode::rejected;
@@ -386,6 +395,24 @@
     return true;
 }
 
+void exchange::record_rate_statement(const response_head& head)
+{
+    const rate_statement statement = context_.read_rate_statement(head);
+    const bool is_rejection = head.status == misdirected || !head.value_of(context_.names.not_run).empty();
+    if (head.status == misdirected || (is_rejection && !statement.calls_per_s)) {
+        // Another upstream's answer, or one that may come from a part that doesn't know the limit.
+        return;
+    }
+    const direct::upstream_entry& upstream = assignment_->upstream;
+    if (context_.dispatcher.record_rate_statement(upstream, statement, sent_at_, last_byte_at_)) {
+        log_event(event::upstream_limit_changed, field("upstream", upstream.id),
+                  field("limited", statement.calls_per_s.has_value()),
+                  field("calls_per_s", statement.calls_per_s.value_or(0.0)),
+                  field("age_us", duration::zero()), field("from", "answer"));
+        context_.announce_rate_limits();
+    }
+}
+
 void exchange::on_response_body(const std::string& bytes)
 {
     last_byte_at_ = runtime::now();
--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -18,6 +18,10 @@
     , waiting(registry_->gauge({"dragonflymill_waiting_requests", "Requests that wait for an upstream"}))
     , config_version(registry_->gauge({"dragonflymill_config_version", "Configuration in force"}))
     , gateways(registry_->gauge({"dragonflymill_gateways_known", "Gateways known, this one included"}))
+    , limited_upstreams(registry_->gauge(
+          {"dragonflymill_rate_limited_upstreams", "Upstreams that state a rate limit for all gateways"}))
+    , oldest_limit_age(registry_->gauge({"dragonflymill_oldest_rate_limit_age_seconds",
+                                         "Seconds since the oldest of these limits was last stated"}))
     , time_to_first_event(registry_->histogram({"dragonflymill_first_answer_seconds",
                                                 "Seconds from arrival to the first byte of an answer's body"},
                                                second_buckets))
--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -36,6 +36,15 @@
         entry.set_memory_tokens(static_cast<std::uint64_t>(load.memory_tokens));
         entry.set_reading_us(static_cast<std::uint64_t>(load.pending_prefill.count()));
     }
+    for (const rate_limit_report& limit : message.rate_limits) {
+        wire::UpstreamRateLimit& entry = *encoded.add_rate_limits();
+        entry.set_upstream(limit.upstream);
+        entry.set_limited(limit.calls_per_s.has_value());
+        entry.set_calls_per_s(limit.calls_per_s.value_or(0.0));
+        entry.set_age_us(static_cast<std::uint64_t>(limit.age.count()));
+        entry.set_first_hand(limit.first_hand);
+        entry.set_calls(limit.calls);
+    }
 }
 
 auto decode_message(const wire::GatewayDigest& encoded) -> direct::peer_message
@@ -68,6 +77,13 @@
         load.suspected_by = entry.suspect() ? 1 : 0;
         load.pending_prefill = duration(static_cast<duration::rep>(entry.reading_us()));
     }
+    for (const wire::UpstreamRateLimit& entry : encoded.rate_limits()) {
+        const std::optional<double> calls_per_s =
+            entry.limited() ? std::optional(entry.calls_per_s()) : std::nullopt;
+        message.rate_limits.push_back({entry.upstream(), calls_per_s,
+                                       duration(static_cast<duration::rep>(entry.age_us())),
+                                       entry.first_hand(), entry.calls()});
+    }
     return message;
 }
 
--- a/tests/direct/gossip_schedule_test.cpp
+++ b/tests/direct/gossip_schedule_test.cpp
@@ -67,3 +67,19 @@
     cr_assert(schedule.next({2, 0, 103, true}, false, now + 10ms));
     cr_assert(!schedule.next({2, 0, 103, true}, false, now + 100ms), "nothing changed");
 }
+
+// Guards against gateways that exceed a shared limit together: a call to a limited upstream must be reported
+// like any other change, also when its datagram is lost twice.
+Test(gossip_schedule, sends_each_rate_limit_change_three_times)
+{
+    gossip_schedule schedule;
+    cr_assert(schedule.next({1, 5, 4, false, 0}, true, start)->whole);
+    int sent = 0;
+    for (std::uint64_t step = 1; step <= 8; ++step) {
+        const auto digest =
+            schedule.next({1, 5, 4, false, 2 + step}, false, start + step * gossip_schedule::gossip_interval);
+        cr_assert(digest && !digest->whole, "a changed limit makes a digest due");
+        sent += digest->rate_limit_changes_since < 3 ? 1 : 0;
+    }
+    cr_assert(sent == 3, "change 3 is listed in %d digests", sent);
+}
--- a/tests/edge/caller_request_test.cpp
+++ b/tests/edge/caller_request_test.cpp
@@ -54,6 +54,7 @@
     message.digest = {"g#1", 7,  "10.0.0.1:7340", 42,   true, true, {"10.0.0.2:7340"},
                       "a",   90, false,           true, false};
     message.report = {"g#1", 7, false, {{99, direct::upstream_load{1, 2, 1, 3, 4000, 5ms, 1, 200ms}}}};
+    message.rate_limits = {{5, 0.25, 3s, true, 12}, {6, std::nullopt, 1s, false, 0}};
     const direct::peer_datagram datagram{"10.0.0.2:7340", true, {message}};
     cr_assert(decode_datagram(encode_datagram(datagram)) == datagram);
     cr_assert(!decode_datagram("garbage"));
