Keep all gateways together within the rate that an upstream states

An upstream in need got the load of all gateways although it stated the rate that it accepts: 24 calls in four seconds for a limit of 1, and the same before the statement. Its answers were read by every gateway, and nothing acted on the statement.

Cause: gateways knew no limit that an upstream states for all of them together, and shared limits were divided by the number of gateways, which can't express less than one call per gateway.

Gateways now advance one schedule by their own calls and by the calls that the others report. When it allows a call, each waits for a pseudo-random part of a window, so few send unaware of each other, and what was sent too much delays the next call. Gateways that lost each other take the part of the limit that corresponds to their number. Attempts of all kinds go through the same queue and count. A limited engine takes no parts of other prefills. A call whose turn doesn't come in time is refused at once with the time of its turn; turns are given out one after the other, and callers that return go before new ones.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -37,6 +38,7 @@
     instant deadline_at{};                      ///< End of the client's time, its retries included.
     instant queue_timeout_at{};                 ///< When it is refused if it is still queued.
     instant not_before{};                       ///< Not dispatched earlier.
+    bool returning = false;                     ///< Its client was refused before and came back.
     call_attempts attempts;                     ///< Attempts so far.
     wait_reason blocked_by = wait_reason::none; ///< Why it was queued last; set by the dispatcher.
 
@@ -101,6 +103,7 @@
 public:
     explicit call_dispatcher(dispatch_settings settings)
         : settings_(std::move(settings))
+        , rate_limits_(settings_.seed)
     {
     }
 
@@ -140,8 +143,14 @@
     [[nodiscard]] auto loads() -> load_tracker& { return loads_; }
     /// Number of queued calls.
     [[nodiscard]] auto waiting() const -> std::size_t { return waiting_.size(); }
-    /// Sets the number of gateways that share limits with this one, itself included.
-    void set_gateways(int count) { gateways_ = count; }
+    /// Sets the number of gateways that share limits with this one, itself included, all of them reachable.
+    void set_gateways(int count) { set_gateways(count, {count, count}); }
+    /// The same if some aren't reachable; `max_count` is the highest number that there may be.
+    void set_gateways(int max_count, const gateway_reach& reach)
+    {
+        gateways_ = max_count;
+        rate_limits_.set_reach(reach);
+    }
     void set_settings(dispatch_settings settings) { settings_ = std::move(settings); }
 
     /// Calls of one class that may find no capacity in a round before the rest of the class is skipped. A
@@ -165,13 +174,20 @@
     static constexpr duration max_backoff = 80ms;
 
 private:
-    /// Candidates of each service during one round, in the order that all gateways share. Building the list
-    /// takes a load lookup per upstream, so it is done once per round and not per call: a queue of a dozen
-    /// calls is examined forty times per second.
-    using candidate_cache = std::map<std::string, std::vector<dispatch_candidate>, std::less<>>;
+    /// Upstreams of a service to which a call may be sent now.
+    struct service_candidates
+    {
+        std::vector<dispatch_candidate> upstreams; // in the order that all gateways share
+        bool rate_limited = false;                 // none, as all that take work are at a rate limit
+    };
+    /// Candidates of each service during one round. Building the list takes a load lookup per upstream, so it
+    /// is done once per round and not per call: a queue of a dozen calls is examined forty times per second.
+    using candidate_cache = std::map<std::string, service_candidates, std::less<>>;
 
     [[nodiscard]] auto candidates(const upstream_list& fleet, const service_rule& service, instant now) const
-        -> std::vector<dispatch_candidate>;
+        -> service_candidates;
+    void update_rate_limited(const upstream_list& fleet, const std::string& service,
+                             service_candidates& found) const;
     [[nodiscard]] auto try_to_place(const upstream_list& fleet, const waiting_call& call, int failures,
                                     instant now, candidate_cache& cache) const -> dispatch_decision;
     [[nodiscard]] auto choose(const upstream_list& fleet, const waiting_call& call, instant now,
@@ -180,15 +196,25 @@
                                     std::span<const dispatch_candidate> all) const -> dispatch_decision;
     void refresh_load(dispatch_candidate& candidate, instant now) const;
     void refresh(const upstream_list& fleet, const dispatch_assignment& assignment, instant now,
-                 std::vector<dispatch_candidate>& candidates) const;
-    [[nodiscard]] auto cold_limit_reached(const upstream_list& fleet, const upstream_state& upstream,
-                                          instant now) const -> bool;
+                 service_candidates& found) const;
+    /// Returns from when on the rate limits of an upstream, stated or of a cold start, allow a call.
+    [[nodiscard]] auto available_at(const upstream_list& fleet, const upstream_state& upstream,
+                                    instant now) const -> instant;
+    /// Returns the rate at which this gateway can expect to send calls to a limited upstream.
+    [[nodiscard]] auto expected_rate(const upstream_list& fleet, const upstream_state& upstream,
+                                     instant now) const -> double;
+    [[nodiscard]] auto rate_limit_refusal(const upstream_list& fleet, const waiting_call& call,
+                                          int calls_ahead, instant now) -> std::optional<dispatch_refusal>;
+    /// Counts a call under the rate limits of an upstream.
+    void count_limited_call(const upstream_list& fleet, const std::string& upstream, instant now);
     [[nodiscard]] auto assignment_for(const upstream_list& fleet, const waiting_call& call,
                                       const dispatch_choice& choice, instant now) -> dispatch_assignment;
     [[nodiscard]] auto has_upstream(const upstream_list& fleet, const std::string& service) const -> bool;
     [[nodiscard]] auto cold_start_rate(const upstream_list& fleet, const upstream_state& upstream,
                                        instant now) const -> double;
-    void sort_waiting(const fleet_config& config, instant now);
+    /// Services of which an upstream states a rate limit.
+    [[nodiscard]] auto rate_limited_services(const upstream_list& fleet) const -> std::set<std::string>;
+    void sort_waiting(const upstream_list& fleet, instant now);
     [[nodiscard]] auto expected_first_token(const waiting_call& call) const -> duration;
     [[nodiscard]] auto is_late(const waiting_call& call, instant now) const -> bool;
     [[nodiscard]] auto backoff_elapsed(const waiting_call& call, const dispatch_choice& choice, instant now)
@@ -202,6 +228,8 @@
     load_tracker loads_;
     upstream_health health_;
     shared_rate_limits rate_limits_;
+    /// Time at which the last caller refused for a rate limit was asked to return, by service.
+    std::unordered_map<std::string, instant> last_return_at_;
     std::unordered_map<std::string, cold_start_limiter> cold_limiters_;
     std::unordered_map<std::string, retry_window> retries_;
     std::vector<waiting_call> waiting_;
--- a/include/dragonflymill/direct/cold_start_limiter.h
+++ b/include/dragonflymill/direct/cold_start_limiter.h
@@ -13,8 +13,8 @@
     /// Consumes one call; returns false if the call must go elsewhere. `calls_per_s` is the upstream's limit
     /// for all gateways together, `gateways` the maximum number of gateways.
     [[nodiscard]] auto take(instant now, double calls_per_s, int gateways) -> bool;
-    /// Returns whether a call is available, without consuming it.
-    [[nodiscard]] auto available(instant now, double calls_per_s, int gateways) const -> bool;
+    /// Returns from when on a call is available.
+    [[nodiscard]] auto available_at(double calls_per_s, int gateways) const -> instant;
 
 private:
     [[nodiscard]] auto interval(double calls_per_s, int gateways) const -> duration;
--- a/include/dragonflymill/direct/dispatch_call.h
+++ b/include/dragonflymill/direct/dispatch_call.h
@@ -37,6 +37,7 @@
     backlog,             ///< The engines that would prefill it have other prompts pending.
     cost,                ///< Its prefill would make answers of higher utility miss their targets.
     behind_queued_calls, ///< Calls of its class ahead of it in the queue found no capacity.
+    rate_limit,          ///< All upstreams that take work are at a rate limit.
 };
 
 /// Returns the text of a reason for the log.
@@ -51,6 +52,7 @@
     bool suspect = false;       ///< Calls to it failed recently.
     upstream_load load;         ///< Its load from all gateways.
     std::uint64_t id_hash = 0;  ///< Hash of `id`, set by `sort_for_partition`.
+    bool rate_limited = false;  ///< It states a rate limit; it takes calls, but no parts of other prefills.
 
     friend auto operator==(const dispatch_candidate&, const dispatch_candidate&) -> bool = default;
 };
--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
+#include "dragonflymill/limit/shared_rate_schedule.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -55,6 +56,10 @@
     [[nodiscard]] auto targets(instant now) const -> std::vector<std::string>;
     /// Seeds and learned addresses that belong to no known peer.
     [[nodiscard]] auto unknown_addresses() const -> std::vector<std::string>;
+    /// Returns the gateways that share limits with this one. A peer that fell silent without draining may be
+    /// partitioned rather than gone and counts as known for `lost_peer_retention`; so do seeds that have not
+    /// been heard yet, if `count_seeds` is set.
+    [[nodiscard]] auto reach(instant now, bool count_seeds) const -> gateway_reach;
     /// Number of gateways, including this one. Draining peers count, because they are still sending.
     [[nodiscard]] auto gateways() const -> int { return static_cast<int>(peers_.size()) + 1; }
     /// Returns a peer that knows published changes after `revision`; nothing if none does. The choice differs
@@ -78,6 +83,10 @@
 
     /// Time without a digest after which a peer is removed: eight consecutive missed digests.
     static constexpr duration peer_timeout = 3s;
+    /// Time without a digest after which a peer doesn't count as reachable: two missed idle digests.
+    static constexpr duration reachable_timeout = 1s;
+    /// Time for which a lost peer counts as known; regions may lose each other for an hour.
+    static constexpr duration lost_peer_retention = 1h;
     /// Time for which an address that was learned from a peer's digest is contacted.
     static constexpr duration learned_address_timeout = 3s;
     /// Number of gateways that read published records from the source. With three, the source may refuse one
@@ -97,6 +106,7 @@
     std::vector<std::string> seeds_;
     std::map<std::string, known_peer> peers_;
     std::map<std::string, instant> learned_addresses_;
+    std::map<std::string, instant> lost_peers_; // by address, when they were lost
 };
 
 } // namespace dragonflymill::direct
--- a/include/dragonflymill/direct/saturation_tracker.h
+++ b/include/dragonflymill/direct/saturation_tracker.h
@@ -24,6 +24,10 @@
     instant last_{};
 };
 
+/// Clients retry within about a third of their remaining time, whatever they are told; the rest is enough for
+/// an answer.
+inline constexpr double max_retry_share_of_time_left = 0.3;
+
 /// Returns when a refused client should retry. The saturation is expected to last as long again as it has
 /// lasted: a client that retries too early is refused for good, one that retries late is answered late.
 /// `random` adds jitter, because clients that were refused together must not retry together.
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+constexpr double us_per_s = 1e6;
+/// Calls per second; bounds the time after which a refused caller is asked to return.
+constexpr double min_expected_rate = 1e-3;
+
 auto class_of(const waiting_call& call) -> call_class
 {
     return {call.service, call.tbt_target};
@@ -96,26 +100,44 @@
     return retries_[service].available(now, settings_.retries, gateways_);
 }
 
-void call_dispatcher::sort_waiting(const fleet_config& config, instant now)
+auto call_dispatcher::rate_limited_services(const upstream_list& fleet) const -> std::set<std::string>
+{
+    std::set<std::string> found;
+    if (rate_limits_.beliefs().limited() == 0) {
+        return found;
+    }
+    for (const auto& [id, state] : fleet.upstreams()) {
+        if (rate_limits_.find(run_of(state.entry)) != nullptr) {
+            found.insert(state.entry.service);
+        }
+    }
+    return found;
+}
+
+void call_dispatcher::sort_waiting(const upstream_list& fleet, instant now)
 {
     struct ranked_call
     {
-        std::tuple<bool, int, instant, std::uint64_t> rank;
+        std::tuple<bool, int, bool, instant, std::uint64_t> rank;
         waiting_call call;
     };
     // Shortest prefill first, with aging: a prompt of a million tokens takes as long as ten usual long ones,
     // and would make all of them miss their targets.
     const auto prefill_time = [&](const waiting_call& call) {
-        const service_rule* service = config.find_service(call.service);
+        const service_rule* service = fleet.config()->find_service(call.service);
         const bool has_prefill = service != nullptr && service->engine;
         return has_prefill ? engine_forecast(*service->engine).prefill_time(call.prompt_tokens)
                            : duration::zero();
     };
+    const std::set<std::string> rate_limited = rate_limited_services(fleet);
     std::vector<ranked_call> ranked;
     ranked.reserve(waiting_.size());
     for (waiting_call& call : waiting_) {
-        const std::tuple rank(is_late(call, now), call.priority, call.latency_target_at + prefill_time(call),
-                              call.id);
+        // A client that is refused a second time is lost, and a new one can still come back.
+        const bool goes_first =
+            rate_limited.contains(call.service) && (call.returning || call.attempts.count() > 0);
+        const std::tuple rank(!goes_first && is_late(call, now), call.priority, !goes_first,
+                              call.latency_target_at + prefill_time(call), call.id);
         ranked.push_back({rank, std::move(call)});
     }
     std::sort(ranked.begin(), ranked.end(),
@@ -142,10 +164,11 @@
     if (waiting_.empty() || fleet.config() == nullptr) {
         return round;
     }
-    sort_waiting(*fleet.config(), now);
+    sort_waiting(fleet, now);
     std::map<call_class, int> failures_by_class;
     std::vector<waiting_call> still_waiting;
     candidate_cache cache;
+    std::map<std::string, int, std::less<>> blocked_by_rate_limit;
     for (waiting_call& call : waiting_) {
         int& failures = failures_by_class[class_of(call)];
         const dispatch_decision decision = try_to_place(fleet, call, failures, now, cache);
@@ -157,10 +180,16 @@
             continue;
         }
         if (!choice) {
-            ++failures;
             call.blocked_by = decision.blocked_by;
-            record_no_capacity(call, now);
-            if (auto refusal = refusal_of(fleet, call, now)) {
+            const bool rate_limited = decision.blocked_by == wait_reason::rate_limit;
+            if (!rate_limited) {
+                ++failures;
+                record_no_capacity(call, now);
+            }
+            auto refusal = rate_limited
+                               ? rate_limit_refusal(fleet, call, blocked_by_rate_limit[call.service]++, now)
+                               : refusal_of(fleet, call, now);
+            if (refusal) {
                 round.refusals.push_back(std::move(*refusal));
                 capacity_since_.erase(call.id);
                 continue;
@@ -187,6 +216,32 @@
     return std::nullopt;
 }
 
+auto call_dispatcher::rate_limit_refusal(const upstream_list& fleet, const waiting_call& call,
+                                         int calls_ahead, instant now) -> std::optional<dispatch_refusal>
+{
+    instant first = instant::max();
+    double rate = 0.0;
+    for (const auto& [id, state] : fleet.upstreams()) {
+        if (state.entry.service == call.service && fleet.accepts_work(state)) {
+            first = std::min(first, std::max(available_at(fleet, state, now), now));
+            rate += expected_rate(fleet, state, now);
+        }
+    }
+    const duration interval(static_cast<duration::rep>(us_per_s / std::max(rate, min_expected_rate)));
+    const instant expected_at = first + interval * calls_ahead;
+    if (expected_at <= call.queue_timeout_at) {
+        return std::nullopt;
+    }
+    // Callers return one after the other, at the rate at which they can be served. A caller that won't wait
+    // until its turn takes no turn from others.
+    instant& last_return_at = last_return_at_[call.service];
+    const instant return_at = std::max(expected_at, last_return_at + interval);
+    if (return_at - now <= scaled(call.deadline_at - now, max_retry_share_of_time_left)) {
+        last_return_at = return_at;
+    }
+    return dispatch_refusal{call.id, return_at - now, to_string(wait_reason::rate_limit)};
+}
+
 void call_dispatcher::record_no_capacity(const waiting_call& call, instant now)
 {
     saturation_[class_of(call)].record_no_capacity(now);
@@ -235,7 +290,10 @@
     if (cached == cache.end()) {
         cached = cache.emplace(call.service, candidates(fleet, *service, now)).first;
     }
-    const std::vector<dispatch_candidate>& all = cached->second;
+    if (cached->second.rate_limited) {
+        return {std::nullopt, wait_reason::rate_limit};
+    }
+    const std::vector<dispatch_candidate>& all = cached->second.upstreams;
     if (call.attempts.count() == 0) {
         return choose_among(fleet, call, now, all);
     }
@@ -273,31 +331,41 @@
 }
 
 auto call_dispatcher::candidates(const upstream_list& fleet, const service_rule& service, instant now) const
-    -> std::vector<dispatch_candidate>
+    -> service_candidates
 {
     std::vector<const upstream_state*> usable;
     for (const auto& [id, state] : fleet.upstreams()) {
         if (state.entry.service == service.name && fleet.accepts_work(state) &&
-            !cold_limit_reached(fleet, state, now)) {
+            available_at(fleet, state, now) <= now) {
             usable.push_back(&state);
         }
     }
     std::sort(usable.begin(), usable.end(), [](const upstream_state* a, const upstream_state* b) {
         return std::tie(a->key, a->entry.id) < std::tie(b->key, b->entry.id);
     });
-    std::vector<dispatch_candidate> found;
-    found.reserve(usable.size());
+    service_candidates found;
+    found.upstreams.reserve(usable.size());
     for (const upstream_state* state : usable) {
         const upstream_entry& entry = state->entry;
-        found.push_back({entry.id, entry.failure_domain, entry.slots, false, {}, state->key});
-        refresh_load(found.back(), now);
+        const bool limited = rate_limits_.find(run_of(entry)) != nullptr;
+        found.upstreams.push_back(
+            {entry.id, entry.failure_domain, entry.slots, false, {}, state->key, limited});
+        refresh_load(found.upstreams.back(), now);
     }
+    update_rate_limited(fleet, service.name, found);
     return found;
 }
 
+void call_dispatcher::update_rate_limited(const upstream_list& fleet, const std::string& service,
+                                          service_candidates& found) const
+{
+    found.rate_limited = found.upstreams.empty() && has_upstream(fleet, service);
+}
+
 void call_dispatcher::refresh(const upstream_list& fleet, const dispatch_assignment& assignment, instant now,
-                              std::vector<dispatch_candidate>& candidates) const
+                              service_candidates& found) const
 {
+    std::vector<dispatch_candidate>& candidates = found.upstreams;
     const auto is_used = [&](const dispatch_candidate& candidate) {
         const auto is_same = [&](const prefill_engine& other) { return other.upstream.id == candidate.id; };
         return candidate.id == assignment.upstream.id ||
@@ -310,8 +378,9 @@
     }
     std::erase_if(candidates, [&](const dispatch_candidate& candidate) {
         return candidate.id == assignment.upstream.id &&
-               cold_limit_reached(fleet, fleet.upstreams().at(candidate.id), now);
+               available_at(fleet, fleet.upstreams().at(candidate.id), now) > now;
     });
+    update_rate_limited(fleet, assignment.upstream.service, found);
 }
 
 void call_dispatcher::refresh_load(dispatch_candidate& candidate, instant now) const
@@ -321,12 +390,33 @@
                         candidate.load.suspected_by >= suspicion_quorum;
 }
 
-auto call_dispatcher::cold_limit_reached(const upstream_list& fleet, const upstream_state& upstream,
-                                         instant now) const -> bool
+auto call_dispatcher::available_at(const upstream_list& fleet, const upstream_state& upstream,
+                                   instant now) const -> instant
 {
-    const double limit = cold_start_rate(fleet, upstream, now);
+    const instant stated = rate_limits_.available_at(run_of(upstream.entry));
+    const double cold_rate = cold_start_rate(fleet, upstream, now);
     const auto limiter = cold_limiters_.find(upstream.entry.id);
-    return limit > 0 && limiter != cold_limiters_.end() && !limiter->second.available(now, limit, gateways_);
+    if (cold_rate <= 0 || limiter == cold_limiters_.end()) {
+        return stated;
+    }
+    return std::max(stated, limiter->second.available_at(cold_rate, gateways_));
+}
+
+auto call_dispatcher::expected_rate(const upstream_list& fleet, const upstream_state& upstream,
+                                    instant now) const -> double
+{
+    const double stated = rate_limits_.expected_rate(run_of(upstream.entry), now);
+    const double cold = cold_start_rate(fleet, upstream, now) / std::max(gateways_, 1);
+    return stated > 0 && cold > 0 ? std::min(stated, cold) : std::max(stated, cold);
+}
+
+void call_dispatcher::count_limited_call(const upstream_list& fleet, const std::string& upstream, instant now)
+{
+    const upstream_state& state = fleet.upstreams().at(upstream);
+    rate_limits_.count_call(run_of(state.entry), now);
+    if (const double limit = cold_start_rate(fleet, state, now); limit > 0) {
+        (void)cold_limiters_[upstream].take(now, limit, gateways_);
+    }
 }
 
 auto call_dispatcher::cold_start_rate(const upstream_list& fleet, const upstream_state& upstream,
@@ -348,9 +438,9 @@
     const upstream_state& upstream = fleet.upstreams().at(choice.upstream);
     assignment.upstream = upstream.entry;
     assignment.waited_for = call.blocked_by;
+    count_limited_call(fleet, choice.upstream, now);
     if (const rate_limit_belief* limit = rate_limits_.find(run_of(upstream.entry))) {
         assignment.rate_limit = *limit;
-        rate_limits_.count_call(run_of(upstream.entry));
         assignment.limited_calls = rate_limits_.all_calls(run_of(upstream.entry));
     }
     for (const prefill_share& share : choice.prefill_engines) {
@@ -361,9 +451,6 @@
                                       choice.memory_tokens, choice.prefill_time, call.tbt_target},
                                      now);
     first_tokens_.dispatched(assignment.placed, class_of(call), now);
-    if (const double limit = cold_start_rate(fleet, upstream, now); limit > 0) {
-        (void)cold_limiters_[choice.upstream].take(now, limit, gateways_);
-    }
     retry_window& retries = retries_[call.service];
     if (call.attempts.count() == 0) {
         retries.count_first_attempt(now);
--- a/src/direct/cold_start_limiter.cpp
+++ b/src/direct/cold_start_limiter.cpp
@@ -14,7 +14,7 @@
 
 auto cold_start_limiter::take(instant now, double calls_per_s, int gateways) -> bool
 {
-    if (!available(now, calls_per_s, gateways)) {
+    if (available_at(calls_per_s, gateways) > now) {
         return false;
     }
     last_ = now;
@@ -22,9 +22,9 @@
     return true;
 }
 
-auto cold_start_limiter::available(instant now, double calls_per_s, int gateways) const -> bool
+auto cold_start_limiter::available_at(double calls_per_s, int gateways) const -> instant
 {
-    return !used_ || now - last_ >= interval(calls_per_s, gateways);
+    return used_ ? last_ + interval(calls_per_s, gateways) : instant{};
 }
 
 auto cold_start_limiter::interval(double calls_per_s, int gateways) const -> duration
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -170,6 +170,8 @@
         return "reading the prompt now would make too many answers late";
     case wait_reason::behind_queued_calls:
         return "calls of its kind that go before it found no room";
+    case wait_reason::rate_limit:
+        return "all upstreams are at the rate of calls that they state";
     }
     return "unknown";
 }
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -49,6 +49,7 @@
         std::erase_if(peers_, [&](const auto& peer) { return peer.second.digest.address == digest.address; });
     }
     peers_[digest.gateway] = known_peer{digest, now};
+    lost_peers_.erase(digest.address);
     for (const std::string& address : digest.peers) {
         if (address != address_ && learned_addresses_.size() < max_peers) {
             learned_addresses_.emplace(address, now);
@@ -65,8 +66,12 @@
         if (silent) {
             gone.push_back(peer.first);
         }
+        if (silent && !peer.second.digest.leaving && lost_peers_.size() < max_peers) {
+            lost_peers_[peer.second.digest.address] = now;
+        }
         return silent;
     });
+    std::erase_if(lost_peers_, [&](const auto& lost) { return now - lost.second > lost_peer_retention; });
     std::erase_if(learned_addresses_,
                   [&](const auto& learned) { return now - learned.second > learned_address_timeout; });
     return gone;
@@ -87,6 +92,20 @@
     return {all.begin(), all.end()};
 }
 
+auto peer_table::reach(instant now, bool count_seeds) const -> gateway_reach
+{
+    const auto heard = std::count_if(peers_.begin(), peers_.end(), [&](const auto& peer) {
+        return now - peer.second.last_received_at <= reachable_timeout;
+    });
+    std::size_t known = 1 + peers_.size() + lost_peers_.size();
+    if (count_seeds) {
+        const auto others =
+            seeds_.size() - static_cast<std::size_t>(std::count(seeds_.begin(), seeds_.end(), address_));
+        known = std::max(known, 1 + others);
+    }
+    return {1 + static_cast<int>(heard), static_cast<int>(known)};
+}
+
 auto peer_table::unknown_addresses() const -> std::vector<std::string>
 {
     std::set<std::string> found(seeds_.begin(), seeds_.end());
--- a/src/direct/prefill_plan.cpp
+++ b/src/direct/prefill_plan.cpp
@@ -169,7 +169,7 @@
     };
     std::vector<const dispatch_candidate*> by_capacity;
     for (auto engine = side.rbegin(); engine != side.rend(); ++engine) {
-        if (!engine->suspect) {
+        if (!engine->suspect && !engine->rate_limited) {
             by_capacity.push_back(&*engine);
         }
     }
@@ -309,7 +309,8 @@
     for (const dispatch_candidate& engine : ordered_) {
         // Engines run prefill parts of other calls before their own prompts. An engine that kept receiving
         // parts would starve its own, so engines with a pending prefill of their own get none.
-        if (!engine.suspect && engine.load.parts < engine.slots && engine.load.unread_calls == 0) {
+        if (!engine.suspect && !engine.rate_limited && engine.load.parts < engine.slots &&
+            engine.load.unread_calls == 0) {
             candidates.push_back(to_prefill_candidate(engine));
         }
     }
--- a/src/direct/saturation_tracker.cpp
+++ b/src/direct/saturation_tracker.cpp
@@ -8,8 +8,6 @@
 
 /// Typical time until a short answer ends and frees a slot.
 constexpr duration min_retry_after = 400ms;
-/// Clients retry within about a third of their remaining time, which leaves enough for an answer.
-constexpr double max_share_of_time_left = 0.3;
 /// Width of the jitter, relative to the time until the retry.
 constexpr double jitter = 0.4;
 
@@ -33,7 +31,7 @@
     constexpr std::uint64_t steps = 1000;
     const double fraction = static_cast<double>(random % steps) / static_cast<double>(steps);
     const duration wanted = scaled(std::max(saturated, min_retry_after), 1.0 + jitter * (fraction - 0.5));
-    return std::min(wanted, scaled(std::max(time_left, duration::zero()), max_share_of_time_left));
+    return std::min(wanted, scaled(std::max(time_left, duration::zero()), max_retry_share_of_time_left));
 }
 
 } // namespace dragonflymill::direct
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -534,7 +534,8 @@
 {
     const bool settled = runtime::now() - started_at_ >= gateway_count_settle_time;
     const int max_gateways = static_cast<int>(settings_.retries.slack * direct::retry_window::safety);
-    dispatcher_.set_gateways(settled ? peers_.gateways() : std::max(peers_.gateways(), max_gateways));
+    dispatcher_.set_gateways(settled ? peers_.gateways() : std::max(peers_.gateways(), max_gateways),
+                             peers_.reach(runtime::now(), !settled));
     metrics_.gateways.set(peers_.gateways());
 }
 
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -164,6 +164,7 @@
     queued_call_.client_timeout_at = arrived_ + std::min(limit, direct::client_timeout_for(*route_));
     queued_call_.deadline_at = deadline_;
     const duration elapsed = context_.retry_detector.elapsed(route_->name, limit, arrived_);
+    queued_call_.returning = elapsed > duration::zero();
     const duration max_queue_wait = elapsed > duration::zero() ? (queued_call_.client_timeout_at - arrived_) *
                                                                      returning_caller_wait_percent / 100
                                                                : route_->latency_target * 5 / 4;
--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "fleet.pb.h"
 
+#include <cmath>
+
 namespace dragonflymill::edge {
 
 namespace {
@@ -80,6 +82,9 @@
     for (const wire::UpstreamRateLimit& entry : encoded.rate_limits()) {
         const std::optional<double> calls_per_s =
             entry.limited() ? std::optional(entry.calls_per_s()) : std::nullopt;
+        if (calls_per_s && !(std::isfinite(*calls_per_s) && *calls_per_s >= 0.0)) {
+            continue;
+        }
         message.rate_limits.push_back({entry.upstream(), calls_per_s,
                                        duration(static_cast<duration::rep>(entry.age_us())),
                                        entry.first_hand(), entry.calls()});
--- a/src/limit/shared_rate_limits.cpp
+++ b/src/limit/shared_rate_limits.cpp
@@ -1,5 +1,7 @@
 #include "dragonflymill/limit/shared_rate_limits.h"
 
+#include "dragonflymill/core/stable_hash.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <numeric>
@@ -11,7 +13,7 @@
 {
     const bool changed = beliefs_.record(upstream, statement, sent_at, now);
     if (changed) {
-        calls_[upstream].changed_version = ++version_;
+        limit_changed(upstream, now);
     }
     return changed;
 }
@@ -20,25 +22,60 @@
                                       instant now) -> bool
 {
     const bool changed =
-        beliefs_.apply(report.upstream, {report.calls_per_s, now - report.age, report.first_hand});
+        beliefs_.apply(report.upstream,
+                       {report.calls_per_s, now - std::max(report.age, duration::zero()), report.first_hand});
     if (changed) {
-        calls_[report.upstream].changed_version = ++version_;
+        limit_changed(report.upstream, now);
     }
     if (const auto known = calls_.find(report.upstream); known != calls_.end()) {
-        // A lower count belongs to an older report.
-        std::uint64_t& count = known->second.by_peer[gateway];
-        count = std::max(count, report.calls);
+        count_peer_calls(known->second, gateway, report.calls, now);
     }
     return changed;
 }
 
-void shared_rate_limits::count_call(upstream_run upstream)
+void shared_rate_limits::limit_changed(upstream_run upstream, instant now)
+{
+    upstream_calls& calls = calls_[upstream];
+    calls.changed_version = ++version_;
+    const rate_limit_belief* limit = find(upstream);
+    if (limit == nullptr) {
+        calls.schedule.reset();
+    }
+    else if (calls.schedule) {
+        calls.schedule->set_rate(*limit->calls_per_s, reach_, now);
+    }
+    else {
+        calls.schedule.emplace(*limit->calls_per_s, reach_, now);
+    }
+}
+
+void shared_rate_limits::count_peer_calls(upstream_calls& calls, const std::string& gateway,
+                                          std::uint64_t count, instant now)
+{
+    const auto [peer, is_new] = calls.by_peer.try_emplace(gateway);
+    peer_calls& known = peer->second;
+    // When the calls of a first count were sent is unknown. A lower count belongs to an older report.
+    const std::uint64_t added =
+        is_new ? std::min<std::uint64_t>(count, 1) : std::max(count, known.count) - known.count;
+    known.count = std::max(count, known.count);
+    if (added == 0) {
+        return;
+    }
+    known.last_at = now;
+    if (calls.schedule) {
+        calls.schedule->advance(added, reach_, now);
+    }
+}
+
+void shared_rate_limits::count_call(upstream_run upstream, instant now)
 {
-    if (find(upstream) != nullptr) {
-        upstream_calls& calls = calls_[upstream];
-        ++calls.own;
-        calls.changed_version = ++version_;
+    const auto found = calls_.find(upstream);
+    if (found == calls_.end() || !found->second.schedule) {
+        return;
     }
+    ++found->second.own;
+    found->second.changed_version = ++version_;
+    found->second.schedule->advance(1, reach_, now);
 }
 
 void shared_rate_limits::retain(const std::set<upstream_run>& known, instant now)
@@ -59,6 +96,26 @@
     return beliefs_.find(upstream);
 }
 
+auto shared_rate_limits::available_at(upstream_run upstream) const -> instant
+{
+    const auto found = calls_.find(upstream);
+    const bool limited = found != calls_.end() && found->second.schedule;
+    return limited ? found->second.schedule->available_at(reach_, seed_ ^ mix_bits(upstream)) : instant{};
+}
+
+auto shared_rate_limits::expected_rate(upstream_run upstream, instant now) const -> double
+{
+    const auto found = calls_.find(upstream);
+    if (found == calls_.end() || !found->second.schedule) {
+        return 0.0;
+    }
+    const auto& peers = found->second.by_peer;
+    const auto users = 1 + std::count_if(peers.begin(), peers.end(), [&](const auto& peer) {
+                           return peer.second.last_at && now - *peer.second.last_at <= user_timeout;
+                       });
+    return found->second.schedule->rate(reach_) / static_cast<double>(users);
+}
+
 auto shared_rate_limits::own_calls(upstream_run upstream) const -> std::uint64_t
 {
     const auto found = calls_.find(upstream);
@@ -73,7 +130,7 @@
     }
     const auto& by_peer = found->second.by_peer;
     return std::accumulate(by_peer.begin(), by_peer.end(), found->second.own,
-                           [](std::uint64_t sum, const auto& peer) { return sum + peer.second; });
+                           [](std::uint64_t sum, const auto& peer) { return sum + peer.second.count; });
 }
 
 auto shared_rate_limits::reports(instant now, std::uint64_t round, std::optional<std::uint64_t> since) const
--- a/tests/direct/gossip_relay_test.cpp
+++ b/tests/direct/gossip_relay_test.cpp
@@ -126,7 +126,7 @@
 
     void send_digest(gateway& from)
     {
-        peer_message message{digest_of(from), {}};
+        peer_message message{digest_of(from), {}, {}};
         if (from.relay.is_relay()) {
             from.relay.enqueue_own(message);
         }
--- a/tests/direct/rate_limit_simulation.h
+++ b/tests/direct/rate_limit_simulation.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/random_source.h"
 #include "dragonflymill/direct/call_dispatcher.h"
+#include "dragonflymill/direct/gossip_schedule.h"
 
 #include <criterion/criterion.h>
 #include <deque>
@@ -23,8 +24,8 @@
     double calls_per_s = 40.0; ///< Of all callers together.
     duration length = 20s;
     duration queue_time = 300ms; ///< Time for which a call may be queued.
-    /// Whether a gateway is out of reach of all others; their reports are lost.
-    std::function<bool(int gateway, duration since_start)> cut = [](int, duration) { return false; };
+    /// Part of a partitioned fleet in which a gateway is; reports between parts are lost.
+    std::function<int(int gateway, duration since_start)> side = [](int, duration) { return 0; };
     /// Whether a gateway does nothing; what it receives is handled afterwards.
     std::function<bool(int gateway, duration since_start)> frozen = [](int, duration) { return false; };
     double report_loss = 0.05;
@@ -70,6 +71,7 @@
             gateways.emplace_back(
                 dispatch_settings{"a", {0.2, 100.0, 10s}, stable_hash("gateway" + std::to_string(i))});
             gateways.back().set_gateways(scenario_.gateways);
+            schedules_.emplace_back();
         }
     }
 
@@ -91,13 +93,14 @@
         }
     }
 
-    /// Returns the largest number of arrivals at an upstream in any four seconds from `from` on.
-    [[nodiscard]] auto most_in_window(int upstream, instant from) const -> int
+    /// Returns the largest number of arrivals at an upstream in any four seconds from `from` on, without
+    /// those of the gateway `except`.
+    [[nodiscard]] auto most_in_window(int upstream, instant from, int except = -1) const -> int
     {
         std::deque<instant> window;
         std::size_t most = 0;
         for (const upstream_arrival& arrival : arrivals) {
-            if (arrival.upstream != upstream || arrival.at < from) {
+            if (arrival.upstream != upstream || arrival.at < from || arrival.gateway == except) {
                 continue;
             }
             window.push_back(arrival.at);
@@ -146,9 +149,9 @@
         for (const dispatch_refusal& refusal : round.refusals) {
             refusals.push_back({now, refusal.retry_after});
         }
-        const bool due = (now - start) % report_interval == duration(index % 30 * 1ms);
-        if (due) {
-            send_reports(index, now);
+        const digest_state state{0, 0, scenario_.gateways, false, gateway.rate_limits().version()};
+        if (const auto due = schedules_[static_cast<std::size_t>(index)].next(state, false, now)) {
+            send_reports(index, *due, now);
         }
     }
 
@@ -164,12 +167,18 @@
         });
     }
 
-    void send_reports(int index, instant now)
+    void send_reports(int index, const due_digest& due, instant now)
     {
-        const auto reports = gateways[static_cast<std::size_t>(index)].rate_limits().reports(now, ++rounds_);
+        const shared_rate_limits& limits = gateways[static_cast<std::size_t>(index)].rate_limits();
+        const auto reports = due.whole ? limits.reports(now, ++rounds_)
+                                       : limits.reports(now, ++rounds_, due.rate_limit_changes_since);
+        if (reports.empty()) {
+            return;
+        }
         for (int other = 0; other < scenario_.gateways; ++other) {
-            const bool lost = other == index || scenario_.cut(index, now - start) ||
-                              scenario_.cut(other, now - start) || random_.chance(scenario_.report_loss);
+            const bool lost = other == index ||
+                              scenario_.side(index, now - start) != scenario_.side(other, now - start) ||
+                              random_.chance(scenario_.report_loss);
             if (lost) {
                 continue;
             }
@@ -202,11 +211,10 @@
         }
     }
 
-    static constexpr duration report_interval = 30ms;
-
     rate_limit_scenario scenario_;
     random_source random_;
     std::multimap<instant, std::function<void(instant)>> due_;
+    std::vector<gossip_schedule> schedules_;
     std::uint64_t calls_ = 0;
     std::uint64_t rounds_ = 0;
 };
