Bound the calls of many gateways to an upstream in cold start

A cold upstream got the first call of every gateway at once, and at least 0.1 calls a second of each: with 103 gateways and a limit of 18 a second up to 103 calls in a second, where one and a half times the limit and five, 32, are allowed.

Gateways now take turns from the begin of the cold start on, in an order that they share, and the minimum rate is gone, as a cold start ends by itself.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -143,14 +143,15 @@
     [[nodiscard]] auto loads() -> load_tracker& { return loads_; }
     /// Number of queued calls.
     [[nodiscard]] auto waiting() const -> std::size_t { return waiting_.size(); }
-    /// Sets the number of gateways that share limits with this one, itself included, all of them reachable.
-    void set_gateways(int count) { set_gateways(count, {count, count}); }
-    /// The same if some aren't reachable; `max_count` is the highest number that there may be.
+    /// Sets the gateways that share limits with this one. `max_count` is the highest number that there may
+    /// be, where their number isn't known yet; equal shares are computed from it.
     void set_gateways(int max_count, const gateway_reach& reach)
     {
-        gateways_ = max_count;
+        gateways_ = {reach.reachable, max_count, reach.rank};
         rate_limits_.set_reach(reach);
     }
+    /// Sets the number of gateways, all of them reachable.
+    void set_gateways(int count) { set_gateways(count, {count, count, 0}); }
     void set_settings(dispatch_settings settings) { settings_ = std::move(settings); }
 
     /// Calls of one class that may find no capacity in a round before the rest of the class is skipped. A
@@ -210,8 +211,9 @@
     [[nodiscard]] auto assignment_for(const upstream_list& fleet, const waiting_call& call,
                                       const dispatch_choice& choice, instant now) -> dispatch_assignment;
     [[nodiscard]] auto has_upstream(const upstream_list& fleet, const std::string& service) const -> bool;
-    [[nodiscard]] auto cold_start_rate(const upstream_list& fleet, const upstream_state& upstream,
-                                       instant now) const -> double;
+    /// Returns the limit of an upstream in cold start; nothing if it isn't, or if it has no limit.
+    [[nodiscard]] static auto cold_limit_of(const upstream_list& fleet, const upstream_state& upstream,
+                                            instant now) -> std::optional<cold_start_limit>;
     /// Services of which an upstream states a rate limit.
     [[nodiscard]] auto rate_limited_services(const upstream_list& fleet) const -> std::set<std::string>;
     void sort_waiting(const upstream_list& fleet, instant now);
@@ -237,7 +239,7 @@
     std::unordered_map<std::uint64_t, std::optional<instant>> capacity_since_;
     std::map<call_class, saturation_tracker> saturation_;
     first_token_times first_tokens_;
-    int gateways_ = 1;
+    gateway_reach gateways_;
 };
 
 } // namespace dragonflymill::direct
--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -58,7 +58,8 @@
     [[nodiscard]] auto unknown_addresses() const -> std::vector<std::string>;
     /// Returns the gateways that share limits with this one. A peer that fell silent without draining may be
     /// partitioned rather than gone and counts as known for `lost_peer_retention`; so do seeds that have not
-    /// been heard yet, if `count_seeds` is set.
+    /// been heard yet, if `count_seeds` is set. The rank is the position among the peers in an order that all
+    /// gateways share.
     [[nodiscard]] auto reach(instant now, bool count_seeds) const -> gateway_reach;
     /// Number of gateways, including this one. Draining peers count, because they are still sending.
     [[nodiscard]] auto gateways() const -> int { return static_cast<int>(peers_.size()) + 1; }
--- a/include/dragonflymill/direct/upstream_list.h
+++ b/include/dragonflymill/direct/upstream_list.h
@@ -60,6 +60,7 @@
 {
     upstream_entry entry;  ///< Entry as last published.
     std::uint64_t key = 0; ///< Hash of its id: its name in load reports and its position in a stable order.
+    instant cold_since{};  ///< Begin of its last cold start, as far as known here.
     instant cold_until{};  ///< Time until which it is cold.
     std::optional<instant>
         removed_at; ///< When its entry was removed, while the removal is still unconfirmed.
@@ -109,6 +110,7 @@
 
 private:
     void take_entry(const std::string& key, const upstream_entry& entry, instant now);
+    static void extend_cold_start(upstream_state& upstream, instant until, instant now);
     [[nodiscard]] auto cold_time(const std::string& service) const -> duration;
 
     std::shared_ptr<const fleet_config> config_;
--- a/include/dragonflymill/limit/shared_rate_schedule.h
+++ b/include/dragonflymill/limit/shared_rate_schedule.h
@@ -11,6 +11,7 @@
 {
     int reachable = 1; ///< Gateways whose reports arrive.
     int known = 1;     ///< These and the silent ones, which may be sending calls all the same.
+    int rank = 0;      ///< Position of this gateway in an order that all share, from 0.
 
     friend auto operator==(const gateway_reach&, const gateway_reach&) -> bool = default;
 };
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -97,7 +97,7 @@
 
 auto call_dispatcher::retry_allowed(const std::string& service, instant now) -> bool
 {
-    return retries_[service].available(now, settings_.retries, gateways_);
+    return retries_[service].available(now, settings_.retries, gateways_.known);
 }
 
 auto call_dispatcher::rate_limited_services(const upstream_list& fleet) const -> std::set<std::string>
@@ -260,7 +260,7 @@
     if (!waited->second) {
         waited->second = now;
     }
-    const duration window = std::min(backoff_per_gateway * gateways_, max_backoff);
+    const duration window = std::min(backoff_per_gateway * gateways_.known, max_backoff);
     const std::uint64_t random = stable_hash(std::to_string(call.id), settings_.seed);
     const duration backoff(static_cast<duration::rep>(random % static_cast<std::uint64_t>(window.count())));
     return now - *waited->second >= backoff;
@@ -394,19 +394,22 @@
                                    instant now) const -> instant
 {
     const instant stated = rate_limits_.available_at(run_of(upstream.entry));
-    const double cold_rate = cold_start_rate(fleet, upstream, now);
-    const auto limiter = cold_limiters_.find(upstream.entry.id);
-    if (cold_rate <= 0 || limiter == cold_limiters_.end()) {
+    const auto cold = cold_limit_of(fleet, upstream, now);
+    if (!cold) {
         return stated;
     }
-    return std::max(stated, limiter->second.available_at(cold_rate, gateways_));
+    const auto limiter = cold_limiters_.find(upstream.entry.id);
+    const cold_start_limiter& known =
+        limiter == cold_limiters_.end() ? cold_start_limiter() : limiter->second;
+    return std::max(stated, known.available_at(*cold, gateways_));
 }
 
 auto call_dispatcher::expected_rate(const upstream_list& fleet, const upstream_state& upstream,
                                     instant now) const -> double
 {
     const double stated = rate_limits_.expected_rate(run_of(upstream.entry), now);
-    const double cold = cold_start_rate(fleet, upstream, now) / std::max(gateways_, 1);
+    const auto limit = cold_limit_of(fleet, upstream, now);
+    const double cold = limit ? limit->calls_per_s / std::max(gateways_.known, 1) : 0.0;
     return stated > 0 && cold > 0 ? std::min(stated, cold) : std::max(stated, cold);
 }
 
@@ -414,19 +417,19 @@
 {
     const upstream_state& state = fleet.upstreams().at(upstream);
     rate_limits_.count_call(run_of(state.entry), now);
-    if (const double limit = cold_start_rate(fleet, state, now); limit > 0) {
-        (void)cold_limiters_[upstream].take(now, limit, gateways_);
+    if (const auto limit = cold_limit_of(fleet, state, now)) {
+        (void)cold_limiters_[upstream].take(now, *limit, gateways_);
     }
 }
 
-auto call_dispatcher::cold_start_rate(const upstream_list& fleet, const upstream_state& upstream,
-                                      instant now) const -> double
+auto call_dispatcher::cold_limit_of(const upstream_list& fleet, const upstream_state& upstream, instant now)
+    -> std::optional<cold_start_limit>
 {
-    if (now >= upstream.cold_until) {
-        return 0.0;
-    }
     const service_rule* service = fleet.config()->find_service(upstream.entry.service);
-    return service == nullptr ? 0.0 : service->cold_calls_per_s;
+    if (now >= upstream.cold_until || service == nullptr || service->cold_calls_per_s <= 0.0) {
+        return std::nullopt;
+    }
+    return cold_start_limit{service->cold_calls_per_s, upstream.cold_since};
 }
 
 auto call_dispatcher::assignment_for(const upstream_list& fleet, const waiting_call& call,
@@ -456,7 +459,7 @@
         retries.count_first_attempt(now);
     }
     if (call.attempts.arrivals() > 0) {
-        (void)retries.take(now, settings_.retries, gateways_);
+        (void)retries.take(now, settings_.retries, gateways_.known);
     }
     return assignment;
 }
--- a/src/direct/cold_start_limiter.cpp
+++ b/src/direct/cold_start_limiter.cpp
@@ -7,14 +7,17 @@
 namespace {
 
 constexpr double us_per_s = 1e6;
-/// Calls per second; a very small configured rate must not exclude an upstream for good.
-constexpr double min_rate = 0.1;
+
+auto time_for(double calls, double calls_per_s) -> duration
+{
+    return duration(static_cast<duration::rep>(us_per_s * calls / calls_per_s));
+}
 
 } // namespace
 
-auto cold_start_limiter::take(instant now, double calls_per_s, int gateways) -> bool
+auto cold_start_limiter::take(instant now, const cold_start_limit& limit, const gateway_reach& reach) -> bool
 {
-    if (available_at(calls_per_s, gateways) > now) {
+    if (available_at(limit, reach) > now) {
         return false;
     }
     last_ = now;
@@ -22,15 +25,12 @@
     return true;
 }
 
-auto cold_start_limiter::available_at(double calls_per_s, int gateways) const -> instant
-{
-    return used_ ? last_ + interval(calls_per_s, gateways) : instant{};
-}
-
-auto cold_start_limiter::interval(double calls_per_s, int gateways) const -> duration
+auto cold_start_limiter::available_at(const cold_start_limit& limit, const gateway_reach& reach) const
+    -> instant
 {
-    const double own_rate = std::max(calls_per_s / std::max(gateways, 1), min_rate);
-    return duration(static_cast<duration::rep>(us_per_s / own_rate));
+    const instant first_turn = limit.since + time_for(reach.rank, limit.calls_per_s);
+    return used_ ? std::max(first_turn, last_ + time_for(std::max(reach.known, 1), limit.calls_per_s))
+                 : first_turn;
 }
 
 } // namespace dragonflymill::direct
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -103,7 +103,12 @@
             seeds_.size() - static_cast<std::size_t>(std::count(seeds_.begin(), seeds_.end(), address_));
         known = std::max(known, 1 + others);
     }
-    return {1 + static_cast<int>(heard), static_cast<int>(known)};
+    const auto order = [](const std::string& gateway) {
+        return std::pair(stable_hash(gateway), std::string_view(gateway));
+    };
+    const auto before = std::count_if(peers_.begin(), peers_.end(),
+                                      [&](const auto& peer) { return order(peer.first) < order(self_); });
+    return {1 + static_cast<int>(heard), static_cast<int>(known), static_cast<int>(before)};
 }
 
 auto peer_table::unknown_addresses() const -> std::vector<std::string>
--- a/src/direct/upstream_list.cpp
+++ b/src/direct/upstream_list.cpp
@@ -38,10 +38,11 @@
     upstream_state& state = known->second;
     const bool restarted = !is_new && state.entry.started_ms != entry.started_ms;
     if (is_new || restarted) {
+        state.cold_since = now;
         state.cold_until = now + entry.cold_remaining;
     }
     else if (entry.cold_remaining > duration::zero()) {
-        state.cold_until = std::max(state.cold_until, now + entry.cold_remaining);
+        extend_cold_start(state, now + entry.cold_remaining, now);
     }
     state.entry = entry;
     state.key = stable_hash(entry.id);
@@ -49,6 +50,14 @@
     id_by_key_[key] = entry.id;
 }
 
+void upstream_list::extend_cold_start(upstream_state& upstream, instant until, instant now)
+{
+    if (upstream.cold_until <= now && until > now) {
+        upstream.cold_since = now;
+    }
+    upstream.cold_until = std::max(upstream.cold_until, until);
+}
+
 void upstream_list::remove(const std::string& key, bool after_outage, instant now)
 {
     if (const auto domain = domain_by_key_.find(key); domain != domain_by_key_.end()) {
@@ -56,7 +65,7 @@
         for (auto& [id, state] : upstreams_) {
             // While a failure domain is drained, its upstreams may have restarted or become cold unnoticed.
             if (state.entry.failure_domain == domain->second) {
-                state.cold_until = std::max(state.cold_until, now + cold_time(state.entry.service));
+                extend_cold_start(state, now + cold_time(state.entry.service), now);
             }
         }
         domain_by_key_.erase(domain);
--- a/tests/direct/shared_bounds_test.cpp
+++ b/tests/direct/shared_bounds_test.cpp
@@ -98,7 +98,9 @@
     std::deque<instant> sent;
     for (int step = 0; step < 40'000; ++step) {
         const instant now = instant(100s) + step * 250us;
-        if (limiters[static_cast<std::size_t>(step) % gateways].take(now, rate, gateways)) {
+        const int index = step % gateways;
+        const gateway_reach reach{gateways, gateways, index};
+        if (limiters[static_cast<std::size_t>(index)].take(now, {rate, instant(100s)}, reach)) {
             sent.push_back(now);
         }
         while (!sent.empty() && now - sent.front() >= 1s) {
@@ -107,3 +109,29 @@
         cr_assert(static_cast<double>(sent.size()) <= rate + gateways);
     }
 }
+
+// A large fleet sees a cold upstream at the same moment. Guards against the first call of each gateway, and
+// against a minimum rate per gateway: the sum of either exceeds what the upstream survives.
+Test(cold_start_limiter, holds_with_more_gateways_than_calls)
+{
+    constexpr instant cold_since(100s);
+    for (const int gateways : {41, 103, 410}) {
+        for (const double rate : {5.0, 18.0}) {
+            std::vector<cold_start_limiter> limiters(static_cast<std::size_t>(gateways));
+            std::deque<instant> sent;
+            for (instant now = cold_since; now < cold_since + 5s; now += 1ms) {
+                for (int i = 0; i < gateways; ++i) {
+                    const gateway_reach reach{gateways, gateways, i};
+                    if (limiters[static_cast<std::size_t>(i)].take(now, {rate, cold_since}, reach)) {
+                        sent.push_back(now);
+                    }
+                }
+                while (!sent.empty() && now - sent.front() >= 1s) {
+                    sent.pop_front();
+                }
+                cr_assert(static_cast<double>(sent.size()) <= 1.5 * rate + 5.0, "%d gateways, rate %.0f: %zu",
+                          gateways, rate, sent.size());
+            }
+        }
+    }
+}
