Count silent gateways in equal shares of limits

Shares of the retry budget and of cold starts were divided by the gateways that are heard. The two parts of a partitioned fleet each divided by their own number, so together they took up to twice the limit.

A gateway that fell silent without draining counts for an hour, unless one at its address is heard again. The test checks which gateways count.

--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -534,8 +534,8 @@
 {
     const bool settled = runtime::now() - started_at_ >= gateway_count_settle_time;
     const int max_gateways = static_cast<int>(settings_.retries.slack * direct::retry_window::safety);
-    dispatcher_.set_gateways(settled ? peers_.gateways() : std::max(peers_.gateways(), max_gateways),
-                             peers_.reach(runtime::now(), !settled));
+    const gateway_reach reach = peers_.reach(runtime::now(), !settled);
+    dispatcher_.set_gateways(settled ? reach.known : std::max(reach.known, max_gateways), reach);
     metrics_.gateways.set(peers_.gateways());
 }
 
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -57,6 +57,30 @@
     cr_assert(!table.select_newer_peer(9));
 }
 
+// Guards against two parts of a partitioned fleet that each take the whole of a shared limit: a peer that
+// fell silent without draining may be partitioned and counts until it is replaced.
+Test(peer_table, silent_peer_still_shares_limits)
+{
+    peer_table table("self", "self:7340", {"seed:7340"});
+    cr_assert(table.reach(start, false) == (gateway_reach{1, 1, 0}));
+    cr_assert(table.reach(start, true).known == 2, "a seed that has not been heard yet");
+    (void)table.take(digest_of("p"), start);
+    peer_digest leaving = digest_of("q");
+    leaving.leaving = true;
+    (void)table.take(leaving, start);
+    cr_assert(table.reach(start, false).reachable == 3 && table.reach(start, false).known == 3);
+    cr_assert(table.reach(start + 2s, false).reachable == 1);
+    (void)table.expire_peers(start + 4s);
+    cr_assert(table.reach(start + 4s, false).known == 2, "the one that drained is gone");
+    peer_digest restarted = digest_of("p#2");
+    restarted.address = "p:7340";
+    (void)table.take(restarted, start + 5s);
+    cr_assert(table.reach(start + 5s, false).known == 2, "a restart at the same address");
+    (void)table.expire_peers(start + 9s);
+    (void)table.expire_peers(start + 9s + peer_table::lost_peer_retention + 1ms);
+    cr_assert(table.reach(start + 2h, false).known == 1);
+}
+
 // Guards against counting a gateway twice that is killed and restarts at its address within a second: each
 // gateway's share of the shared limits would be too small.
 Test(peer_table, a_restarted_gateway_replaces_the_old_process)
