Test rate limits through a gateway's sockets

A caller beyond a stated limit is refused at once with the time of its turn and nothing reaches the upstream; a rejection without a statement doesn't end a limit.

--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -85,6 +85,12 @@
     /// Port on which callers are served; chosen by the system if the settings state 0.
     [[nodiscard]] auto caller_port() const -> std::uint16_t;
 
+    /// Number of upstreams that state a rate limit.
+    [[nodiscard]] auto rate_limited_upstreams() const -> std::size_t
+    {
+        return dispatcher_.rate_limits().beliefs().limited();
+    }
+
     auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
         -> std::shared_ptr<in_flight_request> override;
     [[nodiscard]] auto limits() const -> direct::caller_limits override;
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -107,8 +107,13 @@
         names.account_key = "Authorization";
         names.auth_scheme = "Bearer ";
         names.ready_path = "/ready";
-        gateway = std::make_unique<direct_gateway>(loop, settings, platform_adapter{names, {}}, source,
-                                                   [] { return std::nullopt; });
+        const auto read_rate_statement = [](const response_head& head) -> rate_statement {
+            const std::string text(head.value_of("Rate-Limit"));
+            return {true, text.empty() ? std::nullopt : std::optional(std::stod(text))};
+        };
+        gateway =
+            std::make_unique<direct_gateway>(loop, settings, platform_adapter{names, {}, read_rate_statement},
+                                             source, [] { return std::nullopt; });
         cr_assert(gateway->start().has_value());
         connect_caller();
     }
--- a/tests/edge/gateway_flow_test.cpp
+++ b/tests/edge/gateway_flow_test.cpp
@@ -288,3 +288,46 @@
     fixture.source.publish_records();
     fixture.run_until_received("booked");
 }
+
+// Guards against callers that are held, or sent to an upstream in need: once a response has stated a rate
+// limit, the next caller is refused at once and told when its turn comes.
+Test(gateway_flow, refuses_a_call_beyond_a_stated_rate_limit)
+{
+    gateway_fixture fixture;
+    auto& upstream = fixture.add_upstream("bookings", [](taken_connection& connection) {
+        connection.send(complete_response("done", "Rate-Limit: 0.1\r\n"));
+    });
+    fixture.start();
+    fixture.send("POST", "/book/1");
+    fixture.run_until_received("done");
+    fixture.received.clear();
+    fixture.send("POST", "/book/2");
+    fixture.run_until_received("\r\n\r\n");
+    cr_assert(fixture.received.starts_with("HTTP/1.1 503 "), "%s", fixture.received.c_str());
+    const auto at = fixture.received.find("Retry-After: ");
+    cr_assert(at != std::string::npos);
+    const double retry_after = std::stod(fixture.received.substr(at + 13));
+    cr_assert(retry_after > 5.0 && retry_after < 21.0, "%f", retry_after);
+    cr_assert(upstream.requests.size() == 1);
+}
+
+// A rejection that doesn't come from the upstream's own queue may know nothing of its limit, and an answer of
+// another upstream at the address says nothing about it.
+Test(gateway_flow, rejection_without_a_statement_does_not_end_a_rate_limit)
+{
+    gateway_fixture fixture;
+    int calls = 0;
+    auto& upstream = fixture.add_upstream("bookings", [&](taken_connection& connection) {
+        const bool first = ++calls == 1;
+        connection.send(first ? complete_response("done", "Rate-Limit: 20\r\n")
+                              : std::string("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+    });
+    fixture.start();
+    fixture.send("POST", "/book/1");
+    fixture.run_until_received("done");
+    fixture.received.clear();
+    fixture.send("POST", "/book/2");
+    fixture.run_until_received("503");
+    cr_assert(upstream.requests.size() >= 2);
+    cr_assert(fixture.gateway->rate_limited_upstreams() == 1);
+}
