--- a/tests/direct/rate_limit_simulation.h
+++ b/tests/direct/rate_limit_simulation.h
@@ -4,7 +4,7 @@
 #include "dragonflymill/direct/call_dispatcher.h"
 #include "dragonflymill/direct/gossip_schedule.h"
 
-#include <criterion/criterion.h>
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
--- a/tests/direct/shared_rate_limit_test.cpp
+++ b/tests/direct/shared_rate_limit_test.cpp
@@ -1,5 +1,7 @@
 #include "rate_limit_simulation.h"
 
+#include <criterion/criterion.h>
+
 using namespace dragonflymill;
 using namespace dragonflymill::direct;
 
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -67,11 +67,15 @@
 void soak_upstream::run(taken_connection& call)
 {
     const std::string request = field(call.received, "Dragonflymill-Attempt-Id");
-    const std::string head = "Dragonflymill-Attempt-Id: " + request + "\r\nDragonflymill-Server-Seal: s\r\n";
+    std::string head = "Dragonflymill-Attempt-Id: " + request + "\r\nDragonflymill-Server-Seal: s\r\n";
     if (field(call.received, "Dragonflymill-Expect-Instance") != id_) {
         send(call, "HTTP/1.1 421 M\r\n" + head + "Content-Length: 0\r\n\r\n");
         return;
     }
+    if (limit_) {
+        head += "Server-Limit: " + std::to_string(*limit_) + "\r\n";
+    }
+    on_request_(request);
     if (const auto well = well_since_(); left_ && well) {
         promises_.reached_leaving(request, std::max(*left_, *well), soak_world::leave_bound);
     }
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_world.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -195,6 +196,8 @@
     const std::string id = service + "-" + std::to_string(++made_);
     upstreams_.push_back(std::make_unique<soak_upstream>(loop_, id, service, promises_));
     upstreams_.back()->set_store_well([this] { return store_well_since_; });
+    upstreams_.back()->set_on_request(
+        [this, id](const std::string& request) { limits_.received(id, gateway_of_request_[request]); });
     store_.put("servers/" + id, upstreams_.back()->entry(false));
 }
 
@@ -229,13 +232,14 @@
     const bool is_stream = random_.chance(0.5);
     soak_gateway& gateway = gateways_[random_.below(gateways_.size())];
     calm_calls_ += faults ? 0 : 1;
-    std::make_shared<caller>(*this, "r" + std::to_string(++made_), is_stream, !faults)
-        ->start(gateway, caller_port_);
+    const std::string request = "r" + std::to_string(++made_);
+    gateway_of_request_[request] = gateway.ip;
+    std::make_shared<caller>(*this, request, is_stream, !faults)->start(gateway, caller_port_);
 }
 
 void soak_world::next_fault()
 {
-    strike(random_.below(13));
+    strike(random_.below(14));
 }
 
 void soak_world::strike(std::uint64_t kind)
@@ -279,11 +283,27 @@
             add_upstream(service);
         }
         return;
+    case 13:
+        limit_upstream(upstream);
+        return;
     default:
         strike_gateway(gateways_[random_.below(gateways_.size())], kind);
     }
 }
 
+void soak_world::limit_upstream(soak_upstream& upstream)
+{
+    constexpr std::array limits{0.5, 1.0, 2.0, 4.0};
+    const double calls_per_s = limits[random_.below(limits.size())];
+    tell(upstream.id() + " states a limit of " + std::to_string(calls_per_s) + " a second");
+    upstream.set_limit(calls_per_s);
+    limits_.begin(upstream.id(), calls_per_s);
+    later(9s, [this, &upstream] {
+        upstream.set_limit(std::nullopt);
+        limits_.end(upstream.id());
+    });
+}
+
 void soak_world::strike_gateway(soak_gateway& gateway, std::uint64_t kind)
 {
     if (!gateway.process || gateway.ends_by || gateway.paused) {
@@ -297,10 +317,12 @@
     switch (kind) {
     case 8:
         tell(gateway.ip + " killed");
+        limits_.struck(gateway.ip);
         gateway.process->signal(SIGKILL);
         return;
     case 9:
         tell(gateway.ip + " stops (SIGTERM)");
+        limits_.struck(gateway.ip, 12s);
         gateway.process->signal(SIGTERM);
         gateway.ends_by = std::chrono::steady_clock::now() + 12s;
         return;
@@ -308,6 +330,7 @@
         tell(gateway.ip + " paused");
         gateway.paused = true;
         gateway.process->signal(SIGSTOP);
+        limits_.struck(gateway.ip, 2s);
         later(std::chrono::milliseconds(300 + random_.below(1500)), [&gateway] {
             gateway.paused = false;
             if (gateway.process) {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/random_source.h"
 #include "edge/response_parser.h"
+#include "soak/limit_watch.h"
 #include "soak/promises.h"
 #include "soak/store_standin.h"
 #include "support/child_process.h"
@@ -11,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +40,13 @@
     [[nodiscard]] auto id() const -> const std::string& { return id_; }
     /// Sets the fault for the requests and stream events that follow.
     void set_fault(fault now) { fault_ = now; }
+    /// Sets the rate limit that its responses state, in calls per second; nothing: they state none.
+    void set_limit(std::optional<double> calls_per_s) { limit_ = calls_per_s; }
+    /// Sets the function that is called for each request that it doesn't misdirect.
+    void set_on_request(std::function<void(const std::string& request)> on_request)
+    {
+        on_request_ = std::move(on_request);
+    }
     /// Marks the upstream as draining from now on.
     void leave() { left_ = std::chrono::steady_clock::now(); }
     /// Sets the function that returns since when the store has been available, nothing while it isn't. While
@@ -61,6 +70,8 @@
     promises& promises_;
     test_support::standin_upstream server_;
     fault fault_ = fault::none;
+    std::optional<double> limit_;
+    std::function<void(const std::string&)> on_request_;
     std::optional<moment> left_;
     std::function<std::optional<moment>()> well_since_;
 };
@@ -111,6 +122,7 @@
     void next_call(bool faults);
     void next_fault();
     void strike(std::uint64_t kind);
+    void limit_upstream(soak_upstream& upstream);
     void strike_gateway(soak_gateway& gateway, std::uint64_t kind);
     void heal();
     void look_after_gateways();
@@ -123,6 +135,8 @@
     random_source random_;
     std::string program_;
     promises promises_;
+    limit_watch limits_{promises_};
+    std::map<std::string, std::string> gateway_of_request_;
     store_standin store_;
     std::vector<std::unique_ptr<soak_upstream>> upstreams_;
     std::vector<soak_gateway> gateways_;
