Make two tests of shared rate limits stricter

Taking out the wait before a call, and giving all refused callers the same time, broke no test: calls of the first went to an unlimited upstream, and the callers of the second were refused in one round. With 41 gateways before a single upstream, and with callers refused one after the other, both are found.

--- a/src/limit/shared_rate_limits.cpp
+++ b/src/limit/shared_rate_limits.cpp
@@ -26,7 +26,7 @@
         beliefs_.apply(report.upstream,
                        {report.calls_per_s, now - std::max(report.age, duration::zero()), report.first_hand});
     if (changed) {
-        // Doesn't change the version: if each gateway passed on what it is told, a limit that changes with
+        // Leaves the version as it is: if each gateway passed on reported limits, a limit that changes with
         // every response would cost digests by the square of their number.
         limit_changed(report.upstream, now);
     }
--- a/tests/direct/shared_rate_limit_test.cpp
+++ b/tests/direct/shared_rate_limit_test.cpp
@@ -53,8 +53,8 @@
     for (const double limit : {0.1, 0.5, 2.0, 20.0}) {
         rate_limit_scenario scenario;
         scenario.gateways = 41;
-        scenario.upstreams = 2;
-        scenario.calls_per_s = 200.0;
+        scenario.upstreams = 1;
+        scenario.calls_per_s = 400.0;
         scenario.length = 14s;
         scenario.limit = limit_of_first(limit);
         (void)run_and_check(scenario, limit, 2s + settle_time);
@@ -204,6 +204,19 @@
     }
 }
 
+// Callers that are refused one after the other, while nothing is sent, must not be told the same time.
+Test(shared_rate_limit, callers_refused_at_different_times_return_in_turn)
+{
+    limited_gateway limited(0.5);
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        const instant now = start + 100ms * static_cast<int>(id);
+        limited.add(id, now, 300ms);
+        const auto round = limited.gateway.decide(limited.simulation.fleet, now);
+        cr_assert(round.refusals.size() == 1);
+        cr_assert(now + round.refusals.front().retry_after == start + 2s * static_cast<int>(id));
+    }
+}
+
 Test(shared_rate_limit, call_waits_for_a_turn_that_comes_in_time)
 {
     limited_gateway limited(5.0);
