Spread short calls over engines that nothing else needs

The partition of short calls was as small as three quarters of its slots allow, because long prompts need all other engines in the fleets it was made for. The calls that gateways send unaware of each other all meet on those few engines, and their number grows with the gateways.

Half of the engines that neither kind needs now are added to the partition. Two engines are kept for each one that long prompts use, and for each of the sixteen that one more could use, so a busy fleet is partitioned as before.

The test runs one short call for every three engines at 140, 280 and 560 engines: no engine has more than two.

--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -38,7 +38,9 @@
 /// time between tokens (TBT) target. The engines are therefore partitioned: short prompts fill the first
 /// engines of an order that all gateways share, as many as the short calls in flight need. Long prompts use
 /// the engines behind that boundary and are prefilled in parts on many engines, which keeps the delay short
-/// there too. The boundary is computed for each call and follows changes of the mix immediately.
+/// there too. The boundary is computed for each call and follows changes of the mix immediately. Half of the
+/// engines that neither kind needs are added to the first ones: a short prompt on an engine with other
+/// streams waits for their iteration and delays them by its prefill.
 class engine_dispatch
 {
 public:
@@ -61,11 +63,16 @@
     /// Share of an engine's slots that short calls fill before the partition grows by an engine; the rest
     /// absorbs calls that other gateways placed since their last load report.
     static constexpr double short_fill = 0.75;
+    /// Engines that are kept for long prompts, for each engine that these use now or that one more could use.
+    static constexpr std::size_t long_headroom = 2;
     /// Target prefill time of a part, as a share of the tightest TBT target. Smaller parts use more engines,
     /// each of which first completes an iteration; larger ones delay the engines' streams.
     static constexpr double part_time_share = 0.6;
 
 private:
+    /// Returns the engines that the short partition gets beyond those that it requires.
+    [[nodiscard]] static auto spare_for_short(std::size_t count, std::size_t required, int long_prompts)
+        -> std::size_t;
     [[nodiscard]] auto choose_short(const call_requirements& call,
                                     std::span<const dispatch_candidate> ordered, std::size_t boundary) const
         -> dispatch_decision;
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -67,7 +67,16 @@
     const auto required = static_cast<std::size_t>(std::ceil((short_calls + 1) / calls_per_engine));
     const std::size_t count = candidates.size();
     const std::size_t max_size = long_prompts > 0 && count > 1 ? count - 1 : count;
-    return std::clamp<std::size_t>(required, 1, std::max<std::size_t>(max_size, 1));
+    const std::size_t wanted = required + spare_for_short(count, required, long_prompts);
+    return std::clamp<std::size_t>(wanted, 1, std::max<std::size_t>(max_size, 1));
+}
+
+auto engine_dispatch::spare_for_short(std::size_t count, std::size_t required, int long_prompts)
+    -> std::size_t
+{
+    const std::size_t for_long =
+        long_headroom * (static_cast<std::size_t>(long_prompts) + prefill_planner::max_prefill_engines);
+    return count <= required + for_long ? 0 : (count - required - for_long) / 2;
 }
 
 auto engine_dispatch::is_latency_critical(const call_requirements& call) const -> bool
--- a/tests/direct/dispatch_policy_test.cpp
+++ b/tests/direct/dispatch_policy_test.cpp
@@ -1,6 +1,8 @@
+#include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/direct/dispatch_policy.h"
 #include "engine_samples.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <set>
 #include <string>
@@ -118,6 +120,45 @@
               "one engine is left for long prompts while there are any");
 }
 
+// Pattern: a fleet of n, 2n and 4n engines, one in three of which would suffice. Guards against packing all
+// short calls into a few engines, where each delays the others, while most engines are idle.
+Test(engine_dispatch, short_calls_spread_over_idle_engines)
+{
+    for (const int count : {140, 280, 560}) {
+        auto all = idle_engines(count);
+        for (int i = 0; i < count / 3; ++i) {
+            call_requirements call = short_call();
+            call.tie_breaker = mix_bits(static_cast<std::uint64_t>(i));
+            const auto choice = policy().choose(call, all).choice;
+            cr_assert(choice);
+            const auto used = std::find_if(all.begin(), all.end(),
+                                           [&](const auto& engine) { return engine.id == choice->upstream; });
+            ++used->load.short_calls;
+        }
+        const auto fullest = std::max_element(
+            all.begin(), all.end(), [](const auto& a, const auto& b) { return in_flight(a) < in_flight(b); });
+        cr_assert(in_flight(*fullest) <= 2, "%d calls on one of %d engines", in_flight(*fullest), count);
+        const auto idle =
+            std::count_if(all.begin(), all.end(), [](const auto& engine) { return in_flight(engine) == 0; });
+        cr_assert(idle >= 2 * static_cast<std::ptrdiff_t>(prefill_planner::max_prefill_engines),
+                  "engines are left for long prompts");
+    }
+}
+
+// Guards against short calls that take the engines of long prompts while those need them.
+Test(engine_dispatch, short_calls_stay_on_few_engines_while_long_prompts_need_the_others)
+{
+    auto all = idle_engines(140);
+    for (std::size_t i = 40; i < all.size(); ++i) {
+        all[i].load.parts = 1;
+    }
+    for (std::size_t i = 0; i < 10; ++i) {
+        all[i].load.short_calls = 6;
+    }
+    cr_assert(policy().short_partition_size(all) == 6,
+              "61 calls on engines of 16 slots filled to three quarters");
+}
+
 // A prompt's first token arrived seconds late because its engine prefilled parts of other prompts, one after
 // the other, before its own. An engine with a pending prefill of its own must get no parts.
 Test(engine_dispatch, engine_with_a_pending_prefill_gets_no_parts)
