Read stale pages in the first listing

What it lacks arrives as changes after its revision, so the listing now continues from the revision of its oldest page. After the source has lost its history the listing isn't stale any more: it might be older than the history.

--- a/src/direct/source_listing.cpp
+++ b/src/direct/source_listing.cpp
@@ -16,11 +16,13 @@
 auto source_listing::take(listing_page page) -> std::optional<records_update>
 {
     if (!started_) {
-        // Pages are not a snapshot: changes made while they are read arrive as changes after this revision.
         started_ = true;
         listed_.as_of = page.revision;
         listed_.whole = true;
     }
+    // Pages are not a snapshot, and a stale one may be older than the one before it: what the oldest page
+    // lacks arrives as changes after its revision.
+    listed_.as_of = std::min(listed_.as_of, page.revision);
     const bool has_more = page.more && !page.records.empty();
     cursor_ = has_more ? page.records.back().key : "";
     std::move(page.records.begin(), page.records.end(), std::back_inserter(listed_.records));
--- a/tests/direct/source_listing_test.cpp
+++ b/tests/direct/source_listing_test.cpp
@@ -60,3 +60,14 @@
     cr_assert(whole && whole->records.size() == 2);
     cr_assert(listing.cursor().empty());
 }
+
+// Guards against a lost change: a stale page may come from an older state of the source than the page before
+// it.
+Test(source_listing, continues_from_the_revision_of_its_oldest_page)
+{
+    source_listing listing;
+    (void)listing.take(page("a", "b", 10, true));
+    (void)listing.take(page("c", "d", 7, true));
+    const auto whole = listing.take(page("e", "f", 12, false));
+    cr_assert(whole && whole->as_of == 7);
+}
