--- a/tests/direct/shared_bounds_test.cpp
+++ b/tests/direct/shared_bounds_test.cpp
@@ -2,8 +2,10 @@
 #include "dragonflymill/direct/cold_start_limiter.h"
 #include "dragonflymill/direct/retry_window.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <deque>
+#include <numeric>
 #include <vector>
 
 using namespace dragonflymill;
@@ -77,6 +79,36 @@
     cr_assert(taken <= 2, "%d", taken);
 }
 
+// Pattern: n, 2n and 4n gateways share a slack of less than one retry each, all calls fail and each gateway
+// has few of them. Guards against shares that round down to nothing, and against one retry of each gateway at
+// once.
+Test(retry_window, shares_below_one_retry_neither_starve_nor_exceed_the_budget)
+{
+    constexpr retry_budget_limits no_share{0.0, 100.0, 10s};
+    for (const int gateways : {150, 300, 600}) {
+        std::vector<retry_window> windows(static_cast<std::size_t>(gateways));
+        std::vector<int> taken(windows.size());
+        window_sum sum;
+        double most = 0.0;
+        constexpr duration length = 400s;
+        for (duration t{}; t < length; t += 500ms) {
+            const instant now = instant(100s) + t;
+            for (int gateway = 0; gateway < gateways; ++gateway) {
+                const auto index = static_cast<std::size_t>(gateway);
+                if (windows[index].take(now, no_share, gateways, gateway)) {
+                    ++taken[index];
+                    sum.add(now, true);
+                }
+            }
+            most = std::max(most, sum.count(true));
+        }
+        cr_assert(most <= no_share.slack, "%f", most);
+        cr_assert(*std::min_element(taken.begin(), taken.end()) >= 1, "a gateway never had its turn");
+        const double whole = static_cast<double>(std::accumulate(taken.begin(), taken.end(), 0));
+        cr_assert(whole >= no_share.slack * static_cast<double>(length / no_share.window) / 4, "%f", whole);
+    }
+}
+
 Test(retry_window, calls_older_than_the_window_expire)
 {
     retry_window window;
