Look for a newer peer only if one may be newer

For each datagram a gateway ranked all of its peers by a hash over two names, also when none had newer records. At 424 gateways this is 424 hashes and logarithms for each datagram, and a fleet that starts at once does it by the cube of its size.

The table remembers the newest revision that a peer reported, and ranks peers only if that is newer than the own one and a fetch is due. The cost of this change alone was not measured.

--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -63,11 +63,16 @@
     [[nodiscard]] auto reach(instant now, bool count_seeds) const -> gateway_reach;
     /// Number of gateways, including this one. Draining peers count, because they are still sending.
     [[nodiscard]] auto gateways() const -> int { return static_cast<int>(peers_.size()) + 1; }
+    /// Returns whether a peer may know published changes after `revision`.
+    [[nodiscard]] auto has_newer_peer(std::uint64_t revision) const -> bool
+    {
+        return newest_revision_ > revision;
+    }
     /// Returns a peer that knows published changes after `revision`; nothing if none does. The choice differs
     /// between gateways and between values of `attempt`, weighted by the peers' processor. If all gateways
     /// asked the peer with the newest revision, sending a large configuration would saturate its link for
     /// seconds and delay every other change.
-    [[nodiscard]] auto select_newer_peer(std::uint64_t revision, std::uint64_t attempt = 0) const
+    [[nodiscard]] auto select_newer_peer(std::uint64_t revision, std::uint64_t attempt = 0)
         -> std::optional<peer_digest>;
     /// Returns whether this process must read published records from the source: fewer than `source_readers`
     /// of the gateways that precede it in a common order, larger ones first, are known to do so. All other
@@ -108,6 +113,7 @@
     std::map<std::string, known_peer> peers_;
     std::map<std::string, instant> learned_addresses_;
     std::map<std::string, instant> lost_peers_; // by address, when they were lost
+    std::uint64_t newest_revision_ = 0;         // of any peer, which may have gone since
 };
 
 } // namespace dragonflymill::direct
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -49,6 +49,7 @@
         std::erase_if(peers_, [&](const auto& peer) { return peer.second.digest.address == digest.address; });
     }
     peers_[digest.gateway] = known_peer{digest, now};
+    newest_revision_ = std::max(newest_revision_, digest.revision);
     lost_peers_.erase(digest.address);
     for (const std::string& address : digest.peers) {
         if (address != address_ && learned_addresses_.size() < max_peers) {
@@ -124,16 +125,21 @@
     return {found.begin(), found.end()};
 }
 
-auto peer_table::select_newer_peer(std::uint64_t revision, std::uint64_t attempt) const
+auto peer_table::select_newer_peer(std::uint64_t revision, std::uint64_t attempt)
     -> std::optional<peer_digest>
 {
     const std::uint64_t round = mix_bits(revision) + attempt;
     const peer_digest* best = nullptr;
     double best_rank = 0.0;
+    newest_revision_ = 0;
     for (const auto& [name, peer] : peers_) {
         const peer_digest& digest = peer.digest;
+        newest_revision_ = std::max(newest_revision_, digest.revision);
+        if (digest.revision <= revision) {
+            continue;
+        }
         const double rank = weighted_rank(stable_hash(self_ + digest.gateway, round), digest.millicores);
-        if (digest.revision > revision && (best == nullptr || rank < best_rank)) {
+        if (best == nullptr || rank < best_rank) {
             best = &digest;
             best_rank = rank;
         }
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -332,23 +332,32 @@
 
 void direct_gateway::fetch_missing_records()
 {
-    const auto newer = peers_.select_newer_peer(records_.revision(), fetches_failed_);
-    const instant now = runtime::now();
-    if (!newer) {
+    const std::uint64_t revision = records_.revision();
+    if (!peers_.has_newer_peer(revision)) {
         behind_since_ = instant{};
         return;
     }
+    const instant now = runtime::now();
     if (behind_since_ == instant{}) {
         behind_since_ = now;
     }
     // The source delivers most changes by itself; fetching each of them from a peer too would double the
     // traffic.
-    const bool reads_source = now - source_read_at_ < source_freshness_limit;
-    if (now - behind_since_ >= peer_fetch_delay || outage_.is_lost() || !reads_source) {
-        link_.fetch(newer->address, records_.revision());
+    const bool must_fetch =
+        now - behind_since_ >= peer_fetch_delay || outage_.is_lost() || !reads_source(now);
+    if (!must_fetch || link_.fetching()) {
+        return;
+    }
+    if (const auto newer = peers_.select_newer_peer(revision, fetches_failed_)) {
+        link_.fetch(newer->address, revision);
     }
 }
 
+auto direct_gateway::reads_source(instant now) const -> bool
+{
+    return !outage_.is_lost() && now - source_read_at_ < source_freshness_limit;
+}
+
 auto direct_gateway::digest_header() -> direct::peer_message
 {
     const instant now = runtime::now();
@@ -357,7 +366,7 @@
     message.digest.sequence = ++digest_sequence_;
     message.digest.revision = records_.revision();
     message.digest.leaving = stopping_;
-    message.digest.reads_source = !outage_.is_lost() && now - source_read_at_ < source_freshness_limit;
+    message.digest.reads_source = reads_source(now);
     message.digest.relaying = relay_.is_relay();
     return message;
 }
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -111,6 +111,7 @@
     void handle_message(const direct::peer_message& message, instant now);
     void log_rate_limit(const rate_limit_report& report, const std::string& from) const;
     void fetch_missing_records();
+    [[nodiscard]] auto reads_source(instant now) const -> bool;
     [[nodiscard]] auto digest_header() -> direct::peer_message;
     [[nodiscard]] auto own_identity() const -> direct::peer_digest;
     [[nodiscard]] auto full_digest() -> direct::peer_message;
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -227,6 +227,20 @@
     cr_assert(large >= 20, "%d of 40 select a large one", large);
 }
 
+// Guards against checking all peers for newer records at each datagram: after a peer with newer records has
+// gone, the table notices that none is left.
+Test(peer_table, no_peer_is_newer_once_the_newest_has_gone)
+{
+    peer_table table("self", "x", {});
+    peer_digest newest = digest_of("p");
+    newest.revision = 7;
+    (void)table.take(newest, start);
+    cr_assert(table.has_newer_peer(6) && !table.has_newer_peer(7));
+    (void)table.expire_peers(start + 1min);
+    cr_assert(!table.select_newer_peer(6));
+    cr_assert(!table.has_newer_peer(6));
+}
+
 // Guards against small gateways as source readers: their links take a second to send a large configuration,
 // so the other gateways' fetches time out and start again.
 Test(peer_table, large_gateways_read_the_source)
