Replace lost readers of the source by a few gateways at a time

When its readers were lost, or refused by the source, each gateway of a fleet saw too few readers before it and started to read: all 424 at once. A new one was reported after its first watch, which waits for a change for up to two seconds, so the others stopped late.

Gateways now take over in batches of eight, in the order that all share, each half a second after the one before.

--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -77,8 +77,9 @@
     /// Returns whether this process must read published records from the source: fewer than `source_readers`
     /// of the gateways that precede it in a common order, larger ones first, are known to do so. All other
     /// gateways fetch changes from these readers, because a large fleet that reads the source directly would
-    /// overload it.
-    [[nodiscard]] auto must_read_source(instant now) const -> bool;
+    /// overload it. When readers are lost, the gateways take over in batches of that order: the next batch
+    /// starts only if the one before it has not been able to read.
+    [[nodiscard]] auto must_read_source(instant now) -> bool;
     /// Returns the addresses of up to `max_listed_peers` peers, rotating with `round` so that all are sent
     /// within a few rounds. In a large fleet, all addresses would make up most of a digest's bytes.
     [[nodiscard]] auto address_sample(std::uint64_t round) const -> std::vector<std::string>;
@@ -100,6 +101,11 @@
     static constexpr int source_readers = 3;
     /// Time without a digest after which a source reader no longer counts: two missed idle digests.
     static constexpr duration source_reader_timeout = 1s;
+    /// Number of gateways that start to read the source together when readers are missing. Larger than
+    /// `source_readers`, as the source may refuse part of the fleet's hosts.
+    static constexpr int takeover_batch = 8;
+    /// Time until the next batch starts: a read of a slow source, and the digests that report it.
+    static constexpr duration takeover_interval = 500ms;
     /// Maximum number of peer addresses in a digest.
     static constexpr std::size_t max_listed_peers = 32;
     /// Maximum number of known peers.
@@ -114,6 +120,7 @@
     std::map<std::string, instant> learned_addresses_;
     std::map<std::string, instant> lost_peers_; // by address, when they were lost
     std::uint64_t newest_revision_ = 0;         // of any peer, which may have gone since
+    std::optional<instant> readers_missing_since_;
 };
 
 } // namespace dragonflymill::direct
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -147,21 +147,28 @@
     return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
-auto peer_table::must_read_source(instant now) const -> bool
+auto peer_table::must_read_source(instant now) -> bool
 {
     const auto rank = [](const std::string& gateway, int millicores) {
         return std::tuple(-millicores, stable_hash(gateway), gateway);
     };
     const auto own = rank(self_, millicores_);
     int readers = 0;
+    int candidates = 0;
     for (const auto& [name, peer] : peers_) {
-        const bool relied_on = peer.digest.reads_source && !peer.digest.leaving &&
-                               now - peer.last_received_at <= source_reader_timeout;
-        if (relied_on && rank(name, peer.digest.millicores) < own) {
-            ++readers;
+        const bool reachable = !peer.digest.leaving && now - peer.last_received_at <= source_reader_timeout;
+        if (reachable && rank(name, peer.digest.millicores) < own) {
+            ++(peer.digest.reads_source ? readers : candidates);
         }
     }
-    return readers < source_readers;
+    if (readers >= source_readers) {
+        readers_missing_since_.reset();
+        return false;
+    }
+    if (!readers_missing_since_) {
+        readers_missing_since_ = now;
+    }
+    return now - *readers_missing_since_ >= takeover_interval * (candidates / takeover_batch);
 }
 
 auto peer_table::address_sample(std::uint64_t round) const -> std::vector<std::string>
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -223,11 +223,16 @@
              }
          },
          [this] {
+             const bool was_reading = reads_source(runtime::now());
              source_read_at_ = runtime::now();
              if (outage_.is_lost()) {
                  outage_.regained(source_read_at_);
                  log_event(event::record_source_regained, field("fleet_revision", records_.revision()));
              }
+             if (!was_reading) {
+                 // Other gateways start to read until they know that this one does.
+                 send_gossip(true);
+             }
          },
          [this] { return records_.revision(); }, [this] { return peers_.must_read_source(runtime::now()); }});
 }
