Tell callers their turn also where a call is refused after an attempt

Two refusals told a fixed 0.4 s: after an attempt that can't be repeated (`refuse_not_run`) and at the deadline. Where upstreams state rate limits, such a caller returned before its turn and was refused for good; in a long saturation it returned while that lasted.

The dispatcher computes the time as for a queued call: its turn under the rate limits, behind those that wait, or the length of the saturation. The tests take the turns of refused calls one after the other, and refuse calls before, during and at the end of a saturation.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -114,6 +114,11 @@
     /// Assigns or refuses queued calls; the others stay queued.
     [[nodiscard]] auto decide(const upstream_list& fleet, instant now) -> dispatch_round;
 
+    /// Returns when the client of a call that is refused after it was dispatched, or at its deadline, should
+    /// return: at its turn if the upstreams state rate limits, otherwise when capacity is expected.
+    [[nodiscard]] auto retry_after(const upstream_list& fleet, const waiting_call& call, instant now)
+        -> duration;
+
     /// Updates the load tracker with the upstreams that this gateway suspects, for the other gateways.
     void report_suspects(const upstream_list& fleet, instant now);
     /// Records the first token of a placed call.
@@ -160,9 +165,6 @@
     /// Number of other gateways that must suspect an upstream before this one does: a single gateway may have
     /// a faulty network path to it.
     static constexpr int suspicion_quorum = 2;
-    /// Retry-after time of a call refused for lack of capacity: the typical time until a short answer ends
-    /// and frees a slot.
-    static constexpr duration retry_after_full = 400ms;
     /// Retry-after time of a call refused because no upstream accepts work.
     static constexpr duration retry_after_no_upstream = 700ms;
 
@@ -181,6 +183,12 @@
         std::vector<dispatch_candidate> upstreams; // in the order that all gateways share
         bool rate_limited = false;                 // none, as all that take work are at a rate limit
     };
+    /// When a call can be sent under the rate limits of its service.
+    struct rate_limit_turn_time
+    {
+        instant expected_at{}; // instant::max(): no upstream may be used
+        duration interval{};   // between calls to the service
+    };
     /// Candidates of each service during one round. Building the list takes a load lookup per upstream, so it
     /// is done once per round and not per call: a queue of a dozen calls is examined forty times per second.
     using candidate_cache = std::map<std::string, service_candidates, std::less<>>;
@@ -204,8 +212,16 @@
     /// Returns the rate at which this gateway can expect to send calls to a limited upstream.
     [[nodiscard]] auto expected_rate(const upstream_list& fleet, const upstream_state& upstream,
                                      instant now) const -> double;
+    /// Returns when a call can be sent under the rate limits of its service, behind `calls_ahead` others.
+    [[nodiscard]] auto rate_limit_turn(const upstream_list& fleet, const waiting_call& call, int calls_ahead,
+                                       instant now) const -> rate_limit_turn_time;
+    /// Returns when the client of a call with that turn should return, and takes the turn for it.
+    auto take_return_turn(const waiting_call& call, const rate_limit_turn_time& turn, instant now) -> instant;
     [[nodiscard]] auto rate_limit_refusal(const upstream_list& fleet, const waiting_call& call,
                                           int calls_ahead, instant now) -> std::optional<dispatch_refusal>;
+    /// Returns when a call refused for lack of capacity should return.
+    [[nodiscard]] auto retry_after_saturation(const waiting_call& call, duration time_left, instant now) const
+        -> duration;
     /// Counts a call under the rate limits of an upstream.
     void count_limited_call(const upstream_list& fleet, const std::string& upstream, instant now);
     [[nodiscard]] auto assignment_for(const upstream_list& fleet, const waiting_call& call,
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -14,6 +14,8 @@
 constexpr double us_per_s = 1e6;
 /// Calls per second; bounds the time after which a refused caller is asked to return.
 constexpr double min_expected_rate = 1e-3;
+/// Assumed time of a client whose remaining time isn't known; bounds no Retry-After.
+constexpr duration unknown_time_left = 1h;
 
 auto class_of(const waiting_call& call) -> call_class
 {
@@ -208,16 +210,47 @@
         return dispatch_refusal{call.id, retry_after_no_upstream, "no upstream takes work"};
     }
     if (now >= call.queue_timeout_at) {
-        const std::uint64_t random = stable_hash(std::to_string(call.id), settings_.seed);
-        const duration saturated = saturation_.at(class_of(call)).saturated_for(now);
-        const duration retry_after = retry_after_for(saturated, call.deadline_at - now, random);
-        return dispatch_refusal{call.id, retry_after, to_string(call.blocked_by)};
+        return dispatch_refusal{call.id, retry_after_saturation(call, call.deadline_at - now, now),
+                                to_string(call.blocked_by)};
     }
     return std::nullopt;
 }
 
-auto call_dispatcher::rate_limit_refusal(const upstream_list& fleet, const waiting_call& call,
-                                         int calls_ahead, instant now) -> std::optional<dispatch_refusal>
+auto call_dispatcher::retry_after_saturation(const waiting_call& call, duration time_left, instant now) const
+    -> duration
+{
+    const std::uint64_t random = stable_hash(std::to_string(call.id), settings_.seed);
+    const auto known = saturation_.find(class_of(call));
+    const duration saturated =
+        known == saturation_.end() ? duration::zero() : known->second.saturated_for(now);
+    return retry_after_for(saturated, time_left, random);
+}
+
+auto call_dispatcher::retry_after(const upstream_list& fleet, const waiting_call& call, instant now)
+    -> duration
+{
+    if (!has_upstream(fleet, call.service)) {
+        return retry_after_no_upstream;
+    }
+    const service_rule* service =
+        fleet.config() == nullptr ? nullptr : fleet.config()->find_service(call.service);
+    if (service != nullptr && candidates(fleet, *service, now).rate_limited) {
+        const auto calls_ahead =
+            std::count_if(waiting_.begin(), waiting_.end(),
+                          [&](const waiting_call& other) { return other.service == call.service; });
+        const rate_limit_turn_time turn = rate_limit_turn(fleet, call, static_cast<int>(calls_ahead), now);
+        if (turn.expected_at == instant::max()) {
+            return retry_after_no_upstream;
+        }
+        return take_return_turn(call, turn, now) - now;
+    }
+    // A client whose stated time is over may have more time than it stated.
+    const duration time_left = call.deadline_at > now ? call.deadline_at - now : unknown_time_left;
+    return retry_after_saturation(call, time_left, now);
+}
+
+auto call_dispatcher::rate_limit_turn(const upstream_list& fleet, const waiting_call& call, int calls_ahead,
+                                      instant now) const -> rate_limit_turn_time
 {
     instant first = instant::max();
     double rate = 0.0;
@@ -227,19 +260,38 @@
             rate += expected_rate(fleet, state, now);
         }
     }
+    if (first == instant::max()) {
+        return {first, duration::zero()};
+    }
     const duration interval(static_cast<duration::rep>(us_per_s / std::max(rate, min_expected_rate)));
-    const instant expected_at = first + interval * calls_ahead;
-    if (expected_at <= call.queue_timeout_at) {
+    return {first + interval * calls_ahead, interval};
+}
+
+auto call_dispatcher::rate_limit_refusal(const upstream_list& fleet, const waiting_call& call,
+                                         int calls_ahead, instant now) -> std::optional<dispatch_refusal>
+{
+    const rate_limit_turn_time turn = rate_limit_turn(fleet, call, calls_ahead, now);
+    if (turn.expected_at == instant::max()) {
+        return dispatch_refusal{call.id, retry_after_no_upstream, to_string(wait_reason::rate_limit)};
+    }
+    if (turn.expected_at <= call.queue_timeout_at) {
         return std::nullopt;
     }
+    return dispatch_refusal{call.id, take_return_turn(call, turn, now) - now,
+                            to_string(wait_reason::rate_limit)};
+}
+
+auto call_dispatcher::take_return_turn(const waiting_call& call, const rate_limit_turn_time& turn,
+                                       instant now) -> instant
+{
     // Callers return one after the other, at the rate at which they can be served. A caller that won't wait
     // until its turn takes no turn from others.
     instant& last_return_at = last_return_at_[call.service];
-    const instant return_at = std::max(expected_at, last_return_at + interval);
+    const instant return_at = std::max(turn.expected_at, last_return_at + turn.interval);
     if (return_at - now <= scaled(call.deadline_at - now, max_retry_share_of_time_left)) {
         last_return_at = return_at;
     }
-    return dispatch_refusal{call.id, return_at - now, to_string(wait_reason::rate_limit)};
+    return return_at;
 }
 
 void call_dispatcher::record_no_capacity(const waiting_call& call, instant now)
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -594,10 +594,7 @@
         send_response();
         return;
     case next_step::refuse_not_run:
-        refuse(
-            503,
-            {refusal_code::overloaded, ran_state::no, direct::call_dispatcher::retry_after_full, "come back"},
-            why);
+        refuse(503, {refusal_code::overloaded, ran_state::no, retry_after(), "come back"}, why);
         return;
     case next_step::fail_unknown:
         refuse(502, {refusal_code::upstream_gone, ran_state::unknown, 0s, "check whether it was done"}, why);
@@ -645,9 +642,12 @@
         refuse(504, {refusal_code::deadline, ran_state::unknown, 0s, "check whether it was done"}, why);
         return;
     }
-    refuse(503,
-           {refusal_code::deadline, ran_state::no, direct::call_dispatcher::retry_after_full, "come back"},
-           why);
+    refuse(503, {refusal_code::deadline, ran_state::no, retry_after(), "come back"}, why);
+}
+
+auto exchange::retry_after() -> duration
+{
+    return context_.dispatcher.retry_after(context_.fleet, queued_call_, runtime::now());
 }
 
 void exchange::refuse(unsigned status, const refusal& refused, const std::string& why)
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -106,6 +106,7 @@
     void release_upstream();
     void on_deadline();
     void refuse(unsigned status, const refusal& refused, const std::string& why);
+    [[nodiscard]] auto retry_after() -> duration;
     void send_response();
     void log_answered(unsigned status);
     void finish();
--- a/tests/direct/call_dispatcher_test.cpp
+++ b/tests/direct/call_dispatcher_test.cpp
@@ -385,6 +385,34 @@
     cr_assert(retry_times.back() >= 1600ms && retry_times.back() <= 2400ms);
 }
 
+// Guards against a fixed Retry-After for calls that are refused after an attempt or at their deadline.
+Test(call_dispatcher, call_refused_after_an_attempt_returns_when_the_saturation_is_over)
+{
+    call_dispatcher decider = dispatcher();
+    upstream_list fleet = bookings(1, 1);
+    decider.add(call(1));
+    (void)decider.decide(fleet, start);
+    instant now = start;
+    waiting_call rejected = call(100);
+    rejected.deadline_at = start + 60s;
+    cr_assert(decider.retry_after(fleet, rejected, now) <= 500ms, "no saturation yet");
+    for (std::uint64_t id = 2; id <= 21; ++id) {
+        now = start + 100ms * static_cast<int>(id);
+        waiting_call queued = call(id);
+        queued.queue_timeout_at = now;
+        decider.add(queued);
+        (void)decider.decide(fleet, now);
+    }
+    const duration saturated = decider.retry_after(fleet, rejected, now);
+    cr_assert(saturated >= 1500ms && saturated <= 2300ms, "%lld us",
+              static_cast<long long>(saturated.count()));
+    rejected.deadline_at = now;
+    cr_assert(decider.retry_after(fleet, rejected, now) == saturated,
+              "the caller may have more time than stated");
+    start_draining(fleet, "u0");
+    cr_assert(decider.retry_after(fleet, rejected, now) == call_dispatcher::retry_after_no_upstream);
+}
+
 namespace {
 
 /// Returns a long call that lost attempts at the first two engines of a failure domain.
--- a/tests/direct/shared_rate_limit_test.cpp
+++ b/tests/direct/shared_rate_limit_test.cpp
@@ -283,3 +283,20 @@
     limited.gateway.forget_rate_limits(limited.simulation.fleet, start + 1min);
     cr_assert(limited.gateway.rate_limits().beliefs().all().empty());
 }
+
+// Guards against a fixed Retry-After for a call that its upstreams rejected: its caller returned before its
+// turn and was refused for good.
+Test(shared_rate_limit, call_refused_after_an_attempt_is_told_the_time_of_its_turn)
+{
+    limited_gateway limited(0.5);
+    limited.add(1, start, 300ms);
+    cr_assert(limited.gateway.decide(limited.simulation.fleet, start).refusals.size() == 1);
+    waiting_call rejected;
+    rejected.id = 2;
+    rejected.service = "bookings";
+    rejected.deadline_at = start + 60s;
+    const duration turn = limited.gateway.retry_after(limited.simulation.fleet, rejected, start);
+    cr_assert(turn == 4s, "the first turn is taken");
+    rejected.id = 3;
+    cr_assert(limited.gateway.retry_after(limited.simulation.fleet, rejected, start) == 6s);
+}
