Don't pass on addresses of other cells at second hand

Found on reading the change again. An address that another gateway named was stored as if it had just been heard, and was named to others again: the address of a dead gateway would go round between directories for ever, each time with a new age, and take a place and datagrams.

Only gateways that were heard are named. The test fails on the old directory by reading of it; it was not run there.

--- a/include/dragonflymill/direct/cell_directory.h
+++ b/include/dragonflymill/direct/cell_directory.h
@@ -37,7 +37,8 @@
     [[nodiscard]] auto targets(const fleet_cells& cells, std::uint64_t round, bool is_alone) const
         -> std::vector<std::string>;
     /// Returns the addresses to tell a gateway of a cell: up to `max_members` of its own cell, and a few of
-    /// any cell. `round` selects the first of each.
+    /// any cell. `round` selects the first of each. Names only gateways that were heard: an address that is
+    /// passed on at second hand would never expire.
     [[nodiscard]] auto introductions(const fleet_cells& cells, cell_id cell, std::uint64_t round) const
         -> std::vector<std::string>;
     /// Returns a gateway heard within `peer_table::peer_timeout` that knows published changes after
@@ -77,7 +78,8 @@
     struct known_gateway
     {
         std::uint64_t revision = 0;
-        instant last_received_at{};
+        instant last_received_at{}; // if learned: when
+        bool learned = false;       // named by others, not heard
     };
 
     std::string address_;
--- a/src/direct/cell_directory.cpp
+++ b/src/direct/cell_directory.cpp
@@ -20,7 +20,7 @@
         (gateways_.size() >= max_gateways && !gateways_.contains(digest.address))) {
         return;
     }
-    gateways_[digest.address] = {digest.revision, now};
+    gateways_[digest.address] = {digest.revision, now, false};
     newest_revision_ = std::max(newest_revision_, digest.revision);
 }
 
@@ -28,7 +28,7 @@
 {
     for (const std::string& address : addresses) {
         if (address != address_ && !cells.is_own(address) && gateways_.size() < max_gateways) {
-            gateways_.try_emplace(address, known_gateway{0, now});
+            gateways_.try_emplace(address, known_gateway{0, now, true});
         }
     }
 }
@@ -85,7 +85,9 @@
     std::vector<std::string> members;
     std::vector<std::string> others;
     for (const auto& [address, known] : gateways_) {
-        (cells.cell_of(address) == cell ? members : others).push_back(address);
+        if (!known.learned) {
+            (cells.cell_of(address) == cell ? members : others).push_back(address);
+        }
     }
     const auto reduce = [&](std::vector<std::string>& addresses, std::size_t most) {
         if (addresses.size() > most) {
--- a/tests/direct/cell_directory_test.cpp
+++ b/tests/direct/cell_directory_test.cpp
@@ -114,6 +114,20 @@
     cr_assert(contacted.size() == 1 && std::find(others.begin(), others.end(), contacted[0]) != others.end());
 }
 
+// Guards against the address of a dead gateway that directories name to each other for ever, each with a new
+// age.
+Test(cell_directory, addresses_at_second_hand_are_not_passed_on)
+{
+    const fleet_cells cells = cells_of("self", 4);
+    cell_directory directory("self", {});
+    const auto others = others_of("self", 4, 1);
+    const cell_id cell = cells.cell_of(others[0]);
+    directory.learn(cells, others, start);
+    cr_assert(directory.introductions(cells, cell, 1).empty());
+    directory.take(digest_from(others[0]), start);
+    cr_assert(directory.introductions(cells, cell, 1) == others);
+}
+
 Test(cell_directory, removes_silent_gateways_and_those_that_joined_its_cell)
 {
     const auto others = others_of("self", 4, 1);
