Show what upstreams state in their answers about pauses and drains

Cause: the logs of the incident don't tell what a rejection asked for, so that a statement that was never read, one that was not kept, and a path that doesn't ask for it look the same.

Change: one reader of a response's statements (rate limit, pushback, drain) and one place that keeps them (direct/upstream_statements). Events 1080 to 1082 and three metrics show what was stated, until when, and which call was sent in spite of it. No call is sent elsewhere or refused because of them yet. The simulation of rate limits now states all three.

Pushbacks end after ten minutes at most and drains ten minutes after they were stated last, so a huge value or an upstream that doesn't exit ends as well. A statement ends with the run of its upstream, except one so fresh that the new run may have made it before its entry was read.

Run: the direct, edge, limit, log and platform suites.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -11,6 +11,7 @@
 #include "dragonflymill/direct/saturation_tracker.h"
 #include "dragonflymill/direct/upstream_health.h"
 #include "dragonflymill/direct/upstream_list.h"
+#include "dragonflymill/direct/upstream_statements.h"
 #include "dragonflymill/limit/shared_rate_limits.h"
 
 #include <cstdint>
@@ -129,17 +130,18 @@
     /// Returns whether the retry budget of a service allows another attempt.
     [[nodiscard]] auto retry_allowed(const std::string& service, instant now) -> bool;
 
-    /// Records what an upstream's response to a call sent at `sent_at` says about its rate limit; returns
-    /// whether the limit changed.
-    auto record_rate_statement(const upstream_entry& upstream, const rate_statement& statement,
-                               instant sent_at, instant now) -> bool;
-    /// Removes the rate limits of upstreams that no longer run.
-    void forget_rate_limits(const upstream_list& fleet, instant now);
+    /// Records what an upstream states in its response to a call sent at `sent_at`.
+    auto record_statement(const upstream_entry& upstream, const upstream_statement& statement,
+                          instant sent_at, instant now) -> statement_changes;
+    /// Removes statements that are over, and the rate limits of upstreams that no longer run.
+    void expire_statements(const upstream_list& fleet, instant now);
     /// Applies another gateway's report about a rate limit; returns whether the limit changed.
     auto apply_rate_limit_report(const std::string& gateway, const rate_limit_report& report, instant now)
         -> bool;
     /// Removes the load and the counts of a gateway that no longer runs.
     void remove_gateway(const std::string& gateway);
+    /// Pushbacks and drains that upstreams state.
+    [[nodiscard]] auto statements() const -> const upstream_statements& { return statements_; }
     /// Rate limits that upstreams state.
     [[nodiscard]] auto rate_limits() const -> const shared_rate_limits& { return rate_limits_; }
 
@@ -252,6 +254,7 @@
     load_tracker loads_;
     upstream_health health_;
     shared_rate_limits rate_limits_;
+    upstream_statements statements_;
     /// Time at which the last caller refused for a rate limit was asked to return, by service.
     std::unordered_map<std::string, instant> last_return_at_;
     std::unordered_map<std::string, cold_start_limiter> cold_limiters_;
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -77,10 +77,12 @@
     rate_limits_.set_reach({reach.reachable, reach.known * cells, reach.rank});
 }
 
-auto call_dispatcher::record_rate_statement(const upstream_entry& upstream, const rate_statement& statement,
-                                            instant sent_at, instant now) -> bool
+auto call_dispatcher::record_statement(const upstream_entry& upstream, const upstream_statement& statement,
+                                       instant sent_at, instant now) -> statement_changes
 {
-    return rate_limits_.record(run_of(upstream), statement, sent_at, now);
+    statement_changes changes = statements_.record(upstream, statement, now);
+    changes.rate = rate_limits_.record(run_of(upstream), statement.rate, sent_at, now);
+    return changes;
 }
 
 auto call_dispatcher::apply_rate_limit_report(const std::string& gateway, const rate_limit_report& report,
@@ -95,8 +97,9 @@
     rate_limits_.remove_gateway(gateway);
 }
 
-void call_dispatcher::forget_rate_limits(const upstream_list& fleet, instant now)
+void call_dispatcher::expire_statements(const upstream_list& fleet, instant now)
 {
+    statements_.expire(now);
     if (rate_limits_.beliefs().all().empty()) {
         return;
     }
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -65,7 +65,7 @@
                timers_,
                platform_.names,
                platform_.orders,
-               platform_.read_rate_statement,
+               platform_.read_statement,
                dispatcher_,
                retry_detector_,
                fleet_,
@@ -600,7 +600,7 @@
     const instant now = runtime::now();
     fleet_.tick(now);
     dispatcher_.report_suspects(fleet_, now);
-    dispatcher_.forget_rate_limits(fleet_, now);
+    dispatcher_.expire_statements(fleet_, now);
     update_rate_limit_metrics(now);
     for (const std::string& expired : peers_.expire_peers(now)) {
         dispatcher_.remove_gateway(expired);
@@ -639,6 +639,8 @@
     }
     metrics_.limited_upstreams.set(static_cast<std::int64_t>(beliefs.limited()));
     metrics_.oldest_limit_age.set(oldest / 1s);
+    metrics_.pushback_upstreams.set(static_cast<std::int64_t>(dispatcher_.statements().pushbacks()));
+    metrics_.draining_upstreams.set(static_cast<std::int64_t>(dispatcher_.statements().drains()));
 }
 
 auto direct_gateway::ready() const -> bool
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -16,8 +16,8 @@
 #include "edge/header_names.h"
 #include "edge/loop_timers.h"
 #include "edge/peer_link.h"
-#include "edge/rate_statement_reader.h"
 #include "edge/record_source.h"
+#include "edge/statement_reader.h"
 #include "edge/status_pages.h"
 #include "settings/socket_address.h"
 
@@ -60,10 +60,9 @@
 /// Names and encodings used by the external systems of a deployment; its adapter provides them.
 struct platform_adapter
 {
-    header_names names;     ///< Names of header fields.
-    upstream_orders orders; ///< Encoders of orders to engines.
-    rate_statement_reader read_rate_statement =
-        no_rate_statement; ///< Decodes the rate limits that upstreams state.
+    header_names names;                             ///< Names of header fields.
+    upstream_orders orders;                         ///< Encoders of orders to engines.
+    statement_reader read_statement = no_statement; ///< Decodes what responses state about upstreams.
 };
 
 /// A gateway process that connects to upstreams directly. Runs one event loop; only the logger has a thread
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -296,6 +296,7 @@
     sent_at_ = now;
     last_byte_at_ = now;
     context_.metrics.attempts.add();
+    log_if_unwanted(assignment.upstream, now);
     call_ = std::make_shared<upstream_call>(context_.loop, context_.timers, *this);
     call_->start(assignment.upstream.address,
                  upstream_request(request_, context_.names, make_gateway_fields(assignment, now)),
@@ -377,7 +378,7 @@
         end_attempt(attempt_end::broken, "the answer belongs to another request");
         return false;
     }
-    record_rate_statement(head);
+    record_statement(head);
     head_ = head;
     if (head.status == misdirected || !head.value_of(names.not_run).empty()) {
         mode_ = response_mode::rejected;
@@ -397,24 +398,55 @@
     return true;
 }
 
-void exchange::record_rate_statement(const response_head& head)
+void exchange::record_statement(const response_head& head)
 {
-    const rate_statement statement = context_.read_rate_statement(head);
-    const bool is_rejection = head.status == misdirected || !head.value_of(context_.names.not_run).empty();
-    if (head.status == misdirected || (is_rejection && !statement.calls_per_s)) {
-        // Another upstream's answer, or one that may come from a part that doesn't know the limit.
+    if (head.status == misdirected) {
+        // The response of another upstream.
         return;
     }
+    direct::upstream_statement statement = context_.read_statement(head);
+    const bool is_rejection = !head.value_of(context_.names.not_run).empty();
+    if (is_rejection && !statement.rate.calls_per_s) {
+        // A rejection may come from a part of the upstream that doesn't know the limit.
+        statement.rate.readable = false;
+    }
     const direct::upstream_entry& upstream = assignment_->upstream;
-    if (context_.dispatcher.record_rate_statement(upstream, statement, sent_at_, last_byte_at_)) {
+    const auto changes = context_.dispatcher.record_statement(upstream, statement, sent_at_, last_byte_at_);
+    if (changes.pushback || !statement.pushback.readable) {
+        log_event(event::upstream_pushback, field("request", request_id_), field("upstream", upstream.id),
+                  field("readable", statement.pushback.readable),
+                  field("pushback_us", statement.pushback.length.value_or(duration::zero())));
+    }
+    if (changes.draining) {
+        log_event(event::upstream_states_draining, field("request", request_id_),
+                  field("upstream", upstream.id));
+    }
+    if (changes.rate) {
         log_event(event::upstream_limit_changed, field("upstream", upstream.id),
-                  field("limited", statement.calls_per_s.has_value()),
-                  field("calls_per_s", statement.calls_per_s.value_or(0.0)),
+                  field("limited", statement.rate.calls_per_s.has_value()),
+                  field("calls_per_s", statement.rate.calls_per_s.value_or(0.0)),
                   field("age_us", duration::zero()), field("from", "answer"));
         context_.announce_rate_limits();
     }
 }
 
+void exchange::log_if_unwanted(const direct::upstream_entry& upstream, instant now) const
+{
+    const auto known = context_.fleet.upstreams().find(upstream.id);
+    if (known == context_.fleet.upstreams().end()) {
+        return;
+    }
+    const direct::upstream_statements& statements = context_.dispatcher.statements();
+    const auto pushback_until = statements.pushback_until(known->second, now);
+    const bool draining = statements.draining(known->second, now);
+    if (pushback_until || draining) {
+        context_.metrics.unwanted_calls.add();
+        log_event(event::unwanted_call_sent, field("request", request_id_), field("upstream", upstream.id),
+                  field("draining", draining),
+                  field("pushback_left_us", pushback_until ? *pushback_until - now : duration::zero()));
+    }
+}
+
 void exchange::on_response_body(const std::string& bytes)
 {
     last_byte_at_ = runtime::now();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -11,7 +11,7 @@
 #include "edge/gateway_metrics.h"
 #include "edge/header_names.h"
 #include "edge/memory_reservation.h"
-#include "edge/rate_statement_reader.h"
+#include "edge/statement_reader.h"
 #include "edge/upstream_call.h"
 #include "edge/upstream_request.h"
 
@@ -26,20 +26,20 @@
 /// Services that all exchanges of a gateway share.
 struct exchange_context
 {
-    boost::asio::io_context& loop;                    ///< Event loop.
-    loop_timers& timers;                              ///< Timers of the loop.
-    const header_names& names;                        ///< Header field names of the deployment.
-    const upstream_orders& orders;                    ///< Encoders of KV cache reservations.
-    const rate_statement_reader& read_rate_statement; ///< Decodes the rate limits that upstreams state.
-    direct::call_dispatcher& dispatcher;              ///< Queue of calls and choice of upstreams.
-    direct::client_retry_detector& retry_detector;    ///< Detects retries by callers.
-    const direct::upstream_list& fleet;               ///< Configuration and known upstreams.
-    const direct::fleet_records& records;             ///< Source of the revision in log lines.
-    const direct::peer_table& peers;                  ///< Source of the view's age in log lines.
-    gateway_metrics& metrics;                         ///< Counters and histograms.
-    std::function<void()> schedule_dispatch;          ///< Schedules a dispatch round.
-    std::function<void()> announce_rate_limits;       ///< Sends changed rate limits to the other gateways.
-    std::function<void(std::uint64_t)> on_finished;   ///< Called with an exchange's id when it has ended.
+    boost::asio::io_context& loop;                  ///< Event loop.
+    loop_timers& timers;                            ///< Timers of the loop.
+    const header_names& names;                      ///< Header field names of the deployment.
+    const upstream_orders& orders;                  ///< Encoders of KV cache reservations.
+    const statement_reader& read_statement;         ///< Decodes what responses state about upstreams.
+    direct::call_dispatcher& dispatcher;            ///< Queue of calls and choice of upstreams.
+    direct::client_retry_detector& retry_detector;  ///< Detects retries by callers.
+    const direct::upstream_list& fleet;             ///< Configuration and known upstreams.
+    const direct::fleet_records& records;           ///< Source of the revision in log lines.
+    const direct::peer_table& peers;                ///< Source of the view's age in log lines.
+    gateway_metrics& metrics;                       ///< Counters and histograms.
+    std::function<void()> schedule_dispatch;        ///< Schedules a dispatch round.
+    std::function<void()> announce_rate_limits;     ///< Sends changed rate limits to the other gateways.
+    std::function<void(std::uint64_t)> on_finished; ///< Called with an exchange's id when it has ended.
 };
 
 /// One request of a caller from its arrival to the end of its response, over all attempts at upstreams.
@@ -91,7 +91,8 @@
     void send();
     [[nodiscard]] auto make_gateway_fields(const direct::dispatch_assignment& assignment, instant now) const
         -> gateway_fields;
-    void record_rate_statement(const response_head& head);
+    void record_statement(const response_head& head);
+    void log_if_unwanted(const direct::upstream_entry& upstream, instant now) const;
     void relay(const std::string& bytes);
     [[nodiscard]] auto forwarded_fields() const -> std::vector<header_field>;
     void forward_head();
--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -24,6 +24,12 @@
           {"dragonflymill_rate_limited_upstreams", "Upstreams that state a rate limit for all gateways"}))
     , oldest_limit_age(registry_->gauge({"dragonflymill_oldest_rate_limit_age_seconds",
                                          "Seconds since the oldest of these limits was last stated"}))
+    , pushback_upstreams(registry_->gauge(
+          {"dragonflymill_pushback_upstreams", "Upstreams that want nothing from this gateway for a time"}))
+    , draining_upstreams(registry_->gauge(
+          {"dragonflymill_upstreams_stating_drain", "Upstreams that said in an answer that they drain"}))
+    , unwanted_calls(registry_->counter(
+          {"dragonflymill_unwanted_calls_total", "Requests sent to upstreams in one of these two states"}))
     , time_to_first_event(registry_->histogram({"dragonflymill_first_answer_seconds",
                                                 "Seconds from arrival to the first byte of an answer's body"},
                                                second_buckets))
--- a/src/edge/gateway_metrics.h
+++ b/src/edge/gateway_metrics.h
@@ -36,6 +36,9 @@
     metric_gauge& cells;                ///< Cells into which the fleet is divided.
     metric_gauge& limited_upstreams;    ///< Upstreams that state a rate limit.
     metric_gauge& oldest_limit_age;     ///< Seconds since the least recently stated of these limits.
+    metric_gauge& pushback_upstreams;   ///< Upstreams that want nothing from this gateway for a time.
+    metric_gauge& draining_upstreams;   ///< Upstreams that have stated in a response that they are draining.
+    metric_counter& unwanted_calls;     ///< Requests sent to upstreams in one of these two states.
     metric_histogram& time_to_first_event; ///< Seconds from arrival to the first event of a stream.
     metric_histogram& response_time;       ///< Seconds from arrival to the end of the response.
 };
--- a/tests/bench/shared_rate_limit_bench.cpp
+++ b/tests/bench/shared_rate_limit_bench.cpp
@@ -1,7 +1,7 @@
 // Simulates gateways before an upstream that states a rate limit, for fleets and limits of several sizes, on
 // a virtual clock. Prints Markdown: the most calls in any four seconds, and the calls sent in percent of
 // those that the limit and the callers allow.
-#include "direct/rate_limit_simulation.h"
+#include "direct/statement_simulation.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -16,7 +16,7 @@
 
 void print_cell(int gateways, double limit, double load)
 {
-    rate_limit_scenario scenario;
+    statement_scenario scenario;
     scenario.gateways = gateways;
     scenario.upstreams = 1;
     scenario.calls_per_s = load * limit;
@@ -24,10 +24,10 @@
     scenario.limit = [limit](int, duration since_start) {
         return since_start >= 1s ? std::optional(limit) : std::nullopt;
     };
-    rate_limit_simulation simulation(scenario);
+    statement_simulation simulation(scenario);
     simulation.run();
-    const instant from = rate_limit_simulation::start + measured_from;
-    const int sent = simulation.arrived(0, from, rate_limit_simulation::start + length);
+    const instant from = statement_simulation::start + measured_from;
+    const int sent = simulation.arrived(0, from, statement_simulation::start + length);
     const double possible = std::min(load, 1.0) * limit * static_cast<double>((length - measured_from) / 1s);
     std::printf(" %d, %.0f %% |", simulation.most_in_window(0, from), 100.0 * sent / possible);
 }
--- a/tests/direct/shared_rate_limit_test.cpp
+++ b/tests/direct/shared_rate_limit_test.cpp
@@ -1,4 +1,4 @@
-#include "rate_limit_simulation.h"
+#include "statement_simulation.h"
 
 #include <criterion/criterion.h>
 
@@ -11,12 +11,12 @@
 constexpr duration settle_time = 3s;
 
 /// Runs a scenario and checks the limit of the first upstream from `since` on; returns the simulation.
-auto run_and_check(const rate_limit_scenario& scenario, double limit, duration since, int except = -1)
-    -> rate_limit_simulation
+auto run_and_check(const statement_scenario& scenario, double limit, duration since, int except = -1)
+    -> statement_simulation
 {
-    rate_limit_simulation simulation(scenario);
+    statement_simulation simulation(scenario);
     simulation.run();
-    const int most = simulation.most_in_window(0, rate_limit_simulation::start + since, except);
+    const int most = simulation.most_in_window(0, statement_simulation::start + since, except);
     cr_assert(most <= allowed_in_window(limit), "%d gateways, limit %.2f, seed %d: %d calls in four seconds",
               scenario.gateways, limit, static_cast<int>(scenario.seed), most);
     return simulation;
@@ -38,7 +38,7 @@
 {
     for (const double limit : {1.0, 2.0}) {
         for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-            rate_limit_scenario scenario;
+            statement_scenario scenario;
             scenario.limit = limit_of_first(limit);
             scenario.seed = seed;
             (void)run_and_check(scenario, limit, 2s + settle_time);
@@ -51,7 +51,7 @@
 Test(shared_rate_limit, holds_with_more_gateways_than_calls)
 {
     for (const double limit : {0.1, 0.5, 2.0, 20.0}) {
-        rate_limit_scenario scenario;
+        statement_scenario scenario;
         scenario.gateways = 41;
         scenario.upstreams = 1;
         scenario.calls_per_s = 400.0;
@@ -66,14 +66,14 @@
 Test(shared_rate_limit, limited_upstream_gets_the_calls_that_it_accepts)
 {
     for (const int gateways : {1, 4, 41}) {
-        rate_limit_scenario scenario;
+        statement_scenario scenario;
         scenario.gateways = gateways;
         scenario.upstreams = 1;
         scenario.calls_per_s = 60.0;
         scenario.limit = [](int, duration) { return std::optional(4.0); };
         const auto simulation = run_and_check(scenario, 4.0, settle_time);
         const int arrived =
-            simulation.arrived(0, rate_limit_simulation::start + 4s, rate_limit_simulation::start + 20s);
+            simulation.arrived(0, statement_simulation::start + 4s, statement_simulation::start + 20s);
         cr_assert(arrived >= 32, "%d gateways: %d of 64 calls", gateways, arrived);
     }
 }
@@ -81,16 +81,16 @@
 // Many upstreams in need at the same time leave no other way for calls.
 Test(shared_rate_limit, holds_at_each_of_many_limited_upstreams)
 {
-    rate_limit_scenario scenario;
+    statement_scenario scenario;
     scenario.gateways = 12;
     scenario.upstreams = 40;
     scenario.calls_per_s = 300.0;
     scenario.length = 14s;
     scenario.limit = [](int upstream, duration) { return std::optional(0.5 + upstream % 3); };
-    rate_limit_simulation simulation(scenario);
+    statement_simulation simulation(scenario);
     simulation.run();
     for (int upstream = 0; upstream < scenario.upstreams; ++upstream) {
-        const int most = simulation.most_in_window(upstream, rate_limit_simulation::start + 5s);
+        const int most = simulation.most_in_window(upstream, statement_simulation::start + 5s);
         cr_assert(most <= allowed_in_window(0.5 + upstream % 3), "upstream %d: %d calls", upstream, most);
     }
 }
@@ -98,7 +98,7 @@
 // A limit that falls must hold at its new value, and one that rises or ends must not go on limiting.
 Test(shared_rate_limit, follows_a_limit_that_changes_and_ends)
 {
-    rate_limit_scenario scenario;
+    statement_scenario scenario;
     scenario.upstreams = 1;
     scenario.calls_per_s = 40.0;
     scenario.length = 40s;
@@ -108,10 +108,10 @@
                : t < 30s ? std::optional(4.0)
                          : std::nullopt;
     };
-    rate_limit_simulation simulation(scenario);
+    statement_simulation simulation(scenario);
     simulation.run();
     const auto arrived = [&](duration from, duration to) {
-        return simulation.arrived(0, rate_limit_simulation::start + from, rate_limit_simulation::start + to);
+        return simulation.arrived(0, statement_simulation::start + from, statement_simulation::start + to);
     };
     for (duration from = 13s; from <= 16s; from += 100ms) {
         cr_assert(arrived(from, from + 4s) <= allowed_in_window(1.0));
@@ -123,7 +123,7 @@
 // A gateway that was suspended wakes with an old view of the calls of the others.
 Test(shared_rate_limit, holds_when_a_gateway_was_frozen)
 {
-    rate_limit_scenario scenario;
+    statement_scenario scenario;
     scenario.limit = limit_of_first(1.0);
     scenario.upstreams = 1;
     scenario.length = 30s;
@@ -135,23 +135,23 @@
 // before count as known, so each half takes its part.
 Test(shared_rate_limit, holds_over_both_parts_of_a_partition)
 {
-    rate_limit_scenario scenario;
+    statement_scenario scenario;
     scenario.limit = limit_of_first(2.0);
     scenario.upstreams = 1;
     scenario.length = 30s;
     scenario.side = [](int gateway, duration t) { return t >= 8s ? gateway % 2 : 0; };
-    rate_limit_simulation simulation(scenario);
+    statement_simulation simulation(scenario);
     for (call_dispatcher& gateway : simulation.gateways) {
         gateway.set_gateways(2, {2, 4});
     }
     simulation.run();
-    const int most = simulation.most_in_window(0, rate_limit_simulation::start + 10s);
+    const int most = simulation.most_in_window(0, statement_simulation::start + 10s);
     cr_assert(most <= allowed_in_window(2.0), "%d calls in four seconds", most);
 }
 
 namespace {
 
-constexpr instant start = rate_limit_simulation::start;
+constexpr instant start = statement_simulation::start;
 
 /// A gateway before one upstream "u0" that states a limit; `calls_per_s` of callers are simulated elsewhere.
 struct limited_gateway
@@ -160,8 +160,8 @@
         : simulation({.limit = [](int, duration) { return std::nullopt; }, .gateways = 1, .upstreams = 1})
         , gateway(simulation.gateways.front())
     {
-        (void)gateway.record_rate_statement(simulation.fleet.upstreams().at("u0").entry, {true, calls_per_s},
-                                            start, start);
+        (void)gateway.record_statement(simulation.fleet.upstreams().at("u0").entry,
+                                       {{true, calls_per_s}, {}, false}, start, start);
     }
 
     void add(std::uint64_t id, instant now, duration queue_time, bool returning = false)
@@ -177,7 +177,7 @@
         gateway.add(std::move(call));
     }
 
-    rate_limit_simulation simulation;
+    statement_simulation simulation;
     call_dispatcher& gateway;
 };
 
@@ -280,7 +280,7 @@
         limited.add(id, start + 1s, 300ms);
     }
     cr_assert(limited.gateway.decide(limited.simulation.fleet, start + 1s).orders.size() == 3);
-    limited.gateway.forget_rate_limits(limited.simulation.fleet, start + 1min);
+    limited.gateway.expire_statements(limited.simulation.fleet, start + 1min);
     cr_assert(limited.gateway.rate_limits().beliefs().all().empty());
 }
 
--- a/tests/direct/rate_limit_simulation.h
+++ b/tests/direct/statement_simulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/random_source.h"
+#include "dragonflymill/direct/attempt_rules.h"
 #include "dragonflymill/direct/call_dispatcher.h"
 #include "dragonflymill/direct/gossip_schedule.h"
 
@@ -14,11 +15,18 @@
 
 namespace dragonflymill::direct {
 
-/// A fleet of gateways before upstreams that state rate limits, on a virtual clock.
-struct rate_limit_scenario
+/// A fleet of gateways before upstreams that state conditions of their own, on a virtual clock.
+struct statement_scenario
 {
     /// Limit that an upstream states at a time since the start; nothing: none.
-    std::function<std::optional<double>(int upstream, duration since_start)> limit;
+    std::function<std::optional<double>(int upstream, duration since_start)> limit =
+        [](int, duration) -> std::optional<double> { return std::nullopt; };
+    /// Pushback with which an upstream rejects each call; zero: it accepts calls.
+    std::function<duration(int upstream, duration since_start)> pushback = [](int, duration) { return 0us; };
+    /// Whether an upstream states that it is draining.
+    std::function<bool(int upstream, duration since_start)> draining = [](int, duration) { return false; };
+    /// Called each millisecond; may change the published entries.
+    std::function<void(upstream_list& fleet, duration since_start)> publish = [](upstream_list&, duration) {};
     int gateways = 4;
     int upstreams = 4;
     double calls_per_s = 40.0; ///< Of all callers together.
@@ -38,6 +46,17 @@
     instant at{};
     int gateway = 0;
     int upstream = 0;
+    instant called_at{}; ///< When its client sent it.
+};
+
+/// A pushback or drain that an upstream has stated to a gateway.
+struct made_statement
+{
+    instant at{};
+    int gateway = 0;
+    int upstream = 0;
+    duration pushback{};
+    bool draining = false;
 };
 
 /// A refused call.
@@ -48,10 +67,10 @@
 };
 
 /// Runs a scenario; the same scenario gives the same results.
-class rate_limit_simulation
+class statement_simulation
 {
 public:
-    explicit rate_limit_simulation(rate_limit_scenario scenario)
+    explicit statement_simulation(statement_scenario scenario)
         : scenario_(std::move(scenario))
         , random_(scenario_.seed)
     {
@@ -65,6 +84,7 @@
             entry.service = "bookings";
             entry.failure_domain = "a";
             entry.slots = 1000;
+            entry.started_ms = 1;
             fleet.take("k" + entry.id, entry, start);
         }
         for (int i = 0; i < scenario_.gateways; ++i) {
@@ -80,6 +100,7 @@
         constexpr duration step = 1ms;
         for (duration t{}; t < scenario_.length; t += step) {
             const instant now = start + t;
+            scenario_.publish(fleet, t);
             deliver(now);
             if (random_.chance(scenario_.calls_per_s * 1e-3)) {
                 add_call(now);
@@ -111,6 +132,31 @@
         }
         return static_cast<int>(most);
     }
+    /// Returns the largest number of calls that a gateway sent to an upstream between half a second after a
+    /// rejection with a pushback and the end of that pushback.
+    [[nodiscard]] auto most_during_pushback() const -> int
+    {
+        std::ptrdiff_t most = 0;
+        for (const made_statement& made : statements) {
+            most = std::max(most, std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& arrival) {
+                                return arrival.gateway == made.gateway && arrival.upstream == made.upstream &&
+                                       arrival.at > made.at + 500ms && arrival.at < made.at + made.pushback;
+                            }));
+        }
+        return static_cast<int>(most);
+    }
+    /// Returns how many calls a gateway sent to an upstream that had stated its drain to that gateway before
+    /// the client sent the call.
+    [[nodiscard]] auto calls_to_draining() const -> int
+    {
+        const auto is_late = [&](const upstream_arrival& arrival) {
+            return std::any_of(statements.begin(), statements.end(), [&](const made_statement& made) {
+                return made.draining && arrival.gateway == made.gateway &&
+                       arrival.upstream == made.upstream && arrival.called_at > made.at + answer_time;
+            });
+        };
+        return static_cast<int>(std::count_if(arrivals.begin(), arrivals.end(), is_late));
+    }
     /// Number of arrivals at an upstream between two times.
     [[nodiscard]] auto arrived(int upstream, instant from, instant to) const -> int
     {
@@ -120,10 +166,12 @@
     }
 
     static constexpr instant start = instant(100s);
+    static constexpr duration answer_time = 20ms; ///< From sending a call to its response.
     upstream_list fleet;
     std::deque<call_dispatcher> gateways;
     std::vector<upstream_arrival> arrivals;
     std::vector<simulated_refusal> refusals;
+    std::vector<made_statement> statements;
 
 private:
     void add_call(instant now)
@@ -136,6 +184,7 @@
         call.queue_timeout_at = now + scenario_.queue_time;
         call.client_timeout_at = now + 10s;
         call.deadline_at = now + 10s;
+        open_calls_[call.id] = {call, now};
         gateways[random_.below(gateways.size())].add(std::move(call));
     }
 
@@ -158,15 +207,49 @@
     void send(int index, const dispatch_assignment& order, instant now)
     {
         const int upstream = std::stoi(order.upstream.id.substr(1));
-        arrivals.push_back({now, index, upstream});
-        const rate_statement statement{true, scenario_.limit(upstream, now - start)};
-        later(now + 20ms, [this, index, order, statement, sent = now](instant at) {
+        arrivals.push_back({now, index, upstream, open_calls_.at(order.call).called_at});
+        const duration pushback = scenario_.pushback(upstream, now - start);
+        const bool draining = scenario_.draining(upstream, now - start);
+        if (pushback > 0s || draining) {
+            statements.push_back({now, index, upstream, pushback, draining});
+        }
+        upstream_statement statement;
+        statement.rate.calls_per_s = scenario_.limit(upstream, now - start);
+        statement.draining = draining;
+        if (pushback > 0s) {
+            statement.pushback.length = pushback;
+        }
+        later(now + answer_time, [this, index, order, statement, sent = now](instant at) {
             call_dispatcher& gateway = gateways[static_cast<std::size_t>(index)];
             gateway.finish(order.placed, at);
-            (void)gateway.record_rate_statement(order.upstream, statement, sent, at);
+            (void)gateway.record_statement(order.upstream, statement, sent, at);
+            if (statement.pushback.length) {
+                on_rejected(gateway, order, at);
+            }
         });
     }
 
+    /// Tries the call again, as a gateway does.
+    void on_rejected(call_dispatcher& gateway, const dispatch_assignment& order, instant now)
+    {
+        waiting_call& call = open_calls_.at(order.call).call;
+        gateway.health().record_end(order.upstream.id, attempt_end::rejected, now);
+        call.attempts.dispatched();
+        call.attempts.ended(attempt_end::rejected, {order.upstream.id, order.upstream.failure_domain}, now);
+        request_progress progress;
+        progress.repeatable = true;
+        progress.rejections = call.attempts.rejections();
+        progress.max_attempts = 2;
+        progress.time_left = call.deadline_at - now;
+        progress.budget_left = gateway.retry_allowed(call.service, now);
+        if (decide_next_step(attempt_end::rejected, progress) != next_step::try_again) {
+            refusals.push_back({now, gateway.retry_after(fleet, call, now)});
+            return;
+        }
+        call.queue_timeout_at = call.deadline_at - min_attempt_time;
+        gateway.add(call);
+    }
+
     void send_reports(int index, const due_digest& due, instant now)
     {
         const shared_rate_limits& limits = gateways[static_cast<std::size_t>(index)].rate_limits();
@@ -211,10 +294,17 @@
         }
     }
 
-    rate_limit_scenario scenario_;
+    struct open_call
+    {
+        waiting_call call;
+        instant called_at{};
+    };
+
+    statement_scenario scenario_;
     random_source random_;
     std::multimap<instant, std::function<void(instant)>> due_;
     std::vector<gossip_schedule> schedules_;
+    std::map<std::uint64_t, open_call> open_calls_;
     std::uint64_t calls_ = 0;
     std::uint64_t rounds_ = 0;
 };
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -107,13 +107,21 @@
         names.account_key = "Authorization";
         names.auth_scheme = "Bearer ";
         names.ready_path = "/ready";
-        const auto read_rate_statement = [](const response_head& head) -> rate_statement {
-            const std::string text(head.value_of("Rate-Limit"));
-            return {true, text.empty() ? std::nullopt : std::optional(std::stod(text))};
+        const auto read_statement = [](const response_head& head) -> direct::upstream_statement {
+            const auto number = [&](const char* name) {
+                const std::string text(head.value_of(name));
+                return text.empty() ? std::nullopt : std::optional(std::stod(text));
+            };
+            direct::upstream_statement statement;
+            statement.rate.calls_per_s = number("Rate-Limit");
+            if (const auto seconds = number("Pushback")) {
+                statement.pushback.length = duration(static_cast<duration::rep>(*seconds * 1e6));
+            }
+            statement.draining = !head.value_of("Draining").empty();
+            return statement;
         };
-        gateway =
-            std::make_unique<direct_gateway>(loop, settings, platform_adapter{names, {}, read_rate_statement},
-                                             source, [] { return std::nullopt; });
+        gateway = std::make_unique<direct_gateway>(
+            loop, settings, platform_adapter{names, {}, read_statement}, source, [] { return std::nullopt; });
         cr_assert(gateway->start().has_value());
         connect_caller();
     }
