Ask one place whether an upstream takes a call

Cause: what a call may do at an upstream was decided in the dispatcher from a rate limit, a cold start limit, the published state and the division into cells, in five functions; a further statement of an upstream would have been a sixth, with a path each that may forget it.

Change: direct/upstream_availability owns what upstreams state and answers from when on an upstream takes a call. The dispatcher asks it. No change of behaviour.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -2,17 +2,15 @@
 
 #include "dragonflymill/core/time.h"
 #include "dragonflymill/direct/call_attempts.h"
-#include "dragonflymill/direct/cold_start_limiter.h"
 #include "dragonflymill/direct/dispatch_policy.h"
 #include "dragonflymill/direct/first_token_times.h"
 #include "dragonflymill/direct/fleet_cells.h"
 #include "dragonflymill/direct/load_tracker.h"
 #include "dragonflymill/direct/retry_window.h"
 #include "dragonflymill/direct/saturation_tracker.h"
+#include "dragonflymill/direct/upstream_availability.h"
 #include "dragonflymill/direct/upstream_health.h"
 #include "dragonflymill/direct/upstream_list.h"
-#include "dragonflymill/direct/upstream_statements.h"
-#include "dragonflymill/limit/shared_rate_limits.h"
 
 #include <cstdint>
 #include <map>
@@ -105,7 +103,7 @@
 public:
     explicit call_dispatcher(dispatch_settings settings)
         : settings_(std::move(settings))
-        , rate_limits_(settings_.seed)
+        , availability_(settings_.seed)
     {
     }
 
@@ -130,20 +128,11 @@
     /// Returns whether the retry budget of a service allows another attempt.
     [[nodiscard]] auto retry_allowed(const std::string& service, instant now) -> bool;
 
-    /// Records what an upstream states in its response to a call sent at `sent_at`.
-    auto record_statement(const upstream_entry& upstream, const upstream_statement& statement,
-                          instant sent_at, instant now) -> statement_changes;
-    /// Removes statements that are over, and the rate limits of upstreams that no longer run.
-    void expire_statements(const upstream_list& fleet, instant now);
-    /// Applies another gateway's report about a rate limit; returns whether the limit changed.
-    auto apply_rate_limit_report(const std::string& gateway, const rate_limit_report& report, instant now)
-        -> bool;
     /// Removes the load and the counts of a gateway that no longer runs.
     void remove_gateway(const std::string& gateway);
-    /// Pushbacks and drains that upstreams state.
-    [[nodiscard]] auto statements() const -> const upstream_statements& { return statements_; }
-    /// Rate limits that upstreams state.
-    [[nodiscard]] auto rate_limits() const -> const shared_rate_limits& { return rate_limits_; }
+    /// Which upstreams take calls, and what they state in their responses.
+    [[nodiscard]] auto availability() -> upstream_availability& { return availability_; }
+    [[nodiscard]] auto availability() const -> const upstream_availability& { return availability_; }
 
     /// Health of the upstreams, from the outcome of calls.
     [[nodiscard]] auto health() -> upstream_health& { return health_; }
@@ -157,7 +146,11 @@
     /// Sets the number of gateways, all of them reachable.
     void set_gateways(int count) { set_gateways(count, {count, count, 0}); }
     /// Sets the division of the fleet into cells. Without a call there is one cell.
-    void set_cells(const fleet_cells& cells) { cells_ = cells; }
+    void set_cells(const fleet_cells& cells)
+    {
+        cells_ = cells;
+        availability_.set_cells(cells);
+    }
     void set_settings(dispatch_settings settings) { settings_ = std::move(settings); }
 
     /// Calls of one class that may find no capacity in a round before the rest of the class is skipped. A
@@ -196,13 +189,6 @@
 
     [[nodiscard]] auto candidates(const upstream_list& fleet, const service_rule& service, instant now) const
         -> service_candidates;
-    /// Returns the upstreams of a service that accept work: those of this cell's part of it, or all others.
-    [[nodiscard]] auto accepting_upstreams(const upstream_list& fleet, const std::string& service,
-                                           bool own_part) const -> std::vector<const upstream_state*>;
-    [[nodiscard]] auto in_own_part(const upstream_list& fleet, const upstream_state& upstream) const -> bool;
-    /// Returns the gateways that share the cold start limits of a service.
-    [[nodiscard]] auto reach_for(const upstream_list& fleet, const std::string& service) const
-        -> gateway_reach;
     void update_rate_limited(const upstream_list& fleet, const std::string& service,
                              service_candidates& found) const;
     [[nodiscard]] auto try_to_place(const upstream_list& fleet, const waiting_call& call, int failures,
@@ -214,12 +200,6 @@
     void refresh_load(dispatch_candidate& candidate, instant now) const;
     void refresh(const upstream_list& fleet, const dispatch_assignment& assignment, instant now,
                  service_candidates& found) const;
-    /// Returns from when on the rate limits of an upstream, stated or of a cold start, allow a call.
-    [[nodiscard]] auto available_at(const upstream_list& fleet, const upstream_state& upstream,
-                                    instant now) const -> instant;
-    /// Returns the rate at which this gateway can expect to send calls to a limited upstream.
-    [[nodiscard]] auto expected_rate(const upstream_list& fleet, const upstream_state& upstream,
-                                     instant now) const -> double;
     /// Returns when a call can be sent under the rate limits of its service, behind `calls_ahead` others.
     [[nodiscard]] auto rate_limit_turn(const upstream_list& fleet, const waiting_call& call, int calls_ahead,
                                        instant now) const -> rate_limit_turn_time;
@@ -230,16 +210,8 @@
     /// Returns when a call refused for lack of capacity should return.
     [[nodiscard]] auto retry_after_saturation(const waiting_call& call, duration time_left, instant now) const
         -> duration;
-    /// Counts a call under the rate limits of an upstream.
-    void count_limited_call(const upstream_list& fleet, const std::string& upstream, instant now);
     [[nodiscard]] auto assignment_for(const upstream_list& fleet, const waiting_call& call,
                                       const dispatch_choice& choice, instant now) -> dispatch_assignment;
-    [[nodiscard]] auto has_upstream(const upstream_list& fleet, const std::string& service) const -> bool;
-    /// Returns the limit of an upstream in cold start; nothing if it isn't, or if it has no limit.
-    [[nodiscard]] static auto cold_limit_of(const upstream_list& fleet, const upstream_state& upstream,
-                                            instant now) -> std::optional<cold_start_limit>;
-    /// Services of which an upstream states a rate limit.
-    [[nodiscard]] auto rate_limited_services(const upstream_list& fleet) const -> std::set<std::string>;
     void sort_waiting(const upstream_list& fleet, instant now);
     [[nodiscard]] auto expected_first_token(const waiting_call& call) const -> duration;
     [[nodiscard]] auto is_late(const waiting_call& call, instant now) const -> bool;
@@ -253,11 +225,9 @@
     dispatch_settings settings_;
     load_tracker loads_;
     upstream_health health_;
-    shared_rate_limits rate_limits_;
-    upstream_statements statements_;
+    upstream_availability availability_;
     /// Time at which the last caller refused for a rate limit was asked to return, by service.
     std::unordered_map<std::string, instant> last_return_at_;
-    std::unordered_map<std::string, cold_start_limiter> cold_limiters_;
     std::unordered_map<std::string, retry_window> retries_;
     std::vector<waiting_call> waiting_;
     /// Queued calls that found no capacity, and since when there is capacity again; nothing: still none.
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -73,41 +73,13 @@
     gateways_ = {reach.reachable, std::max(reach.known, (max_count + cells - 1) / cells), reach.rank};
     const int fleet = std::max(max_count, reach.known * cells);
     fleet_gateways_ = {reach.reachable, fleet, reach.rank * cells + static_cast<int>(cells_.own())};
-    // Each cell takes an equal part of a stated limit, as the calls of the other cells aren't known here.
-    rate_limits_.set_reach({reach.reachable, reach.known * cells, reach.rank});
-}
-
-auto call_dispatcher::record_statement(const upstream_entry& upstream, const upstream_statement& statement,
-                                       instant sent_at, instant now) -> statement_changes
-{
-    statement_changes changes = statements_.record(upstream, statement, now);
-    changes.rate = rate_limits_.record(run_of(upstream), statement.rate, sent_at, now);
-    return changes;
-}
-
-auto call_dispatcher::apply_rate_limit_report(const std::string& gateway, const rate_limit_report& report,
-                                              instant now) -> bool
-{
-    return rate_limits_.apply_report(gateway, report, now);
+    availability_.set_gateways(gateways_, reach);
 }
 
 void call_dispatcher::remove_gateway(const std::string& gateway)
 {
     loads_.remove_gateway(gateway);
-    rate_limits_.remove_gateway(gateway);
-}
-
-void call_dispatcher::expire_statements(const upstream_list& fleet, instant now)
-{
-    statements_.expire(now);
-    if (rate_limits_.beliefs().all().empty()) {
-        return;
-    }
-    std::set<upstream_run> running;
-    for (const auto& [id, state] : fleet.upstreams()) {
-        running.insert(run_of(state.entry));
-    }
-    rate_limits_.retain(running, now);
+    availability_.remove_gateway(gateway);
 }
 
 auto call_dispatcher::retry_allowed(const std::string& service, instant now) -> bool
@@ -115,20 +87,6 @@
     return retries_[service].available(now, settings_.retries, fleet_gateways_.known, fleet_gateways_.rank);
 }
 
-auto call_dispatcher::rate_limited_services(const upstream_list& fleet) const -> std::set<std::string>
-{
-    std::set<std::string> found;
-    if (rate_limits_.beliefs().limited() == 0) {
-        return found;
-    }
-    for (const auto& [id, state] : fleet.upstreams()) {
-        if (rate_limits_.find(run_of(state.entry)) != nullptr) {
-            found.insert(state.entry.service);
-        }
-    }
-    return found;
-}
-
 void call_dispatcher::sort_waiting(const upstream_list& fleet, instant now)
 {
     struct ranked_call
@@ -144,7 +102,7 @@
         return has_prefill ? engine_forecast(*service->engine).prefill_time(call.prompt_tokens)
                            : duration::zero();
     };
-    const std::set<std::string> rate_limited = rate_limited_services(fleet);
+    const std::set<std::string> rate_limited = availability_.rate_limited_services(fleet);
     std::vector<ranked_call> ranked;
     ranked.reserve(waiting_.size());
     for (waiting_call& call : waiting_) {
@@ -219,7 +177,7 @@
 auto call_dispatcher::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
     -> std::optional<dispatch_refusal>
 {
-    if (!has_upstream(fleet, call.service)) {
+    if (!availability_.has_upstream(fleet, call.service)) {
         return dispatch_refusal{call.id, retry_after_no_upstream, "no upstream takes work"};
     }
     if (now >= call.queue_timeout_at) {
@@ -242,7 +200,7 @@
 auto call_dispatcher::retry_after(const upstream_list& fleet, const waiting_call& call, instant now)
     -> duration
 {
-    if (!has_upstream(fleet, call.service)) {
+    if (!availability_.has_upstream(fleet, call.service)) {
         return retry_after_no_upstream;
     }
     const service_rule* service =
@@ -267,9 +225,9 @@
 {
     instant first = instant::max();
     double rate = 0.0;
-    for (const upstream_state* upstream : accepting_upstreams(fleet, call.service, true)) {
-        first = std::min(first, std::max(available_at(fleet, *upstream, now), now));
-        rate += expected_rate(fleet, *upstream, now);
+    for (const upstream_state* upstream : availability_.accepting_upstreams(fleet, call.service, true)) {
+        first = std::min(first, std::max(availability_.available_at(fleet, *upstream, now), now));
+        rate += availability_.expected_rate(fleet, *upstream, now);
     }
     if (first == instant::max()) {
         return {first, duration::zero()};
@@ -397,12 +355,12 @@
     -> service_candidates
 {
     const auto is_unavailable = [&](const upstream_state* state) {
-        return available_at(fleet, *state, now) > now;
+        return availability_.available_at(fleet, *state, now) > now;
     };
-    std::vector<const upstream_state*> usable = accepting_upstreams(fleet, service.name, true);
+    std::vector<const upstream_state*> usable = availability_.accepting_upstreams(fleet, service.name, true);
     std::erase_if(usable, is_unavailable);
     if (usable.empty()) {
-        usable = accepting_upstreams(fleet, service.name, false);
+        usable = availability_.accepting_upstreams(fleet, service.name, false);
         std::erase_if(usable, is_unavailable);
     }
     std::sort(usable.begin(), usable.end(), [](const upstream_state* a, const upstream_state* b) {
@@ -412,7 +370,7 @@
     found.upstreams.reserve(usable.size());
     for (const upstream_state* state : usable) {
         const upstream_entry& entry = state->entry;
-        const bool limited = rate_limits_.find(run_of(entry)) != nullptr;
+        const bool limited = availability_.rate_limits().find(run_of(entry)) != nullptr;
         found.upstreams.push_back(
             {entry.id, entry.failure_domain, entry.slots, false, {}, state->key, limited});
         refresh_load(found.upstreams.back(), now);
@@ -421,37 +379,10 @@
     return found;
 }
 
-auto call_dispatcher::accepting_upstreams(const upstream_list& fleet, const std::string& service,
-                                          bool own_part) const -> std::vector<const upstream_state*>
-{
-    const std::size_t size = fleet.size_of(service);
-    std::vector<const upstream_state*> found;
-    for (const auto& [id, state] : fleet.upstreams()) {
-        if (state.entry.service == service && fleet.accepts_work(state) &&
-            cells_.in_own_part(state.key, size) == own_part) {
-            found.push_back(&state);
-        }
-    }
-    return found;
-}
-
-auto call_dispatcher::in_own_part(const upstream_list& fleet, const upstream_state& upstream) const -> bool
-{
-    return cells_.in_own_part(upstream.key, fleet.size_of(upstream.entry.service));
-}
-
-auto call_dispatcher::reach_for(const upstream_list& fleet, const std::string& service) const -> gateway_reach
-{
-    const cell_id parts = cells_.parts_of(fleet.size_of(service));
-    const auto sharing = static_cast<int>(cells_.count() / parts);
-    const auto position = static_cast<int>(cells_.own() / parts);
-    return {gateways_.reachable, gateways_.known * sharing, gateways_.rank * sharing + position};
-}
-
 void call_dispatcher::update_rate_limited(const upstream_list& fleet, const std::string& service,
                                           service_candidates& found) const
 {
-    found.rate_limited = found.upstreams.empty() && has_upstream(fleet, service);
+    found.rate_limited = found.upstreams.empty() && availability_.has_upstream(fleet, service);
 }
 
 void call_dispatcher::refresh(const upstream_list& fleet, const dispatch_assignment& assignment, instant now,
@@ -470,7 +401,7 @@
     }
     std::erase_if(candidates, [&](const dispatch_candidate& candidate) {
         return candidate.id == assignment.upstream.id &&
-               available_at(fleet, fleet.upstreams().at(candidate.id), now) > now;
+               availability_.available_at(fleet, fleet.upstreams().at(candidate.id), now) > now;
     });
     update_rate_limited(fleet, assignment.upstream.service, found);
 }
@@ -482,53 +413,6 @@
                         candidate.load.suspected_by >= suspicion_quorum;
 }
 
-auto call_dispatcher::available_at(const upstream_list& fleet, const upstream_state& upstream,
-                                   instant now) const -> instant
-{
-    const instant stated = rate_limits_.available_at(run_of(upstream.entry));
-    const auto cold = cold_limit_of(fleet, upstream, now);
-    if ((cold || rate_limits_.find(run_of(upstream.entry)) != nullptr) && !in_own_part(fleet, upstream)) {
-        // The gateways of its own cells take all that the limit allows.
-        return instant::max();
-    }
-    if (!cold) {
-        return stated;
-    }
-    const auto limiter = cold_limiters_.find(upstream.entry.id);
-    const cold_start_limiter& known =
-        limiter == cold_limiters_.end() ? cold_start_limiter() : limiter->second;
-    return std::max(stated, known.available_at(*cold, reach_for(fleet, upstream.entry.service)));
-}
-
-auto call_dispatcher::expected_rate(const upstream_list& fleet, const upstream_state& upstream,
-                                    instant now) const -> double
-{
-    const double stated = rate_limits_.expected_rate(run_of(upstream.entry), now);
-    const auto limit = cold_limit_of(fleet, upstream, now);
-    const double cold =
-        limit ? limit->calls_per_s / std::max(reach_for(fleet, upstream.entry.service).known, 1) : 0.0;
-    return stated > 0 && cold > 0 ? std::min(stated, cold) : std::max(stated, cold);
-}
-
-void call_dispatcher::count_limited_call(const upstream_list& fleet, const std::string& upstream, instant now)
-{
-    const upstream_state& state = fleet.upstreams().at(upstream);
-    rate_limits_.count_call(run_of(state.entry), now);
-    if (const auto limit = cold_limit_of(fleet, state, now)) {
-        (void)cold_limiters_[upstream].take(now, *limit, reach_for(fleet, state.entry.service));
-    }
-}
-
-auto call_dispatcher::cold_limit_of(const upstream_list& fleet, const upstream_state& upstream, instant now)
-    -> std::optional<cold_start_limit>
-{
-    const service_rule* service = fleet.config()->find_service(upstream.entry.service);
-    if (now >= upstream.cold_until || service == nullptr || service->cold_calls_per_s <= 0.0) {
-        return std::nullopt;
-    }
-    return cold_start_limit{service->cold_calls_per_s, upstream.cold_since};
-}
-
 auto call_dispatcher::assignment_for(const upstream_list& fleet, const waiting_call& call,
                                      const dispatch_choice& choice, instant now) -> dispatch_assignment
 {
@@ -538,10 +422,10 @@
     const upstream_state& upstream = fleet.upstreams().at(choice.upstream);
     assignment.upstream = upstream.entry;
     assignment.waited_for = call.blocked_by;
-    count_limited_call(fleet, choice.upstream, now);
-    if (const rate_limit_belief* limit = rate_limits_.find(run_of(upstream.entry))) {
+    availability_.count_call(fleet, choice.upstream, now);
+    if (const rate_limit_belief* limit = availability_.rate_limits().find(run_of(upstream.entry))) {
         assignment.rate_limit = *limit;
-        assignment.limited_calls = rate_limits_.all_calls(run_of(upstream.entry));
+        assignment.limited_calls = availability_.rate_limits().all_calls(run_of(upstream.entry));
     }
     for (const prefill_share& share : choice.prefill_engines) {
         assignment.prefill_engines.push_back(
@@ -561,11 +445,4 @@
     return assignment;
 }
 
-auto call_dispatcher::has_upstream(const upstream_list& fleet, const std::string& service) const -> bool
-{
-    return std::any_of(fleet.upstreams().begin(), fleet.upstreams().end(), [&](const auto& item) {
-        return item.second.entry.service == service && fleet.accepts_work(item.second);
-    });
-}
-
 } // namespace dragonflymill::direct
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -322,7 +322,7 @@
     }
     dispatcher_.loads().apply_report(message.report, now);
     for (const rate_limit_report& report : message.rate_limits) {
-        if (dispatcher_.apply_rate_limit_report(message.digest.gateway, report, now)) {
+        if (dispatcher_.availability().apply_rate_limit_report(message.digest.gateway, report, now)) {
             log_rate_limit(report, message.digest.gateway);
         }
     }
@@ -421,7 +421,8 @@
     message.digest.peers = peers_.address_sample(message.digest.sequence);
     message.report.is_complete = true;
     message.report.loads = dispatcher_.loads().own_loads(runtime::now());
-    message.rate_limits = dispatcher_.rate_limits().reports(runtime::now(), message.digest.sequence);
+    message.rate_limits =
+        dispatcher_.availability().rate_limits().reports(runtime::now(), message.digest.sequence);
     return message;
 }
 
@@ -429,8 +430,8 @@
 {
     direct::peer_message message = digest_header();
     message.report.loads = dispatcher_.loads().own_loads(runtime::now(), due.changes_since);
-    message.rate_limits = dispatcher_.rate_limits().reports(runtime::now(), message.digest.sequence,
-                                                            due.rate_limit_changes_since);
+    message.rate_limits = dispatcher_.availability().rate_limits().reports(
+        runtime::now(), message.digest.sequence, due.rate_limit_changes_since);
     return message;
 }
 
@@ -439,7 +440,7 @@
     const instant now = runtime::now();
     const direct::digest_state state{dispatcher_.loads().own_version(), records_.revision(),
                                      peers_.gateways(), !relay_.sends_to_all(),
-                                     dispatcher_.rate_limits().version()};
+                                     dispatcher_.availability().rate_limits().version()};
     const auto due = gossip_schedule_.next(state, at_once, now);
     if (!due) {
         return;
@@ -600,7 +601,7 @@
     const instant now = runtime::now();
     fleet_.tick(now);
     dispatcher_.report_suspects(fleet_, now);
-    dispatcher_.expire_statements(fleet_, now);
+    dispatcher_.availability().expire(fleet_, now);
     update_rate_limit_metrics(now);
     for (const std::string& expired : peers_.expire_peers(now)) {
         dispatcher_.remove_gateway(expired);
@@ -631,7 +632,7 @@
 void direct_gateway::update_rate_limit_metrics(instant now)
 {
     duration oldest{};
-    const rate_limit_beliefs& beliefs = dispatcher_.rate_limits().beliefs();
+    const rate_limit_beliefs& beliefs = dispatcher_.availability().rate_limits().beliefs();
     for (const auto& [upstream, belief] : beliefs.all()) {
         if (belief.calls_per_s) {
             oldest = std::max(oldest, now - belief.stated_at);
@@ -639,8 +640,10 @@
     }
     metrics_.limited_upstreams.set(static_cast<std::int64_t>(beliefs.limited()));
     metrics_.oldest_limit_age.set(oldest / 1s);
-    metrics_.pushback_upstreams.set(static_cast<std::int64_t>(dispatcher_.statements().pushbacks()));
-    metrics_.draining_upstreams.set(static_cast<std::int64_t>(dispatcher_.statements().drains()));
+    metrics_.pushback_upstreams.set(
+        static_cast<std::int64_t>(dispatcher_.availability().statements().pushbacks()));
+    metrics_.draining_upstreams.set(
+        static_cast<std::int64_t>(dispatcher_.availability().statements().drains()));
 }
 
 auto direct_gateway::ready() const -> bool
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -89,7 +89,7 @@
     /// Number of upstreams that state a rate limit.
     [[nodiscard]] auto rate_limited_upstreams() const -> std::size_t
     {
-        return dispatcher_.rate_limits().beliefs().limited();
+        return dispatcher_.availability().rate_limits().beliefs().limited();
     }
 
     auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -411,7 +411,8 @@
         statement.rate.readable = false;
     }
     const direct::upstream_entry& upstream = assignment_->upstream;
-    const auto changes = context_.dispatcher.record_statement(upstream, statement, sent_at_, last_byte_at_);
+    const auto changes =
+        context_.dispatcher.availability().record(upstream, statement, sent_at_, last_byte_at_);
     if (changes.pushback || !statement.pushback.readable) {
         log_event(event::upstream_pushback, field("request", request_id_), field("upstream", upstream.id),
                   field("readable", statement.pushback.readable),
@@ -436,7 +437,7 @@
     if (known == context_.fleet.upstreams().end()) {
         return;
     }
-    const direct::upstream_statements& statements = context_.dispatcher.statements();
+    const direct::upstream_statements& statements = context_.dispatcher.availability().statements();
     const auto pushback_until = statements.pushback_until(known->second, now);
     const bool draining = statements.draining(known->second, now);
     if (pushback_until || draining) {
--- a/tests/direct/shared_rate_limit_test.cpp
+++ b/tests/direct/shared_rate_limit_test.cpp
@@ -160,8 +160,8 @@
         : simulation({.limit = [](int, duration) { return std::nullopt; }, .gateways = 1, .upstreams = 1})
         , gateway(simulation.gateways.front())
     {
-        (void)gateway.record_statement(simulation.fleet.upstreams().at("u0").entry,
-                                       {{true, calls_per_s}, {}, false}, start, start);
+        (void)gateway.availability().record(simulation.fleet.upstreams().at("u0").entry,
+                                            {{true, calls_per_s}, {}, false}, start, start);
     }
 
     void add(std::uint64_t id, instant now, duration queue_time, bool returning = false)
@@ -258,8 +258,8 @@
 {
     limited_gateway told(1.0);
     call_dispatcher gateway({"a", {0.2, 100.0, 10s}, 9});
-    for (const rate_limit_report& report : told.gateway.rate_limits().reports(start + 5s, 0)) {
-        cr_assert(gateway.apply_rate_limit_report("g1", report, start + 5s));
+    for (const rate_limit_report& report : told.gateway.availability().rate_limits().reports(start + 5s, 0)) {
+        cr_assert(gateway.availability().apply_rate_limit_report("g1", report, start + 5s));
     }
     waiting_call call;
     call.id = 1;
@@ -280,8 +280,8 @@
         limited.add(id, start + 1s, 300ms);
     }
     cr_assert(limited.gateway.decide(limited.simulation.fleet, start + 1s).orders.size() == 3);
-    limited.gateway.expire_statements(limited.simulation.fleet, start + 1min);
-    cr_assert(limited.gateway.rate_limits().beliefs().all().empty());
+    limited.gateway.availability().expire(limited.simulation.fleet, start + 1min);
+    cr_assert(limited.gateway.availability().rate_limits().beliefs().all().empty());
 }
 
 // Guards against a fixed Retry-After for a call that its upstreams rejected: its caller returned before its
--- a/tests/direct/statement_simulation.h
+++ b/tests/direct/statement_simulation.h
@@ -198,7 +198,8 @@
         for (const dispatch_refusal& refusal : round.refusals) {
             refusals.push_back({now, refusal.retry_after});
         }
-        const digest_state state{0, 0, scenario_.gateways, false, gateway.rate_limits().version()};
+        const digest_state state{0, 0, scenario_.gateways, false,
+                                 gateway.availability().rate_limits().version()};
         if (const auto due = schedules_[static_cast<std::size_t>(index)].next(state, false, now)) {
             send_reports(index, *due, now);
         }
@@ -222,7 +223,7 @@
         later(now + answer_time, [this, index, order, statement, sent = now](instant at) {
             call_dispatcher& gateway = gateways[static_cast<std::size_t>(index)];
             gateway.finish(order.placed, at);
-            (void)gateway.record_statement(order.upstream, statement, sent, at);
+            (void)gateway.availability().record(order.upstream, statement, sent, at);
             if (statement.pushback.length) {
                 on_rejected(gateway, order, at);
             }
@@ -252,7 +253,8 @@
 
     void send_reports(int index, const due_digest& due, instant now)
     {
-        const shared_rate_limits& limits = gateways[static_cast<std::size_t>(index)].rate_limits();
+        const shared_rate_limits& limits =
+            gateways[static_cast<std::size_t>(index)].availability().rate_limits();
         const auto reports = due.whole ? limits.reports(now, ++rounds_)
                                        : limits.reports(now, ++rounds_, due.rate_limit_changes_since);
         if (reports.empty()) {
@@ -278,7 +280,7 @@
             return;
         }
         for (const rate_limit_report& report : reports) {
-            (void)gateways[static_cast<std::size_t>(to)].apply_rate_limit_report(
+            (void)gateways[static_cast<std::size_t>(to)].availability().apply_rate_limit_report(
                 "gateway" + std::to_string(from), report, now);
         }
     }
