Send no call to an upstream that has asked for a pause

Callers saw: a rejected attempt more, a few milliseconds each. The upstreams got up to four calls of a gateway within the three seconds in which each of them had asked that gateway for none, and all of these took a part of the retry budget.

Cause: a rejection was answered with a fixed backoff of 0.3 s, whatever the upstream had asked for; the time stated in the rejection was read nowhere. A rejecting upstream has no calls in flight, so it was the first choice again.

Change: upstream_availability counts a pushback like a rate limit that allows nothing until its end, so new calls, retries, queued calls, parts of prompts and the fall-back to other cells keep to it without code of their own. An assigned call asks once more before its first byte is sent. While all upstreams push back, callers are refused at once and asked to return after the first end, one after the other at the rate that the slots allow; a caller that has come back already, and a call that may have run, wait if the end comes in their time. A pushback ends after ten minutes at most. An answer to a call that was sent in spite of one is counted and logged.

Run: the direct and edge suites. Without the two lines that ask for the pushback, all eleven tests of it in the direct suite fail.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -175,10 +175,11 @@
     struct service_candidates
     {
         std::vector<dispatch_candidate> upstreams; // in the order that all gateways share
-        bool rate_limited = false;                 // none, as all that take work are at a rate limit
+        /// Why there are none although some accept work: `rate_limit`, `pushback` or `none`.
+        wait_reason blocked_by = wait_reason::none;
     };
-    /// When a call can be sent under the rate limits of its service.
-    struct rate_limit_turn_time
+    /// When a call can be sent, as all upstreams of its service are at rate limits or push back.
+    struct turn_time
     {
         instant expected_at{}; // instant::max(): no upstream may be used
         duration interval{};   // between calls to the service
@@ -189,8 +190,8 @@
 
     [[nodiscard]] auto candidates(const upstream_list& fleet, const service_rule& service, instant now) const
         -> service_candidates;
-    void update_rate_limited(const upstream_list& fleet, const std::string& service,
-                             service_candidates& found) const;
+    void update_blocked_by(const upstream_list& fleet, const std::string& service, instant now,
+                           service_candidates& found) const;
     [[nodiscard]] auto try_to_place(const upstream_list& fleet, const waiting_call& call, int failures,
                                     instant now, candidate_cache& cache) const -> dispatch_decision;
     [[nodiscard]] auto choose(const upstream_list& fleet, const waiting_call& call, instant now,
@@ -200,13 +201,19 @@
     void refresh_load(dispatch_candidate& candidate, instant now) const;
     void refresh(const upstream_list& fleet, const dispatch_assignment& assignment, instant now,
                  service_candidates& found) const;
-    /// Returns when a call can be sent under the rate limits of its service, behind `calls_ahead` others.
-    [[nodiscard]] auto rate_limit_turn(const upstream_list& fleet, const waiting_call& call, int calls_ahead,
-                                       instant now) const -> rate_limit_turn_time;
+    /// Returns when a call can be sent under the rate limits and pushbacks of its service, behind
+    /// `calls_ahead` others.
+    [[nodiscard]] auto turn_of(const upstream_list& fleet, const waiting_call& call, int calls_ahead,
+                               instant now) const -> turn_time;
+    /// Returns the calls per second that this gateway can expect to send to an upstream once it is available.
+    [[nodiscard]] auto expected_rate(const upstream_list& fleet, const upstream_state& upstream,
+                                     const waiting_call& call, instant now) const -> double;
     /// Returns when the client of a call with that turn should return, and takes the turn for it.
-    auto take_return_turn(const waiting_call& call, const rate_limit_turn_time& turn, instant now) -> instant;
-    [[nodiscard]] auto rate_limit_refusal(const upstream_list& fleet, const waiting_call& call,
-                                          int calls_ahead, instant now) -> std::optional<dispatch_refusal>;
+    auto take_return_turn(const waiting_call& call, const turn_time& turn, instant now) -> instant;
+    /// Returns the refusal of a call that is blocked by rate limits or pushbacks; nothing if it can wait.
+    [[nodiscard]] auto refusal_until_turn(const upstream_list& fleet, const waiting_call& call,
+                                          wait_reason blocked_by, int calls_ahead, instant now)
+        -> std::optional<dispatch_refusal>;
     /// Returns when a call refused for lack of capacity should return.
     [[nodiscard]] auto retry_after_saturation(const waiting_call& call, duration time_left, instant now) const
         -> duration;
@@ -226,7 +233,7 @@
     load_tracker loads_;
     upstream_health health_;
     upstream_availability availability_;
-    /// Time at which the last caller refused for a rate limit was asked to return, by service.
+    /// Time at which the last caller refused until its turn was asked to return, by service.
     std::unordered_map<std::string, instant> last_return_at_;
     std::unordered_map<std::string, retry_window> retries_;
     std::vector<waiting_call> waiting_;
--- a/include/dragonflymill/direct/dispatch_call.h
+++ b/include/dragonflymill/direct/dispatch_call.h
@@ -37,7 +37,8 @@
     backlog,             ///< The engines that would prefill it have other prompts pending.
     cost,                ///< Its prefill would make answers of higher utility miss their targets.
     behind_queued_calls, ///< Calls of its class ahead of it in the queue found no capacity.
-    rate_limit,          ///< All upstreams that take work are at a rate limit.
+    rate_limit, ///< All upstreams that take work are at a rate limit, or some, and the others push back.
+    pushback,   ///< All upstreams that take work push back.
 };
 
 /// Returns the text of a reason for the log.
--- a/include/dragonflymill/direct/upstream_availability.h
+++ b/include/dragonflymill/direct/upstream_availability.h
@@ -55,10 +55,17 @@
     /// service, or all others.
     [[nodiscard]] auto accepting_upstreams(const upstream_list& fleet, const std::string& service,
                                            bool own_part) const -> std::vector<const upstream_state*>;
-    /// Returns from when on the rate limits of an upstream, stated or of a cold start, allow a call;
-    /// `instant::max()` if its limit is left to the gateways of other cells.
+    /// Returns from when on the pushback of an upstream and its rate limits, stated or of a cold start, allow
+    /// a call; `instant::max()` if its limit is left to the gateways of other cells.
     [[nodiscard]] auto available_at(const upstream_list& fleet, const upstream_state& upstream,
                                     instant now) const -> instant;
+    /// Returns whether a service has upstreams that accept work, and all of them push back now.
+    [[nodiscard]] auto all_push_back(const upstream_list& fleet, const std::string& service,
+                                     instant now) const -> bool;
+    /// Returns whether a call that has been assigned to an upstream, and counted under its rate limits, may
+    /// still be sent there.
+    [[nodiscard]] auto may_still_send(const upstream_list& fleet, const std::string& upstream,
+                                      instant now) const -> bool;
     /// Returns the rate at which this gateway can expect to send calls to a limited upstream, in calls per
     /// second; 0 without a limit.
     [[nodiscard]] auto expected_rate(const upstream_list& fleet, const upstream_state& upstream,
--- a/include/dragonflymill/direct/upstream_statements.h
+++ b/include/dragonflymill/direct/upstream_statements.h
@@ -37,6 +37,7 @@
     bool rate = false;     ///< The rate limit is another one, or none any more.
     bool pushback = false; ///< A pushback has begun or was extended.
     bool draining = false; ///< The upstream was not known to be draining.
+    bool unwanted = false; ///< The call was sent although an earlier response had asked not to.
 
     friend auto operator==(const statement_changes&, const statement_changes&) -> bool = default;
 };
@@ -48,9 +49,9 @@
 class upstream_statements
 {
 public:
-    /// Records what a response says about `from`, as published when the call was sent. A pushback never
-    /// shortens an earlier one.
-    auto record(const upstream_entry& from, const upstream_statement& statement, instant now)
+    /// Records what the response to a call sent at `sent_at` says about `from`, as published then. A pushback
+    /// never shortens an earlier one.
+    auto record(const upstream_entry& from, const upstream_statement& statement, instant sent_at, instant now)
         -> statement_changes;
     /// Removes the statements that are over; the numbers of upstreams count the others.
     void expire(instant now);
@@ -79,7 +80,8 @@
     struct notice
     {
         std::int64_t started_ms = 0; // start of the run, as published when the call was sent
-        instant received_at{};
+        instant since{};             // when it was stated first
+        instant received_at{};       // when it was stated last
         instant until{};
     };
     using notices = std::unordered_map<std::string, notice>; // by upstream
@@ -88,6 +90,9 @@
     static auto extend(notices& known, const upstream_entry& from, instant until, instant now) -> bool;
     [[nodiscard]] static auto find(const notices& known, const upstream_state& upstream, instant now)
         -> const notice*;
+    /// Returns whether a condition was known here at a time.
+    [[nodiscard]] static auto was_known(const notices& known, const upstream_entry& upstream, instant at)
+        -> bool;
 
     notices pushbacks_;
     notices drains_;
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -14,6 +14,8 @@
 constexpr double us_per_s = 1e6;
 /// Calls per second; bounds the time after which a refused caller is asked to return.
 constexpr double min_expected_rate = 1e-3;
+/// Bounds the rate that is expected of an upstream without a rate limit.
+constexpr duration min_call_time = 1ms;
 /// Assumed time of a client whose remaining time isn't known; bounds no Retry-After.
 constexpr duration unknown_time_left = 1h;
 
@@ -141,7 +143,7 @@
     std::map<call_class, int> failures_by_class;
     std::vector<waiting_call> still_waiting;
     candidate_cache cache;
-    std::map<std::string, int, std::less<>> blocked_by_rate_limit;
+    std::map<std::string, int, std::less<>> calls_ahead;
     for (waiting_call& call : waiting_) {
         int& failures = failures_by_class[class_of(call)];
         const dispatch_decision decision = try_to_place(fleet, call, failures, now, cache);
@@ -154,14 +156,15 @@
         }
         if (!choice) {
             call.blocked_by = decision.blocked_by;
-            const bool rate_limited = decision.blocked_by == wait_reason::rate_limit;
-            if (!rate_limited) {
+            const bool has_turn = decision.blocked_by == wait_reason::rate_limit ||
+                                  decision.blocked_by == wait_reason::pushback;
+            if (!has_turn) {
                 ++failures;
                 record_no_capacity(call, now);
             }
-            auto refusal = rate_limited
-                               ? rate_limit_refusal(fleet, call, blocked_by_rate_limit[call.service]++, now)
-                               : refusal_of(fleet, call, now);
+            auto refusal = has_turn ? refusal_until_turn(fleet, call, decision.blocked_by,
+                                                         calls_ahead[call.service]++, now)
+                                    : refusal_of(fleet, call, now);
             if (refusal) {
                 round.refusals.push_back(std::move(*refusal));
                 capacity_since_.erase(call.id);
@@ -205,11 +208,11 @@
     }
     const service_rule* service =
         fleet.config() == nullptr ? nullptr : fleet.config()->find_service(call.service);
-    if (service != nullptr && candidates(fleet, *service, now).rate_limited) {
+    if (service != nullptr && candidates(fleet, *service, now).blocked_by != wait_reason::none) {
         const auto calls_ahead =
             std::count_if(waiting_.begin(), waiting_.end(),
                           [&](const waiting_call& other) { return other.service == call.service; });
-        const rate_limit_turn_time turn = rate_limit_turn(fleet, call, static_cast<int>(calls_ahead), now);
+        const turn_time turn = turn_of(fleet, call, static_cast<int>(calls_ahead), now);
         if (turn.expected_at == instant::max()) {
             return retry_after_no_upstream;
         }
@@ -220,14 +223,20 @@
     return retry_after_saturation(call, time_left, now);
 }
 
-auto call_dispatcher::rate_limit_turn(const upstream_list& fleet, const waiting_call& call, int calls_ahead,
-                                      instant now) const -> rate_limit_turn_time
+auto call_dispatcher::turn_of(const upstream_list& fleet, const waiting_call& call, int calls_ahead,
+                              instant now) const -> turn_time
 {
     instant first = instant::max();
     double rate = 0.0;
-    for (const upstream_state* upstream : availability_.accepting_upstreams(fleet, call.service, true)) {
-        first = std::min(first, std::max(availability_.available_at(fleet, *upstream, now), now));
-        rate += availability_.expected_rate(fleet, *upstream, now);
+    for (const bool own_part : {true, false}) {
+        for (const upstream_state* upstream :
+             availability_.accepting_upstreams(fleet, call.service, own_part)) {
+            const instant available_at = availability_.available_at(fleet, *upstream, now);
+            if (available_at < instant::max()) {
+                first = std::min(first, std::max(available_at, now));
+                rate += expected_rate(fleet, *upstream, call, now);
+            }
+        }
     }
     if (first == instant::max()) {
         return {first, duration::zero()};
@@ -236,22 +245,38 @@
     return {first + interval * calls_ahead, interval};
 }
 
-auto call_dispatcher::rate_limit_refusal(const upstream_list& fleet, const waiting_call& call,
-                                         int calls_ahead, instant now) -> std::optional<dispatch_refusal>
+auto call_dispatcher::expected_rate(const upstream_list& fleet, const upstream_state& upstream,
+                                    const waiting_call& call, instant now) const -> double
 {
-    const rate_limit_turn_time turn = rate_limit_turn(fleet, call, calls_ahead, now);
+    const double limit = availability_.expected_rate(fleet, upstream, now);
+    if (limit > 0) {
+        return limit;
+    }
+    // Without a limit, the slots of the upstream are used by all gateways, one latency target per call.
+    const duration call_time = std::max(call.aim, min_call_time);
+    return upstream.entry.slots * us_per_s / static_cast<double>(call_time.count()) /
+           std::max(gateways_.known, 1);
+}
+
+auto call_dispatcher::refusal_until_turn(const upstream_list& fleet, const waiting_call& call,
+                                         wait_reason blocked_by, int calls_ahead, instant now)
+    -> std::optional<dispatch_refusal>
+{
+    const turn_time turn = turn_of(fleet, call, calls_ahead, now);
     if (turn.expected_at == instant::max()) {
-        return dispatch_refusal{call.id, retry_after_no_upstream, to_string(wait_reason::rate_limit)};
+        return dispatch_refusal{call.id, retry_after_no_upstream, to_string(blocked_by)};
     }
-    if (turn.expected_at <= call.queue_timeout_at) {
+    // A refusal is final for a caller that was refused before, and a failure for a call that may have run.
+    const bool is_last_chance = call.returning || call.attempts.run() > 0;
+    const bool may_wait = blocked_by == wait_reason::rate_limit || is_last_chance;
+    if (may_wait && turn.expected_at <= call.queue_timeout_at) {
         return std::nullopt;
     }
-    return dispatch_refusal{call.id, take_return_turn(call, turn, now) - now,
-                            to_string(wait_reason::rate_limit)};
+    return dispatch_refusal{call.id, take_return_turn(call, turn, now) - now, to_string(blocked_by)};
 }
 
-auto call_dispatcher::take_return_turn(const waiting_call& call, const rate_limit_turn_time& turn,
-                                       instant now) -> instant
+auto call_dispatcher::take_return_turn(const waiting_call& call, const turn_time& turn, instant now)
+    -> instant
 {
     // Callers return one after the other, at the rate at which they can be served. A caller that won't wait
     // until its turn takes no turn from others.
@@ -311,8 +336,8 @@
     if (cached == cache.end()) {
         cached = cache.emplace(call.service, candidates(fleet, *service, now)).first;
     }
-    if (cached->second.rate_limited) {
-        return {std::nullopt, wait_reason::rate_limit};
+    if (cached->second.blocked_by != wait_reason::none) {
+        return {std::nullopt, cached->second.blocked_by};
     }
     const std::vector<dispatch_candidate>& all = cached->second.upstreams;
     if (call.attempts.count() == 0) {
@@ -375,14 +400,19 @@
             {entry.id, entry.failure_domain, entry.slots, false, {}, state->key, limited});
         refresh_load(found.upstreams.back(), now);
     }
-    update_rate_limited(fleet, service.name, found);
+    update_blocked_by(fleet, service.name, now, found);
     return found;
 }
 
-void call_dispatcher::update_rate_limited(const upstream_list& fleet, const std::string& service,
-                                          service_candidates& found) const
+void call_dispatcher::update_blocked_by(const upstream_list& fleet, const std::string& service, instant now,
+                                        service_candidates& found) const
 {
-    found.rate_limited = found.upstreams.empty() && availability_.has_upstream(fleet, service);
+    if (!found.upstreams.empty() || !availability_.has_upstream(fleet, service)) {
+        found.blocked_by = wait_reason::none;
+        return;
+    }
+    found.blocked_by =
+        availability_.all_push_back(fleet, service, now) ? wait_reason::pushback : wait_reason::rate_limit;
 }
 
 void call_dispatcher::refresh(const upstream_list& fleet, const dispatch_assignment& assignment, instant now,
@@ -403,7 +433,7 @@
         return candidate.id == assignment.upstream.id &&
                availability_.available_at(fleet, fleet.upstreams().at(candidate.id), now) > now;
     });
-    update_rate_limited(fleet, assignment.upstream.service, found);
+    update_blocked_by(fleet, assignment.upstream.service, now, found);
 }
 
 void call_dispatcher::refresh_load(dispatch_candidate& candidate, instant now) const
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -181,6 +181,8 @@
         return "calls of its kind that go before it found no room";
     case wait_reason::rate_limit:
         return "all upstreams are at the rate of calls that they state";
+    case wait_reason::pushback:
+        return "all upstreams have asked for a pause";
     }
     return "unknown";
 }
--- a/src/direct/upstream_availability.cpp
+++ b/src/direct/upstream_availability.cpp
@@ -15,7 +15,7 @@
 auto upstream_availability::record(const upstream_entry& upstream, const upstream_statement& statement,
                                    instant sent_at, instant now) -> statement_changes
 {
-    statement_changes changes = statements_.record(upstream, statement, now);
+    statement_changes changes = statements_.record(upstream, statement, sent_at, now);
     changes.rate = rate_limits_.record(run_of(upstream), statement.rate, sent_at, now);
     return changes;
 }
@@ -78,7 +78,8 @@
 auto upstream_availability::available_at(const upstream_list& fleet, const upstream_state& upstream,
                                          instant now) const -> instant
 {
-    const instant stated = rate_limits_.available_at(run_of(upstream.entry));
+    const instant stated = std::max(rate_limits_.available_at(run_of(upstream.entry)),
+                                    statements_.pushback_until(upstream, now).value_or(instant{}));
     const auto cold = cold_limit_of(fleet, upstream, now);
     if ((cold || rate_limits_.find(run_of(upstream.entry)) != nullptr) && !in_own_part(fleet, upstream)) {
         // The gateways of its own cells take all that the limit allows.
@@ -93,6 +94,30 @@
     return std::max(stated, known.available_at(*cold, reach_for(fleet, upstream.entry.service)));
 }
 
+auto upstream_availability::all_push_back(const upstream_list& fleet, const std::string& service,
+                                          instant now) const -> bool
+{
+    bool found = false;
+    for (const auto& [id, state] : fleet.upstreams()) {
+        if (state.entry.service != service || !fleet.accepts_work(state)) {
+            continue;
+        }
+        found = true;
+        if (!statements_.pushback_until(state, now)) {
+            return false;
+        }
+    }
+    return found;
+}
+
+auto upstream_availability::may_still_send(const upstream_list& fleet, const std::string& upstream,
+                                           instant now) const -> bool
+{
+    const auto known = fleet.upstreams().find(upstream);
+    return known != fleet.upstreams().end() && fleet.accepts_work(known->second) &&
+           !statements_.pushback_until(known->second, now);
+}
+
 auto upstream_availability::expected_rate(const upstream_list& fleet, const upstream_state& upstream,
                                           instant now) const -> double
 {
--- a/src/direct/upstream_statements.cpp
+++ b/src/direct/upstream_statements.cpp
@@ -14,20 +14,18 @@
 
 } // namespace
 
-auto upstream_statements::record(const upstream_entry& from, const upstream_statement& statement, instant now)
-    -> statement_changes
+auto upstream_statements::record(const upstream_entry& from, const upstream_statement& statement,
+                                 instant sent_at, instant now) -> statement_changes
 {
     statement_changes changes;
+    changes.unwanted = was_known(pushbacks_, from, sent_at) || was_known(drains_, from, sent_at);
     const pushback_statement& pushback = statement.pushback;
     if (pushback.readable && pushback.length && *pushback.length > duration::zero()) {
         changes.pushback = extend(pushbacks_, from, now + std::min(*pushback.length, max_pushback), now);
     }
     if (statement.draining) {
-        const auto known = drains_.find(from.id);
-        const bool is_known = known != drains_.end() && known->second.until > now &&
-                              !is_other_run(known->second.started_ms, from.started_ms);
+        changes.draining = !was_known(drains_, from, now);
         (void)extend(drains_, from, now + max_drain, now);
-        changes.draining = !is_known;
     }
     return changes;
 }
@@ -40,10 +38,18 @@
         found = {};
     }
     const bool is_longer = until > found.until;
-    found = {from.started_ms, now, std::max(found.until, until)};
+    const instant since = found.until > now ? found.since : now;
+    found = {from.started_ms, since, now, std::max(found.until, until)};
     return is_longer;
 }
 
+auto upstream_statements::was_known(const notices& known, const upstream_entry& upstream, instant at) -> bool
+{
+    const auto found = known.find(upstream.id);
+    return found != known.end() && !is_other_run(found->second.started_ms, upstream.started_ms) &&
+           found->second.since < at && at < found->second.until;
+}
+
 void upstream_statements::expire(instant now)
 {
     const auto is_over = [&](const auto& item) { return item.second.until <= now; };
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -57,6 +57,8 @@
     , source_(source)
     , reload_settings_(std::move(reload_settings))
     , dispatcher_({settings_.failure_domain, settings_.retries, stable_hash(to_text(settings_.peers))})
+    , statements_(platform_.read_statement, platform_.names, dispatcher_.availability(), metrics_,
+                  [this] { send_gossip(true); })
     , cells_(to_text(settings_.peers))
     , peers_("", "", {})
     , other_cells_(to_text(settings_.peers), settings_.seeds)
@@ -65,15 +67,14 @@
                timers_,
                platform_.names,
                platform_.orders,
-               platform_.read_statement,
                dispatcher_,
+               statements_,
                retry_detector_,
                fleet_,
                records_,
                peers_,
                metrics_,
                [this] { schedule_dispatch(); },
-               [this] { send_gossip(true); },
                [this](std::uint64_t finished) {
                    // Deferred: the exchange that has finished is still on the call stack.
                    asio::post(loop_, [this, finished] {
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -17,7 +17,7 @@
 #include "edge/loop_timers.h"
 #include "edge/peer_link.h"
 #include "edge/record_source.h"
-#include "edge/statement_reader.h"
+#include "edge/statement_recorder.h"
 #include "edge/status_pages.h"
 #include "settings/socket_address.h"
 
@@ -86,10 +86,10 @@
     /// Port on which callers are served; chosen by the system if the settings state 0.
     [[nodiscard]] auto caller_port() const -> std::uint16_t;
 
-    /// Number of upstreams that state a rate limit.
-    [[nodiscard]] auto rate_limited_upstreams() const -> std::size_t
+    /// Which upstreams take calls, and what they state in their responses.
+    [[nodiscard]] auto availability() const -> const direct::upstream_availability&
     {
-        return dispatcher_.availability().rate_limits().beliefs().limited();
+        return dispatcher_.availability();
     }
 
     auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
@@ -149,6 +149,7 @@
     direct::fleet_records records_;
     direct::upstream_list fleet_;
     direct::call_dispatcher dispatcher_;
+    statement_recorder statements_;
     direct::client_retry_detector retry_detector_;
     direct::fleet_cells cells_;
     direct::peer_table peers_;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -26,8 +26,6 @@
 /// Mean backoff after a failed KV cache reservation; the actual one is 50 % to 150 % of it. Without the
 /// spread, two calls that competed for the same engines would collide again.
 constexpr duration reservation_backoff = 100ms;
-/// Status of an upstream that isn't the one addressed; it hasn't run the request.
-constexpr unsigned misdirected = 421;
 /// Share of the client timeout that a caller may wait in the queue after an earlier refusal. It makes no
 /// further attempt; the remaining time is left for its first event.
 constexpr int returning_caller_wait_percent = 50;
@@ -275,28 +273,49 @@
     apply_next_step(next_step::try_again, why);
 }
 
-auto exchange::upstream_accepts_work(const direct::dispatch_assignment& assignment) const -> bool
+auto exchange::may_still_send(instant now) const -> bool
 {
-    // The upstream may have started draining while KV cache was being reserved.
-    const auto& upstreams = context_.fleet.upstreams();
-    const auto known = upstreams.find(assignment.upstream.id);
-    return known != upstreams.end() && context_.fleet.accepts_work(known->second);
+    // Upstreams may have begun to drain or to push back while KV cache was being reserved, or while the
+    // connection was being opened.
+    const auto may_send = [&](const direct::upstream_entry& upstream) {
+        return context_.dispatcher.availability().may_still_send(context_.fleet, upstream.id, now);
+    };
+    const auto& engines = assignment_->prefill_engines;
+    return may_send(assignment_->upstream) &&
+           std::all_of(engines.begin(), engines.end(),
+                       [&](const direct::prefill_engine& engine) { return may_send(engine.upstream); });
+}
+
+void exchange::withhold()
+{
+    const std::string why = "an upstream began to drain or asked for a pause";
+    context_.metrics.withheld_calls.add();
+    queued_call_.not_before = runtime::now();
+    log_attempt_ended(assignment_->upstream.id, attempt_end::not_sent, why, next_step::try_again);
+    release_upstream();
+    apply_next_step(next_step::try_again, why);
+}
+
+auto exchange::on_connected() -> bool
+{
+    if (may_still_send(runtime::now())) {
+        return true;
+    }
+    withhold();
+    return false;
 }
 
 void exchange::send()
 {
     const instant now = runtime::now();
     const direct::dispatch_assignment& assignment = *assignment_;
-    if (!upstream_accepts_work(assignment)) {
-        queued_call_.not_before = now;
-        release_upstream();
-        apply_next_step(next_step::try_again, "the upstream began to leave");
+    if (!may_still_send(now)) {
+        withhold();
         return;
     }
     sent_at_ = now;
     last_byte_at_ = now;
     context_.metrics.attempts.add();
-    log_if_unwanted(assignment.upstream, now);
     call_ = std::make_shared<upstream_call>(context_.loop, context_.timers, *this);
     call_->start(assignment.upstream.address,
                  upstream_request(request_, context_.names, make_gateway_fields(assignment, now)),
@@ -378,7 +397,7 @@
         end_attempt(attempt_end::broken, "the answer belongs to another request");
         return false;
     }
-    record_statement(head);
+    context_.statements.record_response(head, assignment_->upstream, request_id_, sent_at_, last_byte_at_);
     head_ = head;
     if (head.status == misdirected || !head.value_of(names.not_run).empty()) {
         mode_ = response_mode::rejected;
@@ -398,56 +417,6 @@
     return true;
 }
 
-void exchange::record_statement(const response_head& head)
-{
-    if (head.status == misdirected) {
-        // The response of another upstream.
-        return;
-    }
-    direct::upstream_statement statement = context_.read_statement(head);
-    const bool is_rejection = !head.value_of(context_.names.not_run).empty();
-    if (is_rejection && !statement.rate.calls_per_s) {
-        // A rejection may come from a part of the upstream that doesn't know the limit.
-        statement.rate.readable = false;
-    }
-    const direct::upstream_entry& upstream = assignment_->upstream;
-    const auto changes =
-        context_.dispatcher.availability().record(upstream, statement, sent_at_, last_byte_at_);
-    if (changes.pushback || !statement.pushback.readable) {
-        log_event(event::upstream_pushback, field("request", request_id_), field("upstream", upstream.id),
-                  field("readable", statement.pushback.readable),
-                  field("pushback_us", statement.pushback.length.value_or(duration::zero())));
-    }
-    if (changes.draining) {
-        log_event(event::upstream_states_draining, field("request", request_id_),
-                  field("upstream", upstream.id));
-    }
-    if (changes.rate) {
-        log_event(event::upstream_limit_changed, field("upstream", upstream.id),
-                  field("limited", statement.rate.calls_per_s.has_value()),
-                  field("calls_per_s", statement.rate.calls_per_s.value_or(0.0)),
-                  field("age_us", duration::zero()), field("from", "answer"));
-        context_.announce_rate_limits();
-    }
-}
-
-void exchange::log_if_unwanted(const direct::upstream_entry& upstream, instant now) const
-{
-    const auto known = context_.fleet.upstreams().find(upstream.id);
-    if (known == context_.fleet.upstreams().end()) {
-        return;
-    }
-    const direct::upstream_statements& statements = context_.dispatcher.availability().statements();
-    const auto pushback_until = statements.pushback_until(known->second, now);
-    const bool draining = statements.draining(known->second, now);
-    if (pushback_until || draining) {
-        context_.metrics.unwanted_calls.add();
-        log_event(event::unwanted_call_sent, field("request", request_id_), field("upstream", upstream.id),
-                  field("draining", draining),
-                  field("pushback_left_us", pushback_until ? *pushback_until - now : duration::zero()));
-    }
-}
-
 void exchange::on_response_body(const std::string& bytes)
 {
     last_byte_at_ = runtime::now();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -11,7 +11,7 @@
 #include "edge/gateway_metrics.h"
 #include "edge/header_names.h"
 #include "edge/memory_reservation.h"
-#include "edge/statement_reader.h"
+#include "edge/statement_recorder.h"
 #include "edge/upstream_call.h"
 #include "edge/upstream_request.h"
 
@@ -30,15 +30,14 @@
     loop_timers& timers;                            ///< Timers of the loop.
     const header_names& names;                      ///< Header field names of the deployment.
     const upstream_orders& orders;                  ///< Encoders of KV cache reservations.
-    const statement_reader& read_statement;         ///< Decodes what responses state about upstreams.
     direct::call_dispatcher& dispatcher;            ///< Queue of calls and choice of upstreams.
+    statement_recorder& statements;                 ///< Records what responses state about upstreams.
     direct::client_retry_detector& retry_detector;  ///< Detects retries by callers.
     const direct::upstream_list& fleet;             ///< Configuration and known upstreams.
     const direct::fleet_records& records;           ///< Source of the revision in log lines.
     const direct::peer_table& peers;                ///< Source of the view's age in log lines.
     gateway_metrics& metrics;                       ///< Counters and histograms.
     std::function<void()> schedule_dispatch;        ///< Schedules a dispatch round.
-    std::function<void()> announce_rate_limits;     ///< Sends changed rate limits to the other gateways.
     std::function<void(std::uint64_t)> on_finished; ///< Called with an exchange's id when it has ended.
 };
 
@@ -65,6 +64,7 @@
     void abort(duration retry_after);
 
     void on_caller_disconnected() override;
+    auto on_connected() -> bool override;
     auto on_response_head(const response_head& head) -> bool override;
     void on_response_body(const std::string& bytes) override;
     void on_response_complete() override;
@@ -87,12 +87,13 @@
     void enqueue();
     void reserve_kv_cache();
     void on_reservation_failed(const std::vector<std::string>& unreachable);
-    [[nodiscard]] auto upstream_accepts_work(const direct::dispatch_assignment& assignment) const -> bool;
+    /// Returns whether the call may still be sent to the upstreams that it has been assigned to.
+    [[nodiscard]] auto may_still_send(instant now) const -> bool;
+    /// Returns the assigned call to the queue before any byte of it was sent.
+    void withhold();
     void send();
     [[nodiscard]] auto make_gateway_fields(const direct::dispatch_assignment& assignment, instant now) const
         -> gateway_fields;
-    void record_statement(const response_head& head);
-    void log_if_unwanted(const direct::upstream_entry& upstream, instant now) const;
     void relay(const std::string& bytes);
     [[nodiscard]] auto forwarded_fields() const -> std::vector<header_field>;
     void forward_head();
--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -30,6 +30,9 @@
           {"dragonflymill_upstreams_stating_drain", "Upstreams that said in an answer that they drain"}))
     , unwanted_calls(registry_->counter(
           {"dragonflymill_unwanted_calls_total", "Requests sent to upstreams in one of these two states"}))
+    , withheld_calls(
+          registry_->counter({"dragonflymill_withheld_calls_total",
+                              "Requests that were not sent to their upstream, as one of these began"}))
     , time_to_first_event(registry_->histogram({"dragonflymill_first_answer_seconds",
                                                 "Seconds from arrival to the first byte of an answer's body"},
                                                second_buckets))
--- /dev/null
+++ b/src/edge/statement_recorder.cpp
@@ -0,0 +1,56 @@
+#include "edge/statement_recorder.h"
+
+#include "log/logger.h"
+
+#include <utility>
+
+namespace dragonflymill::edge {
+
+statement_recorder::statement_recorder(const statement_reader& read, const header_names& names,
+                                       direct::upstream_availability& availability, gateway_metrics& metrics,
+                                       std::function<void()> announce_rate_limits)
+    : read_(read)
+    , names_(names)
+    , availability_(availability)
+    , metrics_(metrics)
+    , announce_rate_limits_(std::move(announce_rate_limits))
+{
+}
+
+void statement_recorder::record_response(const response_head& head, const direct::upstream_entry& upstream,
+                                         const std::string& request, instant sent_at, instant now)
+{
+    if (head.status == misdirected) {
+        // The response of another upstream.
+        return;
+    }
+    direct::upstream_statement statement = read_(head);
+    const bool is_rejection = !head.value_of(names_.not_run).empty();
+    if (is_rejection && !statement.rate.calls_per_s) {
+        // A rejection may come from a part of the upstream that doesn't know the limit.
+        statement.rate.readable = false;
+    }
+    const auto changes = availability_.record(upstream, statement, sent_at, now);
+    if (changes.unwanted) {
+        metrics_.unwanted_calls.add();
+        log_event(event::unwanted_call_sent, field("request", request), field("upstream", upstream.id),
+                  field("after_us", now - sent_at));
+    }
+    if (changes.pushback || !statement.pushback.readable) {
+        log_event(event::upstream_pushback, field("request", request), field("upstream", upstream.id),
+                  field("readable", statement.pushback.readable),
+                  field("pushback_us", statement.pushback.length.value_or(duration::zero())));
+    }
+    if (changes.draining) {
+        log_event(event::upstream_states_draining, field("request", request), field("upstream", upstream.id));
+    }
+    if (changes.rate) {
+        log_event(event::upstream_limit_changed, field("upstream", upstream.id),
+                  field("limited", statement.rate.calls_per_s.has_value()),
+                  field("calls_per_s", statement.rate.calls_per_s.value_or(0.0)),
+                  field("age_us", duration::zero()), field("from", "answer"));
+        announce_rate_limits_();
+    }
+}
+
+} // namespace dragonflymill::edge
--- a/src/edge/upstream_call.cpp
+++ b/src/edge/upstream_call.cpp
@@ -56,6 +56,9 @@
         fail(attempt_end::not_sent, "no connection: " + failed.message());
         return;
     }
+    if (!receiver_->on_connected()) {
+        return;
+    }
     set_socket_options(socket_);
     out_.on_done([this](bool broken) {
         // The upstream may have responded before it closed its receiving side: the response is still read.
--- a/src/edge/upstream_call.h
+++ b/src/edge/upstream_call.h
@@ -22,6 +22,8 @@
     response_handler(const response_handler&) = delete;
     auto operator=(const response_handler&) -> response_handler& = delete;
 
+    /// Called before the request is sent; returns false if the receiver has cancelled the call.
+    virtual auto on_connected() -> bool { return true; }
     /// Called with the head; returns false if the receiver has cancelled the call.
     virtual auto on_response_head(const response_head& head) -> bool = 0;
     /// Called with decoded bytes of the body.
--- a/tests/direct/stated_conditions_test.cpp
+++ b/tests/direct/stated_conditions_test.cpp
@@ -1,13 +1,20 @@
 #include "dragonflymill/direct/call_dispatcher.h"
+#include "engine_samples.h"
 #include "statement_simulation.h"
 
 #include <criterion/criterion.h>
+#include <set>
+#include <string>
 
 using namespace dragonflymill;
 using namespace dragonflymill::direct;
 
 namespace {
 
+constexpr instant start = statement_simulation::start;
+/// Length of a pushback where it doesn't matter.
+constexpr duration usual_length = 3s;
+
 /// Four gateways before fourteen upstreams, two of which reject all calls for three seconds and push back.
 auto two_push_back() -> statement_scenario
 {
@@ -21,6 +28,76 @@
     return scenario;
 }
 
+/// Returns a service "bookings" of upstreams "u0", "u1" and so on, and a service "answers" of as many
+/// engines.
+auto fleet_of(int upstreams, int slots) -> upstream_list
+{
+    upstream_list fleet;
+    fleet_config::parts parts;
+    parts.version = 1;
+    parts.services = {{"bookings", 50, 3s, 10.0, std::nullopt}, {"answers", 400, 3s, 0.0, sample_profile()}};
+    route_rule route;
+    route.services = {{"answers", 1}};
+    route.kind = call_kind::streaming;
+    route.tbt_target = 200ms;
+    parts.routes = {route};
+    fleet.take("config", std::make_shared<const fleet_config>(std::move(parts)), start);
+    for (int i = 0; i < upstreams; ++i) {
+        for (const char* service : {"bookings", "answers"}) {
+            upstream_entry entry;
+            entry.service = service;
+            entry.id = (entry.service == "answers" ? "e" : "u") + std::to_string(i);
+            entry.failure_domain = "a";
+            entry.slots = slots;
+            entry.started_ms = 1;
+            fleet.take("k" + entry.id, entry, start);
+        }
+    }
+    return fleet;
+}
+
+auto dispatcher() -> call_dispatcher
+{
+    return call_dispatcher({"a", {0.2, 10.0, 10s}, 1});
+}
+
+auto call(std::uint64_t id, instant now = start) -> waiting_call
+{
+    waiting_call made;
+    made.id = id;
+    made.service = "bookings";
+    made.aim = 100ms;
+    made.latency_target_at = now + made.aim;
+    made.client_timeout_at = now + 10s;
+    made.deadline_at = now + 10s;
+    made.queue_timeout_at = now + 125ms;
+    return made;
+}
+
+void push_back(call_dispatcher& decider, const upstream_list& fleet, const std::string& id, instant now,
+               duration length = usual_length)
+{
+    upstream_statement statement;
+    statement.pushback.length = length;
+    (void)decider.availability().record(fleet.upstreams().at(id).entry, statement, now, now);
+}
+
+/// Returns the upstreams to which a gateway sends ten calls at once.
+auto used_upstreams(call_dispatcher& decider, const upstream_list& fleet, instant now)
+    -> std::set<std::string>
+{
+    std::set<std::string> used;
+    static std::uint64_t next_id = 1000;
+    for (int i = 0; i < 10; ++i) {
+        decider.add(call(++next_id, now));
+    }
+    for (const dispatch_assignment& order : decider.decide(fleet, now).orders) {
+        used.insert(order.upstream.id);
+        decider.finish(order.placed, now);
+    }
+    return used;
+}
+
 } // namespace
 
 // Guards against sending further calls to an upstream that has rejected one and asked for a pause: a fixed
@@ -33,6 +110,200 @@
     cr_assert(simulation.most_during_pushback() <= 2, "%d calls", simulation.most_during_pushback());
 }
 
+// Guards against a queued call that goes to the upstream that it was waiting for, though that has asked for a
+// pause meanwhile.
+Test(pushback, queued_call_goes_elsewhere)
+{
+    const auto fleet = fleet_of(2, 1);
+    auto decider = dispatcher();
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        decider.add(call(id));
+    }
+    const auto first = decider.decide(fleet, start);
+    cr_assert(first.orders.size() == 2 && decider.waiting() == 1);
+    push_back(decider, fleet, "u0", start);
+    for (const dispatch_assignment& order : first.orders) {
+        decider.finish(order.placed, start);
+    }
+    const auto next = decider.decide(fleet, start + 1ms);
+    cr_assert(next.orders.size() == 1 && next.orders[0].upstream.id == "u1");
+}
+
+// Guards against a retry at an upstream whose pushback the gateway knows from another call.
+Test(pushback, retried_call_goes_elsewhere)
+{
+    const auto fleet = fleet_of(3, 4);
+    auto decider = dispatcher();
+    push_back(decider, fleet, "u0", start);
+    push_back(decider, fleet, "u1", start);
+    waiting_call retried = call(1);
+    retried.attempts.dispatched();
+    retried.attempts.ended(attempt_end::broken, {"u2", "a"}, start);
+    retried.queue_timeout_at = start + 9s;
+    decider.add(retried);
+    for (instant now = start; now < start + usual_length; now += 10ms) {
+        for (const dispatch_assignment& order : decider.decide(fleet, now).orders) {
+            cr_assert(order.upstream.id == "u2");
+        }
+    }
+}
+
+// Guards against prompts that an engine prefills for another one while it wants nothing from this gateway.
+Test(pushback, engine_gets_no_part_of_a_prompt)
+{
+    const auto fleet = fleet_of(16, 16);
+    auto decider = dispatcher();
+    std::set<std::string> pushing_back;
+    for (int i = 0; i < 16; i += 2) {
+        pushing_back.insert("e" + std::to_string(i));
+        push_back(decider, fleet, "e" + std::to_string(i), start);
+    }
+    waiting_call prompt = call(1);
+    prompt.service = "answers";
+    prompt.prompt_tokens = 210'000;
+    prompt.answer_tokens = 800;
+    prompt.tbt_target = 800ms;
+    prompt.aim = 3s;
+    prompt.latency_target_at = start + prompt.aim;
+    decider.add(prompt);
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.orders.size() == 1 && !round.orders[0].prefill_engines.empty());
+    cr_assert(!pushing_back.contains(round.orders[0].upstream.id));
+    for (const prefill_engine& engine : round.orders[0].prefill_engines) {
+        cr_assert(!pushing_back.contains(engine.upstream.id), "%s", engine.upstream.id.c_str());
+    }
+}
+
+// Guards against the fall-back to the upstreams of other cells as a way round a pushback.
+Test(pushback, holds_for_upstreams_of_other_cells)
+{
+    const auto fleet = fleet_of(static_cast<int>(2 * fleet_cells::min_part_size), 4);
+    auto decider = dispatcher();
+    fleet_cells cells("10.0.0.1:1");
+    (void)cells.update(fleet.largest_service(), start);
+    decider.set_cells(cells);
+    int others = 0;
+    for (const auto& [id, state] : fleet.upstreams()) {
+        const bool own = cells.in_own_part(state.key, fleet.size_of(state.entry.service));
+        if (state.entry.service == "bookings" && (own || ++others > 1)) {
+            push_back(decider, fleet, id, start);
+        }
+    }
+    const auto used = used_upstreams(decider, fleet, start + 1ms);
+    cr_assert(used.size() == 1, "%zu", used.size());
+    push_back(decider, fleet, *used.begin(), start + 1ms);
+    cr_assert(used_upstreams(decider, fleet, start + 1s).empty());
+}
+
+// Guards against a call that is held, or refused with a time at which it would be refused again, while all
+// upstreams push back.
+Test(pushback, callers_are_refused_at_once_until_the_first_one_ends)
+{
+    const auto fleet = fleet_of(2, 2);
+    auto decider = dispatcher();
+    push_back(decider, fleet, "u0", start, 2s);
+    push_back(decider, fleet, "u1", start, 3s);
+    std::set<duration> times;
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        decider.add(call(id, start + 1s));
+    }
+    const auto round = decider.decide(fleet, start + 1s);
+    cr_assert(round.orders.empty() && round.refusals.size() == 20 && decider.waiting() == 0);
+    for (const dispatch_refusal& refusal : round.refusals) {
+        times.insert(refusal.retry_after);
+        cr_assert(refusal.reason == to_string(wait_reason::pushback));
+    }
+    cr_assert(*times.begin() >= 1s && *times.begin() < 1100ms, "the end of the first pushback");
+    cr_assert(*times.rbegin() < 3s, "the slots free up faster than that");
+    cr_assert(times.size() >= 10, "callers return at different times");
+    const duration after_attempt = decider.retry_after(fleet, call(21, start + 1s), start + 1s);
+    cr_assert(after_attempt >= 1s && after_attempt < 3s);
+    cr_assert(!used_upstreams(decider, fleet, start + 2s).empty(), "a pushback ends");
+}
+
+// Guards against a second refusal, which is final for its caller, shortly before a pushback ends.
+Test(pushback, caller_that_has_come_back_waits_for_its_end)
+{
+    const auto fleet = fleet_of(1, 2);
+    auto decider = dispatcher();
+    push_back(decider, fleet, "u0", start);
+    const instant now = start + usual_length - 100ms;
+    waiting_call returning = call(1, now);
+    returning.returning = true;
+    decider.add(returning);
+    const auto held = decider.decide(fleet, now);
+    cr_assert(held.orders.empty() && held.refusals.empty());
+    cr_assert(decider.decide(fleet, start + usual_length).orders.size() == 1);
+}
+
+// Guards against a pushback that a later, shorter one ends, and against one that lasts for ever.
+Test(pushback, longest_statement_counts_and_ends)
+{
+    const auto fleet = fleet_of(1, 2);
+    auto decider = dispatcher();
+    push_back(decider, fleet, "u0", start, 2s);
+    push_back(decider, fleet, "u0", start + 500ms, 100ms);
+    cr_assert(used_upstreams(decider, fleet, start + 2s - 1ms).empty());
+    push_back(decider, fleet, "u0", start + 1s, 2s);
+    cr_assert(used_upstreams(decider, fleet, start + 3s - 1ms).empty());
+    cr_assert(!used_upstreams(decider, fleet, start + 3s).empty());
+    push_back(decider, fleet, "u0", start + 4s, 0s);
+    cr_assert(!used_upstreams(decider, fleet, start + 4s).empty());
+    push_back(decider, fleet, "u0", start + 5s, duration::max());
+    cr_assert(used_upstreams(decider, fleet, start + 9min).empty());
+    cr_assert(!used_upstreams(decider, fleet, start + 5s + upstream_statements::max_pushback).empty());
+}
+
+// Guards against a pushback that is lost with the published entry, which may vanish and return while the
+// registry is unavailable.
+Test(pushback, survives_the_loss_of_the_published_entry)
+{
+    auto fleet = fleet_of(1, 2);
+    auto decider = dispatcher();
+    push_back(decider, fleet, "u0", start, 20s);
+    upstream_entry entry = fleet.upstreams().at("u0").entry;
+    fleet.remove("ku0", false, start + 1s);
+    decider.availability().expire(fleet, start + 5s);
+    fleet.take("ku0", entry, start + 10s);
+    cr_assert(used_upstreams(decider, fleet, start + 11s).empty());
+    entry.started_ms = 0; // written by somebody else
+    fleet.take("ku0", entry, start + 12s);
+    cr_assert(used_upstreams(decider, fleet, start + 13s).empty());
+}
+
+// Guards against a restarted upstream that stays unused for what its earlier run had asked, and against one
+// whose own pushback ends as its entry is read late.
+Test(pushback, ends_with_the_run_that_stated_it)
+{
+    for (const duration delay : {1s, 10s}) {
+        auto fleet = fleet_of(1, 2);
+        auto decider = dispatcher();
+        push_back(decider, fleet, "u0", start, 1min);
+        upstream_entry restarted = fleet.upstreams().at("u0").entry;
+        restarted.started_ms = 2;
+        fleet.take("ku0", restarted, start + delay);
+        const bool may_be_its_own = delay <= upstream_statements::publication_delay;
+        cr_assert(used_upstreams(decider, fleet, start + 20s).empty() == may_be_its_own);
+    }
+}
+
+// Guards against a rate limit that is exceeded when a pushback ends, and against the reverse.
+Test(pushback, holds_beside_a_rate_limit)
+{
+    statement_scenario scenario;
+    scenario.upstreams = 3;
+    scenario.limit = [](int upstream, duration) { return upstream == 0 ? std::optional(1.0) : std::nullopt; };
+    scenario.pushback = [](int upstream, duration since_start) {
+        const auto second = since_start / 1s;
+        return upstream <= second % 3 && second % 7 < 3 ? duration(2s) : duration(0s);
+    };
+    statement_simulation simulation(scenario);
+    simulation.run();
+    cr_assert(simulation.most_during_pushback() <= 2, "%d calls", simulation.most_during_pushback());
+    const int most = simulation.most_in_window(0, start + 4s);
+    cr_assert(most <= allowed_in_window(1.0), "%d calls", most);
+}
+
 // Guards against sending new calls to an upstream that is still published as ready, or never published as
 // draining, after it has stated in a response that it is draining.
 Test(stated_drain, holds_against_new_calls)
--- a/tests/edge/gateway_flow_test.cpp
+++ b/tests/edge/gateway_flow_test.cpp
@@ -329,5 +329,5 @@
     fixture.send("POST", "/book/2");
     fixture.run_until_received("503");
     cr_assert(upstream.requests.size() >= 2);
-    cr_assert(fixture.gateway->rate_limited_upstreams() == 1);
+    cr_assert(fixture.gateway->availability().rate_limits().beliefs().limited() == 1);
 }
--- /dev/null
+++ b/tests/edge/upstream_statement_test.cpp
@@ -0,0 +1,55 @@
+#include "gateway_fixture.h"
+
+using namespace dragonflymill;
+using namespace dragonflymill::edge;
+
+namespace {
+
+constexpr const char* pushback_of_5s =
+    "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: r1\r\nPushback: 5\r\nContent-Length: 0\r\n\r\n";
+
+/// Value of the first Retry-After field that the caller has received, in seconds.
+auto retry_after(const gateway_fixture& fixture) -> double
+{
+    const auto at = fixture.received.find("Retry-After: ");
+    cr_assert(at != std::string::npos, "%s", fixture.received.c_str());
+    return std::stod(fixture.received.substr(at + 13));
+}
+
+} // namespace
+
+// Guards against further attempts at an upstream that has asked for a pause, of the rejected call itself and
+// of later ones, and against callers that are held until their deadline instead.
+Test(upstream_statement, callers_are_refused_while_the_only_upstream_pushes_back)
+{
+    gateway_fixture fixture;
+    auto& upstream = fixture.add_upstream(
+        "bookings", [](taken_connection& connection) { connection.send(pushback_of_5s); });
+    fixture.start();
+    for (int request = 1; request <= 3; ++request) {
+        fixture.received.clear();
+        fixture.send("POST", "/book/1");
+        fixture.run_until_received("\"ran\":\"no\"");
+        cr_assert(fixture.received.starts_with("HTTP/1.1 503 "), "%s", fixture.received.c_str());
+        cr_assert(retry_after(fixture) > 3.0 && retry_after(fixture) < 6.0, "%f", retry_after(fixture));
+    }
+    cr_assert(upstream.requests.size() == 1, "%zu", upstream.requests.size());
+}
+
+// Guards against callers that notice the pushback of one upstream while another one has capacity.
+Test(upstream_statement, calls_go_elsewhere_while_one_upstream_pushes_back)
+{
+    gateway_fixture fixture;
+    auto& first = fixture.add_upstream("bookings",
+                                       [](taken_connection& connection) { connection.send(pushback_of_5s); });
+    auto& second = fixture.add_upstream(
+        "bookings", [](taken_connection& connection) { connection.send(complete_response("booked")); });
+    fixture.start();
+    for (std::size_t request = 1; request <= 10; ++request) {
+        fixture.received.clear();
+        fixture.send("POST", "/book/1");
+        fixture.run_until_received("booked");
+        cr_assert(second.requests.size() == request);
+    }
+    cr_assert(first.requests.size() <= 1);
+}
