Send no call to an upstream that has stated its drain

Callers would have seen: an attempt more, or an answer cut off, when the upstream exits.

Cause: drains were known from published entries only. A response that states a drain may come before its entry, without one, or while the source is out of reach; it was read nowhere. The same class of fault as the pushback.

Change: upstream_availability counts an upstream that has stated its drain as one that takes no work, from the response on: new calls, retries, queued calls, parts of prompts, other cells, and assigned calls before their first byte. A drain ends with the run of the upstream, or ten minutes after it was stated last; an entry that says ready doesn't end it.

Run: the direct and edge suites.

--- a/include/dragonflymill/direct/upstream_availability.h
+++ b/include/dragonflymill/direct/upstream_availability.h
@@ -50,11 +50,13 @@
     void count_call(const upstream_list& fleet, const std::string& upstream, instant now);
 
     /// Returns whether any upstream of a service accepts work, now or later.
-    [[nodiscard]] auto has_upstream(const upstream_list& fleet, const std::string& service) const -> bool;
+    [[nodiscard]] auto has_upstream(const upstream_list& fleet, const std::string& service, instant now) const
+        -> bool;
     /// Returns the upstreams of a service that accept work, now or later: those in this cell's part of the
     /// service, or all others.
     [[nodiscard]] auto accepting_upstreams(const upstream_list& fleet, const std::string& service,
-                                           bool own_part) const -> std::vector<const upstream_state*>;
+                                           bool own_part, instant now) const
+        -> std::vector<const upstream_state*>;
     /// Returns from when on the pushback of an upstream and its rate limits, stated or of a cold start, allow
     /// a call; `instant::max()` if its limit is left to the gateways of other cells.
     [[nodiscard]] auto available_at(const upstream_list& fleet, const upstream_state& upstream,
@@ -79,6 +81,9 @@
     [[nodiscard]] auto rate_limited_services(const upstream_list& fleet) const -> std::set<std::string>;
 
 private:
+    /// Returns whether an upstream accepts work, by what is published about it and by its own statements.
+    [[nodiscard]] auto accepts_work(const upstream_list& fleet, const upstream_state& upstream,
+                                    instant now) const -> bool;
     [[nodiscard]] auto in_own_part(const upstream_list& fleet, const upstream_state& upstream) const -> bool;
     /// Returns the gateways that share the cold start limits of a service.
     [[nodiscard]] auto reach_for(const upstream_list& fleet, const std::string& service) const
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -180,7 +180,7 @@
 auto call_dispatcher::refusal_of(const upstream_list& fleet, const waiting_call& call, instant now) const
     -> std::optional<dispatch_refusal>
 {
-    if (!availability_.has_upstream(fleet, call.service)) {
+    if (!availability_.has_upstream(fleet, call.service, now)) {
         return dispatch_refusal{call.id, retry_after_no_upstream, "no upstream takes work"};
     }
     if (now >= call.queue_timeout_at) {
@@ -203,7 +203,7 @@
 auto call_dispatcher::retry_after(const upstream_list& fleet, const waiting_call& call, instant now)
     -> duration
 {
-    if (!availability_.has_upstream(fleet, call.service)) {
+    if (!availability_.has_upstream(fleet, call.service, now)) {
         return retry_after_no_upstream;
     }
     const service_rule* service =
@@ -230,7 +230,7 @@
     double rate = 0.0;
     for (const bool own_part : {true, false}) {
         for (const upstream_state* upstream :
-             availability_.accepting_upstreams(fleet, call.service, own_part)) {
+             availability_.accepting_upstreams(fleet, call.service, own_part, now)) {
             const instant available_at = availability_.available_at(fleet, *upstream, now);
             if (available_at < instant::max()) {
                 first = std::min(first, std::max(available_at, now));
@@ -382,10 +382,11 @@
     const auto is_unavailable = [&](const upstream_state* state) {
         return availability_.available_at(fleet, *state, now) > now;
     };
-    std::vector<const upstream_state*> usable = availability_.accepting_upstreams(fleet, service.name, true);
+    std::vector<const upstream_state*> usable =
+        availability_.accepting_upstreams(fleet, service.name, true, now);
     std::erase_if(usable, is_unavailable);
     if (usable.empty()) {
-        usable = availability_.accepting_upstreams(fleet, service.name, false);
+        usable = availability_.accepting_upstreams(fleet, service.name, false, now);
         std::erase_if(usable, is_unavailable);
     }
     std::sort(usable.begin(), usable.end(), [](const upstream_state* a, const upstream_state* b) {
@@ -407,7 +408,7 @@
 void call_dispatcher::update_blocked_by(const upstream_list& fleet, const std::string& service, instant now,
                                         service_candidates& found) const
 {
-    if (!found.upstreams.empty() || !availability_.has_upstream(fleet, service)) {
+    if (!found.upstreams.empty() || !availability_.has_upstream(fleet, service, now)) {
         found.blocked_by = wait_reason::none;
         return;
     }
--- a/src/direct/upstream_availability.cpp
+++ b/src/direct/upstream_availability.cpp
@@ -39,20 +39,28 @@
     rate_limits_.retain(running, now);
 }
 
-auto upstream_availability::has_upstream(const upstream_list& fleet, const std::string& service) const -> bool
+auto upstream_availability::accepts_work(const upstream_list& fleet, const upstream_state& upstream,
+                                         instant now) const -> bool
+{
+    return fleet.accepts_work(upstream) && !statements_.draining(upstream, now);
+}
+
+auto upstream_availability::has_upstream(const upstream_list& fleet, const std::string& service,
+                                         instant now) const -> bool
 {
     return std::any_of(fleet.upstreams().begin(), fleet.upstreams().end(), [&](const auto& item) {
-        return item.second.entry.service == service && fleet.accepts_work(item.second);
+        return item.second.entry.service == service && accepts_work(fleet, item.second, now);
     });
 }
 
 auto upstream_availability::accepting_upstreams(const upstream_list& fleet, const std::string& service,
-                                                bool own_part) const -> std::vector<const upstream_state*>
+                                                bool own_part, instant now) const
+    -> std::vector<const upstream_state*>
 {
     const std::size_t size = fleet.size_of(service);
     std::vector<const upstream_state*> found;
     for (const auto& [id, state] : fleet.upstreams()) {
-        if (state.entry.service == service && fleet.accepts_work(state) &&
+        if (state.entry.service == service && accepts_work(fleet, state, now) &&
             cells_.in_own_part(state.key, size) == own_part) {
             found.push_back(&state);
         }
@@ -99,7 +107,7 @@
 {
     bool found = false;
     for (const auto& [id, state] : fleet.upstreams()) {
-        if (state.entry.service != service || !fleet.accepts_work(state)) {
+        if (state.entry.service != service || !accepts_work(fleet, state, now)) {
             continue;
         }
         found = true;
@@ -114,7 +122,7 @@
                                            instant now) const -> bool
 {
     const auto known = fleet.upstreams().find(upstream);
-    return known != fleet.upstreams().end() && fleet.accepts_work(known->second) &&
+    return known != fleet.upstreams().end() && accepts_work(fleet, known->second, now) &&
            !statements_.pushback_until(known->second, now);
 }
 
--- a/tests/direct/stated_conditions_test.cpp
+++ b/tests/direct/stated_conditions_test.cpp
@@ -82,6 +82,25 @@
     (void)decider.availability().record(fleet.upstreams().at(id).entry, statement, now, now);
 }
 
+void state_drain(call_dispatcher& decider, const upstream_list& fleet, const std::string& id, instant now)
+{
+    upstream_statement statement;
+    statement.draining = true;
+    (void)decider.availability().record(fleet.upstreams().at(id).entry, statement, now, now);
+}
+
+auto long_prompt(std::uint64_t id) -> waiting_call
+{
+    waiting_call made = call(id);
+    made.service = "answers";
+    made.prompt_tokens = 210'000;
+    made.answer_tokens = 800;
+    made.tbt_target = 800ms;
+    made.aim = 3s;
+    made.latency_target_at = start + made.aim;
+    return made;
+}
+
 /// Returns the upstreams to which a gateway sends ten calls at once.
 auto used_upstreams(call_dispatcher& decider, const upstream_list& fleet, instant now)
     -> std::set<std::string>
@@ -158,14 +177,7 @@
         pushing_back.insert("e" + std::to_string(i));
         push_back(decider, fleet, "e" + std::to_string(i), start);
     }
-    waiting_call prompt = call(1);
-    prompt.service = "answers";
-    prompt.prompt_tokens = 210'000;
-    prompt.answer_tokens = 800;
-    prompt.tbt_target = 800ms;
-    prompt.aim = 3s;
-    prompt.latency_target_at = start + prompt.aim;
-    decider.add(prompt);
+    decider.add(long_prompt(1));
     const auto round = decider.decide(fleet, start);
     cr_assert(round.orders.size() == 1 && !round.orders[0].prefill_engines.empty());
     cr_assert(!pushing_back.contains(round.orders[0].upstream.id));
@@ -316,3 +328,156 @@
     cr_assert(!simulation.statements.empty());
     cr_assert(simulation.calls_to_draining() == 0, "%d calls", simulation.calls_to_draining());
 }
+
+// Guards against a queued call, and a retry, that go to the upstream that they were waiting for, though that
+// has stated its drain meanwhile.
+Test(stated_drain, queued_and_retried_calls_go_elsewhere)
+{
+    const auto fleet = fleet_of(2, 1);
+    auto decider = dispatcher();
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        decider.add(call(id));
+    }
+    const auto first = decider.decide(fleet, start);
+    cr_assert(first.orders.size() == 2 && decider.waiting() == 1);
+    state_drain(decider, fleet, "u0", start);
+    for (const dispatch_assignment& order : first.orders) {
+        decider.finish(order.placed, start);
+    }
+    const auto next = decider.decide(fleet, start + 1ms);
+    cr_assert(next.orders.size() == 1 && next.orders[0].upstream.id == "u1");
+    decider.finish(next.orders[0].placed, start + 1ms);
+    waiting_call retried = call(4);
+    retried.attempts.dispatched();
+    retried.attempts.ended(attempt_end::broken, {"u1", "a"}, start);
+    decider.add(retried);
+    const auto again = decider.decide(fleet, start + 2ms);
+    cr_assert(again.orders.size() == 1 && again.orders[0].upstream.id == "u1");
+}
+
+// Guards against a prompt whose engines include one that is about to exit with its part.
+Test(stated_drain, engine_gets_no_part_of_a_prompt)
+{
+    const auto fleet = fleet_of(16, 16);
+    auto decider = dispatcher();
+    std::set<std::string> draining;
+    for (int i = 0; i < 16; i += 2) {
+        draining.insert("e" + std::to_string(i));
+        state_drain(decider, fleet, "e" + std::to_string(i), start);
+    }
+    decider.add(long_prompt(1));
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.orders.size() == 1 && !round.orders[0].prefill_engines.empty());
+    cr_assert(!draining.contains(round.orders[0].upstream.id));
+    for (const prefill_engine& engine : round.orders[0].prefill_engines) {
+        cr_assert(!draining.contains(engine.upstream.id), "%s", engine.upstream.id.c_str());
+    }
+}
+
+// Guards against the fall-back to the upstreams of other cells as a way to one that drains.
+Test(stated_drain, holds_for_upstreams_of_other_cells)
+{
+    const auto fleet = fleet_of(static_cast<int>(2 * fleet_cells::min_part_size), 4);
+    auto decider = dispatcher();
+    fleet_cells cells("10.0.0.1:1");
+    (void)cells.update(fleet.largest_service(), start);
+    decider.set_cells(cells);
+    std::set<std::string> others;
+    for (const auto& [id, state] : fleet.upstreams()) {
+        if (state.entry.service != "bookings") {
+            continue;
+        }
+        if (cells.in_own_part(state.key, fleet.size_of("bookings")) || !others.empty()) {
+            state_drain(decider, fleet, id, start);
+            continue;
+        }
+        others.insert(id);
+    }
+    cr_assert(used_upstreams(decider, fleet, start + 1s) == others);
+}
+
+// Guards against callers that are held while all upstreams drain.
+Test(stated_drain, callers_are_refused_at_once_if_all_upstreams_drain)
+{
+    const auto fleet = fleet_of(2, 4);
+    auto decider = dispatcher();
+    state_drain(decider, fleet, "u0", start);
+    state_drain(decider, fleet, "u1", start);
+    decider.add(call(1));
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.refusals.size() == 1 && decider.waiting() == 0);
+    cr_assert(round.refusals[0].retry_after == call_dispatcher::retry_after_no_upstream);
+}
+
+// Guards against a refusal that names the time of no upstream although the pushback of one ends.
+Test(stated_drain, callers_return_after_the_pushback_of_the_upstream_that_stays)
+{
+    const auto fleet = fleet_of(2, 4);
+    auto decider = dispatcher();
+    state_drain(decider, fleet, "u0", start);
+    push_back(decider, fleet, "u1", start, 2s);
+    decider.add(call(1));
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.refusals.size() == 1);
+    cr_assert(round.refusals[0].retry_after >= 2s && round.refusals[0].retry_after < 2100ms);
+}
+
+// Guards against a drain that is lost with the published entry, or undone by a stale one that says ready.
+Test(stated_drain, survives_changes_of_the_published_entry)
+{
+    auto fleet = fleet_of(1, 4);
+    auto decider = dispatcher();
+    state_drain(decider, fleet, "u0", start);
+    upstream_entry entry = fleet.upstreams().at("u0").entry;
+    entry.cold_remaining = 1s;
+    fleet.take("ku0", entry, start + 1s);
+    cr_assert(used_upstreams(decider, fleet, start + 2s).empty());
+    fleet.remove("ku0", false, start + 3s);
+    decider.availability().expire(fleet, start + 60s);
+    fleet.take("ku0", entry, start + 61s);
+    cr_assert(used_upstreams(decider, fleet, start + 65s).empty());
+}
+
+// Guards against an upstream that is never used again: after a restart, or as it runs on.
+Test(stated_drain, ends_with_its_run_or_after_the_longest_drain)
+{
+    auto fleet = fleet_of(1, 4);
+    auto decider = dispatcher();
+    state_drain(decider, fleet, "u0", start);
+    cr_assert(used_upstreams(decider, fleet, start + upstream_statements::max_drain - 1ms).empty());
+    cr_assert(!used_upstreams(decider, fleet, start + upstream_statements::max_drain).empty());
+
+    const instant again = start + 1h;
+    state_drain(decider, fleet, "u0", again);
+    upstream_entry restarted = fleet.upstreams().at("u0").entry;
+    restarted.started_ms = 2;
+    fleet.take("ku0", restarted, again + 10s);
+    cr_assert(!used_upstreams(decider, fleet, again + 11s).empty());
+}
+
+// Guards against calls to a restarted upstream that has stated its drain before its new entry was read.
+Test(stated_drain, belongs_to_a_run_whose_entry_is_read_shortly_afterwards)
+{
+    auto fleet = fleet_of(1, 4);
+    auto decider = dispatcher();
+    state_drain(decider, fleet, "u0", start);
+    upstream_entry restarted = fleet.upstreams().at("u0").entry;
+    restarted.started_ms = 2;
+    fleet.take("ku0", restarted, start + 1s);
+    cr_assert(used_upstreams(decider, fleet, start + 30s).empty());
+}
+
+// Guards against an incident without a trace: a call that was sent in spite of a statement is counted.
+Test(stated_drain, response_to_a_call_sent_afterwards_is_reported)
+{
+    const auto fleet = fleet_of(1, 4);
+    upstream_statements statements;
+    upstream_statement drain;
+    drain.draining = true;
+    const upstream_entry& upstream = fleet.upstreams().at("u0").entry;
+    cr_assert(statements.record(upstream, drain, start, start + 1s) ==
+              (statement_changes{false, false, true, false}));
+    cr_assert(!statements.record(upstream, {}, start + 500ms, start + 2s).unwanted,
+              "sent before it was known");
+    cr_assert(statements.record(upstream, {}, start + 1500ms, start + 2s).unwanted);
+}
--- a/tests/edge/upstream_statement_test.cpp
+++ b/tests/edge/upstream_statement_test.cpp
@@ -53,3 +53,27 @@
     }
     cr_assert(first.requests.size() <= 1);
 }
+
+// Guards against new calls to an upstream that has stated its drain in a response, though it is published as
+// ready.
+Test(upstream_statement, calls_go_elsewhere_once_an_upstream_states_its_drain)
+{
+    gateway_fixture fixture;
+    const auto draining = [](taken_connection& connection) {
+        connection.send(complete_response("booked", "Draining: 1\r\n"));
+    };
+    auto& first = fixture.add_upstream("bookings", draining);
+    auto& second = fixture.add_upstream("bookings", draining);
+    fixture.start();
+    for (int request = 1; request <= 2; ++request) {
+        fixture.received.clear();
+        fixture.send("POST", "/book/1");
+        fixture.run_until_received("booked");
+    }
+    cr_assert(first.requests.size() == 1 && second.requests.size() == 1);
+    fixture.received.clear();
+    fixture.send("POST", "/book/1");
+    fixture.run_until_received("\"ran\":\"no\"");
+    cr_assert(retry_after(fixture) > 0.0);
+    cr_assert(first.requests.size() == 1 && second.requests.size() == 1);
+}
