Read what engines state in their responses to orders

Cause: found while looking for the same fault elsewhere. A prompt may reserve memory at other engines before it is sent; what these said of themselves in their responses was dropped, and only the engine that answers the prompt was checked once more before sending. A prompt could be sent with a part at an engine that had just stated its drain.

Change: responses to reservations and releases go through the same recorder as those to calls. They end no rate limit, as they need not state one.

Evidence: the new test failed without the recorder's call. Run: the edge suite.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -237,8 +237,9 @@
         return;
     }
     const std::string reservation_name = request_id_ + "-" + std::to_string(queued_call_.attempts.count());
-    reservation_ = std::make_shared<memory_reservation>(context_.loop, context_.timers, context_.orders,
-                                                        reservation_name, std::move(pieces));
+    reservation_ =
+        std::make_shared<memory_reservation>(context_.loop, context_.timers, context_.orders,
+                                             reservation_name, std::move(pieces), order_response_recorder());
     using outcome = memory_reservation::outcome;
     reservation_->start(
         [weak = weak_from_this(), attempt = queued_call_.attempts.count()](const outcome& reserved) {
@@ -255,6 +256,21 @@
         });
 }
 
+auto exchange::order_response_recorder() const -> memory_reservation::response_observer
+{
+    // Outlives the attempt: releases are answered after it.
+    return [&statements = context_.statements, engines = assignment_->prefill_engines,
+            request = request_id_](const std::string& address, const response_head& head, instant sent_at) {
+        const auto answers = [&](const direct::prefill_engine& engine) {
+            return engine.upstream.address == address;
+        };
+        const auto engine = std::find_if(engines.begin(), engines.end(), answers);
+        if (engine != engines.end()) {
+            statements.record_order_response(head, engine->upstream, request, sent_at, runtime::now());
+        }
+    };
+}
+
 void exchange::on_reservation_failed(const std::vector<std::string>& unreachable)
 {
     const instant now = runtime::now();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -86,6 +86,7 @@
     void fill_queued_call(duration limit);
     void enqueue();
     void reserve_kv_cache();
+    [[nodiscard]] auto order_response_recorder() const -> memory_reservation::response_observer;
     void on_reservation_failed(const std::vector<std::string>& unreachable);
     /// Returns whether the call may still be sent to the upstreams that it has been assigned to.
     [[nodiscard]] auto may_still_send(instant now) const -> bool;
--- a/src/edge/memory_reservation.cpp
+++ b/src/edge/memory_reservation.cpp
@@ -17,9 +17,11 @@
                                        public std::enable_shared_from_this<order_call>
 {
 public:
-    order_call(boost::asio::io_context& loop, loop_timers& timers, std::function<void(order_end)> done)
+    order_call(boost::asio::io_context& loop, loop_timers& timers, response_observer on_response,
+               std::function<void(order_end)> done)
         : timers_(timers)
         , call_(std::make_shared<upstream_call>(loop, timers, *this))
+        , on_response_(std::move(on_response))
         , done_(std::move(done))
     {
     }
@@ -30,11 +32,14 @@
             self->timer_.reset();
             self->end(order_end::refused);
         });
+        address_ = address;
+        sent_at_ = runtime::now();
         call_->start(address, std::move(request), false);
     }
 
     auto on_response_head(const response_head& head) -> bool override
     {
+        on_response_(address_, head, sent_at_);
         status_ = head.status;
         return true;
     }
@@ -61,19 +66,23 @@
 
     loop_timers& timers_;
     std::shared_ptr<upstream_call> call_;
+    response_observer on_response_;
     std::function<void(order_end)> done_;
+    std::string address_;
+    instant sent_at_{};
     std::optional<timer_id> timer_;
     unsigned status_ = 0;
 };
 
 memory_reservation::memory_reservation(boost::asio::io_context& loop, loop_timers& timers,
                                        const upstream_orders& orders, std::string name,
-                                       std::vector<piece> pieces)
+                                       std::vector<piece> pieces, response_observer on_response)
     : loop_(loop)
     , timers_(timers)
     , orders_(orders)
     , name_(std::move(name))
     , pieces_(std::move(pieces))
+    , on_response_(std::move(on_response))
 {
 }
 
@@ -94,14 +103,18 @@
 {
     pending_orders_ += pieces_.size();
     for (const piece& part : pieces_) {
-        const auto call =
-            std::make_shared<order_call>(loop_, timers_, [self = shared_from_this(), part](order_end end) {
-                self->on_order_finished(part, end);
-            });
-        call->start(part.address, orders_.reserve({part.address, name_, part.tokens, lease_time}));
+        send_order(part, orders_.reserve({part.address, name_, part.tokens, lease_time}),
+                   [self = shared_from_this(), part](order_end end) { self->on_order_finished(part, end); });
     }
 }
 
+void memory_reservation::send_order(const piece& part, std::string request,
+                                    std::function<void(order_end)> done)
+{
+    const auto call = std::make_shared<order_call>(loop_, timers_, on_response_, std::move(done));
+    call->start(part.address, std::move(request));
+}
+
 void memory_reservation::on_order_finished(const piece& part, order_end end)
 {
     --pending_orders_;
@@ -146,8 +159,7 @@
     }
     for (const piece& part : pieces_) {
         // If the release is lost, the lease expires.
-        const auto call = std::make_shared<order_call>(loop_, timers_, [](order_end) {});
-        call->start(part.address, orders_.release({part.address, name_}));
+        send_order(part, orders_.release({part.address, name_}), [](order_end) {});
     }
 }
 
--- a/src/edge/memory_reservation.h
+++ b/src/edge/memory_reservation.h
@@ -37,9 +37,12 @@
     };
     /// Called once with the result.
     using handler = std::function<void(const outcome&)>;
+    /// Called with the head of each response of the engine at an address to an order sent at `sent_at`.
+    using response_observer =
+        std::function<void(const std::string& address, const response_head& head, instant sent_at)>;
 
     memory_reservation(boost::asio::io_context& loop, loop_timers& timers, const upstream_orders& orders,
-                       std::string name, std::vector<piece> pieces);
+                       std::string name, std::vector<piece> pieces, response_observer on_response);
     ~memory_reservation();
     memory_reservation(const memory_reservation&) = delete;
     auto operator=(const memory_reservation&) -> memory_reservation& = delete;
@@ -68,6 +71,7 @@
         unreachable,
     };
 
+    void send_order(const piece& part, std::string request, std::function<void(order_end)> done);
     void on_order_finished(const piece& part, order_end end);
     void schedule_renewal();
     void send_all();
@@ -77,6 +81,7 @@
     const upstream_orders& orders_;
     std::string name_;
     std::vector<piece> pieces_;
+    response_observer on_response_;
     handler done_;
     std::size_t pending_orders_ = 0;
     outcome outcome_{true, {}};
--- a/src/edge/statement_recorder.cpp
+++ b/src/edge/statement_recorder.cpp
@@ -24,18 +24,33 @@
         // The response of another upstream.
         return;
     }
-    direct::upstream_statement statement = read_(head);
+    // A rejection may come from a part of the upstream that doesn't know its rate limit.
     const bool is_rejection = !head.value_of(names_.not_run).empty();
-    if (is_rejection && !statement.rate.calls_per_s) {
-        // A rejection may come from a part of the upstream that doesn't know the limit.
-        statement.rate.readable = false;
-    }
-    const auto changes = availability_.record(upstream, statement, sent_at, now);
+    const auto changes = record(read_(head), !is_rejection, upstream, request, sent_at, now);
     if (changes.unwanted) {
         metrics_.unwanted_calls.add();
         log_event(event::unwanted_call_sent, field("request", request), field("upstream", upstream.id),
                   field("after_us", now - sent_at));
     }
+}
+
+void statement_recorder::record_order_response(const response_head& head,
+                                               const direct::upstream_entry& upstream,
+                                               const std::string& request, instant sent_at, instant now)
+{
+    if (head.status != misdirected) {
+        (void)record(read_(head), false, upstream, request, sent_at, now);
+    }
+}
+
+auto statement_recorder::record(direct::upstream_statement statement, bool is_complete,
+                                const direct::upstream_entry& upstream, const std::string& request,
+                                instant sent_at, instant now) -> direct::statement_changes
+{
+    if (!is_complete && !statement.rate.calls_per_s) {
+        statement.rate.readable = false;
+    }
+    const auto changes = availability_.record(upstream, statement, sent_at, now);
     if (changes.pushback || !statement.pushback.readable) {
         log_event(event::upstream_pushback, field("request", request), field("upstream", upstream.id),
                   field("readable", statement.pushback.readable),
@@ -51,6 +66,7 @@
                   field("age_us", duration::zero()), field("from", "answer"));
         announce_rate_limits_();
     }
+    return changes;
 }
 
 } // namespace dragonflymill::edge
--- a/src/edge/statement_recorder.h
+++ b/src/edge/statement_recorder.h
@@ -23,7 +23,17 @@
     void record_response(const response_head& head, const direct::upstream_entry& upstream,
                          const std::string& request, instant sent_at, instant now);
 
+    /// Records the response to an order. It need not state a rate limit, and the order may have belonged to a
+    /// call that was sent earlier.
+    void record_order_response(const response_head& head, const direct::upstream_entry& upstream,
+                               const std::string& request, instant sent_at, instant now);
+
 private:
+    /// `is_complete`: whether the absence of a rate limit means that there is none.
+    [[nodiscard]] auto record(direct::upstream_statement statement, bool is_complete,
+                              const direct::upstream_entry& upstream, const std::string& request,
+                              instant sent_at, instant now) -> direct::statement_changes;
+
     const statement_reader& read_;
     const header_names& names_;
     direct::upstream_availability& availability_;
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -120,8 +121,9 @@
             statement.draining = !head.value_of("Draining").empty();
             return statement;
         };
-        gateway = std::make_unique<direct_gateway>(
-            loop, settings, platform_adapter{names, {}, read_statement}, source, [] { return std::nullopt; });
+        gateway =
+            std::make_unique<direct_gateway>(loop, settings, platform_adapter{names, orders, read_statement},
+                                             source, [] { return std::nullopt; });
         cr_assert(gateway->start().has_value());
         connect_caller();
     }
@@ -169,6 +171,10 @@
     bool caller_ended = false;
     /// Settings of the gateway; `start` sets addresses and names.
     direct_gateway_settings settings;
+    /// Profile of the service "engines"; nothing: it is chosen like a plain service.
+    std::optional<direct::engine_profile> engine_profile;
+    /// Encoders of orders to engines.
+    upstream_orders orders;
     /// Caller limits in the gateway's configuration.
     direct::caller_limits limits;
 
@@ -192,7 +198,16 @@
         direct::fleet_config::parts parts;
         parts.version = 1;
         parts.routes = {book, chat};
-        parts.services = {{"bookings", 10, 0s, 0.0, std::nullopt}, {"engines", 10, 0s, 0.0, std::nullopt}};
+        if (engine_profile) {
+            // Prompts of the route with the tighter target are never divided.
+            direct::route_rule talk = chat;
+            talk.name = "talk";
+            talk.path_prefix = "/talk/";
+            talk.tbt_target = 200ms;
+            parts.routes.back().tbt_target = 800ms;
+            parts.routes.push_back(talk);
+        }
+        parts.services = {{"bookings", 10, 0s, 0.0, std::nullopt}, {"engines", 10, 0s, 0.0, engine_profile}};
         parts.accounts = {{"acme", {"key1"}, std::nullopt}};
         parts.requires_api_key = true;
         parts.limits = limits;
--- a/tests/edge/memory_reservation_test.cpp
+++ b/tests/edge/memory_reservation_test.cpp
@@ -33,7 +33,8 @@
     const std::string unreachable = closed_address(loop);
     std::optional<memory_reservation::outcome> reported;
     const auto memory = std::make_shared<memory_reservation>(
-        loop, timers, orders, "r1", std::vector<memory_reservation::piece>{{unreachable, 1000}});
+        loop, timers, orders, "r1", std::vector<memory_reservation::piece>{{unreachable, 1000}},
+        [](const std::string&, const response_head&, instant) {});
     memory->start([&](const memory_reservation::outcome& outcome) { reported = outcome; });
     loop.run();
     const memory_reservation::outcome expected{false, {unreachable}};
--- a/tests/edge/upstream_statement_test.cpp
+++ b/tests/edge/upstream_statement_test.cpp
@@ -77,3 +77,48 @@
     cr_assert(retry_after(fixture) > 0.0);
     cr_assert(first.requests.size() == 1 && second.requests.size() == 1);
 }
+
+// Guards against a prompt whose memory is reserved at an engine that, in its response to the reservation,
+// states its drain: the answer would be cut off when that engine exits.
+Test(upstream_statement, prompt_is_planned_again_if_an_engine_drains_during_its_reservation)
+{
+    gateway_fixture fixture;
+    fixture.engine_profile =
+        direct::engine_profile{16, 45'000, 46, 0.925, 0.00483, 0.00254, 256.0, 0.0917, 2048};
+    fixture.orders.reserve = [](const reserve_order& order) {
+        return "POST /reserve HTTP/1.1\r\nHost: " + order.address + "\r\nContent-Length: 0\r\n\r\n";
+    };
+    fixture.orders.release = [](const release_order& order) {
+        return "POST /release HTTP/1.1\r\nHost: " + order.address + "\r\nContent-Length: 0\r\n\r\n";
+    };
+    fixture.orders.encode_prefill_engines = [](const std::vector<prefill_engine_reference>& engines) {
+        std::string list;
+        for (const prefill_engine_reference& engine : engines) {
+            list += engine.address + " ";
+        }
+        return list;
+    };
+    std::vector<standin_upstream*> engines;
+    std::string draining_address;
+    std::string sent;
+    for (std::size_t i = 0; i < 6; ++i) {
+        engines.push_back(&fixture.add_upstream("engines", [&, i](taken_connection& connection) {
+            if (connection.received.starts_with("POST /chat/")) {
+                sent = engines[i]->address() + "\r\n" + connection.received;
+                connection.send(complete_response("answered"));
+                return;
+            }
+            if (draining_address.empty()) {
+                draining_address = engines[i]->address();
+            }
+            const bool drains = draining_address == engines[i]->address();
+            connection.send(std::string("HTTP/1.1 200 OK\r\n") + (drains ? "Draining: 1\r\n" : "") +
+                            "Content-Length: 0\r\n\r\n");
+        }));
+    }
+    fixture.start();
+    fixture.send("POST", "/chat/1", "Tokens: 60000,100\r\n", "hello");
+    fixture.run_until_received("answered");
+    cr_assert(!draining_address.empty(), "no memory was reserved");
+    cr_assert(sent.find(draining_address) == std::string::npos, "%s", sent.c_str());
+}
