Don't keep a drain after a restart in place

A drain stated up to three seconds before the entry of a new run was read counted for that run as its own, for ten minutes. Upstreams that are restarted one after the other under their ids would all have counted as draining at the gateways that had heard them.

A statement of another run now counts for three seconds after its receipt, whenever the new entry is read.

--- a/include/dragonflymill/direct/upstream_list.h
+++ b/include/dragonflymill/direct/upstream_list.h
@@ -63,7 +63,6 @@
     std::uint64_t key = 0; ///< Hash of its id: its name in load reports and its position in a stable order.
     instant cold_since{};  ///< Begin of its last cold start, as far as known here.
     instant cold_until{};  ///< Time until which it is cold.
-    instant run_known_since{}; ///< When the first entry of this run was read here.
     std::optional<instant>
         removed_at; ///< When its entry was removed, while the removal is still unconfirmed.
 
--- a/include/dragonflymill/direct/upstream_statements.h
+++ b/include/dragonflymill/direct/upstream_statements.h
@@ -71,8 +71,8 @@
     /// Time after its last statement for which an upstream counts as draining. It exits within seconds to a
     /// minute; one that runs for longer is asked again.
     static constexpr duration max_drain = 10min;
-    /// A statement ends with the run of the upstream that made it. If the new run was published within this
-    /// time after the statement, the statement may be its own.
+    /// A statement ends with the run of the upstream that made it. For this time after its receipt it may be
+    /// that of a new run whose entry wasn't read yet, and counts in either case.
     static constexpr duration publication_delay = 3s;
 
 private:
--- a/src/direct/upstream_list.cpp
+++ b/src/direct/upstream_list.cpp
@@ -38,7 +38,6 @@
     upstream_state& state = known->second;
     const bool restarted = !is_new && state.entry.started_ms != entry.started_ms;
     if (is_new || restarted) {
-        state.run_known_since = now;
         state.cold_since = now;
         state.cold_until = now + entry.cold_remaining;
     }
--- a/src/direct/upstream_statements.cpp
+++ b/src/direct/upstream_statements.cpp
@@ -66,7 +66,7 @@
     }
     const notice& stated = found->second;
     const bool ended = is_other_run(stated.started_ms, upstream.entry.started_ms) &&
-                       upstream.run_known_since - stated.received_at > publication_delay;
+                       now - stated.received_at > publication_delay;
     return ended ? nullptr : &stated;
 }
 
