Check pauses and drains that upstreams state in the soak

Upstreams now reject calls and ask for a pause, state their drain in answers while their entry says ready, and restart under their ids, in series and beside all other faults. Kills, pauses and restarts of the gateway excuse it.

--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -51,7 +51,15 @@
 auto soak_upstream::entry(bool leaving) const -> std::string
 {
     return R"({"service":")" + service_ + R"(","address":")" + server_.address() +
-           R"(","zone":"a","state":")" + (leaving ? "draining" : "ready") + R"(","slots":8,"coldLeftMs":0})";
+           R"(","zone":"a","state":")" + (leaving ? "draining" : "ready") +
+           R"(","slots":8,"coldLeftMs":0,"born":)" + std::to_string(run_) + "}";
+}
+
+void soak_upstream::restart()
+{
+    ++run_;
+    pause_.reset();
+    states_drain_ = false;
 }
 
 void soak_upstream::later(std::chrono::milliseconds wait, std::function<void()> action)
@@ -67,7 +75,8 @@
 void soak_upstream::run(taken_connection& call)
 {
     const std::string request = field(call.received, "Dragonflymill-Attempt-Id");
-    std::string head = "Dragonflymill-Attempt-Id: " + request + "\r\nDragonflymill-Server-Seal: s\r\n";
+    std::string head =
+        "Dragonflymill-Attempt-Id: " + request + "\r\nDragonflymill-Server-Seal: " + id_ + "\r\n";
     if (field(call.received, "Dragonflymill-Expect-Instance") != id_) {
         send(call, "HTTP/1.1 421 M\r\n" + head + "Content-Length: 0\r\n\r\n");
         return;
@@ -75,10 +84,20 @@
     if (limit_) {
         head += "Server-Limit: " + std::to_string(*limit_) + "\r\n";
     }
+    if (drains()) {
+        head += "Server-Leaving: 1\r\n";
+    }
     on_request_(request);
     if (const auto well = well_since_(); left_ && well) {
         promises_.reached_leaving(request, std::max(*left_, *well), soak_world::leave_bound);
     }
+    if (pause_) {
+        on_rejected_(request, *pause_);
+        send(call, "HTTP/1.1 503 P\r\n" + head + "Dragonflymill-Not-Executed: 1\r\nRetry-After: " +
+                       std::to_string(std::chrono::duration<double>(*pause_).count()) +
+                       "\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
     if (fault_ == fault::full) {
         send(call,
              "HTTP/1.1 503 F\r\n" + head + "Dragonflymill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -71,10 +71,20 @@
         const std::string text = "POST " + path + "x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" +
                                  "Dragonflymill-Attempt-Id: " + request_ +
                                  "\r\nDragonflymill-Request-Deadline: 4000\r\nContent-Length: 2\r\n\r\nhi";
+        world_.requests_.at(request_).sent_at = std::chrono::steady_clock::now();
         boost::asio::write(socket_, boost::asio::buffer(text), ignored);
         read();
     }
 
+    void note_drain()
+    {
+        const edge::response_head& head = parser_.head();
+        if (!head.value_of("Server-Leaving").empty()) {
+            world_.statements_.passed_on_drain(std::string(head.value_of("Dragonflymill-Server-Seal")),
+                                               world_.requests_.at(request_).gateway);
+        }
+    }
+
     void read()
     {
         socket_.async_read_some(
@@ -84,6 +94,9 @@
                     state = failed == boost::asio::error::eof ? self->parser_.take_eof()
                                                               : edge::response_state::invalid;
                 }
+                if (state == edge::response_state::body || state == edge::response_state::complete) {
+                    self->note_drain();
+                }
                 const bool over = failed || state == edge::response_state::complete ||
                                   state == edge::response_state::invalid;
                 over ? self->end(state) : self->read();
@@ -196,13 +209,21 @@
     const std::string id = service + "-" + std::to_string(++made_);
     upstreams_.push_back(std::make_unique<soak_upstream>(loop_, id, service, promises_));
     upstreams_.back()->set_store_well([this] { return store_well_since_; });
-    upstreams_.back()->set_on_request(
-        [this, id](const std::string& request) { limits_.received(id, gateway_of_request_[request]); });
+    upstreams_.back()->set_on_request([this, id](const std::string& request) {
+        const sent_request& sent = requests_[request];
+        limits_.received(id, sent.gateway);
+        statements_.received(id, sent.gateway, sent.sent_at);
+    });
+    upstreams_.back()->set_on_rejected(
+        [this, id](const std::string& request, std::chrono::milliseconds pause) {
+            statements_.rejected(id, requests_[request].gateway, pause);
+        });
     store_.put("servers/" + id, upstreams_.back()->entry(false));
 }
 
 void soak_world::start_gateway(soak_gateway& gateway)
 {
+    statements_.excuse(gateway.ip);
     gateway.process = std::make_unique<child_process>(
         program_, std::vector<std::string>{"platform-gateway", "--settings", gateway.settings});
     gateway.ends_by.reset();
@@ -233,13 +254,13 @@
     soak_gateway& gateway = gateways_[random_.below(gateways_.size())];
     calm_calls_ += faults ? 0 : 1;
     const std::string request = "r" + std::to_string(++made_);
-    gateway_of_request_[request] = gateway.ip;
+    requests_[request] = {gateway.ip, std::chrono::steady_clock::now()};
     std::make_shared<caller>(*this, request, is_stream, !faults)->start(gateway, caller_port_);
 }
 
 void soak_world::next_fault()
 {
-    strike(random_.below(14));
+    strike(random_.below(17));
 }
 
 void soak_world::strike(std::uint64_t kind)
@@ -274,18 +295,26 @@
         put_config();
         return;
     case 7:
-        if (!upstream.left() && upstreams_.size() < 40) {
-            const std::string service = upstream.id().substr(0, upstream.id().find('-'));
+        if (!upstream.drains() && upstreams_.size() < 40) {
             tell(upstream.id() + " drains and is replaced");
             upstream.leave();
             store_.put("servers/" + upstream.id(), upstream.entry(true));
             later(1s, [this, id = upstream.id()] { store_.remove("servers/" + id); });
-            add_upstream(service);
+            replace(upstream);
         }
         return;
     case 13:
         limit_upstream(upstream);
         return;
+    case 14:
+        push_back(upstream);
+        return;
+    case 15:
+        state_drain(upstream);
+        return;
+    case 16:
+        restart_upstream(upstream);
+        return;
     default:
         strike_gateway(gateways_[random_.below(gateways_.size())], kind);
     }
@@ -304,6 +333,49 @@
     });
 }
 
+void soak_world::push_back(soak_upstream& upstream)
+{
+    // Longer than the upstream rejects calls, shorter, and in fractions of a second.
+    constexpr std::array pauses{300ms, 1000ms, 2500ms, 4000ms};
+    const std::chrono::milliseconds pause = pauses[random_.below(pauses.size())];
+    tell(upstream.id() + " rejects calls and asks for pauses of " + std::to_string(pause.count()) + " ms");
+    upstream.set_pause(pause);
+    later(std::chrono::milliseconds(500 + random_.below(4000)), [&upstream] { upstream.set_pause({}); });
+}
+
+void soak_world::state_drain(soak_upstream& upstream)
+{
+    if (upstream.drains() || upstreams_.size() >= 40) {
+        return;
+    }
+    tell(upstream.id() + " states its drain, and its entry says ready until it is removed");
+    upstream.state_drain();
+    replace(upstream);
+    later(6s, [this, &upstream] {
+        if (upstream.drains()) {
+            store_.remove("servers/" + upstream.id());
+        }
+    });
+}
+
+void soak_world::restart_upstream(soak_upstream& upstream)
+{
+    if (upstream.left()) {
+        return;
+    }
+    tell(upstream.id() + " restarts under its id");
+    upstream.restart();
+    upstream.set_limit(std::nullopt);
+    limits_.end(upstream.id());
+    statements_.restarted(upstream.id());
+    store_.put("servers/" + upstream.id(), upstream.entry(false));
+}
+
+void soak_world::replace(const soak_upstream& upstream)
+{
+    add_upstream(upstream.id().substr(0, upstream.id().find('-')));
+}
+
 void soak_world::strike_gateway(soak_gateway& gateway, std::uint64_t kind)
 {
     if (!gateway.process || gateway.ends_by || gateway.paused) {
@@ -317,6 +389,7 @@
     switch (kind) {
     case 8:
         tell(gateway.ip + " killed");
+        statements_.excuse(gateway.ip);
         limits_.struck(gateway.ip);
         gateway.process->signal(SIGKILL);
         return;
@@ -328,11 +401,13 @@
         return;
     case 10:
         tell(gateway.ip + " paused");
+        statements_.excuse(gateway.ip);
         gateway.paused = true;
         gateway.process->signal(SIGSTOP);
         limits_.struck(gateway.ip, 2s);
-        later(std::chrono::milliseconds(300 + random_.below(1500)), [&gateway] {
+        later(std::chrono::milliseconds(300 + random_.below(1500)), [this, &gateway] {
             gateway.paused = false;
+            statements_.excuse(gateway.ip);
             if (gateway.process) {
                 gateway.process->signal(SIGCONT);
             }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -4,6 +4,7 @@
 #include "edge/response_parser.h"
 #include "soak/limit_watch.h"
 #include "soak/promises.h"
+#include "soak/statement_watch.h"
 #include "soak/store_standin.h"
 #include "support/child_process.h"
 #include "support/standin_upstream.h"
@@ -42,6 +43,18 @@
     void set_fault(fault now) { fault_ = now; }
     /// Sets the rate limit that its responses state, in calls per second; nothing: they state none.
     void set_limit(std::optional<double> calls_per_s) { limit_ = calls_per_s; }
+    /// Rejects all requests from now on and asks for this pause; nothing: it accepts them again.
+    void set_pause(std::optional<std::chrono::milliseconds> pause) { pause_ = pause; }
+    /// States in its responses that it is draining from now on.
+    void state_drain() { states_drain_ = true; }
+    /// Starts again under its id: what it stated before is over.
+    void restart();
+    /// Sets the function that is called for each request that it rejects with a pause.
+    void
+    set_on_rejected(std::function<void(const std::string& request, std::chrono::milliseconds pause)> told)
+    {
+        on_rejected_ = std::move(told);
+    }
     /// Sets the function that is called for each request that it doesn't misdirect.
     void set_on_request(std::function<void(const std::string& request)> on_request)
     {
@@ -55,6 +68,8 @@
     {
         well_since_ = std::move(well_since);
     }
+    /// Whether the upstream is draining or states it.
+    [[nodiscard]] auto drains() const -> bool { return left_ || states_drain_; }
     /// Whether the upstream is draining.
     [[nodiscard]] auto left() const -> bool { return left_.has_value(); }
 
@@ -71,6 +86,10 @@
     test_support::standin_upstream server_;
     fault fault_ = fault::none;
     std::optional<double> limit_;
+    std::optional<std::chrono::milliseconds> pause_;
+    bool states_drain_ = false;
+    int run_ = 1;
+    std::function<void(const std::string&, std::chrono::milliseconds)> on_rejected_;
     std::function<void(const std::string&)> on_request_;
     std::optional<moment> left_;
     std::function<std::optional<moment>()> well_since_;
@@ -103,6 +122,8 @@
     void run(std::chrono::milliseconds length);
     /// Guarantees as checked so far.
     [[nodiscard]] auto kept() -> promises& { return promises_; }
+    /// Pauses and drains that upstreams have stated to gateways.
+    [[nodiscard]] auto statements() const -> int { return statements_.statements(); }
     /// Injected faults, one line each, with milliseconds since the start.
     [[nodiscard]] auto story() const -> const std::vector<std::string>& { return story_; }
 
@@ -115,6 +136,13 @@
 private:
     class caller;
 
+    /// A request of a caller.
+    struct sent_request
+    {
+        std::string gateway; // its loopback address
+        moment sent_at;
+    };
+
     void start_gateway(soak_gateway& gateway);
     void write_settings(soak_gateway& gateway, std::uint16_t port);
     void put_config();
@@ -123,6 +151,10 @@
     void next_fault();
     void strike(std::uint64_t kind);
     void limit_upstream(soak_upstream& upstream);
+    void push_back(soak_upstream& upstream);
+    void state_drain(soak_upstream& upstream);
+    void restart_upstream(soak_upstream& upstream);
+    void replace(const soak_upstream& upstream);
     void strike_gateway(soak_gateway& gateway, std::uint64_t kind);
     void heal();
     void look_after_gateways();
@@ -136,7 +168,8 @@
     std::string program_;
     promises promises_;
     limit_watch limits_{promises_};
-    std::map<std::string, std::string> gateway_of_request_;
+    statement_watch statements_{promises_};
+    std::map<std::string, sent_request> requests_;
     store_standin store_;
     std::vector<std::unique_ptr<soak_upstream>> upstreams_;
     std::vector<soak_gateway> gateways_;
