Tell callers the earlier of a rate limit's turn and a pushback's end

Found on reading the change again: where some upstreams state rate limits and the others push back, the rates of both were added up, so calls could be held for a turn that doesn't come, until their time in the queue was over. The turn is now the earlier one of the two groups, each at its own rate. The new test was not run on the code before.

Refusals from the queue are counted by reason.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -205,9 +205,10 @@
     /// `calls_ahead` others.
     [[nodiscard]] auto turn_of(const upstream_list& fleet, const waiting_call& call, int calls_ahead,
                                instant now) const -> turn_time;
-    /// Returns the calls per second that this gateway can expect to send to an upstream once it is available.
-    [[nodiscard]] auto expected_rate(const upstream_list& fleet, const upstream_state& upstream,
-                                     const waiting_call& call, instant now) const -> double;
+    /// Returns the calls per second that this gateway can expect to send to an upstream without a limit: all
+    /// gateways use its slots, for one latency target per call.
+    [[nodiscard]] auto expected_rate(const upstream_state& upstream, const waiting_call& call) const
+        -> double;
     /// Returns when the client of a call with that turn should return, and takes the turn for it.
     auto take_return_turn(const waiting_call& call, const turn_time& turn, instant now) -> instant;
     /// Returns the refusal of a call that is blocked by rate limits or pushbacks; nothing if it can wait.
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -226,33 +226,41 @@
 auto call_dispatcher::turn_of(const upstream_list& fleet, const waiting_call& call, int calls_ahead,
                               instant now) const -> turn_time
 {
-    instant first = instant::max();
-    double rate = 0.0;
+    struct upstream_group
+    {
+        instant first = instant::max();
+        double calls_per_s = 0.0;
+    };
+    upstream_group limited;
+    upstream_group unlimited;
     for (const bool own_part : {true, false}) {
         for (const upstream_state* upstream :
              availability_.accepting_upstreams(fleet, call.service, own_part, now)) {
             const instant available_at = availability_.available_at(fleet, *upstream, now);
-            if (available_at < instant::max()) {
-                first = std::min(first, std::max(available_at, now));
-                rate += expected_rate(fleet, *upstream, call, now);
+            if (available_at == instant::max()) {
+                continue;
             }
+            const double limit = availability_.expected_rate(fleet, *upstream, now);
+            upstream_group& group = limit > 0 ? limited : unlimited;
+            group.first = std::min(group.first, std::max(available_at, now));
+            group.calls_per_s += limit > 0 ? limit : expected_rate(*upstream, call);
         }
     }
-    if (first == instant::max()) {
-        return {first, duration::zero()};
-    }
-    const duration interval(static_cast<duration::rep>(us_per_s / std::max(rate, min_expected_rate)));
-    return {first + interval * calls_ahead, interval};
+    const auto turn = [&](const upstream_group& group) -> turn_time {
+        if (group.first == instant::max()) {
+            return {group.first, duration::zero()};
+        }
+        const double calls_per_s = std::max(group.calls_per_s, min_expected_rate);
+        const duration interval(static_cast<duration::rep>(us_per_s / calls_per_s));
+        return {group.first + interval * calls_ahead, interval};
+    };
+    const turn_time under_limit = turn(limited);
+    const turn_time without_limit = turn(unlimited);
+    return under_limit.expected_at <= without_limit.expected_at ? under_limit : without_limit;
 }
 
-auto call_dispatcher::expected_rate(const upstream_list& fleet, const upstream_state& upstream,
-                                    const waiting_call& call, instant now) const -> double
+auto call_dispatcher::expected_rate(const upstream_state& upstream, const waiting_call& call) const -> double
 {
-    const double limit = availability_.expected_rate(fleet, upstream, now);
-    if (limit > 0) {
-        return limit;
-    }
-    // Without a limit, the slots of the upstream are used by all gateways, one latency target per call.
     const duration call_time = std::max(call.aim, min_call_time);
     return upstream.entry.slots * us_per_s / static_cast<double>(call_time.count()) /
            std::max(gateways_.known, 1);
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -633,6 +633,7 @@
 void exchange::on_refused(const direct::dispatch_refusal& refusal)
 {
     is_queued_ = false;
+    context_.metrics.dispatch_refusals(refusal.reason).add();
     if (response_started_) {
         apply_next_step(next_step::cut, refusal.reason);
         return;
--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -42,4 +42,10 @@
 {
 }
 
+auto gateway_metrics::dispatch_refusals(const std::string& reason) -> metric_counter&
+{
+    return registry_->counter({"dragonflymill_dispatch_refusals_total", "Waiting requests that were refused"},
+                              {{"reason", reason}});
+}
+
 } // namespace dragonflymill::edge
--- a/src/edge/gateway_metrics.h
+++ b/src/edge/gateway_metrics.h
@@ -16,6 +16,8 @@
 
     /// All metrics in the Prometheus text format.
     [[nodiscard]] auto text() const -> std::string { return registry_->prometheus_text(); }
+    /// Queued calls that were refused for a reason, in the words of the dispatcher.
+    [[nodiscard]] auto dispatch_refusals(const std::string& reason) -> metric_counter&;
 
 private:
     std::unique_ptr<metrics_registry> registry_;
--- a/tests/direct/stated_conditions_test.cpp
+++ b/tests/direct/stated_conditions_test.cpp
@@ -233,6 +233,26 @@
     cr_assert(!used_upstreams(decider, fleet, start + 2s).empty(), "a pushback ends");
 }
 
+// Guards against calls that are held for a rate limit with no turn for them, as other upstreams push back.
+Test(pushback, callers_behind_the_turn_of_a_rate_limit_are_refused_at_once)
+{
+    const auto fleet = fleet_of(2, 4);
+    auto decider = dispatcher();
+    upstream_statement limit;
+    limit.rate.calls_per_s = 0.1;
+    (void)decider.availability().record(fleet.upstreams().at("u0").entry, limit, start, start);
+    const instant now = start + 9950ms; // 50 ms before the first turn
+    push_back(decider, fleet, "u1", now);
+    for (std::uint64_t id = 2; id <= 6; ++id) {
+        decider.add(call(id, now));
+    }
+    const auto round = decider.decide(fleet, now);
+    cr_assert(round.refusals.size() == 4 && decider.waiting() == 1, "%zu", round.refusals.size());
+    for (const dispatch_refusal& refusal : round.refusals) {
+        cr_assert(refusal.retry_after >= usual_length && refusal.retry_after < usual_length + 1s);
+    }
+}
+
 // Guards against a second refusal, which is final for its caller, shortly before a pushback ends.
 Test(pushback, caller_that_has_come_back_waits_for_its_end)
 {
