--- a/tests/soak/statement_watch.cpp
+++ b/tests/soak/statement_watch.cpp
@@ -21,20 +21,19 @@
 void statement_watch::received(const std::string& upstream, const std::string& gateway, moment sent_at)
 {
     const moment now = std::chrono::steady_clock::now();
+    const std::string link_name = upstream + " to " + gateway;
     const auto found = pauses_.find({upstream, gateway});
     if (found != pauses_.end()) {
         for (pause& each : found->second) {
             const bool counts = now > each.asked_at + notice_time && now < each.ends_at;
             if (counts && ++each.calls == allowed_calls + 1) {
-                promises_.broken(upstream + " asked " + gateway + " for a pause and got " +
-                                 std::to_string(each.calls) + " calls in it");
+                promises_.broken("calls during a pause that was asked for, " + link_name);
             }
         }
     }
     const auto drain = drains_.find({upstream, gateway});
     if (drain != drains_.end() && sent_at > drain->second + drain_time) {
-        promises_.broken(upstream + " got a call of " + gateway +
-                         " that was sent after it had stated its drain to it");
+        promises_.broken("a call sent after a drain was stated, " + link_name);
     }
 }
 
