--- a/tests/direct/stated_conditions_test.cpp
+++ b/tests/direct/stated_conditions_test.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace dragonflymill;
 using namespace dragonflymill::direct;
@@ -101,6 +102,25 @@
     return made;
 }
 
+/// Sends a call to each of two upstreams with one slot, and queues a third one; returns the first two.
+auto fill_and_queue_one(call_dispatcher& decider, const upstream_list& fleet)
+    -> std::vector<dispatch_assignment>
+{
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        decider.add(call(id));
+    }
+    auto round = decider.decide(fleet, start);
+    cr_assert(round.orders.size() == 2 && decider.waiting() == 1);
+    return round.orders;
+}
+
+void finish_all(call_dispatcher& decider, const std::vector<dispatch_assignment>& orders)
+{
+    for (const dispatch_assignment& order : orders) {
+        decider.finish(order.placed, start);
+    }
+}
+
 /// Returns the upstreams to which a gateway sends ten calls at once.
 auto used_upstreams(call_dispatcher& decider, const upstream_list& fleet, instant now)
     -> std::set<std::string>
@@ -135,15 +155,9 @@
 {
     const auto fleet = fleet_of(2, 1);
     auto decider = dispatcher();
-    for (std::uint64_t id = 1; id <= 3; ++id) {
-        decider.add(call(id));
-    }
-    const auto first = decider.decide(fleet, start);
-    cr_assert(first.orders.size() == 2 && decider.waiting() == 1);
+    const auto first = fill_and_queue_one(decider, fleet);
     push_back(decider, fleet, "u0", start);
-    for (const dispatch_assignment& order : first.orders) {
-        decider.finish(order.placed, start);
-    }
+    finish_all(decider, first);
     const auto next = decider.decide(fleet, start + 1ms);
     cr_assert(next.orders.size() == 1 && next.orders[0].upstream.id == "u1");
 }
@@ -353,15 +367,9 @@
 {
     const auto fleet = fleet_of(2, 1);
     auto decider = dispatcher();
-    for (std::uint64_t id = 1; id <= 3; ++id) {
-        decider.add(call(id));
-    }
-    const auto first = decider.decide(fleet, start);
-    cr_assert(first.orders.size() == 2 && decider.waiting() == 1);
+    const auto first = fill_and_queue_one(decider, fleet);
     state_drain(decider, fleet, "u0", start);
-    for (const dispatch_assignment& order : first.orders) {
-        decider.finish(order.placed, start);
-    }
+    finish_all(decider, first);
     const auto next = decider.decide(fleet, start + 1ms);
     cr_assert(next.orders.size() == 1 && next.orders[0].upstream.id == "u1");
     decider.finish(next.orders[0].placed, start + 1ms);
--- a/tests/soak/statement_watch.cpp
+++ b/tests/soak/statement_watch.cpp
@@ -3,12 +3,12 @@
 namespace dragonflymill::soak {
 
 void statement_watch::rejected(const std::string& upstream, const std::string& gateway,
-                               std::chrono::milliseconds pause)
+                               std::chrono::milliseconds length)
 {
     const moment now = std::chrono::steady_clock::now();
     auto& open = pauses_[{upstream, gateway}];
     std::erase_if(open, [&](const auto& each) { return each.ends_at <= now; });
-    open.push_back({now, now + pause, 0});
+    open.push_back({now, now + length, 0});
     ++statements_;
 }
 
--- a/tests/soak/statement_watch.h
+++ b/tests/soak/statement_watch.h
@@ -20,8 +20,8 @@
     {
     }
 
-    /// An upstream rejects a call of a gateway and asks it for a pause.
-    void rejected(const std::string& upstream, const std::string& gateway, std::chrono::milliseconds pause);
+    /// An upstream rejects a call of a gateway and asks it for a pause of this length.
+    void rejected(const std::string& upstream, const std::string& gateway, std::chrono::milliseconds length);
     /// A caller has received a response through a gateway that states the drain of its upstream.
     void passed_on_drain(const std::string& upstream, const std::string& gateway);
     /// Records a call that an upstream received from a gateway; the caller sent it at `sent_at`.
