--- a/tests/direct/stated_conditions_test.cpp
+++ b/tests/direct/stated_conditions_test.cpp
@@ -498,6 +498,20 @@
     }
 }
 
+// Guards against calls to an upstream that restarted and stated its drain while the source was out of reach:
+// the entry of its run is read after the statement.
+Test(stated_drain, holds_if_the_entry_of_its_run_is_read_late)
+{
+    auto fleet = fleet_of(1, 4);
+    auto decider = dispatcher();
+    upstream_entry restarted = fleet.upstreams().at("u0").entry;
+    restarted.started_ms = 2;
+    state_drain(decider, fleet, "u0", start); // by the new run
+    fleet.take("ku0", restarted, start + 1s);
+    cr_assert(used_upstreams(decider, fleet, start + 2s).empty());
+    cr_assert(used_upstreams(decider, fleet, start + 30s).empty());
+}
+
 // Guards against an incident without a trace: a call that was sent in spite of a statement is counted.
 Test(stated_drain, response_to_a_call_sent_afterwards_is_reported)
 {
