Compare the start of an upstream's run with the time of its statement

A drain or pushback was attributed to the run that was published when the call was sent.

The wall-clock time at which the call was sent is now kept with the statement. An entry ends it only if its run started later.

--- a/include/dragonflymill/direct/upstream_availability.h
+++ b/include/dragonflymill/direct/upstream_availability.h
@@ -36,9 +36,9 @@
     /// Sets the division of the fleet into cells.
     void set_cells(const fleet_cells& cells) { cells_ = cells; }
 
-    /// Records what an upstream states in its response to a call sent at `sent_at`.
-    auto record(const upstream_entry& upstream, const upstream_statement& statement, instant sent_at,
-                instant now) -> statement_changes;
+    /// Records what an upstream states in its response to a call.
+    auto record(const upstream_entry& upstream, const upstream_statement& statement,
+                const response_times& times) -> statement_changes;
     /// Applies another gateway's report about a rate limit; returns whether the limit changed.
     auto apply_rate_limit_report(const std::string& gateway, const rate_limit_report& report, instant now)
         -> bool;
--- a/include/dragonflymill/direct/upstream_statements.h
+++ b/include/dragonflymill/direct/upstream_statements.h
@@ -31,6 +31,16 @@
     friend auto operator==(const upstream_statement&, const upstream_statement&) -> bool = default;
 };
 
+/// When a call was sent and its response received.
+struct response_times
+{
+    instant sent_at{};
+    instant received_at{};
+    wall_instant sent_at_wall{}; ///< `sent_at` by the civil time of this host.
+
+    friend auto operator==(const response_times&, const response_times&) -> bool = default;
+};
+
 /// What changed with a response.
 struct statement_changes
 {
@@ -49,9 +59,9 @@
 class upstream_statements
 {
 public:
-    /// Records what the response to a call sent at `sent_at` says about `from`, as published then. A pushback
+    /// Records what the response to a call says about `from`, as published when the call was sent. A pushback
     /// never shortens an earlier one.
-    auto record(const upstream_entry& from, const upstream_statement& statement, instant sent_at, instant now)
+    auto record(const upstream_entry& from, const upstream_statement& statement, const response_times& times)
         -> statement_changes;
     /// Removes the statements that are over; the numbers of upstreams count the others.
     void expire(instant now);
@@ -71,23 +81,28 @@
     /// Time after its last statement for which an upstream counts as draining. It exits within seconds to a
     /// minute; one that runs for longer is asked again.
     static constexpr duration max_drain = 10min;
-    /// A statement ends with the run of the upstream that made it. For this time after its receipt it may be
-    /// that of a new run whose entry wasn't read yet, and counts in either case.
-    static constexpr duration publication_delay = 3s;
+    /// A statement ends with the run of the upstream that made it: once an entry is known that states a later
+    /// start than the statement. The clocks of hosts differ, so it counts for this time after its receipt in
+    /// any case.
+    static constexpr duration min_notice_time = 3s;
 
 private:
     /// A condition that an upstream has stated, and the run of the upstream that stated it.
     struct notice
     {
         std::int64_t started_ms = 0; // start of the run, as published when the call was sent
+        std::int64_t sent_ms = 0;    // wall-clock time at which the call was sent whose response stated it
         instant since{};             // when it was stated first
         instant received_at{};       // when it was stated last
         instant until{};
     };
     using notices = std::unordered_map<std::string, notice>; // by upstream
 
+    /// Returns whether an entry is that of a run which started after the condition was stated.
+    [[nodiscard]] static auto is_of_later_run(const upstream_entry& entry, const notice& stated) -> bool;
     /// Returns whether the condition begins or lasts longer than known before.
-    static auto extend(notices& known, const upstream_entry& from, instant until, instant now) -> bool;
+    static auto extend(notices& known, const upstream_entry& from, instant until, const response_times& times)
+        -> bool;
     [[nodiscard]] static auto find(const notices& known, const upstream_state& upstream, instant now)
         -> const notice*;
     /// Returns whether a condition was known here at a time.
--- a/src/direct/upstream_availability.cpp
+++ b/src/direct/upstream_availability.cpp
@@ -13,10 +13,11 @@
 }
 
 auto upstream_availability::record(const upstream_entry& upstream, const upstream_statement& statement,
-                                   instant sent_at, instant now) -> statement_changes
+                                   const response_times& times) -> statement_changes
 {
-    statement_changes changes = statements_.record(upstream, statement, sent_at, now);
-    changes.rate = rate_limits_.record(run_of(upstream), statement.rate, sent_at, now);
+    statement_changes changes = statements_.record(upstream, statement, times);
+    changes.rate =
+        rate_limits_.record(run_of(upstream), statement.rate, times.sent_at, times.received_at);
     return changes;
 }
 
--- a/src/direct/upstream_statements.cpp
+++ b/src/direct/upstream_statements.cpp
@@ -4,49 +4,51 @@
 
 namespace dragonflymill::direct {
 
-namespace {
-
-/// An entry that doesn't state its start doesn't show a restart.
-auto is_other_run(std::int64_t started_ms, std::int64_t other_started_ms) -> bool
+auto upstream_statements::is_of_later_run(const upstream_entry& entry, const notice& stated) -> bool
 {
-    return started_ms != 0 && other_started_ms != 0 && started_ms != other_started_ms;
+    // An entry that doesn't state its start doesn't show a restart. A run that had started before the call
+    // was sent may be the one that responded, although its entry was read only later.
+    const bool is_other_run =
+        stated.started_ms != 0 && entry.started_ms != 0 && stated.started_ms != entry.started_ms;
+    return is_other_run && entry.started_ms > stated.sent_ms;
 }
 
-} // namespace
-
 auto upstream_statements::record(const upstream_entry& from, const upstream_statement& statement,
-                                 instant sent_at, instant now) -> statement_changes
+                                 const response_times& times) -> statement_changes
 {
+    const instant now = times.received_at;
     statement_changes changes;
-    changes.unwanted = was_known(pushbacks_, from, sent_at) || was_known(drains_, from, sent_at);
+    changes.unwanted = was_known(pushbacks_, from, times.sent_at) || was_known(drains_, from, times.sent_at);
     const pushback_statement& pushback = statement.pushback;
     if (pushback.readable && pushback.length && *pushback.length > duration::zero()) {
-        changes.pushback = extend(pushbacks_, from, now + std::min(*pushback.length, max_pushback), now);
+        changes.pushback = extend(pushbacks_, from, now + std::min(*pushback.length, max_pushback), times);
     }
     if (statement.draining) {
         changes.draining = !was_known(drains_, from, now);
-        (void)extend(drains_, from, now + max_drain, now);
+        (void)extend(drains_, from, now + max_drain, times);
     }
     return changes;
 }
 
-auto upstream_statements::extend(notices& known, const upstream_entry& from, instant until, instant now)
-    -> bool
+auto upstream_statements::extend(notices& known, const upstream_entry& from, instant until,
+                                 const response_times& times) -> bool
 {
+    const instant now = times.received_at;
     notice& found = known[from.id];
-    if (is_other_run(found.started_ms, from.started_ms)) {
+    if (is_of_later_run(from, found)) {
         found = {};
     }
     const bool is_longer = until > found.until;
     const instant since = found.until > now ? found.since : now;
-    found = {from.started_ms, since, now, std::max(found.until, until)};
+    found = {from.started_ms, times.sent_at_wall.time_since_epoch() / 1ms, since, now,
+             std::max(found.until, until)};
     return is_longer;
 }
 
 auto upstream_statements::was_known(const notices& known, const upstream_entry& upstream, instant at) -> bool
 {
     const auto found = known.find(upstream.id);
-    return found != known.end() && !is_other_run(found->second.started_ms, upstream.started_ms) &&
+    return found != known.end() && !is_of_later_run(upstream, found->second) &&
            found->second.since < at && at < found->second.until;
 }
 
@@ -65,8 +67,8 @@
         return nullptr;
     }
     const notice& stated = found->second;
-    const bool ended = is_other_run(stated.started_ms, upstream.entry.started_ms) &&
-                       now - stated.received_at > publication_delay;
+    const bool ended =
+        is_of_later_run(upstream.entry, stated) && now - stated.received_at > min_notice_time;
     return ended ? nullptr : &stated;
 }
 
--- a/src/edge/statement_recorder.cpp
+++ b/src/edge/statement_recorder.cpp
@@ -1,6 +1,7 @@
 #include "edge/statement_recorder.h"
 
 #include "log/logger.h"
+#include "runtime/clock.h"
 
 #include <utility>
 
@@ -50,7 +51,8 @@
     if (!is_complete && !statement.rate.calls_per_s) {
         statement.rate.readable = false;
     }
-    const auto changes = availability_.record(upstream, statement, sent_at, now);
+    const wall_instant sent_at_wall = runtime::wall_now() - (now - sent_at);
+    const auto changes = availability_.record(upstream, statement, {sent_at, now, sent_at_wall});
     if (changes.pushback || !statement.pushback.readable) {
         log_event(event::upstream_pushback, field("request", request), field("upstream", upstream.id),
                   field("readable", statement.pushback.readable),
