--- a/include/dragonflymill/direct/dispatch_call.h
+++ b/include/dragonflymill/direct/dispatch_call.h
@@ -54,6 +54,7 @@
     upstream_load load;         ///< Its load from all gateways.
     std::uint64_t id_hash = 0;  ///< Hash of `id`, set by `sort_for_partition`.
     bool rate_limited = false;  ///< It states a rate limit; it takes calls, but no parts of other prefills.
+    double slowdown = 1.0;      ///< Factor by which it runs slower than its profile.
 
     friend auto operator==(const dispatch_candidate&, const dispatch_candidate&) -> bool = default;
 };
