Log dispatched calls in a file of their own, with target and slowdown

The log line had grown with each part that decides where a call goes. It states the time that was left to the latency target, so that forecasts can be held against it, and the slowdown of the upstream.

--- a/include/dragonflymill/direct/dispatch_call.h
+++ b/include/dragonflymill/direct/dispatch_call.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
+#include "dragonflymill/direct/call_forecast.h"
 #include "dragonflymill/direct/engine_forecast.h"
 #include "dragonflymill/direct/load_tracker.h"
+#include "dragonflymill/direct/upstream_speeds.h"
 
 #include <cstdint>
 #include <string>
@@ -69,6 +71,7 @@
     duration first_token{};                     ///< Expected time to first token.
     std::int64_t memory_tokens = 0;             ///< KV cache used at `upstream`, in tokens.
     upstream_load load;                         ///< Load of `upstream` before this call.
+    double slowdown = 1.0;                      ///< Slowdown of `upstream`.
     std::string reason;                         ///< For the log: the rule that decided.
 
     friend auto operator==(const dispatch_choice&, const dispatch_choice&) -> bool = default;
@@ -80,12 +83,25 @@
     return upstream.load.short_calls + upstream.load.long_calls;
 }
 
+/// Returns what the forecast of a call at an engine depends on.
+[[nodiscard]] inline auto condition_of(const dispatch_candidate& engine) -> engine_condition
+{
+    return {in_flight(engine),         engine.slots,   engine.load.parts, engine.load.pending_prefill,
+            engine.load.memory_tokens, engine.slowdown};
+}
+
 /// Returns whether an upstream that isn't suspect has a free slot.
 [[nodiscard]] inline auto has_slot(const dispatch_candidate& upstream) -> bool
 {
     return !upstream.suspect && in_flight(upstream) < upstream.slots;
 }
 
+/// Returns whether an upstream runs so slowly that other upstreams shouldn't wait for its part of a prompt.
+[[nodiscard]] inline auto is_slow(const dispatch_candidate& upstream) -> bool
+{
+    return upstream.slowdown >= upstream_speeds::slow_threshold;
+}
+
 /// Returns the KV cache that a call uses once its answer is complete, in tokens.
 [[nodiscard]] auto required_memory(const call_requirements& call) -> std::int64_t;
 /// Returns the KV cache of an engine that is neither used nor reserved, in tokens.
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
+#include "dragonflymill/direct/call_forecast.h"
 #include "dragonflymill/direct/dispatch_call.h"
 #include "dragonflymill/direct/engine_forecast.h"
 #include "dragonflymill/direct/prefill_plan.h"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -44,8 +46,10 @@
 class engine_dispatch
 {
 public:
-    /// `tightest_tbt_target` is the shortest TBT target of the streams of engines with this profile.
-    engine_dispatch(const engine_profile& profile, duration tightest_tbt_target);
+    /// `tightest_tbt_target` is the shortest TBT target of the streams of engines with this profile;
+    /// `observed` corrects the forecasts of calls.
+    engine_dispatch(const engine_profile& profile, duration tightest_tbt_target,
+                    const call_forecast& observed = {});
 
     /// Returns the choice; nothing while the call should wait.
     [[nodiscard]] auto choose(const call_requirements& call,
@@ -65,14 +69,37 @@
     static constexpr double short_fill = 0.75;
     /// Engines that are kept for long prompts, for each engine that these use now or that one more could use.
     static constexpr std::size_t long_headroom = 2;
+    /// Forecasts are compared in steps of this length: a smaller difference is within their error, and the
+    /// order of all gateways would send their next calls to the same engine.
+    static constexpr duration forecast_step = 25ms;
     /// Target prefill time of a part, as a share of the tightest TBT target. Smaller parts use more engines,
     /// each of which first completes an iteration; larger ones delay the engines' streams.
     static constexpr double part_time_share = 0.6;
 
 private:
+    /// What decides between two engines for a short call; the smaller one is better.
+    struct short_rank
+    {
+        bool misses_pause = false;  // its streams would wait too long for each event
+        std::int64_t first_token{}; // in steps of `forecast_step`
+        bool in_other_domain = false;
+        std::uint64_t tie_breaker = 0;
+
+        // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the zero of a rewritten a < b for a pointer
+        friend auto operator<=>(const short_rank&, const short_rank&) -> std::strong_ordering = default;
+        friend auto operator==(const short_rank&, const short_rank&) -> bool = default;
+    };
+
+    [[nodiscard]] auto rank_for_short(const call_requirements& call, const dispatch_candidate& engine) const
+        -> short_rank;
+    [[nodiscard]] auto forecast_at(const dispatch_candidate& engine, std::int64_t prompt_tokens) const
+        -> call_times;
     /// Returns the engines that the short partition gets beyond those that it requires.
     [[nodiscard]] static auto spare_for_short(std::size_t count, std::size_t required, int long_prompts)
         -> std::size_t;
+    /// Returns how many slow engines the partition contains if it has `wanted` others; they add no capacity.
+    [[nodiscard]] static auto slow_among_first(std::span<const dispatch_candidate> candidates,
+                                               std::size_t wanted) -> std::size_t;
     [[nodiscard]] auto choose_short(const call_requirements& call,
                                     std::span<const dispatch_candidate> ordered, std::size_t boundary) const
         -> dispatch_decision;
@@ -82,6 +109,7 @@
 
     engine_forecast forecast_;
     duration tightest_tbt_target_;
+    call_forecast observed_;
 };
 
 /// Sorts candidates into the order that all gateways share.
--- a/include/dragonflymill/direct/prefill_plan.h
+++ b/include/dragonflymill/direct/prefill_plan.h
@@ -20,11 +20,12 @@
     std::vector<prefill_share> prefill_engines;        ///< Other engines, each with a part of the prefill.
     duration part_time{};                              ///< Prefill time at each engine of the plan.
     duration backlog{};                                ///< Longest pending prefill at any of its engines.
+    double slowdown = 1.0;                             ///< Largest slowdown of any of its engines.
     double cost = 0.0;                                 ///< Utility lost by streams that the prefill delays.
     double utility = 0.0;                              ///< Utility of the call if it is served by this plan.
 
     /// Expected time to first token.
-    [[nodiscard]] auto first_token() const -> duration { return backlog + part_time; }
+    [[nodiscard]] auto first_token() const -> duration { return scaled(backlog + part_time, slowdown); }
     friend auto operator==(const prefill_plan&, const prefill_plan&) -> bool = default;
 };
 
@@ -148,6 +149,8 @@
     [[nodiscard]] auto plan_with(const decode_choice& decode, const prefill_option& option) const
         -> std::optional<prefill_plan>;
     [[nodiscard]] auto base_plan(const decode_choice& decode, duration part_time) const -> prefill_plan;
+    /// Adds what an engine contributes to the backlog and the slowdown of a plan.
+    static void add_engine(prefill_plan& plan, const dispatch_candidate& engine);
     [[nodiscard]] static auto is_chosen(const decode_choice& decode, const dispatch_candidate& engine)
         -> bool;
     [[nodiscard]] auto prefill_options() const -> std::vector<prefill_option>;
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -38,13 +38,16 @@
     dispatch_choice choice;
     choice.upstream = best->id;
     choice.load = best->load;
+    choice.slowdown = best->slowdown;
     choice.reason = "least work in hand";
     return {std::move(choice)};
 }
 
-engine_dispatch::engine_dispatch(const engine_profile& profile, duration tightest_tbt_target)
+engine_dispatch::engine_dispatch(const engine_profile& profile, duration tightest_tbt_target,
+                                 const call_forecast& observed)
     : forecast_(profile)
     , tightest_tbt_target_(tightest_tbt_target)
+    , observed_(observed)
 {
 }
 
@@ -68,7 +71,18 @@
     const std::size_t count = candidates.size();
     const std::size_t max_size = long_prompts > 0 && count > 1 ? count - 1 : count;
     const std::size_t wanted = required + spare_for_short(count, required, long_prompts);
-    return std::clamp<std::size_t>(wanted, 1, std::max<std::size_t>(max_size, 1));
+    return std::clamp<std::size_t>(wanted + slow_among_first(candidates, wanted), 1,
+                                   std::max<std::size_t>(max_size, 1));
+}
+
+auto engine_dispatch::slow_among_first(std::span<const dispatch_candidate> candidates, std::size_t wanted)
+    -> std::size_t
+{
+    std::size_t slow = 0;
+    for (std::size_t i = 0; i < candidates.size() && i < wanted + slow; ++i) {
+        slow += is_slow(candidates[i]) ? 1U : 0U;
+    }
+    return slow;
 }
 
 auto engine_dispatch::spare_for_short(std::size_t count, std::size_t required, int long_prompts)
@@ -100,22 +114,23 @@
 auto engine_dispatch::choose_short(const call_requirements& call, std::span<const dispatch_candidate> ordered,
                                    std::size_t boundary) const -> dispatch_decision
 {
-    const auto rank = [&](const dispatch_candidate& engine) {
-        return std::tuple(engine.load.pending_prefill / 25ms, in_flight(engine) / 2,
-                          in_other_domain(call, engine), mix_bits(engine.id_hash ^ call.tie_breaker));
-    };
     const dispatch_candidate* best = nullptr;
+    short_rank best_rank;
     const auto consider = [&](std::span<const dispatch_candidate> engines) {
         for (const dispatch_candidate& engine : engines) {
-            const bool usable =
-                has_slot(engine) && free_memory(forecast_.profile(), engine) >= required_memory(call);
-            if (usable && (best == nullptr || rank(engine) < rank(*best))) {
+            if (!has_slot(engine) || free_memory(forecast_.profile(), engine) < required_memory(call)) {
+                continue;
+            }
+            const short_rank rank = rank_for_short(call, engine);
+            if (best == nullptr || rank < best_rank) {
                 best = &engine;
+                best_rank = rank;
             }
         }
     };
     consider(ordered.first(boundary));
-    const bool in_partition = best != nullptr && best->load.pending_prefill <= prefill_planner::max_backlog;
+    const bool in_partition = best != nullptr && best->load.pending_prefill <= prefill_planner::max_backlog &&
+                              !best_rank.misses_pause && in_flight(*best) + 1 < best->slots;
     if (!in_partition) {
         consider(ordered.subspan(boundary));
     }
@@ -125,20 +140,39 @@
     dispatch_choice choice;
     choice.upstream = best->id;
     choice.load = best->load;
+    choice.slowdown = best->slowdown;
     choice.prefill_time = forecast_.prefill_time(call.prompt_tokens);
-    choice.first_token = best->load.pending_prefill + choice.prefill_time;
+    choice.first_token = forecast_at(*best, call.prompt_tokens).first_token;
     choice.memory_tokens = required_memory(call);
     if (is_long(call.prompt_tokens)) {
         prefill_plan plan = prefill_planner(forecast_, target_part_time(), call, ordered).best_for(*best);
         choice.prefill_time = plan.part_time;
-        choice.first_token = plan.first_token();
+        choice.first_token =
+            plan.first_token() + forecast_.iteration_time(in_flight(*best), call.prompt_tokens);
         choice.prefill_engines = std::move(plan.prefill_engines);
     }
-    choice.first_token += forecast_.iteration_time(in_flight(*best), call.prompt_tokens);
     choice.reason = in_partition ? "short partition" : "short partition full";
     return {std::move(choice)};
 }
 
+auto engine_dispatch::forecast_at(const dispatch_candidate& engine, std::int64_t prompt_tokens) const
+    -> call_times
+{
+    return observed_.times(forecast_, condition_of(engine), forecast_.prefill_time(prompt_tokens));
+}
+
+auto engine_dispatch::rank_for_short(const call_requirements& call, const dispatch_candidate& engine) const
+    -> short_rank
+{
+    const call_times expected = forecast_at(engine, call.prompt_tokens);
+    // Only a slow engine is avoided for its pauses: on others, the load that makes them long passes.
+    const bool misses_pause =
+        is_slow(engine) && call.tbt_target > duration::zero() &&
+        expected.longest_pause > scaled(call.tbt_target, prefill_planner::tbt_cost_begins);
+    return {misses_pause, expected.first_token / forecast_step, in_other_domain(call, engine),
+            mix_bits(engine.id_hash ^ call.tie_breaker)};
+}
+
 auto engine_dispatch::choose_long(const call_requirements& call, std::span<const dispatch_candidate> ordered,
                                   std::size_t boundary) const -> dispatch_decision
 {
@@ -153,6 +187,7 @@
     dispatch_choice choice;
     choice.upstream = plan->decode_engine->id;
     choice.load = plan->decode_engine->load;
+    choice.slowdown = plan->decode_engine->slowdown;
     choice.is_long = true;
     choice.memory_tokens = plan->decode_memory_tokens;
     choice.prefill_time = plan->part_time;
--- a/src/direct/prefill_plan.cpp
+++ b/src/direct/prefill_plan.cpp
@@ -137,11 +137,16 @@
     const std::int64_t tokens = required_memory(call_);
     std::vector<decode_choice> found;
     const dispatch_candidate* shared = nullptr;
+    const dispatch_candidate* slow = nullptr;
     for (auto engine = side.rbegin(); engine != side.rend() && found.size() < max_decode_candidates;
          ++engine) {
         if (!can_decode(*engine, tokens)) {
             continue;
         }
+        if (is_slow(*engine)) {
+            slow = slow == nullptr || engine->slowdown < slow->slowdown ? &*engine : slow;
+            continue;
+        }
         if (engine->load.parts == 0) {
             found.push_back({&*engine, tokens, {}});
         }
@@ -158,6 +163,9 @@
             found.push_back(std::move(*gang));
         }
     }
+    if (found.empty() && slow != nullptr) {
+        found.push_back({slow, tokens, {}});
+    }
     return found;
 }
 
@@ -169,7 +177,7 @@
     };
     std::vector<const dispatch_candidate*> by_capacity;
     for (auto engine = side.rbegin(); engine != side.rend(); ++engine) {
-        if (!engine->suspect && !engine->rate_limited) {
+        if (!engine->suspect && !engine->rate_limited && !is_slow(*engine)) {
             by_capacity.push_back(&*engine);
         }
     }
@@ -254,7 +262,7 @@
             continue;
         }
         plan.prefill_engines.push_back({candidate.engine->id, 0});
-        plan.backlog = std::max(plan.backlog, candidate.engine->load.pending_prefill);
+        add_engine(plan, *candidate.engine);
         plan.cost += candidate.cost;
     }
     if (plan.prefill_engines.size() + 1 != option.engines) {
@@ -271,16 +279,22 @@
     plan.decode_memory_tokens = decode.tokens;
     plan.prefill_engines = decode.reserved_shares;
     plan.part_time = part_time;
-    plan.backlog = decode.engine->load.pending_prefill;
+    add_engine(plan, *decode.engine);
     plan.cost = cost_at(to_prefill_candidate(*decode.engine), part_time);
     for (const prefill_share& share : decode.reserved_shares) {
         const dispatch_candidate& engine = find(share.upstream);
-        plan.backlog = std::max(plan.backlog, engine.load.pending_prefill);
+        add_engine(plan, engine);
         plan.cost += cost_at(to_prefill_candidate(engine), part_time);
     }
     return plan;
 }
 
+void prefill_planner::add_engine(prefill_plan& plan, const dispatch_candidate& engine)
+{
+    plan.backlog = std::max(plan.backlog, engine.load.pending_prefill);
+    plan.slowdown = std::max(plan.slowdown, engine.slowdown);
+}
+
 auto prefill_planner::is_chosen(const decode_choice& decode, const dispatch_candidate& engine) -> bool
 {
     const auto is_share_of = [&](const prefill_share& share) { return share.upstream == engine.id; };
@@ -308,8 +322,9 @@
     candidates.reserve(ordered_.size());
     for (const dispatch_candidate& engine : ordered_) {
         // Engines run prefill parts of other calls before their own prompts. An engine that kept receiving
-        // parts would starve its own, so engines with a pending prefill of their own get none.
-        if (!engine.suspect && !engine.rate_limited && engine.load.parts < engine.slots &&
+        // parts would starve its own, so engines with a pending prefill of their own get none. The first
+        // token waits for the slowest part, so slow engines get none either.
+        if (!engine.suspect && !engine.rate_limited && !is_slow(engine) && engine.load.parts < engine.slots &&
             engine.load.unread_calls == 0) {
             candidates.push_back(to_prefill_candidate(engine));
         }
@@ -322,13 +337,15 @@
     const duration delay = in_flight(engine) > 0 ? decode_penalty : duration::zero();
     prefill_candidate candidate;
     candidate.engine = &engine;
-    candidate.backlog_steps = (engine.load.pending_prefill + delay) / backlog_step;
+    candidate.backlog_steps = scaled(engine.load.pending_prefill + delay, engine.slowdown) / backlog_step;
     candidate.tie_breaker = mix_bits(engine.id_hash ^ call_.tie_breaker);
     if (engine.load.tightest_tbt_target > duration::zero()) {
         const int streams = std::max(in_flight(engine), 1);
         const double utility = streams + static_cast<double>(engine.load.memory_tokens) / tokens_per_utility;
-        candidate.time_before_part = engine.load.pending_prefill +
-                                     forecast_.iteration_time(streams, engine.load.memory_tokens / streams);
+        candidate.time_before_part =
+            scaled(engine.load.pending_prefill +
+                       forecast_.iteration_time(streams, engine.load.memory_tokens / streams),
+                   engine.slowdown);
         candidate.streams_cost = utility * (1.0 - late_utility_share);
     }
     return candidate;
@@ -360,8 +377,8 @@
     if (candidate.streams_cost == 0.0) {
         return 0.0;
     }
-    const double tbt =
-        ratio(candidate.time_before_part + part_time, candidate.engine->load.tightest_tbt_target);
+    const double tbt = ratio(candidate.time_before_part + scaled(part_time, candidate.engine->slowdown),
+                             candidate.engine->load.tightest_tbt_target);
     return candidate.streams_cost * ramp(tbt, tbt_cost_begins, tbt_cost_full);
 }
 
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -3,6 +3,7 @@
 #include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/core/units.h"
 #include "dragonflymill/direct/stall_timeout.h"
+#include "edge/dispatch_log.h"
 #include "http/error_body.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
@@ -47,16 +48,6 @@
     return shorter ? duration(std::chrono::milliseconds(stated.value())) : route.time_limit;
 }
 
-/// Ids of the additional prefill engines, separated by spaces, for the log.
-auto prefill_engine_ids(const direct::dispatch_assignment& assignment) -> std::string
-{
-    std::string list;
-    for (const direct::prefill_engine& engine : assignment.prefill_engines) {
-        list.append(list.empty() ? "" : " ").append(engine.upstream.id);
-    }
-    return list;
-}
-
 auto host_of(std::string_view field) -> std::string
 {
     return to_lower(field.substr(0, field.rfind(':')));
@@ -199,28 +190,12 @@
     head_ = {};
     body_.clear();
     relay_.begin_attempt();
-    log_event(
-        event::call_dispatched, field("request", request_id_),
-        field("attempt", queued_call_.attempts.count()), field("upstream", assignment.upstream.id),
-        field("helpers", prefill_engine_ids(assignment)), field("reason", assignment.choice.reason),
-        field("waited_us", now - arrived_), field("waited_for", direct::to_string(assignment.waited_for)),
-        field("forecast_us", assignment.choice.first_token),
-        field("prompt_tokens", queued_call_.prompt_tokens),
-        field("answer_tokens", queued_call_.answer_tokens),
-        field("short_calls", assignment.choice.load.short_calls),
-        field("long_calls", assignment.choice.load.long_calls), field("parts", assignment.choice.load.parts),
-        field("memory_tokens", assignment.choice.load.memory_tokens),
-        field("reading_us", assignment.choice.load.pending_prefill),
-        field("view_us", context_.peers.view_age(now)), field("config_version", config_->version()),
-        field("fleet_revision", context_.records.revision()));
-    if (assignment.rate_limit) {
-        log_event(event::limited_call_dispatched, field("request", request_id_),
-                  field("attempt", queued_call_.attempts.count()), field("upstream", assignment.upstream.id),
-                  field("calls_per_s", assignment.rate_limit->calls_per_s.value_or(0.0)),
-                  field("age_us", now - assignment.rate_limit->stated_at),
-                  field("first_hand", assignment.rate_limit->first_hand),
-                  field("calls", assignment.limited_calls));
-    }
+    log_dispatched(assignment,
+                   {request_id_, queued_call_.attempts.count(), now - arrived_,
+                    queued_call_.latency_target_at - now, queued_call_.prompt_tokens,
+                    queued_call_.answer_tokens, context_.peers.view_age(now), config_->version(),
+                    context_.records.revision()},
+                   now);
     reserve_kv_cache();
 }
 
