--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
-#include "dragonflymill/direct/call_attempts.h"
 #include "dragonflymill/direct/dispatch_policy.h"
 #include "dragonflymill/direct/first_token_times.h"
 #include "dragonflymill/direct/fleet_cells.h"
@@ -11,6 +10,7 @@
 #include "dragonflymill/direct/upstream_availability.h"
 #include "dragonflymill/direct/upstream_health.h"
 #include "dragonflymill/direct/upstream_list.h"
+#include "dragonflymill/direct/waiting_call.h"
 
 #include <cstdint>
 #include <map>
@@ -23,28 +23,6 @@
 
 namespace dragonflymill::direct {
 
-/// A queued call that has no upstream yet.
-struct waiting_call
-{
-    std::uint64_t id = 0;                       ///< Assigned by the owner of the dispatcher.
-    std::string service;                        ///< Service that has to run it.
-    std::int64_t prompt_tokens = 0;             ///< 0 for plain services.
-    std::int64_t answer_tokens = 0;             ///< Maximum length of the answer.
-    duration tbt_target{};                      ///< Longest time between two of its events; 0: no target.
-    int priority = 0;                           ///< 0 is the highest.
-    instant latency_target_at{};                ///< An answer that begins later misses the latency target.
-    duration aim{};                             ///< Latency target: from arrival to `latency_target_at`.
-    instant client_timeout_at{};                ///< When the client disconnects without an answer.
-    instant deadline_at{};                      ///< End of the client's time, its retries included.
-    instant queue_timeout_at{};                 ///< When it is refused if it is still queued.
-    instant not_before{};                       ///< Not dispatched earlier.
-    bool returning = false;                     ///< Its client was refused before and came back.
-    call_attempts attempts;                     ///< Attempts so far.
-    wait_reason blocked_by = wait_reason::none; ///< Why it was queued last; set by the dispatcher.
-
-    friend auto operator==(const waiting_call&, const waiting_call&) -> bool = default;
-};
-
 /// An engine that takes a part of a call's prefill, with its address.
 struct prefill_engine
 {
@@ -220,9 +198,6 @@
         -> duration;
     [[nodiscard]] auto assignment_for(const upstream_list& fleet, const waiting_call& call,
                                       const dispatch_choice& choice, instant now) -> dispatch_assignment;
-    void sort_waiting(const upstream_list& fleet, instant now);
-    [[nodiscard]] auto expected_first_token(const waiting_call& call) const -> duration;
-    [[nodiscard]] auto is_late(const waiting_call& call, instant now) const -> bool;
     [[nodiscard]] auto backoff_elapsed(const waiting_call& call, const dispatch_choice& choice, instant now)
         -> bool;
     void record_no_capacity(const waiting_call& call, instant now);
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymill/direct/call_dispatcher.h"
 
 #include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/direct/queue_order.h"
 
 #include <algorithm>
 #include <set>
@@ -19,11 +20,6 @@
 /// Assumed time of a client whose remaining time isn't known; bounds no Retry-After.
 constexpr duration unknown_time_left = 1h;
 
-auto class_of(const waiting_call& call) -> call_class
-{
-    return {call.service, call.tbt_target};
-}
-
 /// Returns the candidates with those marked as suspect at which an attempt of the call failed, and with
 /// `avoid_domains` also those in failure domains that the call avoids.
 auto mark_tried_suspect(const std::vector<dispatch_candidate>& all, const call_attempts& attempts,
@@ -89,57 +85,13 @@
     return retries_[service].available(now, settings_.retries, fleet_gateways_.known, fleet_gateways_.rank);
 }
 
-void call_dispatcher::sort_waiting(const upstream_list& fleet, instant now)
-{
-    struct ranked_call
-    {
-        std::tuple<bool, int, bool, instant, std::uint64_t> rank;
-        waiting_call call;
-    };
-    // Shortest prefill first, with aging: a prompt of a million tokens takes as long as ten usual long ones,
-    // and would make all of them miss their targets.
-    const auto prefill_time = [&](const waiting_call& call) {
-        const service_rule* service = fleet.config()->find_service(call.service);
-        const bool has_prefill = service != nullptr && service->engine;
-        return has_prefill ? engine_forecast(*service->engine).prefill_time(call.prompt_tokens)
-                           : duration::zero();
-    };
-    const std::set<std::string> rate_limited = availability_.rate_limited_services(fleet);
-    std::vector<ranked_call> ranked;
-    ranked.reserve(waiting_.size());
-    for (waiting_call& call : waiting_) {
-        // A client that is refused a second time is lost, and a new one can still come back.
-        const bool goes_first =
-            rate_limited.contains(call.service) && (call.returning || call.attempts.count() > 0);
-        const std::tuple rank(!goes_first && is_late(call, now), call.priority, !goes_first,
-                              call.latency_target_at + prefill_time(call), call.id);
-        ranked.push_back({rank, std::move(call)});
-    }
-    std::sort(ranked.begin(), ranked.end(),
-              [](const ranked_call& a, const ranked_call& b) { return a.rank < b.rank; });
-    std::transform(ranked.begin(), ranked.end(), waiting_.begin(),
-                   [](ranked_call& item) { return std::move(item.call); });
-}
-
-auto call_dispatcher::expected_first_token(const waiting_call& call) const -> duration
-{
-    return std::clamp(first_tokens_.expected(class_of(call)), call.aim / 3, call.aim * 2 / 3);
-}
-
-auto call_dispatcher::is_late(const waiting_call& call, instant now) const -> bool
-{
-    // Calls that can still meet their target go first: while upstreams are saturated, each call that is
-    // served late would make another one late.
-    return now + expected_first_token(call) >= call.latency_target_at;
-}
-
 auto call_dispatcher::decide(const upstream_list& fleet, instant now) -> dispatch_round
 {
     dispatch_round round;
     if (waiting_.empty() || fleet.config() == nullptr) {
         return round;
     }
-    sort_waiting(fleet, now);
+    sort_queue(waiting_, fleet, availability_.rate_limited_services(fleet), first_tokens_, now);
     std::map<call_class, int> failures_by_class;
     std::vector<waiting_call> still_waiting;
     candidate_cache cache;
