--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -4,7 +4,6 @@
 #include "dragonflymill/direct/queue_order.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
