Remove the load of a gateway that restarts before it is missed

A killed gateway that came back at its address within three seconds replaced its old process in the table of peers, and nothing removed what the old process had reported: its calls, memory and unread prompts counted at their upstreams for good.

The table now reports replaced processes with those that fell silent, and the gateway removes their load and counts.

--- a/include/dragonflymill/direct/peer_table.h
+++ b/include/dragonflymill/direct/peer_table.h
@@ -60,7 +60,9 @@
     auto take(const peer_digest& digest, instant now) -> bool;
     /// Stores addresses of gateways of the cell, to be contacted; ignores others.
     void learn(const std::vector<std::string>& addresses, instant now);
-    /// Removes peers that have not sent a digest for `peer_timeout`; returns their names.
+    /// Removes peers that have not sent a digest for `peer_timeout`. Returns their names, and those of
+    /// processes that a restart at the same address has replaced since the last call: their calls have ended
+    /// too.
     [[nodiscard]] auto expire_peers(instant now) -> std::vector<std::string>;
     /// Addresses to which the next digest is sent: all peers, seeds and learned addresses of the cell. While
     /// the cells aren't known, the seeds and up to `max_targets_without_cells` others.
@@ -141,6 +143,7 @@
     std::map<std::string, known_peer> peers_;
     std::map<std::string, instant> learned_addresses_;
     std::map<std::string, instant> lost_peers_; // by address, when they were lost
+    std::vector<std::string> replaced_peers_;   // by a restart, not yet returned
     std::uint64_t newest_revision_ = 0;         // of any peer, which may have gone since
     std::optional<instant> readers_missing_since_;
 };
--- a/src/direct/peer_table.cpp
+++ b/src/direct/peer_table.cpp
@@ -67,7 +67,13 @@
     const bool is_new = known == peers_.end();
     if (is_new) {
         // A restarted gateway replaces the old process at the same address.
-        std::erase_if(peers_, [&](const auto& peer) { return peer.second.digest.address == digest.address; });
+        std::erase_if(peers_, [&](const auto& peer) {
+            const bool is_replaced = peer.second.digest.address == digest.address;
+            if (is_replaced) {
+                replaced_peers_.push_back(peer.first);
+            }
+            return is_replaced;
+        });
     }
     peers_[digest.gateway] = known_peer{digest, now};
     newest_revision_ = std::max(newest_revision_, digest.revision);
@@ -87,7 +93,7 @@
 
 auto peer_table::expire_peers(instant now) -> std::vector<std::string>
 {
-    std::vector<std::string> gone;
+    std::vector<std::string> gone = std::exchange(replaced_peers_, {});
     std::erase_if(peers_, [&](const auto& peer) {
         const bool silent = now - peer.second.last_received_at > peer_timeout;
         if (silent) {
--- a/tests/direct/peers_test.cpp
+++ b/tests/direct/peers_test.cpp
@@ -95,6 +95,22 @@
     cr_assert(table.gateways() == 2);
 }
 
+// Guards against the calls of a killed gateway that count at their upstreams for ever: the process that
+// restarts at its address is heard before the old one has been silent for long enough.
+Test(peer_table, a_replaced_process_is_reported_as_gone)
+{
+    peer_table table("self", "self:7340", {});
+    peer_digest old = digest_of("p#1");
+    old.address = "p:7340";
+    peer_digest fresh = digest_of("p#2");
+    fresh.address = "p:7340";
+    (void)table.take(old, start);
+    (void)table.take(fresh, start + 1s);
+    cr_assert(table.expire_peers(start + 1s) == std::vector<std::string>{"p#1"});
+    cr_assert(table.expire_peers(start + 2s).empty());
+    cr_assert(table.gateways() == 2);
+}
+
 // The record source may refuse some hosts, and a large fleet would overload it. A few gateways read it for
 // all, and another one takes over when one of them stops sending digests or cannot read the source.
 Test(peer_table, a_few_gateways_read_the_source_and_others_take_over)
