--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -11,6 +11,7 @@
 #include "dragonflymill/direct/upstream_availability.h"
 #include "dragonflymill/direct/upstream_health.h"
 #include "dragonflymill/direct/upstream_list.h"
+#include "dragonflymill/direct/upstream_speeds.h"
 
 #include <cstdint>
 #include <map>
@@ -128,12 +129,16 @@
     /// Returns whether the retry budget of a service allows another attempt.
     [[nodiscard]] auto retry_allowed(const std::string& service, instant now) -> bool;
 
-    /// Removes the load and the counts of a gateway that no longer runs.
+    /// Removes statements that are over, and what is known of upstreams that no longer run.
+    void expire(const upstream_list& fleet, instant now);
+    /// Removes the load, the counts and the reports of a gateway that no longer runs.
     void remove_gateway(const std::string& gateway);
     /// Which upstreams take calls, and what they state in their responses.
     [[nodiscard]] auto availability() -> upstream_availability& { return availability_; }
     [[nodiscard]] auto availability() const -> const upstream_availability& { return availability_; }
 
+    /// How much slower than their profile upstreams run.
+    [[nodiscard]] auto speeds() -> upstream_speeds& { return speeds_; }
     /// Health of the upstreams, from the outcome of calls.
     [[nodiscard]] auto health() -> upstream_health& { return health_; }
     /// Load of the upstreams from all gateways.
@@ -167,6 +172,9 @@
     /// of the smallest of them. Without the backoff, three of thirty gateways sent prompts of half a million
     /// tokens to one engine within 7 ms, and none of them could reserve the memory it needed.
     static constexpr duration backoff_per_gateway = 2ms;
+    /// Time between removals of what is known of the speed of upstreams that no longer run. A restarted one
+    /// has another key at once.
+    static constexpr duration speeds_expiry_interval = 500ms;
     /// Maximum backoff of a call that was queued.
     static constexpr duration max_backoff = 80ms;
 
@@ -198,7 +206,7 @@
                               candidate_cache& cache) const -> dispatch_decision;
     [[nodiscard]] auto choose_among(const upstream_list& fleet, const waiting_call& call, instant now,
                                     std::span<const dispatch_candidate> all) const -> dispatch_decision;
-    void refresh_load(dispatch_candidate& candidate, instant now) const;
+    void refresh_load(dispatch_candidate& candidate, upstream_run run, instant now) const;
     void refresh(const upstream_list& fleet, const dispatch_assignment& assignment, instant now,
                  service_candidates& found) const;
     /// Returns when a call can be sent under the rate limits and pushbacks of its service, behind
@@ -234,6 +242,8 @@
     load_tracker loads_;
     upstream_health health_;
     upstream_availability availability_;
+    upstream_speeds speeds_;
+    instant speeds_expired_at_{};
     /// Time at which the last caller refused until its turn was asked to return, by service.
     std::unordered_map<std::string, instant> last_return_at_;
     std::unordered_map<std::string, retry_window> retries_;
--- a/include/dragonflymill/direct/gossip_schedule.h
+++ b/include/dragonflymill/direct/gossip_schedule.h
@@ -16,6 +16,7 @@
     int gateways = 1;                     ///< Gateways of the fleet, including itself.
     bool relayed = false;                 ///< Whether a relay forwards its digests.
     std::uint64_t rate_limit_changes = 0; ///< Increases with each change of its rate limit reports.
+    std::uint64_t slowdown_changes = 0;   ///< Increases with each change of its slowdown reports.
 
     friend auto operator==(const digest_state&, const digest_state&) -> bool = default;
 };
@@ -26,6 +27,7 @@
     bool whole = false;              ///< Lists all work in flight and some peers; otherwise only changes.
     std::uint64_t changes_since = 0; ///< Otherwise: lists the load changes after this one.
     std::uint64_t rate_limit_changes_since = 0; ///< Otherwise: lists the rate limit changes after this one.
+    std::uint64_t slowdown_changes_since = 0;   ///< Otherwise: lists the slowdown changes after this one.
 
     friend auto operator==(const due_digest&, const due_digest&) -> bool = default;
 };
@@ -65,6 +67,7 @@
     {
         std::uint64_t loads = 0;
         std::uint64_t rate_limits = 0;
+        std::uint64_t slowdowns = 0;
     };
 
     digest_state sent_;
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -82,6 +82,21 @@
 {
     loads_.remove_gateway(gateway);
     availability_.remove_gateway(gateway);
+    speeds_.remove_gateway(gateway);
+}
+
+void call_dispatcher::expire(const upstream_list& fleet, instant now)
+{
+    availability_.expire(fleet, now);
+    if (now - speeds_expired_at_ < speeds_expiry_interval) {
+        return;
+    }
+    speeds_expired_at_ = now;
+    std::set<upstream_run> running;
+    for (const auto& [id, state] : fleet.upstreams()) {
+        running.insert(run_of(state.entry));
+    }
+    speeds_.expire(running, now);
 }
 
 auto call_dispatcher::retry_allowed(const std::string& service, instant now) -> bool
@@ -404,10 +419,11 @@
     found.upstreams.reserve(usable.size());
     for (const upstream_state* state : usable) {
         const upstream_entry& entry = state->entry;
-        const bool limited = availability_.rate_limits().find(run_of(entry)) != nullptr;
+        const upstream_run run = run_of(entry);
+        const bool limited = availability_.rate_limits().find(run) != nullptr;
         found.upstreams.push_back(
             {entry.id, entry.failure_domain, entry.slots, false, {}, state->key, limited});
-        refresh_load(found.upstreams.back(), now);
+        refresh_load(found.upstreams.back(), run, now);
     }
     update_blocked_by(fleet, service.name, now, found);
     return found;
@@ -435,7 +451,7 @@
     };
     for (dispatch_candidate& candidate : candidates) {
         if (is_used(candidate)) {
-            refresh_load(candidate, now);
+            refresh_load(candidate, run_of(fleet.upstreams().at(candidate.id).entry), now);
         }
     }
     std::erase_if(candidates, [&](const dispatch_candidate& candidate) {
@@ -445,8 +461,9 @@
     update_blocked_by(fleet, assignment.upstream.service, now, found);
 }
 
-void call_dispatcher::refresh_load(dispatch_candidate& candidate, instant now) const
+void call_dispatcher::refresh_load(dispatch_candidate& candidate, upstream_run run, instant now) const
 {
+    candidate.slowdown = speeds_.slowdown(run, now);
     candidate.load = loads_.load_of(candidate.id_hash, now);
     candidate.suspect = health_.suspect(candidate.id, loads_.own_calls(candidate.id_hash), now) ||
                         candidate.load.suspected_by >= suspicion_quorum;
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -1,6 +1,7 @@
 #include "edge/direct_gateway.h"
 
 #include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/direct/digest_reports.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 #include "settings/listening_socket.h"
@@ -327,6 +328,9 @@
             log_rate_limit(report, message.digest.gateway);
         }
     }
+    for (const direct::slowdown_report& report : message.slowdowns) {
+        (void)dispatcher_.speeds().apply_report(message.digest.gateway, report, now);
+    }
     if (message.digest.reads_source) {
         outage_.peer_reads_source(now);
     }
@@ -420,28 +424,22 @@
 {
     direct::peer_message message = digest_header();
     message.digest.peers = peers_.address_sample(message.digest.sequence);
-    message.report.is_complete = true;
-    message.report.loads = dispatcher_.loads().own_loads(runtime::now());
-    message.rate_limits =
-        dispatcher_.availability().rate_limits().reports(runtime::now(), message.digest.sequence);
+    direct::add_reports(message, dispatcher_, {true}, runtime::now());
     return message;
 }
 
 auto direct_gateway::delta_digest(const direct::due_digest& due) -> direct::peer_message
 {
     direct::peer_message message = digest_header();
-    message.report.loads = dispatcher_.loads().own_loads(runtime::now(), due.changes_since);
-    message.rate_limits = dispatcher_.availability().rate_limits().reports(
-        runtime::now(), message.digest.sequence, due.rate_limit_changes_since);
+    direct::add_reports(message, dispatcher_, due, runtime::now());
     return message;
 }
 
 void direct_gateway::send_gossip(bool at_once)
 {
     const instant now = runtime::now();
-    const direct::digest_state state{dispatcher_.loads().own_version(), records_.revision(),
-                                     peers_.gateways(), !relay_.sends_to_all(),
-                                     dispatcher_.availability().rate_limits().version()};
+    direct::digest_state state{0, records_.revision(), peers_.gateways(), !relay_.sends_to_all()};
+    direct::set_versions(state, dispatcher_);
     const auto due = gossip_schedule_.next(state, at_once, now);
     if (!due) {
         return;
@@ -602,7 +600,7 @@
     const instant now = runtime::now();
     fleet_.tick(now);
     dispatcher_.report_suspects(fleet_, now);
-    dispatcher_.availability().expire(fleet_, now);
+    dispatcher_.expire(fleet_, now);
     update_rate_limit_metrics(now);
     for (const std::string& expired : peers_.expire_peers(now)) {
         dispatcher_.remove_gateway(expired);
--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -2,12 +2,21 @@
 
 #include "fleet.pb.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace dragonflymill::edge {
 
 namespace {
 
+/// Slowdowns are sent in hundredths; one that isn't a number counts as none.
+auto to_hundredths(double slowdown) -> std::uint32_t
+{
+    const double bounded =
+        std::isfinite(slowdown) ? std::clamp(slowdown, 1.0, direct::upstream_speeds::max_slowdown) : 1.0;
+    return static_cast<std::uint32_t>(std::lround(bounded * 100.0));
+}
+
 void encode_message(const direct::peer_message& message, wire::GatewayDigest& encoded)
 {
     const direct::peer_digest& digest = message.digest;
@@ -48,6 +57,12 @@
         entry.set_first_hand(limit.first_hand);
         entry.set_calls(limit.calls);
     }
+    for (const direct::slowdown_report& report : message.slowdowns) {
+        wire::UpstreamSlowdown& entry = *encoded.add_slowdowns();
+        entry.set_upstream(report.upstream);
+        entry.set_slowdown_hundredths(to_hundredths(report.slowdown));
+        entry.set_age_ms(static_cast<std::uint32_t>(std::max(report.age, duration::zero()) / 1ms));
+    }
 }
 
 auto decode_message(const wire::GatewayDigest& encoded) -> direct::peer_message
@@ -91,6 +106,10 @@
                                        duration(static_cast<duration::rep>(entry.age_us())),
                                        entry.first_hand(), entry.calls()});
     }
+    for (const wire::UpstreamSlowdown& entry : encoded.slowdowns()) {
+        message.slowdowns.push_back({entry.upstream(), entry.slowdown_hundredths() / 100.0,
+                                     std::chrono::milliseconds(entry.age_ms())});
+    }
     return message;
 }
 
--- a/tests/direct/gossip_world.h
+++ b/tests/direct/gossip_world.h
@@ -185,7 +185,7 @@
             is_alone ? cell_directory::round_length_alone : cell_directory::round_length;
         if (now_ - one.contacted_at >= interval) {
             one.contacted_at = now_;
-            peer_message message{digest_of(one), {}, {}};
+            peer_message message{digest_of(one), {}, {}, {}};
             message.digest.seeks_peers = true;
             for (const std::string& address : one.others.targets(one.cells, one.round++, is_alone)) {
                 deliver(one, address, {"", false, {message}});
@@ -197,7 +197,7 @@
     {
         if (to.cells.is_own(digest.address)) {
             if (to.peers.take(digest, now_) && upstreams_ > 0) {
-                peer_message answer{digest_of(to), {}, {}};
+                peer_message answer{digest_of(to), {}, {}, {}};
                 answer.digest.peers = to.peers.address_sample(to.sequence);
                 deliver(to, digest.address, {"", false, {answer}});
             }
@@ -207,7 +207,7 @@
         to.others.learn(to.cells, digest.peers, now_);
         to.peers.learn(digest.peers, now_);
         if (digest.seeks_peers) {
-            peer_message answer{digest_of(to), {}, {}};
+            peer_message answer{digest_of(to), {}, {}, {}};
             answer.digest.peers =
                 to.others.introductions(to.cells, to.cells.cell_of(digest.address), to.sequence);
             deliver(to, digest.address, {"", false, {answer}});
@@ -227,7 +227,7 @@
 
     void send_digest(gateway& from)
     {
-        peer_message message{digest_of(from), {}, {}};
+        peer_message message{digest_of(from), {}, {}, {}};
         if (from.relay.is_relay()) {
             from.relay.enqueue_own(message);
         }
--- a/tests/edge/caller_request_test.cpp
+++ b/tests/edge/caller_request_test.cpp
@@ -2,6 +2,7 @@
 #include "edge/peer_codec.h"
 
 #include <criterion/criterion.h>
+#include <limits>
 
 using namespace dragonflymill;
 using namespace dragonflymill::edge;
@@ -55,12 +56,42 @@
                       "a",   90, false,           true, false};
     message.report = {"g#1", 7, false, {{99, direct::upstream_load{1, 2, 1, 3, 4000, 5ms, 1, 200ms}}}};
     message.rate_limits = {{5, 0.25, 3s, true, 12}, {6, std::nullopt, 1s, false, 0}};
+    message.slowdowns = {{7, 4.25, 250ms}, {8, 1.0, 9s}};
     const direct::peer_datagram datagram{"10.0.0.2:7340", true, {message}};
     cr_assert(decode_datagram(encode_datagram(datagram)) == datagram);
     cr_assert(!decode_datagram("garbage"));
     cr_assert(!decode_datagram(""));
 }
 
+// Guards against engines that are avoided, or a gateway that crashes, for a damaged or senseless digest.
+Test(peer_codec, malformed_slowdowns_do_no_harm)
+{
+    direct::peer_message message;
+    message.digest.gateway = "g#1";
+    message.slowdowns = {{1, std::numeric_limits<double>::quiet_NaN(), 1ms}, {2, -5.0, -1s}, {3, 1e300, 0ms}};
+    const std::string bytes = encode_datagram({"", false, {message}});
+    const auto decoded = decode_datagram(bytes);
+    const std::vector<direct::slowdown_report> expected = {{1, 1.0, 1ms}, {2, 1.0, 0ms}, {3, 100.0, 0ms}};
+    cr_assert(decoded && decoded->messages.front().slowdowns == expected);
+    // The slowdowns are the last field.
+    const std::size_t first =
+        encode_datagram({"", false, {direct::peer_message{message.digest, {}, {}, {}}}}).size();
+    for (std::size_t at = first; at < bytes.size(); ++at) {
+        for (unsigned change = 1; change < 256; ++change) {
+            std::string damaged = bytes;
+            damaged[at] = static_cast<char>(static_cast<unsigned char>(damaged[at]) ^ change);
+            const auto read = decode_datagram(damaged);
+            direct::upstream_speeds speeds;
+            const instant now(100s);
+            for (const auto& report : read ? read->messages.front().slowdowns : expected) {
+                (void)speeds.apply_report("g#1", report, now);
+                const double slowdown = speeds.slowdown(report.upstream, now);
+                cr_assert(slowdown >= 1.0 && slowdown <= direct::upstream_speeds::max_slowdown);
+            }
+        }
+    }
+}
+
 Test(peer_codec, records_survive_a_round_trip)
 {
     const direct::records_update update{
