Measure calls against their forecasts, and choose engines by them

call_measurements passes the times of calls on to the forecasts and to the speeds of upstreams. Not built yet.

--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
+#include "dragonflymill/direct/call_measurements.h"
 #include "dragonflymill/direct/dispatch_policy.h"
-#include "dragonflymill/direct/first_token_times.h"
 #include "dragonflymill/direct/fleet_cells.h"
 #include "dragonflymill/direct/load_tracker.h"
 #include "dragonflymill/direct/retry_window.h"
@@ -10,7 +10,6 @@
 #include "dragonflymill/direct/upstream_availability.h"
 #include "dragonflymill/direct/upstream_health.h"
 #include "dragonflymill/direct/upstream_list.h"
-#include "dragonflymill/direct/upstream_speeds.h"
 #include "dragonflymill/direct/waiting_call.h"
 
 #include <cstdint>
@@ -100,15 +99,17 @@
 
     /// Updates the load tracker with the upstreams that this gateway suspects, for the other gateways.
     void report_suspects(const upstream_list& fleet, instant now);
-    /// Records the first token of a placed call.
-    void first_token(placement_id placed, instant now);
+    /// Records an event of a placed call's answer. Returns how the forecast compares at the first one of a
+    /// call to an engine.
+    auto event_received(placement_id placed, instant now) -> std::optional<forecast_outcome>;
     /// Records the end of a placed call.
     void finish(placement_id placed, instant now);
     /// Returns whether the retry budget of a service allows another attempt.
     [[nodiscard]] auto retry_allowed(const std::string& service, instant now) -> bool;
 
-    /// Removes statements that are over, and what is known of upstreams that no longer run.
-    void expire(const upstream_list& fleet, instant now);
+    /// Removes what is over or known of upstreams that no longer run, and looks for silent streams; to be
+    /// called regularly.
+    void tick(const upstream_list& fleet, instant now);
     /// Removes the load, the counts and the reports of a gateway that no longer runs.
     void remove_gateway(const std::string& gateway);
     /// Which upstreams take calls, and what they state in their responses.
@@ -116,7 +117,7 @@
     [[nodiscard]] auto availability() const -> const upstream_availability& { return availability_; }
 
     /// How much slower than their profile upstreams run.
-    [[nodiscard]] auto speeds() -> upstream_speeds& { return speeds_; }
+    [[nodiscard]] auto speeds() -> upstream_speeds& { return measurements_.speeds(); }
     /// Health of the upstreams, from the outcome of calls.
     [[nodiscard]] auto health() -> upstream_health& { return health_; }
     /// Load of the upstreams from all gateways.
@@ -217,7 +218,7 @@
     load_tracker loads_;
     upstream_health health_;
     upstream_availability availability_;
-    upstream_speeds speeds_;
+    call_measurements measurements_;
     instant speeds_expired_at_{};
     /// Time at which the last caller refused until its turn was asked to return, by service.
     std::unordered_map<std::string, instant> last_return_at_;
@@ -226,7 +227,6 @@
     /// Queued calls that found no capacity, and since when there is capacity again; nothing: still none.
     std::unordered_map<std::uint64_t, std::optional<instant>> capacity_since_;
     std::map<call_class, saturation_tracker> saturation_;
-    first_token_times first_tokens_;
     fleet_cells cells_{""};
     gateway_reach gateways_;       // of the cell
     gateway_reach fleet_gateways_; // of all cells, if each has as many as this one
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -15,6 +15,15 @@
 
 namespace dragonflymill::direct {
 
+/// Forecasts of calls to one service, as corrected by observation.
+struct forecast_corrections
+{
+    call_forecast whole;   ///< For prompts that one engine prefills.
+    call_forecast divided; ///< For prompts that several engines prefill.
+
+    friend auto operator==(const forecast_corrections&, const forecast_corrections&) -> bool = default;
+};
+
 /// Where a call is dispatched, or why it waits.
 struct dispatch_decision
 {
@@ -49,7 +58,7 @@
     /// `tightest_tbt_target` is the shortest TBT target of the streams of engines with this profile;
     /// `observed` corrects the forecasts of calls.
     engine_dispatch(const engine_profile& profile, duration tightest_tbt_target,
-                    const call_forecast& observed = {});
+                    const forecast_corrections& observed = {});
 
     /// Returns the choice; nothing while the call should wait.
     [[nodiscard]] auto choose(const call_requirements& call,
@@ -94,6 +103,8 @@
         -> short_rank;
     [[nodiscard]] auto forecast_at(const dispatch_candidate& engine, std::int64_t prompt_tokens) const
         -> call_times;
+    /// Returns the expected time to first token of a plan: that of its slowest engine.
+    [[nodiscard]] auto first_token_of(const prefill_plan& plan) const -> duration;
     /// Returns the engines that the short partition gets beyond those that it requires.
     [[nodiscard]] static auto spare_for_short(std::size_t count, std::size_t required, int long_prompts)
         -> std::size_t;
@@ -109,7 +120,7 @@
 
     engine_forecast forecast_;
     duration tightest_tbt_target_;
-    call_forecast observed_;
+    forecast_corrections observed_;
 };
 
 /// Sorts candidates into the order that all gateways share.
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -19,6 +19,18 @@
 /// Assumed time of a client whose remaining time isn't known; bounds no Retry-After.
 constexpr duration unknown_time_left = 1h;
 
+/// Returns what is measured of a call; nothing for a plain service.
+auto measured(const upstream_list& fleet, const waiting_call& call, const dispatch_assignment& assignment,
+              instant now) -> std::optional<measured_call>
+{
+    const service_rule* service = fleet.config()->find_service(call.service);
+    if (service == nullptr || !service->engine) {
+        return std::nullopt;
+    }
+    return measured_call{run_of(assignment.upstream), assignment.upstream.slots, *service->engine,
+                         assignment.choice, call.latency_target_at - now};
+}
+
 /// Returns the candidates with those marked as suspect at which an attempt of the call failed, and with
 /// `avoid_domains` also those in failure domains that the call avoids.
 auto mark_tried_suspect(const std::vector<dispatch_candidate>& all, const call_attempts& attempts,
@@ -45,16 +57,16 @@
     capacity_since_.erase(call);
 }
 
-void call_dispatcher::first_token(placement_id placed, instant now)
+auto call_dispatcher::event_received(placement_id placed, instant now) -> std::optional<forecast_outcome>
 {
     loads_.prefill_done(placed, now);
-    first_tokens_.first_token(placed, now);
+    return measurements_.event(placed, loads_, now);
 }
 
 void call_dispatcher::finish(placement_id placed, instant now)
 {
     loads_.finish(placed, now);
-    first_tokens_.finished(placed);
+    measurements_.finished(placed);
 }
 
 void call_dispatcher::report_suspects(const upstream_list& fleet, instant now)
@@ -77,12 +89,13 @@
 {
     loads_.remove_gateway(gateway);
     availability_.remove_gateway(gateway);
-    speeds_.remove_gateway(gateway);
+    measurements_.speeds().remove_gateway(gateway);
 }
 
-void call_dispatcher::expire(const upstream_list& fleet, instant now)
+void call_dispatcher::tick(const upstream_list& fleet, instant now)
 {
     availability_.expire(fleet, now);
+    measurements_.tick(loads_, now);
     if (now - speeds_expired_at_ < speeds_expiry_interval) {
         return;
     }
@@ -91,7 +104,7 @@
     for (const auto& [id, state] : fleet.upstreams()) {
         running.insert(run_of(state.entry));
     }
-    speeds_.expire(running, now);
+    measurements_.speeds().expire(running, now);
 }
 
 auto call_dispatcher::retry_allowed(const std::string& service, instant now) -> bool
@@ -105,7 +118,8 @@
     if (waiting_.empty() || fleet.config() == nullptr) {
         return round;
     }
-    sort_queue(waiting_, fleet, availability_.rate_limited_services(fleet), first_tokens_, now);
+    sort_queue(waiting_, fleet, availability_.rate_limited_services(fleet), measurements_.first_tokens(),
+               now);
     std::map<call_class, int> failures_by_class;
     std::vector<waiting_call> still_waiting;
     candidate_cache cache;
@@ -335,7 +349,8 @@
         return plain_dispatch().choose(requirements, all);
     }
     const duration tightest = fleet.config()->tightest_tbt_target(call.service).value_or(duration::zero());
-    return engine_dispatch(*service.engine, tightest).choose(requirements, all);
+    return engine_dispatch(*service.engine, tightest, measurements_.corrections(call.service))
+        .choose(requirements, all);
 }
 
 auto call_dispatcher::requirements_of(const waiting_call& call, instant now) const -> call_requirements
@@ -414,7 +429,7 @@
 
 void call_dispatcher::refresh_load(dispatch_candidate& candidate, upstream_run run, instant now) const
 {
-    candidate.slowdown = speeds_.slowdown(run, now);
+    candidate.slowdown = measurements_.speeds().slowdown(run, now);
     candidate.load = loads_.load_of(candidate.id_hash, now);
     candidate.suspect = health_.suspect(candidate.id, loads_.own_calls(candidate.id_hash), now) ||
                         candidate.load.suspected_by >= suspicion_quorum;
@@ -441,7 +456,7 @@
     assignment.placed = loads_.place({choice.upstream, choice.prefill_engines, choice.is_long,
                                       choice.memory_tokens, choice.prefill_time, call.tbt_target},
                                      now);
-    first_tokens_.dispatched(assignment.placed, class_of(call), now);
+    measurements_.dispatched(assignment.placed, class_of(call), measured(fleet, call, assignment, now), now);
     retry_window& retries = retries_[call.service];
     if (call.attempts.count() == 0) {
         retries.count_first_attempt(now);
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -44,7 +44,7 @@
 }
 
 engine_dispatch::engine_dispatch(const engine_profile& profile, duration tightest_tbt_target,
-                                 const call_forecast& observed)
+                                 const forecast_corrections& observed)
     : forecast_(profile)
     , tightest_tbt_target_(tightest_tbt_target)
     , observed_(observed)
@@ -147,8 +147,7 @@
     if (is_long(call.prompt_tokens)) {
         prefill_plan plan = prefill_planner(forecast_, target_part_time(), call, ordered).best_for(*best);
         choice.prefill_time = plan.part_time;
-        choice.first_token =
-            plan.first_token() + forecast_.iteration_time(in_flight(*best), call.prompt_tokens);
+        choice.first_token = first_token_of(plan);
         choice.prefill_engines = std::move(plan.prefill_engines);
     }
     choice.reason = in_partition ? "short partition" : "short partition full";
@@ -158,7 +157,7 @@
 auto engine_dispatch::forecast_at(const dispatch_candidate& engine, std::int64_t prompt_tokens) const
     -> call_times
 {
-    return observed_.times(forecast_, condition_of(engine), forecast_.prefill_time(prompt_tokens));
+    return observed_.whole.times(forecast_, condition_of(engine), forecast_.prefill_time(prompt_tokens));
 }
 
 auto engine_dispatch::rank_for_short(const call_requirements& call, const dispatch_candidate& engine) const
@@ -173,6 +172,15 @@
             mix_bits(engine.id_hash ^ call.tie_breaker)};
 }
 
+auto engine_dispatch::first_token_of(const prefill_plan& plan) const -> duration
+{
+    engine_condition condition = condition_of(*plan.decode_engine);
+    condition.pending_prefill = plan.backlog;
+    condition.slowdown = plan.slowdown;
+    const call_forecast& observed = plan.prefill_engines.empty() ? observed_.whole : observed_.divided;
+    return observed.times(forecast_, condition, plan.part_time).first_token;
+}
+
 auto engine_dispatch::choose_long(const call_requirements& call, std::span<const dispatch_candidate> ordered,
                                   std::size_t boundary) const -> dispatch_decision
 {
@@ -191,7 +199,7 @@
     choice.is_long = true;
     choice.memory_tokens = plan->decode_memory_tokens;
     choice.prefill_time = plan->part_time;
-    choice.first_token = plan->first_token();
+    choice.first_token = first_token_of(*plan);
     choice.prefill_engines = std::move(plan->prefill_engines);
     choice.reason = on_time ? "long partition" : "late, long partition";
     return {std::move(choice)};
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -600,7 +600,7 @@
     const instant now = runtime::now();
     fleet_.tick(now);
     dispatcher_.report_suspects(fleet_, now);
-    dispatcher_.expire(fleet_, now);
+    dispatcher_.tick(fleet_, now);
     update_rate_limit_metrics(now);
     for (const std::string& expired : peers_.expire_peers(now)) {
         dispatcher_.remove_gateway(expired);
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -441,7 +441,9 @@
         context_.metrics.time_to_first_event.record(static_cast<double>((last_byte_at_ - arrived_).count()) /
                                                     us_per_s);
     }
-    context_.dispatcher.first_token(assignment_->placed, last_byte_at_);
+    if (const auto outcome = context_.dispatcher.event_received(assignment_->placed, last_byte_at_)) {
+        context_.metrics.record(*outcome);
+    }
     if (events_ > 0) {
         max_event_gap_ = std::max(max_event_gap_, last_byte_at_ - last_event_at_);
     }
@@ -496,7 +498,7 @@
         return;
     }
     context_.dispatcher.health().record_success(assignment_->upstream.id);
-    context_.dispatcher.first_token(assignment_->placed, now);
+    (void)context_.dispatcher.event_received(assignment_->placed, now);
     send_response();
 }
 
--- a/tests/direct/call_dispatcher_test.cpp
+++ b/tests/direct/call_dispatcher_test.cpp
@@ -350,7 +350,7 @@
     decider.add(call(1));
     const auto first = decider.decide(fleet, start).orders;
     cr_assert(first.size() == 1);
-    decider.first_token(first[0].placed, start + 60ms);
+    (void)decider.event_received(first[0].placed, start + 60ms);
     decider.finish(first[0].placed, start + 60ms);
     waiting_call older = call(2);
     older.latency_target_at = start + 110ms;
