Predict first tokens from the engine's state and learn from the error

The forecast in force left out that the running iteration ends first, and counted one at idle engines, which need none. It was 51 ms too low at the median and was never compared with what came.

call_forecast predicts from the profile and the load, corrected by the median error of 64 earlier calls in a similar condition, which ends after 10 s and is bounded. Slow engines aren't learned from; upstream_speeds owns their slowness.

All 224 tests of test_direct pass.

--- a/include/dragonflymill/direct/call_forecast.h
+++ b/include/dragonflymill/direct/call_forecast.h
@@ -7,9 +7,9 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
-#include <vector>
 
 namespace dragonflymill::direct {
 
@@ -39,12 +39,14 @@
 enum class condition_class
 {
     idle,        ///< No streams and nothing to prefill.
-    light,       ///< Streams in at most half of its slots, nothing else to prefill.
-    busy,        ///< More streams, and at least two free slots.
-    nearly_full, ///< At most one free slot.
-    prefilling,  ///< Other prompts to prefill, or parts of them.
+    light,       ///< Streams in at most half of its slots, little else to prefill.
+    busy,        ///< More streams, at least two free slots, little else to prefill.
+    nearly_full, ///< At most one free slot, whatever there is to prefill.
+    prefilling,  ///< More than `little_prefill` pending, or parts of other engines' prompts.
 };
 inline constexpr std::size_t condition_classes = 5;
+/// Pending prefill up to this fits beside an iteration and delays the next call little.
+inline constexpr duration little_prefill = 40ms;
 
 /// Returns the class of a condition.
 [[nodiscard]] auto class_of(const engine_condition& engine) -> condition_class;
@@ -78,13 +80,18 @@
     /// Returns the time to first token that is exceeded in a quarter of cases.
     [[nodiscard]] auto upper_first_token(const engine_forecast& profile, const engine_condition& engine,
                                          duration prefill_time) const -> duration;
-    /// Returns the expected times without correction.
+    /// Returns the expected times without correction. An engine without a free slot is forecast like one
+    /// with a free slot, as its profile doesn't state how long calls keep their slots; what the wait adds is
+    /// left to the correction.
     [[nodiscard]] static auto from_profile(const engine_forecast& profile, const engine_condition& engine,
                                            duration prefill_time) -> call_times;
 
     friend auto operator==(const call_forecast&, const call_forecast&) -> bool = default;
 
 private:
+    [[nodiscard]] auto corrected(duration first_token, const engine_condition& engine, duration prefill_time,
+                                 duration correction::*error) const -> duration;
+
     std::array<correction, condition_classes> corrections_{};
 };
 
@@ -116,7 +123,8 @@
 /// Holds forecasts against what came, and learns corrections from the difference.
 ///
 /// Errors of slow engines aren't learned: `upstream_speeds` owns what is known of those, and a correction
-/// would count their slowness twice and spread it to other engines.
+/// would count their slowness twice and spread it to other engines. A call that never gets a first token
+/// isn't learned either.
 class forecast_calibrator
 {
 public:
@@ -126,23 +134,39 @@
     auto first_token(placement_id placed, instant now) -> std::optional<forecast_outcome>;
     /// Discards the measurement of a call that ended without a first token.
     void finished(placement_id placed) { open_.erase(placed); }
+    /// Removes observations older than `max_age`. `dispatched` and `first_token` do so too; call it before a
+    /// question if nothing may have been sent for long, or a forecast that keeps all calls away persists.
+    void expire(instant now);
     /// Returns the forecast with the corrections learned so far.
     [[nodiscard]] auto forecast() const -> const call_forecast& { return forecast_; }
 
-    /// Observations of a class that are kept; older ones describe another load.
+    /// Observations of a class that are kept.
     static constexpr std::size_t window = 64;
+    /// Observations older than this describe another load.
+    static constexpr duration max_age = 10s;
     /// Observations from which on a class is corrected by its own median; with fewer the correction counts in
     /// proportion.
     static constexpr std::size_t full_samples = 16;
+    /// Bound of a correction in both directions. A class whose calls wait for seconds is in a condition that
+    /// passes; with their wait as the forecast no call would go there, and none would show its end.
+    static constexpr duration max_correction = 250ms;
 
 private:
+    struct observation
+    {
+        duration error{}; // measured less predicted without correction
+        instant at{};
+    };
     struct open_call
     {
         forecast_call call;
         instant sent_at{};
     };
 
+    void update_forecast();
+
     std::unordered_map<placement_id, open_call> open_;
+    std::array<std::deque<observation>, condition_classes> observations_; // oldest first
     call_forecast forecast_;
 };
 
