Count forecast errors, late first tokens and those foreseen

An operator couldn't see whether decisions rest on a forecast that holds. A histogram of the absolute error and three counters are filled by gateway_metrics::record; the dispatcher isn't wired to it yet.

--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -39,6 +39,18 @@
     , response_time(registry_->histogram(
           {"dragonflymill_whole_answer_seconds", "Seconds from arrival to the end of an answer"},
           second_buckets))
+    , forecast_error(registry_->histogram(
+          {"dragonflymill_first_token_forecast_error_seconds",
+           "Seconds by which a first token came later or earlier than predicted when it was sent"},
+          second_buckets))
+    , late_first_tokens(registry_->counter(
+          {"dragonflymill_late_first_tokens_total", "First tokens of prompts that missed their target"}))
+    , late_first_tokens_foreseen(
+          registry_->counter({"dragonflymill_late_first_tokens_foreseen_total",
+                              "Of these, the ones that were predicted to miss it when they were sent"}))
+    , false_late_forecasts(
+          registry_->counter({"dragonflymill_false_late_forecasts_total",
+                              "First tokens on time that were predicted to miss their target"}))
 {
 }
 
@@ -48,4 +60,15 @@
                               {{"reason", reason}});
 }
 
+void gateway_metrics::record(const direct::forecast_outcome& outcome)
+{
+    forecast_error.record(std::chrono::duration<double>(std::chrono::abs(outcome.error())).count());
+    if (outcome.late) {
+        late_first_tokens.add();
+    }
+    if (outcome.foreseen_late) {
+        (outcome.late ? late_first_tokens_foreseen : false_late_forecasts).add();
+    }
+}
+
 } // namespace dragonflymill::edge
--- a/src/edge/gateway_metrics.h
+++ b/src/edge/gateway_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
+#include "dragonflymill/direct/call_forecast.h"
 #include "metrics/metrics_registry.h"
 
 #include <memory>
@@ -18,6 +19,8 @@
     [[nodiscard]] auto text() const -> std::string { return registry_->prometheus_text(); }
     /// Queued calls that were refused for a reason, in the words of the dispatcher.
     [[nodiscard]] auto dispatch_refusals(const std::string& reason) -> metric_counter&;
+    /// Counts how a forecast of a first token compares with what came.
+    void record(const direct::forecast_outcome& outcome);
 
 private:
     std::unique_ptr<metrics_registry> registry_;
@@ -44,6 +47,10 @@
     metric_counter& withheld_calls;     ///< Assigned requests that were not sent, as one of them began.
     metric_histogram& time_to_first_event; ///< Seconds from arrival to the first event of a stream.
     metric_histogram& response_time;       ///< Seconds from arrival to the end of the response.
+    metric_histogram& forecast_error;  ///< Seconds between predicted and measured first token, either way.
+    metric_counter& late_first_tokens; ///< First tokens that missed their target.
+    metric_counter& late_first_tokens_foreseen; ///< Of these, the ones whose forecast missed it too.
+    metric_counter& false_late_forecasts;       ///< Forecasts that missed it though the token was on time.
 };
 
 } // namespace dragonflymill::edge
