--- a/include/dragonflymill/direct/call_measurements.h
+++ b/include/dragonflymill/direct/call_measurements.h
@@ -10,6 +10,7 @@
 #include "dragonflymill/direct/upstream_speeds.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -34,12 +35,6 @@
 class call_measurements
 {
 public:
-    call_measurements() = default;
-    ~call_measurements() = default;
-    // Parts of it refer to each other.
-    call_measurements(const call_measurements&) = delete;
-    auto operator=(const call_measurements&) -> call_measurements& = delete;
-
     /// Starts the measurement of a call that is sent; `engine` is nothing for a plain service.
     void dispatched(placement_id placed, const call_class& of_class,
                     const std::optional<measured_call>& engine, instant now);
@@ -57,8 +52,8 @@
     /// Moving averages of the times to first token.
     [[nodiscard]] auto first_tokens() const -> const first_token_times& { return first_tokens_; }
     /// How much slower than their profile upstreams run.
-    [[nodiscard]] auto speeds() -> upstream_speeds& { return speeds_; }
-    [[nodiscard]] auto speeds() const -> const upstream_speeds& { return speeds_; }
+    [[nodiscard]] auto speeds() -> upstream_speeds& { return *speeds_; }
+    [[nodiscard]] auto speeds() const -> const upstream_speeds& { return *speeds_; }
 
 private:
     struct open_call
@@ -83,8 +78,8 @@
         -> engine_work;
     [[nodiscard]] auto calibrator_of(const open_call& call) -> forecast_calibrator&;
 
-    upstream_speeds speeds_;
-    stream_timings streams_{speeds_};
+    std::unique_ptr<upstream_speeds> speeds_ = std::make_unique<upstream_speeds>();
+    stream_timings streams_{*speeds_}; // refers to `speeds_`, which stays in place when this object is moved
     first_token_times first_tokens_;
     std::map<std::string, calibrators> calibrators_;
     std::unordered_map<placement_id, open_call> open_;
