--- a/include/dragonflymill/direct/stream_timings.h
+++ b/include/dragonflymill/direct/stream_timings.h
@@ -24,7 +24,7 @@
 /// What an engine does between two events of its streams, at the speed of its profile.
 struct engine_work
 {
-    duration iteration{};       ///< Iteration that only decodes.
+    duration iteration{};       ///< Iteration that only decodes, with the contexts of all its streams.
     duration pending_prefill{}; ///< Prefill that it has left.
 
     friend auto operator==(const engine_work&, const engine_work&) -> bool = default;
--- a/tests/direct/upstream_speeds_test.cpp
+++ b/tests/direct/upstream_speeds_test.cpp
@@ -280,6 +280,9 @@
     cr_assert(speeds.source_of(engine, now + upstream_speeds::max_age + 1ms) == speed_source::none);
     speeds.expire({engine}, now + upstream_speeds::max_age + 1ms);
     cr_assert(!speeds.newest_evidence(engine));
+
+    (void)speeds.apply_report("g1", {engine, 5.0, 0ms}, start);
+    cr_assert(speeds.is_slow(engine, start + 3s) && !speeds.is_slow(engine, start + 5s), "nor a peer's word");
 }
 
 // Guards against measured intervals that outlast what the engine itself has stated since.
