--- a/tests/platform/record_decoder_test.cpp
+++ b/tests/platform/record_decoder_test.cpp
@@ -55,7 +55,7 @@
                   {"name":"lost","host":"a.example"}, 5],
         "services":[{"name":"s","maxConns":4,"coldS":3.0,"coldPerS":38,
                      "engine":{"slots":16,"kvCapacity":450000,"stride":46,"step_ms":0.925,"per_seq_ms":0.005,
-                               "context_per_k":0.002,"read_per_s":256000.0,"pairs_per_m":0.09,"chunk":2048}}],
+                               "context_per_k":0.002,"read_per_s":256000.0,"pairs_per_m":0.09,"chunk":2048,"report_lag_ms":300}}],
         "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
         "tenants":[{"name":"t1","apiKeys":["k"],"priority":2}]})",
                                      9, false});
@@ -68,7 +68,7 @@
               "an unknown kind counts as non-idempotent");
     const service_rule* service = config->find_service("s");
     cr_assert(service->engine && service->engine->prefill_tokens_per_ms == 256.0 &&
-              service->cold_time == duration(3s));
+              service->cold_time == duration(3s) && service->engine->report_lag == duration(300ms));
     cr_assert(config->limits().header_bytes == 100 && config->limits().idle_time == duration(15s));
     cr_assert(config->find_account("k")->name == "t1" && config->requires_api_key());
 }
