Divide requests for upstreams' reports among the gateways of a cell

A request for a report is priced, so each engine is to be asked by one gateway, and by others only in doubt. The schedule decides by a rendezvous hash of gateway and run, gives each engine its own moment in the interval, backs off from engines that give no answer, and bounds what is in flight.

--- a/include/dragonflymill/direct/report_schedule.h
+++ b/include/dragonflymill/direct/report_schedule.h
@@ -45,6 +45,44 @@
     static constexpr std::size_t max_in_flight = 16;
     /// Time after which an upstream in doubt is asked again.
     static constexpr duration doubt_interval = 250ms;
+
+private:
+    struct known_upstream
+    {
+        upstream_run run = 0;
+        bool is_own = false;                      // asked by this gateway in its turn
+        bool in_flight = false;                   // a request to this run
+        bool ended = false;                       // a request has ended whose effect isn't judged yet
+        instant first_turn{};                     // earliest request other than in doubt
+        std::optional<instant> asked_at;          // last request
+        std::optional<instant> evidence_at_start; // newest evidence at that request
+        int unanswered = 0;                       // requests in a row without new evidence
+        instant listed_at{};                      // when it last might be asked
+    };
+    struct candidate
+    {
+        const reportable_upstream* upstream;
+        known_upstream* state;
+        bool in_doubt;
+    };
+
+    [[nodiscard]] auto owns(upstream_run run) const -> bool;
+    [[nodiscard]] auto phase(upstream_run run) const -> duration;
+    auto update(const reportable_upstream& upstream, std::optional<instant> evidence, instant now)
+        -> known_upstream&;
+    void update_owners(instant now);
+    [[nodiscard]] auto takes_turn(const known_upstream& state, std::optional<instant> evidence,
+                                  instant now) const -> bool;
+
+    /// Requests in a row without an answer after which the interval stays the same.
+    static constexpr int max_backoff_doublings = 3;
+
+    std::string self_;
+    duration interval_;
+    std::vector<std::string> peers_; // sorted
+    bool peers_changed_ = false;
+    std::unordered_map<std::string, known_upstream> upstreams_; // by id
+    std::size_t in_flight_ = 0;
 };
 
 } // namespace dragonflymill::direct
