--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -33,6 +33,12 @@
     , withheld_calls(
           registry_->counter({"dragonflymill_withheld_calls_total",
                               "Requests that were not sent to their upstream, as one of these began"}))
+    , slow_upstreams(registry_->gauge(
+          {"dragonflymill_slow_upstreams", "Upstreams believed to run slower than their profile"}))
+    , reports_asked(registry_->counter(
+          {"dragonflymill_upstream_reports_asked_total", "Upstreams asked for a report on their state"}))
+    , reports_failed(registry_->counter({"dragonflymill_upstream_reports_failed_total",
+                                         "Of these, the ones without a report that could be read"}))
     , time_to_first_event(registry_->histogram({"dragonflymill_first_answer_seconds",
                                                 "Seconds from arrival to the first byte of an answer's body"},
                                                second_buckets))
--- a/src/edge/gateway_metrics.h
+++ b/src/edge/gateway_metrics.h
@@ -42,6 +42,9 @@
     metric_gauge& draining_upstreams;   ///< Upstreams that have stated in a response that they are draining.
     metric_counter& unwanted_calls;     ///< Requests sent to upstreams that were in one of these two states.
     metric_counter& withheld_calls;     ///< Assigned requests that were not sent, as one of them began.
+    metric_gauge& slow_upstreams;       ///< Upstreams that are believed to run slower than their profile.
+    metric_counter& reports_asked;      ///< Requests for an upstream's report.
+    metric_counter& reports_failed;     ///< Of these, the ones without a readable report.
     metric_histogram& time_to_first_event; ///< Seconds from arrival to the first event of a stream.
     metric_histogram& response_time;       ///< Seconds from arrival to the end of the response.
 };
