Read the pace that engines state in their reports

Engines publish how much slower than their profile they run, and no gateway asked. A gateway now asks the engines that fall to it and those in doubt, and feeds upstream_speeds. reports.intervalMs sets the interval, 0 turns it off; without a reader in the adapter nothing is asked.

--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -107,6 +107,10 @@
                                 settings_.millicores);
     (void)peers_.set_cells(cells_);
     relay_ = direct::gossip_relay(own_identity());
+    reports_ = std::make_unique<report_poller>(
+        report_poller::parts{loop_, timers_, platform_.reports, fleet_, dispatcher_.availability(), peers_,
+                             dispatcher_.speeds(), statements_, metrics_},
+        incarnation_name_, settings_.report_interval);
 }
 
 direct_gateway::~direct_gateway() = default;
@@ -602,6 +606,10 @@
     dispatcher_.report_suspects(fleet_, now);
     dispatcher_.expire(fleet_, now);
     update_rate_limit_metrics(now);
+    speed_log_.update(fleet_, dispatcher_.speeds(), metrics_, now);
+    if (!stopping_) {
+        reports_->tick(now);
+    }
     for (const std::string& expired : peers_.expire_peers(now)) {
         dispatcher_.remove_gateway(expired);
         log_event(event::peer_gateway_lost, field("peer", expired));
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -17,6 +17,8 @@
 #include "edge/loop_timers.h"
 #include "edge/peer_link.h"
 #include "edge/record_source.h"
+#include "edge/report_poller.h"
+#include "edge/speed_log.h"
 #include "edge/statement_recorder.h"
 #include "edge/status_pages.h"
 #include "settings/socket_address.h"
@@ -53,6 +55,8 @@
     /// second, removes a gateway after the second failed check, and connections that it opened before that
     /// arrive slightly later.
     duration deregistration_delay = 3s;
+    /// Time between two requests for an upstream's report; 0: none is asked.
+    duration report_interval = 1s;
 
     friend auto operator==(const direct_gateway_settings&, const direct_gateway_settings&) -> bool = default;
 };
@@ -63,6 +67,7 @@
     header_names names;                             ///< Names of header fields.
     upstream_orders orders;                         ///< Encoders of orders to engines.
     statement_reader read_statement = no_statement; ///< Decodes what responses state about upstreams.
+    report_reader reports;                          ///< Asks upstreams for reports; none by default.
 };
 
 /// A gateway process that connects to upstreams directly. Runs one event loop; only the logger has a thread
@@ -91,6 +96,8 @@
     {
         return dispatcher_.availability();
     }
+    /// Counters of this gateway.
+    [[nodiscard]] auto metrics() const -> const gateway_metrics& { return metrics_; }
 
     auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
         -> std::shared_ptr<in_flight_request> override;
@@ -157,6 +164,8 @@
     direct::gossip_relay relay_;
     exchange_context context_;
     peer_link link_;
+    std::unique_ptr<report_poller> reports_;
+    speed_log speed_log_;
     boost::asio::ip::tcp::acceptor callers_;
     boost::asio::ip::tcp::acceptor ready_listener_;
     boost::asio::ip::tcp::acceptor metrics_listener_;
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -121,9 +121,9 @@
             statement.draining = !head.value_of("Draining").empty();
             return statement;
         };
-        gateway =
-            std::make_unique<direct_gateway>(loop, settings, platform_adapter{names, orders, read_statement},
-                                             source, [] { return std::nullopt; });
+        gateway = std::make_unique<direct_gateway>(loop, settings,
+                                                   platform_adapter{names, orders, read_statement, reports},
+                                                   source, [] { return std::nullopt; });
         cr_assert(gateway->start().has_value());
         connect_caller();
     }
@@ -175,6 +175,8 @@
     std::optional<direct::engine_profile> engine_profile;
     /// Encoders of orders to engines.
     upstream_orders orders;
+    /// Reader of upstreams' reports; none by default.
+    report_reader reports;
     /// Caller limits in the gateway's configuration.
     direct::caller_limits limits;
 
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -1,4 +1,5 @@
 #include "platform/replica_orders.h"
+#include "platform/replica_reports.h"
 #include "platform/settings_file.h"
 
 #include <criterion/criterion.h>
@@ -55,3 +56,39 @@
     cr_assert(orders.encode_prefill_engines({{"10.0.0.9:80", "t1"}, {"10.0.0.8:80", ""}}) ==
               "10.0.0.9:80/t1,10.0.0.8:80");
 }
+
+// Guards against requests for reports that can't be turned off, and against a default of none.
+Test(settings_file, interval_of_reports_is_optional)
+{
+    cr_assert(read_node_settings(good).settings.gateway.report_interval == duration(1s));
+    const std::string text = good;
+    cr_assert(read_node_settings(text + "reports.intervalMs=250\n").settings.gateway.report_interval ==
+              duration(250ms));
+    cr_assert(read_node_settings(text + "reports.intervalMs=0\n").settings.gateway.report_interval ==
+              duration::zero());
+    cr_assert(read_node_settings(text + "reports.intervalMs=often\n").mistakes.size() == 1);
+}
+
+Test(replica_reports, pace_of_a_report_is_a_slowdown)
+{
+    const auto reports = replica_reports();
+    cr_assert(reports.request("10.0.0.9:80")
+                  .starts_with("GET /dragonflymill/report HTTP/1.1\r\nHost: 10.0.0.9:80\r\n"));
+    cr_assert(reports.decode(R"({"stage":"both","pace":5.2,"tickets":[]})") == edge::upstream_report{5.2});
+    cr_assert(reports.decode(R"({"pace":1})") == edge::upstream_report{1.0});
+}
+
+// Guards against a slowdown that is made up from what isn't a report, and against an exception that ends the
+// process.
+Test(replica_reports, unreadable_report_says_nothing)
+{
+    const auto reports = replica_reports();
+    const std::string deep(10'000, '[');
+    for (const std::string& bad :
+         {std::string(), std::string("pace"), std::string("[]"), std::string("{}"), deep,
+          std::string(R"({"pace":"5"})"), std::string(R"({"pace":null})"), std::string(R"({"pace":0})"),
+          std::string(R"({"pace":-3})"), std::string(R"({"pace":1e999})"), std::string(R"({"pace":5)"),
+          std::string("{\"pace\":5}\xff")}) {
+        cr_assert(!reports.decode(bad), "%s", bad.c_str());
+    }
+}
