Soak: engines that run slower and state it, and reports that fail

The soak's engines had no profile, so no report was asked. They have one now, run two to seven times slower for a time, and some answer requests for reports with what is none; hanging and resetting ones do so there too. Checked: no engine is asked more often than four times a second and gateway, no plain service is asked, and some engine is.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -19,9 +19,9 @@
 
 // Guards the delivery guarantees under sequential and overlapping faults: gateways are killed, paused,
 // stopped and partitioned from the store, upstreams fail, drain and are replaced, the store stops answering,
-// upstreams ask for pauses, state their drain and restart in place, and the configuration changes. No booking
-// may be executed twice, or after it was reported as not executed; no stream may have a gap; and all calls
-// must be served again once the faults end.
+// upstreams ask for pauses, state their drain, run slower and restart in place, and the configuration
+// changes. No booking may be executed twice, or after it was reported as not executed; no stream may have a
+// gap; and all calls must be served again once the faults end.
 Test(soak, promises_hold_under_faults, .timeout = 280)
 {
     const auto seed = static_cast<std::uint64_t>(number("SOAK_SEED", 1));
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int events = 8;
+/// Time between two events of a stream, as in the profile in the configuration.
+constexpr double event_ms = 15.0;
 
 auto field(const std::string& request, const std::string& name) -> std::string
 {
@@ -60,6 +62,7 @@
     ++run_;
     pause_.reset();
     states_drain_ = false;
+    slowdown_ = 1.0;
 }
 
 void soak_upstream::later(std::chrono::milliseconds wait, std::function<void()> action)
@@ -72,8 +75,28 @@
     });
 }
 
+void soak_upstream::send_report(taken_connection& call)
+{
+    ++reports_;
+    if (fault_ == fault::hang) {
+        return;
+    }
+    if (fault_ == fault::reset) {
+        send(call, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"pace\":9");
+        call.reset();
+        return;
+    }
+    const std::string body =
+        reports_fail_ ? std::string("[9.0]") : R"({"pace":)" + std::to_string(slowdown_) + "}";
+    send(call, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
 void soak_upstream::run(taken_connection& call)
 {
+    if (call.received.starts_with("GET /dragonflymill/report ")) {
+        send_report(call);
+        return;
+    }
     const std::string request = field(call.received, "Dragonflymill-Attempt-Id");
     std::string head =
         "Dragonflymill-Attempt-Id: " + request + "\r\nDragonflymill-Server-Seal: " + id_ + "\r\n";
@@ -147,7 +170,8 @@
         return;
     }
     send(*call, chunk(bytes));
-    later(std::chrono::milliseconds(15), [this, call, request, next] { stream(call, request, next + 1); });
+    const auto pause = std::chrono::milliseconds(static_cast<int>(event_ms * slowdown_));
+    later(pause, [this, call, request, next] { stream(call, request, next + 1); });
 }
 
 } // namespace dragonflymill::soak
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -68,9 +68,10 @@
     {
         const std::string path = is_stream_ ? "/chat/" : "/book/";
         boost::system::error_code ignored; // the gateway may have been killed
-        const std::string text = "POST " + path + "x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" +
-                                 "Dragonflymill-Attempt-Id: " + request_ +
-                                 "\r\nDragonflymill-Request-Deadline: 4000\r\nContent-Length: 2\r\n\r\nhi";
+        const std::string text =
+            "POST " + path + "x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" +
+            "Dragonflymill-Attempt-Id: " + request_ + "\r\nDragonflymill-Request-Deadline: 4000\r\n" +
+            (is_stream_ ? "Dragonflymill-Token-Count: 100,8\r\n" : "") + "Content-Length: 2\r\n\r\nhi";
         world_.requests_.at(request_).sent_at = std::chrono::steady_clock::now();
         boost::asio::write(socket_, boost::asio::buffer(text), ignored);
         read();
@@ -186,10 +187,13 @@
                R"(/","kind":")" + kind + R"(","service":")" + service +
                R"(","timeoutMs":4000,"latencyGoalMs":300,"maxAttempts":2,"streamResume":true,"gapAimMs":200})";
     };
-    store_.put("op/config", R"({"version":)" + std::to_string(version_) + R"(,"routes":[)" +
-                                route("book", "non_idempotent", "bookings") + "," +
-                                route("chat", "streaming", "engines") +
-                                R"(],"services":[{"name":"bookings"},{"name":"engines"}],"limits":{}})");
+    store_.put(
+        "op/config",
+        R"({"version":)" + std::to_string(version_) + R"(,"routes":[)" +
+            route("book", "non_idempotent", "bookings") + "," + route("chat", "streaming", "engines") +
+            R"(],"services":[{"name":"bookings"},{"name":"engines","engine":{"slots":8,"kvCapacity":1000000,)" +
+            R"("stride":1,"step_ms":15,"read_per_s":1000000,"chunk":100000,)" +
+            R"("report_lag_ms":100}}],"limits":{}})");
 }
 
 void soak_world::set_mood(store_standin::mood now)
@@ -260,7 +264,7 @@
 
 void soak_world::next_fault()
 {
-    strike(random_.below(17));
+    strike(random_.below(18));
 }
 
 void soak_world::strike(std::uint64_t kind)
@@ -315,6 +319,9 @@
     case 16:
         restart_upstream(upstream);
         return;
+    case 17:
+        slow_down(upstream);
+        return;
     default:
         strike_gateway(gateways_[random_.below(gateways_.size())], kind);
     }
@@ -371,6 +378,40 @@
     store_.put("servers/" + upstream.id(), upstream.entry(false));
 }
 
+void soak_world::slow_down(soak_upstream& upstream)
+{
+    const bool fails = random_.chance(0.3);
+    tell(upstream.id() + (fails ? " runs slower and has no report" : " runs slower"));
+    upstream.set_slowdown(static_cast<double>(2 + random_.below(6)));
+    upstream.fail_reports(fails);
+    later(std::chrono::milliseconds(500 + random_.below(4000)), [&upstream] {
+        upstream.set_slowdown(1.0);
+        upstream.fail_reports(false);
+    });
+}
+
+void soak_world::check_reports()
+{
+    // Each gateway asks four times a second while it is in doubt, and else once.
+    const std::chrono::duration<double> length = std::chrono::steady_clock::now() - started_;
+    const double most = 4 * gateways * (length.count() + 1);
+    int total = 0;
+    for (const auto& upstream : upstreams_) {
+        total += upstream->reports();
+        if (upstream->reports() > most) {
+            promises_.broken(upstream->id() + " was asked " + std::to_string(upstream->reports()) +
+                             " times for a report");
+        }
+        if (upstream->id().starts_with("bookings") && upstream->reports() > 0) {
+            promises_.broken(upstream->id() + " is no engine and was asked for a report");
+        }
+    }
+    if (total == 0) {
+        promises_.broken("no engine was asked for a report");
+    }
+    std::fprintf(stderr, "%d requests for reports in %.0f s\n", total, length.count());
+}
+
 void soak_world::replace(const soak_upstream& upstream)
 {
     add_upstream(upstream.id().substr(0, upstream.id().find('-')));
@@ -494,6 +535,7 @@
         promises_.broken("service has not recovered: " + std::to_string(calm_answers_) + " of " +
                          std::to_string(calm_calls_) + " calls answered");
     }
+    check_reports();
     promises_.close();
 }
 
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -60,6 +60,12 @@
     {
         on_request_ = std::move(on_request);
     }
+    /// Runs by this factor slower from now on and states it in its reports.
+    void set_slowdown(double factor) { slowdown_ = factor; }
+    /// Answers requests for its report from now on with what is none, or stops to.
+    void fail_reports(bool fails) { reports_fail_ = fails; }
+    /// Number of requests for its report.
+    [[nodiscard]] auto reports() const -> int { return reports_; }
     /// Marks the upstream as draining from now on.
     void leave() { left_ = std::chrono::steady_clock::now(); }
     /// Sets the function that returns since when the store has been available, nothing while it isn't. While
@@ -75,6 +81,7 @@
 
 private:
     void run(test_support::taken_connection& call);
+    void send_report(test_support::taken_connection& call);
     void stream(const std::shared_ptr<test_support::taken_connection>& call, const std::string& request,
                 int next);
     void later(std::chrono::milliseconds wait, std::function<void()> action);
@@ -88,6 +95,9 @@
     std::optional<double> limit_;
     std::optional<std::chrono::milliseconds> pause_;
     bool states_drain_ = false;
+    double slowdown_ = 1.0;
+    bool reports_fail_ = false;
+    int reports_ = 0;
     int run_ = 1;
     std::function<void(const std::string&, std::chrono::milliseconds)> on_rejected_;
     std::function<void(const std::string&)> on_request_;
@@ -154,6 +164,8 @@
     void push_back(soak_upstream& upstream);
     void state_drain(soak_upstream& upstream);
     void restart_upstream(soak_upstream& upstream);
+    void slow_down(soak_upstream& upstream);
+    void check_reports();
     void replace(const soak_upstream& upstream);
     void strike_gateway(soak_gateway& gateway, std::uint64_t kind);
     void heal();
