--- a/src/direct/report_schedule.cpp
+++ b/src/direct/report_schedule.cpp
@@ -52,8 +52,9 @@
     for (auto& [id, state] : upstreams_) {
         const bool was_own = std::exchange(state.is_own, owns(state.run));
         if (state.is_own && !was_own) {
-            // The upstreams of a lost gateway aren't asked all at once.
-            state.first_turn = now + phase(state.run);
+            // A gateway whose digests are late for a moment hasn't gone, and those of a lost one aren't asked
+            // all at once.
+            state.first_turn = now + interval_ / 2 + phase(state.run);
         }
     }
 }
@@ -70,7 +71,7 @@
         state.run = upstream.run;
         state.in_flight = in_flight;
         state.is_own = owns(upstream.run);
-        state.first_turn = now + phase(upstream.run);
+        state.first_turn = std::max(now, *may_take_turns_at_) + phase(upstream.run);
     }
     state.listed_at = now;
     if (std::exchange(state.ended, false)) {
@@ -89,6 +90,10 @@
 auto report_schedule::due(std::span<const reportable_upstream> upstreams, const upstream_speeds& speeds,
                           instant now) -> std::vector<std::string>
 {
+    if (!may_take_turns_at_) {
+        // A gateway that has just started doesn't know the others yet and would ask for all of them.
+        may_take_turns_at_ = now + 2 * interval_;
+    }
     update_owners(now);
     std::vector<candidate> candidates;
     for (const reportable_upstream& upstream : upstreams) {
