Reports: test that state ends with the run, and one request at a time

Three faults put in on purpose went unseen by the tests: a second request in flight to an engine, state kept over a restart, and state kept for engines that are gone. Two tests find them.

--- a/tests/direct/report_schedule_test.cpp
+++ b/tests/direct/report_schedule_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace dragonflymill;
@@ -183,6 +184,52 @@
     cr_assert(world.run_for(4 * interval)["upstream-3"] >= 3);
 }
 
+// Guards against state of upstreams that are gone, which would grow for ever, and against a new run that is
+// treated like the earlier one.
+Test(report_schedule, state_ends_with_the_run_and_for_upstreams_that_are_gone)
+{
+    for (const bool restarts : {false, true}) {
+        report_world world(1, 2);
+        const reportable_upstream first = world.upstreams[0];
+        world.silent = first.id;
+        (void)world.run_for(30 * interval);
+        if (restarts) {
+            world.upstreams[0].run += 5000;
+        }
+        else {
+            world.upstreams.erase(world.upstreams.begin());
+            (void)world.run_for(9 * interval);
+            world.upstreams.push_back(first);
+        }
+        cr_assert(world.run_for(3 * interval)[first.id] >= 2, "restarts: %d", static_cast<int>(restarts));
+    }
+}
+
+// Guards against a second request to an upstream that hasn't answered the first, and against one that is
+// asked at each return of an entry that comes and goes.
+Test(report_schedule, upstream_is_asked_once_at_a_time_and_an_interval)
+{
+    report_world world(1, 4);
+    report_schedule& schedule = world.schedules[0];
+    std::size_t asked = 0;
+    for (int i = 0; i < 100; ++i) {
+        world.now += tick;
+        asked += schedule.due(world.upstreams, world.speeds[0], world.now).size();
+    }
+    cr_assert(asked == 4, "%zu", asked);
+    for (const reportable_upstream& upstream : world.upstreams) {
+        schedule.finished(upstream.id);
+    }
+    int count = 0;
+    for (int i = 0; i < 100; ++i) {
+        const auto listed = std::exchange(world.upstreams, {});
+        count += static_cast<int>(world.step().size());
+        world.upstreams = listed;
+        count += static_cast<int>(world.step().size());
+    }
+    cr_assert(count <= 4 * 20, "%d", count);
+}
+
 // Guards against more requests in flight than the bound, though none is answered, and against requests that
 // are never counted as ended.
 Test(report_schedule, requests_in_flight_are_bounded)
