--- a/include/dragonflymill/direct/report_schedule.h
+++ b/include/dragonflymill/direct/report_schedule.h
@@ -81,7 +81,7 @@
     duration interval_;
     std::vector<std::string> peers_; // sorted
     bool peers_changed_ = false;
-    std::optional<instant> may_take_turns_at_; // set at the first call of `due`
+    std::optional<instant> may_take_turns_at_;                  // set at the first call of `due`
     std::unordered_map<std::string, known_upstream> upstreams_; // by id
     std::size_t in_flight_ = 0;
 };
