--- a/src/direct/upstream_availability.cpp
+++ b/src/direct/upstream_availability.cpp
@@ -16,8 +16,7 @@
                                    const response_times& times) -> statement_changes
 {
     statement_changes changes = statements_.record(upstream, statement, times);
-    changes.rate =
-        rate_limits_.record(run_of(upstream), statement.rate, times.sent_at, times.received_at);
+    changes.rate = rate_limits_.record(run_of(upstream), statement.rate, times.sent_at, times.received_at);
     return changes;
 }
 
--- a/src/direct/upstream_statements.cpp
+++ b/src/direct/upstream_statements.cpp
@@ -48,8 +48,8 @@
 auto upstream_statements::was_known(const notices& known, const upstream_entry& upstream, instant at) -> bool
 {
     const auto found = known.find(upstream.id);
-    return found != known.end() && !is_of_later_run(upstream, found->second) &&
-           found->second.since < at && at < found->second.until;
+    return found != known.end() && !is_of_later_run(upstream, found->second) && found->second.since < at &&
+           at < found->second.until;
 }
 
 void upstream_statements::expire(instant now)
@@ -67,8 +67,7 @@
         return nullptr;
     }
     const notice& stated = found->second;
-    const bool ended =
-        is_of_later_run(upstream.entry, stated) && now - stated.received_at > min_notice_time;
+    const bool ended = is_of_later_run(upstream.entry, stated) && now - stated.received_at > min_notice_time;
     return ended ? nullptr : &stated;
 }
 
--- a/tests/direct/digest_reports_test.cpp
+++ b/tests/direct/digest_reports_test.cpp
@@ -56,12 +56,12 @@
     fleet.take("k", engine(1), start);
     auto receiver = gateway();
     (void)receiver.speeds().apply_report("g1", {run_of(engine(1)), 4.0, 0ms}, start);
-    receiver.expire(fleet, start);
+    receiver.tick(fleet, start);
     cr_assert(receiver.speeds().is_slow(run_of(engine(1)), start));
 
     fleet.take("k", engine(2), start);
     cr_assert(!receiver.speeds().is_slow(run_of(engine(2)), start));
-    receiver.expire(fleet, start + call_dispatcher::speeds_expiry_interval);
+    receiver.tick(fleet, start + call_dispatcher::speeds_expiry_interval);
     cr_assert(!receiver.speeds().newest_evidence(run_of(engine(1))));
 
     (void)receiver.speeds().apply_report("g1", {run_of(engine(2)), 4.0, 0ms}, start);
