--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
-#include "dragonflymill/direct/call_attempts.h"
+#include "dragonflymill/direct/call_measurements.h"
 #include "dragonflymill/direct/dispatch_policy.h"
-#include "dragonflymill/direct/first_token_times.h"
 #include "dragonflymill/direct/fleet_cells.h"
 #include "dragonflymill/direct/load_tracker.h"
 #include "dragonflymill/direct/retry_window.h"
@@ -11,6 +10,7 @@
 #include "dragonflymill/direct/upstream_availability.h"
 #include "dragonflymill/direct/upstream_health.h"
 #include "dragonflymill/direct/upstream_list.h"
+#include "dragonflymill/direct/waiting_call.h"
 
 #include <cstdint>
 #include <map>
@@ -23,28 +23,6 @@
 
 namespace dragonflymill::direct {
 
-/// A queued call that has no upstream yet.
-struct waiting_call
-{
-    std::uint64_t id = 0;                       ///< Assigned by the owner of the dispatcher.
-    std::string service;                        ///< Service that has to run it.
-    std::int64_t prompt_tokens = 0;             ///< 0 for plain services.
-    std::int64_t answer_tokens = 0;             ///< Maximum length of the answer.
-    duration tbt_target{};                      ///< Longest time between two of its events; 0: no target.
-    int priority = 0;                           ///< 0 is the highest.
-    instant latency_target_at{};                ///< An answer that begins later misses the latency target.
-    duration aim{};                             ///< Latency target: from arrival to `latency_target_at`.
-    instant client_timeout_at{};                ///< When the client disconnects without an answer.
-    instant deadline_at{};                      ///< End of the client's time, its retries included.
-    instant queue_timeout_at{};                 ///< When it is refused if it is still queued.
-    instant not_before{};                       ///< Not dispatched earlier.
-    bool returning = false;                     ///< Its client was refused before and came back.
-    call_attempts attempts;                     ///< Attempts so far.
-    wait_reason blocked_by = wait_reason::none; ///< Why it was queued last; set by the dispatcher.
-
-    friend auto operator==(const waiting_call&, const waiting_call&) -> bool = default;
-};
-
 /// An engine that takes a part of a call's prefill, with its address.
 struct prefill_engine
 {
@@ -121,19 +99,25 @@
 
     /// Updates the load tracker with the upstreams that this gateway suspects, for the other gateways.
     void report_suspects(const upstream_list& fleet, instant now);
-    /// Records the first token of a placed call.
-    void first_token(placement_id placed, instant now);
+    /// Records an event of a placed call's answer. Returns how the forecast compares at the first one of a
+    /// call to an engine.
+    auto event_received(placement_id placed, instant now) -> std::optional<forecast_outcome>;
     /// Records the end of a placed call.
     void finish(placement_id placed, instant now);
     /// Returns whether the retry budget of a service allows another attempt.
     [[nodiscard]] auto retry_allowed(const std::string& service, instant now) -> bool;
 
-    /// Removes the load and the counts of a gateway that no longer runs.
+    /// Removes what is over or known of upstreams that no longer run, and looks for silent streams; to be
+    /// called regularly.
+    void tick(const upstream_list& fleet, instant now);
+    /// Removes the load, the counts and the reports of a gateway that no longer runs.
     void remove_gateway(const std::string& gateway);
     /// Which upstreams take calls, and what they state in their responses.
     [[nodiscard]] auto availability() -> upstream_availability& { return availability_; }
     [[nodiscard]] auto availability() const -> const upstream_availability& { return availability_; }
 
+    /// How much slower than their profile upstreams run.
+    [[nodiscard]] auto speeds() -> upstream_speeds& { return measurements_.speeds(); }
     /// Health of the upstreams, from the outcome of calls.
     [[nodiscard]] auto health() -> upstream_health& { return health_; }
     /// Load of the upstreams from all gateways.
@@ -167,6 +151,9 @@
     /// of the smallest of them. Without the backoff, three of thirty gateways sent prompts of half a million
     /// tokens to one engine within 7 ms, and none of them could reserve the memory it needed.
     static constexpr duration backoff_per_gateway = 2ms;
+    /// Time between removals of what is known of the speed of upstreams that no longer run. A restarted one
+    /// has another key at once.
+    static constexpr duration speeds_expiry_interval = 500ms;
     /// Maximum backoff of a call that was queued.
     static constexpr duration max_backoff = 80ms;
 
@@ -198,7 +185,7 @@
                               candidate_cache& cache) const -> dispatch_decision;
     [[nodiscard]] auto choose_among(const upstream_list& fleet, const waiting_call& call, instant now,
                                     std::span<const dispatch_candidate> all) const -> dispatch_decision;
-    void refresh_load(dispatch_candidate& candidate, instant now) const;
+    void refresh_load(dispatch_candidate& candidate, upstream_run run, instant now) const;
     void refresh(const upstream_list& fleet, const dispatch_assignment& assignment, instant now,
                  service_candidates& found) const;
     /// Returns when a call can be sent under the rate limits and pushbacks of its service, behind
@@ -220,9 +207,6 @@
         -> duration;
     [[nodiscard]] auto assignment_for(const upstream_list& fleet, const waiting_call& call,
                                       const dispatch_choice& choice, instant now) -> dispatch_assignment;
-    void sort_waiting(const upstream_list& fleet, instant now);
-    [[nodiscard]] auto expected_first_token(const waiting_call& call) const -> duration;
-    [[nodiscard]] auto is_late(const waiting_call& call, instant now) const -> bool;
     [[nodiscard]] auto backoff_elapsed(const waiting_call& call, const dispatch_choice& choice, instant now)
         -> bool;
     void record_no_capacity(const waiting_call& call, instant now);
@@ -234,6 +218,8 @@
     load_tracker loads_;
     upstream_health health_;
     upstream_availability availability_;
+    call_measurements measurements_;
+    instant speeds_expired_at_{};
     /// Time at which the last caller refused until its turn was asked to return, by service.
     std::unordered_map<std::string, instant> last_return_at_;
     std::unordered_map<std::string, retry_window> retries_;
@@ -241,7 +227,6 @@
     /// Queued calls that found no capacity, and since when there is capacity again; nothing: still none.
     std::unordered_map<std::uint64_t, std::optional<instant>> capacity_since_;
     std::map<call_class, saturation_tracker> saturation_;
-    first_token_times first_tokens_;
     fleet_cells cells_{""};
     gateway_reach gateways_;       // of the cell
     gateway_reach fleet_gateways_; // of all cells, if each has as many as this one
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -1,9 +1,9 @@
 #include "dragonflymill/direct/call_dispatcher.h"
 
 #include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/direct/queue_order.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -19,9 +19,16 @@
 /// Assumed time of a client whose remaining time isn't known; bounds no Retry-After.
 constexpr duration unknown_time_left = 1h;
 
-auto class_of(const waiting_call& call) -> call_class
+/// Returns what is measured of a call; nothing for a plain service.
+auto measured(const upstream_list& fleet, const waiting_call& call, const dispatch_assignment& assignment,
+              instant now) -> std::optional<measured_call>
 {
-    return {call.service, call.tbt_target};
+    const service_rule* service = fleet.config()->find_service(call.service);
+    if (service == nullptr || !service->engine) {
+        return std::nullopt;
+    }
+    return measured_call{run_of(assignment.upstream), assignment.upstream.slots, *service->engine,
+                         assignment.choice, call.latency_target_at - now};
 }
 
 /// Returns the candidates with those marked as suspect at which an attempt of the call failed, and with
@@ -50,16 +57,16 @@
     capacity_since_.erase(call);
 }
 
-void call_dispatcher::first_token(placement_id placed, instant now)
+auto call_dispatcher::event_received(placement_id placed, instant now) -> std::optional<forecast_outcome>
 {
     loads_.prefill_done(placed, now);
-    first_tokens_.first_token(placed, now);
+    return measurements_.event(placed, loads_, now);
 }
 
 void call_dispatcher::finish(placement_id placed, instant now)
 {
     loads_.finish(placed, now);
-    first_tokens_.finished(placed);
+    measurements_.finished(placed);
 }
 
 void call_dispatcher::report_suspects(const upstream_list& fleet, instant now)
@@ -82,55 +89,27 @@
 {
     loads_.remove_gateway(gateway);
     availability_.remove_gateway(gateway);
+    measurements_.speeds().remove_gateway(gateway);
 }
 
-auto call_dispatcher::retry_allowed(const std::string& service, instant now) -> bool
+void call_dispatcher::tick(const upstream_list& fleet, instant now)
 {
-    return retries_[service].available(now, settings_.retries, fleet_gateways_.known, fleet_gateways_.rank);
-}
-
-void call_dispatcher::sort_waiting(const upstream_list& fleet, instant now)
-{
-    struct ranked_call
-    {
-        std::tuple<bool, int, bool, instant, std::uint64_t> rank;
-        waiting_call call;
-    };
-    // Shortest prefill first, with aging: a prompt of a million tokens takes as long as ten usual long ones,
-    // and would make all of them miss their targets.
-    const auto prefill_time = [&](const waiting_call& call) {
-        const service_rule* service = fleet.config()->find_service(call.service);
-        const bool has_prefill = service != nullptr && service->engine;
-        return has_prefill ? engine_forecast(*service->engine).prefill_time(call.prompt_tokens)
-                           : duration::zero();
-    };
-    const std::set<std::string> rate_limited = availability_.rate_limited_services(fleet);
-    std::vector<ranked_call> ranked;
-    ranked.reserve(waiting_.size());
-    for (waiting_call& call : waiting_) {
-        // A client that is refused a second time is lost, and a new one can still come back.
-        const bool goes_first =
-            rate_limited.contains(call.service) && (call.returning || call.attempts.count() > 0);
-        const std::tuple rank(!goes_first && is_late(call, now), call.priority, !goes_first,
-                              call.latency_target_at + prefill_time(call), call.id);
-        ranked.push_back({rank, std::move(call)});
-    }
-    std::sort(ranked.begin(), ranked.end(),
-              [](const ranked_call& a, const ranked_call& b) { return a.rank < b.rank; });
-    std::transform(ranked.begin(), ranked.end(), waiting_.begin(),
-                   [](ranked_call& item) { return std::move(item.call); });
-}
-
-auto call_dispatcher::expected_first_token(const waiting_call& call) const -> duration
-{
-    return std::clamp(first_tokens_.expected(class_of(call)), call.aim / 3, call.aim * 2 / 3);
+    availability_.expire(fleet, now);
+    measurements_.tick(loads_, now);
+    if (now - speeds_expired_at_ < speeds_expiry_interval) {
+        return;
+    }
+    speeds_expired_at_ = now;
+    std::set<upstream_run> running;
+    for (const auto& [id, state] : fleet.upstreams()) {
+        running.insert(run_of(state.entry));
+    }
+    measurements_.speeds().expire(running, now);
 }
 
-auto call_dispatcher::is_late(const waiting_call& call, instant now) const -> bool
+auto call_dispatcher::retry_allowed(const std::string& service, instant now) -> bool
 {
-    // Calls that can still meet their target go first: while upstreams are saturated, each call that is
-    // served late would make another one late.
-    return now + expected_first_token(call) >= call.latency_target_at;
+    return retries_[service].available(now, settings_.retries, fleet_gateways_.known, fleet_gateways_.rank);
 }
 
 auto call_dispatcher::decide(const upstream_list& fleet, instant now) -> dispatch_round
@@ -139,7 +118,8 @@
     if (waiting_.empty() || fleet.config() == nullptr) {
         return round;
     }
-    sort_waiting(fleet, now);
+    sort_queue(waiting_, fleet, availability_.rate_limited_services(fleet), measurements_.first_tokens(),
+               now);
     std::map<call_class, int> failures_by_class;
     std::vector<waiting_call> still_waiting;
     candidate_cache cache;
@@ -369,7 +349,8 @@
         return plain_dispatch().choose(requirements, all);
     }
     const duration tightest = fleet.config()->tightest_tbt_target(call.service).value_or(duration::zero());
-    return engine_dispatch(*service.engine, tightest).choose(requirements, all);
+    return engine_dispatch(*service.engine, tightest, measurements_.corrections(call.service))
+        .choose(requirements, all);
 }
 
 auto call_dispatcher::requirements_of(const waiting_call& call, instant now) const -> call_requirements
@@ -404,10 +385,11 @@
     found.upstreams.reserve(usable.size());
     for (const upstream_state* state : usable) {
         const upstream_entry& entry = state->entry;
-        const bool limited = availability_.rate_limits().find(run_of(entry)) != nullptr;
+        const upstream_run run = run_of(entry);
+        const bool limited = availability_.rate_limits().find(run) != nullptr;
         found.upstreams.push_back(
             {entry.id, entry.failure_domain, entry.slots, false, {}, state->key, limited});
-        refresh_load(found.upstreams.back(), now);
+        refresh_load(found.upstreams.back(), run, now);
     }
     update_blocked_by(fleet, service.name, now, found);
     return found;
@@ -435,7 +417,7 @@
     };
     for (dispatch_candidate& candidate : candidates) {
         if (is_used(candidate)) {
-            refresh_load(candidate, now);
+            refresh_load(candidate, run_of(fleet.upstreams().at(candidate.id).entry), now);
         }
     }
     std::erase_if(candidates, [&](const dispatch_candidate& candidate) {
@@ -445,8 +427,9 @@
     update_blocked_by(fleet, assignment.upstream.service, now, found);
 }
 
-void call_dispatcher::refresh_load(dispatch_candidate& candidate, instant now) const
+void call_dispatcher::refresh_load(dispatch_candidate& candidate, upstream_run run, instant now) const
 {
+    candidate.slowdown = measurements_.speeds().slowdown(run, now);
     candidate.load = loads_.load_of(candidate.id_hash, now);
     candidate.suspect = health_.suspect(candidate.id, loads_.own_calls(candidate.id_hash), now) ||
                         candidate.load.suspected_by >= suspicion_quorum;
@@ -473,7 +456,7 @@
     assignment.placed = loads_.place({choice.upstream, choice.prefill_engines, choice.is_long,
                                       choice.memory_tokens, choice.prefill_time, call.tbt_target},
                                      now);
-    first_tokens_.dispatched(assignment.placed, class_of(call), now);
+    measurements_.dispatched(assignment.placed, class_of(call), measured(fleet, call, assignment, now), now);
     retry_window& retries = retries_[call.service];
     if (call.attempts.count() == 0) {
         retries.count_first_attempt(now);
