Mend what a review of speeds, forecasts and reports found

- A divided prompt was held against a forecast of another condition than the one that was forecast: the choice now carries it.
Engines that may prefill a part, not all, bound the fastest prefill.
- Short calls were ranked without the calls in flight, and took an engine's last slot, which all gateways give at once, while others had several.
- Reports of slowdowns in a digest that was overtaken on the way looked newer than they were.
- Only services that state the age of their reports are asked, and a report without a pace is none that failed.

--- a/include/dragonflymill/direct/dispatch_call.h
+++ b/include/dragonflymill/direct/dispatch_call.h
@@ -71,7 +71,7 @@
     duration first_token{};                     ///< Expected time to first token.
     std::int64_t memory_tokens = 0;             ///< KV cache used at `upstream`, in tokens.
     upstream_load load;                         ///< Load of `upstream` before this call.
-    double slowdown = 1.0;                      ///< Slowdown of `upstream`.
+    engine_condition condition;                 ///< What the forecast assumed; empty for plain services.
     std::string reason;                         ///< For the log: the rule that decided.
 
     friend auto operator==(const dispatch_choice&, const dispatch_choice&) -> bool = default;
--- a/include/dragonflymill/direct/dispatch_policy.h
+++ b/include/dragonflymill/direct/dispatch_policy.h
@@ -89,8 +89,10 @@
     /// What decides between two engines for a short call; the smaller one is better.
     struct short_rank
     {
-        bool misses_pause = false;  // its streams would wait too long for each event
-        std::int64_t first_token{}; // in steps of `forecast_step`
+        bool misses_pause = false;    // its streams would wait too long for each event
+        bool takes_last_slot = false; // all gateways that see it free may take it at once
+        std::int64_t first_token{};   // in steps of `forecast_step`
+        int pairs_of_calls = 0;       // in flight; steps of one differ less than the views of gateways
         bool in_other_domain = false;
         std::uint64_t tie_breaker = 0;
 
--- a/include/dragonflymill/direct/fleet_config.h
+++ b/include/dragonflymill/direct/fleet_config.h
@@ -72,7 +72,8 @@
     double attention_ms_per_million_pairs = 0.0; ///< Time in ms for a million pairs of a token with an
                                                  ///< earlier one.
     int prefill_chunk_tokens = 0;                ///< Maximum number of prompt tokens prefilled in one step.
-    duration report_lag{};                       ///< Age of what an engine reports about itself when asked.
+    /// Age of what an engine reports about itself when asked; nothing: it publishes no reports.
+    std::optional<duration> report_lag;
 
     friend auto operator==(const engine_profile&, const engine_profile&) -> bool = default;
 };
--- a/include/dragonflymill/direct/load_tracker.h
+++ b/include/dragonflymill/direct/load_tracker.h
@@ -91,8 +91,9 @@
     /// Sets whether this gateway suspects an upstream; reported to the other gateways.
     void set_suspect(upstream_key upstream, bool suspect);
     void set_suspect(std::string_view upstream, bool suspect) { set_suspect(stable_hash(upstream), suspect); }
-    /// Applies another gateway's report; a report older than the last one of the same run is ignored.
-    void apply_report(const load_report& report, instant now);
+    /// Applies another gateway's report. Ignores a report that isn't newer than the last one of the same run,
+    /// and returns false.
+    auto apply_report(const load_report& report, instant now) -> bool;
     /// Removes all load reported by a gateway that no longer runs.
     void remove_gateway(const std::string& gateway);
 
--- a/include/dragonflymill/direct/prefill_plan.h
+++ b/include/dragonflymill/direct/prefill_plan.h
@@ -19,13 +19,13 @@
     std::int64_t decode_memory_tokens = 0;             ///< KV cache used at `decode_engine`, in tokens.
     std::vector<prefill_share> prefill_engines;        ///< Other engines, each with a part of the prefill.
     duration part_time{};                              ///< Prefill time at each engine of the plan.
-    duration backlog{};                                ///< Longest pending prefill at any of its engines.
-    double slowdown = 1.0;                             ///< Largest slowdown of any of its engines.
-    double cost = 0.0;                                 ///< Utility lost by streams that the prefill delays.
-    double utility = 0.0;                              ///< Utility of the call if it is served by this plan.
+    duration backlog{};    ///< Longest time that pending prefill takes at an engine.
+    double slowdown = 1.0; ///< Largest slowdown of any of its engines.
+    double cost = 0.0;     ///< Utility lost by streams that the prefill delays.
+    double utility = 0.0;  ///< Utility of the call if it is served by this plan.
 
     /// Expected time to first token.
-    [[nodiscard]] auto first_token() const -> duration { return scaled(backlog + part_time, slowdown); }
+    [[nodiscard]] auto first_token() const -> duration { return backlog + scaled(part_time, slowdown); }
     friend auto operator==(const prefill_plan&, const prefill_plan&) -> bool = default;
 };
 
@@ -138,6 +138,8 @@
     [[nodiscard]] auto choose_plan(plan_choice found) const -> prefill_plan;
     [[nodiscard]] auto decode_choices(std::span<const dispatch_candidate> side) const
         -> std::vector<decode_choice>;
+    /// The plan with the least slow engine of those that count as slow. No other engine waits for its part.
+    [[nodiscard]] auto plan_at_slow_engine() const -> std::optional<prefill_plan>;
     /// Combines the fewest engines that together have enough memory for the call.
     [[nodiscard]] auto memory_gang(std::span<const dispatch_candidate> side) const
         -> std::optional<decode_choice>;
@@ -169,6 +171,7 @@
     duration target_part_time_;
     const call_requirements& call_;
     std::span<const dispatch_candidate> ordered_;
+    std::size_t engines_at_speed_; // those that may prefill a part
 };
 
 } // namespace dragonflymill::direct
--- a/include/dragonflymill/direct/upstream_speeds.h
+++ b/include/dragonflymill/direct/upstream_speeds.h
@@ -57,6 +57,9 @@
     /// Applies another gateway's report; returns whether the slowdown that is believed changed: between slow
     /// and not slow, or by over a quarter. Ages that are negative or above `max_age` are ignored.
     auto apply_report(const std::string& gateway, const slowdown_report& report, instant now) -> bool;
+    /// Applies the reports of a digest, which must be newer than the last one of that gateway: the age of a
+    /// report that was overtaken on the way is too low.
+    void apply_reports(const std::string& gateway, const std::vector<slowdown_report>& reports, instant now);
     /// Removes the reports of a gateway that no longer runs.
     void remove_gateway(const std::string& gateway);
     /// Removes what is known of upstreams that no longer run, and evidence that has faded.
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -27,8 +27,8 @@
     if (service == nullptr || !service->engine) {
         return std::nullopt;
     }
-    return measured_call{run_of(assignment.upstream), assignment.upstream.slots, *service->engine,
-                         assignment.choice, call.latency_target_at - now};
+    return measured_call{run_of(assignment.upstream), *service->engine, assignment.choice,
+                         call.latency_target_at - now};
 }
 
 /// Returns the candidates with those marked as suspect at which an attempt of the call failed, and with
--- a/src/direct/dispatch_policy.cpp
+++ b/src/direct/dispatch_policy.cpp
@@ -17,6 +17,15 @@
     return upstream.failure_domain != call.failure_domain;
 }
 
+/// Returns the condition that the first token of a plan depends on: the part that is prefilled last.
+auto condition_of(const prefill_plan& plan) -> engine_condition
+{
+    engine_condition condition = condition_of(*plan.decode_engine);
+    condition.pending_prefill = scaled(plan.backlog, 1.0 / plan.slowdown);
+    condition.slowdown = plan.slowdown;
+    return condition;
+}
+
 } // namespace
 
 auto plain_dispatch::choose(const call_requirements& call,
@@ -38,7 +47,6 @@
     dispatch_choice choice;
     choice.upstream = best->id;
     choice.load = best->load;
-    choice.slowdown = best->slowdown;
     choice.reason = "least work in hand";
     return {std::move(choice)};
 }
@@ -140,7 +148,7 @@
     dispatch_choice choice;
     choice.upstream = best->id;
     choice.load = best->load;
-    choice.slowdown = best->slowdown;
+    choice.condition = condition_of(*best);
     choice.prefill_time = forecast_.prefill_time(call.prompt_tokens);
     choice.first_token = forecast_at(*best, call.prompt_tokens).first_token;
     choice.memory_tokens = required_memory(call);
@@ -148,6 +156,7 @@
         prefill_plan plan = prefill_planner(forecast_, target_part_time(), call, ordered).best_for(*best);
         choice.prefill_time = plan.part_time;
         choice.first_token = first_token_of(plan);
+        choice.condition = condition_of(plan);
         choice.prefill_engines = std::move(plan.prefill_engines);
     }
     choice.reason = in_partition ? "short partition" : "short partition full";
@@ -168,17 +177,19 @@
     const bool misses_pause =
         is_slow(engine) && call.tbt_target > duration::zero() &&
         expected.longest_pause > scaled(call.tbt_target, prefill_planner::tbt_cost_begins);
-    return {misses_pause, expected.first_token / forecast_step, in_other_domain(call, engine),
+    const bool takes_last_slot = in_flight(engine) + 1 >= engine.slots;
+    return {misses_pause,
+            takes_last_slot,
+            expected.first_token / forecast_step,
+            in_flight(engine) / 2,
+            in_other_domain(call, engine),
             mix_bits(engine.id_hash ^ call.tie_breaker)};
 }
 
 auto engine_dispatch::first_token_of(const prefill_plan& plan) const -> duration
 {
-    engine_condition condition = condition_of(*plan.decode_engine);
-    condition.pending_prefill = plan.backlog;
-    condition.slowdown = plan.slowdown;
     const call_forecast& observed = plan.prefill_engines.empty() ? observed_.whole : observed_.divided;
-    return observed.times(forecast_, condition, plan.part_time).first_token;
+    return observed.times(forecast_, condition_of(plan), plan.part_time).first_token;
 }
 
 auto engine_dispatch::choose_long(const call_requirements& call, std::span<const dispatch_candidate> ordered,
@@ -195,7 +206,7 @@
     dispatch_choice choice;
     choice.upstream = plan->decode_engine->id;
     choice.load = plan->decode_engine->load;
-    choice.slowdown = plan->decode_engine->slowdown;
+    choice.condition = condition_of(*plan);
     choice.is_long = true;
     choice.memory_tokens = plan->decode_memory_tokens;
     choice.prefill_time = plan->part_time;
--- a/src/direct/load_tracker.cpp
+++ b/src/direct/load_tracker.cpp
@@ -118,11 +118,11 @@
     modify_own(upstream).load.suspected_by = suspect ? 1 : 0;
 }
 
-void load_tracker::apply_report(const load_report& report, instant now)
+auto load_tracker::apply_report(const load_report& report, instant now) -> bool
 {
     reported_loads& known = peers_[report.gateway];
     if (report.sequence <= known.sequence) {
-        return;
+        return false;
     }
     known.sequence = report.sequence;
     if (report.is_complete) {
@@ -137,6 +137,7 @@
         peer_loads_[upstream][report.gateway] = reported_load{load, now + load.pending_prefill, {}, 0};
         known.upstreams.insert(upstream);
     }
+    return true;
 }
 
 void load_tracker::remove_loads(const std::string& gateway, reported_loads& report)
--- a/src/direct/prefill_plan.cpp
+++ b/src/direct/prefill_plan.cpp
@@ -51,6 +51,8 @@
     , target_part_time_(target_part_time)
     , call_(call)
     , ordered_(ordered)
+    , engines_at_speed_(static_cast<std::size_t>(
+          std::count_if(ordered.begin(), ordered.end(), [](const auto& engine) { return !is_slow(engine); })))
 {
 }
 
@@ -61,7 +63,7 @@
         found = decode_choices(ordered_);
     }
     if (found.empty()) {
-        return std::nullopt;
+        return plan_at_slow_engine();
     }
     const std::vector<prefill_option> options = prefill_options();
     std::optional<plan_choice> chosen;
@@ -137,14 +139,9 @@
     const std::int64_t tokens = required_memory(call_);
     std::vector<decode_choice> found;
     const dispatch_candidate* shared = nullptr;
-    const dispatch_candidate* slow = nullptr;
     for (auto engine = side.rbegin(); engine != side.rend() && found.size() < max_decode_candidates;
          ++engine) {
-        if (!can_decode(*engine, tokens)) {
-            continue;
-        }
-        if (is_slow(*engine)) {
-            slow = slow == nullptr || engine->slowdown < slow->slowdown ? &*engine : slow;
+        if (!can_decode(*engine, tokens) || is_slow(*engine)) {
             continue;
         }
         if (engine->load.parts == 0) {
@@ -163,12 +160,24 @@
             found.push_back(std::move(*gang));
         }
     }
-    if (found.empty() && slow != nullptr) {
-        found.push_back({slow, tokens, {}});
-    }
     return found;
 }
 
+auto prefill_planner::plan_at_slow_engine() const -> std::optional<prefill_plan>
+{
+    const std::int64_t tokens = required_memory(call_);
+    const dispatch_candidate* best = nullptr;
+    for (const dispatch_candidate& engine : ordered_) {
+        if (can_decode(engine, tokens) && (best == nullptr || engine.slowdown < best->slowdown)) {
+            best = &engine;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return smallest_plan({best, tokens, {}});
+}
+
 auto prefill_planner::memory_gang(std::span<const dispatch_candidate> side) const
     -> std::optional<decode_choice>
 {
@@ -291,7 +300,7 @@
 
 void prefill_planner::add_engine(prefill_plan& plan, const dispatch_candidate& engine)
 {
-    plan.backlog = std::max(plan.backlog, engine.load.pending_prefill);
+    plan.backlog = std::max(plan.backlog, scaled(engine.load.pending_prefill, engine.slowdown));
     plan.slowdown = std::max(plan.slowdown, engine.slowdown);
 }
 
@@ -414,7 +423,7 @@
 auto prefill_planner::max_engine_count() const -> std::size_t
 {
     const auto share =
-        static_cast<std::size_t>(static_cast<double>(ordered_.size()) * max_prefill_engine_share);
+        static_cast<std::size_t>(static_cast<double>(engines_at_speed_) * max_prefill_engine_share);
     return std::clamp<std::size_t>(share, 1, max_prefill_engines);
 }
 
--- a/src/direct/upstream_speeds.cpp
+++ b/src/direct/upstream_speeds.cpp
@@ -179,6 +179,14 @@
     return is_slow_value(before) != is_slow_value(after) || differs(before, after);
 }
 
+void upstream_speeds::apply_reports(const std::string& gateway, const std::vector<slowdown_report>& reports,
+                                    instant now)
+{
+    for (const slowdown_report& report : reports) {
+        (void)apply_report(gateway, report, now);
+    }
+}
+
 void upstream_speeds::select_newest_report(knowledge& known)
 {
     known.reported.reset();
@@ -219,6 +227,9 @@
         if (removed > 0) {
             select_newest_report(known);
         }
+        if (known.doubted_at && now - *known.doubted_at > observation_window) {
+            known.doubted_at.reset();
+        }
         const bool nothing_known = !known.observed && !known.stated && !known.reported && !known.doubted_at;
         item = nothing_known || !running.contains(item->first) ? known_.erase(item) : std::next(item);
     }
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -326,14 +326,14 @@
         // their number when all start at once.
         link_.send({"", false, {full_digest()}}, {message.digest.address});
     }
-    dispatcher_.loads().apply_report(message.report, now);
+    const bool is_newer = dispatcher_.loads().apply_report(message.report, now);
     for (const rate_limit_report& report : message.rate_limits) {
         if (dispatcher_.availability().apply_rate_limit_report(message.digest.gateway, report, now)) {
             log_rate_limit(report, message.digest.gateway);
         }
     }
-    for (const direct::slowdown_report& report : message.slowdowns) {
-        (void)dispatcher_.speeds().apply_report(message.digest.gateway, report, now);
+    if (is_newer) {
+        dispatcher_.speeds().apply_reports(message.digest.gateway, message.slowdowns, now);
     }
     if (message.digest.reads_source) {
         outage_.peer_reads_source(now);
--- a/src/edge/dispatch_log.cpp
+++ b/src/edge/dispatch_log.cpp
@@ -30,7 +30,7 @@
               field("prompt_tokens", details.prompt_tokens), field("answer_tokens", details.answer_tokens),
               field("short_calls", choice.load.short_calls), field("long_calls", choice.load.long_calls),
               field("parts", choice.load.parts), field("memory_tokens", choice.load.memory_tokens),
-              field("reading_us", choice.load.pending_prefill), field("slowdown", choice.slowdown),
+              field("reading_us", choice.load.pending_prefill), field("slowdown", choice.condition.slowdown),
               field("view_us", details.view_age), field("config_version", details.config_version),
               field("fleet_revision", details.fleet_revision));
     if (assignment.rate_limit) {
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -498,7 +498,9 @@
         return;
     }
     context_.dispatcher.health().record_success(assignment_->upstream.id);
-    (void)context_.dispatcher.event_received(assignment_->placed, now);
+    if (queued_call_.prompt_tokens == 0) {
+        (void)context_.dispatcher.event_received(assignment_->placed, now);
+    }
     send_response();
 }
 
--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -107,6 +107,10 @@
                                        entry.first_hand(), entry.calls()});
     }
     for (const wire::UpstreamSlowdown& entry : encoded.slowdowns()) {
+        if (entry.slowdown_hundredths() == 0 ||
+            message.slowdowns.size() >= direct::upstream_speeds::max_reports) {
+            continue;
+        }
         message.slowdowns.push_back({entry.upstream(), entry.slowdown_hundredths() / 100.0,
                                      std::chrono::milliseconds(entry.age_ms())});
     }
--- a/src/edge/report_poller.cpp
+++ b/src/edge/report_poller.cpp
@@ -136,7 +136,7 @@
         return found;
     }
     for (const direct::service_rule& service : context_.fleet.config()->services()) {
-        if (!service.engine) {
+        if (!service.engine || !service.engine->report_lag) {
             continue;
         }
         for (const direct::upstream_state* upstream :
@@ -171,9 +171,10 @@
     const auto config = context_.fleet.config();
     const direct::service_rule* service =
         config == nullptr ? nullptr : config->find_service(upstream.service);
-    const duration lag =
-        service != nullptr && service->engine ? service->engine->report_lag : duration::zero();
-    context_.speeds.observe_stated(direct::run_of(upstream), report->slowdown, now - lag);
+    if (report->slowdown && service != nullptr && service->engine) {
+        const duration lag = service->engine->report_lag.value_or(duration::zero());
+        context_.speeds.observe_stated(direct::run_of(upstream), *report->slowdown, now - lag);
+    }
 }
 
 void report_poller::on_failure(const direct::upstream_entry& upstream, const std::string& why)
--- a/src/edge/upstream_reports.h
+++ b/src/edge/upstream_reports.h
@@ -10,7 +10,7 @@
 /// What an upstream reports about itself when it is asked.
 struct upstream_report
 {
-    double slowdown = 1.0; ///< Factor by which it runs slower than its profile.
+    std::optional<double> slowdown; ///< Factor by which it runs slower than its profile; nothing: not stated.
 
     friend auto operator==(const upstream_report&, const upstream_report&) -> bool = default;
 };
--- a/tests/edge/upstream_report_test.cpp
+++ b/tests/edge/upstream_report_test.cpp
@@ -13,6 +13,7 @@
     {
         settings.report_interval = 100ms;
         engine_profile = direct::engine_profile{};
+        engine_profile->report_lag = 0ms;
         reports.request = [](const std::string& address) {
             return "GET /state HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
         };
