Don't take the silence of a lost upstream for slowness

A silence alone counted as two long intervals.

The metrics of statements move out of the gateway into a file of their own; a local that was called slowdown and is an interval factor gets that name.

--- a/include/dragonflymill/direct/upstream_speeds.h
+++ b/include/dragonflymill/direct/upstream_speeds.h
@@ -49,7 +49,7 @@
     /// yet; of two in a row the smaller excess counts. The first normal one ends what was observed.
     void observe_interval(upstream_run upstream, duration measured, duration expected, instant now);
     /// Records that an interval which should have lasted `expected` has lasted `elapsed` so far. It counts as
-    /// the second long interval, or as two of half its length if there was no first.
+    /// the second long interval; alone it is a doubt, as an upstream that is lost is silent too.
     void observe_silence(upstream_run upstream, duration elapsed, duration expected, instant now);
     /// Records the slowdown that an upstream stated about itself as of `as_of`. Values below 1 or that are
     /// not finite count as 1.
--- a/src/direct/gossip_schedule.cpp
+++ b/src/direct/gossip_schedule.cpp
@@ -6,13 +6,13 @@
 
 auto gossip_schedule::next(const digest_state& state, bool at_once, instant now) -> std::optional<due_digest>
 {
-    const int slowdown = std::max(1, state.gateways / gateways_at_full_rate);
+    const int interval_factor = std::max(1, state.gateways / gateways_at_full_rate);
     const bool changed = state.load_changes != sent_.load_changes ||
                          state.rate_limit_changes != sent_.rate_limit_changes ||
                          state.slowdown_changes != sent_.slowdown_changes || state.revision != sent_.revision;
     const duration since = now - sent_at_;
     const duration interval = state.relayed ? relayed_gossip_interval : gossip_interval;
-    const bool due = since >= (changed ? interval * slowdown : idle_gossip_interval);
+    const bool due = since >= (changed ? interval * interval_factor : idle_gossip_interval);
     if (!at_once && !due) {
         return std::nullopt;
     }
--- a/src/direct/upstream_speeds.cpp
+++ b/src/direct/upstream_speeds.cpp
@@ -125,9 +125,13 @@
     const auto& first = known.last_interval;
     const bool in_a_row =
         first && now - first->ended <= observation_window && began >= first->ended - elapsed / 2;
-    const double supported = in_a_row ? std::min(first->ratio, ratio) : ratio / 2;
+    if (!in_a_row) {
+        // An upstream that is lost is silent too, and it isn't slow once it is back.
+        return;
+    }
     // Each interval of a slow upstream begins as a silence that is still short.
-    if (supported >= slow_threshold && supported > observed) {
+    const double supported = std::min(first->ratio, ratio);
+    if (supported > observed) {
         set_observed(known, supported, now);
     }
 }
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/direct/digest_reports.h"
+#include "edge/upstream_metrics.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 #include "settings/listening_socket.h"
@@ -605,7 +606,7 @@
     fleet_.tick(now);
     dispatcher_.report_suspects(fleet_, now);
     dispatcher_.tick(fleet_, now);
-    update_rate_limit_metrics(now);
+    update_statement_metrics(dispatcher_.availability(), metrics_, now);
     speed_log_.update(fleet_, dispatcher_.speeds(), metrics_, now);
     if (!stopping_) {
         reports_->tick(now);
@@ -636,23 +637,6 @@
     metrics_.gateways.set(peers_.gateways());
 }
 
-void direct_gateway::update_rate_limit_metrics(instant now)
-{
-    duration oldest{};
-    const rate_limit_beliefs& beliefs = dispatcher_.availability().rate_limits().beliefs();
-    for (const auto& [upstream, belief] : beliefs.all()) {
-        if (belief.calls_per_s) {
-            oldest = std::max(oldest, now - belief.stated_at);
-        }
-    }
-    metrics_.limited_upstreams.set(static_cast<std::int64_t>(beliefs.limited()));
-    metrics_.oldest_limit_age.set(oldest / 1s);
-    metrics_.pushback_upstreams.set(
-        static_cast<std::int64_t>(dispatcher_.availability().statements().pushbacks()));
-    metrics_.draining_upstreams.set(
-        static_cast<std::int64_t>(dispatcher_.availability().statements().drains()));
-}
-
 auto direct_gateway::ready() const -> bool
 {
     return fleet_.config() != nullptr && !stopping_;
--- a/src/edge/report_poller.h
+++ b/src/edge/report_poller.h
@@ -50,7 +50,7 @@
     static constexpr duration look_interval = 100ms;
     /// Reports are answered within a few milliseconds without a slot; one that takes longer is of no use.
     static constexpr duration report_timeout = 500ms;
-    /// Maximum size of a report. It may list 64 reservations, of about 100 bytes each, and loaded models.
+    /// Maximum size of a report, so that an upstream can't fill this gateway's memory.
     static constexpr std::size_t max_report_bytes = 65'536;
 
 private:
