--- a/include/dragonflymill/direct/call_dispatcher.h
+++ b/include/dragonflymill/direct/call_dispatcher.h
@@ -3,6 +3,7 @@
 #include "dragonflymill/core/time.h"
 #include "dragonflymill/direct/call_measurements.h"
 #include "dragonflymill/direct/dispatch_policy.h"
+#include "dragonflymill/direct/domain_outages.h"
 #include "dragonflymill/direct/fleet_cells.h"
 #include "dragonflymill/direct/load_tracker.h"
 #include "dragonflymill/direct/retry_window.h"
@@ -82,6 +83,7 @@
     explicit call_dispatcher(dispatch_settings settings)
         : settings_(std::move(settings))
         , availability_(settings_.seed)
+        , domains_(settings_.failure_domain, settings_.seed)
     {
     }
 
@@ -102,6 +104,10 @@
     /// Records an event of a placed call's answer. Returns how the forecast compares at the first one of a
     /// call to an engine.
     auto event_received(placement_id placed, instant now) -> std::optional<forecast_outcome>;
+    /// Records an attempt at `attempted` whose end is attributed to `at_fault`: the same upstream, or a
+    /// prefill engine of the call.
+    void attempt_ended(const upstream_entry& attempted, const upstream_entry& at_fault, attempt_end end,
+                       instant now);
     /// Records the end of a placed call.
     void finish(placement_id placed, instant now);
     /// Returns whether the retry budget of a service allows another attempt.
@@ -120,6 +126,8 @@
     [[nodiscard]] auto speeds() -> upstream_speeds& { return measurements_.speeds(); }
     /// Health of the upstreams, from the outcome of calls.
     [[nodiscard]] auto health() -> upstream_health& { return health_; }
+    /// Failure domains that are believed to be out.
+    [[nodiscard]] auto domains() -> domain_outages& { return domains_; }
     /// Load of the upstreams from all gateways.
     [[nodiscard]] auto loads() -> load_tracker& { return loads_; }
     /// Number of queued calls.
@@ -218,6 +226,7 @@
     load_tracker loads_;
     upstream_health health_;
     upstream_availability availability_;
+    domain_outages domains_;
     call_measurements measurements_;
     instant speeds_expired_at_{};
     /// Time at which the last caller refused until its turn was asked to return, by service.
--- a/include/dragonflymill/direct/digest_reports.h
+++ b/include/dragonflymill/direct/digest_reports.h
@@ -14,4 +14,7 @@
 /// changes. The sequence number of the digest must be set.
 void add_reports(peer_message& message, call_dispatcher& dispatcher, const due_digest& due, instant now);
 
+/// Applies what a peer reports of the upstreams.
+void take_reports(const peer_message& message, call_dispatcher& dispatcher, instant now);
+
 } // namespace dragonflymill::direct
--- a/include/dragonflymill/direct/load_tracker.h
+++ b/include/dragonflymill/direct/load_tracker.h
@@ -102,6 +102,13 @@
     {
         return load_of(stable_hash(upstream), now);
     }
+    /// Returns the upstream that answers a placed call; nothing if the call has ended.
+    [[nodiscard]] auto upstream_of(placement_id id) const -> std::optional<std::string_view>
+    {
+        const auto found = placed_.find(id);
+        return found == placed_.end() ? std::nullopt
+                                      : std::optional<std::string_view>(found->second.call.upstream);
+    }
     /// Returns this gateway's own load for a report: all of it, or the changes after version `since`.
     [[nodiscard]] auto own_loads(instant now, std::optional<std::uint64_t> since = std::nullopt) const
         -> std::map<upstream_key, upstream_load>;
--- a/include/dragonflymill/direct/peer_message.h
+++ b/include/dragonflymill/direct/peer_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflymill/direct/domain_outages.h"
 #include "dragonflymill/direct/load_tracker.h"
 #include "dragonflymill/direct/peer_table.h"
 #include "dragonflymill/direct/upstream_speeds.h"
@@ -11,13 +12,14 @@
 
 namespace dragonflymill::direct {
 
-/// A gateway's digest and its reports of load, rate limits and slowdowns.
+/// A gateway's digest and its reports of load, rate limits, slowdowns and unreachable upstreams.
 struct peer_message
 {
-    peer_digest digest;                         ///< Identity and state of the gateway.
-    load_report report;                         ///< Its work in flight.
-    std::vector<rate_limit_report> rate_limits; ///< Rate limits that it knows of; not all in every message.
-    std::vector<slowdown_report> slowdowns;     ///< What it has observed of upstreams that are or were slow.
+    peer_digest digest;                          ///< Identity and state of the gateway.
+    load_report report;                          ///< Its work in flight.
+    std::vector<rate_limit_report> rate_limits;  ///< Rate limits that it knows of; not all in every message.
+    std::vector<slowdown_report> slowdowns;      ///< What it has observed of upstreams that are or were slow.
+    std::vector<unreachable_report> unreachable; ///< Upstreams that it found unreachable a moment ago.
 
     friend auto operator==(const peer_message&, const peer_message&) -> bool = default;
 };
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymill/direct/call_dispatcher.h"
 
 #include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/direct/candidate_marks.h"
 #include "dragonflymill/direct/queue_order.h"
 
 #include <algorithm>
@@ -31,19 +32,6 @@
                          assignment.choice, call.latency_target_at - now};
 }
 
-/// Returns the candidates with those marked as suspect at which an attempt of the call failed, and with
-/// `avoid_domains` also those in failure domains that the call avoids.
-auto mark_tried_suspect(const std::vector<dispatch_candidate>& all, const call_attempts& attempts,
-                        bool avoid_domains, instant now) -> std::vector<dispatch_candidate>
-{
-    std::vector<dispatch_candidate> marked = all;
-    for (dispatch_candidate& candidate : marked) {
-        const bool avoided = avoid_domains && attempts.avoids(candidate.failure_domain, now);
-        candidate.suspect = candidate.suspect || avoided || attempts.tried(candidate.id);
-    }
-    return marked;
-}
-
 } // namespace
 
 void call_dispatcher::add(waiting_call call)
@@ -60,6 +48,9 @@
 auto call_dispatcher::event_received(placement_id placed, instant now) -> std::optional<forecast_outcome>
 {
     loads_.prefill_done(placed, now);
+    if (const auto upstream = loads_.upstream_of(placed)) {
+        domains_.answered(*upstream, now);
+    }
     return measurements_.event(placed, loads_, now);
 }
 
@@ -69,6 +60,17 @@
     measurements_.finished(placed);
 }
 
+void call_dispatcher::attempt_ended(const upstream_entry& attempted, const upstream_entry& at_fault,
+                                    attempt_end end, instant now)
+{
+    health_.record_end(at_fault.id, end, now);
+    domains_.attempt_ended(attempted, at_fault, end, now);
+    if (is_unreachable(end)) {
+        // The others are told at once.
+        loads_.set_suspect(at_fault.id, health_.suspect(at_fault.id, 0, now));
+    }
+}
+
 void call_dispatcher::report_suspects(const upstream_list& fleet, instant now)
 {
     for (const auto& [id, state] : fleet.upstreams()) {
@@ -90,6 +92,7 @@
     loads_.remove_gateway(gateway);
     availability_.remove_gateway(gateway);
     measurements_.speeds().remove_gateway(gateway);
+    domains_.remove_gateway(gateway);
 }
 
 void call_dispatcher::tick(const upstream_list& fleet, instant now)
@@ -431,8 +434,10 @@
 {
     candidate.slowdown = measurements_.speeds().slowdown(run, now);
     candidate.load = loads_.load_of(candidate.id_hash, now);
-    candidate.suspect = health_.suspect(candidate.id, loads_.own_calls(candidate.id_hash), now) ||
-                        candidate.load.suspected_by >= suspicion_quorum;
+    const int own_calls = loads_.own_calls(candidate.id_hash);
+    candidate.suspect = health_.suspect(candidate.id, own_calls, now) ||
+                        candidate.load.suspected_by >= suspicion_quorum ||
+                        domains_.avoids(candidate.id_hash, own_calls);
 }
 
 auto call_dispatcher::assignment_for(const upstream_list& fleet, const waiting_call& call,
@@ -456,6 +461,7 @@
     assignment.placed = loads_.place({choice.upstream, choice.prefill_engines, choice.is_long,
                                       choice.memory_tokens, choice.prefill_time, call.tbt_target},
                                      now);
+    domains_.sent(upstream.key, now);
     measurements_.dispatched(assignment.placed, class_of(call), measured(fleet, call, assignment, now), now);
     retry_window& retries = retries_[call.service];
     if (call.attempts.count() == 0) {
--- a/src/direct/digest_reports.cpp
+++ b/src/direct/digest_reports.cpp
@@ -22,6 +22,17 @@
     message.rate_limits = dispatcher.availability().rate_limits().reports(
         now, message.digest.sequence, since(due.rate_limit_changes_since));
     message.slowdowns = dispatcher.speeds().reports(now, since(due.slowdown_changes_since));
+    message.unreachable = dispatcher.domains().reports(now);
+}
+
+void take_reports(const peer_message& message, call_dispatcher& dispatcher, instant now)
+{
+    const std::string& gateway = message.digest.gateway;
+    dispatcher.loads().apply_report(message.report, now);
+    for (const slowdown_report& report : message.slowdowns) {
+        (void)dispatcher.speeds().apply_report(gateway, report, now);
+    }
+    dispatcher.domains().apply_reports(gateway, message.unreachable, now);
 }
 
 } // namespace dragonflymill::direct
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/direct/digest_reports.h"
+#include "edge/belief_report.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 #include "settings/listening_socket.h"
@@ -322,15 +323,12 @@
         // their number when all start at once.
         link_.send({"", false, {full_digest()}}, {message.digest.address});
     }
-    dispatcher_.loads().apply_report(message.report, now);
     for (const rate_limit_report& report : message.rate_limits) {
         if (dispatcher_.availability().apply_rate_limit_report(message.digest.gateway, report, now)) {
             log_rate_limit(report, message.digest.gateway);
         }
     }
-    for (const direct::slowdown_report& report : message.slowdowns) {
-        (void)dispatcher_.speeds().apply_report(message.digest.gateway, report, now);
-    }
+    direct::take_reports(message, dispatcher_, now);
     if (message.digest.reads_source) {
         outage_.peer_reads_source(now);
     }
@@ -570,7 +568,8 @@
     const bool long_sent =
         std::any_of(round.orders.begin(), round.orders.end(),
                     [](const direct::dispatch_assignment& assignment) { return assignment.choice.is_long; });
-    if (long_sent) {
+    // So is an upstream that can't be reached, before the others' calls fail there too.
+    if (long_sent || dispatcher_.domains().take_urgent(runtime::now())) {
         send_gossip(true);
     }
     for (const direct::dispatch_assignment& assignment : round.orders) {
@@ -601,7 +600,8 @@
     fleet_.tick(now);
     dispatcher_.report_suspects(fleet_, now);
     dispatcher_.tick(fleet_, now);
-    update_rate_limit_metrics(now);
+    dispatcher_.domains().update(fleet_, peers_, now);
+    report_beliefs(dispatcher_, metrics_, now);
     for (const std::string& expired : peers_.expire_peers(now)) {
         dispatcher_.remove_gateway(expired);
         log_event(event::peer_gateway_lost, field("peer", expired));
@@ -628,23 +628,6 @@
     metrics_.gateways.set(peers_.gateways());
 }
 
-void direct_gateway::update_rate_limit_metrics(instant now)
-{
-    duration oldest{};
-    const rate_limit_beliefs& beliefs = dispatcher_.availability().rate_limits().beliefs();
-    for (const auto& [upstream, belief] : beliefs.all()) {
-        if (belief.calls_per_s) {
-            oldest = std::max(oldest, now - belief.stated_at);
-        }
-    }
-    metrics_.limited_upstreams.set(static_cast<std::int64_t>(beliefs.limited()));
-    metrics_.oldest_limit_age.set(oldest / 1s);
-    metrics_.pushback_upstreams.set(
-        static_cast<std::int64_t>(dispatcher_.availability().statements().pushbacks()));
-    metrics_.draining_upstreams.set(
-        static_cast<std::int64_t>(dispatcher_.availability().statements().drains()));
-}
-
 auto direct_gateway::ready() const -> bool
 {
     return fleet_.config() != nullptr && !stopping_;
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -128,7 +128,6 @@
     void dispatch_calls();
     void tick();
     void update_gateway_count();
-    void update_rate_limit_metrics(instant now);
     void schedule_tick();
     void wait_for_signals();
     void reload();
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -252,7 +252,7 @@
     for (const direct::prefill_engine& assigned : assignment_->prefill_engines) {
         const direct::upstream_entry& engine = assigned.upstream;
         if (std::find(unreachable.begin(), unreachable.end(), engine.address) != unreachable.end()) {
-            context_.dispatcher.health().record_end(engine.id, attempt_end::not_sent, now);
+            context_.dispatcher.attempt_ended(engine, engine, attempt_end::not_sent, now);
             queued_call_.attempts.ended(attempt_end::not_sent, {engine.id, engine.failure_domain}, now);
         }
     }
@@ -560,7 +560,7 @@
         end == attempt_end::reader_lost ? failed_prefill_engine() : nullptr;
     const direct::upstream_entry& failed_upstream =
         prefill_engine == nullptr ? assignment_->upstream : prefill_engine->upstream;
-    context_.dispatcher.health().record_end(failed_upstream.id, end, now);
+    context_.dispatcher.attempt_ended(assignment_->upstream, failed_upstream, end, now);
     queued_call_.attempts.ended(end, {failed_upstream.id, failed_upstream.failure_domain}, now);
     release_upstream();
     const next_step step = direct::decide_next_step(end, progress(now));
--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -28,6 +28,8 @@
           {"dragonflymill_pushback_upstreams", "Upstreams that want nothing from this gateway for a time"}))
     , draining_upstreams(registry_->gauge(
           {"dragonflymill_upstreams_stating_drain", "Upstreams that said in an answer that they drain"}))
+    , domains_out(registry_->gauge(
+          {"dragonflymill_failure_domains_out", "Failure domains that are believed to be out and avoided"}))
     , unwanted_calls(registry_->counter(
           {"dragonflymill_unwanted_calls_total", "Requests sent to upstreams in one of these two states"}))
     , withheld_calls(
--- a/src/edge/gateway_metrics.h
+++ b/src/edge/gateway_metrics.h
@@ -43,6 +43,7 @@
     metric_gauge& oldest_limit_age;     ///< Seconds since the least recently stated of these limits.
     metric_gauge& pushback_upstreams;   ///< Upstreams that want nothing from this gateway for a time.
     metric_gauge& draining_upstreams;   ///< Upstreams that have stated in a response that they are draining.
+    metric_gauge& domains_out;          ///< Failure domains that are believed to be out.
     metric_counter& unwanted_calls;     ///< Requests sent to upstreams that were in one of these two states.
     metric_counter& withheld_calls;     ///< Assigned requests that were not sent, as one of them began.
     metric_histogram& time_to_first_event; ///< Seconds from arrival to the first event of a stream.
--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -63,6 +63,11 @@
         entry.set_slowdown_hundredths(to_hundredths(report.slowdown));
         entry.set_age_ms(static_cast<std::uint32_t>(std::max(report.age, duration::zero()) / 1ms));
     }
+    for (const direct::unreachable_report& report : message.unreachable) {
+        wire::UnreachableUpstream& entry = *encoded.add_unreachable();
+        entry.set_upstream(report.upstream);
+        entry.set_age_ms(static_cast<std::uint32_t>(report.age / 1ms));
+    }
 }
 
 auto decode_message(const wire::GatewayDigest& encoded) -> direct::peer_message
@@ -110,6 +115,9 @@
         message.slowdowns.push_back({entry.upstream(), entry.slowdown_hundredths() / 100.0,
                                      std::chrono::milliseconds(entry.age_ms())});
     }
+    for (const wire::UnreachableUpstream& entry : encoded.unreachable()) {
+        message.unreachable.push_back({entry.upstream(), std::chrono::milliseconds(entry.age_ms())});
+    }
     return message;
 }
 
