--- a/tests/direct/call_forecast_test.cpp
+++ b/tests/direct/call_forecast_test.cpp
@@ -65,6 +65,8 @@
     cr_assert(expected({}, engine_with(4, 70ms)) == first + 70ms);
     const auto pause = call_forecast::from_profile(profile(), engine_with(4), prefill).longest_pause;
     cr_assert(pause == profile().iteration_time(5, 5'000) + prefill);
+    const auto long_pause = call_forecast::from_profile(profile(), engine_with(4), 5s).longest_pause;
+    cr_assert(long_pause == profile().iteration_time(5, 5'000) * 2);
 }
 
 // Load: a burst fills all slots. Guards against learning the wait for a slot as delay of emptier engines.
@@ -75,6 +77,8 @@
     serve_many(calibrator, engine_with(15), 120ms, forecast_calibrator::full_samples);
     cr_assert(expected(calibrator.forecast(), engine_with(15)) == before + 120ms);
     cr_assert(class_of(engine_with(15, 90ms)) == condition_class::nearly_full);
+    cr_assert(class_of(engine_with(8)) == condition_class::light);
+    cr_assert(class_of(engine_with(9, little_prefill)) == condition_class::busy);
     for (const auto& other : {engine_with(14), engine_with(4), engine_with(0), engine_with(4, 90ms)}) {
         cr_assert(expected(calibrator.forecast(), other) == expected({}, other));
     }
