Log the parts of prompts, the run of an upstream and whether it closed the connection

What callers saw: calls failed while engines ended one after the other. The logs couldn't tell whether a call, a part that many calls share, the load or something outside ended them: no event named the parts of a prompt or the run that ended, and a connection that the upstream closed had the same end (broken) as silence and unusable bytes.

call_dispatched has prompt_parts, call_attempt_ended has run and events, and a connection closed by the upstream before its answer was complete has an end of its own, disconnected. It is handled like broken in all decisions.

--- a/include/dragonflymill/direct/attempt_rules.h
+++ b/include/dragonflymill/direct/attempt_rules.h
@@ -7,13 +7,14 @@
 /// How an attempt at an upstream ended without a response that may be forwarded to the caller.
 enum class attempt_end
 {
-    not_sent,    ///< No connection: no byte of the request was sent.
-    rejected,    ///< The upstream has no free capacity; it has not run the request and will not.
-    misdirected, ///< Like `rejected`, because a different upstream answers at the address.
-    reader_lost, ///< Like `rejected`, because an engine that was to prefill a part of the prompt is gone.
-    failed,      ///< The upstream itself answered with a failure; the request ran.
-    overtaken,   ///< No response from an engine that prefills other prompts first; it may have run.
-    broken,      ///< Connection lost, timeout or unusable response; it may have run.
+    not_sent,     ///< No connection: no byte of the request was sent.
+    rejected,     ///< The upstream has no free capacity; it has not run the request and will not.
+    misdirected,  ///< Like `rejected`, because a different upstream answers at the address.
+    reader_lost,  ///< Like `rejected`, because an engine that was to prefill a part of the prompt is gone.
+    failed,       ///< The upstream itself answered with a failure; the request ran.
+    overtaken,    ///< No response from an engine that prefills other prompts first; it may have run.
+    broken,       ///< Timeout, lost network path or unusable response; it may have run.
+    disconnected, ///< The upstream closed the connection before its response was complete; it may have run.
 };
 
 /// Returns whether the request may have run in an attempt that ended this way.
--- a/src/direct/attempt_rules.cpp
+++ b/src/direct/attempt_rules.cpp
@@ -25,7 +25,8 @@
 
 auto may_have_run(attempt_end end) -> bool
 {
-    return end == attempt_end::failed || end == attempt_end::overtaken || end == attempt_end::broken;
+    return end == attempt_end::failed || end == attempt_end::overtaken || end == attempt_end::broken ||
+           end == attempt_end::disconnected;
 }
 
 auto is_unreachable(attempt_end end) -> bool
@@ -65,6 +66,8 @@
         return "overtaken";
     case attempt_end::broken:
         return "broken";
+    case attempt_end::disconnected:
+        return "disconnected";
     }
     return "broken";
 }
--- a/src/direct/upstream_health.cpp
+++ b/src/direct/upstream_health.cpp
@@ -18,6 +18,7 @@
     case attempt_end::misdirected:
     case attempt_end::reader_lost:
     case attempt_end::broken:
+    case attempt_end::disconnected:
         lost(upstream, now);
         return;
     }
--- a/src/edge/dispatch_log.cpp
+++ b/src/edge/dispatch_log.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Characters of the stated prompt parts that are logged.
+constexpr std::size_t max_logged_parts = 240;
+
 /// Ids of the additional prefill engines, separated by spaces.
 auto prefill_engine_ids(const direct::dispatch_assignment& assignment) -> std::string
 {
@@ -32,7 +35,8 @@
               field("parts", choice.load.parts), field("memory_tokens", choice.load.memory_tokens),
               field("reading_us", choice.load.pending_prefill), field("slowdown", choice.condition.slowdown),
               field("view_us", details.view_age), field("config_version", details.config_version),
-              field("fleet_revision", details.fleet_revision));
+              field("fleet_revision", details.fleet_revision),
+              field("prompt_parts", details.prompt_parts.substr(0, max_logged_parts)));
     if (assignment.rate_limit) {
         log_event(event::limited_call_dispatched, field("request", details.request),
                   field("attempt", details.attempt), field("upstream", assignment.upstream.id),
--- a/src/edge/dispatch_log.h
+++ b/src/edge/dispatch_log.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace dragonflymill::edge {
 
@@ -20,6 +21,7 @@
     duration view_age{};              ///< Age of this gateway's view of its cell.
     std::uint64_t config_version = 0; ///< Configuration under which the call is served.
     std::uint64_t fleet_revision = 0; ///< Newest revision of the published records that is known.
+    std::string_view prompt_parts;    ///< Parts of the prompt, as the caller states them.
 
     friend auto operator==(const dispatch_details&, const dispatch_details&) -> bool = default;
 };
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -180,11 +180,12 @@
     head_ = {};
     body_.clear();
     relay_.begin_attempt();
+    attempt_events_ = 0;
     log_dispatched(assignment,
                    {request_id_, queued_call_.attempts.count(), now - arrived_,
                     queued_call_.latency_target_at - now, queued_call_.prompt_tokens,
                     queued_call_.answer_tokens, context_.peers.view_age(now), config_->version(),
-                    context_.records.revision()},
+                    context_.records.revision(), request_.value_of(context_.names.prompt_parts)},
                    now);
     reserve_kv_cache();
 }
@@ -249,7 +250,7 @@
     const auto jitter_permille = stable_hash(request_id_, queued_call_.attempts.count()) % 1000;
     queued_call_.not_before = now + reservation_backoff / 2 + reservation_backoff * jitter_permille / 1000;
     const std::string why = "engine memory could not be reserved";
-    log_attempt_ended(assignment_->upstream.id, attempt_end::not_sent, why, next_step::try_again);
+    log_attempt_ended(assignment_->upstream, attempt_end::not_sent, why, next_step::try_again);
     release_upstream();
     apply_next_step(next_step::try_again, why);
 }
@@ -272,7 +273,7 @@
     const std::string why = "an upstream began to drain or asked for a pause";
     context_.metrics.withheld_calls.add();
     queued_call_.not_before = runtime::now();
-    log_attempt_ended(assignment_->upstream.id, attempt_end::not_sent, why, next_step::try_again);
+    log_attempt_ended(assignment_->upstream, attempt_end::not_sent, why, next_step::try_again);
     release_upstream();
     apply_next_step(next_step::try_again, why);
 }
@@ -439,6 +440,7 @@
     }
     last_event_at_ = last_byte_at_;
     events_ += events.events;
+    attempt_events_ += events.events;
     context_.metrics.events.add(events.events);
     forward_head();
     if (const auto session = session_.lock()) {
@@ -476,7 +478,7 @@
     const instant now = runtime::now();
     if (mode_ == response_mode::events) {
         if (relay_.has_partial_event()) {
-            end_attempt(attempt_end::broken, "the stream ended inside an event");
+            end_attempt(attempt_end::disconnected, "the stream ended inside an event");
             return;
         }
         forward_head();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -105,8 +105,8 @@
     [[nodiscard]] auto failed_prefill_engine() const -> const direct::prefill_engine*;
     [[nodiscard]] auto may_have_run() const -> bool { return queued_call_.attempts.run() > 0; }
     [[nodiscard]] auto progress(instant now) const -> direct::request_progress;
-    void log_attempt_ended(const std::string& upstream, direct::attempt_end end, const std::string& why,
-                           direct::next_step next) const;
+    void log_attempt_ended(const direct::upstream_entry& upstream, direct::attempt_end end,
+                           const std::string& why, direct::next_step next) const;
     void apply_next_step(direct::next_step step, const std::string& why);
     void release_upstream();
     void on_deadline();
@@ -142,6 +142,7 @@
     direct::event_relay relay_;
     bool response_started_ = false;
     std::size_t events_ = 0;
+    std::size_t attempt_events_ = 0; // of these, the ones of the current attempt
     std::optional<instant> first_event_at_;
     instant last_event_at_{};
     duration max_event_gap_{};
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -47,7 +47,7 @@
         return;
     }
     const instant now = runtime::now();
-    const std::string upstream = assignment_->upstream.id;
+    const direct::upstream_entry upstream = assignment_->upstream;
     const direct::prefill_engine* prefill_engine =
         end == attempt_end::reader_lost ? failed_prefill_engine() : nullptr;
     const direct::upstream_entry& failed_upstream =
@@ -61,11 +61,12 @@
     apply_next_step(step, why);
 }
 
-void exchange::log_attempt_ended(const std::string& upstream, attempt_end end, const std::string& why,
-                                 next_step next) const
+void exchange::log_attempt_ended(const direct::upstream_entry& upstream, attempt_end end,
+                                 const std::string& why, next_step next) const
 {
     log_event(event::call_attempt_ended, field("request", request_id_),
-              field("attempt", queued_call_.attempts.count()), field("upstream", upstream),
+              field("attempt", queued_call_.attempts.count()), field("upstream", upstream.id),
+              field("run", direct::run_of(upstream)), field("events", attempt_events_),
               field("end", direct::to_string(end)), field("why", why),
               field("after_us", runtime::now() - sent_at_), field("ran", may_have_run() ? "unknown" : "no"),
               field("next", direct::to_string(next)));
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -31,6 +31,7 @@
     std::string not_run;         ///< In a response: the upstream hasn't run the request and won't.
     std::string failed_upstream; ///< In a rejection: the upstream that caused it, by id or address.
     std::string token_counts;    ///< Prompt tokens and maximum answer tokens, separated by a comma.
+    std::string prompt_parts;    ///< Parts of the prompt in order, as ID:TOKENS entries separated by commas.
     std::string prefill_engines; ///< Engines that prefill a part of the prompt.
     std::string engine_priority; ///< Admission priority at an engine.
     std::string resume_after;    ///< Id of the last event that the caller has received.
--- a/src/edge/upstream_call.cpp
+++ b/src/edge/upstream_call.cpp
@@ -141,7 +141,9 @@
         receiver->on_response_complete();
         return;
     }
-    fail(attempt_end::broken, "the connection ended before the answer: " + failed.message());
+    const bool closed = orderly_close || failed == asio::error::connection_reset;
+    fail(closed ? attempt_end::disconnected : attempt_end::broken,
+         "the connection ended before the answer: " + failed.message());
 }
 
 void upstream_call::fail(attempt_end end, const std::string& why)
--- a/tests/direct/attempt_rules_test.cpp
+++ b/tests/direct/attempt_rules_test.cpp
@@ -13,7 +13,7 @@
 {
     for (const auto end :
          {attempt_end::not_sent, attempt_end::rejected, attempt_end::misdirected, attempt_end::reader_lost,
-          attempt_end::failed, attempt_end::overtaken, attempt_end::broken}) {
+          attempt_end::failed, attempt_end::overtaken, attempt_end::broken, attempt_end::disconnected}) {
         for (int bits = 0; bits < 16; ++bits) {
             for (int run = 0; run <= 3; ++run) {
                 request_progress state;
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -102,6 +102,7 @@
         names.not_run = "Not-Run";
         names.failed_upstream = "At-Fault";
         names.token_counts = "Tokens";
+        names.prompt_parts = "Parts";
         names.prefill_engines = "Helpers";
         names.engine_priority = "Engine-Priority";
         names.resume_after = "Last-Event-Id";
--- a/tests/platform/wire_names_test.cpp
+++ b/tests/platform/wire_names_test.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+// Guards against gateways that can't tell calls with a shared part of their prompts from others.
+Test(wire_names, the_parts_of_a_prompt_are_read)
+{
+    cr_assert(platform_header_names().prompt_parts == "Dragonflymill-Prompt-Prefix");
+}
+
 Test(wire_names, rate_limit_is_read_as_calls_per_second)
 {
     cr_assert(statement_of("2") == (rate_statement{true, 2.0}));
