--- a/tests/support/standin_upstream.h
+++ b/tests/support/standin_upstream.h
@@ -64,6 +64,14 @@
     {
         return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     }
+    /// Ends like a crashed process: closes all connections and refuses new ones.
+    void crash()
+    {
+        acceptor_.close();
+        for (const auto& taken : requests) {
+            taken->close();
+        }
+    }
     /// Connections on which a complete request was received.
     std::vector<std::shared_ptr<taken_connection>> requests;
 
