Don't take an empty answer without a length or chunks for a complete one

What callers saw: an upstream that crashes right after the head of an answer with neither a length nor chunks closes its connection like one that has sent all. Callers got an empty 200, or a stream without an event that looked complete, and the call wasn't tried again. Cause: the end of the connection completed such an answer whatever had come. Change: without any byte of the body it counts as closed by the upstream, so the call is tried again where it may be, or fails.

--- a/src/edge/upstream_call.cpp
+++ b/src/edge/upstream_call.cpp
@@ -122,6 +122,7 @@
             return;
         }
     }
+    body_received_ = body_received_ || !body.empty();
     if (receiver_ != nullptr && !body.empty()) {
         receiver_->on_response_body(body);
     }
@@ -135,7 +136,9 @@
 void upstream_call::on_read_error(const boost::system::error_code& failed)
 {
     const bool orderly_close = failed == asio::error::eof;
-    if (orderly_close && parser_->take_eof() == response_state::complete && head_passed_) {
+    const bool is_complete = orderly_close && parser_->take_eof() == response_state::complete && head_passed_;
+    // An upstream that crashes after the head closes its connection like one that has sent all.
+    if (is_complete && body_received_) {
         response_handler* receiver = std::exchange(receiver_, nullptr);
         close();
         receiver->on_response_complete();
--- a/src/edge/upstream_call.h
+++ b/src/edge/upstream_call.h
@@ -78,6 +78,7 @@
     std::optional<timer_id> connect_timer_;
     bool no_body_ = false;
     bool head_passed_ = false;
+    bool body_received_ = false;
 };
 
 } // namespace dragonflymill::edge
