Turn away connections unread while a gateway's event loop is behind

What callers would see: a load balancer that hands most new connections of a region to one gateway makes it read far more than it can serve, so that most requests that were read are late or lost. Cause: connections were accepted without a bound.

--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -4,7 +4,6 @@
 #include "edge/upstream_metrics.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
-#include "settings/listening_socket.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -91,7 +90,8 @@
                  ++fetches_failed_;
                  log_event(event::peer_fetch_failed, field("why", why));
              }})
-    , callers_(loop)
+    , callers_(loop, timers_, metrics_,
+               [this](tcp::socket socket) { start_session(std::move(socket), *this); })
     , ready_listener_(loop)
     , metrics_listener_(loop)
     , signals_(loop, SIGTERM, SIGINT, SIGHUP)
@@ -118,7 +118,7 @@
     if (auto opened = listen(ready_listener_, settings_.ready, status_); !opened) {
         return opened;
     }
-    if (auto opened = open_socket(callers_, settings_.callers); !opened) {
+    if (auto opened = callers_.open(settings_.callers); !opened) {
         return opened;
     }
     if (!settings_.metrics.empty()) {
@@ -130,7 +130,9 @@
         return opened;
     }
     started_at_ = runtime::now();
-    timers_.at(started_at_ + config_wait_limit, [this] { accept_callers(); });
+    // Until the configuration is known, callers wait in the socket's backlog: accepting them would refuse
+    // those that retry during the first milliseconds after a start.
+    timers_.at(started_at_ + config_wait_limit, [this] { callers_.start(); });
     update_gateway_count();
     log_event(event::gateway_started, field("gateway", incarnation_name_));
     wait_for_signals();
@@ -144,30 +146,18 @@
 auto direct_gateway::listen(tcp::acceptor& acceptor, const socket_address& address, request_handler& handler)
     -> result<void>
 {
-    if (auto opened = open_socket(acceptor, address); !opened) {
+    if (auto opened = open_logged(acceptor, address); !opened) {
         return opened;
     }
     accept(acceptor, handler);
     return success();
 }
 
-auto direct_gateway::open_socket(tcp::acceptor& acceptor, const socket_address& address) -> result<void>
+void direct_gateway::start_session(tcp::socket socket, request_handler& handler)
 {
-    auto opened = open_listening(acceptor, address);
-    if (!opened) {
-        log_event(event::listen_failed, field("address", to_text(address)),
-                  field("why", opened.error().message()));
-    }
-    return opened;
-}
-
-void direct_gateway::accept_callers()
-{
-    // Until the configuration is known, callers wait in the socket's backlog: accepting them would refuse
-    // those that retry during the first milliseconds after a start.
-    if (!std::exchange(accept_loop_started_, true)) {
-        accept(callers_, *this);
-    }
+    auto session = std::make_shared<caller_session>(std::move(socket), timers_, handler);
+    sessions_.insert(session);
+    session->start();
 }
 
 void direct_gateway::accept(tcp::acceptor& acceptor, request_handler& handler)
@@ -178,9 +168,7 @@
                 return;
             }
             if (!failed) {
-                auto session = std::make_shared<caller_session>(std::move(socket), timers_, handler);
-                sessions_.insert(session);
-                session->start();
+                start_session(std::move(socket), handler);
             }
             accept(acceptor, handler);
         });
@@ -216,7 +204,7 @@
 
 auto direct_gateway::caller_port() const -> std::uint16_t
 {
-    return callers_.local_endpoint().port();
+    return callers_.port();
 }
 
 void direct_gateway::start_source()
@@ -424,7 +412,7 @@
     if (ready() != reported_ready_) {
         reported_ready_ = ready();
         if (reported_ready_) {
-            accept_callers();
+            callers_.start();
             log_event(event::gateway_ready, field("fleet_revision", records_.revision()));
         }
         else {
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -10,6 +10,7 @@
 #include "dragonflymill/direct/peer_table.h"
 #include "dragonflymill/direct/source_outage.h"
 #include "dragonflymill/direct/upstream_list.h"
+#include "edge/caller_listener.h"
 #include "edge/caller_session.h"
 #include "edge/exchange.h"
 #include "edge/gateway_metrics.h"
@@ -109,10 +110,8 @@
 private:
     [[nodiscard]] auto listen(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& address,
                               request_handler& handler) -> result<void>;
-    [[nodiscard]] auto open_socket(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& address)
-        -> result<void>;
     void accept(boost::asio::ip::tcp::acceptor& acceptor, request_handler& handler);
-    void accept_callers();
+    void start_session(boost::asio::ip::tcp::socket socket, request_handler& handler);
     void start_source();
     void apply_records(const direct::records_update& update, const std::string& from);
     void apply_record(const direct::fleet_record& record, const std::string& from);
@@ -167,7 +166,7 @@
     std::unique_ptr<report_poller> reports_;
     speed_log speed_log_;
     quarantine_log quarantine_log_;
-    boost::asio::ip::tcp::acceptor callers_;
+    caller_listener callers_;
     boost::asio::ip::tcp::acceptor ready_listener_;
     boost::asio::ip::tcp::acceptor metrics_listener_;
     boost::asio::signal_set signals_;
@@ -190,7 +189,6 @@
     bool dispatch_scheduled_ = false;
     bool reported_ready_ = false;
     bool stopping_ = false;
-    bool accept_loop_started_ = false;
     bool accepts_requests_ = true;
     instant shutdown_started_at_{};
 };
--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -5,6 +5,8 @@
 gateway_metrics::gateway_metrics()
     : registry_(std::make_unique<metrics_registry>())
     , requests(registry_->counter({"dragonflymill_requests_total", "Requests read from callers"}))
+    , turned_away(registry_->counter({"dragonflymill_connections_turned_away_total",
+                                      "Callers' connections closed unread, as the gateway was behind"}))
     , answered(registry_->counter({"dragonflymill_answers_total", "Answers passed on whole"}))
     , refused(registry_->counter(
           {"dragonflymill_refusals_total", "Answers of this gateway's own that say \"not run\""}))
