Crash engines of the soak under one part of prompts

One in twenty calls to engines has a part under which an engine crashes; another one takes its place.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -20,8 +20,9 @@
 // Guards the delivery guarantees under sequential and overlapping faults: gateways are killed, paused,
 // stopped and partitioned from the store, upstreams fail, drain and are replaced, the store stops answering,
 // upstreams ask for pauses, state their drain, run slower and restart in place, and the configuration
-// changes. No booking may be executed twice, or after it was reported as not executed; no stream may have a
-// gap; and all calls must be served again once the faults end.
+// changes; engines crash under calls with one part of a prompt. No booking may be executed twice, or after it
+// was reported as not executed; no stream may have a gap; and all calls must be served again once the faults
+// end.
 Test(soak, promises_hold_under_faults, .timeout = 280)
 {
     const auto seed = static_cast<std::uint64_t>(number("SOAK_SEED", 1));
@@ -36,8 +37,9 @@
             std::fprintf(stderr, "  %s\n", line.c_str());
         }
     }
-    std::fprintf(stderr, "seed %d: %d complete responses, %zu faults, %d statements\n",
-                 static_cast<int>(seed), world.kept().answers(), world.story().size(), world.statements());
+    std::fprintf(stderr, "seed %d: %d complete responses, %zu faults, %d statements, %d crashes\n",
+                 static_cast<int>(seed), world.kept().answers(), world.story().size(), world.statements(),
+                 world.crashes());
     cr_assert(world.kept().breaches().empty(), "%zu guarantees violated", world.kept().breaches().size());
     cr_assert(world.kept().answers() > 0);
 }
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -127,6 +127,15 @@
         return;
     }
     const bool is_stream = service_ == "engines";
+    if (call.received.find(crashing_part) != std::string::npos) {
+        // Answers begin and end with the process.
+        send(call, "HTTP/1.1 200 OK\r\n" + head +
+                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        server_.crash();
+        leave();
+        on_crash_(request);
+        return;
+    }
     promises_.ran(request, is_stream);
     if (fault_ == fault::hang) {
         return;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -43,10 +43,11 @@
 class soak_world::caller : public std::enable_shared_from_this<soak_world::caller>
 {
 public:
-    caller(soak_world& world, std::string request, bool is_stream, bool calm)
+    caller(soak_world& world, std::string request, std::string parts, bool is_stream, bool calm)
         : world_(world)
         , socket_(world.loop_)
         , request_(std::move(request))
+        , parts_(std::move(parts))
         , is_stream_(is_stream)
         , calm_(calm)
     {
@@ -71,7 +72,10 @@
         const std::string text =
             "POST " + path + "x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" +
             "Dragonflymill-Attempt-Id: " + request_ + "\r\nDragonflymill-Request-Deadline: 4000\r\n" +
-            (is_stream_ ? "Dragonflymill-Token-Count: 100,8\r\n" : "") + "Content-Length: 2\r\n\r\nhi";
+            (is_stream_
+                 ? "Dragonflymill-Token-Count: 100,8\r\nDragonflymill-Prompt-Prefix: " + parts_ + "\r\n"
+                 : "") +
+            "Content-Length: 2\r\n\r\nhi";
         world_.requests_.at(request_).sent_at = std::chrono::steady_clock::now();
         boost::asio::write(socket_, boost::asio::buffer(text), ignored);
         read();
@@ -125,6 +129,7 @@
     soak_world& world_;
     boost::asio::ip::tcp::socket socket_;
     std::string request_;
+    std::string parts_;
     bool is_stream_;
     bool calm_;
     edge::response_parser parser_{false};
@@ -134,6 +139,7 @@
 
 soak_world::soak_world(std::uint64_t seed, std::string program)
     : random_(seed)
+    , parts_random_(~seed)
     , program_(std::move(program))
     , store_(loop_)
 {
@@ -222,12 +228,35 @@
         [this, id](const std::string& request, std::chrono::milliseconds pause) {
             statements_.rejected(id, requests_[request].gateway, pause);
         });
+    upstreams_.back()->set_on_crash([this, id](const std::string& request) {
+        const sent_request& sent = requests_[request];
+        tell(id + " crashes under " + request + " from " + sent.gateway);
+        crashes_.crashed(request, sent.gateway, sent.sent_at);
+        later(300ms, [this, id] { replace_crashed(id); });
+    });
     store_.put("servers/" + id, upstreams_.back()->entry(false));
 }
 
+void soak_world::replace_crashed(const std::string& id)
+{
+    store_.remove("servers/" + id);
+    later(700ms, [this, id] { add_upstream(id.substr(0, id.find('-'))); });
+}
+
+auto soak_world::next_parts(bool faults) -> std::string
+{
+    constexpr double crashing_share = 0.05;
+    const std::string own = ",c" + std::to_string(made_) + ":30";
+    const bool crashes = faults && parts_random_.chance(crashing_share);
+    const std::string shared =
+        crashes ? soak_upstream::crashing_part : "5a" + std::to_string(parts_random_.below(4)) + ":30";
+    return "f1:40," + shared + own;
+}
+
 void soak_world::start_gateway(soak_gateway& gateway)
 {
     statements_.excuse(gateway.ip);
+    crashes_.excuse(gateway.ip);
     gateway.process = std::make_unique<child_process>(
         program_, std::vector<std::string>{"platform-gateway", "--settings", gateway.settings});
     gateway.ends_by.reset();
@@ -259,7 +288,8 @@
     calm_calls_ += faults ? 0 : 1;
     const std::string request = "r" + std::to_string(++made_);
     requests_[request] = {gateway.ip, std::chrono::steady_clock::now()};
-    std::make_shared<caller>(*this, request, is_stream, !faults)->start(gateway, caller_port_);
+    std::make_shared<caller>(*this, request, next_parts(faults), is_stream, !faults)
+        ->start(gateway, caller_port_);
 }
 
 void soak_world::next_fault()
@@ -449,6 +479,7 @@
         later(std::chrono::milliseconds(300 + random_.below(1500)), [this, &gateway] {
             gateway.paused = false;
             statements_.excuse(gateway.ip);
+            crashes_.excuse(gateway.ip);
             if (gateway.process) {
                 gateway.process->signal(SIGCONT);
             }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/random_source.h"
 #include "edge/response_parser.h"
+#include "soak/crash_watch.h"
 #include "soak/limit_watch.h"
 #include "soak/promises.h"
 #include "soak/statement_watch.h"
@@ -66,6 +67,13 @@
     void fail_reports(bool fails) { reports_fail_ = fails; }
     /// Number of requests for its report.
     [[nodiscard]] auto reports() const -> int { return reports_; }
+    /// Sets the function that is called when it has crashed under a request with the crashing part.
+    void set_on_crash(std::function<void(const std::string& request)> on_crash)
+    {
+        on_crash_ = std::move(on_crash);
+    }
+    /// Part of a prompt under which engines crash.
+    static constexpr const char* crashing_part = "badd:30";
     /// Marks the upstream as draining from now on.
     void leave() { left_ = std::chrono::steady_clock::now(); }
     /// Sets the function that returns since when the store has been available, nothing while it isn't. While
@@ -101,6 +109,7 @@
     int run_ = 1;
     std::function<void(const std::string&, std::chrono::milliseconds)> on_rejected_;
     std::function<void(const std::string&)> on_request_;
+    std::function<void(const std::string&)> on_crash_;
     std::optional<moment> left_;
     std::function<std::optional<moment>()> well_since_;
 };
@@ -134,6 +143,8 @@
     [[nodiscard]] auto kept() -> promises& { return promises_; }
     /// Pauses and drains that upstreams have stated to gateways.
     [[nodiscard]] auto statements() const -> int { return statements_.statements(); }
+    /// Upstreams that have crashed under a part of a prompt.
+    [[nodiscard]] auto crashes() const -> int { return crashes_.crashes(); }
     /// Injected faults, one line each, with milliseconds since the start.
     [[nodiscard]] auto story() const -> const std::vector<std::string>& { return story_; }
 
@@ -167,6 +178,10 @@
     void slow_down(soak_upstream& upstream);
     void check_reports();
     void replace(const soak_upstream& upstream);
+    /// Removes an upstream that has crashed, and starts another one in its place a moment later.
+    void replace_crashed(const std::string& id);
+    /// Parts of the prompt of the next call to an engine. With faults, some contain the crashing part.
+    auto next_parts(bool faults) -> std::string;
     void strike_gateway(soak_gateway& gateway, std::uint64_t kind);
     void heal();
     void look_after_gateways();
@@ -177,10 +192,12 @@
 
     boost::asio::io_context loop_{1};
     random_source random_;
+    random_source parts_random_; // of its own, so that parts don't change the faults of a seed
     std::string program_;
     promises promises_;
     limit_watch limits_{promises_};
     statement_watch statements_{promises_};
+    crash_watch crashes_{promises_};
     std::map<std::string, sent_request> requests_;
     store_standin store_;
     std::vector<std::unique_ptr<soak_upstream>> upstreams_;
