--- a/include/dragonflymill/quarantine/crash_evidence.h
+++ b/include/dragonflymill/quarantine/crash_evidence.h
@@ -113,13 +113,19 @@
     /// Removes evidence that is too old.
     void expire(instant now);
 
-    /// Returns what this gateway reports to its cell: all of it, or the changes after version `since`.
-    /// Bounded to fit into a relay's batch of digests.
+    /// Returns what this gateway reports to its cell: all that isn't older than `repeat_time`, or the changes
+    /// after version `since`. Bounded to fit into a relay's batch of digests.
     [[nodiscard]] auto reports(instant now, std::optional<std::uint64_t> since = std::nullopt) const
         -> evidence_report;
-    /// Returns all that is known from any gateway, what supports a quarantine first, for a gateway that has
-    /// just started or is in another cell.
-    [[nodiscard]] auto known(instant now) const -> evidence_report;
+    /// Returns all that is known from any gateway, what supports a quarantine first, for a gateway that is
+    /// heard for the first time.
+    [[nodiscard]] auto known(instant now) const -> evidence_report { return known_since(max_age, now); }
+    /// Returns the same for another cell: what supports a quarantine, and what isn't older than
+    /// `repeat_time`.
+    [[nodiscard]] auto known_lately(instant now) const -> evidence_report
+    {
+        return known_since(repeat_time, now);
+    }
     /// Increases when the other gateways should learn of a change.
     [[nodiscard]] auto version() const -> std::uint64_t { return version_; }
     /// Increases with each change of the evidence.
@@ -139,6 +145,9 @@
     /// Time from the first event of an answer within which its prompt may still crash the upstream. A prompt
     /// has been read by then, and the first iterations of decoding have used all of its parts.
     static constexpr duration max_onset = 1s;
+    /// Time for which evidence is repeated. Gateways that were out of reach for longer get all of it when
+    /// they are heard again.
+    static constexpr duration repeat_time = 15s;
     /// Maximum number of crashes that are kept.
     static constexpr std::size_t max_crashes = 64;
     /// Maximum number of calls that are kept of a crash.
@@ -165,6 +174,7 @@
         std::uint64_t changed = 0; // version of the change that this gateway reports; 0: none
     };
 
+    [[nodiscard]] auto known_since(duration oldest, instant now) const -> evidence_report;
     [[nodiscard]] auto find_or_add(upstream_run upstream, instant at) -> upstream_crash*;
     void add_call(upstream_crash& crash, const prompt_parts& parts, bool announced);
     void mark_survival(upstream_crash& crash, bool announced);
--- a/src/edge/caller_listener.cpp
+++ b/src/edge/caller_listener.cpp
@@ -24,12 +24,13 @@
 }
 
 caller_listener::caller_listener(asio::io_context& loop, loop_timers& timers, gateway_metrics& metrics,
-                                 connection_handler on_accepted)
+                                 connection_handler on_accepted, connection_gate gate)
     : loop_(loop)
     , timers_(timers)
     , metrics_(metrics)
     , on_accepted_(std::move(on_accepted))
     , acceptor_(loop)
+    , gate_(gate)
 {
 }
 
--- a/src/edge/caller_listener.h
+++ b/src/edge/caller_listener.h
@@ -25,7 +25,7 @@
     using connection_handler = std::function<void(boost::asio::ip::tcp::socket)>;
 
     caller_listener(boost::asio::io_context& loop, loop_timers& timers, gateway_metrics& metrics,
-                    connection_handler on_accepted);
+                    connection_handler on_accepted, connection_gate gate = {});
 
     /// Listens on an address; callers wait in the socket's backlog until `start`.
     [[nodiscard]] auto open(const socket_address& address) -> result<void>;
--- a/src/edge/direct_gateway_gossip.cpp
+++ b/src/edge/direct_gateway_gossip.cpp
@@ -70,7 +70,7 @@
         direct::peer_message answer = digest_header();
         answer.digest.peers =
             other_cells_.introductions(cells_, cells_.cell_of(digest.address), answer.digest.sequence);
-        answer.evidence = dispatcher_.quarantine().evidence().known(now);
+        answer.evidence = dispatcher_.quarantine().evidence().known_lately(now);
         link_.send({"", false, {std::move(answer)}}, {digest.address});
     }
 }
@@ -195,7 +195,7 @@
     if (!addresses.empty()) {
         direct::peer_message message = digest_header();
         message.digest.seeks_peers = true;
-        message.evidence = dispatcher_.quarantine().evidence().known(now);
+        message.evidence = dispatcher_.quarantine().evidence().known_lately(now);
         link_.send({"", false, {std::move(message)}}, addresses);
     }
 }
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -214,7 +214,8 @@
     std::size_t parts_left = max_reported_parts;
     const std::uint64_t after = since.value_or(0);
     for (auto crash = crashes_.rbegin(); crash != crashes_.rend(); ++crash) {
-        if (crash->changed <= after || report.crashes.size() >= max_reported_crashes) {
+        if (crash->changed <= after || now - crash->at > repeat_time ||
+            report.crashes.size() >= max_reported_crashes) {
             continue;
         }
         crash_report item{crash->upstream, age_at(crash->at, now), crash->survived, {}};
@@ -224,14 +225,15 @@
         }
     }
     for (const auto& [part, known] : cleared_) {
-        if (known.changed > after && report.cleared.size() < max_reported_cleared) {
+        if (known.changed > after && now - known.at <= repeat_time &&
+            report.cleared.size() < max_reported_cleared) {
             report.cleared.push_back({part, age_at(known.at, now)});
         }
     }
     return report;
 }
 
-auto crash_evidence::known(instant now) const -> evidence_report
+auto crash_evidence::known_since(duration oldest, instant now) const -> evidence_report
 {
     evidence_report report;
     std::size_t parts_left = max_known_parts;
@@ -239,7 +241,8 @@
         for (auto crash = crashes_.rbegin(); crash != crashes_.rend(); ++crash) {
             crash_report item{crash->upstream, age_at(crash->at, now), crash->survived, {}};
             const auto all = [](const suspect_call& /*call*/) { return true; };
-            if (crash->in_use == in_use && add_calls(*crash, all, parts_left, item)) {
+            const bool wanted = crash->in_use == in_use && (in_use || now - crash->at <= oldest);
+            if (wanted && add_calls(*crash, all, parts_left, item)) {
                 report.crashes.push_back(std::move(item));
             }
         }
@@ -247,7 +250,7 @@
     add(true);
     add(false);
     for (const auto& [part, known] : cleared_) {
-        if (report.cleared.size() < max_known_cleared) {
+        if (now - known.at <= oldest && report.cleared.size() < max_known_cleared) {
             report.cleared.push_back({part, age_at(known.at, now)});
         }
     }
--- a/tests/quarantine/crash_evidence_test.cpp
+++ b/tests/quarantine/crash_evidence_test.cpp
@@ -75,6 +75,21 @@
     cr_assert(contact.version() == version);
 }
 
+// Guards against digests that repeat old evidence for minutes.
+Test(crash_evidence, is_repeated_for_a_short_time_only)
+{
+    part_quarantine quarantine;
+    crash_evidence& evidence = quarantine.evidence();
+    evidence.record_lost_call(10, {bad}, 0s, start);
+    const instant later = start + crash_evidence::repeat_time + 1s;
+    cr_assert(evidence.reports(later).empty() && evidence.known_lately(later).empty());
+    cr_assert(evidence.known(later).crashes.size() == 1, "a gateway that starts gets all of it");
+    evidence.record_lost_call(11, {bad}, 0s, start + 1s);
+    evidence.record_lost_call(12, {bad}, 0s, start + 2s);
+    quarantine.update(start + 3s);
+    cr_assert(evidence.known_lately(later + 5s).crashes.size() == 3, "it supports a quarantine");
+}
+
 // Guards against crashes that count twice, as each gateway sees them at another time.
 Test(crash_evidence, reports_of_one_crash_are_merged)
 {
