--- a/tests/quarantine/quarantine_fleet.h
+++ b/tests/quarantine/quarantine_fleet.h
@@ -248,16 +248,14 @@
             return is_due;
         });
         for (running_call& call : due) {
-            if (upstreams_[call.upstream].run != call.run) {
-                lose(std::move(call)); // ended with its upstream a moment ago
-            }
-            else if (call.crashing != 0) {
+            const bool is_gone = upstreams_[call.upstream].run != call.run;
+            if (!is_gone && call.crashing != 0) {
                 outcome_.parts[call.crashing].crashes.push_back(now_);
                 const std::size_t upstream = call.upstream;
                 running_.push_back(std::move(call));
                 end_upstream(upstream);
             }
-            else if (chance(scenario_.broken_share(static_cast<int>(call.upstream)))) {
+            else if (is_gone || chance(scenario_.broken_share(static_cast<int>(call.upstream)))) {
                 lose(std::move(call));
             }
             else {
