--- a/tests/direct/quarantined_calls_test.cpp
+++ b/tests/direct/quarantined_calls_test.cpp
@@ -27,9 +27,9 @@
             entry.slots = 8;
             fleet.take(std::string("k") + id, entry, start);
         }
-        for (int crashed = 0; crashed < 3; ++crashed) {
-            dispatcher.quarantine().evidence().record_lost_call(static_cast<upstream_run>(10 + crashed),
-                                                                {bad}, 0s, start - 3s + 1s * crashed);
+        for (const upstream_run crashed : {1, 2, 3}) {
+            dispatcher.quarantine().evidence().record_lost_call(crashed, {bad}, 0s,
+                                                                start - 4s + 1s * static_cast<int>(crashed));
         }
         dispatcher.quarantine().set_gateways("g0", {}, false);
     }
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -91,6 +91,15 @@
     send(call, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
+void soak_upstream::crash(taken_connection& call, const std::string& request, const std::string& head)
+{
+    send(call, "HTTP/1.1 200 OK\r\n" + head +
+                   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    server_.crash();
+    leave();
+    on_crash_(request);
+}
+
 void soak_upstream::run(taken_connection& call)
 {
     if (call.received.starts_with("GET /dragonflymill/report ")) {
@@ -128,12 +137,7 @@
     }
     const bool is_stream = service_ == "engines";
     if (call.received.find(crashing_part) != std::string::npos) {
-        // Answers begin and end with the process.
-        send(call, "HTTP/1.1 200 OK\r\n" + head +
-                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-        server_.crash();
-        leave();
-        on_crash_(request);
+        crash(call, request, head);
         return;
     }
     promises_.ran(request, is_stream);
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -89,6 +89,8 @@
 
 private:
     void run(test_support::taken_connection& call);
+    /// Begins an answer and ends, with all of its connections.
+    void crash(test_support::taken_connection& call, const std::string& request, const std::string& head);
     void send_report(test_support::taken_connection& call);
     void stream(const std::shared_ptr<test_support::taken_connection>& call, const std::string& request,
                 int next);
