--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -4,7 +4,7 @@
 #include "dragonflymill/core/units.h"
 #include "dragonflymill/direct/stall_timeout.h"
 #include "edge/dispatch_log.h"
-#include "edge/prompt_parts.h"
+#include "edge/waiting_call_factory.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
 
@@ -25,27 +25,8 @@
 /// Mean backoff after a failed KV cache reservation; the actual one is 50 % to 150 % of it. Without the
 /// spread, two calls that competed for the same engines would collide again.
 constexpr duration reservation_backoff = 100ms;
-/// Share of the client timeout that a caller may wait in the queue after an earlier refusal. It makes no
-/// further attempt; the remaining time is left for its first event.
-constexpr int returning_caller_wait_percent = 50;
 constexpr double us_per_s = 1e6;
 
-/// Parses a token count; 0 if it is missing or malformed, as for callers that state no counts.
-auto count_or_zero(std::string_view text) -> std::int64_t
-{
-    const auto count = parse_count(text);
-    return count ? count.value() : 0;
-}
-
-/// Returns the shorter of the route's time limit and the time that the caller states in milliseconds.
-/// Compares in milliseconds, since a stated time may overflow microseconds.
-auto time_limit(const direct::route_rule& route, std::string_view stated_ms) -> duration
-{
-    const auto stated = parse_count(stated_ms);
-    const bool shorter = stated && stated.value() < route.time_limit / 1ms;
-    return shorter ? duration(std::chrono::milliseconds(stated.value())) : route.time_limit;
-}
-
 auto host_of(std::string_view field) -> std::string
 {
     return to_lower(field.substr(0, field.rfind(':')));
@@ -87,9 +68,11 @@
     if (!find_route()) {
         return;
     }
-    const duration limit = time_limit(*route_, request_.value_of(context_.names.time_left_ms));
+    const duration limit = time_limit(request_, context_.names, *route_);
     start_deadline_timer(limit);
-    fill_queued_call(limit);
+    const duration elapsed = context_.retry_detector.elapsed(route_->name, limit, arrived_);
+    queued_call_ =
+        make_waiting_call(id_, request_, context_.names, {*route_, account_, arrived_, limit, elapsed});
     enqueue();
 }
 
@@ -127,32 +110,6 @@
     });
 }
 
-void exchange::fill_queued_call(duration limit)
-{
-    queued_call_.id = id_;
-    queued_call_.service = route_->service_for(request_id_);
-    const std::string_view counts = request_.value_of(context_.names.token_counts);
-    const auto comma = counts.find(',');
-    queued_call_.prompt_tokens = count_or_zero(counts.substr(0, comma));
-    queued_call_.answer_tokens =
-        comma == std::string_view::npos ? 0 : count_or_zero(counts.substr(comma + 1));
-    queued_call_.prompt_parts =
-        parse_prompt_parts(request_.value_of(context_.names.prompt_parts), queued_call_.service);
-    queued_call_.tbt_target = route_->tbt_target;
-    queued_call_.priority =
-        account_ != nullptr ? account_->priority.value_or(route_->priority) : route_->priority;
-    queued_call_.latency_target_at = arrived_ + route_->latency_target;
-    queued_call_.aim = route_->latency_target;
-    queued_call_.client_timeout_at = arrived_ + std::min(limit, direct::client_timeout_for(*route_));
-    queued_call_.deadline_at = deadline_;
-    const duration elapsed = context_.retry_detector.elapsed(route_->name, limit, arrived_);
-    queued_call_.returning = elapsed > duration::zero();
-    const duration max_queue_wait = elapsed > duration::zero() ? (queued_call_.client_timeout_at - arrived_) *
-                                                                     returning_caller_wait_percent / 100
-                                                               : route_->latency_target * 5 / 4;
-    queued_call_.queue_timeout_at = std::min(deadline_ - direct::min_attempt_time, arrived_ + max_queue_wait);
-}
-
 auto exchange::authenticate() -> bool
 {
     std::string_view key = request_.value_of(context_.names.account_key);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -83,7 +83,6 @@
     auto find_route() -> bool;
     [[nodiscard]] auto authenticate() -> bool;
     void start_deadline_timer(duration limit);
-    void fill_queued_call(duration limit);
     void enqueue();
     void reserve_kv_cache();
     [[nodiscard]] auto order_response_recorder() const -> memory_reservation::response_observer;
