Log what a request and its caller's repetitions have in common

A caller repeats a request with a new id, so that no line showed that a call of a plain service is the same as another one.

--- a/src/edge/dispatch_log.cpp
+++ b/src/edge/dispatch_log.cpp
@@ -30,7 +30,8 @@
                     instant now)
 {
     const direct::dispatch_choice& choice = assignment.choice;
-    log_event(event::call_dispatched, field("request", details.request), field("attempt", details.attempt),
+    log_event(event::call_dispatched, field("request", details.request),
+              field("fingerprint", details.fingerprint), field("attempt", details.attempt),
               field("upstream", assignment.upstream.id), field("helpers", prefill_engine_ids(assignment)),
               field("reason", choice.reason), field("waited_us", details.waited),
               field("waited_for", direct::to_string(assignment.waited_for)),
--- a/src/edge/dispatch_log.h
+++ b/src/edge/dispatch_log.h
@@ -13,6 +13,7 @@
 struct dispatch_details
 {
     std::string request;              ///< Id of the request.
+    std::uint64_t fingerprint = 0;    ///< The same for all repetitions of the request by its caller.
     std::uint64_t attempt = 0;        ///< Number of this dispatch, from 1.
     duration waited{};                ///< Time since the request's arrival.
     duration time_to_target{};        ///< Left until the latency target is missed; negative afterwards.
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -142,7 +142,7 @@
     relay_.begin_attempt();
     attempt_events_ = 0;
     log_dispatched(assignment,
-                   {request_id_, queued_call_.attempts.count(), now - arrived_,
+                   {request_id_, queued_call_.fingerprint, queued_call_.attempts.count(), now - arrived_,
                     queued_call_.latency_target_at - now, queued_call_.prompt_tokens,
                     queued_call_.answer_tokens, context_.peers.view_age(now), config_->version(),
                     context_.records.revision(), request_.value_of(context_.names.prompt_parts)},
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -79,9 +79,9 @@
                                  const std::string& why, next_step next) const
 {
     log_event(event::call_attempt_ended, field("request", request_id_),
-              field("attempt", queued_call_.attempts.count()), field("upstream", upstream.id),
-              field("run", direct::run_of(upstream)), field("events", attempt_events_),
-              field("end", direct::to_string(end)), field("why", why),
+              field("fingerprint", queued_call_.fingerprint), field("attempt", queued_call_.attempts.count()),
+              field("upstream", upstream.id), field("run", direct::run_of(upstream)),
+              field("events", attempt_events_), field("end", direct::to_string(end)), field("why", why),
               field("after_us", runtime::now() - sent_at_), field("ran", may_have_run() ? "unknown" : "no"),
               field("next", direct::to_string(next)));
 }
@@ -161,7 +161,8 @@
 void exchange::refuse(unsigned status, const refusal& refused, const std::string& why)
 {
     (refused.ran == ran_state::no ? context_.metrics.refused : context_.metrics.failed).add();
-    log_event(event::call_refused, field("request", request_id_), field("status", status),
+    log_event(event::call_refused, field("request", request_id_),
+              field("fingerprint", queued_call_.fingerprint), field("status", status),
               field("code", to_string(refused.code)), field("ran", to_string(refused.ran)), field("why", why),
               field("retry_after_us", refused.retry_after), field("attempts", queued_call_.attempts.count()),
               field("total_us", runtime::now() - arrived_),
@@ -187,7 +188,8 @@
 {
     const instant now = runtime::now();
     context_.metrics.response_time.record(static_cast<double>((now - arrived_).count()) / us_per_s);
-    log_event(event::call_answered, field("request", request_id_), field("status", status),
+    log_event(event::call_answered, field("request", request_id_),
+              field("fingerprint", queued_call_.fingerprint), field("status", status),
               field("attempts", queued_call_.attempts.count()), field("events", events_),
               field("first_us", first_event_at_.value_or(now) - arrived_),
               field("longest_pause_us", max_event_gap_), field("total_us", now - arrived_));
