Send a request to no fourth upstream after three have ended under it, whoever repeats it

Callers saw: a request under which upstreams end took two of them for each repetition by its caller, at whichever gateway, a plain one without any limit; sound calls that shared its first part were refused with it for two seconds.

Cause: what gateways decide by is bound to the id of one client attempt. Calls of plain services had nothing that stays the same over repetitions, and calls to engines only their parts, of which ends within 0.1 s counted once, late and silent ends not at all, and the own part was dropped from what three crashes have in common.

Change: the fingerprint of a request is one more own part of its call, so that evidence, digests and clearing answers hold for it. Ends under an own part are counted in turn: each upstream once, calls in flight at the same time once, none before the last answer. From the third on the request is refused, for 30 s to 10 min. If all suspect calls are repetitions of one request, the parts that it shares with others aren't blamed. Late ends, silence, and prefill engines that are known to have crashed meanwhile count against the request only or as a closed connection. Asked where quarantined parts are: by the dispatcher for each attempt, before the first byte, and by gateways with sidecars.

The check of senseless reports allows one more part in a call, its request; 'suspect calls' in two tests of digests have a time in flight.

--- a/include/dragonflymill/quarantine/crash_evidence.h
+++ b/include/dragonflymill/quarantine/crash_evidence.h
@@ -12,11 +12,11 @@
 
 namespace dragonflymill {
 
-/// Identifies a part of a prompt within a service; made by `make_prompt_part`.
+/// Identifies a part of a prompt within a service, or a request; made by `make_prompt_part`.
 using prompt_part = std::uint64_t;
 
-/// Returns the part with a hash. `own` is set for the last part of a prompt, which only this call or its
-/// session has.
+/// Returns the part with a hash. `own` is set for what only this call or its session has: the last part of a
+/// prompt, and the request as a whole.
 [[nodiscard]] constexpr auto make_prompt_part(std::uint64_t hash, bool own) -> prompt_part
 {
     return own ? hash | 1U : hash & ~std::uint64_t{1};
@@ -27,16 +27,49 @@
     return (part & 1U) != 0;
 }
 
-/// Parts of the prompt of one call, sorted and without repetitions.
+/// Parts of the prompt of one call, and its request as a whole, sorted and without repetitions.
 using prompt_parts = std::vector<prompt_part>;
 
+/// Returns those that only the call or its session has.
+[[nodiscard]] auto own_parts(const prompt_parts& parts) -> prompt_parts;
+/// Returns the parts with the request as a whole, which has this hash.
+[[nodiscard]] auto with_request(prompt_parts parts, std::uint64_t request_hash) -> prompt_parts;
+
+/// How an upstream ended a call without a complete answer.
+enum class call_loss
+{
+    closed,  ///< It closed the connection.
+    silence, ///< It was silent for too long, or sent bytes that can't be used.
+};
+
+/// A call that ended without a complete answer.
+struct lost_call
+{
+    upstream_run upstream = 0;          ///< Run that it was sent to.
+    prompt_parts parts;                 ///< Its parts.
+    duration writing_for{};             ///< Time since the first event of its answer; zero before it.
+    duration in_flight{};               ///< Time since it was sent.
+    call_loss loss = call_loss::closed; ///< How it ended.
+
+    friend auto operator==(const lost_call&, const lost_call&) -> bool = default;
+};
+
+/// A call that an upstream ended under, as gateways report it.
+struct reported_call
+{
+    prompt_parts parts;   ///< Its parts.
+    duration in_flight{}; ///< From sending to the end.
+
+    friend auto operator==(const reported_call&, const reported_call&) -> bool = default;
+};
+
 /// What a gateway reports of the crash of an upstream to the other gateways.
 struct crash_report
 {
-    upstream_run upstream = 0;       ///< Run that ended.
-    duration age{};                  ///< Time since its connections broke.
-    bool survived = false;           ///< It has answered since, so that it hasn't crashed.
-    std::vector<prompt_parts> calls; ///< Calls of the gateway that it ended under.
+    upstream_run upstream = 0;        ///< Run that ended.
+    duration age{};                   ///< Time since its connections broke.
+    bool survived = false;            ///< It has answered since, so that it hasn't crashed.
+    std::vector<reported_call> calls; ///< Calls of the gateway that it ended under.
 
     friend auto operator==(const crash_report&, const crash_report&) -> bool = default;
 };
@@ -72,7 +105,8 @@
 /// A call that an upstream ended under.
 struct suspect_call
 {
-    prompt_parts parts;     ///< Parts of its prompt.
+    prompt_parts parts;     ///< Its parts.
+    duration in_flight{};   ///< From sending to the end.
     bool announced = false; ///< Whether this gateway reports it.
 
     friend auto operator==(const suspect_call&, const suspect_call&) -> bool = default;
@@ -100,10 +134,15 @@
 class crash_evidence
 {
 public:
-    /// Records that an upstream closed the connection of a call before its answer was complete. The call is
-    /// suspect unless the upstream had been writing its answer for longer than `max_onset`.
-    void record_lost_call(upstream_run upstream, const prompt_parts& parts, duration writing_for,
-                          instant now);
+    /// Records that a call ended without a complete answer. All of its parts are suspect if the upstream
+    /// closed the connection before it had been writing the answer for longer than `max_onset`. Otherwise
+    /// only those that no other call has: a lost host or a cut link looks the same, but not at one upstream
+    /// after the other. None is suspect once the answer had been written for longer than `max_request_onset`.
+    void record_lost_call(const lost_call& call, instant now);
+    /// Records that an engine which was to prefill a part of a call's prompt, or held memory for it, is gone.
+    /// The call is suspect if the engine is known to have crashed since the call was sent at `sent_at`:
+    /// others were lost before, or reject for reasons of their own.
+    void record_lost_prefill(upstream_run engine, const prompt_parts& parts, instant sent_at);
     /// Records that a call was answered completely.
     void record_answer(const prompt_parts& parts, instant now);
     /// Records that an upstream sent any byte of a valid response.
@@ -133,6 +172,8 @@
 
     /// Returns whether a call with the part was answered completely after `crashed_at`.
     [[nodiscard]] auto cleared(prompt_part part, instant crashed_at) const -> bool;
+    /// Returns whether the part is in a call that an upstream ended under.
+    [[nodiscard]] auto is_suspect(prompt_part part) const -> bool { return last_crash_of_.contains(part); }
     /// Returns whether the part was cleared of any known crash.
     [[nodiscard]] auto was_cleared(prompt_part part) const -> bool { return cleared_.contains(part); }
     /// Known crashes, oldest first.
@@ -145,6 +186,8 @@
     /// Time from the first event of an answer within which its prompt may still crash the upstream. A prompt
     /// has been read by then, and the first iterations of decoding have used all of its parts.
     static constexpr duration max_onset = 1s;
+    /// The same for the request as a whole. Long streams outlive several upstreams in a day of restarts.
+    static constexpr duration max_request_onset = 5s;
     /// Time for which evidence is repeated. Gateways that were out of reach for longer get all of it when
     /// they are heard again.
     static constexpr duration repeat_time = 15s;
@@ -154,6 +197,8 @@
     static constexpr std::size_t max_calls = 32;
     /// Parts of a prompt that are considered; further ones are ignored.
     static constexpr std::size_t max_parts = 16;
+    /// Maximum number of parts of a call: those of its prompt and its request.
+    static constexpr std::size_t max_call_parts = max_parts + 1;
     /// Connections that break within this time of each other broke in the same crash.
     static constexpr duration same_crash_window = 1500ms;
     /// An answer that arrives this long after the crash was not on its way before; a restart takes longer
@@ -161,7 +206,7 @@
     static constexpr duration survival_begin = 250ms;
     static constexpr duration survival_end = 1s; ///< End of the time in which an answer shows survival.
     /// Maximum numbers in a digest to the own cell: parts, crashes and cleared parts.
-    static constexpr std::size_t max_reported_parts = 64;
+    static constexpr std::size_t max_reported_parts = 96;
     static constexpr std::size_t max_reported_crashes = 16; ///< See `max_reported_parts`.
     static constexpr std::size_t max_reported_cleared = 24; ///< See `max_reported_parts`.
     static constexpr std::size_t max_known_parts = 512;     ///< The same for `known`.
@@ -176,7 +221,7 @@
 
     [[nodiscard]] auto known_since(duration oldest, instant now) const -> evidence_report;
     [[nodiscard]] auto find_or_add(upstream_run upstream, instant at) -> upstream_crash*;
-    void add_call(upstream_crash& crash, const prompt_parts& parts, bool announced);
+    void add_call(upstream_crash& crash, const reported_call& call, bool announced);
     void mark_survival(upstream_crash& crash, bool announced);
     void note_sign_of_life(upstream_crash& crash);
     void apply_crash(const crash_report& report, bool announced, instant now);
--- a/include/dragonflymill/quarantine/part_quarantine.h
+++ b/include/dragonflymill/quarantine/part_quarantine.h
@@ -28,14 +28,17 @@
 /// Whether a call may be sent.
 struct quarantine_verdict
 {
-    bool allowed = true;    ///< Whether it may be sent.
-    bool is_trial = false;  ///< It may, as the trial of a quarantine.
-    duration retry_after{}; ///< Otherwise: time until the evidence is too old.
+    bool allowed = true;   ///< Whether it may be sent.
+    bool is_trial = false; ///< It may, as the trial of a quarantine.
+    duration
+        retry_after{}; ///< Otherwise: time until the evidence is too old, or the request may be sent again.
+    bool is_request = false; ///< Otherwise: refused for the request as a whole, not for parts of its prompt.
 
     friend auto operator==(const quarantine_verdict&, const quarantine_verdict&) -> bool = default;
 };
 
-/// Decides which parts of prompts are quarantined, since upstreams crash under calls that contain them.
+/// Decides which requests and which parts of prompts are quarantined, since upstreams crash under calls that
+/// contain them.
 ///
 /// Each crash has many suspects, as an upstream takes all of its calls with it, and most are sound. A part is
 /// blamed if it was in suspect calls of several crashes at distinct times and no call that contains it was
@@ -43,6 +46,9 @@
 /// told apart, as they were in the same suspect calls, are quarantined together only: a call that contains
 /// one of them is sent, and its outcome tells them apart.
 ///
+/// A request under which several upstreams have ended, one after the other, is quarantined itself, whatever
+/// its prompt has in common with others; see `count_consecutive_ends`.
+///
 /// A quarantine ends with a complete answer to a call that contains its parts, or with the age of its
 /// evidence. So that an answer is possible, single calls are sent as trials, at growing intervals, by one
 /// gateway of the fleet.
@@ -123,6 +129,7 @@
         -> quarantine;
     void keep_crashes(const std::vector<open_crash>& explained);
     [[nodiscard]] auto find(const prompt_parts& parts) const -> const quarantine*;
+    [[nodiscard]] auto blocked_until(const prompt_parts& parts, instant now) const -> instant;
     [[nodiscard]] auto makes_trials(const quarantine& found) const -> bool;
 
     crash_evidence evidence_;
--- a/include/dragonflymill/serve/completion_dispatcher.h
+++ b/include/dragonflymill/serve/completion_dispatcher.h
@@ -90,9 +90,9 @@
         attempt_number attempt; // number of the running attempt
         std::uint64_t attempts = 0;
         bool first_token_seen = false;
-        instant first_token_at{};  // of the running attempt
-        bool prompt_sent = false;  // for the running attempt
-        bool may_have_run = false; // for the attempts before it
+        instant first_token_at{};                // of the running attempt
+        std::optional<instant> prompt_sent_at{}; // for the running attempt
+        bool may_have_run = false;               // for the attempts before it
         bool paused = false;
         bool was_paused = false;
         timer_id limit_timer;
--- a/src/direct/call_dispatcher_refusals.cpp
+++ b/src/direct/call_dispatcher_refusals.cpp
@@ -24,7 +24,9 @@
     std::erase_if(waiting_, [&](const waiting_call& call) {
         const quarantine_verdict verdict = quarantine_.check(call.prompt_parts, now);
         if (!verdict.allowed) {
-            round.refusals.push_back({call.id, verdict.retry_after, "a part of the prompt is quarantined",
+            round.refusals.push_back({call.id, verdict.retry_after,
+                                      verdict.is_request ? "upstreams ended under the request"
+                                                         : "a part of the prompt is quarantined",
                                       refusal_code::quarantined});
             capacity_since_.erase(call.id);
         }
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -204,6 +204,8 @@
         const direct::upstream_entry& engine = assigned.upstream;
         if (std::find(unreachable.begin(), unreachable.end(), engine.address) != unreachable.end()) {
             context_.dispatcher.health().record_end(engine.id, attempt_end::not_sent, now);
+            context_.dispatcher.quarantine().evidence().record_lost_prefill(
+                direct::run_of(engine), queued_call_.prompt_parts, sent_at_);
             queued_call_.attempts.ended(attempt_end::not_sent, {engine.id, engine.failure_domain}, now);
         }
     }
@@ -237,7 +239,7 @@
 void exchange::withhold()
 {
     const std::string why = became_quarantined(runtime::now())
-                                ? "a part of the prompt was quarantined"
+                                ? "the request or a part of its prompt was quarantined"
                                 : "an upstream began to drain or asked for a pause";
     context_.metrics.withheld_calls.add();
     queued_call_.not_before = runtime::now();
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -1,4 +1,5 @@
 #include "dragonflymill/core/refusal.h"
+#include "dragonflymill/direct/stall_timeout.h"
 #include "edge/dispatch_log.h"
 #include "edge/exchange.h"
 #include "http/error_body.h"
@@ -55,11 +56,7 @@
     const direct::upstream_entry& failed_upstream =
         prefill_engine == nullptr ? assignment_->upstream : prefill_engine->upstream;
     context_.dispatcher.health().record_end(failed_upstream.id, end, now);
-    if (end == attempt_end::disconnected && accepts_work(upstream)) {
-        context_.dispatcher.quarantine().evidence().record_lost_call(
-            direct::run_of(upstream), queued_call_.prompt_parts,
-            attempt_events_ == 0 ? duration::zero() : now - attempt_first_event_at_, now);
-    }
+    record_evidence(end, prefill_engine, now);
     queued_call_.attempts.ended(end, {failed_upstream.id, failed_upstream.failure_domain}, now);
     release_upstream();
     const next_step step = direct::decide_next_step(end, progress(now));
@@ -68,6 +65,29 @@
     apply_next_step(step, why);
 }
 
+void exchange::record_evidence(attempt_end end, const direct::prefill_engine* prefill_engine, instant now)
+{
+    crash_evidence& evidence = context_.dispatcher.quarantine().evidence();
+    if (prefill_engine != nullptr) {
+        evidence.record_lost_prefill(direct::run_of(prefill_engine->upstream), queued_call_.prompt_parts,
+                                     sent_at_);
+        return;
+    }
+    const bool closed = end == attempt_end::disconnected;
+    if ((closed || end == attempt_end::broken) && accepts_work(assignment_->upstream)) {
+        evidence.record_lost_call({direct::run_of(assignment_->upstream), queued_call_.prompt_parts,
+                                   attempt_events_ == 0 ? duration::zero() : now - attempt_first_event_at_,
+                                   now - sent_at_, closed ? call_loss::closed : call_loss::silence},
+                                  now);
+    }
+}
+
+auto exchange::upstream_is_silent(instant now) const -> bool
+{
+    const auto load = context_.dispatcher.loads().load_of(assignment_->upstream.id, now);
+    return now - last_byte_at_ >= stall_timeout_for() && !direct::is_busy_prefilling(load.pending_prefill);
+}
+
 auto exchange::accepts_work(const direct::upstream_entry& upstream) const -> bool
 {
     const auto known = context_.fleet.upstreams().find(upstream.id);
@@ -129,7 +149,7 @@
     const bool quarantined = refusal.code == refusal_code::quarantined;
     refuse(503,
            {refusal.code, ran_state::no, refusal.retry_after,
-            quarantined ? "send a prompt without the part under which upstreams crash" : "come back"},
+            quarantined ? "send a request without what upstreams crash under" : "come back"},
            refusal.reason);
 }
 
@@ -145,6 +165,9 @@
         return;
     }
     const bool sent = call_ && call_->any_sent();
+    if (sent && upstream_is_silent(runtime::now())) {
+        record_evidence(attempt_end::broken, nullptr, runtime::now());
+    }
     release_upstream();
     if (sent || may_have_run()) {
         refuse(504, {refusal_code::deadline, ran_state::unknown, 0s, "check whether it was done"}, why);
--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -25,9 +25,10 @@
         entry.set_upstream(crash.upstream);
         entry.set_age_ms(static_cast<std::uint32_t>(std::max(crash.age, duration::zero()) / 1ms));
         entry.set_survived(crash.survived);
-        for (const prompt_parts& parts : crash.calls) {
+        for (const reported_call& reported : crash.calls) {
             wire::SuspectCall& call = *entry.add_calls();
-            call.mutable_parts()->Assign(parts.begin(), parts.end());
+            call.mutable_parts()->Assign(reported.parts.begin(), reported.parts.end());
+            call.set_in_flight_ms(static_cast<std::uint32_t>(reported.in_flight / 1ms));
         }
     }
     for (const cleared_part_report& cleared : evidence.cleared) {
@@ -100,7 +101,7 @@
         for (const wire::SuspectCall& call : entry.calls()) {
             prompt_parts parts(call.parts().begin(), call.parts().end());
             std::sort(parts.begin(), parts.end());
-            crash.calls.push_back(std::move(parts));
+            crash.calls.push_back({std::move(parts), std::chrono::milliseconds(call.in_flight_ms())});
         }
     }
     for (const wire::ClearedPart& entry : encoded.cleared_parts()) {
--- a/src/edge/waiting_call_factory.cpp
+++ b/src/edge/waiting_call_factory.cpp
@@ -46,9 +46,10 @@
     const auto comma = counts.find(',');
     call.prompt_tokens = count_or_zero(counts.substr(0, comma));
     call.answer_tokens = comma == std::string_view::npos ? 0 : count_or_zero(counts.substr(comma + 1));
-    call.prompt_parts = parse_prompt_parts(request.value_of(names.prompt_parts), call.service);
     call.fingerprint =
         request_fingerprint(request, context.account == nullptr ? "" : context.account->name, names);
+    call.prompt_parts = with_request(parse_prompt_parts(request.value_of(names.prompt_parts), call.service),
+                                     call.fingerprint);
     call.tbt_target = route.tbt_target;
     call.priority =
         context.account != nullptr ? context.account->priority.value_or(route.priority) : route.priority;
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymill/quarantine/crash_evidence.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -26,21 +27,49 @@
             break;
         }
         parts_left -= call.parts.size();
-        report.calls.push_back(call.parts);
+        report.calls.push_back({call.parts, call.in_flight});
     }
     return !report.calls.empty();
 }
 
 } // namespace
 
-void crash_evidence::record_lost_call(upstream_run upstream, const prompt_parts& parts, duration writing_for,
-                                      instant now)
+auto own_parts(const prompt_parts& parts) -> prompt_parts
 {
-    if (parts.empty() || writing_for > max_onset) {
+    prompt_parts own;
+    std::copy_if(parts.begin(), parts.end(), std::back_inserter(own), is_own_part);
+    return own;
+}
+
+auto with_request(prompt_parts parts, std::uint64_t request_hash) -> prompt_parts
+{
+    const prompt_part request = make_prompt_part(request_hash, true);
+    const auto place = std::lower_bound(parts.begin(), parts.end(), request);
+    if (place == parts.end() || *place != request) {
+        parts.insert(place, request);
+    }
+    return parts;
+}
+
+void crash_evidence::record_lost_call(const lost_call& call, instant now)
+{
+    const bool all_suspect = call.loss == call_loss::closed && call.writing_for <= max_onset;
+    prompt_parts suspect = all_suspect ? call.parts : own_parts(call.parts);
+    if (suspect.empty() || call.writing_for > max_request_onset) {
         return;
     }
-    if (upstream_crash* crash = find_or_add(upstream, now)) {
-        add_call(*crash, parts, true);
+    if (upstream_crash* crash = find_or_add(call.upstream, now)) {
+        add_call(*crash, {std::move(suspect), call.in_flight}, true);
+    }
+}
+
+void crash_evidence::record_lost_prefill(upstream_run engine, const prompt_parts& parts, instant sent_at)
+{
+    for (upstream_crash& crash : crashes_) {
+        if (crash.upstream == engine && crash.at >= sent_at && !parts.empty()) {
+            add_call(crash, {parts, crash.at - sent_at}, true);
+            return;
+        }
     }
 }
 
@@ -107,17 +136,17 @@
     return &*crashes_.insert(later, {upstream, at, false, false, 0, {}});
 }
 
-void crash_evidence::add_call(upstream_crash& crash, const prompt_parts& parts, bool announced)
+void crash_evidence::add_call(upstream_crash& crash, const reported_call& reported, bool announced)
 {
     const auto known = std::find_if(crash.calls.begin(), crash.calls.end(),
-                                    [&](const suspect_call& call) { return call.parts == parts; });
+                                    [&](const suspect_call& call) { return call.parts == reported.parts; });
     if (known == crash.calls.end()) {
         if (crash.calls.size() >= max_calls) {
             return;
         }
-        crash.calls.push_back({parts, announced});
+        crash.calls.push_back({reported.parts, reported.in_flight, announced});
         ++changes_;
-        for (const prompt_part part : parts) {
+        for (const prompt_part part : reported.parts) {
             instant& last = last_crash_of_[part];
             last = std::max(last, crash.at);
         }
@@ -173,11 +202,12 @@
     if (report.survived) {
         mark_survival(*crash, announced);
     }
-    for (const prompt_parts& parts : report.calls) {
-        const bool is_known = std::any_of(crash->calls.begin(), crash->calls.end(),
-                                          [&](const suspect_call& call) { return call.parts == parts; });
-        if (!is_known && !parts.empty() && parts.size() <= max_parts) {
-            add_call(*crash, parts, announced);
+    for (const reported_call& reported : report.calls) {
+        const bool is_known =
+            std::any_of(crash->calls.begin(), crash->calls.end(),
+                        [&](const suspect_call& call) { return call.parts == reported.parts; });
+        if (!is_known && !reported.parts.empty() && reported.parts.size() <= max_call_parts) {
+            add_call(*crash, reported, announced);
         }
     }
 }
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymill/quarantine/part_quarantine.h"
 
 #include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/quarantine/repeated_request.h"
 
 #include <algorithm>
 #include <array>
@@ -100,11 +101,6 @@
             undecided.insert(suspect->equals.begin(), suspect->equals.end());
             continue;
         }
-        // Calls that only differ in their own parts are blocked together: a caller's next call would end
-        // another upstream otherwise.
-        if (!std::all_of(parts.begin(), parts.end(), is_own_part)) {
-            std::erase_if(parts, is_own_part);
-        }
         const auto explains = [&](const open_crash& item) {
             return std::any_of(item.crash->calls.begin(), item.crash->calls.end(),
                                [&](const suspect_call& call) { return contains_all(call.parts, parts); });
@@ -113,7 +109,10 @@
                                                      [&](const auto& item) { return !explains(item); });
         keep_crashes({explained, open.end()});
         open.erase(explained, open.end());
-        quarantines_.push_back(make_quarantine(std::move(parts), suspect->crashed_at));
+        // With an own part in common all of them are repetitions of one request, which is blocked itself.
+        if (std::none_of(parts.begin(), parts.end(), is_own_part)) {
+            quarantines_.push_back(make_quarantine(std::move(parts), suspect->crashed_at));
+        }
     }
 }
 
@@ -234,17 +233,34 @@
            });
 }
 
+auto part_quarantine::blocked_until(const prompt_parts& parts, instant now) const -> instant
+{
+    instant until = now;
+    for (const prompt_part part : parts) {
+        if (is_own_part(part) && evidence_.is_suspect(part)) {
+            const auto blocked =
+                request_blocked_until(count_consecutive_ends(evidence_, part, now), part, self_);
+            until = std::max(until, blocked.value_or(now));
+        }
+    }
+    return until;
+}
+
 auto part_quarantine::check(const prompt_parts& parts, instant now) const -> quarantine_verdict
 {
+    const instant until = blocked_until(parts, now);
+    if (until > now) {
+        return {false, false, until - now, true};
+    }
     const quarantine* found = parts.empty() ? nullptr : find(parts);
     if (found == nullptr || now >= found->ends_at) {
         return {};
     }
     const bool just_tried = trials_.contains(hash_of(found->parts));
     if (now >= found->trial_at && !just_tried && makes_trials(*found)) {
-        return {true, true, duration::zero()};
+        return {true, true, duration::zero(), false};
     }
-    return {false, false, found->ends_at - now};
+    return {false, false, found->ends_at - now, false};
 }
 
 void part_quarantine::trial_sent(const prompt_parts& parts, instant now)
--- /dev/null
+++ b/src/quarantine/repeated_request.cpp
@@ -0,0 +1,74 @@
+#include "dragonflymill/quarantine/repeated_request.h"
+
+#include "dragonflymill/core/stable_hash.h"
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace dragonflymill {
+
+namespace {
+
+/// Times in reports are rounded to milliseconds.
+constexpr duration report_tolerance = 3ms;
+
+/// A call with the own part and the end of its upstream.
+struct ended_call
+{
+    instant sent_at{};
+    instant ended_at{};
+    upstream_run upstream = 0;
+};
+
+auto ended_calls(const crash_evidence& evidence, prompt_part own, instant now) -> std::vector<ended_call>
+{
+    std::vector<ended_call> ended;
+    for (const upstream_crash& crash : evidence.crashes()) {
+        if (crash.survived || now - crash.at > crash_evidence::max_age || evidence.cleared(own, crash.at)) {
+            continue;
+        }
+        for (const suspect_call& call : crash.calls) {
+            if (std::binary_search(call.parts.begin(), call.parts.end(), own)) {
+                ended.push_back({crash.at - call.in_flight, crash.at, crash.upstream});
+            }
+        }
+    }
+    std::sort(ended.begin(), ended.end(),
+              [](const ended_call& a, const ended_call& b) { return a.ended_at < b.ended_at; });
+    return ended;
+}
+
+} // namespace
+
+auto count_consecutive_ends(const crash_evidence& evidence, prompt_part own, instant now) -> consecutive_ends
+{
+    consecutive_ends ends;
+    if (!evidence.is_suspect(own)) {
+        return ends;
+    }
+    std::set<upstream_run> upstreams;
+    for (const ended_call& call : ended_calls(evidence, own, now)) {
+        const bool overlaps = ends.count > 0 && call.sent_at + report_tolerance < ends.last;
+        if (!overlaps && upstreams.insert(call.upstream).second) {
+            ++ends.count;
+            ends.last = call.ended_at;
+        }
+    }
+    return ends;
+}
+
+auto request_blocked_until(const consecutive_ends& ends, prompt_part own, std::string_view gateway)
+    -> std::optional<instant>
+{
+    if (ends.count < max_ends) {
+        return std::nullopt;
+    }
+    const duration block = ends.count == max_ends       ? first_block_time
+                           : ends.count == max_ends + 1 ? second_block_time
+                                                        : later_block_time;
+    const auto spread_us = static_cast<std::uint64_t>(release_spread.count());
+    return ends.last + block + duration(static_cast<duration::rep>(stable_hash(gateway, own) % spread_us));
+}
+
+} // namespace dragonflymill
--- a/src/serve/completion_dispatcher.cpp
+++ b/src/serve/completion_dispatcher.cpp
@@ -80,7 +80,7 @@
         // Guards against tokens of the cancelled attempt that mix with those of the next one, so that the
         // caller receives words twice. The joiner drops tokens of older attempts.
         item.joiner.switch_attempt();
-        item.may_have_run = item.may_have_run || item.prompt_sent;
+        item.may_have_run = item.may_have_run || item.prompt_sent_at.has_value();
         --item.attempts;
         end_attempt(now, item);
     }
@@ -119,7 +119,7 @@
     const auto made = requests_.emplace(
         input.exchange, request{input, limit, stream_joiner(input.request, attempt_number(1)), routing,
                                 prefix_parts(input.blocks), upstream_id{}, attempt_number(1), 0, false,
-                                instant{}, false, false, false, false, limit_timer.value()});
+                                instant{}, std::nullopt, false, false, false, limit_timer.value()});
     DRAGONFLYMILL_ASSERT(made.second, "exchange numbers are unique");
     return made.first;
 }
@@ -164,7 +164,7 @@
     if (!verdict.allowed) {
         refuse_finally(now, entry,
                        {refusal_code::quarantined, ran_state::no, verdict.retry_after,
-                        "send a prompt without the part under which upstreams crash"},
+                        "send a request without what upstreams crash under"},
                        actions);
     }
     return !verdict.allowed;
@@ -172,10 +172,12 @@
 
 void completion_dispatcher::record_lost_attempt(instant now, const request& item, const refusal& why)
 {
-    if (why.code == refusal_code::upstream_gone && why.ran == ran_state::unknown && item.prompt_sent) {
+    if (why.code == refusal_code::upstream_gone && why.ran == ran_state::unknown && item.prompt_sent_at) {
         quarantine_.evidence().record_lost_call(
-            stable_hash(item.upstream.text()), item.parts,
-            item.first_token_seen ? now - item.first_token_at : duration::zero(), now);
+            {stable_hash(item.upstream.text()), item.parts,
+             item.first_token_seen ? now - item.first_token_at : duration::zero(), now - *item.prompt_sent_at,
+             call_loss::closed},
+            now);
     }
 }
 
@@ -193,7 +195,7 @@
     }
     item.upstream = choice.upstream;
     item.first_token_seen = false;
-    item.prompt_sent = false;
+    item.prompt_sent_at.reset();
     attempt_spec spec{
         item.asked.request,       item.attempt,          self_,          item.asked.account,
         item.asked.model,         item.asked.adapter,    choice.size,    item.asked.request_priority,
@@ -253,7 +255,7 @@
         actions.push_back(gateway_output::cancel_attempt{key});
         return;
     }
-    entry->second.prompt_sent = true;
+    entry->second.prompt_sent_at = now;
     actions.push_back(gateway_output::send_prompt{key});
 }
 
--- a/tests/direct/digest_reports_test.cpp
+++ b/tests/direct/digest_reports_test.cpp
@@ -55,11 +55,11 @@
     auto sender = gateway();
     digest_state before;
     set_versions(before, sender);
-    sender.quarantine().evidence().record_lost_call(1, {4, 6}, 0s, start);
+    sender.quarantine().evidence().record_lost_call({1, {4, 6}, 0ms, 20ms}, start);
     digest_state after;
     set_versions(after, sender);
     cr_assert(after != before, "a digest is due");
-    const evidence_report expected{{{1, 1s, false, {{4, 6}}}}, {}};
+    const evidence_report expected{{{1, 1s, false, {{{4, 6}, 20ms}}}}, {}};
     peer_message change;
     add_reports(change, sender, {false, 0, 0, 0, before.evidence_changes}, start + 1s);
     cr_assert(change.evidence == expected);
--- a/tests/direct/quarantined_calls_test.cpp
+++ b/tests/direct/quarantined_calls_test.cpp
@@ -28,7 +28,7 @@
             fleet.take(std::string("k") + id, entry, start);
         }
         for (const upstream_run crashed : {1, 2, 3}) {
-            dispatcher.quarantine().evidence().record_lost_call(crashed, {bad}, 0s,
+            dispatcher.quarantine().evidence().record_lost_call({crashed, {bad}},
                                                                 start - 4s + 1s * static_cast<int>(crashed));
         }
         dispatcher.quarantine().set_gateways("g0", {}, false);
--- a/tests/edge/caller_request_test.cpp
+++ b/tests/edge/caller_request_test.cpp
@@ -58,7 +58,7 @@
     message.report = {"g#1", 7, false, {{99, direct::upstream_load{1, 2, 1, 3, 4000, 5ms, 1, 200ms}}}};
     message.rate_limits = {{5, 0.25, 3s, true, 12}, {6, std::nullopt, 1s, false, 0}};
     message.slowdowns = {{7, 4.25, 250ms}, {8, 1.0, 9s}};
-    message.evidence = {{{9, 3s, false, {{1, 2}, {3}}}, {10, 0s, true, {}}}, {{2, 40ms}}};
+    message.evidence = {{{9, 3s, false, {{{1, 2}, 250ms}, {{3}, 0s}}}, {10, 0s, true, {}}}, {{2, 40ms}}};
     const direct::peer_datagram datagram{"10.0.0.2:7340", true, {message}};
     cr_assert(decode_datagram(encode_datagram(datagram)) == datagram);
     cr_assert(!decode_datagram("garbage"));
@@ -99,10 +99,11 @@
 {
     direct::peer_message message;
     message.digest.gateway = "g#1";
-    message.evidence = {{{9, 3s, false, {{7, 2}}}}, {{2, 40ms}}};
+    message.evidence = {{{9, 3s, false, {{{7, 2}, 250ms}}}}, {{2, 40ms}}};
     const std::string bytes = encode_datagram({"", false, {message}});
     const auto decoded = decode_datagram(bytes);
-    cr_assert(decoded && decoded->messages.front().evidence.crashes[0].calls[0] == (prompt_parts{2, 7}));
+    cr_assert(decoded &&
+              decoded->messages.front().evidence.crashes[0].calls[0] == (reported_call{{2, 7}, 250ms}));
     const instant now(1h);
     for (std::size_t at = 0; at < bytes.size(); ++at) {
         for (unsigned change = 1; change < 256; ++change) {
--- a/tests/edge/waiting_call_factory_test.cpp
+++ b/tests/edge/waiting_call_factory_test.cpp
@@ -1,5 +1,6 @@
 #include "edge/waiting_call_factory.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace dragonflymill;
@@ -45,7 +46,10 @@
     const direct::account_rule account{"acme", {"key1"}, 1};
     const direct::waiting_call call = stated.call(4s, 0s, &account);
     cr_assert(call.id == 7 && call.service == "engines" && call.priority == 1);
-    cr_assert(call.prompt_tokens == 100 && call.answer_tokens == 8 && call.prompt_parts.size() == 2);
+    cr_assert(call.prompt_tokens == 100 && call.answer_tokens == 8);
+    const prompt_part request = make_prompt_part(call.fingerprint, true);
+    cr_assert(call.prompt_parts.size() == 3, "those of the prompt and the request");
+    cr_assert(std::binary_search(call.prompt_parts.begin(), call.prompt_parts.end(), request));
     cr_assert(call.latency_target_at == arrived + 400ms && call.deadline_at == arrived + 4s);
     cr_assert(!call.returning && call.queue_timeout_at == arrived + 500ms);
     cr_assert(stated.call(4s, 0s).priority == 3);
@@ -67,5 +71,5 @@
     stated.request.fields = {{"Time-Left", "9223372036854775807"}, {"Tokens", "many"}};
     cr_assert(time_limit(stated.request, stated.names, stated.route) == 10s);
     const direct::waiting_call call = stated.call(10s, 0s);
-    cr_assert(call.prompt_tokens == 0 && call.answer_tokens == 0 && call.prompt_parts.empty());
+    cr_assert(call.prompt_tokens == 0 && call.answer_tokens == 0 && call.prompt_parts.size() == 1);
 }
--- a/tests/quarantine/crash_evidence_test.cpp
+++ b/tests/quarantine/crash_evidence_test.cpp
@@ -17,7 +17,7 @@
     crash_evidence evidence;
     for (std::uint64_t number = 1; number <= 2000; ++number) {
         const instant at = start + 2ms * static_cast<int>(number);
-        evidence.record_lost_call(number % 300, {shared_part(number)}, 0s, at);
+        evidence.record_lost_call({number % 300, {shared_part(number)}}, at);
         evidence.record_answer({shared_part(number)}, at + 1ms);
     }
     cr_assert(evidence.crashes().size() <= crash_evidence::max_crashes);
@@ -34,12 +34,11 @@
 {
     part_quarantine quarantine;
     for (std::uint64_t crashed = 0; crashed < 3; ++crashed) {
-        quarantine.evidence().record_lost_call(10 + crashed, {bad}, 0s,
-                                               start + 1s * static_cast<int>(crashed));
+        quarantine.evidence().record_lost_call({10 + crashed, {bad}}, start + 1s * static_cast<int>(crashed));
     }
     quarantine.update(start + 3s);
     for (std::uint64_t lost = 0; lost < 200; ++lost) {
-        quarantine.evidence().record_lost_call(100 + lost, {shared_part(100 + lost)}, 0s, start + 4s);
+        quarantine.evidence().record_lost_call({100 + lost, {shared_part(100 + lost)}}, start + 4s);
     }
     quarantine.update(start + 5s);
     cr_assert(!quarantine.check({bad}, start + 3500ms).allowed);
@@ -49,8 +48,8 @@
 Test(crash_evidence, a_call_that_was_written_for_long_is_not_suspect)
 {
     crash_evidence evidence;
-    evidence.record_lost_call(10, {bad}, 2s, start);
-    evidence.record_lost_call(10, {}, 0s, start);
+    evidence.record_lost_call({10, {bad}, 2s}, start);
+    evidence.record_lost_call({10, {}}, start);
     cr_assert(evidence.crashes().empty());
 }
 
@@ -59,7 +58,7 @@
 Test(crash_evidence, only_news_for_the_cell_are_reported)
 {
     crash_evidence first_hand;
-    first_hand.record_lost_call(10, {bad}, 0s, start);
+    first_hand.record_lost_call({10, {bad}}, start);
     const evidence_report report = first_hand.reports(start + 1s);
     cr_assert(report.crashes.size() == 1 && report.crashes[0].age == 1s);
     cr_assert(first_hand.reports(start + 1s, first_hand.version()).empty());
@@ -80,12 +79,12 @@
 {
     part_quarantine quarantine;
     crash_evidence& evidence = quarantine.evidence();
-    evidence.record_lost_call(10, {bad}, 0s, start);
+    evidence.record_lost_call({10, {bad}}, start);
     const instant later = start + crash_evidence::repeat_time + 1s;
     cr_assert(evidence.reports(later).empty() && evidence.known_lately(later).empty());
     cr_assert(evidence.known(later).crashes.size() == 1, "a gateway that starts gets all of it");
-    evidence.record_lost_call(11, {bad}, 0s, start + 1s);
-    evidence.record_lost_call(12, {bad}, 0s, start + 2s);
+    evidence.record_lost_call({11, {bad}}, start + 1s);
+    evidence.record_lost_call({12, {bad}}, start + 2s);
     quarantine.update(start + 3s);
     cr_assert(evidence.known_lately(later + 5s).crashes.size() == 3, "it supports a quarantine");
 }
@@ -94,11 +93,11 @@
 Test(crash_evidence, reports_of_one_crash_are_merged)
 {
     crash_evidence evidence;
-    evidence.record_lost_call(10, {shared_part(2)}, 0s, start + 30ms);
-    evidence.apply({{{10, 1s, false, {{bad}}}}, {}}, report_origin::same_cell, start + 1s);
+    evidence.record_lost_call({10, {shared_part(2)}}, start + 30ms);
+    evidence.apply({{{10, 1s, false, {{{bad}, 0s}}}}, {}}, report_origin::same_cell, start + 1s);
     cr_assert(evidence.crashes().size() == 1 && evidence.crashes()[0].calls.size() == 2);
     cr_assert(evidence.crashes()[0].at == start);
-    evidence.record_lost_call(10, {bad}, 0s, start + 10s);
+    evidence.record_lost_call({10, {bad}}, start + 10s);
     cr_assert(evidence.crashes().size() == 2, "a later end of the same upstream is another crash");
 }
 
@@ -106,11 +105,11 @@
 Test(crash_evidence, malformed_reports_are_ignored)
 {
     crash_evidence evidence;
-    const prompt_parts many(crash_evidence::max_parts + 1, bad);
-    evidence.apply({{{10, -1s, false, {{bad}}}, {11, 1h, false, {{bad}}}}, {{bad, -1s}}},
+    const prompt_parts many(crash_evidence::max_call_parts + 1, bad);
+    evidence.apply({{{10, -1s, false, {{{bad}, 0s}}}, {11, 1h, false, {{{bad}, 0s}}}}, {{bad, -1s}}},
                    report_origin::same_cell, start);
     cr_assert(evidence.crashes().empty());
-    evidence.apply({{{12, 1s, false, {many, {}}}}, {}}, report_origin::same_cell, start);
+    evidence.apply({{{12, 1s, false, {{many, 0s}, {{}, 0s}}}}, {}}, report_origin::same_cell, start);
     cr_assert(evidence.crashes().size() == 1 && evidence.crashes()[0].calls.empty());
 }
 
@@ -119,7 +118,7 @@
 {
     part_quarantine knowing;
     for (std::uint64_t crashed = 0; crashed < 6; ++crashed) {
-        knowing.evidence().record_lost_call(10 + crashed, sorted({bad, own_part(crashed + 1)}), 0s,
+        knowing.evidence().record_lost_call({10 + crashed, sorted({bad, own_part(crashed + 1)})},
                                             start + 1s * static_cast<int>(crashed));
     }
     knowing.update(start + 6s);
--- a/tests/quarantine/part_quarantine_test.cpp
+++ b/tests/quarantine/part_quarantine_test.cpp
@@ -13,7 +13,7 @@
 /// Records that an upstream ended under a call.
 void crash(part_quarantine& quarantine, upstream_run upstream, prompt_parts parts, instant at)
 {
-    quarantine.evidence().record_lost_call(upstream, sorted(std::move(parts)), 0s, at);
+    quarantine.evidence().record_lost_call({upstream, sorted(std::move(parts))}, at);
 }
 
 /// Records crashes of distinct upstreams, a second apart from `at` on, under calls with the part.
--- a/tests/quarantine/quarantine_fleet.h
+++ b/tests/quarantine/quarantine_fleet.h
@@ -51,6 +51,12 @@
     std::vector<prompt_part> crashing;
     /// Share of the calls that contain one of them, at a time since the start.
     std::function<double(duration since_start)> crashing_share = [](duration) { return 0.0; };
+    /// Time of the first of the requests that crash upstreams, which then come once in each interval; zero:
+    /// none.
+    duration fatal_interval{};
+    /// How often a caller repeats a request that failed, each time at any gateway.
+    int repetitions = 0;
+    duration return_time = 15ms; ///< From the failure to the next repetition.
     /// Upstreams that end at a time without regard to calls.
     std::function<std::vector<int>(duration since_start)> lost = [](duration) { return std::vector<int>(); };
     /// Upstreams that break the connection of a call though they go on, as a share of their calls.
@@ -67,10 +73,22 @@
         std::vector<instant> crashes; ///< Under calls with the part.
         std::vector<instant> sent;    ///< Calls with it that were sent to upstreams.
     };
-    std::map<prompt_part, part_outcome> parts; ///< Parts that crash upstreams.
-    int sound_calls = 0;                       ///< Sound calls, each counted once.
-    int sound_refused = 0;                     ///< Of these, the ones refused as quarantined.
-    std::size_t most_reported_parts = 0;       ///< In a single report.
+    std::map<prompt_part, part_outcome>
+        parts;                           ///< Parts that crash upstreams, and own parts of such requests.
+    int sound_calls = 0;                 ///< Sound calls, each counted once.
+    int sound_refused = 0;               ///< Of these, the ones refused as quarantined.
+    std::size_t most_reported_parts = 0; ///< In a single report.
+    int sound_repeated = 0;              ///< Sound calls that were repeated at least once.
+
+    /// Most upstreams that crashed under one part.
+    [[nodiscard]] auto most_crashes() const -> std::size_t
+    {
+        std::size_t most = 0;
+        for (const auto& [part, outcome] : parts) {
+            most = std::max(most, outcome.crashes.size());
+        }
+        return most;
+    }
 
     /// Most calls with one crashing part that were sent later than `time` after the fifth crash under it.
     [[nodiscard]] auto sent_after_fifth_crash(duration time) const -> int
@@ -121,6 +139,10 @@
             if (chance(scenario_.calls_per_s * std::chrono::duration<double>(step).count())) {
                 arrive(since);
             }
+            if (scenario_.fatal_interval > 0s && since > 0s && since % scenario_.fatal_interval == 0s) {
+                arrive_fatal();
+            }
+            return_callers();
             report();
         }
         return outcome_;
@@ -158,7 +180,14 @@
         prompt_part crashing = 0; // 0: a sound call
         instant ends_at{};
         instant next_event_at{};
+        instant sent_at{};
         int attempts = 1;
+        int repetitions = 0;
+    };
+    struct returning_caller
+    {
+        instant at{};
+        running_call call;
     };
 
     auto chance(double share) -> bool { return static_cast<double>(random_.below(1'000'000)) < share * 1e6; }
@@ -196,6 +225,34 @@
         send(std::move(call));
     }
 
+    void arrive_fatal()
+    {
+        running_call call;
+        call.gateway = pick(gateways_.size());
+        call.crashing = own_part(++last_call_);
+        call.parts = sorted({shared_part(1), call.crashing});
+        send(std::move(call));
+    }
+
+    void return_callers()
+    {
+        std::vector<running_call> due;
+        std::erase_if(returning_, [&](const returning_caller& caller) {
+            const bool is_due = now_ >= caller.at;
+            if (is_due) {
+                due.push_back(caller.call);
+            }
+            return is_due;
+        });
+        for (running_call& call : due) {
+            call.gateway = pick(gateways_.size());
+            call.attempts = 1;
+            ++call.repetitions;
+            outcome_.sound_repeated += call.crashing == 0 && call.repetitions == 1 ? 1 : 0;
+            send(std::move(call));
+        }
+    }
+
     void send(running_call call)
     {
         part_quarantine& parts = gateways_[call.gateway].parts;
@@ -224,6 +281,7 @@
         call.run = upstreams_[call.upstream].run;
         call.ends_at = now_ + (call.crashing != 0 ? scenario_.onset : scenario_.call_time);
         call.next_event_at = now_ + scenario_.onset;
+        call.sent_at = now_;
         running_.push_back(std::move(call));
     }
 
@@ -268,12 +326,15 @@
 
     void lose(running_call call)
     {
-        gateways_[call.gateway].parts.evidence().record_lost_call(call.run, call.parts, duration::zero(),
-                                                                  now_);
+        gateways_[call.gateway].parts.evidence().record_lost_call(
+            {call.run, call.parts, duration::zero(), now_ - call.sent_at}, now_);
         if (call.attempts < 2) {
             ++call.attempts;
             send(std::move(call));
         }
+        else if (call.repetitions < scenario_.repetitions) {
+            returning_.push_back({now_ + scenario_.return_time, std::move(call)});
+        }
     }
 
     void end_upstream(std::size_t index)
@@ -319,8 +380,8 @@
     {
         std::size_t parts = 0;
         for (const crash_report& crash : report.crashes) {
-            for (const prompt_parts& call : crash.calls) {
-                parts += call.size();
+            for (const reported_call& call : crash.calls) {
+                parts += call.parts.size();
             }
         }
         outcome_.most_reported_parts = std::max(outcome_.most_reported_parts, parts);
@@ -336,6 +397,7 @@
     std::vector<gateway_state> gateways_;
     std::vector<upstream_state> upstreams_;
     std::vector<running_call> running_;
+    std::vector<returning_caller> returning_;
     fleet_outcome outcome_;
     instant now_ = start;
     upstream_run last_run_ = 0;
