Report evidence of crashes within 10 ms

Evidence waited for the next occasion to send a digest: 30 ms after the last one, or the next tick, up to 100 ms later. A caller is back at another gateway a round trip after the failure of its call, 12 ms where clients are 3 ms away, and was sent on there. A timer now sends evidence as soon as it is due.

--- a/include/dragonflymill/direct/gossip_schedule.h
+++ b/include/dragonflymill/direct/gossip_schedule.h
@@ -45,6 +45,8 @@
     /// interval.
     [[nodiscard]] auto next(const digest_state& state, bool at_once, instant now)
         -> std::optional<due_digest>;
+    /// Returns when evidence that wasn't sent yet is due; nothing if all of it was sent.
+    [[nodiscard]] auto evidence_due_at(const digest_state& state) const -> std::optional<instant>;
 
     /// Minimum interval between digests that report changes. Within it another gateway may choose the same
     /// engine.
@@ -52,6 +54,9 @@
     /// Minimum interval when digests go through a relay. It is shorter because a digest then costs a single
     /// datagram and the relay delays it by a few milliseconds.
     static constexpr duration relayed_gossip_interval = 10ms;
+    /// Minimum interval between digests that report evidence of crashes. A caller comes back at another
+    /// gateway a round trip after the failure of its call.
+    static constexpr duration evidence_gossip_interval = 10ms;
     /// Number of gateways above which intervals grow in proportion, to keep receiving digests below one
     /// percent of a small host's processor.
     static constexpr int gateways_at_full_rate = 64;
@@ -65,6 +70,8 @@
     static constexpr std::size_t change_transmissions = 3;
 
 private:
+    [[nodiscard]] static auto interval_of(const digest_state& state, bool reports_evidence) -> duration;
+
     struct sent_changes
     {
         std::uint64_t loads = 0;
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -126,6 +126,8 @@
     [[nodiscard]] auto full_digest() -> direct::peer_message;
     [[nodiscard]] auto delta_digest(const direct::due_digest& due) -> direct::peer_message;
     void send_gossip(bool at_once);
+    /// Sends evidence of crashes as soon as it is due, without waiting for the next occasion.
+    void schedule_evidence(const direct::digest_state& state);
     void send_to_other_cells();
     void update_cells(instant now);
     void schedule_flush();
@@ -180,6 +182,7 @@
     std::uint64_t contact_round_ = 0;
     instant contacted_at_{};
     direct::gossip_schedule gossip_schedule_;
+    std::optional<timer_id> evidence_timer_;
     std::optional<timer_id> flush_timer_;
     instant flush_timer_at_{};
     instant started_at_{};
--- a/src/edge/direct_gateway_gossip.cpp
+++ b/src/edge/direct_gateway_gossip.cpp
@@ -160,6 +160,7 @@
     direct::set_versions(state, dispatcher_);
     const auto due = gossip_schedule_.next(state, at_once, now);
     if (!due) {
+        schedule_evidence(state);
         return;
     }
     direct::peer_message message = due->whole ? full_digest() : delta_digest(*due);
@@ -181,6 +182,18 @@
     }
 }
 
+void direct_gateway::schedule_evidence(const direct::digest_state& state)
+{
+    const auto due = gossip_schedule_.evidence_due_at(state);
+    if (!due || evidence_timer_) {
+        return;
+    }
+    evidence_timer_ = timers_.at(*due, [this] {
+        evidence_timer_.reset();
+        send_gossip(false);
+    });
+}
+
 void direct_gateway::send_to_other_cells()
 {
     const instant now = runtime::now();
--- a/tests/direct/gossip_schedule_test.cpp
+++ b/tests/direct/gossip_schedule_test.cpp
@@ -57,6 +57,23 @@
     cr_assert(schedule.next({2, 5, 320}, true, start + 1ms));
 }
 
+// Guards against a caller that is faster than the evidence of the failure of its call.
+Test(gossip_schedule, sends_evidence_of_crashes_sooner)
+{
+    gossip_schedule schedule;
+    digest_state state{1, 5, 4};
+    cr_assert(schedule.next(state, true, start));
+    cr_assert(!schedule.evidence_due_at(state));
+    ++state.evidence_changes;
+    cr_assert(schedule.evidence_due_at(state) == start + gossip_schedule::evidence_gossip_interval);
+    cr_assert(!schedule.next(state, false, start + gossip_schedule::evidence_gossip_interval - 1ms));
+    cr_assert(schedule.next(state, false, start + gossip_schedule::evidence_gossip_interval));
+    cr_assert(!schedule.evidence_due_at(state));
+    state.gateways = 128;
+    ++state.evidence_changes;
+    cr_assert(schedule.evidence_due_at(state) == start + 3 * gossip_schedule::evidence_gossip_interval);
+}
+
 // Guards against staler state in a large fleet than in a small one: a relay adds its own delay.
 Test(gossip_schedule, sends_digests_through_a_relay_more_often)
 {
