Wait between attempts once the upstreams that are left were tried

Cause: an attempt that wasn't sent is repeated without a limit, and at once, as if another upstream were left to choose.

Change: call_attempts::retry_delay, one rule for all ends: the first three attempts follow at once unless an upstream was tried again, then 10 ms, doubling up to 200 ms. It is no lack of capacity: a delayed call blocks no others and isn't counted as saturation.

--- a/include/dragonflymill/direct/call_attempts.h
+++ b/include/dragonflymill/direct/call_attempts.h
@@ -39,6 +39,10 @@
     [[nodiscard]] auto avoids(std::string_view failure_domain, instant now) const -> bool;
     /// Returns whether any failure domain is avoided.
     [[nodiscard]] auto avoids_any(instant now) const -> bool;
+    /// Returns the minimum time from the end of the last attempt to the next one, however it ended. Some
+    /// attempts follow at once, unless the last upstream had been tried before: then others to choose are
+    /// lacking.
+    [[nodiscard]] auto retry_delay() const -> duration;
     /// Number of times that the call was dispatched.
     [[nodiscard]] auto count() const -> std::uint64_t { return dispatched_; }
     /// Number of attempts that reached or may have reached an upstream.
@@ -59,6 +63,12 @@
     /// recover, within seconds.
     static constexpr duration domain_avoidance = 1s;
 
+    /// Number of attempts that aren't delayed.
+    static constexpr std::uint64_t undelayed_attempts = 3;
+    /// Delay of the next attempt; it doubles with each further one.
+    static constexpr duration first_retry_delay = 10ms;
+    static constexpr duration max_retry_delay = 200ms; ///< See `first_retry_delay`.
+
 private:
     /// An upstream that could not be reached.
     struct unreachable_upstream
--- a/include/dragonflymill/direct/waiting_call.h
+++ b/include/dragonflymill/direct/waiting_call.h
@@ -27,7 +27,8 @@
     instant client_timeout_at{};                ///< When the client disconnects without an answer.
     instant deadline_at{};                      ///< End of the client's time, its retries included.
     instant queue_timeout_at{};                 ///< When it is refused if it is still queued.
-    instant not_before{};                       ///< Not dispatched earlier.
+    instant not_before{};                       ///< Not dispatched earlier, as memory could not be reserved.
+    instant retry_at{};                         ///< Not dispatched earlier, as its last attempt failed.
     bool returning = false;                     ///< Its client was refused before and came back.
     call_attempts attempts;                     ///< Attempts so far.
     wait_reason blocked_by = wait_reason::none; ///< Why it was queued last; set by the dispatcher.
--- a/src/direct/call_attempts.cpp
+++ b/src/direct/call_attempts.cpp
@@ -28,6 +28,18 @@
     return std::find(tried_.begin(), tried_.end(), upstream) != tried_.end();
 }
 
+auto call_attempts::retry_delay() const -> duration
+{
+    const bool repeated =
+        !tried_.empty() && std::find(tried_.begin(), tried_.end() - 1, tried_.back()) != tried_.end() - 1;
+    if (dispatched_ < undelayed_attempts && !repeated) {
+        return duration::zero();
+    }
+    constexpr std::uint64_t max_doublings = 5;
+    const std::uint64_t delayed = dispatched_ - std::min(dispatched_, undelayed_attempts);
+    return std::min(first_retry_delay * (1 << std::min(delayed, max_doublings)), max_retry_delay);
+}
+
 auto call_attempts::avoids(std::string_view failure_domain, instant now) const -> bool
 {
     const auto found = std::count_if(unreachable_.begin(), unreachable_.end(), [&](const auto& upstream) {
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -121,7 +121,7 @@
     for (waiting_call& call : waiting_) {
         // Changes only when a trial is sent earlier in this round.
         const quarantine_verdict verdict = quarantine_.check(call.prompt_parts, now);
-        if (!verdict.allowed) {
+        if (!verdict.allowed || now < std::min(call.retry_at, call.queue_timeout_at)) {
             still_waiting.push_back(std::move(call));
             continue;
         }
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -110,6 +110,7 @@
 {
     switch (step) {
     case next_step::try_again:
+        queued_call_.retry_at = runtime::now() + queued_call_.attempts.retry_delay();
         queued_call_.queue_timeout_at = deadline_ - direct::min_attempt_time;
         enqueue();
         return;
