End soak upstreams under single requests that their callers repeat

A caller is a file of its own now. Every five seconds one repeats a request up to nine times at any gateway; an engine or plain service that gets it ends. Once three have ended, none may get it from 1.5 s later on, but from gateways that were killed, paused or started.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -20,7 +20,8 @@
 // Guards the delivery guarantees under sequential and overlapping faults: gateways are killed, paused,
 // stopped and partitioned from the store, upstreams fail, drain and are replaced, the store stops answering,
 // upstreams ask for pauses, state their drain, run slower and restart in place, and the configuration
-// changes; engines crash under calls with one part of a prompt. No booking may be executed twice, or after it
+// changes; engines crash under calls with one part of a prompt, and any upstream under single requests that
+// their callers repeat. No booking may be executed twice, or after it
 // was reported as not executed; no stream may have a gap; and all calls must be served again once the faults
 // end.
 Test(soak, promises_hold_under_faults, .timeout = 280)
@@ -37,9 +38,11 @@
             std::fprintf(stderr, "  %s\n", line.c_str());
         }
     }
-    std::fprintf(stderr, "seed %d: %d complete responses, %zu faults, %d statements, %d crashes\n",
-                 static_cast<int>(seed), world.kept().answers(), world.story().size(), world.statements(),
-                 world.crashes());
+    std::fprintf(
+        stderr,
+        "seed %d: %d complete responses, %zu faults, %d statements, %d crashes, %d under single requests\n",
+        static_cast<int>(seed), world.kept().answers(), world.story().size(), world.statements(),
+        world.crashes(), world.fatal_ends());
     cr_assert(world.kept().breaches().empty(), "%zu guarantees violated", world.kept().breaches().size());
     cr_assert(world.kept().answers() > 0);
 }
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -93,8 +93,10 @@
 
 void soak_upstream::crash(taken_connection& call, const std::string& request, const std::string& head)
 {
-    send(call, "HTTP/1.1 200 OK\r\n" + head +
-                   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (service_ == "engines") {
+        send(call, "HTTP/1.1 200 OK\r\n" + head +
+                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
     server_.crash();
     leave();
     on_crash_(request);
@@ -136,7 +138,8 @@
         return;
     }
     const bool is_stream = service_ == "engines";
-    if (call.received.find(crashing_part) != std::string::npos) {
+    const auto contains = [&](const char* text) { return call.received.find(text) != std::string::npos; };
+    if (contains(crashing_part) || contains(fatal_marker)) {
         crash(call, request, head);
         return;
     }
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak_world.h"
 
+#include "soak/soak_caller.h"
+
 #include <algorithm>
 #include <array>
 #include <csignal>
@@ -16,20 +18,6 @@
 
 namespace {
 
-constexpr int events = 8;
-
-auto expected_answer(const std::string& request, bool is_stream) -> std::string
-{
-    if (!is_stream) {
-        return "booked " + request;
-    }
-    std::string all;
-    for (int id = 1; id <= events; ++id) {
-        all += "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
-    }
-    return all;
-}
-
 /// Returns a TCP port that is currently free on `ip`.
 auto free_port(boost::asio::io_context& loop, const std::string& ip) -> std::uint16_t
 {
@@ -39,104 +27,6 @@
 
 } // namespace
 
-/// One call: opens a connection, sends a request and checks the response.
-class soak_world::caller : public std::enable_shared_from_this<soak_world::caller>
-{
-public:
-    caller(soak_world& world, std::string request, std::string parts, bool is_stream, bool calm)
-        : world_(world)
-        , socket_(world.loop_)
-        , request_(std::move(request))
-        , parts_(std::move(parts))
-        , is_stream_(is_stream)
-        , calm_(calm)
-    {
-    }
-
-    void start(soak_gateway& gateway, std::uint16_t port)
-    {
-        socket_.async_connect({boost::asio::ip::make_address(gateway.ip), port},
-                              [self = shared_from_this(), &gateway](const boost::system::error_code& failed) {
-                                  if (!failed) {
-                                      gateway.up = true;
-                                      self->send_request();
-                                  }
-                              });
-    }
-
-private:
-    void send_request()
-    {
-        const std::string path = is_stream_ ? "/chat/" : "/book/";
-        boost::system::error_code ignored; // the gateway may have been killed
-        const std::string text =
-            "POST " + path + "x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" +
-            "Dragonflymill-Attempt-Id: " + request_ + "\r\nDragonflymill-Request-Deadline: 4000\r\n" +
-            (is_stream_
-                 ? "Dragonflymill-Token-Count: 100,8\r\nDragonflymill-Prompt-Prefix: " + parts_ + "\r\n"
-                 : "") +
-            "Content-Length: 2\r\n\r\nhi";
-        world_.requests_.at(request_).sent_at = std::chrono::steady_clock::now();
-        boost::asio::write(socket_, boost::asio::buffer(text), ignored);
-        read();
-    }
-
-    void note_drain()
-    {
-        const edge::response_head& head = parser_.head();
-        if (!head.value_of("Server-Leaving").empty()) {
-            world_.statements_.passed_on_drain(std::string(head.value_of("Dragonflymill-Server-Seal")),
-                                               world_.requests_.at(request_).gateway);
-        }
-    }
-
-    void read()
-    {
-        socket_.async_read_some(
-            boost::asio::buffer(buffer_), [self = shared_from_this()](const auto& failed, std::size_t bytes) {
-                auto state = self->parser_.take({self->buffer_.data(), bytes}, self->body_);
-                if (failed) {
-                    state = failed == boost::asio::error::eof ? self->parser_.take_eof()
-                                                              : edge::response_state::invalid;
-                }
-                if (state == edge::response_state::body || state == edge::response_state::complete) {
-                    self->note_drain();
-                }
-                const bool over = failed || state == edge::response_state::complete ||
-                                  state == edge::response_state::invalid;
-                over ? self->end(state) : self->read();
-            });
-    }
-
-    void end(edge::response_state state)
-    {
-        const std::string expected = expected_answer(request_, is_stream_);
-        promises& kept = world_.promises_;
-        const unsigned status = parser_.head().status;
-        if (state == edge::response_state::complete && status == 200) {
-            kept.answered(request_, body_, expected);
-            world_.calm_answers_ += calm_ ? 1 : 0;
-        }
-        else if (status == 200) {
-            kept.part(request_, body_, expected);
-        }
-        else if (status == 503 || status == 429) {
-            kept.told_not_run(request_, is_stream_);
-        }
-        socket_.close();
-    }
-
-    soak_world& world_;
-    boost::asio::ip::tcp::socket socket_;
-    std::string request_;
-    std::string parts_;
-    bool is_stream_;
-    bool calm_;
-    edge::response_parser parser_{false};
-    std::string body_;
-    std::array<char, 4096> buffer_{};
-};
-
 soak_world::soak_world(std::uint64_t seed, std::string program)
     : random_(seed)
     , parts_random_(~seed)
@@ -196,7 +86,8 @@
     store_.put(
         "op/config",
         R"({"version":)" + std::to_string(version_) + R"(,"routes":[)" +
-            route("book", "non_idempotent", "bookings") + "," + route("chat", "streaming", "engines") +
+            route("book", "non_idempotent", "bookings") + "," + route("find", "idempotent", "bookings") +
+            "," + route("chat", "streaming", "engines") +
             R"(],"services":[{"name":"bookings"},{"name":"engines","engine":{"slots":8,"kvCapacity":1000000,)" +
             R"("stride":1,"step_ms":15,"read_per_s":1000000,"chunk":100000,)" +
             R"("report_lag_ms":100}}],"limits":{}})");
@@ -231,7 +122,12 @@
     upstreams_.back()->set_on_crash([this, id](const std::string& request) {
         const sent_request& sent = requests_[request];
         tell(id + " crashes under " + request + " from " + sent.gateway);
-        crashes_.crashed(request, sent.gateway, sent.sent_at);
+        if (sent.fatal.empty()) {
+            crashes_.crashed(request, sent.gateway, sent.sent_at);
+        }
+        else {
+            fatal_.ended(sent.fatal, sent.gateway, sent.sent_at);
+        }
         later(300ms, [this, id] { replace_crashed(id); });
     });
     store_.put("servers/" + id, upstreams_.back()->entry(false));
@@ -257,6 +153,7 @@
 {
     statements_.excuse(gateway.ip);
     crashes_.excuse(gateway.ip);
+    fatal_.excuse(gateway.ip);
     gateway.process = std::make_unique<child_process>(
         program_, std::vector<std::string>{"platform-gateway", "--settings", gateway.settings});
     gateway.ends_by.reset();
@@ -287,8 +184,10 @@
     soak_gateway& gateway = gateways_[random_.below(gateways_.size())];
     calm_calls_ += faults ? 0 : 1;
     const std::string request = "r" + std::to_string(++made_);
-    requests_[request] = {gateway.ip, std::chrono::steady_clock::now()};
-    std::make_shared<caller>(*this, request, next_parts(faults), is_stream, !faults)
+    requests_[request] = {gateway.ip, std::chrono::steady_clock::now(), ""};
+    const std::string parts = next_parts(faults);
+    std::make_shared<caller>(
+        *this, soak_call{request, is_stream ? "/chat/x" : "/book/x", is_stream ? parts : "", "hi", !faults})
         ->start(gateway, caller_port_);
 }
 
@@ -480,6 +379,7 @@
             gateway.paused = false;
             statements_.excuse(gateway.ip);
             crashes_.excuse(gateway.ip);
+            fatal_.excuse(gateway.ip);
             if (gateway.process) {
                 gateway.process->signal(SIGCONT);
             }
@@ -527,6 +427,7 @@
     const moment end = std::chrono::steady_clock::now() + length;
     moment call = std::chrono::steady_clock::now();
     moment fault = call + 500ms;
+    moment fatal = call + 1s;
     while (std::chrono::steady_clock::now() < end) {
         const moment now = std::chrono::steady_clock::now();
         if (now >= call) {
@@ -537,6 +438,10 @@
             next_fault();
             fault = now + std::chrono::milliseconds(100 + random_.below(500));
         }
+        if (faults && now >= fatal) {
+            next_fatal_request();
+            fatal = now + 5s;
+        }
         look_after_gateways();
         loop_.run_one_for(5ms);
         loop_.restart();
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -3,6 +3,7 @@
 #include "dragonflymill/core/random_source.h"
 #include "edge/response_parser.h"
 #include "soak/crash_watch.h"
+#include "soak/fatal_watch.h"
 #include "soak/limit_watch.h"
 #include "soak/promises.h"
 #include "soak/statement_watch.h"
@@ -67,13 +68,15 @@
     void fail_reports(bool fails) { reports_fail_ = fails; }
     /// Number of requests for its report.
     [[nodiscard]] auto reports() const -> int { return reports_; }
-    /// Sets the function that is called when it has crashed under a request with the crashing part.
+    /// Sets the function that is called when it has crashed under a request.
     void set_on_crash(std::function<void(const std::string& request)> on_crash)
     {
         on_crash_ = std::move(on_crash);
     }
     /// Part of a prompt under which engines crash.
     static constexpr const char* crashing_part = "badd:30";
+    /// Text in a request under which upstreams of all services end.
+    static constexpr const char* fatal_marker = "fa7a1";
     /// Marks the upstream as draining from now on.
     void leave() { left_ = std::chrono::steady_clock::now(); }
     /// Sets the function that returns since when the store has been available, nothing while it isn't. While
@@ -147,6 +150,8 @@
     [[nodiscard]] auto statements() const -> int { return statements_.statements(); }
     /// Upstreams that have crashed under a part of a prompt.
     [[nodiscard]] auto crashes() const -> int { return crashes_.crashes(); }
+    /// Upstreams that have ended under requests which their callers repeat.
+    [[nodiscard]] auto fatal_ends() const -> int { return fatal_.ends(); }
     /// Injected faults, one line each, with milliseconds since the start.
     [[nodiscard]] auto story() const -> const std::vector<std::string>& { return story_; }
 
@@ -164,6 +169,7 @@
     {
         std::string gateway; // its loopback address
         moment sent_at;
+        std::string fatal; // what it repeats if upstreams end under it
     };
 
     void start_gateway(soak_gateway& gateway);
@@ -184,6 +190,9 @@
     void replace_crashed(const std::string& id);
     /// Parts of the prompt of the next call to an engine. With faults, some contain the crashing part.
     auto next_parts(bool faults) -> std::string;
+    /// Lets a caller send a request under which upstreams end, and repeat it at any gateway.
+    void next_fatal_request();
+    void send_fatal_request(const std::string& name, bool is_stream, int left);
     void strike_gateway(soak_gateway& gateway, std::uint64_t kind);
     void heal();
     void look_after_gateways();
@@ -200,6 +209,7 @@
     limit_watch limits_{promises_};
     statement_watch statements_{promises_};
     crash_watch crashes_{promises_};
+    fatal_watch fatal_{promises_};
     std::map<std::string, sent_request> requests_;
     store_standin store_;
     std::vector<std::unique_ptr<soak_upstream>> upstreams_;
