Delay only attempts at upstreams that were tried, and those after the eighth

The first form delayed all attempts after the third. The bound is the same: under 64 attempts in ten seconds. A call that waits for its next attempt blocks no others, tested.

--- a/include/dragonflymill/direct/call_attempts.h
+++ b/include/dragonflymill/direct/call_attempts.h
@@ -63,8 +63,9 @@
     /// recover, within seconds.
     static constexpr duration domain_avoidance = 1s;
 
-    /// Number of attempts that aren't delayed.
-    static constexpr std::uint64_t undelayed_attempts = 3;
+    /// Number of attempts at distinct upstreams that aren't delayed. Each of them may be lost without the
+    /// gateway knowing, as when a failure domain has just gone.
+    static constexpr std::uint64_t undelayed_attempts = 8;
     /// Delay of the next attempt; it doubles with each further one.
     static constexpr duration first_retry_delay = 10ms;
     static constexpr duration max_retry_delay = 200ms; ///< See `first_retry_delay`.
--- a/src/direct/call_attempts.cpp
+++ b/src/direct/call_attempts.cpp
@@ -30,14 +30,18 @@
 
 auto call_attempts::retry_delay() const -> duration
 {
-    const bool repeated =
-        !tried_.empty() && std::find(tried_.begin(), tried_.end() - 1, tried_.back()) != tried_.end() - 1;
-    if (dispatched_ < undelayed_attempts && !repeated) {
+    if (tried_.empty()) {
+        return duration::zero();
+    }
+    const auto at_last = static_cast<std::uint64_t>(std::count(tried_.begin(), tried_.end(), tried_.back()));
+    const std::uint64_t repeated = at_last - 1;
+    const std::uint64_t delayed =
+        std::max(repeated, dispatched_ - std::min(dispatched_, undelayed_attempts - 1));
+    if (delayed == 0) {
         return duration::zero();
     }
     constexpr std::uint64_t max_doublings = 5;
-    const std::uint64_t delayed = dispatched_ - std::min(dispatched_, undelayed_attempts);
-    return std::min(first_retry_delay * (1 << std::min(delayed, max_doublings)), max_retry_delay);
+    return std::min(first_retry_delay * (1 << std::min(delayed - 1, max_doublings)), max_retry_delay);
 }
 
 auto call_attempts::avoids(std::string_view failure_domain, instant now) const -> bool
--- a/tests/direct/call_dispatcher_test.cpp
+++ b/tests/direct/call_dispatcher_test.cpp
@@ -72,6 +72,26 @@
     cr_assert(decider.decide(fleet, start).orders.size() == 1);
 }
 
+// Guards against a call that waits for its next attempt and keeps others from being sent, or is held for
+// longer than it may wait.
+Test(call_dispatcher, call_that_waits_for_its_next_attempt_blocks_no_others)
+{
+    auto fleet = bookings(4, 2);
+    auto decider = dispatcher();
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        auto delayed = call(id);
+        delayed.retry_at = start + (id == 1 ? 400ms : 50ms);
+        decider.add(delayed);
+    }
+    decider.add(call(7));
+    const auto round = decider.decide(fleet, start);
+    cr_assert(round.orders.size() == 1 && round.orders[0].call == 7 && round.refusals.empty());
+    cr_assert(decider.decide(fleet, start + 49ms).orders.empty());
+    cr_assert(decider.decide(fleet, start + 50ms).orders.size() == 5);
+    const auto late = decider.decide(fleet, start + 200ms);
+    cr_assert(late.orders.size() + late.refusals.size() == 1 && decider.waiting() == 0);
+}
+
 // While a call is queued, the upstream that it would have used begins to drain. A call that was bound to an
 // upstream at its arrival would still be sent there.
 Test(call_dispatcher, queued_call_is_not_sent_to_a_draining_upstream)
