Don't hold a call that nothing takes until its deadline

It ends now, as not run or unknown, once the next attempt would come later than another queued call may wait; a stream whose answer has begun goes on.

--- a/include/dragonflymill/direct/attempt_rules.h
+++ b/include/dragonflymill/direct/attempt_rules.h
@@ -34,6 +34,8 @@
     int rejections = 0;        ///< Attempts that upstreams rejected for reasons of their own.
     int max_attempts = 1;      ///< Maximum number of upstreams that it may run at.
     duration time_left{};      ///< Time until its deadline or the route's time limit.
+    duration wait_left{};      ///< Time for which it may still wait for capacity; may be negative.
+    duration retry_delay{};    ///< Time from an attempt that wasn't sent to the next one.
     bool budget_left = false;  ///< Whether the retry budget allows another attempt.
 
     friend auto operator==(const request_progress&, const request_progress&) -> bool = default;
--- a/include/dragonflymill/direct/call_attempts.h
+++ b/include/dragonflymill/direct/call_attempts.h
@@ -35,6 +35,8 @@
 
     /// Returns whether an attempt at this upstream has already ended without a response.
     [[nodiscard]] auto tried(std::string_view upstream) const -> bool;
+    /// Returns whether the upstream could not be reached lately.
+    [[nodiscard]] auto is_unreachable(std::string_view upstream, instant now) const -> bool;
     /// Returns whether the next attempt should prefer other failure domains, if they have free capacity.
     [[nodiscard]] auto avoids(std::string_view failure_domain, instant now) const -> bool;
     /// Returns whether any failure domain is avoided.
@@ -59,8 +61,8 @@
     /// Number of unreachable upstreams in a failure domain from which on the domain is avoided. A single one
     /// may merely have crashed.
     static constexpr int domain_avoidance_threshold = 2;
-    /// Time for which a failure domain is avoided. Lost upstreams disappear from the published list, or
-    /// recover, within seconds.
+    /// Time for which an unreachable upstream, or a failure domain with several, is avoided. Lost upstreams
+    /// disappear from the published list, or recover, within seconds.
     static constexpr duration domain_avoidance = 1s;
 
     /// Number of attempts at distinct upstreams that aren't delayed. Each of them may be lost without the
--- a/src/direct/attempt_rules.cpp
+++ b/src/direct/attempt_rules.cpp
@@ -1,5 +1,7 @@
 #include "dragonflymill/direct/attempt_rules.h"
 
+#include <algorithm>
+
 namespace dragonflymill::direct {
 
 namespace {
@@ -10,7 +12,10 @@
         return false;
     }
     if (end == attempt_end::not_sent) {
-        return true;
+        // With a delay, all that can be chosen is out of reach: a caller that learns it at once comes back in
+        // time.
+        return progress.answer_begun ||
+               progress.retry_delay <= std::max(progress.wait_left, duration::zero());
     }
     if (!progress.budget_left || progress.disconnects >= max_disconnects) {
         return false;
--- a/src/direct/call_attempts.cpp
+++ b/src/direct/call_attempts.cpp
@@ -11,7 +11,7 @@
     run_ += may_have_run(end) ? 1 : 0;
     rejections_ += end == attempt_end::rejected || end == attempt_end::misdirected ? 1 : 0;
     disconnects_ += end == attempt_end::disconnected ? 1 : 0;
-    if (is_unreachable(end)) {
+    if (direct::is_unreachable(end)) {
         record_unreachable(attempted, now);
     }
 }
@@ -44,6 +44,13 @@
     return std::min(first_retry_delay * (1 << std::min(delayed - 1, max_doublings)), max_retry_delay);
 }
 
+auto call_attempts::is_unreachable(std::string_view upstream, instant now) const -> bool
+{
+    return std::any_of(unreachable_.begin(), unreachable_.end(), [&](const unreachable_upstream& other) {
+        return other.attempted.upstream == upstream && now < other.seen_at + domain_avoidance;
+    });
+}
+
 auto call_attempts::avoids(std::string_view failure_domain, instant now) const -> bool
 {
     const auto found = std::count_if(unreachable_.begin(), unreachable_.end(), [&](const auto& upstream) {
--- a/src/direct/call_dispatcher.cpp
+++ b/src/direct/call_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflymill/core/stable_hash.h"
 #include "dragonflymill/direct/queue_order.h"
+#include "dragonflymill/direct/retry_candidates.h"
 
 #include <algorithm>
 #include <tuple>
@@ -23,19 +24,6 @@
                          call.latency_target_at - now};
 }
 
-/// Returns the candidates with those marked as suspect at which an attempt of the call failed, and with
-/// `avoid_domains` also those in failure domains that the call avoids.
-auto mark_tried_suspect(const std::vector<dispatch_candidate>& all, const call_attempts& attempts,
-                        bool avoid_domains, instant now) -> std::vector<dispatch_candidate>
-{
-    std::vector<dispatch_candidate> marked = all;
-    for (dispatch_candidate& candidate : marked) {
-        const bool avoided = avoid_domains && attempts.avoids(candidate.failure_domain, now);
-        candidate.suspect = candidate.suspect || avoided || attempts.tried(candidate.id);
-    }
-    return marked;
-}
-
 } // namespace
 
 void call_dispatcher::add(waiting_call call)
@@ -217,12 +205,12 @@
         return choose_among(fleet, call, now, all);
     }
     if (call.attempts.avoids_any(now)) {
-        auto decision = choose_among(fleet, call, now, mark_tried_suspect(all, call.attempts, true, now));
+        auto decision = choose_among(fleet, call, now, candidates_for_retry(all, call.attempts, true, now));
         if (decision.blocked_by != wait_reason::full && decision.blocked_by != wait_reason::no_engine) {
             return decision;
         }
     }
-    return choose_among(fleet, call, now, mark_tried_suspect(all, call.attempts, false, now));
+    return choose_among(fleet, call, now, candidates_for_retry(all, call.attempts, false, now));
 }
 
 auto call_dispatcher::choose_among(const upstream_list& fleet, const waiting_call& call, instant now,
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -73,6 +73,7 @@
     const duration elapsed = context_.retry_detector.elapsed(route_->name, limit, arrived_);
     queued_call_ =
         make_waiting_call(id_, request_, context_.names, {*route_, account_, arrived_, limit, elapsed});
+    queue_timeout_at_ = queued_call_.queue_timeout_at;
     enqueue();
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -135,6 +135,7 @@
     instant arrived_{};
     instant deadline_{};
     direct::waiting_call queued_call_;
+    instant queue_timeout_at_{}; // of the first attempt
     bool is_queued_ = false;
     bool finished_ = false;
 
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -40,6 +40,8 @@
     state.rejections = queued_call_.attempts.rejections();
     state.max_attempts = route_->max_attempts;
     state.time_left = deadline_ - now;
+    state.wait_left = queue_timeout_at_ - now;
+    state.retry_delay = queued_call_.attempts.retry_delay();
     state.budget_left = context_.dispatcher.retry_allowed(queued_call_.service, now);
     return state;
 }
--- a/tests/direct/attempt_rules_test.cpp
+++ b/tests/direct/attempt_rules_test.cpp
@@ -85,6 +85,27 @@
     });
 }
 
+// Guards against a hopeless call that is held until its deadline: all upstreams that are left are out of
+// reach.
+Test(attempt_rules, gives_up_a_call_out_of_reach_when_it_may_no_longer_wait)
+{
+    request_progress state;
+    state.time_left = 9s;
+    state.wait_left = 100ms;
+    state.retry_delay = 80ms;
+    cr_assert(decide_next_step(attempt_end::not_sent, state) == next_step::try_again);
+    state.retry_delay = 160ms;
+    cr_assert(decide_next_step(attempt_end::not_sent, state) == next_step::refuse_not_run);
+    state.may_have_run = true;
+    cr_assert(decide_next_step(attempt_end::not_sent, state) == next_step::fail_unknown);
+    state.answer_begun = true;
+    cr_assert(decide_next_step(attempt_end::not_sent, state) == next_step::try_again, "a stream goes on");
+    state.answer_begun = false;
+    state.wait_left = -3s;
+    state.retry_delay = 0s;
+    cr_assert(decide_next_step(attempt_end::not_sent, state) == next_step::try_again, "others may be left");
+}
+
 Test(attempt_rules, retries_a_rejected_call_up_to_the_maximum_of_rejections)
 {
     request_progress state;
