Count ends of several upstreams in one moment less against a request

Ends together with other upstreams, within 20 ms, now block from the fifth on instead of the third, as they may be a lost rack.

--- a/include/dragonflymill/quarantine/repeated_request.h
+++ b/include/dragonflymill/quarantine/repeated_request.h
@@ -12,6 +12,7 @@
 struct consecutive_ends
 {
     int count = 0;  ///< Distinct upstreams.
+    int alone = 0;  ///< Of these, the ones that ended while no other upstream did.
     instant last{}; ///< When the latest of them ended.
 
     friend auto operator==(const consecutive_ends&, const consecutive_ends&) -> bool = default;
@@ -22,15 +23,19 @@
 [[nodiscard]] auto count_consecutive_ends(const crash_evidence& evidence, prompt_part own, instant now)
     -> consecutive_ends;
 
-/// Returns until when a gateway doesn't send calls with an own part, since `max_ends` upstreams have ended
+/// Returns until when a gateway doesn't send calls with an own part, since too many upstreams have ended
 /// under them; nothing if it may send them. Gateways differ by up to `release_spread`, so that not all of
 /// them try a popular request at once.
 [[nodiscard]] auto request_blocked_until(const consecutive_ends& ends, prompt_part own,
                                          std::string_view gateway) -> std::optional<instant>;
 
-/// Upstreams that may end under one request, over all of its caller's repetitions at all gateways.
+/// Upstreams that may end alone under one request, over all of its caller's repetitions at all gateways.
 inline constexpr int max_ends = 3;
-/// Time from the last of `max_ends` ends in which the request isn't sent. It exceeds the deadlines of calls,
+/// Upstreams that may end under it in any way. Those that end together with others may be a lost rack.
+inline constexpr int max_shared_ends = 5;
+/// Upstreams that end within this time end together.
+inline constexpr duration same_moment = 20ms;
+/// Time from the last of these ends in which the request isn't sent. It exceeds the deadlines of calls,
 /// so that a caller's repetitions end before.
 inline constexpr duration first_block_time = 30s;
 /// The same after one more end, and after each further one.
--- a/src/quarantine/repeated_request.cpp
+++ b/src/quarantine/repeated_request.cpp
@@ -19,18 +19,38 @@
     instant sent_at{};
     instant ended_at{};
     upstream_run upstream = 0;
+    bool alone = true; // no other upstream ended in the same moment
 };
 
+auto has_part(const upstream_crash& crash, prompt_part own) -> bool
+{
+    return std::any_of(crash.calls.begin(), crash.calls.end(), [&](const suspect_call& call) {
+        return std::binary_search(call.parts.begin(), call.parts.end(), own);
+    });
+}
+
+/// Returns whether another upstream ended together with one, under other calls.
+auto ended_with_others(const crash_evidence& evidence, const upstream_crash& crash, prompt_part own) -> bool
+{
+    const auto& crashes = evidence.crashes();
+    return std::any_of(crashes.begin(), crashes.end(), [&](const upstream_crash& other) {
+        return other.upstream != crash.upstream && other.at <= crash.at + same_moment &&
+               crash.at <= other.at + same_moment && !has_part(other, own);
+    });
+}
+
 auto ended_calls(const crash_evidence& evidence, prompt_part own, instant now) -> std::vector<ended_call>
 {
     std::vector<ended_call> ended;
     for (const upstream_crash& crash : evidence.crashes()) {
-        if (crash.survived || now - crash.at > crash_evidence::max_age || evidence.cleared(own, crash.at)) {
+        if (crash.survived || now - crash.at > crash_evidence::max_age || evidence.cleared(own, crash.at) ||
+            !has_part(crash, own)) {
             continue;
         }
+        const bool alone = !ended_with_others(evidence, crash, own);
         for (const suspect_call& call : crash.calls) {
             if (std::binary_search(call.parts.begin(), call.parts.end(), own)) {
-                ended.push_back({crash.at - call.in_flight, crash.at, crash.upstream});
+                ended.push_back({crash.at - call.in_flight, crash.at, crash.upstream, alone});
             }
         }
     }
@@ -52,6 +72,7 @@
         const bool overlaps = ends.count > 0 && call.sent_at + report_tolerance < ends.last;
         if (!overlaps && upstreams.insert(call.upstream).second) {
             ++ends.count;
+            ends.alone += call.alone ? 1 : 0;
             ends.last = call.ended_at;
         }
     }
@@ -61,12 +82,13 @@
 auto request_blocked_until(const consecutive_ends& ends, prompt_part own, std::string_view gateway)
     -> std::optional<instant>
 {
-    if (ends.count < max_ends) {
+    const int excess = std::max(ends.alone - max_ends, ends.count - max_shared_ends);
+    if (excess < 0) {
         return std::nullopt;
     }
-    const duration block = ends.count == max_ends       ? first_block_time
-                           : ends.count == max_ends + 1 ? second_block_time
-                                                        : later_block_time;
+    const duration block = excess == 0   ? first_block_time
+                           : excess == 1 ? second_block_time
+                                         : later_block_time;
     const auto spread_us = static_cast<std::uint64_t>(release_spread.count());
     return ends.last + block + duration(static_cast<duration::rep>(stable_hash(gateway, own) % spread_us));
 }
--- a/tests/quarantine/repeated_request_fleet_test.cpp
+++ b/tests/quarantine/repeated_request_fleet_test.cpp
@@ -99,6 +99,22 @@
     cr_assert(total.refused <= max_refused_share * total.calls);
 }
 
+// Guards against the same for long calls that two of five upstreams are lost under, again and again.
+Test(repeated_request_fleet, repeated_losses_of_many_upstreams_block_few_long_requests)
+{
+    const cost total = cost_of("repeated losses", [](fleet_scenario& scenario) {
+        scenario.call_time = 1500ms;
+        scenario.restart_time = 1s;
+        scenario.lost = [](duration since) {
+            const bool lost = since > 0s && since % 2s == 0s;
+            const int begin = static_cast<int>(since / 2s) % 3 * 4;
+            return lost ? std::vector<int>{begin, begin + 1, begin + 2, begin + 3, begin + 4, begin + 5}
+                        : std::vector<int>();
+        };
+    });
+    cr_assert(total.refused <= max_refused_share * total.calls);
+}
+
 // Guards against the same for upstreams that are restarted in turn without notice.
 Test(repeated_request_fleet, upstreams_restarted_in_turn_block_few_sound_requests)
 {
