Clear a request with any complete answer of an upstream

Only answers with a status below 300 were evidence for a call. That holds for the parts of a prompt, as a failure may not have used it. The request itself has been run without a crash, whatever the status: a lookup that is answered with 404 or, by one replica in seven, with 500 could have been blocked by three unrelated ends. Tests: an answer with a failure clears, resets after the first event count, one repeated prompt behind sidecars ends three engines and blocks no others.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -469,16 +469,18 @@
     }
     constexpr unsigned first_failure = 300;
     constexpr unsigned first_server_failure = 500;
+    // A response that ends with its connection may have been cut off by a crash.
+    if (head_.is_self_delimited()) {
+        const bool succeeded = head_.status < first_failure;
+        context_.dispatcher.quarantine().evidence().record_answer(
+            succeeded ? queued_call_.prompt_parts : own_parts(queued_call_.prompt_parts), now);
+    }
     const bool failure = head_.status >= first_server_failure;
     if (failure && !response_started_) {
         end_attempt(attempt_end::failed, "status " + std::to_string(head_.status));
         return;
     }
     context_.dispatcher.health().record_success(assignment_->upstream.id);
-    // A response that ends with its connection may have been cut off by a crash.
-    if (head_.status < first_failure && head_.is_self_delimited()) {
-        context_.dispatcher.quarantine().evidence().record_answer(queued_call_.prompt_parts, now);
-    }
     if (queued_call_.prompt_tokens == 0) {
         (void)context_.dispatcher.event_received(assignment_->placed, now);
     }
--- a/tests/edge/repeated_request_test.cpp
+++ b/tests/edge/repeated_request_test.cpp
@@ -77,6 +77,54 @@
     fixture.run_until_received("served");
 }
 
+// Guards against a stream under which engines reset the connection after its first event, each time again.
+Test(repeated_request, ends_no_fourth_engine_after_its_first_event)
+{
+    gateway_fixture fixture;
+    int resets = 0;
+    for (int number = 0; number < repetitions * 2; ++number) {
+        fixture.add_upstream("engines", [&resets](taken_connection& call) {
+            call.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: x\n\n\r\n");
+            ++resets;
+            call.reset();
+        });
+    }
+    fixture.start();
+    const gateway_metrics& metrics = fixture.gateway->metrics();
+    for (int sent = 0; sent < repetitions; ++sent) {
+        const auto ended = [&] { return metrics.aborted.value() + metrics.refused.value(); };
+        const auto before = ended();
+        fixture.connect_another_caller();
+        fixture.send("POST", "/chat/1", "Tokens: 70,10\r\nParts: a1:40,bad7:30\r\n");
+        fixture.run_until([&] { return ended() > before; });
+        cr_assert(resets <= allowed_ends, "%d engines ended", resets);
+    }
+    cr_assert(resets == allowed_ends);
+}
+
+// Guards against a sound request that is blocked though an upstream has answered it meanwhile, with whatever
+// status.
+Test(repeated_request, is_cleared_by_an_answer_with_a_failure)
+{
+    gateway_fixture fixture;
+    int sent = 0;
+    for (int number = 0; number < repetitions * 2; ++number) {
+        fixture.add_upstream("bookings", [&sent](taken_connection& call) {
+            if (++sent % 3 == 0) {
+                call.send("HTTP/1.1 404 N\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
+            call.close();
+        });
+    }
+    fixture.start();
+    for (int repeated = 0; repeated < repetitions; ++repeated) {
+        send_and_wait(fixture, "GET", "/find/1");
+        cr_assert(!fixture.received.starts_with("HTTP/1.1 503 "));
+    }
+}
+
 // Guards against a call that is sent again and again without a pause while the only upstream that is left
 // refuses connections.
 Test(repeated_request, pauses_between_attempts_at_an_upstream_that_refuses_connections)
--- a/tests/serve/quarantined_prompts_test.cpp
+++ b/tests/serve/quarantined_prompts_test.cpp
@@ -53,3 +53,31 @@
     const auto* sound = find<gateway_output::refuse>(other);
     cr_assert(sound == nullptr || sound->why.code != refusal_code::quarantined);
 }
+
+// Guards against one prompt, repeated by its caller, that takes engine after engine behind sidecars, and
+// against sound prompts that share its first block and are refused with it.
+Test(quarantined_prompts, one_repeated_prompt_is_refused_and_others_are_not)
+{
+    gateway_core core{start, options()};
+    adopt(core, small_bundle());
+    constexpr block_hash shared = 70;
+    instant now = start;
+    int engines = 0;
+    for (std::uint64_t number = 1; number <= 6; ++number) {
+        auto repeated = asked_with(number, shared);
+        repeated.blocks = {shared, 1001};
+        auto actions = core.step(now, repeated);
+        while (const auto* opened = find<gateway_output::open_attempt>(actions)) {
+            const attempt_key key = opened->key;
+            feed(core, now, gateway_input::attempt_granted{key});
+            now += 20ms;
+            ++engines;
+            actions = core.step(now, lost(key));
+        }
+        now += 10ms;
+    }
+    cr_assert(engines == 3, "%d engines", engines);
+    const auto other = core.step(now, asked_with(21, shared));
+    const auto* sound = find<gateway_output::refuse>(other);
+    cr_assert(sound == nullptr || sound->why.code != refusal_code::quarantined);
+}
