--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -45,7 +45,7 @@
         "127." + std::to_string(1 + getpid() / 250 % 250) + "." + std::to_string(1 + getpid() % 250) + ".";
     constexpr std::uint16_t first_port = 12'000;
     const std::uint16_t peer_port = free_port(loop_, net + "1", first_port);
-    caller_port_ = free_port(loop_, net + "1", peer_port + 1);
+    caller_port_ = free_port(loop_, net + "1", static_cast<std::uint16_t>(peer_port + 1));
     for (const char* service : {"bookings", "bookings", "bookings", "engines", "engines", "engines"}) {
         add_upstream(service);
     }
