Count silence against a request also when its caller's time is over first

A plain call whose upstream falls silent ends with its deadline, before the gateway would try another upstream, and wasn't evidence: each repetition took one more.

--- a/include/dragonflymill/direct/stall_timeout.h
+++ b/include/dragonflymill/direct/stall_timeout.h
@@ -17,6 +17,9 @@
 /// Returns how long clients of a route wait for a silent stream before they disconnect.
 [[nodiscard]] auto client_timeout_for(const route_rule& route) -> duration;
 
+/// Returns how long an upstream of a route may be silent until it has most likely lost the request.
+[[nodiscard]] auto silence_limit_for(const route_rule& route) -> duration;
+
 /// Returns whether an upstream has so much pending prefill that its silence doesn't indicate a loss.
 [[nodiscard]] auto is_busy_prefilling(duration pending_prefill) -> bool;
 
--- a/src/direct/stall_timeout.cpp
+++ b/src/direct/stall_timeout.cpp
@@ -35,6 +35,11 @@
                      client_timeout_tbt_targets * route.tbt_target});
 }
 
+auto silence_limit_for(const route_rule& route) -> duration
+{
+    return stall_latency_targets * route.latency_target;
+}
+
 auto is_busy_prefilling(duration pending_prefill) -> bool
 {
     return pending_prefill > busy_prefill;
@@ -43,7 +48,7 @@
 auto stall_timeout_for(const route_rule& route, const stalled_attempt& attempt) -> duration
 {
     const duration silence =
-        attempt.started ? stall_tbt_targets * route.tbt_target : stall_latency_targets * route.latency_target;
+        attempt.started ? stall_tbt_targets * route.tbt_target : silence_limit_for(route);
     const bool busy = is_busy_prefilling(attempt.pending_prefill);
     const duration busy_timeout =
         busy ? client_timeout_for(route) * busy_share_percent / 100 : duration::zero();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -101,8 +101,6 @@
     [[nodiscard]] auto forwarded_fields() const -> std::vector<header_field>;
     void forward_head();
     [[nodiscard]] auto stall_timeout_for() const -> duration;
-    /// Returns whether the upstream has sent nothing for too long, without other prompts to prefill first.
-    [[nodiscard]] auto upstream_is_silent(instant now) const -> bool;
     void arm_stall_timer();
     void on_stall_timeout(std::uint64_t attempt);
     /// Returns whether an upstream, still in the same run, accepts work by what is published.
@@ -110,6 +108,9 @@
     void end_attempt(direct::attempt_end end, const std::string& why);
     /// Records that the call was lost with an upstream or with an engine that prefilled a part of it.
     void record_evidence(direct::attempt_end end, const direct::prefill_engine* prefill_engine, instant now);
+    /// Records the same if the call ends for another reason while its upstream is silent for too long,
+    /// without other prompts to prefill first.
+    void record_silence();
     [[nodiscard]] auto failed_prefill_engine() const -> const direct::prefill_engine*;
     [[nodiscard]] auto may_have_run() const -> bool { return queued_call_.attempts.run() > 0; }
     [[nodiscard]] auto progress(instant now) const -> direct::request_progress;
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -84,10 +84,16 @@
     }
 }
 
-auto exchange::upstream_is_silent(instant now) const -> bool
+void exchange::record_silence()
 {
+    const instant now = runtime::now();
+    if (!call_ || !call_->any_sent() || now - last_byte_at_ < direct::silence_limit_for(*route_)) {
+        return;
+    }
     const auto load = context_.dispatcher.loads().load_of(assignment_->upstream.id, now);
-    return now - last_byte_at_ >= stall_timeout_for() && !direct::is_busy_prefilling(load.pending_prefill);
+    if (!direct::is_busy_prefilling(load.pending_prefill)) {
+        record_evidence(attempt_end::broken, nullptr, now);
+    }
 }
 
 auto exchange::accepts_work(const direct::upstream_entry& upstream) const -> bool
@@ -168,9 +174,7 @@
         return;
     }
     const bool sent = call_ && call_->any_sent();
-    if (sent && upstream_is_silent(runtime::now())) {
-        record_evidence(attempt_end::broken, nullptr, runtime::now());
-    }
+    record_silence();
     release_upstream();
     if (sent || may_have_run()) {
         refuse(504, {refusal_code::deadline, ran_state::unknown, 0s, "check whether it was done"}, why);
@@ -226,6 +230,7 @@
     if (finished_) {
         return;
     }
+    record_silence();
     context_.metrics.caller_disconnects.add();
     log_event(event::call_cancelled, field("request", request_id_), field("events", events_),
               field("waiting", is_queued_), field("total_us", runtime::now() - arrived_));
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -136,17 +136,17 @@
     return &*crashes_.insert(later, {upstream, at, false, false, 0, {}});
 }
 
-void crash_evidence::add_call(upstream_crash& crash, const reported_call& reported, bool announced)
+void crash_evidence::add_call(upstream_crash& crash, const reported_call& call, bool announced)
 {
     const auto known = std::find_if(crash.calls.begin(), crash.calls.end(),
-                                    [&](const suspect_call& call) { return call.parts == reported.parts; });
+                                    [&](const suspect_call& other) { return other.parts == call.parts; });
     if (known == crash.calls.end()) {
         if (crash.calls.size() >= max_calls) {
             return;
         }
-        crash.calls.push_back({reported.parts, reported.in_flight, announced});
+        crash.calls.push_back({call.parts, call.in_flight, announced});
         ++changes_;
-        for (const prompt_part part : reported.parts) {
+        for (const prompt_part part : call.parts) {
             instant& last = last_crash_of_[part];
             last = std::max(last, crash.at);
         }
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -206,6 +206,7 @@
         find.path_prefix = "/find/";
         find.kind = direct::call_kind::idempotent;
         find.max_attempts = 2;
+        find.latency_target = 50ms;
         parts.routes = {book, chat, find};
         if (engine_profile) {
             // Prompts of the route with the tighter target are never divided.
--- a/tests/edge/repeated_request_test.cpp
+++ b/tests/edge/repeated_request_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway_fixture.h"
 
+#include <set>
+
 using namespace dragonflymill;
 using namespace dragonflymill::edge;
 
@@ -125,6 +127,25 @@
     }
 }
 
+// Guards against a plain call under which upstreams fall silent: its caller's time is over before the gateway
+// would try another one, so that it took one of them for each repetition.
+Test(repeated_request, makes_no_fourth_upstream_fall_silent)
+{
+    gateway_fixture fixture;
+    std::set<int> silent;
+    for (int number = 0; number < repetitions; ++number) {
+        fixture.add_upstream("bookings", [&silent, number](taken_connection&) { silent.insert(number); });
+    }
+    fixture.start();
+    for (int sent = 0; sent < 2 * repetitions; ++sent) {
+        fixture.received.clear();
+        fixture.send_raw("GET /find/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nTime-Left: 200\r\n"
+                         "Authorization: Bearer key1\r\n\r\n");
+        fixture.run_until_received("\r\n\r\n");
+        cr_assert(silent.size() <= allowed_ends, "%zu upstreams fell silent", silent.size());
+    }
+}
+
 // Guards against a call that is sent again and again without a pause while the only upstream that is left
 // refuses connections.
 Test(repeated_request, pauses_between_attempts_at_an_upstream_that_refuses_connections)
