Don't take an end for the one that an upstream has survived before

The end was merged into the silence, which its answers had shown to be none, and so counted for nothing: five engines ended under one request. An end later than the time from which on answers show survival is another one.

--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -112,7 +112,9 @@
 auto crash_evidence::find_or_add(upstream_run upstream, instant at) -> upstream_crash*
 {
     for (upstream_crash& crash : crashes_) {
-        if (crash.upstream == upstream && at <= crash.at + same_crash_window &&
+        // An upstream that has answered since may end now.
+        const bool is_later = crash.survived && at > crash.at + survival_begin;
+        if (crash.upstream == upstream && !is_later && at <= crash.at + same_crash_window &&
             crash.at <= at + same_crash_window) {
             // The time that a report needs isn't part of its age, so the earliest time is the best one.
             crash.at = std::min(crash.at, at);
--- a/tests/quarantine/crash_evidence_test.cpp
+++ b/tests/quarantine/crash_evidence_test.cpp
@@ -127,3 +127,15 @@
     started.update(start + 6s);
     cr_assert(!started.check({bad}, start + 6s).allowed);
 }
+
+// Guards against the end of an upstream that counts for nothing since it had been silent for a moment shortly
+// before and had answered again.
+Test(crash_evidence, an_end_after_signs_of_life_is_another_crash)
+{
+    crash_evidence evidence;
+    evidence.record_lost_call({10, {own_part(1)}, 0s, 1s, call_loss::silence}, start);
+    evidence.record_sign_of_life(10, start + 300ms);
+    cr_assert(evidence.crashes()[0].survived);
+    evidence.record_lost_call({10, {own_part(2)}, 0s, 5ms}, start + 700ms);
+    cr_assert(evidence.crashes().size() == 2 && !evidence.crashes()[1].survived);
+}
