--- a/tests/edge/repeated_request_test.cpp
+++ b/tests/edge/repeated_request_test.cpp
@@ -15,7 +15,7 @@
 class crashing_upstreams
 {
 public:
-    crashing_upstreams(gateway_fixture& fixture, const std::string& service, std::string fatal)
+    crashing_upstreams(gateway_fixture& fixture, const std::string& service, const std::string& fatal)
     {
         for (int number = 0; number < repetitions * 2; ++number) {
             upstreams_.push_back(
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -31,6 +31,12 @@
     return "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
 }
 
+auto is_fatal(const std::string& request) -> bool
+{
+    return request.find(soak_upstream::crashing_part) != std::string::npos ||
+           request.find(soak_upstream::fatal_marker) != std::string::npos;
+}
+
 auto chunk(const std::string& bytes) -> std::string
 {
     std::array<char, 16> size{};
@@ -138,8 +144,7 @@
         return;
     }
     const bool is_stream = service_ == "engines";
-    const auto contains = [&](const char* text) { return call.received.find(text) != std::string::npos; };
-    if (contains(crashing_part) || contains(fatal_marker)) {
+    if (is_fatal(call.received)) {
         crash(call, request, head);
         return;
     }
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -115,7 +115,8 @@
 
 void soak_world::add_upstream(const std::string& service)
 {
-    const std::string id = service + "-" + std::to_string(++made_);
+    // The process id keeps upstreams of concurrent runs apart, which may take over each other's ports.
+    const std::string id = service + "-" + std::to_string(++made_) + "-" + std::to_string(getpid());
     upstreams_.push_back(std::make_unique<soak_upstream>(loop_, id, service, promises_));
     upstreams_.back()->set_store_well([this] { return store_well_since_; });
     upstreams_.back()->set_on_request([this, id](const std::string& request) {
