--- a/include/dragonflymill/direct/call_attempts.h
+++ b/include/dragonflymill/direct/call_attempts.h
@@ -66,7 +66,7 @@
     static constexpr duration domain_avoidance = 1s;
 
     /// Number of attempts at distinct upstreams that aren't delayed. Each of them may be lost without the
-    /// gateway knowing, as when a failure domain has just gone.
+    /// gateway knowing, as when a failure domain has just failed.
     static constexpr std::uint64_t undelayed_attempts = 8;
     /// Delay of the next attempt; it doubles with each further one.
     static constexpr duration first_retry_delay = 10ms;
--- a/include/dragonflymill/direct/waiting_call.h
+++ b/include/dragonflymill/direct/waiting_call.h
@@ -17,7 +17,7 @@
     std::uint64_t id = 0;                       ///< Assigned by the owner of the dispatcher.
     std::string service;                        ///< Service that has to run it.
     std::int64_t prompt_tokens = 0;             ///< 0 for plain services.
-    dragonflymill::prompt_parts prompt_parts;   ///< Parts of its prompt, and its request as a whole.
+    dragonflymill::prompt_parts prompt_parts;   ///< Parts of its prompt, and its request.
     std::uint64_t fingerprint = 0;              ///< The same for all repetitions of it by its caller.
     std::int64_t answer_tokens = 0;             ///< Maximum length of the answer.
     duration tbt_target{};                      ///< Longest time between two of its events; 0: no target.
--- a/include/dragonflymill/quarantine/crash_evidence.h
+++ b/include/dragonflymill/quarantine/crash_evidence.h
@@ -16,7 +16,7 @@
 using prompt_part = std::uint64_t;
 
 /// Returns the part with a hash. `own` is set for what only this call or its session has: the last part of a
-/// prompt, and the request as a whole.
+/// prompt, and the request itself.
 [[nodiscard]] constexpr auto make_prompt_part(std::uint64_t hash, bool own) -> prompt_part
 {
     return own ? hash | 1U : hash & ~std::uint64_t{1};
@@ -27,12 +27,12 @@
     return (part & 1U) != 0;
 }
 
-/// Parts of the prompt of one call, and its request as a whole, sorted and without repetitions.
+/// Parts of the prompt of one call, and its request, sorted and without repetitions.
 using prompt_parts = std::vector<prompt_part>;
 
 /// Returns those that only the call or its session has.
 [[nodiscard]] auto own_parts(const prompt_parts& parts) -> prompt_parts;
-/// Returns the parts with the request as a whole, which has this hash.
+/// Returns the parts with the request that has this hash.
 [[nodiscard]] auto with_request(prompt_parts parts, std::uint64_t request_hash) -> prompt_parts;
 
 /// How an upstream ended a call without a complete answer.
@@ -139,7 +139,7 @@
     /// only those that no other call has: a lost host or a cut link looks the same, but not at one upstream
     /// after the other. None is suspect once the answer had been written for longer than `max_request_onset`.
     void record_lost_call(const lost_call& call, instant now);
-    /// Records that an engine which was to prefill a part of a call's prompt, or held memory for it, is gone.
+    /// Records that an engine which was to prefill a part of a call's prompt, or held memory for it, failed.
     /// The call is suspect if the engine is known to have crashed since the call was sent at `sent_at`:
     /// others were lost before, or reject for reasons of their own.
     void record_lost_prefill(upstream_run engine, const prompt_parts& parts, instant sent_at);
@@ -186,7 +186,7 @@
     /// Time from the first event of an answer within which its prompt may still crash the upstream. A prompt
     /// has been read by then, and the first iterations of decoding have used all of its parts.
     static constexpr duration max_onset = 1s;
-    /// The same for the request as a whole. Long streams outlive several upstreams in a day of restarts.
+    /// The same for the request itself. Long streams outlive several upstreams in a day of restarts.
     static constexpr duration max_request_onset = 5s;
     /// Time for which evidence is repeated. Gateways that were out of reach for longer get all of it when
     /// they are heard again.
--- a/include/dragonflymill/quarantine/part_quarantine.h
+++ b/include/dragonflymill/quarantine/part_quarantine.h
@@ -31,7 +31,7 @@
     bool allowed = true;     ///< Whether it may be sent.
     bool is_trial = false;   ///< It may, as the trial of a quarantine.
     duration retry_after{};  ///< Otherwise: time until it may be sent, unless something clears it before.
-    bool is_request = false; ///< Otherwise: refused for its request as a whole, not for parts of its prompt.
+    bool is_request = false; ///< Otherwise: refused for its request, not for parts of its prompt.
 
     friend auto operator==(const quarantine_verdict&, const quarantine_verdict&) -> bool = default;
 };
--- a/tests/serve/quarantined_prompts_test.cpp
+++ b/tests/serve/quarantined_prompts_test.cpp
@@ -15,15 +15,17 @@
     return made;
 }
 
-/// Passes in a request whose engines are lost as soon as they have its prompt; returns how many there were.
-auto lose_engines(gateway_core& core, std::uint64_t number, block_hash first_block, instant& now) -> int
+/// Passes in a request whose engines are lost some time after they have its prompt; returns how many there
+/// were.
+auto lose_engines(gateway_core& core, const gateway_input::completion_arrived& asked, duration onset,
+                  instant& now) -> int
 {
     int engines = 0;
-    auto actions = core.step(now, asked_with(number, first_block));
+    auto actions = core.step(now, asked);
     while (const auto* opened = find<gateway_output::open_attempt>(actions)) {
         const attempt_key key = opened->key;
         feed(core, now, gateway_input::attempt_granted{key});
-        now += 2s;
+        now += onset;
         ++engines;
         actions = core.step(now, lost(key));
     }
@@ -41,7 +43,7 @@
     instant now = start;
     int engines = 0;
     for (std::uint64_t number = 1; number <= 10; ++number) {
-        engines += lose_engines(core, number, bad, now);
+        engines += lose_engines(core, asked_with(number, bad), 2s, now);
         now += 10ms;
     }
     cr_assert(engines >= 3 && engines <= 5, "%d engines", engines);
@@ -66,14 +68,7 @@
     for (std::uint64_t number = 1; number <= 6; ++number) {
         auto repeated = asked_with(number, shared);
         repeated.blocks = {shared, 1001};
-        auto actions = core.step(now, repeated);
-        while (const auto* opened = find<gateway_output::open_attempt>(actions)) {
-            const attempt_key key = opened->key;
-            feed(core, now, gateway_input::attempt_granted{key});
-            now += 20ms;
-            ++engines;
-            actions = core.step(now, lost(key));
-        }
+        engines += lose_engines(core, repeated, 20ms, now);
         now += 10ms;
     }
     cr_assert(engines == 3, "%d engines", engines);
