Ends in turn under one other request are no common loss

Two of its ends fell within 20 ms of two ends under a single other call, which had gone from the one engine to the other, and counted as parts of a lost rack. The upstreams that end together must have ended under distinct requests.

--- a/src/quarantine/repeated_request.cpp
+++ b/src/quarantine/repeated_request.cpp
@@ -3,6 +3,7 @@
 #include "dragonflymill/core/stable_hash.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <vector>
 
@@ -29,15 +30,30 @@
     });
 }
 
-/// Returns whether an upstream ended together with several others, under other calls.
+/// Returns whether any of the own parts is in a call that an upstream ended under.
+auto has_any(const upstream_crash& crash, const std::set<prompt_part>& own) -> bool
+{
+    return std::any_of(own.begin(), own.end(), [&](prompt_part part) { return has_part(crash, part); });
+}
+
+/// Returns whether an upstream ended together with several others, each under other requests. Those that
+/// ended under one and the same request did so in turn.
 auto ended_with_others(const crash_evidence& evidence, const upstream_crash& crash, prompt_part own) -> bool
 {
-    const auto& crashes = evidence.crashes();
-    const auto others = std::count_if(crashes.begin(), crashes.end(), [&](const upstream_crash& other) {
-        return other.upstream != crash.upstream && other.at <= crash.at + same_moment &&
-               crash.at <= other.at + same_moment && !has_part(other, own);
-    });
-    return others + 1 >= min_common_losses;
+    std::set<prompt_part> requests{own};
+    int together = 1;
+    for (const upstream_crash& other : evidence.crashes()) {
+        const bool same_time = other.at <= crash.at + same_moment && crash.at <= other.at + same_moment;
+        if (other.upstream == crash.upstream || !same_time || has_any(other, requests)) {
+            continue;
+        }
+        ++together;
+        for (const suspect_call& call : other.calls) {
+            std::copy_if(call.parts.begin(), call.parts.end(), std::inserter(requests, requests.end()),
+                         is_own_part);
+        }
+    }
+    return together >= min_common_losses;
 }
 
 auto ended_calls(const crash_evidence& evidence, prompt_part own, instant now) -> std::vector<ended_call>
--- a/tests/quarantine/repeated_request_test.cpp
+++ b/tests/quarantine/repeated_request_test.cpp
@@ -111,6 +111,19 @@
     cr_assert(lose_together(min_common_losses, 9) == max_shared_ends);
 }
 
+// Guards against a request at fault that goes on since another one ends upstreams in turn at the same time.
+Test(repeated_request, ends_in_turn_under_another_request_are_no_common_loss)
+{
+    part_quarantine quarantine;
+    end_in_turn(quarantine, 3);
+    for (std::uint64_t number = 0; number < 4; ++number) {
+        const instant at = start + 10ms * static_cast<int>(number);
+        quarantine.evidence().record_lost_call({50 + number, {own_part(60)}, 0s, 5ms}, at);
+    }
+    cr_assert(!allows(quarantine, {first, request}, start + 100ms));
+    cr_assert(!allows(quarantine, {own_part(60)}, start + 100ms));
+}
+
 // Guards against blame for a single upstream that is faulty itself.
 Test(repeated_request, an_upstream_that_ends_again_counts_once)
 {
