Don't reset a connection of a soak upstream that has crashed

A crash closes the connections of all calls; the next event of one of them, with the fault that resets connections, was sent on a closed socket.

--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -161,6 +161,9 @@
         return;
     }
     later(std::chrono::milliseconds(10), [this, kept, request, head] {
+        if (!kept->socket.is_open()) {
+            return;
+        }
         if (fault_ == fault::reset) {
             kept->reset();
             return;
@@ -174,7 +177,8 @@
 void soak_upstream::stream(const std::shared_ptr<taken_connection>& call, const std::string& request,
                            int next)
 {
-    if (call->ended) {
+    // A crash closes the connections of all calls.
+    if (call->ended || !call->socket.is_open()) {
         return;
     }
     if (next > events) {
