--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -31,6 +31,15 @@
     return "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
 }
 
+/// A response that states that the request was not executed, and may ask for a pause.
+auto rejection(const std::string& head, std::optional<std::chrono::milliseconds> pause) -> std::string
+{
+    const std::string retry_after =
+        pause ? "Retry-After: " + std::to_string(std::chrono::duration<double>(*pause).count()) + "\r\n" : "";
+    return "HTTP/1.1 503 P\r\n" + head + "Dragonflymill-Not-Executed: 1\r\n" + retry_after +
+           "Content-Length: 0\r\n\r\n";
+}
+
 auto is_fatal(const std::string& request) -> bool
 {
     return request.find(soak_upstream::crashing_part) != std::string::npos ||
@@ -133,14 +142,11 @@
     }
     if (pause_) {
         on_rejected_(request, *pause_);
-        send(call, "HTTP/1.1 503 P\r\n" + head + "Dragonflymill-Not-Executed: 1\r\nRetry-After: " +
-                       std::to_string(std::chrono::duration<double>(*pause_).count()) +
-                       "\r\nContent-Length: 0\r\n\r\n");
+        send(call, rejection(head, *pause_));
         return;
     }
     if (fault_ == fault::full) {
-        send(call,
-             "HTTP/1.1 503 F\r\n" + head + "Dragonflymill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        send(call, rejection(head, std::nullopt));
         return;
     }
     const bool is_stream = service_ == "engines";
