Show that a sound part of prompts is blamed where streams have no length

Replicas whose streams end with the connection never clear a part. After the crashes under a bad part, one crash of another cause makes the part that all prompts share the suspect, and every request with it is refused for minutes.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for case in foreign_entry plain_503; do
+for case in foreign_entry blamed_part plain_503; do
     g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "target/review/$case" "review/standins/$case.cpp" review/standins/rig.cpp
 done
--- a/review/standins/rig.cpp
+++ b/review/standins/rig.cpp
@@ -260,6 +260,11 @@
 server::server(const std::string& ip, int port, handler handle)
     : address_(ip + ":" + std::to_string(port))
     , handle_(std::move(handle))
+{
+    open();
+}
+
+void server::open()
 {
     const int made = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
@@ -270,9 +275,9 @@
         return;
     }
     listener_ = made;
-    thread_ = std::thread([this] {
+    thread_ = std::thread([this, made] {
         for (;;) {
-            const int caller = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+            const int caller = ::accept4(made, nullptr, nullptr, SOCK_CLOEXEC);
             if (caller < 0) {
                 return;
             }
@@ -286,15 +291,21 @@
     });
 }
 
-server::~server()
+void server::close()
 {
     if (listener_ >= 0) {
         ::shutdown(listener_, SHUT_RDWR);
         thread_.join();
         ::close(listener_);
+        listener_ = -1;
     }
 }
 
+server::~server()
+{
+    close();
+}
+
 store::store(const std::string& ip, int port)
     : server_(std::make_unique<server>(ip, port, [this](connection& caller) { serve(caller); }))
 {
--- a/review/standins/rig.h
+++ b/review/standins/rig.h
@@ -81,6 +81,10 @@
     ~server();
     [[nodiscard]] auto address() const -> std::string { return address_; }
     [[nodiscard]] auto listening() const -> bool { return listener_ >= 0; }
+    /// Stops listening: new connections are refused. Open ones are left to the handlers.
+    void close();
+    /// Listens again.
+    void open();
 
 private:
     int listener_ = -1;
