--- a/review/standins/blamed_part.cpp
+++ b/review/standins/blamed_part.cpp
@@ -139,6 +139,7 @@
     void answer(connection& caller, const message& call, int generation)
     {
         const std::string request = call.field("dragonflymill-attempt-id");
+        note("request " + request + " runs at " + id());
         sleep_ms(60);
         (void)caller.write("HTTP/1.1 200 OK\r\nDragonflymill-Attempt-Id: " + request +
                            "\r\nDragonflymill-Server-Seal: seal-" + id() +
@@ -189,6 +190,7 @@
     const std::string parts =
         deadly ? std::string("aa01:40,") + deadly_part + ":200," + id + ":4700" : "aa01:40," + id + ":4920";
     message answer;
+    note("client sends " + id + " to " + to.name() + ", parts " + parts);
     if (const auto opened = connection::open(to.front(), 1000)) {
         (void)opened->write("POST /ask/x HTTP/1.1\r\nHost: desk.example\r\nDragonflymill-Attempt-Id: " + id +
                             "\r\nDragonflymill-Model: m\r\nDragonflymill-Token-Count: 4960,460\r\n"
--- a/review/standins/foreign_entry.cpp
+++ b/review/standins/foreign_entry.cpp
@@ -84,6 +84,7 @@
         const std::string id = "book" + std::to_string(i);
         const gateway& to = *gateways[static_cast<std::size_t>(i % 2)];
         message answer;
+        note("client sends " + id + " to " + to.name());
         if (const auto opened = connection::open(to.front(), 1000)) {
             (void)opened->write(
                 "POST /book/slot HTTP/1.1\r\nHost: desk.example\r\nDragonflymill-Attempt-Id: " + id +
--- a/review/standins/plain_503.cpp
+++ b/review/standins/plain_503.cpp
@@ -34,6 +34,7 @@
 auto attempt(const gateway& to, const std::string& id, const std::string& booking, run_list& runs) -> ending
 {
     message answer;
+    note("client sends " + id + " to " + to.name() + ": " + booking);
     if (const auto opened = connection::open(to.front(), 1000)) {
         (void)opened->write(
             "POST /book/slot HTTP/1.1\r\nHost: desk.example\r\nDragonflymill-Attempt-Id: " + id +
