--- /dev/null
+++ b/src/edge/exchange_response.cpp
@@ -0,0 +1,188 @@
+#include "dragonflymill/core/units.h"
+#include "edge/exchange.h"
+#include "runtime/clock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflymill::edge {
+
+namespace {
+
+using direct::attempt_end;
+
+/// Responses up to this size are buffered until complete, so that another attempt can still replace them.
+constexpr std::size_t max_buffered_bytes = 1'048'576;
+constexpr double us_per_s = 1e6;
+
+} // namespace
+
+auto exchange::on_response_head(const response_head& head) -> bool
+{
+    last_byte_at_ = runtime::now();
+    const header_names& names = context_.names;
+    const std::string_view echoed = head.value_of(names.request_id);
+    if (!echoed.empty() && echoed != request_id_) {
+        end_attempt(attempt_end::broken, "the answer belongs to another request");
+        return false;
+    }
+    context_.statements.record_response(head, assignment_->upstream, request_id_, sent_at_, last_byte_at_);
+    head_ = head;
+    if (head.status != misdirected) {
+        record_sign_of_life();
+    }
+    if (head.status == misdirected || !head.value_of(names.not_run).empty()) {
+        mode_ = response_mode::rejected;
+        const attempt_end end = failed_prefill_engine() != nullptr ? attempt_end::reader_lost
+                                : head.status == misdirected       ? attempt_end::misdirected
+                                                                   : attempt_end::rejected;
+        end_attempt(end, "status " + std::to_string(head.status));
+        return false;
+    }
+    const bool is_stream = head.status == 200 && route_->kind == direct::call_kind::streaming &&
+                           to_lower(head.value_of("content-type")).starts_with("text/event-stream");
+    if (response_started_ && !is_stream) {
+        end_attempt(attempt_end::failed, "a resumed stream got status " + std::to_string(head.status));
+        return false;
+    }
+    mode_ = is_stream ? response_mode::events : response_mode::buffered;
+    return true;
+}
+
+void exchange::on_response_body(const std::string& bytes)
+{
+    last_byte_at_ = runtime::now();
+    record_sign_of_life();
+    if (mode_ == response_mode::events) {
+        relay(bytes);
+        return;
+    }
+    body_.append(bytes);
+    if (body_.size() > max_buffered_bytes) {
+        // Too large to buffer: forwarded as it arrives. Another attempt can no longer replace it.
+        forward_head();
+        if (const auto session = session_.lock()) {
+            session->send_body_part(body_);
+        }
+        body_.clear();
+    }
+}
+
+void exchange::record_sign_of_life()
+{
+    context_.dispatcher.quarantine().evidence().record_sign_of_life(direct::run_of(assignment_->upstream),
+                                                                    last_byte_at_);
+}
+
+void exchange::relay(const std::string& bytes)
+{
+    direct::relayed_events events = relay_.take(bytes);
+    if (events.broken) {
+        end_attempt(attempt_end::broken, "an event is too long");
+        return;
+    }
+    if (events.events == 0) {
+        return;
+    }
+    if (!first_event_at_) {
+        first_event_at_ = last_byte_at_;
+        context_.metrics.time_to_first_event.record(static_cast<double>((last_byte_at_ - arrived_).count()) /
+                                                    us_per_s);
+    }
+    if (const auto outcome = context_.dispatcher.event_received(assignment_->placed, last_byte_at_)) {
+        context_.metrics.record(*outcome);
+    }
+    if (events_ > 0) {
+        max_event_gap_ = std::max(max_event_gap_, last_byte_at_ - last_event_at_);
+    }
+    last_event_at_ = last_byte_at_;
+    events_ += events.events;
+    if (attempt_events_ == 0) {
+        attempt_first_event_at_ = last_byte_at_;
+    }
+    attempt_events_ += events.events;
+    context_.metrics.events.add(events.events);
+    forward_head();
+    if (const auto session = session_.lock()) {
+        session->send_body_part(events.bytes);
+    }
+}
+
+auto exchange::forwarded_fields() const -> std::vector<header_field>
+{
+    std::vector<header_field> fields;
+    const std::string_view connection = head_.value_of("connection");
+    for (const header_field& field : head_.fields) {
+        if (!is_hop_by_hop(field.name, connection)) {
+            fields.push_back(field);
+        }
+    }
+    return fields;
+}
+
+void exchange::forward_head()
+{
+    if (response_started_) {
+        return;
+    }
+    response_started_ = true;
+    const auto session = session_.lock();
+    if (!session) {
+        return;
+    }
+    session->begin_response(head_.status, head_.reason, forwarded_fields());
+}
+
+void exchange::on_response_complete()
+{
+    const instant now = runtime::now();
+    if (mode_ == response_mode::events) {
+        if (relay_.has_partial_event()) {
+            end_attempt(attempt_end::disconnected, "the stream ended inside an event");
+            return;
+        }
+        forward_head();
+    }
+    constexpr unsigned first_failure = 300;
+    constexpr unsigned first_server_failure = 500;
+    // A response that ends with its connection may have been cut off by a crash.
+    if (head_.is_self_delimited()) {
+        const bool succeeded = head_.status < first_failure;
+        context_.dispatcher.quarantine().evidence().record_answer(
+            succeeded ? queued_call_.prompt_parts : own_parts(queued_call_.prompt_parts), now);
+    }
+    const bool failure = head_.status >= first_server_failure;
+    if (failure && !response_started_) {
+        end_attempt(attempt_end::failed, "status " + std::to_string(head_.status));
+        return;
+    }
+    context_.dispatcher.health().record_success(assignment_->upstream.id);
+    if (queued_call_.prompt_tokens == 0) {
+        (void)context_.dispatcher.event_received(assignment_->placed, now);
+    }
+    send_response();
+}
+
+void exchange::send_response()
+{
+    release_upstream();
+    if (const auto session = session_.lock()) {
+        if (response_started_) {
+            session->send_body_part(body_);
+            session->end_response();
+        }
+        else {
+            session->send_response(head_.status, head_.reason, forwarded_fields(), body_);
+        }
+    }
+    context_.metrics.answered.add();
+    log_answered(head_.status);
+    finish();
+}
+
+void exchange::on_response_failed(attempt_end end, const std::string& why)
+{
+    end_attempt(end, why);
+}
+
+} // namespace dragonflymill::edge
