Report bytes of upstreams that are no part of a valid response

Callers received an event without an id after numbered ones. Nothing in a gateway's log or metrics shows that an upstream sent such bytes, so that the hypotheses can't be told apart.

Change: response_guard, a part of the library without network or clock, checks the head, the body and the end of each response. This commit only reports what it finds (response_malformed, 1089, with the kind of fault, the framing, how far the response had come and its first bytes; two counters); what is relayed doesn't change.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -4,6 +4,7 @@
 #include "dragonflymill/core/units.h"
 #include "dragonflymill/direct/stall_timeout.h"
 #include "edge/dispatch_log.h"
+#include "edge/response_summary.h"
 #include "edge/waiting_call_factory.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
@@ -65,6 +66,7 @@
     if (!find_route()) {
         return;
     }
+    guard_.emplace(response_expectation_of(request_, context_.names, *route_));
     const duration limit = time_limit(request_, context_.names, *route_);
     start_deadline_timer(limit);
     const duration elapsed = context_.retry_detector.elapsed(route_->name, limit, arrived_);
@@ -138,6 +140,8 @@
     head_ = {};
     body_.clear();
     relay_.begin_attempt();
+    guard_->begin_attempt();
+    fault_reported_ = false;
     attempt_events_ = 0;
     log_dispatched(assignment,
                    {request_id_, queued_call_.fingerprint, queued_call_.attempts.count(), now - arrived_,
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -7,6 +7,7 @@
 #include "dragonflymill/direct/fleet_records.h"
 #include "dragonflymill/direct/peer_table.h"
 #include "dragonflymill/direct/upstream_list.h"
+#include "dragonflymill/response/response_guard.h"
 #include "edge/caller_session.h"
 #include "edge/gateway_metrics.h"
 #include "edge/header_names.h"
@@ -98,6 +99,7 @@
         -> gateway_fields;
     void record_sign_of_life();
     void relay(const std::string& bytes);
+    void report_fault(response::response_fault fault);
     [[nodiscard]] auto forwarded_fields() const -> std::vector<header_field>;
     void forward_head();
     [[nodiscard]] auto stall_timeout_for() const -> duration;
@@ -150,6 +152,8 @@
     response_head head_;
     std::string body_;
     direct::event_relay relay_;
+    std::optional<response::response_guard> guard_; // from the choice of a route on
+    bool fault_reported_ = false;
     bool response_started_ = false;
     std::size_t events_ = 0;
     std::size_t attempt_events_ = 0; // of these, the ones of the current attempt
--- a/src/edge/exchange_response.cpp
+++ b/src/edge/exchange_response.cpp
@@ -1,5 +1,7 @@
 #include "dragonflymill/core/units.h"
 #include "edge/exchange.h"
+#include "edge/response_summary.h"
+#include "log/logger.h"
 #include "runtime/clock.h"
 
 #include <algorithm>
@@ -39,6 +41,7 @@
         end_attempt(end, "status " + std::to_string(head.status));
         return false;
     }
+    report_fault(guard_->take_head(summarize(head, names)));
     const bool is_stream = head.status == 200 && route_->kind == direct::call_kind::streaming &&
                            to_lower(head.value_of("content-type")).starts_with("text/event-stream");
     if (response_started_ && !is_stream) {
@@ -53,6 +56,9 @@
 {
     last_byte_at_ = runtime::now();
     record_sign_of_life();
+    const response::checked_body checked = guard_->take_body(bytes);
+    context_.metrics.repeated_events.add(checked.dropped);
+    report_fault(checked.fault);
     if (mode_ == response_mode::events) {
         relay(bytes);
         return;
@@ -68,6 +74,20 @@
     }
 }
 
+void exchange::report_fault(response::response_fault fault)
+{
+    if (fault == response::response_fault::none || std::exchange(fault_reported_, true)) {
+        return;
+    }
+    context_.metrics.malformed_responses.add();
+    log_event(event::response_malformed, field("request", request_id_),
+              field("fingerprint", queued_call_.fingerprint), field("upstream", assignment_->upstream.id),
+              field("run", direct::run_of(assignment_->upstream)), field("fault", to_string(fault)),
+              field("status", head_.status), field("framing", to_string(guard_->framing())),
+              field("body_bytes", guard_->body_bytes()), field("events", attempt_events_),
+              field("first_bytes", loggable(guard_->faulty_bytes())));
+}
+
 void exchange::record_sign_of_life()
 {
     context_.dispatcher.quarantine().evidence().record_sign_of_life(direct::run_of(assignment_->upstream),
@@ -136,6 +156,7 @@
 void exchange::on_response_complete()
 {
     const instant now = runtime::now();
+    report_fault(guard_->take_end());
     if (mode_ == response_mode::events) {
         if (relay_.has_partial_event()) {
             end_attempt(attempt_end::disconnected, "the stream ended inside an event");
--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -17,6 +17,11 @@
     , attempts_failed(registry_->counter(
           {"dragonflymill_failed_attempts_total", "Of these, the ones without an answer to pass on"}))
     , events(registry_->counter({"dragonflymill_events_total", "Stream events passed on"}))
+    , malformed_responses(
+          registry_->counter({"dragonflymill_malformed_responses_total",
+                              "Upstreams' responses with bytes that are no part of a valid one"}))
+    , repeated_events(registry_->counter(
+          {"dragonflymill_repeated_events_total", "Stream events that were sent again and not passed on"}))
     , waiting(registry_->gauge({"dragonflymill_waiting_requests", "Requests that wait for an upstream"}))
     , config_version(registry_->gauge({"dragonflymill_config_version", "Configuration in force"}))
     , gateways(
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/time.h"
+#include "dragonflymill/response/event_parser.h"
 
 #include <functional>
 #include <string>
@@ -19,8 +20,9 @@
         -> bool = default;
 };
 
-/// Names of the header fields that carry metadata of a request between callers, gateways and upstreams. They
-/// are defined by the external systems; a deployment's adapter fills them in.
+/// Names of the header fields that carry metadata of a request between callers, gateways and upstreams, and
+/// the form of streamed events. They are defined by the external systems; a deployment's adapter fills them
+/// in.
 struct header_names
 {
     std::string request_id;   ///< Unique per attempt of a caller; upstreams echo it.
@@ -38,6 +40,7 @@
     std::string account_key;     ///< API key of the client account.
     std::string auth_scheme;     ///< Authentication scheme before the key, including the space.
     std::string ready_path;      ///< Path of the load balancer's readiness check.
+    response::event_format events; ///< Form of the events that upstreams stream.
 };
 
 } // namespace dragonflymill::edge
--- /dev/null
+++ b/src/response/event_parser.cpp
@@ -0,0 +1,185 @@
+#include "dragonflymill/response/event_parser.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace dragonflymill::response {
+
+namespace {
+
+constexpr std::string_view status_line_prefix = "HTTP/1.";
+
+} // namespace
+
+auto parse_event_id(std::string_view text) -> std::optional<std::uint64_t>
+{
+    std::uint64_t number = 0;
+    const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || failed != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+void event_parser::begin_response(std::optional<std::uint64_t> after)
+{
+    event_format format = std::move(format_);
+    *this = event_parser(std::move(format));
+    id_before_last_ = after;
+}
+
+void event_parser::feed(std::string_view bytes)
+{
+    if (fault_ != response_fault::none) {
+        return;
+    }
+    buffer_.erase(0, event_begin_);
+    line_begin_ -= event_begin_;
+    scanned_ -= event_begin_;
+    event_begin_ = 0;
+    buffer_.append(bytes);
+}
+
+auto event_parser::next() -> std::optional<parsed_event>
+{
+    while (fault_ == response_fault::none) {
+        const std::size_t line_end = buffer_.find('\n', scanned_);
+        if (line_end == std::string::npos) {
+            scanned_ = buffer_.size();
+            check_size();
+            return std::nullopt;
+        }
+        std::string_view line = std::string_view(buffer_).substr(line_begin_, line_end - line_begin_);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (!line.empty()) {
+            take_line(line);
+            if (fault_ != response_fault::none) {
+                return std::nullopt;
+            }
+            line_begin_ = scanned_ = line_end + 1;
+            continue;
+        }
+        line_begin_ = scanned_ = line_end + 1;
+        const std::optional<std::uint64_t> id = id_;
+        const std::string_view bytes =
+            std::string_view(buffer_).substr(event_begin_, line_begin_ - event_begin_);
+        const bool is_event = complete_event();
+        if (fault_ != response_fault::none) {
+            return std::nullopt;
+        }
+        event_begin_ = line_begin_;
+        if (is_event) {
+            skipped_bytes_ = 0;
+            return parsed_event{bytes, id};
+        }
+        skipped_bytes_ += bytes.size();
+    }
+    return std::nullopt;
+}
+
+void event_parser::take_line(std::string_view line)
+{
+    // A carriage return alone ends a line for clients, so that they may see other fields than this parser.
+    if (line.find('\r') != std::string_view::npos) {
+        fail(response_fault::malformed_line, line_begin_);
+        return;
+    }
+    if (line.starts_with(':')) {
+        return;
+    }
+    const std::size_t colon = std::min(line.find(':'), line.size());
+    const std::string_view name = line.substr(0, colon);
+    std::string_view value = line.substr(std::min(colon + 1, line.size()));
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    const bool is_first = lines_++ == 0;
+    if (name == "id") {
+        take_id(value);
+    }
+    else if (name == "data") {
+        has_data_ = true;
+    }
+    else if (name != "event" && name != "retry") {
+        const auto& known = format_.leading_fields;
+        if (!is_first || std::find(known.begin(), known.end(), name) == known.end()) {
+            const bool is_status_line = line.starts_with(status_line_prefix);
+            fail(is_status_line ? response_fault::second_response : response_fault::malformed_line,
+                 line_begin_);
+        }
+    }
+}
+
+void event_parser::take_id(std::string_view value)
+{
+    const auto number = parse_event_id(value);
+    if (id_ || !number) {
+        fail(response_fault::invalid_id, line_begin_);
+        return;
+    }
+    id_ = number;
+}
+
+auto event_parser::complete_event() -> bool
+{
+    const bool is_event = has_data_ || id_;
+    if (line_begin_ - event_begin_ > max_event_bytes) {
+        fail(response_fault::oversized_event, event_begin_);
+    }
+    else if (is_event && !id_ && format_.numbered) {
+        fail(response_fault::missing_id, event_begin_);
+    }
+    else if (id_) {
+        check_order(*id_);
+    }
+    lines_ = 0;
+    has_data_ = false;
+    id_.reset();
+    return is_event;
+}
+
+void event_parser::check_order(std::uint64_t id)
+{
+    if (last_id_ && id <= *last_id_) {
+        fail(response_fault::descending_id, event_begin_);
+        last_id_doubtful_ = id < *last_id_ && (!id_before_last_ || id > *id_before_last_);
+        return;
+    }
+    if (last_id_) {
+        id_before_last_ = last_id_;
+    }
+    last_id_ = id;
+}
+
+void event_parser::check_size()
+{
+    const std::size_t partial = buffer_.size() - event_begin_;
+    if (partial > max_event_bytes) {
+        fail(response_fault::oversized_event, event_begin_);
+    }
+    else if (skipped_bytes_ + partial > max_event_bytes) {
+        fail(response_fault::no_event, event_begin_);
+    }
+}
+
+void event_parser::fail(response_fault fault, std::size_t begin)
+{
+    fault_ = fault;
+    fault_begin_ = begin;
+}
+
+auto event_parser::faulty_bytes() const -> std::string_view
+{
+    return fault_ == response_fault::none ? std::string_view()
+                                          : std::string_view(buffer_).substr(fault_begin_);
+}
+
+auto event_parser::is_inside_event() const -> bool
+{
+    const bool partial_line = line_begin_ < buffer_.size() && buffer_[line_begin_] != ':';
+    return lines_ > 0 || partial_line;
+}
+
+} // namespace dragonflymill::response
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -84,8 +84,8 @@
         return *upstreams_.back();
     }
 
-    /// Starts the gateway with three routes: `/book/` for non-idempotent calls, `/find/` for idempotent
-    /// ones, `/chat/` for resumable streams.
+    /// Starts the gateway with four routes: `/book/` for non-idempotent calls, `/find/` for idempotent ones,
+    /// `/chat/` for resumable streams, `/tell/` for streams that must not be resumed.
     void start(bool configured = true)
     {
         if (configured) {
@@ -207,7 +207,11 @@
         find.kind = direct::call_kind::idempotent;
         find.max_attempts = 2;
         find.latency_target = 50ms;
-        parts.routes = {book, chat, find};
+        direct::route_rule tell = chat;
+        tell.name = "tell";
+        tell.path_prefix = "/tell/";
+        tell.resumable = false;
+        parts.routes = {book, chat, find, tell};
         if (engine_profile) {
             // Prompts of the route with the tighter target are never divided.
             direct::route_rule talk = chat;
--- /dev/null
+++ b/tests/response/response_guard_test.cpp
@@ -0,0 +1,176 @@
+#include "dragonflymill/response/response_guard.h"
+
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace dragonflymill::response;
+
+namespace {
+
+auto event(int id) -> std::string
+{
+    return "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) + "\n\n";
+}
+
+auto events(int first, int last) -> std::string
+{
+    std::string all;
+    for (int id = first; id <= last; ++id) {
+        all += event(id);
+    }
+    return all;
+}
+
+auto stream_guard(const std::string& resume_after = "") -> response_guard
+{
+    return response_guard({"r1", "Request-Id", true, resume_after, {}});
+}
+
+constexpr response_summary stream_head{200, true, body_framing::connection, "r1"};
+constexpr response_summary plain_head{200, false, body_framing::connection, "r1"};
+
+/// Starts an attempt whose response is an event stream.
+void begin_stream(response_guard& guard)
+{
+    guard.begin_attempt();
+    cr_assert(guard.take_head(stream_head) == response_fault::none);
+}
+
+} // namespace
+
+// Guards against gaps, duplicates and events merged from two upstreams: the first one ends at any byte of the
+// stream and another one resumes it, one event too early.
+Test(response_guard, resumes_a_stream_without_gap_or_duplicate)
+{
+    const std::string stream = events(1, 6);
+    for (std::size_t death = 0; death <= stream.size(); ++death) {
+        response_guard guard = stream_guard();
+        begin_stream(guard);
+        std::string out = guard.take_body(stream.substr(0, death)).bytes;
+        const int last = guard.last_id().empty() ? 0 : std::stoi(guard.last_id());
+        begin_stream(guard);
+        const checked_body rest = guard.take_body(events(std::max(last, 1), 6));
+        out += rest.bytes;
+        cr_assert(out == stream && rest.fault == response_fault::none, "died at %zu", death);
+        cr_assert(guard.take_end() == response_fault::none && guard.is_resumable());
+    }
+}
+
+Test(response_guard, forwards_only_events_after_the_last_id_of_a_reconnecting_caller)
+{
+    response_guard guard = stream_guard("3");
+    begin_stream(guard);
+    const checked_body checked = guard.take_body(events(2, 5));
+    cr_assert(checked.bytes == events(4, 5) && checked.dropped == 2 && checked.events == 2);
+}
+
+// Guards against a caller's id that is no number, after which every event would look new or old.
+Test(response_guard, ignores_a_last_id_of_the_caller_that_is_no_number)
+{
+    response_guard guard = stream_guard("abc");
+    cr_assert(guard.last_id() == "abc", "upstreams get it unchanged");
+    begin_stream(guard);
+    cr_assert(guard.take_body(events(1, 2)).bytes == events(1, 2) && guard.last_id() == "2");
+}
+
+// Guards against a stream that goes on after malformed bytes, or is resumed at an event that was none.
+Test(response_guard, goes_on_at_the_last_event_before_a_fault)
+{
+    response_guard guard = stream_guard();
+    begin_stream(guard);
+    const checked_body faulty = guard.take_body(events(1, 2) + "spoiled\n\n" + event(3));
+    cr_assert(faulty.bytes == events(1, 2) && faulty.fault == response_fault::malformed_line);
+    cr_assert(guard.faulty_bytes().starts_with("spoiled\n"));
+    cr_assert(guard.take_body(event(4)).bytes.empty(), "nothing after a fault");
+    cr_assert(guard.last_id() == "2" && guard.is_resumable());
+    begin_stream(guard);
+    cr_assert(guard.take_body(event(3)).bytes == event(3));
+}
+
+// Guards against a resume behind events that callers never got, as a wrong id was forwarded before them.
+Test(response_guard, is_not_resumable_after_a_wrong_id)
+{
+    response_guard guard = stream_guard();
+    begin_stream(guard);
+    (void)guard.take_body(event(1) + event(900'000) + event(2));
+    cr_assert(!guard.is_resumable());
+}
+
+// Guards against empty and truncated streams that look complete.
+Test(response_guard, a_stream_is_complete_only_between_two_events)
+{
+    const std::string stream = events(1, 2);
+    for (std::size_t end = 0; end <= stream.size(); ++end) {
+        response_guard guard = stream_guard();
+        begin_stream(guard);
+        (void)guard.take_body(stream.substr(0, end));
+        const bool between = end == event(1).size() || end == stream.size();
+        cr_assert((guard.take_end() == response_fault::none) == between, "ended at %zu", end);
+    }
+    response_guard guard = stream_guard();
+    guard.begin_attempt();
+    (void)guard.take_head({200, true, body_framing::chunks, "r1"});
+    cr_assert(guard.take_end() == response_fault::none, "the last chunk shows that it is empty");
+}
+
+// Guards against an answer to another request, and against a body that is relayed without a look at its
+// events.
+Test(response_guard, checks_what_a_head_says)
+{
+    response_guard guard = stream_guard();
+    guard.begin_attempt();
+    cr_assert(guard.take_head({200, true, body_framing::chunks, "r2"}) == response_fault::foreign_response);
+    guard.begin_attempt();
+    cr_assert(guard.take_head(plain_head) == response_fault::not_a_stream);
+    guard.begin_attempt();
+    cr_assert(guard.take_head({500, false, body_framing::length, "r1"}) == response_fault::none);
+    cr_assert(!guard.is_event_stream());
+    guard.begin_attempt();
+    cr_assert(guard.take_head({200, true, body_framing::chunks, ""}) == response_fault::none);
+}
+
+// Guards against a second response that becomes part of the first one's body, at any byte and in any pieces.
+Test(response_guard, separates_a_second_response_from_a_body_without_a_length)
+{
+    const std::string body = "booked HTTP/1.1 and so on\r\nx: y\r\n";
+    const std::string second = "HTTP/1.1 200 OK\r\nSeal: s\r\nrequest-id: r0\r\n\r\nbooked";
+    for (std::size_t step = 1; step <= body.size() + second.size(); ++step) {
+        response_guard guard({"r1", "Request-Id", false, "", {}});
+        guard.begin_attempt();
+        (void)guard.take_head(plain_head);
+        const std::string bytes = body + second;
+        response_fault fault = response_fault::none;
+        for (std::size_t at = 0; at < bytes.size() && fault == response_fault::none; at += step) {
+            fault = guard.take_body(std::string_view(bytes).substr(at, step)).fault;
+        }
+        cr_assert(fault == response_fault::second_response, "in steps of %zu", step);
+    }
+}
+
+// Guards against strictness that stops valid bodies: text about responses, and bodies with a length.
+Test(response_guard, forwards_bodies_that_quote_a_response)
+{
+    const std::string text = "HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nHTTP/1.1 404\nNo field\nRequest-Id: r0\n";
+    response_guard guard({"r1", "Request-Id", false, "", {}});
+    guard.begin_attempt();
+    (void)guard.take_head(plain_head);
+    cr_assert(guard.take_body(text) == checked_body({text, 0, 0, response_fault::none}));
+    const std::string whole = "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n";
+    guard.begin_attempt();
+    (void)guard.take_head({200, false, body_framing::length, "r1"});
+    cr_assert(guard.take_body(whole).fault == response_fault::none, "a length separates responses");
+}
+
+// Guards against memory that a body without end takes.
+Test(response_guard, keeps_little_of_a_body_without_a_length)
+{
+    second_response_finder finder("Request-Id");
+    std::string part;
+    for (int line = 0; line < 1'000; ++line) {
+        part += "HTTP/1.1 200 OK\r\nx: y\r\n";
+    }
+    for (int i = 0; i < 20; ++i) {
+        cr_assert(!finder.find_in(part));
+    }
+    cr_assert(finder.kept_bytes() <= second_response_finder::max_head_bytes);
+}
