Test that malformed parts of a stream are not relayed, failing

Callers received an event without an id after numbered ones. On sockets each of the hypotheses happens: text between events, the head of a second response behind a stream without a length, and an id that is no number are relayed; on a route that must not be resumed the stream then even ends as complete.

--- /dev/null
+++ b/tests/edge/malformed_stream_test.cpp
@@ -0,0 +1,155 @@
+#include "gateway_fixture.h"
+
+#include "edge/response_parser.h"
+
+using namespace dragonflymill;
+using namespace dragonflymill::edge;
+
+namespace {
+
+constexpr const char* stream_head =
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s1\r\nContent-Type: text/event-stream\r\n\r\n";
+constexpr const char* chunked_head =
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s1\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+constexpr int event_count = 3;
+
+auto events(int first, int last) -> std::string
+{
+    std::string all;
+    for (int id = first; id <= last; ++id) {
+        all += "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) + "\n\n";
+    }
+    return all;
+}
+
+auto chunk(const std::string& bytes) -> std::string
+{
+    std::array<char, 16> size{};
+    (void)std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
+/// Id of the event after which a request asks to go on; 0 if it asks for the whole stream.
+auto resumed_after(const taken_connection& connection) -> int
+{
+    const std::string name = "Last-Event-Id: ";
+    const auto at = connection.received.find(name);
+    return at == std::string::npos ? 0 : std::stoi(connection.received.substr(at + name.size()));
+}
+
+/// What a caller has received as its response.
+struct received_stream
+{
+    bool complete = false;
+    std::string body;
+};
+
+/// Sends a request whose first response starts with `first_response` and then ends with its connection. Any
+/// later one is a valid stream that goes on where the request asks.
+auto stream_after(const std::string& first_response, const std::string& path) -> received_stream
+{
+    gateway_fixture fixture;
+    int attempts = 0;
+    const auto answer = [&](taken_connection& connection) {
+        connection.send(++attempts == 1 ? first_response
+                                        : stream_head + events(resumed_after(connection) + 1, event_count));
+        connection.close();
+    };
+    fixture.add_upstream("engines", answer);
+    fixture.add_upstream("engines", answer);
+    fixture.start();
+    fixture.send("POST", path, "Tokens: 100,10\r\n", "hello");
+    received_stream received;
+    fixture.run_until([&] {
+        response_parser parser(false);
+        received.body.clear();
+        received.complete = parser.take(fixture.received, received.body) == response_state::complete;
+        return received.complete || fixture.caller_ended;
+    });
+    return received;
+}
+
+void check_resumed(const std::string& first_response)
+{
+    const received_stream received = stream_after(first_response, "/chat/1");
+    cr_assert(received.complete && received.body == events(1, event_count), "after %s: %s",
+              first_response.c_str(), received.body.c_str());
+}
+
+void check_ended(const std::string& first_response)
+{
+    const received_stream received = stream_after(first_response, "/tell/1");
+    cr_assert(!received.complete, "after %s: %s", first_response.c_str(), received.body.c_str());
+    cr_assert(events(1, event_count).starts_with(received.body), "after %s: %s", first_response.c_str(),
+              received.body.c_str());
+}
+
+} // namespace
+
+// Guards against bytes that are no event, relayed as an event without an id because a blank line follows
+// them.
+Test(malformed_stream, garbage_between_events_is_not_relayed)
+{
+    for (const std::string garbage :
+         {"spoiled\n\n", "\x01\xff\xfe\n\n", "data: 7\n\n", "{\"a\": 1}\r\n\r\n"}) {
+        for (int last = 0; last < event_count; ++last) {
+            check_resumed(stream_head + events(1, last) + garbage + events(last + 1, event_count));
+            check_resumed(chunked_head + chunk(events(1, last) + garbage) +
+                          chunk(events(last + 1, event_count)) + chunk(""));
+        }
+    }
+}
+
+// Guards against the head of a second response, relayed as an event: it stands behind a stream without a
+// length.
+Test(malformed_stream, a_second_response_is_not_relayed_wherever_it_begins)
+{
+    const std::string stream = events(1, event_count);
+    for (std::size_t cut = 0; cut < stream.size(); ++cut) {
+        check_resumed(stream_head + stream.substr(0, cut) + stream_head + stream);
+    }
+}
+
+// Guards against a stream that looks complete to the caller, though it can't go on after malformed bytes.
+Test(malformed_stream, ends_as_incomplete_where_it_must_not_be_resumed)
+{
+    const std::string stream = events(1, event_count);
+    for (std::size_t cut = 0; cut < stream.size(); ++cut) {
+        check_ended(stream_head + stream.substr(0, cut) + stream_head + stream);
+    }
+    check_ended(stream_head + events(1, 2) + "spoiled\n\n" + events(3, event_count));
+    check_ended(chunked_head + chunk(events(1, 2) + "spoiled\n\n" + events(3, event_count)) + chunk(""));
+}
+
+// Guards against numbers that go back, or are left out, after an event whose id can't be compared.
+Test(malformed_stream, an_id_that_is_no_number_lets_no_other_event_pass)
+{
+    for (const std::string id :
+         {"id: q\n", "id:\n", "id: 18446744073709551616\n", "id: 3\nid: 2\n", "id: -1\n"}) {
+        check_resumed(stream_head + events(1, 2) + id + "data: y\n\n" + events(1, 2));
+    }
+}
+
+// Guards against events that are left out without a trace, as a wrong id was relayed before them.
+Test(malformed_stream, ends_as_incomplete_if_a_wrong_id_was_relayed)
+{
+    const received_stream received = stream_after(
+        stream_head + events(1, 1) + "id: 900000\ndata: y\n\n" + events(2, event_count), "/chat/1");
+    cr_assert(!received.complete, "%s", received.body.c_str());
+}
+
+// Guards against strictness that stops a valid stream: comments, other fields of the format, an early resume.
+Test(malformed_stream, valid_streams_are_relayed)
+{
+    const received_stream commented =
+        stream_after(stream_head + (": keep-alive\n\nretry: 100\n\n" + events(1, 2)) + ": still there\n\n" +
+                         events(3, event_count),
+                     "/tell/1");
+    cr_assert(commented.complete && commented.body.find(events(1, 2)) != std::string::npos &&
+                  commented.body.ends_with(events(3, event_count)),
+              "%s", commented.body.c_str());
+    const std::string typed = "event: token\r\nid: 1\r\ndata: a\r\ndata: b\r\n\r\n";
+    const received_stream multiline = stream_after(stream_head + typed, "/tell/1");
+    cr_assert(multiline.complete && multiline.body == typed, "%s", multiline.body.c_str());
+}
