Forward only what proves to be part of an upstream's response

Callers saw an event without an id after numbered ones, a piece that no upstream's stream holds, and on routes that must not be resumed a stream that ended as complete after it.

Cause: the relay split an upstream's bytes at blank lines and forwarded each block whose id it couldn't compare. Text between events, the head of a second response behind a stream without a length, and each event after an id that is no number passed. The class: bytes that don't prove what they are, relayed as if they did.

Change: response_guard decides which bytes of a response may be forwarded; head, body and end of each response are put to it, over all attempts. An attempt with malformed bytes ends as invalid: it goes on elsewhere after the last good event where the route may be resumed, and the caller's stream is cut where it may not. It is no evidence against the prompt, and counts as one failure of the upstream, not as a loss. A response that isn't labelled as an event stream is still forwarded whole if it has a length or chunks: three tests of plain answers on a streaming route showed that refusing it stops sound services.

--- a/include/dragonflymill/direct/attempt_rules.h
+++ b/include/dragonflymill/direct/attempt_rules.h
@@ -13,8 +13,9 @@
     reader_lost,  ///< Like `rejected`, because an engine that was to prefill a part of the prompt is gone.
     failed,       ///< The upstream itself answered with a failure; the request ran.
     overtaken,    ///< No response from an engine that prefills other prompts first; it may have run.
-    broken,       ///< Timeout, lost network path or unusable response; it may have run.
+    broken,       ///< Timeout or lost network path; it may have run.
     disconnected, ///< The upstream closed the connection before its response was complete; it may have run.
+    invalid,      ///< The upstream sent bytes that are no part of a valid response; it may have run.
 };
 
 /// Returns whether the request may have run in an attempt that ended this way.
--- a/include/dragonflymill/direct/upstream_health.h
+++ b/include/dragonflymill/direct/upstream_health.h
@@ -18,10 +18,10 @@
 public:
     /// Records an attempt whose failure is attributed to this upstream.
     void record_end(const std::string& upstream, attempt_end end, instant now);
-    /// Records a failed connection, a timeout or an unusable answer.
+    /// Records a failed connection, a timeout or a closed connection.
     void lost(const std::string& upstream, instant now);
-    /// Records an error response. Some calls fail for reasons of their own, so the upstream becomes suspect
-    /// only if its share of failures is well above the usual one.
+    /// Records an error response or an invalid one. Some calls fail for reasons of their own, so the upstream
+    /// becomes suspect only if its share of failures is well above the usual one.
     void failed(const std::string& upstream, instant now);
     /// Records a call that the upstream rejected for lack of capacity. The upstream is healthy, but the load
     /// tracker doesn't know all of its load.
--- a/src/direct/attempt_rules.cpp
+++ b/src/direct/attempt_rules.cpp
@@ -31,7 +31,7 @@
 auto may_have_run(attempt_end end) -> bool
 {
     return end == attempt_end::failed || end == attempt_end::overtaken || end == attempt_end::broken ||
-           end == attempt_end::disconnected;
+           end == attempt_end::disconnected || end == attempt_end::invalid;
 }
 
 auto is_unreachable(attempt_end end) -> bool
@@ -73,6 +73,8 @@
         return "broken";
     case attempt_end::disconnected:
         return "disconnected";
+    case attempt_end::invalid:
+        return "invalid";
     }
     return "broken";
 }
--- a/src/direct/upstream_health.cpp
+++ b/src/direct/upstream_health.cpp
@@ -8,6 +8,7 @@
 {
     switch (end) {
     case attempt_end::failed:
+    case attempt_end::invalid:
         failed(upstream, now);
         return;
     case attempt_end::rejected:
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -41,7 +41,6 @@
     , config_(context.fleet.config())
     , request_id_(request_.value_of(context.names.request_id))
     , arrived_(runtime::now())
-    , relay_(std::string(request_.value_of(context.names.resume_after)))
 {
 }
 
@@ -139,9 +138,7 @@
     mode_ = response_mode::none;
     head_ = {};
     body_.clear();
-    relay_.begin_attempt();
     guard_->begin_attempt();
-    fault_reported_ = false;
     attempt_events_ = 0;
     log_dispatched(assignment,
                    {request_id_, queued_call_.fingerprint, queued_call_.attempts.count(), now - arrived_,
@@ -284,7 +281,7 @@
     own.time_left = deadline_ - now;
     own.upstream = assignment.upstream.id;
     own.account = account_ == nullptr ? "" : account_->name;
-    own.resume_after = relay_.last_id();
+    own.resume_after = guard_->last_id();
     if (!assignment.prefill_engines.empty()) {
         std::vector<prefill_engine_reference> list;
         for (const direct::prefill_engine& engine : assignment.prefill_engines) {
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -3,7 +3,6 @@
 #include "dragonflymill/core/refusal.h"
 #include "dragonflymill/direct/call_dispatcher.h"
 #include "dragonflymill/direct/client_retry_detector.h"
-#include "dragonflymill/direct/event_relay.h"
 #include "dragonflymill/direct/fleet_records.h"
 #include "dragonflymill/direct/peer_table.h"
 #include "dragonflymill/direct/upstream_list.h"
@@ -98,8 +97,12 @@
     [[nodiscard]] auto make_gateway_fields(const direct::dispatch_assignment& assignment, instant now) const
         -> gateway_fields;
     void record_sign_of_life();
-    void relay(const std::string& bytes);
-    void report_fault(response::response_fault fault);
+    void forward_events(const response::checked_body& checked);
+    /// Buffers a part of a body that is no event stream, or forwards it if the body is too large to buffer.
+    void forward_part(const std::string& bytes);
+    void report_fault(response::response_fault fault) const;
+    /// Ends the attempt, as the upstream's bytes are no part of a valid response.
+    void reject_response(response::response_fault fault);
     [[nodiscard]] auto forwarded_fields() const -> std::vector<header_field>;
     void forward_head();
     [[nodiscard]] auto stall_timeout_for() const -> duration;
@@ -151,9 +154,7 @@
     response_mode mode_ = response_mode::none;
     response_head head_;
     std::string body_;
-    direct::event_relay relay_;
     std::optional<response::response_guard> guard_; // from the choice of a route on
-    bool fault_reported_ = false;
     bool response_started_ = false;
     std::size_t events_ = 0;
     std::size_t attempt_events_ = 0; // of these, the ones of the current attempt
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -32,7 +32,7 @@
 auto exchange::progress(instant now) const -> direct::request_progress
 {
     direct::request_progress state;
-    state.repeatable = route_->repeatable();
+    state.repeatable = route_->repeatable() && guard_->is_resumable();
     state.answer_begun = response_started_;
     state.may_have_run = may_have_run();
     state.attempts_run = queued_call_.attempts.run();
--- a/src/edge/exchange_response.cpp
+++ b/src/edge/exchange_response.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 using direct::attempt_end;
+using response::response_fault;
 
 /// Responses up to this size are buffered until complete, so that another attempt can still replace them.
 constexpr std::size_t max_buffered_bytes = 1'048'576;
@@ -23,13 +24,13 @@
 {
     last_byte_at_ = runtime::now();
     const header_names& names = context_.names;
-    const std::string_view echoed = head.value_of(names.request_id);
-    if (!echoed.empty() && echoed != request_id_) {
-        end_attempt(attempt_end::broken, "the answer belongs to another request");
+    head_ = head;
+    if (const response_fault fault = guard_->take_head(summarize(head, names));
+        fault != response_fault::none) {
+        reject_response(fault);
         return false;
     }
     context_.statements.record_response(head, assignment_->upstream, request_id_, sent_at_, last_byte_at_);
-    head_ = head;
     if (head.status != misdirected) {
         record_sign_of_life();
     }
@@ -41,14 +42,11 @@
         end_attempt(end, "status " + std::to_string(head.status));
         return false;
     }
-    report_fault(guard_->take_head(summarize(head, names)));
-    const bool is_stream = head.status == 200 && route_->kind == direct::call_kind::streaming &&
-                           to_lower(head.value_of("content-type")).starts_with("text/event-stream");
-    if (response_started_ && !is_stream) {
+    if (response_started_ && !guard_->is_event_stream()) {
         end_attempt(attempt_end::failed, "a resumed stream got status " + std::to_string(head.status));
         return false;
     }
-    mode_ = is_stream ? response_mode::events : response_mode::buffered;
+    mode_ = guard_->is_event_stream() ? response_mode::events : response_mode::buffered;
     return true;
 }
 
@@ -57,28 +55,33 @@
     last_byte_at_ = runtime::now();
     record_sign_of_life();
     const response::checked_body checked = guard_->take_body(bytes);
-    context_.metrics.repeated_events.add(checked.dropped);
-    report_fault(checked.fault);
     if (mode_ == response_mode::events) {
-        relay(bytes);
-        return;
+        forward_events(checked);
     }
-    body_.append(bytes);
-    if (body_.size() > max_buffered_bytes) {
-        // Too large to buffer: forwarded as it arrives. Another attempt can no longer replace it.
-        forward_head();
-        if (const auto session = session_.lock()) {
-            session->send_body_part(body_);
-        }
-        body_.clear();
+    else {
+        forward_part(checked.bytes);
+    }
+    if (checked.fault != response_fault::none) {
+        reject_response(checked.fault);
     }
 }
 
-void exchange::report_fault(response::response_fault fault)
+void exchange::forward_part(const std::string& bytes)
 {
-    if (fault == response::response_fault::none || std::exchange(fault_reported_, true)) {
+    body_.append(bytes);
+    if (body_.size() <= max_buffered_bytes) {
         return;
     }
+    // Too large to buffer: forwarded as it arrives. Another attempt can no longer replace it.
+    forward_head();
+    if (const auto session = session_.lock()) {
+        session->send_body_part(body_);
+    }
+    body_.clear();
+}
+
+void exchange::report_fault(response_fault fault) const
+{
     context_.metrics.malformed_responses.add();
     log_event(event::response_malformed, field("request", request_id_),
               field("fingerprint", queued_call_.fingerprint), field("upstream", assignment_->upstream.id),
@@ -88,20 +91,25 @@
               field("first_bytes", loggable(guard_->faulty_bytes())));
 }
 
+void exchange::reject_response(response_fault fault)
+{
+    if (finished_ || !assignment_) {
+        return;
+    }
+    report_fault(fault);
+    end_attempt(attempt_end::invalid, std::string("no valid response: ") + to_string(fault));
+}
+
 void exchange::record_sign_of_life()
 {
     context_.dispatcher.quarantine().evidence().record_sign_of_life(direct::run_of(assignment_->upstream),
                                                                     last_byte_at_);
 }
 
-void exchange::relay(const std::string& bytes)
+void exchange::forward_events(const response::checked_body& checked)
 {
-    direct::relayed_events events = relay_.take(bytes);
-    if (events.broken) {
-        end_attempt(attempt_end::broken, "an event is too long");
-        return;
-    }
-    if (events.events == 0) {
+    context_.metrics.repeated_events.add(checked.dropped);
+    if (checked.events == 0) {
         return;
     }
     if (!first_event_at_) {
@@ -116,15 +124,15 @@
         max_event_gap_ = std::max(max_event_gap_, last_byte_at_ - last_event_at_);
     }
     last_event_at_ = last_byte_at_;
-    events_ += events.events;
+    events_ += checked.events;
     if (attempt_events_ == 0) {
         attempt_first_event_at_ = last_byte_at_;
     }
-    attempt_events_ += events.events;
-    context_.metrics.events.add(events.events);
+    attempt_events_ += checked.events;
+    context_.metrics.events.add(checked.events);
     forward_head();
     if (const auto session = session_.lock()) {
-        session->send_body_part(events.bytes);
+        session->send_body_part(checked.bytes);
     }
 }
 
@@ -156,18 +164,17 @@
 void exchange::on_response_complete()
 {
     const instant now = runtime::now();
-    report_fault(guard_->take_end());
+    if (guard_->take_end() != response_fault::none) {
+        end_attempt(attempt_end::disconnected, "the stream ended before or inside an event");
+        return;
+    }
     if (mode_ == response_mode::events) {
-        if (relay_.has_partial_event()) {
-            end_attempt(attempt_end::disconnected, "the stream ended inside an event");
-            return;
-        }
         forward_head();
     }
     constexpr unsigned first_failure = 300;
     constexpr unsigned first_server_failure = 500;
     // A response that ends with its connection may have been cut off by a crash.
-    if (head_.is_self_delimited()) {
+    if (guard_->framing() != response::body_framing::connection) {
         const bool succeeded = head_.status < first_failure;
         context_.dispatcher.quarantine().evidence().record_answer(
             succeeded ? queued_call_.prompt_parts : own_parts(queued_call_.prompt_parts), now);
@@ -203,6 +210,9 @@
 
 void exchange::on_response_failed(attempt_end end, const std::string& why)
 {
+    if (end == attempt_end::invalid) {
+        report_fault(response_fault::malformed_http);
+    }
     end_attempt(end, why);
 }
 
--- a/src/edge/response_parser.cpp
+++ b/src/edge/response_parser.cpp
@@ -12,11 +12,6 @@
     return http::first_value(fields, name);
 }
 
-auto response_head::is_self_delimited() const -> bool
-{
-    return !value_of("content-length").empty() || !value_of("transfer-encoding").empty();
-}
-
 response_parser::response_parser(bool no_body)
 {
     parser_.eager(true);
--- a/src/edge/response_parser.h
+++ b/src/edge/response_parser.h
@@ -20,8 +20,6 @@
     std::string reason;               ///< Reason phrase.
     std::vector<header_field> fields; ///< All header fields, in order.
 
-    /// Whether the end of the body shows in the response itself, by a length or chunks.
-    [[nodiscard]] auto is_self_delimited() const -> bool;
     /// Value of the first field with this name, compared case-insensitively; empty if there is none.
     [[nodiscard]] auto value_of(std::string_view name) const -> std::string_view;
 
--- a/src/response/response_fault.cpp
+++ b/src/response/response_fault.cpp
@@ -7,6 +7,8 @@
     switch (fault) {
     case response_fault::none:
         return "none";
+    case response_fault::malformed_http:
+        return "malformed_http";
     case response_fault::foreign_response:
         return "foreign_response";
     case response_fault::not_a_stream:
--- a/src/response/response_guard.cpp
+++ b/src/response/response_guard.cpp
@@ -49,7 +49,8 @@
     }
     const bool stream_expected = expected_.is_streaming && head.status == status_ok;
     is_event_stream_ = stream_expected && head.is_event_stream;
-    return stream_expected && !head.is_event_stream ? response_fault::not_a_stream : response_fault::none;
+    const bool is_unbounded = stream_expected && !is_event_stream_ && framing_ == body_framing::connection;
+    return is_unbounded ? response_fault::not_a_stream : response_fault::none;
 }
 
 auto response_guard::take_body(std::string_view bytes) -> checked_body
