Bound interim responses and the framing of chunks in upstreams' responses

Callers of an upstream that sends interim responses, a chunk's extension or trailers without end waited until their time limit, and the gateway kept all bytes of the latter two.

Cause: each interim response began with a new parser and so with a new limit of its head; Beast's parser limits a head but neither extensions nor trailers, of which the gateway kept what was incomplete.

Change: response_parser skips interim responses itself, 64 KiB in all, and keeps at most 64 KiB that are not yet parsed; more is no valid response, and the attempt ends at once.

--- a/src/edge/response_parser.cpp
+++ b/src/edge/response_parser.cpp
@@ -1,5 +1,6 @@
 #include "edge/response_parser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -13,40 +14,64 @@
 }
 
 response_parser::response_parser(bool no_body)
+    : no_body_(no_body)
 {
-    parser_.eager(true);
-    parser_.skip(no_body);
-    parser_.header_limit(max_head_bytes);
-    parser_.body_limit(boost::none);
+    begin();
+}
+
+void response_parser::begin()
+{
+    state_ = response_state::head;
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->skip(no_body_);
+    parser_->header_limit(max_head_bytes);
+    parser_->body_limit(boost::none);
 }
 
 auto response_parser::take(std::string_view bytes, std::string& body) -> response_state
 {
     rest_.append(bytes);
-    parser_.body = &body;
+    std::size_t used = parse(rest_, body);
+    while (state_ == response_state::complete && is_interim()) {
+        interim_bytes_ += used;
+        rest_.erase(0, used);
+        begin();
+        used = parse(rest_, body);
+    }
+    rest_.erase(0, used);
+    const bool is_partial = state_ == response_state::head || state_ == response_state::body;
+    if (is_partial && std::max(interim_bytes_, rest_.size()) > max_head_bytes) {
+        state_ = response_state::invalid;
+    }
+    return state_;
+}
+
+auto response_parser::parse(std::string_view bytes, std::string& body) -> std::size_t
+{
+    parser_->body = &body;
     std::size_t used = 0;
-    while (used < rest_.size() && !parser_.is_done()) {
+    while (used < bytes.size() && !parser_->is_done()) {
         boost::beast::error_code failed;
         const std::size_t taken =
-            parser_.put(boost::asio::const_buffer(rest_.data() + used, rest_.size() - used), failed);
+            parser_->put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), failed);
         used += taken;
         if (failed && failed != beast_http::error::need_more) {
             state_ = response_state::invalid;
-            return state_;
+            return used;
         }
         if (failed == beast_http::error::need_more || taken == 0) {
             break;
         }
     }
-    rest_.erase(0, used);
-    if (parser_.is_done()) {
+    if (parser_->is_done()) {
         state_ = response_state::complete;
     }
-    else if (parser_.is_header_done()) {
+    else if (parser_->is_header_done()) {
         state_ = response_state::body;
-        is_close_delimited_ = parser_.need_eof();
+        is_close_delimited_ = parser_->need_eof();
     }
-    return state_;
+    return used;
 }
 
 auto response_parser::take_eof() -> response_state
@@ -56,7 +81,7 @@
     }
     boost::beast::error_code failed;
     if (state_ == response_state::body && is_close_delimited_) {
-        parser_.put_eof(failed);
+        parser_->put_eof(failed);
         state_ = failed ? response_state::invalid : response_state::complete;
         return state_;
     }
--- a/src/edge/response_parser.h
+++ b/src/edge/response_parser.h
@@ -4,6 +4,8 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -35,7 +37,8 @@
     invalid,  ///< Not valid HTTP/1.1, or truncated.
 };
 
-/// Incremental parser of a single HTTP/1.1 response. Does no I/O.
+/// Incremental parser of a single HTTP/1.1 response, which skips interim (1xx) responses before it. Does no
+/// I/O.
 class response_parser
 {
 public:
@@ -50,17 +53,14 @@
 
     [[nodiscard]] auto state() const -> response_state { return state_; }
     /// Complete from state `body` on.
-    [[nodiscard]] auto head() const -> const response_head& { return parser_.head; }
+    [[nodiscard]] auto head() const -> const response_head& { return parser_->head; }
     /// Whether the body ends with the connection, as it has neither a length nor chunks.
     [[nodiscard]] auto is_close_delimited() const -> bool { return is_close_delimited_; }
-    /// Whether this is an interim (1xx) response; the final one follows it.
-    [[nodiscard]] auto is_interim() const -> bool { return head().status < first_final_status; }
     /// Bytes received after the end of a complete response.
     [[nodiscard]] auto unparsed_bytes() const -> const std::string& { return rest_; }
 
-    /// Status codes below this one are interim responses.
-    static constexpr unsigned first_final_status = 200;
-    /// Responses with a longer head are invalid.
+    /// Responses with a longer head, more bytes of interim responses before it, or as much between two chunks
+    /// are invalid. Bounds the bytes that are kept.
     static constexpr std::uint32_t max_head_bytes = 65'536;
 
 private:
@@ -90,8 +90,19 @@
         void on_finish_impl(error_code& failed) override;
     };
 
-    parser parser_;
+    void begin();
+    /// Parses bytes and returns how many of them are done with.
+    auto parse(std::string_view bytes, std::string& body) -> std::size_t;
+    /// Whether this is an interim (1xx) response; the final one follows it.
+    [[nodiscard]] auto is_interim() const -> bool { return head().status < first_final_status; }
+
+    /// Status codes below this one are interim responses.
+    static constexpr unsigned first_final_status = 200;
+
+    bool no_body_;
+    std::optional<parser> parser_;
     std::string rest_;
+    std::size_t interim_bytes_ = 0;
     response_state state_ = response_state::head;
     bool is_close_delimited_ = false;
 };
--- a/src/edge/upstream_call.cpp
+++ b/src/edge/upstream_call.cpp
@@ -24,7 +24,6 @@
 void upstream_call::start(const std::string& address, std::string request, bool no_body)
 {
     request_ = std::move(request);
-    no_body_ = no_body;
     parser_.emplace(no_body);
     const auto endpoint = parse_tcp_endpoint(address);
     if (!endpoint) {
@@ -102,13 +101,7 @@
 {
     const auto self = shared_from_this();
     std::string body;
-    auto state = parser_->take(bytes, body);
-    while (state == response_state::complete && parser_->is_interim()) {
-        // Skips interim responses.
-        const std::string rest = parser_->unparsed_bytes();
-        parser_.emplace(no_body_);
-        state = parser_->take(rest, body);
-    }
+    const auto state = parser_->take(bytes, body);
     if (state == response_state::invalid) {
         fail(attempt_end::invalid, "the answer isn't one in the protocol");
         return;
--- a/src/edge/upstream_call.h
+++ b/src/edge/upstream_call.h
@@ -76,7 +76,6 @@
     std::optional<response_parser> parser_;
     std::array<char, read_bytes> buffer_{};
     std::optional<timer_id> connect_timer_;
-    bool no_body_ = false;
     bool head_passed_ = false;
     bool body_received_ = false;
 };
--- a/tests/edge/response_parser_test.cpp
+++ b/tests/edge/response_parser_test.cpp
@@ -87,3 +87,37 @@
     parsed_response parsed("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n", 1000, true);
     cr_assert(parsed.parser.state() == response_state::complete);
 }
+
+// Guards against memory that parts of a response without end take: heads, interim responses, chunk framing.
+Test(response_parser, bounds_what_it_keeps_of_an_endless_response)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {"HTTP/1.1 200 OK\r\n", "x: y\r\n"},
+        {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+        {chunked + "1;x=", "yyyyyyyyyy"},
+        {chunked + "0\r\n", "x: y\r\n"},
+    };
+    for (const auto& [begin, part] : cases) {
+        response_parser parser(false);
+        std::string body;
+        std::size_t fed = begin.size();
+        auto state = parser.take(begin, body);
+        while (state != response_state::invalid) {
+            state = parser.take(part, body);
+            fed += part.size();
+            cr_assert(fed <= 2 * response_parser::max_head_bytes, "%s%s", begin.c_str(), part.c_str());
+        }
+    }
+}
+
+Test(response_parser, skips_interim_responses)
+{
+    const std::string bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (std::size_t step = 1; step <= bytes.size(); ++step) {
+        parsed_response parsed(bytes, step);
+        cr_assert(parsed.parser.state() == response_state::complete && parsed.body == "ok", "step %zu", step);
+        cr_assert(parsed.parser.head().status == 200 && parsed.parser.head().value_of("link").empty());
+    }
+}
