End calls of sidecars whose response never ends, or is empty without a length

Behind a sidecar, an answer without a length whose service crashed after the head counted as a whole, empty one; an interim response was taken for the answer; a service that sent a byte now and then kept its call, with memory and connection, for as long as it liked, as only the time between two reads was bounded.

--- a/src/control/platform_reader.cpp
+++ b/src/control/platform_reader.cpp
@@ -141,6 +141,7 @@
     };
     http::call_limits limits;
     limits.first_byte_timeout = wait;
+    limits.total_timeout = wait + response_timeout;
     limits.max_body_bytes = max_response_bytes;
     const auto received = std::make_shared<response>();
     http::call_handlers handlers;
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -3,6 +3,7 @@
 #include "runtime/clock.h"
 #include "settings/socket_endpoint.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -15,6 +16,9 @@
 
 namespace {
 
+/// Status codes below this one are interim responses.
+constexpr unsigned first_final_status = 200;
+
 auto request_header(const http_request& request, const boost::asio::ip::tcp::endpoint& server) -> std::string
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -68,7 +72,10 @@
     error_code ignored;
     // NOLINTNEXTLINE(bugprone-unused-return-value): best effort; failure only adds latency
     stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    stream_.expires_after(limits_.first_byte_timeout);
+    if (limits_.total_timeout > duration::zero()) {
+        ends_by_ = runtime::now() + limits_.total_timeout;
+    }
+    expire_after(limits_.first_byte_timeout);
     const std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(head_),
                                                          boost::asio::buffer(body_)};
     boost::asio::async_write(stream_, parts,
@@ -88,10 +95,21 @@
     }
     head_.clear();
     body_ = {};
+    expire_after(limits_.first_byte_timeout);
+    read_header();
+}
+
+void http_call::expire_after(duration timeout)
+{
+    const duration left = ends_by_ ? *ends_by_ - runtime::now() : timeout;
+    stream_.expires_after(std::max(std::min(timeout, left), duration::zero()));
+}
+
+void http_call::read_header()
+{
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser_->body_limit(limits_.max_body_bytes);
-    stream_.expires_after(limits_.first_byte_timeout);
     boost::beast::http::async_read_header(
         stream_, buffer_, *parser_, [self = shared_from_this()](error_code read_failure, std::size_t /*n*/) {
             self->on_header(read_failure);
@@ -108,6 +126,10 @@
         return;
     }
     const auto& header = parser_->get();
+    if (header.result_int() < first_final_status) {
+        ++interim_responses_ <= max_interim_responses ? read_header() : end(call_end::broken);
+        return;
+    }
     handlers_.on_header(header.result_int(), std::string(header[boost::beast::http::field::content_type]));
     if (!over_) {
         read_piece();
@@ -117,12 +139,12 @@
 void http_call::read_piece()
 {
     if (parser_->is_done()) {
-        end(call_end::whole);
+        on_complete();
         return;
     }
     parser_->get().body().data = piece_.data();
     parser_->get().body().size = piece_.size();
-    stream_.expires_after(limits_.silence_timeout);
+    expire_after(limits_.silence_timeout);
     boost::beast::http::async_read_some(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](error_code failure, std::size_t /*bytes*/) { self->on_piece(failure); });
@@ -139,6 +161,7 @@
     }
     const auto length = piece_.size() - parser_->get().body().size;
     if (length > 0) {
+        body_received_ = true;
         handlers_.on_bytes(std::string_view(piece_.data(), length));
     }
     if (!over_) {
@@ -146,6 +169,13 @@
     }
 }
 
+void http_call::on_complete()
+{
+    // Without a length or chunks, a server that crashes after the header closes its connection like one that
+    // has sent all.
+    end(parser_->need_eof() && !body_received_ ? call_end::broken : call_end::whole);
+}
+
 void http_call::end(call_end how)
 {
     over_ = true;
--- a/src/upstream/engine_client.cpp
+++ b/src/upstream/engine_client.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_unavailable = 503;
 constexpr duration control_call_timeout = 2s;
+constexpr duration control_call_total_timeout = 10s;
 constexpr duration order_timeout = 30s;
 
 auto post(const std::string& target, std::string body) -> http::http_request
@@ -165,6 +166,7 @@
     http::call_limits limits;
     limits.connect_timeout = options_.connect_timeout;
     limits.first_byte_timeout = control_call_timeout;
+    limits.total_timeout = control_call_total_timeout;
     return std::make_shared<http::http_call>(context_, server_, limits);
 }
 
@@ -291,6 +293,7 @@
     http::call_limits limits;
     limits.connect_timeout = options_.connect_timeout;
     limits.first_byte_timeout = order_timeout;
+    limits.total_timeout = order_timeout;
     const auto call = std::make_shared<http::http_call>(context_, server_, limits);
     const auto answer = std::make_shared<sidecar_input::order_answered>();
     answer->number = what.number;
@@ -306,6 +309,7 @@
     http::call_limits limits;
     limits.connect_timeout = options_.connect_timeout;
     limits.first_byte_timeout = control_call_timeout;
+    limits.total_timeout = control_call_total_timeout;
     limits.max_body_bytes = max_state_bytes;
     const auto call = std::make_shared<http::http_call>(context_, server_, limits);
     const auto report = [this, sent_at = runtime::now()](unsigned status, const std::string& body) {
--- a/src/upstream/service_client.cpp
+++ b/src/upstream/service_client.cpp
@@ -42,6 +42,7 @@
     limits.connect_timeout = std::min(connect_timeout_, what.remaining);
     limits.first_byte_timeout = what.remaining;
     limits.silence_timeout = what.remaining;
+    limits.total_timeout = what.remaining;
     limits.max_body_bytes = max_answer_bytes;
     auto handlers = http::gather_answer(
         [this, number = what.call](http::call_end how, const http::http_response& answer) {
