--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -265,6 +265,7 @@
     const direct::decoded_record decoded = source_.decode(record);
     fleet_.take(record.key, decoded, now);
     if (const auto* unusable = std::get_if<direct::unusable_record>(&decoded)) {
+        metrics_.unusable_records.add();
         log_event(event::record_unusable, field("record", record.key), field("why", unusable->reason),
                   field("revision", record.revision));
         return;
--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -22,6 +22,8 @@
                               "Upstreams' responses with bytes that are no part of a valid one"}))
     , repeated_events(registry_->counter(
           {"dragonflymill_repeated_events_total", "Stream events that were sent again and not passed on"}))
+    , unusable_records(registry_->counter(
+          {"dragonflymill_unusable_records_total", "Published records that could not be used"}))
     , waiting(registry_->gauge({"dragonflymill_waiting_requests", "Requests that wait for an upstream"}))
     , config_version(registry_->gauge({"dragonflymill_config_version", "Configuration in force"}))
     , gateways(
--- a/src/edge/gateway_metrics.h
+++ b/src/edge/gateway_metrics.h
@@ -38,6 +38,7 @@
     metric_counter& events;              ///< Stream events forwarded.
     metric_counter& malformed_responses; ///< Responses with bytes that are no part of a valid one.
     metric_counter& repeated_events;     ///< Stream events that upstreams sent again, not forwarded.
+    metric_counter& unusable_records;    ///< Published records that couldn't be used.
     metric_gauge& waiting;               ///< Requests queued for dispatch.
     metric_gauge& config_version;        ///< Version of the configuration in force.
     metric_gauge& gateways;              ///< Known gateways of the cell, including this one.
--- a/tests/platform/record_decoder_test.cpp
+++ b/tests/platform/record_decoder_test.cpp
@@ -14,7 +14,7 @@
 }
 
 constexpr const char* good_entry =
-    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","state":"ready","slots":16,"coldLeftMs":1500,"born":7})";
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","state":"ready","slots":16,"coldLeftMs":1500,"sequence":4,"born":7})";
 
 } // namespace
 
@@ -41,7 +41,8 @@
 
 Test(record_decoder, decodes_a_draining_replica)
 {
-    const auto fact = entry_of(R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"draining"})");
+    const auto fact = entry_of(
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","state":"draining","slots":1,"coldLeftMs":0,"sequence":0})");
     cr_assert(std::get<upstream_entry>(fact).leaving);
 }
 
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -69,7 +69,7 @@
 {
     return R"({"service":")" + service_ + R"(","address":")" + server_.address() +
            R"(","zone":"a","state":")" + (leaving ? "draining" : "ready") +
-           R"(","slots":8,"coldLeftMs":0,"born":)" + std::to_string(run_) + "}";
+           R"(","version":"v1","slots":8,"coldLeftMs":0,"sequence":0,"born":)" + std::to_string(run_) + "}";
 }
 
 void soak_upstream::restart()
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -1,8 +1,9 @@
 #include "soak/store_standin.h"
 
+#include "support/base64_text.h"
+
 #include <algorithm>
 #include <boost/json.hpp>
-#include <openssl/evp.h>
 
 namespace dragonflymill::soak {
 
@@ -11,16 +12,6 @@
 
 namespace {
 
-auto base64(const std::string& bytes) -> std::string
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),        // NOLINT
-                                       reinterpret_cast<const unsigned char*>(bytes.data()), // NOLINT
-                                       static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
 void reply(taken_connection& call, int status, const std::string& body)
 {
     boost::system::error_code ignored; // the gateway may have been killed
@@ -72,7 +63,7 @@
             continue;
         }
         json::object event{{"key", key}, {"revision", item.revision}};
-        item.removed ? event["deleted"] = true : event["value"] = base64(item.value);
+        item.removed ? event["deleted"] = true : event["value"] = test_support::base64_text(item.value);
         events.push_back(std::move(event));
     }
     return events.empty() ? ""
@@ -95,8 +86,8 @@
     json::array items;
     for (const auto& [key, item] : items_) {
         if (!item.removed) {
-            items.push_back(
-                json::object{{"key", key}, {"value", base64(item.value)}, {"revision", item.revision}});
+            items.push_back(json::object{
+                {"key", key}, {"value", test_support::base64_text(item.value)}, {"revision", item.revision}});
         }
     }
     reply(
