Send malformed, foreign and endless responses in the soak

Each second an upstream of the soak sends for a while what is no valid response: text between events, a second response behind a stream or an answer without a length, ids that are no numbers or go back, heads that break off, heads, interim responses, chunk extensions, trailers and comments without end. A quarter of the streams use a route that must not be resumed. Callers' bytes are compared event by event, as before.

--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -6,15 +6,13 @@
 
 namespace {
 
-constexpr int events = 8;
-
 auto expected_answer(const std::string& request, bool is_stream) -> std::string
 {
     if (!is_stream) {
         return "booked " + request;
     }
     std::string all;
-    for (int id = 1; id <= events; ++id) {
+    for (int id = 1; id <= soak_upstream::events; ++id) {
         all += "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
     }
     return all;
@@ -98,7 +96,7 @@
         kept.part(call_.request, body_, expected);
     }
     else if (status == 503 || status == 429) {
-        kept.told_not_run(call_.request, call_.is_stream());
+        kept.told_not_run(call_.request, call_.is_repeatable());
     }
     socket_.close();
     if (!complete) {
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -21,6 +21,8 @@
     bool calm = false;                 ///< Sent while no faults are injected.
     std::function<void()> on_failed{}; ///< Called if it gets no complete response; may be empty.
 
+    /// Whether upstreams may run it more than once.
+    [[nodiscard]] auto is_repeatable() const -> bool { return is_stream() && path.starts_with("/chat/"); }
     /// Whether its response is a stream.
     [[nodiscard]] auto is_stream() const -> bool { return !parts.empty(); }
 };
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -21,9 +21,9 @@
 // stopped and partitioned from the store, upstreams fail, drain and are replaced, the store stops answering,
 // upstreams ask for pauses, state their drain, run slower and restart in place, and the configuration
 // changes; engines crash under calls with one part of a prompt, and any upstream under single requests that
-// their callers repeat. No booking may be executed twice, or after it
-// was reported as not executed; no stream may have a gap; and all calls must be served again once the faults
-// end.
+// their callers repeat; upstreams send malformed, foreign and endless bytes in and behind their responses. No
+// booking may be executed twice, or after it was reported as not executed; no stream may have a gap; and all
+// calls must be served again once the faults end.
 Test(soak, promises_hold_under_faults, .timeout = 280)
 {
     const auto seed = static_cast<std::uint64_t>(number("SOAK_SEED", 1));
@@ -40,9 +40,10 @@
     }
     std::fprintf(
         stderr,
-        "seed %d: %d complete responses, %zu faults, %d statements, %d crashes, %d under single requests\n",
+        "seed %d: %d complete responses, %zu faults, %d statements, %d crashes, %d under single requests, "
+        "%d malformed responses\n",
         static_cast<int>(seed), world.kept().answers(), world.story().size(), world.statements(),
-        world.crashes(), world.fatal_ends());
+        world.crashes(), world.fatal_ends(), world.malformed_responses());
     cr_assert(world.kept().breaches().empty(), "%zu guarantees violated", world.kept().breaches().size());
-    cr_assert(world.kept().answers() > 0);
+    cr_assert(world.kept().answers() > 0 && world.malformed_responses() > 0);
 }
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr int events = 8;
 /// Time between two events of a stream, as in the profile in the configuration.
 constexpr double event_ms = 15.0;
 
@@ -154,16 +153,21 @@
         crash(call, request, head);
         return;
     }
-    promises_.ran(request, is_stream);
+    promises_.ran(request, is_stream && !call.received.starts_with("POST /tell/"));
     if (fault_ == fault::hang) {
         return;
     }
     const auto kept = call.shared_from_this();
     if (is_stream) {
         const std::string after = field(call.received, "Last-Event-Id");
+        const int next = after.empty() ? 1 : std::atoi(after.c_str()) + 1; // NOLINT(cert-err34-c)
+        if (sends_malformed_) {
+            send_malformed_stream(kept, request, head, next);
+            return;
+        }
         send(call, "HTTP/1.1 200 OK\r\n" + head +
                        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-        stream(kept, request, after.empty() ? 1 : std::atoi(after.c_str()) + 1); // NOLINT(cert-err34-c)
+        stream(kept, request, next);
         return;
     }
     later(std::chrono::milliseconds(10), [this, kept, request, head] {
@@ -175,6 +179,10 @@
             return;
         }
         const std::string body = "booked " + request;
+        if (sends_malformed_) {
+            send_malformed_answer(kept, body, head);
+            return;
+        }
         send(*kept, "HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + std::to_string(body.size()) +
                         "\r\n\r\n" + body);
     });
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -37,6 +37,7 @@
 soak_world::soak_world(std::uint64_t seed, std::string program)
     : random_(seed)
     , parts_random_(~seed)
+    , malformed_random_(seed + 1'000'003)
     , program_(std::move(program))
     , store_(loop_)
 {
@@ -86,16 +87,18 @@
 void soak_world::put_config()
 {
     ++version_;
-    const auto route = [](const char* name, const char* kind, const char* service) {
+    const auto route = [](const char* name, const char* kind, const char* service, bool resumable = false) {
         return std::string(R"({"name":")") + name + R"(","host":"h.example","pathPrefix":"/)" + name +
                R"(/","kind":")" + kind + R"(","service":")" + service +
-               R"(","timeoutMs":4000,"latencyGoalMs":300,"maxAttempts":2,"streamResume":true,"gapAimMs":200})";
+               R"(","timeoutMs":4000,"latencyGoalMs":300,"maxAttempts":2,"gapAimMs":200,"streamResume":)" +
+               (resumable ? "true}" : "false}");
     };
     store_.put(
         "op/config",
         R"({"version":)" + std::to_string(version_) + R"(,"routes":[)" +
             route("book", "non_idempotent", "bookings") + "," + route("find", "idempotent", "bookings") +
-            "," + route("chat", "streaming", "engines") +
+            "," + route("chat", "streaming", "engines", true) + "," +
+            route("tell", "streaming", "engines", false) +
             R"(],"services":[{"name":"bookings"},{"name":"engines","engine":{"slots":8,"kvCapacity":1000000,)" +
             R"("stride":1,"step_ms":15,"read_per_s":1000000,"chunk":100000,)" +
             R"("report_lag_ms":100}}],"limits":{}})");
@@ -195,8 +198,10 @@
     const std::string request = "r" + std::to_string(++made_);
     requests_[request] = {gateway.ip, std::chrono::steady_clock::now(), ""};
     const std::string parts = next_parts(faults);
+    constexpr double unresumable_share = 0.25;
+    const char* const stream_path = malformed_random_.chance(unresumable_share) ? "/tell/x" : "/chat/x";
     std::make_shared<caller>(
-        *this, soak_call{request, is_stream ? "/chat/x" : "/book/x", is_stream ? parts : "", "hi", !faults})
+        *this, soak_call{request, is_stream ? stream_path : "/book/x", is_stream ? parts : "", "hi", !faults})
         ->start(gateway, caller_port_);
 }
 
@@ -437,6 +442,7 @@
     moment call = std::chrono::steady_clock::now();
     moment fault = call + 500ms;
     moment fatal = call + 1s;
+    moment malformed = call + 700ms;
     while (std::chrono::steady_clock::now() < end) {
         const moment now = std::chrono::steady_clock::now();
         if (now >= call) {
@@ -451,6 +457,10 @@
             next_fatal_request();
             fatal = now + 5s;
         }
+        if (faults && now >= malformed) {
+            next_malformed_response();
+            malformed = now + 1s;
+        }
         look_after_gateways();
         loop_.run_one_for(5ms);
         loop_.restart();
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -43,6 +43,10 @@
     [[nodiscard]] auto id() const -> const std::string& { return id_; }
     /// Sets the fault for the requests and stream events that follow.
     void set_fault(fault now) { fault_ = now; }
+    /// Sends malformed responses from now on, in another way each time, or stops to.
+    void send_malformed(bool malformed) { sends_malformed_ = malformed; }
+    /// Number of malformed responses so far.
+    [[nodiscard]] auto malformed_responses() const -> int { return malformed_; }
     /// Sets the rate limit that its responses state, in calls per second; nothing: they state none.
     void set_limit(std::optional<double> calls_per_s) { limit_ = calls_per_s; }
     /// Rejects all requests from now on and asks for this pause; nothing: it accepts them again.
@@ -73,6 +77,8 @@
     {
         on_crash_ = std::move(on_crash);
     }
+    /// Events of a complete stream.
+    static constexpr int events = 8;
     /// Part of a prompt under which engines crash.
     static constexpr const char* crashing_part = "badd:30";
     /// Text in a request under which upstreams of all services end.
@@ -97,6 +103,13 @@
     void send_report(test_support::taken_connection& call);
     void stream(const std::shared_ptr<test_support::taken_connection>& call, const std::string& request,
                 int next);
+    void send_malformed_stream(const std::shared_ptr<test_support::taken_connection>& call,
+                               const std::string& request, const std::string& head, int next);
+    void send_malformed_answer(const std::shared_ptr<test_support::taken_connection>& call,
+                               const std::string& body, const std::string& head);
+    /// Sends bytes and closes the connection, or sends `endless` again and again if it isn't null.
+    static void send_and_end(const std::shared_ptr<test_support::taken_connection>& call,
+                             const std::string& bytes, const std::shared_ptr<std::string>& endless);
     void later(std::chrono::milliseconds wait, std::function<void()> action);
 
     boost::asio::io_context& loop_;
@@ -105,6 +118,8 @@
     promises& promises_;
     test_support::standin_upstream server_;
     fault fault_ = fault::none;
+    bool sends_malformed_ = false;
+    int malformed_ = 0;
     std::optional<double> limit_;
     std::optional<std::chrono::milliseconds> pause_;
     bool states_drain_ = false;
@@ -152,6 +167,8 @@
     [[nodiscard]] auto crashes() const -> int { return crashes_.crashes(); }
     /// Upstreams that have ended under requests which their callers repeat.
     [[nodiscard]] auto fatal_ends() const -> int { return fatal_.ends(); }
+    /// Malformed responses that upstreams have sent.
+    [[nodiscard]] auto malformed_responses() const -> int;
     /// Injected faults, one line each, with milliseconds since the start.
     [[nodiscard]] auto story() const -> const std::vector<std::string>& { return story_; }
 
@@ -193,6 +210,8 @@
     /// Lets a caller send a request under which upstreams end, and repeat it at any gateway.
     void next_fatal_request();
     void send_fatal_request(const std::string& name, bool is_stream, int left);
+    /// Lets an upstream send malformed responses for a time.
+    void next_malformed_response();
     void strike_gateway(soak_gateway& gateway, std::uint64_t kind);
     void heal();
     void look_after_gateways();
@@ -203,7 +222,8 @@
 
     boost::asio::io_context loop_{1};
     random_source random_;
-    random_source parts_random_; // of its own, so that parts don't change the faults of a seed
+    random_source parts_random_;     // of its own, so that parts don't change the faults of a seed
+    random_source malformed_random_; // likewise
     std::string program_;
     promises promises_;
     limit_watch limits_{promises_};
