Forward no success without the seal that upstreams put on their responses

Cause: nothing asked whether a success bears the mark that upstreams put on their responses. Change: response_guard asks, for whole answers and for streams; a deployment's adapter names the field. Such an attempt ends as invalid: a call that may be repeated goes to another upstream, a booking ends with 502, which promises nothing, as it may have run. It counts as one failure of the upstream.

--- a/include/dragonflymill/response/response_fault.h
+++ b/include/dragonflymill/response/response_fault.h
@@ -8,15 +8,16 @@
     none,             ///< Nothing is known against them.
     malformed_http,   ///< No valid HTTP/1.1 head or chunks.
     foreign_response, ///< The response states that it answers another request.
-    not_a_stream,    ///< Neither labelled as the event stream that it should be, nor with a length or chunks.
-    malformed_line,  ///< A line of an event stream that is no field of an event.
-    second_response, ///< The head of another response inside a body.
-    missing_id,      ///< An event without an id.
-    invalid_id,      ///< An event whose id is no number, or that has two ids.
-    descending_id,   ///< An event whose id isn't above the one before it in the same response.
-    oversized_event, ///< An event over the size limit.
-    no_event,        ///< More bytes without an event than an event may have.
-    truncated,       ///< The body ends inside an event, or before the first one.
+    missing_seal,     ///< A success without the mark that upstreams put on their responses.
+    not_a_stream,     ///< Neither labelled as the event stream that is due, nor with a length or chunks.
+    malformed_line,   ///< A line of an event stream that is no field of an event.
+    second_response,  ///< The head of another response inside a body.
+    missing_id,       ///< An event without an id.
+    invalid_id,       ///< An event whose id is no number, or that has two ids.
+    descending_id,    ///< An event whose id isn't above the one before it in the same response.
+    oversized_event,  ///< An event over the size limit.
+    no_event,         ///< More bytes without an event than an event may have.
+    truncated,        ///< The body ends inside an event, or before the first one.
 };
 
 /// Name as written to logs.
--- a/include/dragonflymill/response/response_guard.h
+++ b/include/dragonflymill/response/response_guard.h
@@ -29,7 +29,8 @@
     unsigned status = 0;                         ///< Status code.
     bool is_event_stream = false;                ///< By its content type.
     body_framing framing = body_framing::length; ///< What shows the end of its body.
-    std::string_view echoed_id;                  ///< Id of the request that it answers; empty if not stated.
+    bool is_sealed = true; ///< Whether it bears the mark that upstreams put on their responses, if they do.
+    std::string_view echoed_id; ///< Id of the request that it answers; empty if not stated.
 
     friend auto operator==(const response_summary&, const response_summary&) -> bool = default;
 };
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -32,6 +32,7 @@
         expected_upstream;       ///< Id of the only upstream that may run the request; others must reject it.
     std::string not_run;         ///< In a response: the upstream hasn't run the request and won't.
     std::string failed_upstream; ///< In a rejection: the upstream that caused it, by id or address.
+    std::string seal; ///< In a response: mark of the upstream that gave it; empty if upstreams have none.
     std::string token_counts;    ///< Prompt tokens and maximum answer tokens, separated by a comma.
     std::string prompt_parts;    ///< Parts of the prompt in order, as ID:TOKENS entries separated by commas.
     std::string prefill_engines; ///< Engines that prefill a part of the prompt.
--- a/src/edge/response_summary.cpp
+++ b/src/edge/response_summary.cpp
@@ -39,7 +39,8 @@
 auto summarize(const response_head& head, const header_names& names) -> response::response_summary
 {
     return {head.status, to_lower(head.value_of("content-type")).starts_with("text/event-stream"),
-            framing_of(head), head.value_of(names.request_id)};
+            framing_of(head), names.seal.empty() || !head.value_of(names.seal).empty(),
+            head.value_of(names.request_id)};
 }
 
 auto loggable(std::string_view bytes) -> std::string
--- a/src/response/response_fault.cpp
+++ b/src/response/response_fault.cpp
@@ -11,6 +11,8 @@
         return "malformed_http";
     case response_fault::foreign_response:
         return "foreign_response";
+    case response_fault::missing_seal:
+        return "missing_seal";
     case response_fault::not_a_stream:
         return "not_a_stream";
     case response_fault::malformed_line:
--- a/src/response/response_guard.cpp
+++ b/src/response/response_guard.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned first_status_after_success = 300;
 
 } // namespace
 
@@ -47,6 +48,10 @@
     if (!head.echoed_id.empty() && head.echoed_id != expected_.request_id) {
         return response_fault::foreign_response;
     }
+    const bool is_success = head.status >= status_ok && head.status < first_status_after_success;
+    if (is_success && !head.is_sealed) {
+        return response_fault::missing_seal;
+    }
     const bool stream_expected = expected_.is_streaming && head.status == status_ok;
     is_event_stream_ = stream_expected && head.is_event_stream;
     const bool is_unbounded = stream_expected && !is_event_stream_ && framing_ == body_framing::connection;
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -101,6 +101,7 @@
         names.account = "Account";
         names.expected_upstream = "Expected";
         names.not_run = "Not-Run";
+        names.seal = seal_field;
         names.failed_upstream = "At-Fault";
         names.token_counts = "Tokens";
         names.prompt_parts = "Parts";
@@ -179,6 +180,8 @@
     upstream_orders orders;
     /// Reader of upstreams' reports; none by default.
     report_reader reports;
+    /// Name of the field with upstreams' seals; empty: they have none.
+    std::string seal_field;
     /// Caller limits in the gateway's configuration.
     direct::caller_limits limits;
 
--- a/tests/response/response_guard_test.cpp
+++ b/tests/response/response_guard_test.cpp
@@ -26,8 +26,8 @@
     return response_guard({"r1", "Request-Id", true, resume_after, {}});
 }
 
-constexpr response_summary stream_head{200, true, body_framing::connection, "r1"};
-constexpr response_summary plain_head{200, false, body_framing::connection, "r1"};
+constexpr response_summary stream_head{200, true, body_framing::connection, true, "r1"};
+constexpr response_summary plain_head{200, false, body_framing::connection, true, "r1"};
 
 /// Starts an attempt whose response is an event stream.
 void begin_stream(response_guard& guard)
@@ -133,7 +133,7 @@
     }
     response_guard guard = stream_guard();
     guard.begin_attempt();
-    (void)guard.take_head({200, true, body_framing::chunks, "r1"});
+    (void)guard.take_head({200, true, body_framing::chunks, true, "r1"});
     cr_assert(guard.take_end() == response_fault::none, "the last chunk shows that it is empty");
 }
 
@@ -143,16 +143,37 @@
 {
     response_guard guard = stream_guard();
     guard.begin_attempt();
-    cr_assert(guard.take_head({200, true, body_framing::chunks, "r2"}) == response_fault::foreign_response);
+    cr_assert(guard.take_head({200, true, body_framing::chunks, true, "r2"}) ==
+              response_fault::foreign_response);
     guard.begin_attempt();
     cr_assert(guard.take_head(plain_head) == response_fault::not_a_stream);
     guard.begin_attempt();
-    cr_assert(guard.take_head({200, false, body_framing::length, "r1"}) == response_fault::none);
+    cr_assert(guard.take_head({200, false, body_framing::length, true, "r1"}) == response_fault::none);
     cr_assert(!guard.is_event_stream());
     guard.begin_attempt();
-    cr_assert(guard.take_head({500, false, body_framing::connection, "r1"}) == response_fault::none);
+    cr_assert(guard.take_head({500, false, body_framing::connection, true, "r1"}) == response_fault::none);
     guard.begin_attempt();
-    cr_assert(guard.take_head({200, true, body_framing::chunks, ""}) == response_fault::none);
+    cr_assert(guard.take_head({200, true, body_framing::chunks, true, ""}) == response_fault::none);
+}
+
+// Guards against a page of a server that is no upstream, forwarded as an upstream's success.
+Test(response_guard, forwards_no_success_without_a_seal)
+{
+    for (const bool is_streaming : {false, true}) {
+        for (const unsigned status : {200U, 201U, 204U, 299U}) {
+            response_guard guard({"r1", "Request-Id", is_streaming, "", {}});
+            guard.begin_attempt();
+            cr_assert(guard.take_head({status, is_streaming, body_framing::length, false, ""}) ==
+                      response_fault::missing_seal);
+            guard.begin_attempt();
+            cr_assert(guard.take_head({status, is_streaming, body_framing::length, true, ""}) ==
+                      response_fault::none);
+        }
+        response_guard guard({"r1", "Request-Id", is_streaming, "", {}});
+        guard.begin_attempt();
+        cr_assert(guard.take_head({500, false, body_framing::length, false, ""}) == response_fault::none,
+                  "a failure promises nothing");
+    }
 }
 
 // Guards against a second response that becomes part of the first one's body, at any byte and in any pieces.
@@ -183,7 +204,7 @@
     cr_assert(guard.take_body(text) == checked_body({text, 0, 0, response_fault::none}));
     const std::string whole = "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n";
     guard.begin_attempt();
-    (void)guard.take_head({200, false, body_framing::length, "r1"});
+    (void)guard.take_head({200, false, body_framing::length, true, "r1"});
     cr_assert(guard.take_body(whole).fault == response_fault::none, "a length separates responses");
 }
 
