Forward no failure that says "not run" without the upstream's word for it

Cause: each failure that an upstream answered was forwarded with its status, also one that promises what the upstream hasn't said in the field for it. Change: such a failure ends its attempt like any other of the upstream, also below 500. A call that may be repeated is tried at another upstream; where none is left, and for bookings, the answer is 502, which promises nothing. Other failures are forwarded as before. The form with sidecars is not changed: its services are only asked for 2xx and 4xx as final answers.

--- a/include/dragonflymill/direct/attempt_rules.h
+++ b/include/dragonflymill/direct/attempt_rules.h
@@ -38,6 +38,9 @@
     duration wait_left{};      ///< Time for which it may still wait for capacity; may be negative.
     duration retry_delay{};    ///< Time from an attempt that wasn't sent to the next one.
     bool budget_left = false;  ///< Whether the retry budget allows another attempt.
+    /// Whether the failure that the upstream answered has a status by which callers know that a request
+    /// wasn't run.
+    bool failure_says_not_run = false;
 
     friend auto operator==(const request_progress&, const request_progress&) -> bool = default;
 };
@@ -68,6 +71,10 @@
 /// with less time the response would arrive too late and the work would be wasted.
 inline constexpr duration min_attempt_time = 30ms;
 
+/// Returns whether a status tells callers that their request was not run and never will be, so that they may
+/// send it again.
+[[nodiscard]] auto says_not_run(unsigned status) -> bool;
+
 /// Returns the next step after an attempt that ended without a response.
 ///
 /// Guards against running a call twice: an upstream that stopped responding may have run it, and a second
--- a/src/direct/attempt_rules.cpp
+++ b/src/direct/attempt_rules.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymill/direct/attempt_rules.h"
 
 #include <algorithm>
+#include <array>
 
 namespace dragonflymill::direct {
 
@@ -39,6 +40,12 @@
     return end == attempt_end::not_sent || end == attempt_end::reader_lost;
 }
 
+auto says_not_run(unsigned status) -> bool
+{
+    constexpr std::array statuses{408U, 421U, 429U, 503U};
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 auto decide_next_step(attempt_end end, const request_progress& progress) -> next_step
 {
     if (may_retry(end, progress)) {
@@ -47,7 +54,7 @@
     if (progress.answer_begun) {
         return next_step::cut;
     }
-    if (end == attempt_end::failed) {
+    if (end == attempt_end::failed && !progress.failure_says_not_run) {
         return next_step::pass_failure;
     }
     const bool unknown = progress.may_have_run || may_have_run(end);
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -39,6 +39,8 @@
     state.disconnects = queued_call_.attempts.disconnects();
     state.rejections = queued_call_.attempts.rejections();
     state.max_attempts = route_->max_attempts;
+    // An upstream that has not run a request says so in a field of its own.
+    state.failure_says_not_run = direct::says_not_run(head_.status);
     state.time_left = deadline_ - now;
     state.wait_left = queue_timeout_at_ - now;
     state.retry_delay = queued_call_.attempts.retry_delay();
--- a/src/edge/exchange_response.cpp
+++ b/src/edge/exchange_response.cpp
@@ -72,6 +72,10 @@
     if (body_.size() <= max_buffered_bytes) {
         return;
     }
+    if (direct::says_not_run(head_.status)) {
+        end_attempt(attempt_end::failed, "status " + std::to_string(head_.status) + " with a long body");
+        return;
+    }
     // Too large to buffer: forwarded as it arrives. Another attempt can no longer replace it.
     forward_head();
     if (const auto session = session_.lock()) {
@@ -179,7 +183,7 @@
         context_.dispatcher.quarantine().evidence().record_answer(
             succeeded ? queued_call_.prompt_parts : own_parts(queued_call_.prompt_parts), now);
     }
-    const bool failure = head_.status >= first_server_failure;
+    const bool failure = head_.status >= first_server_failure || direct::says_not_run(head_.status);
     if (failure && !response_started_) {
         end_attempt(attempt_end::failed, "status " + std::to_string(head_.status));
         return;
--- a/tests/direct/attempt_rules_test.cpp
+++ b/tests/direct/attempt_rules_test.cpp
@@ -57,6 +57,26 @@
     });
 }
 
+// Guards against a failure of an upstream that ran a booking, forwarded with a status that says "not run":
+// its caller books again.
+Test(attempt_rules, forwards_no_failure_that_says_not_run)
+{
+    for (const unsigned status : {408U, 421U, 429U, 503U}) {
+        cr_assert(says_not_run(status));
+    }
+    for (const unsigned status : {200U, 400U, 404U, 409U, 500U, 501U, 502U, 504U}) {
+        cr_assert(!says_not_run(status));
+    }
+    for_each_case([](attempt_end end, request_progress state) {
+        state.failure_says_not_run = true;
+        const next_step step = decide_next_step(end, state);
+        cr_assert(step != next_step::pass_failure);
+        cr_assert(end != attempt_end::failed || step != next_step::refuse_not_run);
+        state.failure_says_not_run = false;
+        cr_assert(step == decide_next_step(end, state) || end == attempt_end::failed);
+    });
+}
+
 // Guards against a partial response that looks complete: once its head has been forwarded, the response is
 // continued or the connection is closed.
 Test(attempt_rules, continues_or_cuts_a_response_that_has_begun)
