--- a/include/dragonflymill/response/response_guard.h
+++ b/include/dragonflymill/response/response_guard.h
@@ -5,8 +5,6 @@
 #include "dragonflymill/response/second_response_finder.h"
 
 #include <cstddef>
-#include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
--- a/src/edge/response_summary.cpp
+++ b/src/edge/response_summary.cpp
@@ -30,7 +30,7 @@
     response::response_expectation expected;
     expected.request_id = std::string(request.value_of(names.request_id));
     expected.id_field = names.request_id;
-    expected.is_streaming = route.kind == direct::call_kind::streaming;
+    expected.is_streaming = route.kind == direct::call_kind::streaming && request.method != "HEAD";
     expected.resume_after = std::string(request.value_of(names.resume_after));
     expected.events = names.events;
     return expected;
--- a/src/http/http_call.h
+++ b/src/http/http_call.h
@@ -33,7 +33,7 @@
     duration connect_timeout = 1s;      ///< For establishing the connection.
     duration first_byte_timeout = 120s; ///< From the last byte of the request to the first of the response.
     duration silence_timeout = 10s;     ///< Between two reads of the response body.
-    /// From the last byte of the request to the end of the response; zero for none.
+    /// From the connection to the end of the response; zero for none.
     duration total_timeout{};
     std::size_t max_header_bytes = 16 * 1024;      ///< Size of the response header.
     std::size_t max_body_bytes = 64 * 1024 * 1024; ///< Size of the response body.
--- a/src/response/event_parser.cpp
+++ b/src/response/event_parser.cpp
@@ -23,8 +23,7 @@
 
 void event_parser::begin_response(std::optional<std::uint64_t> after)
 {
-    event_format format = std::move(format_);
-    *this = event_parser(std::move(format));
+    *this = event_parser(std::move(format_));
     id_before_last_ = after;
 }
 
