--- a/src/edge/response_parser.cpp
+++ b/src/edge/response_parser.cpp
@@ -89,6 +89,8 @@
     return state_;
 }
 
+response_parser::parser::parser() = default;
+
 void response_parser::parser::on_response_impl(int code, string_view reason, int /*version*/,
                                                error_code& failed)
 {
--- a/src/edge/response_parser.h
+++ b/src/edge/response_parser.h
@@ -68,6 +68,8 @@
     class parser : public boost::beast::http::basic_parser<false>
     {
     public:
+        parser();
+
         response_head head;
         std::string* body = nullptr;
 
