--- a/tests/platform/record_decoder_test.cpp
+++ b/tests/platform/record_decoder_test.cpp
@@ -83,6 +83,28 @@
     cr_assert(std::holds_alternative<unusable_record>(decode_record({"other/key", "{}", 1, false})));
 }
 
+// Guards against times that overflow: they would be in the past, or the process would end.
+Test(record_decoder, bounds_the_times_of_a_configuration)
+{
+    const auto config_with = [](const std::string& ms) {
+        const auto fact = decode_record(
+            {"op/config",
+             R"({"version":7,"routes":[{"name":"r","host":"a","pathPrefix":"/x/","service":"s","timeoutMs":)" +
+                 ms + R"(,"latencyGoalMs":)" + ms + R"(,"gapAimMs":)" + ms +
+                 R"(}],"services":[{"name":"s","coldS":)" + ms + R"(}],"limits":{"headerTimeoutMs":)" + ms +
+                 "}}",
+             9, false});
+        return std::get<std::shared_ptr<const fleet_config>>(fact);
+    };
+    for (const char* large : {"1e17", "1e300", "9223372036854775807", "18446744073709551615"}) {
+        const auto config = config_with(large);
+        cr_assert(config->match_route("a", "/x/1")->time_limit == duration(24h), "%s", large);
+        cr_assert(config->find_service("s")->cold_time == duration(24h));
+        cr_assert(config->limits().header_time == duration(24h));
+    }
+    cr_assert(config_with("-5")->match_route("a", "/x/1")->time_limit == duration::zero());
+}
+
 Test(record_decoder, decodes_an_evacuated_zone_as_a_drained_domain)
 {
     const auto fact = decode_record({"op/evacuate/north-a", "{}", 1, false});
