--- a/tests/edge/truncated_response_test.cpp
+++ b/tests/edge/truncated_response_test.cpp
@@ -29,7 +29,7 @@
 
 auto make_response(framing how, const std::string& fields, const std::string& body) -> std::string
 {
-    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s1\r\n" + fields;
+    std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s1\r\n" + fields;
     switch (how) {
     case framing::length:
         return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
--- a/tests/http/http_call_test.cpp
+++ b/tests/http/http_call_test.cpp
@@ -72,7 +72,8 @@
 {
     for (const std::string framing : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
         const std::string body = framing.starts_with("C") ? "found" : "5\r\nfound\r\n0\r\n\r\n";
-        const std::string whole = "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + body;
+        std::string whole = "HTTP/1.1 200 OK\r\n";
+        whole.append(framing).append("\r\n").append(body);
         for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
             const ended_call ended = call_answered(whole.substr(0, cut));
             cr_assert((ended.end == call_end::whole) == (cut == whole.size()), "cut after %zu", cut);
--- a/tests/platform/upstream_entry_decoder_test.cpp
+++ b/tests/platform/upstream_entry_decoder_test.cpp
@@ -27,7 +27,7 @@
 {
     std::string text = "{";
     for (const auto& [name, value] : fields) {
-        text += (text.size() > 1 ? ",\"" : "\"") + name + "\":" + value;
+        text.append(text.size() > 1 ? ",\"" : "\"").append(name).append("\":").append(value);
     }
     return text + "}";
 }
