--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -148,11 +148,16 @@
         send(call, rejection(head, std::nullopt));
         return;
     }
-    const bool is_stream = service_ == "engines";
     if (is_fatal(call.received)) {
         crash(call, request, head);
         return;
     }
+    execute(call, request, head);
+}
+
+void soak_upstream::execute(taken_connection& call, const std::string& request, const std::string& head)
+{
+    const bool is_stream = service_ == "engines";
     promises_.ran(request, is_stream && !call.received.starts_with("POST /tell/"));
     if (fault_ == fault::hang) {
         return;
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -98,6 +98,8 @@
 
 private:
     void run(test_support::taken_connection& call);
+    /// Executes a request that it has accepted.
+    void execute(test_support::taken_connection& call, const std::string& request, const std::string& head);
     /// Begins an answer and ends, with all of its connections.
     void crash(test_support::taken_connection& call, const std::string& request, const std::string& head);
     void send_report(test_support::taken_connection& call);
