--- a/tests/soak/soak_malformed_responses.cpp
+++ b/tests/soak/soak_malformed_responses.cpp
@@ -146,7 +146,16 @@
 
 void soak_world::next_malformed_response()
 {
-    soak_upstream& upstream = *upstreams_[malformed_random_.below(upstreams_.size())];
+    std::vector<soak_upstream*> running;
+    for (const auto& upstream : upstreams_) {
+        if (!upstream->left()) {
+            running.push_back(upstream.get());
+        }
+    }
+    if (running.empty()) {
+        return;
+    }
+    soak_upstream& upstream = *running[malformed_random_.below(running.size())];
     tell(upstream.id() + " sends malformed responses");
     upstream.send_malformed(true);
     later(std::chrono::milliseconds(200 + malformed_random_.below(1000)),
