--- a/tests/edge/endless_response_test.cpp
+++ b/tests/edge/endless_response_test.cpp
@@ -104,8 +104,9 @@
 {
     const std::string head = std::string(status_line) + "Content-Type: text/event-stream\r\n\r\n";
     for (const std::string& part : {repeated(": comment\n\n"), repeated("data: x\n"), repeated("x")}) {
-        const std::string begin = part.front() == 'x' ? "data: " : "";
-        endless_fixture fixture("engines", head + "id: 1\ndata: a\n\n" + begin, part);
+        std::string begin = head;
+        begin.append("id: 1\ndata: a\n\n").append(part.front() == 'x' ? "data: " : "");
+        endless_fixture fixture("engines", begin, part);
         fixture.send("POST", "/tell/1", "Tokens: 100,10\r\n", "hello");
         fixture.run_until([&] { return fixture.caller_ended; });
         cr_assert(fixture.received.find("data: a\n\n") != std::string::npos);
