Log how responses were labelled and framed, malformed HTTP, and what is unsent at a cut

`call_answered` and `response_malformed` now say whether an event stream was due, the content type and the framing; `response_malformed` gives the first bytes of malformed HTTP (they were always empty) and the last forwarded id; `call_cut` gives the bytes that the caller's connection had not accepted. Reports only: no decision depends on them.

--- a/include/dragonflymill/response/response_guard.h
+++ b/include/dragonflymill/response/response_guard.h
@@ -76,6 +76,8 @@
     /// Returns why a response that ends here is not complete, though its framing and its connection say so.
     [[nodiscard]] auto take_end() const -> response_fault;
 
+    /// Whether an event stream is due.
+    [[nodiscard]] auto is_stream_expected() const -> bool { return expected_.is_streaming; }
     /// Whether the body of the response is an event stream.
     [[nodiscard]] auto is_event_stream() const -> bool { return is_event_stream_; }
     /// Id of the last event that was forwarded; empty before the first.
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -72,6 +72,8 @@
     void abort();
     /// Closes the connection now if it is idle, otherwise after the current response.
     void close_when_idle();
+    /// Bytes of responses that the connection hasn't accepted yet; they are lost if it is closed now.
+    [[nodiscard]] auto unsent_bytes() const -> std::size_t { return out_.unsent_bytes(); }
     /// Whether no request is being read or handled.
     [[nodiscard]] auto idle() const -> bool { return phase_ == phase::idle; }
     [[nodiscard]] auto closed() const -> bool { return phase_ == phase::closed; }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -100,7 +100,7 @@
     void forward_events(const response::checked_body& checked);
     /// Buffers a part of a body that is no event stream, or forwards it if the body is too large to buffer.
     void forward_part(const std::string& bytes);
-    void report_fault(response::response_fault fault) const;
+    void report_fault(response::response_fault fault, std::string_view faulty_bytes) const;
     /// Ends the attempt, as the upstream's bytes are no part of a valid response.
     void reject_response(response::response_fault fault);
     [[nodiscard]] auto forwarded_fields() const -> std::vector<header_field>;
@@ -122,6 +122,8 @@
     void log_attempt_ended(const direct::upstream_entry& upstream, direct::attempt_end end,
                            const std::string& why, direct::next_step next) const;
     void apply_next_step(direct::next_step step, const std::string& why);
+    /// Ends a response that has begun as incomplete.
+    void cut(const std::string& why);
     void release_upstream();
     void on_deadline();
     void refuse(unsigned status, const refusal& refused, const std::string& why);
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -2,6 +2,7 @@
 #include "dragonflymill/direct/stall_timeout.h"
 #include "edge/dispatch_log.h"
 #include "edge/exchange.h"
+#include "edge/response_summary.h"
 #include "http/error_body.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
@@ -134,17 +135,24 @@
         refuse(502, {refusal_code::upstream_gone, ran_state::unknown, 0s, "check whether it was done"}, why);
         return;
     case next_step::cut:
-        context_.metrics.aborted.add();
-        log_event(event::call_cut, field("request", request_id_), field("why", why), field("events", events_),
-                  field("total_us", runtime::now() - arrived_));
-        if (const auto session = session_.lock()) {
-            session->abort();
-        }
-        finish();
+        cut(why);
         return;
     }
 }
 
+void exchange::cut(const std::string& why)
+{
+    const auto session = session_.lock();
+    context_.metrics.aborted.add();
+    log_event(event::call_cut, field("request", request_id_), field("why", why), field("events", events_),
+              field("unsent_bytes", session ? session->unsent_bytes() : 0),
+              field("total_us", runtime::now() - arrived_));
+    if (session) {
+        session->abort();
+    }
+    finish();
+}
+
 void exchange::on_refused(const direct::dispatch_refusal& refusal)
 {
     is_queued_ = false;
@@ -222,7 +230,10 @@
     context_.metrics.response_time.record(static_cast<double>((now - arrived_).count()) / us_per_s);
     log_event(event::call_answered, field("request", request_id_),
               field("fingerprint", queued_call_.fingerprint), field("status", status),
-              field("attempts", queued_call_.attempts.count()), field("events", events_),
+              field("attempts", queued_call_.attempts.count()),
+              field("streaming", guard_->is_stream_expected()),
+              field("content_type", loggable(head_.value_of("content-type"))),
+              field("framing", to_string(guard_->framing())), field("events", events_),
               field("first_us", first_event_at_.value_or(now) - arrived_),
               field("longest_pause_us", max_event_gap_), field("total_us", now - arrived_));
 }
--- a/src/edge/exchange_response.cpp
+++ b/src/edge/exchange_response.cpp
@@ -84,15 +84,17 @@
     body_.clear();
 }
 
-void exchange::report_fault(response_fault fault) const
+void exchange::report_fault(response_fault fault, std::string_view faulty_bytes) const
 {
     context_.metrics.malformed_responses.add();
     log_event(event::response_malformed, field("request", request_id_),
               field("fingerprint", queued_call_.fingerprint), field("upstream", assignment_->upstream.id),
               field("run", direct::run_of(assignment_->upstream)), field("fault", to_string(fault)),
-              field("status", head_.status), field("framing", to_string(guard_->framing())),
+              field("status", head_.status), field("streaming", guard_->is_stream_expected()),
+              field("content_type", loggable(head_.value_of("content-type"))),
+              field("framing", to_string(guard_->framing())), field("last_id", guard_->last_id()),
               field("body_bytes", guard_->body_bytes()), field("events", attempt_events_),
-              field("first_bytes", loggable(guard_->faulty_bytes())));
+              field("first_bytes", loggable(faulty_bytes)));
 }
 
 void exchange::reject_response(response_fault fault)
@@ -100,7 +102,7 @@
     if (finished_ || !assignment_) {
         return;
     }
-    report_fault(fault);
+    report_fault(fault, guard_->faulty_bytes());
     end_attempt(attempt_end::invalid, std::string("no valid response: ") + to_string(fault));
 }
 
@@ -215,7 +217,7 @@
 void exchange::on_response_failed(attempt_end end, const std::string& why)
 {
     if (end == attempt_end::invalid) {
-        report_fault(response_fault::malformed_http);
+        report_fault(response_fault::malformed_http, call_ ? call_->unparsed_bytes() : std::string_view());
     }
     end_attempt(end, why);
 }
--- a/src/edge/response_parser.h
+++ b/src/edge/response_parser.h
@@ -56,7 +56,7 @@
     [[nodiscard]] auto head() const -> const response_head& { return parser_->head; }
     /// Whether the body ends with the connection, as it has neither a length nor chunks.
     [[nodiscard]] auto is_close_delimited() const -> bool { return is_close_delimited_; }
-    /// Bytes received after the end of a complete response.
+    /// Bytes received after the end of a complete response, or from what is invalid on.
     [[nodiscard]] auto unparsed_bytes() const -> const std::string& { return rest_; }
 
     /// Responses with a longer head, more bytes of interim responses before it, or as much between two chunks
--- a/src/edge/upstream_call.h
+++ b/src/edge/upstream_call.h
@@ -52,6 +52,11 @@
     void cancel();
     /// Whether any byte of the request may have been sent.
     [[nodiscard]] auto any_sent() const -> bool { return out_.any_sent(); }
+    /// What was received from the first byte on that is no valid HTTP/1.1; empty before any was received.
+    [[nodiscard]] auto unparsed_bytes() const -> std::string_view
+    {
+        return parser_ ? std::string_view(parser_->unparsed_bytes()) : std::string_view();
+    }
 
     /// The farthest upstream has a round-trip time of 15 ms. A lost SYN is retransmitted only after a second;
     /// connecting to another upstream is faster.
