Reject responses with an unknown transfer coding

A coding other than `chunked` was read as a body up to the end of the connection, while the guard counted it as chunks if the word occurred in the field: its body was then not searched for a second response, and an early end looked like the last chunk. Found while listing what response checks take for fine. The new test fails without the check.

--- a/src/edge/response_parser.cpp
+++ b/src/edge/response_parser.cpp
@@ -2,12 +2,26 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace dragonflymill::edge {
 
 namespace beast_http = boost::beast::http;
 
+namespace {
+
+/// Whether a body can't be decoded; Beast reads one up to the end of its connection.
+auto has_unknown_transfer_coding(const response_head& head) -> bool
+{
+    return std::any_of(head.fields.begin(), head.fields.end(), [](const header_field& field) {
+        return boost::beast::iequals(field.name, "transfer-encoding") &&
+               !boost::beast::iequals(field.value, "chunked");
+    });
+}
+
+} // namespace
+
 auto response_head::value_of(std::string_view name) const -> std::string_view
 {
     return http::first_value(fields, name);
@@ -64,7 +78,10 @@
             break;
         }
     }
-    if (parser_->is_done()) {
+    if (parser_->is_header_done() && has_unknown_transfer_coding(head())) {
+        state_ = response_state::invalid;
+    }
+    else if (parser_->is_done()) {
         state_ = response_state::complete;
     }
     else if (parser_->is_header_done()) {
--- a/tests/edge/response_parser_test.cpp
+++ b/tests/edge/response_parser_test.cpp
@@ -121,3 +121,13 @@
         cr_assert(parsed.parser.head().status == 200 && parsed.parser.head().value_of("link").empty());
     }
 }
+
+// Guards against a coded body that is taken for a plain one, which ends with its connection.
+Test(response_parser, rejects_unknown_transfer_codings)
+{
+    for (const std::string coding : {"gzip", "gzip, chunked", "chunked, gzip", "xchunked", "chunkedx"}) {
+        const std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n3\r\nabc\r\n";
+        parsed_response parsed(bytes, 1'000);
+        cr_assert(parsed.parser.state() == response_state::invalid, "%s", coding.c_str());
+    }
+}
