Forward events in a form that all clients read alike

The relay forwarded an event as received once its own parser accepted it. A client that knows fewer forms of the event stream format reads other events from the same bytes: no id in `id:7`, a comment before the id, two events joined by a single `\r`; and an id without data is an event for some and none for others. One lost or added byte makes each of them. A second way in which a caller may see an event without an id, tried on modules; the users' record doesn't show whether it happened.

Comments inside events are left out, an id is written as `id: N`, a name alone gets its colon. A numbered event without data, and lines that end differently within one response, are faults.

--- a/include/dragonflymill/response/event_parser.h
+++ b/include/dragonflymill/response/event_parser.h
@@ -25,7 +25,7 @@
 /// A complete event of a stream.
 struct parsed_event
 {
-    std::string_view bytes;          ///< The event as received, with the blank line that ends it.
+    std::string_view bytes;          ///< The event in a form that all clients read alike.
     std::optional<std::uint64_t> id; ///< Its id; always there if events are numbered.
 
     friend auto operator==(const parsed_event&, const parsed_event&) -> bool = default;
@@ -37,6 +37,10 @@
 /// The event stream format tells clients to ignore what they don't know, so that nearly any text reads as
 /// one. A gateway that splits the text at blank lines only would forward the remains of another response as
 /// an event.
+///
+/// What clients read in different ways is either a fault or written anew: comments inside events are left
+/// out, an id stands behind a colon and a space, each name has a colon, and all lines of a response end
+/// alike.
 class event_parser
 {
 public:
@@ -51,7 +55,7 @@
     /// Appends the next bytes of the body.
     void feed(std::string_view bytes);
     /// Returns the next complete event, or nothing if more bytes are needed or there is a fault. Comments and
-    /// blocks without an event are skipped. The result is valid until the next call of `feed`.
+    /// blocks without an event are skipped. The result is valid until the next call.
     [[nodiscard]] auto next() -> std::optional<parsed_event>;
 
     /// The first fault; the rest of the body is not parsed.
@@ -71,6 +75,8 @@
 private:
     void take_line(std::string_view line);
     void take_id(std::string_view value);
+    /// Adds a field to the text of the current event; `colon` is the end of its name.
+    void append_line(std::string_view line, std::size_t colon);
     /// Checks the event that a blank line has completed; returns whether there was one.
     [[nodiscard]] auto complete_event() -> bool;
     void check_order(std::uint64_t id);
@@ -84,6 +90,9 @@
     std::size_t scanned_ = 0;
     std::size_t skipped_bytes_ = 0; // since the last event
     std::size_t lines_ = 0;         // of the current event
+    std::string text_;              // of the current event
+    std::string event_text_;        // of the last event
+    std::string_view line_end_;     // of the response's first line; empty before it
     bool has_data_ = false;
     std::optional<std::uint64_t> id_;
     std::optional<std::uint64_t> last_id_;
--- a/include/dragonflymill/response/response_fault.h
+++ b/include/dragonflymill/response/response_fault.h
@@ -15,6 +15,7 @@
     malformed_line,   ///< A line of an event stream that is no field of an event.
     second_response,  ///< The head of another response inside a body.
     missing_id,       ///< An event without an id.
+    missing_data,     ///< An event without data.
     invalid_id,       ///< An event whose id is no number, or that has two ids.
     descending_id,    ///< An event whose id isn't above the one before it in the same response.
     oversized_event,  ///< An event over the size limit.
--- a/src/response/event_parser.cpp
+++ b/src/response/event_parser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace dragonflymill::response {
 
@@ -49,31 +50,36 @@
             return std::nullopt;
         }
         std::string_view line = std::string_view(buffer_).substr(line_begin_, line_end - line_begin_);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
+        const bool has_return = line.ends_with('\r');
+        line.remove_suffix(has_return ? 1 : 0);
+        const std::string_view own_end = has_return ? "\r\n" : "\n";
+        line_end_ = line_end_.empty() ? own_end : line_end_;
         if (!line.empty()) {
             take_line(line);
-            if (fault_ != response_fault::none) {
-                return std::nullopt;
-            }
-            line_begin_ = scanned_ = line_end + 1;
-            continue;
+        }
+        if (fault_ == response_fault::none && own_end != line_end_) {
+            // A client that splits at one kind of line end only would join events.
+            fail(response_fault::malformed_line, line_begin_);
+        }
+        if (fault_ != response_fault::none) {
+            return std::nullopt;
         }
         line_begin_ = scanned_ = line_end + 1;
+        if (!line.empty()) {
+            continue;
+        }
         const std::optional<std::uint64_t> id = id_;
-        const std::string_view bytes =
-            std::string_view(buffer_).substr(event_begin_, line_begin_ - event_begin_);
         const bool is_event = complete_event();
         if (fault_ != response_fault::none) {
             return std::nullopt;
         }
+        const std::size_t block_bytes = line_begin_ - event_begin_;
         event_begin_ = line_begin_;
         if (is_event) {
             skipped_bytes_ = 0;
-            return parsed_event{bytes, id};
+            return parsed_event{event_text_, id};
         }
-        skipped_bytes_ += bytes.size();
+        skipped_bytes_ += block_bytes;
     }
     return std::nullopt;
 }
@@ -109,6 +115,20 @@
                  line_begin_);
         }
     }
+    append_line(line, colon);
+}
+
+void event_parser::append_line(std::string_view line, std::size_t colon)
+{
+    const std::string_view name = line.substr(0, colon);
+    if (name == "id" && id_) {
+        text_.append("id: ").append(std::to_string(*id_));
+    }
+    else {
+        // A name alone is a field with an empty value for some clients, and nothing for others.
+        text_.append(line).append(colon == line.size() ? ":" : "");
+    }
+    text_.append(line_end_);
 }
 
 void event_parser::take_id(std::string_view value)
@@ -130,9 +150,14 @@
     else if (is_event && !id_ && format_.numbered) {
         fail(response_fault::missing_id, event_begin_);
     }
+    else if (is_event && !has_data_ && format_.numbered) {
+        fail(response_fault::missing_data, event_begin_);
+    }
     else if (id_) {
         check_order(*id_);
     }
+    event_text_ = std::exchange(text_, std::string());
+    event_text_.append(line_end_);
     lines_ = 0;
     has_data_ = false;
     id_.reset();
--- a/src/response/response_fault.cpp
+++ b/src/response/response_fault.cpp
@@ -25,6 +25,8 @@
         return "second_response";
     case response_fault::missing_id:
         return "missing_id";
+    case response_fault::missing_data:
+        return "missing_data";
     case response_fault::invalid_id:
         return "invalid_id";
     case response_fault::descending_id:
