Don't repeat a call whose plain answer has begun

A body over 1 MiB that is no stream is forwarded as it arrives. When it broke off, a repeatable call was sent to another upstream: on a streaming route, a failure's first part was then followed by the events of another upstream's stream, in one complete answer; on other routes, an upstream worked for an answer that was cut anyway. Only an event stream goes on within a response that has begun.

--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -33,7 +33,9 @@
 auto exchange::progress(instant now) const -> direct::request_progress
 {
     direct::request_progress state;
-    state.repeatable = route_->repeatable() && guard_->is_resumable();
+    // Only an event stream goes on within a response that has begun.
+    const bool can_go_on = !response_started_ || events_ > 0;
+    state.repeatable = route_->repeatable() && guard_->is_resumable() && can_go_on;
     state.answer_begun = response_started_;
     state.may_have_run = may_have_run();
     state.attempts_run = queued_call_.attempts.run();
