Don't pass on a service's coded body as a plain one

Behind sidecars, the answer of a plain service with a Content-Encoding reached callers without that field: coded bytes under the content type of the plain ones. http_call asks for no coding, and took one that it got for fine; an unknown transfer coding was read to the end of the connection. Both now end the call as broken, so that callers are told that it may have run. Found while listing such exemptions outside response_guard; the new test failed before.

--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <utility>
@@ -19,6 +20,17 @@
 /// Status codes below this one are interim responses.
 constexpr unsigned first_final_status = 200;
 
+/// Whether a body can't be passed on as received: calls ask for no coding.
+auto is_coded(const boost::beast::http::fields& header) -> bool
+{
+    using boost::beast::iequals;
+    using boost::beast::http::field;
+    const auto content = header[field::content_encoding];
+    const auto transfer = header[field::transfer_encoding];
+    return (!content.empty() && !iequals(content, "identity")) ||
+           (!transfer.empty() && !iequals(transfer, "chunked"));
+}
+
 auto request_header(const http_request& request, const boost::asio::ip::tcp::endpoint& server) -> std::string
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -130,6 +142,10 @@
         ++interim_responses_ <= max_interim_responses ? read_header() : end(call_end::broken);
         return;
     }
+    if (is_coded(header)) {
+        end(call_end::broken);
+        return;
+    }
     handlers_.on_header(header.result_int(), std::string(header[boost::beast::http::field::content_type]));
     if (!over_) {
         read_piece();
--- a/tests/http/http_call_test.cpp
+++ b/tests/http/http_call_test.cpp
@@ -92,6 +92,20 @@
     cr_assert(call_answered("HTTP/1.1 204 No Content\r\n\r\n").end == call_end::whole);
 }
 
+// Guards against a coded body that is passed on as a plain one: calls ask for no coding.
+Test(http_call, is_not_whole_with_a_coded_body)
+{
+    for (const std::string coding : {"Content-Encoding: gzip\r\nContent-Length: 5\r\n",
+                                     "Content-Encoding: identity, br\r\nContent-Length: 5\r\n",
+                                     "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: xchunked\r\n"}) {
+        const ended_call ended = call_answered("HTTP/1.1 200 OK\r\n" + coding + "\r\nfound");
+        cr_assert(ended.end == call_end::broken && ended.answer.body.empty(), "%s", coding.c_str());
+    }
+    const ended_call plain =
+        call_answered("HTTP/1.1 200 OK\r\nContent-Encoding: identity\r\nContent-Length: 5\r\n\r\nfound");
+    cr_assert(plain.end == call_end::whole && plain.answer.body == "found");
+}
+
 // Guards against an interim response that is taken for the answer.
 Test(http_call, skips_interim_responses)
 {
