--- a/tests/platform/fuzz/record_fuzz.cpp
+++ b/tests/platform/fuzz/record_fuzz.cpp
@@ -37,9 +37,9 @@
 void check_stream(const std::string& text)
 {
     const auto forwarded = [&](std::size_t step) {
-        response::response_guard guard({"r", "Id", true, "", {}});
+        response::response_guard guard({"r", "Id", true, false, "", {}});
         guard.begin_attempt();
-        static_cast<void>(guard.take_head({200, true, response::body_framing::chunks, true, "r"}));
+        static_cast<void>(guard.take_head({200, true, response::body_framing::chunks, true, false, "r"}));
         std::string bytes;
         for (std::size_t at = 0; at < text.size(); at += step) {
             bytes += guard.take_body(std::string_view(text).substr(at, step)).bytes;
