--- a/include/dragonflymill/response/event_parser.h
+++ b/include/dragonflymill/response/event_parser.h
@@ -38,9 +38,8 @@
 /// one. A gateway that splits the text at blank lines only would forward the remains of another response as
 /// an event.
 ///
-/// What clients read in different ways is either a fault or written anew: comments inside events are left
-/// out, an id stands behind a colon and a space, each name has a colon, and all lines of a response end
-/// alike.
+/// What clients read in different ways is either a fault, like a comment inside an event, or written anew: a
+/// field's value stands behind a colon and a space, and all lines of a response end alike.
 class event_parser
 {
 public:
@@ -75,8 +74,10 @@
 private:
     void take_line(std::string_view line);
     void take_id(std::string_view value);
-    /// Adds a field to the text of the current event; `colon` is the end of its name.
-    void append_line(std::string_view line, std::size_t colon);
+    /// Checks a field that the event stream format doesn't have.
+    void take_other_field(std::string_view line, std::string_view name, bool is_first);
+    /// Adds a field to the text of the current event.
+    void append_field(std::string_view name, std::string_view value);
     /// Checks the event that a blank line has completed; returns whether there was one.
     [[nodiscard]] auto complete_event() -> bool;
     void check_order(std::uint64_t id);
--- a/src/response/event_parser.cpp
+++ b/src/response/event_parser.cpp
@@ -92,6 +92,10 @@
         return;
     }
     if (line.starts_with(':')) {
+        // Inside an event, it may be what is left of the line between two events.
+        if (lines_ > 0) {
+            fail(response_fault::malformed_line, line_begin_);
+        }
         return;
     }
     const std::size_t colon = std::min(line.find(':'), line.size());
@@ -104,31 +108,30 @@
     if (name == "id") {
         take_id(value);
     }
-    else if (name == "data") {
-        has_data_ = true;
+    else if (name == "data" || name == "event" || name == "retry") {
+        // A name alone may be what is left of a line.
+        has_data_ = has_data_ || (name == "data" && colon < line.size());
+        append_field(name, value);
     }
-    else if (name != "event" && name != "retry") {
-        const auto& known = format_.leading_fields;
-        if (!is_first || std::find(known.begin(), known.end(), name) == known.end()) {
-            const bool is_status_line = line.starts_with(status_line_prefix);
-            fail(is_status_line ? response_fault::second_response : response_fault::malformed_line,
-                 line_begin_);
-        }
+    else {
+        take_other_field(line, name, is_first);
     }
-    append_line(line, colon);
 }
 
-void event_parser::append_line(std::string_view line, std::size_t colon)
+void event_parser::take_other_field(std::string_view line, std::string_view name, bool is_first)
 {
-    const std::string_view name = line.substr(0, colon);
-    if (name == "id" && id_) {
-        text_.append("id: ").append(std::to_string(*id_));
-    }
-    else {
-        // A name alone is a field with an empty value for some clients, and nothing for others.
-        text_.append(line).append(colon == line.size() ? ":" : "");
+    const auto& known = format_.leading_fields;
+    if (is_first && std::find(known.begin(), known.end(), name) != known.end()) {
+        text_.append(line).append(line_end_);
+        return;
     }
-    text_.append(line_end_);
+    const bool is_status_line = line.starts_with(status_line_prefix);
+    fail(is_status_line ? response_fault::second_response : response_fault::malformed_line, line_begin_);
+}
+
+void event_parser::append_field(std::string_view name, std::string_view value)
+{
+    text_.append(name).append(": ").append(value).append(line_end_);
 }
 
 void event_parser::take_id(std::string_view value)
@@ -139,6 +142,7 @@
         return;
     }
     id_ = number;
+    append_field("id", std::to_string(*number));
 }
 
 auto event_parser::complete_event() -> bool
--- a/tests/response/event_parser_test.cpp
+++ b/tests/response/event_parser_test.cpp
@@ -139,18 +139,20 @@
 // and against events that such a client joins.
 Test(event_parser, writes_anew_what_clients_read_in_different_ways)
 {
-    const std::string typed = "event: token\r\nid:01\r\ndata: a\r\ndata\r\n: note\r\nretry: 5\r\n\r\n";
-    cr_assert(parsed_body(typed).events == "event: token\r\nid: 1\r\ndata: a\r\ndata:\r\nretry: 5\r\n\r\n");
+    const std::string typed = "event: token\r\nid:01\r\ndata:a\r\ndata\r\nretry: 5\r\n\r\n";
+    cr_assert(parsed_body(typed).events == "event: token\r\nid: 1\r\ndata: a\r\ndata: \r\nretry: 5\r\n\r\n");
     check_fault(event(1) + "id: 2\ndata: x\r\n\n", response_fault::malformed_line, event(1));
     check_fault(event(1) + "id: 2\ndata: x\n\r\n" + event(3), response_fault::malformed_line, event(1));
     check_fault(event(1) + "id: 2\n\ndata: x\n\n", response_fault::missing_data, event(1));
-    check_fault(event(1) + "id: 2\n: x\n\n", response_fault::missing_data, event(1));
+    check_fault(event(1) + "id: 2\n: x\ndata: x\n\n", response_fault::malformed_line, event(1));
+    check_fault(event(1) + "id: 2\ndata: x\n:id: 3\ndata: x\n\n", response_fault::malformed_line, event(1));
+    check_fault(event(1) + "id: 2\ndata\n\n", response_fault::missing_data, event(1));
 }
 
 Test(event_parser, accepts_other_fields_only_where_the_format_has_them)
 {
     const event_format format{true, {"weights"}};
-    const std::string changed = "weights: 7\nid: 1\ndata: x\n\n";
+    const std::string changed = "weights:7\nid: 1\ndata: x\n\n";
     cr_assert(parsed_body(changed, 1, format).events == changed);
     cr_assert(parsed_body("id: 1\nweights: 7\n\n", 1, format).parser.fault() ==
               response_fault::malformed_line);
