Send unproven streams in the soak

Its malformed streams all bore the label, so that only the mended half was tested. Every second one is now letters without the label, a damaged label, a 206, a response that names no request, a coded body, or an empty stream.

--- a/tests/soak/soak_malformed_responses.cpp
+++ b/tests/soak/soak_malformed_responses.cpp
@@ -56,8 +56,55 @@
     return "HTTP/1.1 200 OK\r\nDragonflymill-Attempt-Id: other\r\n" + fields + "\r\n" + body;
 }
 
+auto with_length(const std::string& begin, const std::string& body) -> std::string
+{
+    return begin + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+auto in_chunks(const std::string& begin, const std::string& body) -> std::string
+{
+    return begin + "Transfer-Encoding: chunked\r\n\r\n" + (body.empty() ? "" : chunk(body)) + chunk("");
+}
+
 } // namespace
 
+void soak_upstream::send_unproven_stream(const std::shared_ptr<taken_connection>& call,
+                                         const std::string& request, const std::string& head, int next)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    const std::string letters = "spoiled\n\n";
+    const std::string whole = event_range(request, next, events);
+    std::string bytes;
+    switch (malformed_++ % 7) {
+    case 0:
+        bytes = with_length(ok + head, letters);
+        break;
+    case 1:
+        bytes = in_chunks(ok + head, letters + whole);
+        break;
+    case 2:
+        bytes = with_length(ok + head + "Content-Type: text/event-stre\r\n", whole + whole);
+        break;
+    case 3:
+        bytes = in_chunks("HTTP/1.1 206 Partial Content\r\n" + head + type, letters);
+        break;
+    case 4: {
+        // Without the first field, the id of the request.
+        const std::string other_fields = head.substr(head.find("\r\n") + 2);
+        bytes = in_chunks(ok + other_fields + type, event_range("other", next, events));
+        break;
+    }
+    case 5:
+        bytes = with_length(ok + head + type + "Content-Encoding: gzip\r\n", letters);
+        break;
+    default:
+        // Behind an event that the caller has, an empty stream may be the valid rest of one.
+        bytes = in_chunks(ok + head + type, next == 1 ? "" : letters);
+    }
+    send_and_end(call, bytes, nullptr);
+}
+
 void soak_upstream::send_malformed_stream(const std::shared_ptr<taken_connection>& call,
                                           const std::string& request, const std::string& head, int next)
 {
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -21,9 +21,9 @@
 // stopped and partitioned from the store, upstreams fail, drain and are replaced, the store stops answering,
 // upstreams ask for pauses, state their drain, run slower and restart in place, and the configuration
 // changes; engines crash under calls with one part of a prompt, and any upstream under single requests that
-// their callers repeat; upstreams send malformed, foreign and endless bytes in and behind their responses. No
-// booking may be executed twice, or after it was reported as not executed; no stream may have a gap; and all
-// calls must be served again once the faults end.
+// their callers repeat; upstreams send malformed, foreign and endless bytes in and behind their responses,
+// and responses that aren't proven to be a stream. No booking may be executed twice, or after it was reported
+// as not executed; no stream may have a gap; and all calls must be served again once the faults end.
 Test(soak, promises_hold_under_faults, .timeout = 280)
 {
     const auto seed = static_cast<std::uint64_t>(number("SOAK_SEED", 1));
--- a/tests/soak/soak_upstream.cpp
+++ b/tests/soak/soak_upstream.cpp
@@ -167,7 +167,8 @@
         const std::string after = field(call.received, "Last-Event-Id");
         const int next = after.empty() ? 1 : std::atoi(after.c_str()) + 1; // NOLINT(cert-err34-c)
         if (sends_malformed_) {
-            send_malformed_stream(kept, request, head, next);
+            malformed_ % 2 == 0 ? send_malformed_stream(kept, request, head, next)
+                                : send_unproven_stream(kept, request, head, next);
             return;
         }
         send(call, "HTTP/1.1 200 OK\r\n" + head +
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -105,6 +105,9 @@
     void send_report(test_support::taken_connection& call);
     void stream(const std::shared_ptr<test_support::taken_connection>& call, const std::string& request,
                 int next);
+    /// Sends a response that isn't proven to be the stream that is due.
+    void send_unproven_stream(const std::shared_ptr<test_support::taken_connection>& call,
+                              const std::string& request, const std::string& head, int next);
     void send_malformed_stream(const std::shared_ptr<test_support::taken_connection>& call,
                                const std::string& request, const std::string& head, int next);
     void send_malformed_answer(const std::shared_ptr<test_support::taken_connection>& call,
