Ignore trailers of a response

Fields behind the last chunk were added to the head. If they arrived in one piece with it, a response could get the marks that it lacked from its trailers, or a run that had ended the statement that it wasn't run (a call that must not be repeated was then sent again); arriving later, the same bytes had no effect. Trailers aren't forwarded and say nothing now, however they arrive.

--- a/src/edge/response_parser.cpp
+++ b/src/edge/response_parser.cpp
@@ -120,12 +120,16 @@
                                             error_code& failed)
 {
     failed = {};
+    if (header_complete_) {
+        return; // a trailer, which says nothing about the response and may come too late to be checked
+    }
     head.fields.push_back({std::string(name.data(), name.size()), std::string(value.data(), value.size())});
 }
 
 void response_parser::parser::on_header_impl(error_code& failed)
 {
     failed = {};
+    header_complete_ = true;
 }
 
 void response_parser::parser::on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
--- a/src/edge/response_parser.h
+++ b/src/edge/response_parser.h
@@ -90,6 +90,8 @@
         auto on_chunk_body_impl(std::uint64_t remain, string_view bytes, error_code& failed)
             -> std::size_t override;
         void on_finish_impl(error_code& failed) override;
+
+        bool header_complete_ = false;
     };
 
     void begin();
--- a/tests/edge/response_parser_test.cpp
+++ b/tests/edge/response_parser_test.cpp
@@ -131,3 +131,16 @@
         cr_assert(parsed.parser.state() == response_state::invalid, "%s", coding.c_str());
     }
 }
+
+// Guards against a trailer that is taken for a field of the head if it arrives together with it: marks that a
+// response lacks, or a statement that a request wasn't run.
+Test(response_parser, ignores_trailers_however_they_arrive)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+                              "Request-Id: r1\r\nSeal: s1\r\nNot-Run: 1\r\n\r\n";
+    for (const std::size_t step : {std::size_t(1), std::size_t(7), bytes.size()}) {
+        const parsed_response parsed(bytes, step);
+        cr_assert(parsed.parser.state() == response_state::complete && parsed.body == "abc");
+        cr_assert(parsed.parser.head().fields.size() == 1, "in steps of %zu", step);
+    }
+}
