Reset the connection where a close would complete a cut response

Callers with HTTP/1.0 get no chunks: the orderly close of a cut stream, or of a long body, was the end of a complete response for them.

--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -269,8 +269,13 @@
 
 void caller_session::abort()
 {
-    // With unread input the close becomes a reset; either way the caller sees no complete response.
     current_.reset();
+    if (is_http_1_0_) {
+        // Without chunks, an orderly close would be the end of the response.
+        boost::system::error_code ignored; // the caller may already have closed the connection
+        // NOLINTNEXTLINE(bugprone-unused-return-value): the error is in `ignored`
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     close();
 }
 
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -178,6 +179,7 @@
     boost::asio::ip::tcp::socket caller{loop};
     std::string received;
     bool caller_ended = false;
+    bool caller_reset = false; ///< Whether the connection has ended with a reset.
     /// Settings of the gateway; `start` sets addresses and names.
     direct_gateway_settings settings;
     /// Profile of the service "engines"; nothing: it is chosen like a plain service.
@@ -248,6 +250,7 @@
         caller.async_read_some(boost::asio::buffer(buffer_), [this](const auto& failed, std::size_t bytes) {
             if (failed) {
                 caller_ended = true;
+                caller_reset = failed == boost::asio::error::connection_reset;
                 return;
             }
             received.append(buffer_.data(), bytes);
--- a/tests/edge/malformed_stream_test.cpp
+++ b/tests/edge/malformed_stream_test.cpp
@@ -67,3 +67,17 @@
     const received_stream multiline = stream_after(stream_head + typed, "/tell/1");
     cr_assert(multiline.complete && multiline.body == typed, "%s", multiline.body.c_str());
 }
+
+// Guards against a stream that looks complete to a caller whose protocol has no chunks, though it was cut.
+Test(malformed_stream, ends_with_a_reset_where_a_close_would_complete_it)
+{
+    gateway_fixture fixture;
+    fixture.add_upstream("engines", [](taken_connection& connection) {
+        connection.send(stream_head + events(1, 1) + "spoiled\n\n");
+    });
+    fixture.start();
+    fixture.send_raw("POST /tell/1 HTTP/1.0\r\nHost: h.example\r\nRequest-Id: r1\r\nTokens: 100,10\r\n"
+                     "Authorization: Bearer key1\r\nContent-Length: 0\r\n\r\n");
+    fixture.run_until([&] { return fixture.caller_ended; });
+    cr_assert(fixture.caller_reset, "%s", fixture.received.c_str());
+}
