--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -25,10 +25,12 @@
 {
     using boost::beast::iequals;
     using boost::beast::http::field;
-    const auto content = header[field::content_encoding];
-    const auto transfer = header[field::transfer_encoding];
-    return (!content.empty() && !iequals(content, "identity")) ||
-           (!transfer.empty() && !iequals(transfer, "chunked"));
+    return std::any_of(header.begin(), header.end(), [](const auto& line) {
+        const bool is_content = line.name() == field::content_encoding;
+        const bool is_transfer = line.name() == field::transfer_encoding;
+        return (is_content && !line.value().empty() && !iequals(line.value(), "identity")) ||
+               (is_transfer && !iequals(line.value(), "chunked"));
+    });
 }
 
 auto request_header(const http_request& request, const boost::asio::ip::tcp::endpoint& server) -> std::string
--- a/tests/http/http_call_test.cpp
+++ b/tests/http/http_call_test.cpp
@@ -97,6 +97,7 @@
 {
     for (const std::string coding : {"Content-Encoding: gzip\r\nContent-Length: 5\r\n",
                                      "Content-Encoding: identity, br\r\nContent-Length: 5\r\n",
+                                     "Content-Encoding: identity\r\nContent-Encoding: br\r\n",
                                      "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: xchunked\r\n"}) {
         const ended_call ended = call_answered("HTTP/1.1 200 OK\r\n" + coding + "\r\nfound");
         cr_assert(ended.end == call_end::broken && ended.answer.body.empty(), "%s", coding.c_str());
