Count a malformed end of a stream as a malformed response

A stream in chunks, or with a length, that ended inside an event or without one was logged and counted as a closed connection, and so as evidence of a crash under its prompt; with the check for empty streams, an engine that sends such streams could have had sound prompts quarantined. Only the end of a stream that ends with its connection may be a crash.

--- a/src/edge/exchange_response.cpp
+++ b/src/edge/exchange_response.cpp
@@ -170,8 +170,14 @@
 void exchange::on_response_complete()
 {
     const instant now = runtime::now();
-    if (guard_->take_end() != response_fault::none) {
-        end_attempt(attempt_end::disconnected, "the stream ended before or inside an event");
+    if (const response_fault fault = guard_->take_end(); fault != response_fault::none) {
+        // Only an end that is the connection's may be a crash.
+        if (guard_->framing() == response::body_framing::connection) {
+            end_attempt(attempt_end::disconnected, "the stream ended before or inside an event");
+        }
+        else {
+            reject_response(fault);
+        }
         return;
     }
     if (mode_ == response_mode::events) {
