End lines alike over all attempts; no comment beside an event's lines; resume behind an event only

Found by the review. Each could leave a caller with other events than the gateway had checked: - a stream that went on at an upstream with other line ends: events are now written with those of the first event; - `:eights: 7` before an event's id, what remains of a damaged first line, was skipped as a comment: a comment that isn't in a block of its own is a fault; - a `Last-Event-Id` of 0, or one that is no number, let an empty stream through as the rest of one. damaged_response now also requires that a stream which may be resumed is complete, unless an event's value is damaged.

--- a/include/dragonflymill/response/event_parser.h
+++ b/include/dragonflymill/response/event_parser.h
@@ -38,8 +38,8 @@
 /// one. A gateway that splits the text at blank lines only would forward the remains of another response as
 /// an event.
 ///
-/// What clients read in different ways is either a fault, like a comment inside an event, or written anew: a
-/// field's value stands behind a colon and a space, and all lines of a response end alike.
+/// What clients read in different ways is either a fault, like a comment beside an event's lines, or written
+/// anew: a field's value stands behind a colon and a space, and all lines end like the first one.
 class event_parser
 {
 public:
@@ -80,6 +80,8 @@
     void append_field(std::string_view name, std::string_view value);
     /// Checks the event that a blank line has completed; returns whether there was one.
     [[nodiscard]] auto complete_event() -> bool;
+    /// Makes the text of a complete event, with lines that end like those of the first one.
+    void write_event();
     void check_order(std::uint64_t id);
     void check_size();
     void fail(response_fault fault, std::size_t begin);
@@ -89,11 +91,13 @@
     std::size_t event_begin_ = 0; // offsets in `buffer_`
     std::size_t line_begin_ = 0;
     std::size_t scanned_ = 0;
-    std::size_t skipped_bytes_ = 0; // since the last event
-    std::size_t lines_ = 0;         // of the current event
-    std::string text_;              // of the current event
-    std::string event_text_;        // of the last event
-    std::string_view line_end_;     // of the response's first line; empty before it
+    std::size_t skipped_bytes_ = 0;     // since the last event
+    std::size_t lines_ = 0;             // of the current event
+    std::string text_;                  // of the current event
+    std::string event_text_;            // of the last event
+    std::string_view line_end_;         // of the response's first line; empty before it
+    std::string_view written_line_end_; // of the first event; kept over all responses
+    bool has_comment_ = false;
     bool has_data_ = false;
     std::optional<std::uint64_t> id_;
     std::optional<std::uint64_t> last_id_;
--- a/include/dragonflymill/response/response_guard.h
+++ b/include/dragonflymill/response/response_guard.h
@@ -50,7 +50,7 @@
 /// Part of a body that may be forwarded.
 struct checked_body
 {
-    std::string bytes;       ///< What may be forwarded, unchanged. Of event streams, complete events only.
+    std::string bytes;       ///< What may be forwarded; of event streams, complete events only.
     std::size_t events = 0;  ///< Number of events in `bytes`.
     std::size_t dropped = 0; ///< Number of events that are left out, as they had been forwarded before.
     response_fault fault = response_fault::none; ///< Why nothing after `bytes` may be forwarded.
--- a/src/response/event_parser.cpp
+++ b/src/response/event_parser.cpp
@@ -1,6 +1,7 @@
 #include "dragonflymill/response/event_parser.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/replace.hpp>
 #include <charconv>
 #include <utility>
 
@@ -24,7 +25,9 @@
 
 void event_parser::begin_response(std::optional<std::uint64_t> after)
 {
+    const std::string_view written_line_end = written_line_end_;
     *this = event_parser(std::move(format_));
+    written_line_end_ = written_line_end;
     id_before_last_ = after;
 }
 
@@ -91,11 +94,15 @@
         fail(response_fault::malformed_line, line_begin_);
         return;
     }
-    if (line.starts_with(':')) {
-        // Inside an event, it may be what is left of the line between two events.
-        if (lines_ > 0) {
-            fail(response_fault::malformed_line, line_begin_);
-        }
+    // With other lines, a comment may be what is left of one of them, or of the blank line between two
+    // events.
+    const bool is_comment = line.starts_with(':');
+    if (is_comment ? lines_ > 0 : has_comment_) {
+        fail(response_fault::malformed_line, line_begin_);
+        return;
+    }
+    if (is_comment) {
+        has_comment_ = true;
         return;
     }
     const std::size_t colon = std::min(line.find(':'), line.size());
@@ -160,14 +167,26 @@
     else if (id_) {
         check_order(*id_);
     }
-    event_text_ = std::exchange(text_, std::string());
-    event_text_.append(line_end_);
+    if (is_event) {
+        write_event();
+    }
+    text_.clear();
     lines_ = 0;
+    has_comment_ = false;
     has_data_ = false;
     id_.reset();
     return is_event;
 }
 
+void event_parser::write_event()
+{
+    event_text_ = text_.append(line_end_);
+    written_line_end_ = written_line_end_.empty() ? line_end_ : written_line_end_;
+    if (written_line_end_ != line_end_) {
+        boost::algorithm::replace_all(event_text_, line_end_, written_line_end_);
+    }
+}
+
 void event_parser::check_order(std::uint64_t id)
 {
     if (last_id_ && id <= *last_id_) {
--- a/src/response/response_guard.cpp
+++ b/src/response/response_guard.cpp
@@ -37,7 +37,7 @@
     events_.begin_response(parse_event_id(last_id_));
     second_response_ = second_response_finder(expected_.id_field);
     is_event_stream_ = false;
-    is_resumed_ = !last_id_.empty();
+    is_resumed_ = parse_event_id(last_id_).value_or(0) > 0;
     framing_ = body_framing::length;
     body_bytes_ = 0;
     parsed_events_ = 0;
--- a/tests/edge/damaged_response_test.cpp
+++ b/tests/edge/damaged_response_test.cpp
@@ -108,7 +108,11 @@
     for (std::size_t at = 0; at < response.size(); ++at) {
         const std::string damaged = change(response, at);
         const std::string received = received_after(damaged, path);
-        check_reading(read_plainly(received), is_in_value(response, at),
+        const plain_reading reading = read_plainly(received);
+        const bool is_resumed = path == "/chat/1";
+        cr_assert(!is_resumed || is_in_value(response, at) || (reading.status == "200" && reading.complete),
+                  "not resumed: %s", escaped(std::string(damaged).append(" -> ").append(received)).c_str());
+        check_reading(reading, is_in_value(response, at),
                       escaped(std::string(damaged).append(" -> ").append(received)));
     }
 }
--- a/tests/response/event_parser_test.cpp
+++ b/tests/response/event_parser_test.cpp
@@ -145,6 +145,7 @@
     check_fault(event(1) + "id: 2\ndata: x\n\r\n" + event(3), response_fault::malformed_line, event(1));
     check_fault(event(1) + "id: 2\n\ndata: x\n\n", response_fault::missing_data, event(1));
     check_fault(event(1) + "id: 2\n: x\ndata: x\n\n", response_fault::malformed_line, event(1));
+    check_fault(event(1) + ":eights: 7\nid: 2\ndata: x\n\n", response_fault::malformed_line, event(1));
     check_fault(event(1) + "id: 2\ndata: x\n:id: 3\ndata: x\n\n", response_fault::malformed_line, event(1));
     check_fault(event(1) + "id: 2\ndata\n\n", response_fault::missing_data, event(1));
 }
--- a/tests/response/response_guard_test.cpp
+++ b/tests/response/response_guard_test.cpp
@@ -147,6 +147,16 @@
     cr_assert(guard.take_body(stream).bytes == stream && guard.last_id() == "1");
 }
 
+// Guards against events that a client joins, as the upstream that goes on ends its lines in another way.
+Test(response_guard, ends_all_lines_alike_over_all_attempts)
+{
+    response_guard guard = stream_guard();
+    begin_stream(guard);
+    cr_assert(guard.take_body(event(1)).bytes == event(1));
+    begin_stream(guard);
+    cr_assert(guard.take_body("id: 2\r\ndata: token 2\r\n\r\n").bytes == event(2));
+}
+
 // Guards against empty and truncated streams that look complete.
 Test(response_guard, a_stream_is_complete_only_between_two_events)
 {
@@ -175,6 +185,12 @@
         cr_assert(guard.take_end() == response_fault::truncated);
         (void)guard.take_body(event(1));
         cr_assert(guard.take_end() == response_fault::none);
+        for (const std::string no_event : {"abc", "0"}) {
+            response_guard fresh = stream_guard(no_event);
+            fresh.begin_attempt();
+            (void)fresh.take_head(head);
+            cr_assert(fresh.take_end() == response_fault::truncated, "a caller without an event");
+        }
         guard.begin_attempt();
         (void)guard.take_head(head);
         const bool shows_end = framing != body_framing::connection;
