Test two exemptions that stay: a response to HEAD, and a 421 that names its call

The first has no stream to prove; a 421 states by itself that a call wasn't run, and has to name the call since responses have to. Both tests pass on the code as it is.

--- a/tests/edge/false_promise_test.cpp
+++ b/tests/edge/false_promise_test.cpp
@@ -69,3 +69,26 @@
     fixture.run_until_received("no");
     cr_assert(fixture.received.starts_with("HTTP/1.1 500 "));
 }
+
+// Guards against a booking that is made twice because a response of unknown origin says that its call was
+// misdirected.
+Test(false_promise, that_a_call_was_misdirected_has_to_name_it)
+{
+    for (const std::string id : {"", "Request-Id: r1\r\n"}) {
+        gateway_fixture fixture;
+        int attempts = 0;
+        const auto answer = [&](taken_connection& connection) {
+            connection.send(++attempts == 1 ? "HTTP/1.1 421 M\r\n" + id + "Content-Length: 0\r\n\r\n"
+                                            : complete_response("booked"));
+        };
+        fixture.add_upstream("bookings", answer);
+        fixture.add_upstream("bookings", answer);
+        fixture.start();
+        fixture.send("POST", "/book/1");
+        fixture.run_until_received("\r\n\r\n");
+        const bool is_named = !id.empty();
+        cr_assert(fixture.received.starts_with(is_named ? "HTTP/1.1 200 " : "HTTP/1.1 502 "), "%s",
+                  fixture.received.c_str());
+        cr_assert(attempts == (is_named ? 2 : 1));
+    }
+}
--- a/tests/edge/unproven_stream_test.cpp
+++ b/tests/edge/unproven_stream_test.cpp
@@ -102,3 +102,16 @@
     cr_assert(resumed_at_end.complete && resumed_at_end.body.empty(),
               "nothing is left behind the last event");
 }
+
+// Guards against strictness that stops the answer to a HEAD request, which has no stream to prove.
+Test(unproven_stream, is_not_due_in_answer_to_a_head_request)
+{
+    gateway_fixture fixture;
+    fixture.add_upstream("engines", [](taken_connection& connection) {
+        connection.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s1\r\nContent-Length: 9\r\n\r\n");
+    });
+    fixture.start();
+    fixture.send("HEAD", "/chat/1", "Tokens: 100,10\r\n");
+    fixture.run_until_received("\r\n\r\n");
+    cr_assert(fixture.received.starts_with("HTTP/1.1 200 "), "%s", fixture.received.c_str());
+}
