Let a faulty event decide nothing about line ends

A first event with a fault set the line ends of all that was written after it, so that a client that splits at one kind only would have joined the events of the upstream that went on. Found by reading the change again; the new lines of the test failed before.

--- a/src/response/event_parser.cpp
+++ b/src/response/event_parser.cpp
@@ -167,7 +167,7 @@
     else if (id_) {
         check_order(*id_);
     }
-    if (is_event) {
+    if (is_event && fault_ == response_fault::none) {
         write_event();
     }
     text_.clear();
--- a/tests/response/response_guard_test.cpp
+++ b/tests/response/response_guard_test.cpp
@@ -155,6 +155,11 @@
     cr_assert(guard.take_body(event(1)).bytes == event(1));
     begin_stream(guard);
     cr_assert(guard.take_body("id: 2\r\ndata: token 2\r\n\r\n").bytes == event(2));
+    response_guard spoiled = stream_guard();
+    begin_stream(spoiled);
+    cr_assert(spoiled.take_body("data: x\r\n\r\n").fault == response_fault::missing_id);
+    begin_stream(spoiled);
+    cr_assert(spoiled.take_body(event(1)).bytes == event(1), "a faulty event decides nothing");
 }
 
 // Guards against empty and truncated streams that look complete.
