--- a/tests/response/response_guard_test.cpp
+++ b/tests/response/response_guard_test.cpp
@@ -234,6 +234,12 @@
             cr_assert(fault_of(plain_guard(), {status, false, framing, true, false, "r1"}) ==
                       response_fault::none);
         }
+        for (const unsigned status : {200U, 206U, 500U}) {
+            response_guard guard = stream_guard();
+            guard.begin_attempt();
+            (void)guard.take_head({status, status != 200, framing, true, false, "r1"});
+            cr_assert(!guard.is_event_stream());
+        }
         // No client reads events from a failure.
         cr_assert(fault_of(stream_guard(), {500, false, framing, true, false, "r1"}) == response_fault::none);
     }
