--- a/include/dragonflymill/response/response_fault.h
+++ b/include/dragonflymill/response/response_fault.h
@@ -10,7 +10,7 @@
     foreign_response, ///< The response states that it answers another request.
     unnamed_request,  ///< The response doesn't name the request that it answers, or names several.
     missing_seal,     ///< A success without the mark that upstreams put on their responses.
-    encoded,          ///< A success with a content coding that the caller hasn't asked for.
+    encoded,          ///< A success with a content coding that the request doesn't accept.
     not_a_stream,     ///< A success other than the labelled event stream that is due.
     malformed_line,   ///< A line of an event stream that is no field of an event.
     second_response,  ///< The head of another response inside a body.
--- a/include/dragonflymill/response/response_guard.h
+++ b/include/dragonflymill/response/response_guard.h
@@ -40,7 +40,7 @@
     std::string request_id;        ///< Id that upstreams echo; empty if the request has none.
     std::string id_field;          ///< Name of the header field with it.
     bool is_streaming = false;     ///< Whether the answer is an event stream.
-    bool accepts_encoding = false; ///< Whether the caller asked for a content coding.
+    bool accepts_encoding = false; ///< Whether the request accepts a content coding.
     std::string resume_after;      ///< Id of the last event that the caller has; empty for a new stream.
     event_format events;           ///< Form of the events.
 
@@ -105,7 +105,7 @@
     second_response_finder second_response_;
     std::string last_id_;
     bool is_event_stream_ = false;
-    bool is_resumed_ = false; // the attempt was asked to go on behind an event
+    bool is_resumed_ = false; // the request of the attempt has a Last-Event-Id
     body_framing framing_ = body_framing::length;
     std::size_t body_bytes_ = 0;
     std::size_t parsed_events_ = 0;
--- a/src/edge/exchange_ending.cpp
+++ b/src/edge/exchange_ending.cpp
@@ -33,7 +33,7 @@
 auto exchange::progress(instant now) const -> direct::request_progress
 {
     direct::request_progress state;
-    // Only an event stream goes on within a response that has begun.
+    // After the head has been forwarded, only an event stream can be resumed.
     const bool can_go_on = !response_started_ || events_ > 0;
     state.repeatable = route_->repeatable() && guard_->is_resumable() && can_go_on;
     state.answer_begun = response_started_;
--- a/tests/edge/damaged_response_test.cpp
+++ b/tests/edge/damaged_response_test.cpp
@@ -44,9 +44,8 @@
            std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-/// Sends a request whose first response is `first`; any other one is a valid stream that goes on where the
-/// request asks. Returns all bytes that the caller gets until its response is complete or its connection
-/// ends.
+/// Sends a request whose first response is `first`; later ones are valid streams that resume after the
+/// request's Last-Event-Id. Returns all bytes that the caller receives.
 auto received_after(const std::string& first, const std::string& path) -> std::string
 {
     gateway_fixture fixture;
--- a/tests/edge/joined_attempts_test.cpp
+++ b/tests/edge/joined_attempts_test.cpp
@@ -8,7 +8,7 @@
 /// Longer than what a gateway buffers of a response that is no stream.
 constexpr std::size_t forwarded_bytes = 1'500'000;
 
-/// Upstreams of which the first one to be asked breaks off a long response; all others answer whole.
+/// Upstreams. The first request gets a long response that is truncated, each other one a complete response.
 struct breaking_fixture : gateway_fixture
 {
     breaking_fixture(const std::string& service, const std::string& status, const std::string& whole)
--- a/tests/edge/stream_exchange.h
+++ b/tests/edge/stream_exchange.h
@@ -35,7 +35,7 @@
     return size.data() + bytes + "\r\n";
 }
 
-/// Id of the event after which a request asks to go on; 0 if it asks for the whole stream.
+/// Last-Event-Id of a request; 0 if it has none.
 inline auto resumed_after(const taken_connection& connection) -> int
 {
     const std::string name = "Last-Event-Id: ";
@@ -50,8 +50,8 @@
     std::string body;      ///< Empty for a complete failure.
 };
 
-/// Sends a request whose first response starts with `first_response` and then ends with its connection. Any
-/// later one is a valid stream that goes on where the request asks.
+/// Sends a request whose first response starts with `first_response` and then ends with its connection.
+/// Later ones are valid streams that resume after the request's Last-Event-Id.
 inline auto stream_after(const std::string& first_response, const std::string& path,
                          const std::string& fields = "") -> received_stream
 {
