--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -34,6 +34,11 @@
     endif()
     # Its own helpers besides.
     file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
+    if(name STREQUAL crowd)
+        # Starts the processes of both forms.
+        list(APPEND sources tests/soak/store_standin.cpp tests/process/process_fleet.cpp
+            tests/process/fleet_files.cpp tests/process/stream_answer.cpp)
+    endif()
     add_executable(test_${name} ${sources})
     target_include_directories(test_${name} PRIVATE tests src)
     # Only where they are read: a path in every command keeps a second checkout from sharing the compiler cache.
@@ -58,6 +63,14 @@
     if(name STREQUAL process)
         set(jobs 4)
     endif()
+    if(name STREQUAL crowd)
+        # Resident memory under a sanitizer tells nothing about the program; tools/test says that they don't run.
+        if(NOT DRAGONFLYMILL_SANITIZER)
+            add_test(NAME ${name} COMMAND test_${name} --jobs 1)
+            set_tests_properties(${name} PROPERTIES TIMEOUT 1200 RUN_SERIAL TRUE)
+        endif()
+        continue()
+    endif()
     add_test(NAME ${name} COMMAND test_${name} --jobs ${jobs})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endforeach()
--- a/tests/process/fleet_files.cpp
+++ b/tests/process/fleet_files.cpp
@@ -198,7 +198,7 @@
 auto fleet_files::gateway_settings(const std::string& name) const -> std::string
 {
     write(name + ".ini", common(name, name) + "[listen]\nhttp = " + listener(name, 0) +
-                             "\nadmin = " + listener(name, 1) + "\n");
+                             "\nadmin = " + listener(name, 1) + "\n" + gateway_lines_);
     return path(name + ".ini");
 }
 
--- a/tests/process/fleet_files.h
+++ b/tests/process/fleet_files.h
@@ -15,6 +15,7 @@
     std::string first_model = "assistant-1"; ///< First model of engine-1; the bundle declares assistant-1.
     bool relays = false;                     ///< Whether gateways reach the engines' sidecars through relays.
     bool config_service = false; ///< Whether a configuration service runs, with the fleet's first bundle.
+    std::string gateway_lines;   ///< Further lines of the gateways' settings.
 };
 
 /// Folder, ports, keys, settings files and bundles of one test's fleet. The destructor removes the folder.
@@ -35,6 +36,8 @@
     void set_sidecar_address(const std::string& name, const std::string& address);
     /// Sets the configuration service of processes whose settings are written from now on.
     void set_config_service(const std::string& address);
+    /// Adds lines to the settings of gateways that are written from now on.
+    void add_gateway_lines(const std::string& lines) { gateway_lines_ += lines; }
     /// Makes processes whose settings are written from now on query their peers before they serve.
     void ask_peers_at_start();
     /// Writes and signs the bundle of `version`; returns its path.
@@ -61,6 +64,7 @@
     std::map<std::string, std::string> sidecars_;
     std::map<std::string, std::string> keys_;
     std::string config_service_;
+    std::string gateway_lines_;
     bool standalone_ = true;
 };
 
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -29,6 +29,7 @@
     // Ends a test that hangs, even in a busy loop; the test runner would wait for it for ever. The kernel
     // kills its children together with it.
     alarm(test_limit_seconds);
+    files_.add_gateway_lines(options.gateway_lines);
     start_standins(options);
     if (options.relays) {
         for (const std::string name : {"engine-1", "engine-2"}) {
