Bound memory and descriptors for callers of direct gateways

Callers saw gateways end for lack of memory, or serve no one: bodies and heads that stop short of their end, answers that aren't read, connections that stay idle, and callers whose leaving wasn't seen behind input that nobody read.

Sessions claim from one caller_budget what they hold: the connection, unparsed input, head, body, the call, buffered and unsent answers. Its limits follow from the memory and descriptors that the platform's file states (half of the memory; of the sockets what is left beside readiness, metrics, peers, the record source and orders to upstreams). A request that gives way gets 503 with Retry-After past the send queue, its memory is freed at once, and what still arrives is discarded up to the size of a request. A body has the time that its request states (callers.bodyTimeMs without one). Reading goes on while a request is handled, so that a caller's leaving is seen; a buffer for reading is shared by all connections. Readiness and metrics have budgets of their own and take no bodies; peers' fetches are bounded in number and share their replies; a failed accept is tried again after 50 ms. Counters, gauges and callers_evicted, a line in five seconds at most.

--- a/src/edge/caller_listener.cpp
+++ b/src/edge/caller_listener.cpp
@@ -59,7 +59,7 @@
         }
         if (failed) {
             // Out of descriptors, as a rule; accepting fails until connections are closed.
-            timers_.at(runtime::now() + turn_away_interval, [this] { accept(); });
+            timers_.at(runtime::now() + accept_retry_delay, [this] { accept(); });
             return;
         }
         measure_lag();
--- a/src/edge/caller_listener.h
+++ b/src/edge/caller_listener.h
@@ -16,6 +16,9 @@
 [[nodiscard]] auto open_logged(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& address)
     -> result<void>;
 
+/// Time before accepting is tried again after a failure, which lasts until connections are closed.
+inline constexpr duration accept_retry_delay = 50ms;
+
 /// Accepts callers' connections. While the event loop is behind, the excess is closed unread, so that callers
 /// retry at other gateways, and those that are accepted are served.
 class caller_listener
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -1,19 +1,29 @@
 #include "edge/caller_session.h"
 
+#include "dragonflymill/core/refusal.h"
 #include "edge/socket_options.h"
-#include "http/http_text.h"
+#include "http/error_body.h"
+#include "http/shared_read_buffer.h"
 #include "runtime/clock.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/error.hpp>
+#include <boost/json/serialize.hpp>
 #include <utility>
 
 namespace dragonflymill::edge {
 
 namespace asio = boost::asio;
-namespace beast_http = boost::beast::http;
+using http::request_state;
+
+namespace {
+
+/// Retry-After of a request that gave way to others: incomplete requests end or are evicted within seconds.
+constexpr duration retry_after_eviction = 1s;
+
+} // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket, loop_timers& timers, request_handler& handler)
     : socket_(std::move(socket))
@@ -27,6 +37,7 @@
 {
     set_socket_options(socket_);
     out_.on_done([this](bool broken) {
+        (void)claim_output();
         if (broken) {
             close();
         }
@@ -34,128 +45,196 @@
             close_gracefully();
         }
     });
-    begin_parser();
+    const bool opened = account_.open(handler_.budget(), [weak = weak_from_this()](caller_eviction) {
+        if (const auto self = weak.lock()) {
+            self->on_evicted();
+        }
+    });
+    if (!opened) {
+        close();
+        return;
+    }
+    begin_request();
     set_timeout(handler_.limits().idle_time);
     read();
 }
 
-void caller_session::begin_parser()
+void caller_session::enter(phase next)
+{
+    phase_ = next;
+    account_.set_phase(next == phase::idle         ? caller_phase::idle
+                       : next == phase::reading    ? caller_phase::receiving
+                       : next == phase::responding ? caller_phase::responding
+                                                   : caller_phase::closing);
+}
+
+void caller_session::on_evicted()
+{
+    if (phase_ == phase::reading) {
+        refuse_for_memory();
+        return;
+    }
+    close();
+}
+
+void caller_session::begin_request()
 {
     const direct::caller_limits limits = handler_.limits();
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-    parser_->body_limit(limits.body_bytes);
+    reader_.begin({limits.header_bytes, limits.body_bytes});
     continue_sent_ = false;
 }
 
 void caller_session::read()
 {
-    if (reading_ || phase_ == phase::closed || in_.size() > max_pipelined_bytes) {
+    if (reading_ || phase_ == phase::closed) {
         return;
     }
     reading_ = true;
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        [self = shared_from_this()](const boost::system::error_code& failed, std::size_t bytes) {
-            self->reading_ = false;
-            self->on_read(failed, bytes);
-        });
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](const boost::system::error_code& failed) {
+                           self->reading_ = false;
+                           if (failed) {
+                               self->close();
+                               return;
+                           }
+                           self->on_readable();
+                       });
 }
 
-void caller_session::on_read(const boost::system::error_code& failed, std::size_t bytes)
+void caller_session::on_readable()
 {
-    if (phase_ == phase::closed) {
-        return;
-    }
-    if (failed) {
-        close();
-        return;
-    }
-    if (phase_ != phase::lingering) {
-        in_.append(buffer_.data(), bytes);
-        if (phase_ != phase::responding) {
-            parse();
+    const auto buffer = http::shared_read_buffer();
+    for (int reads = 0; reads < max_reads && phase_ != phase::closed; ++reads) {
+        boost::system::error_code failed;
+        const std::size_t bytes = socket_.read_some(asio::buffer(buffer.data(), buffer.size()), failed);
+        if (failed == asio::error::would_block || failed == asio::error::try_again) {
+            break;
+        }
+        if (failed || !take_input({buffer.data(), bytes})) {
+            close();
+            return;
+        }
+        if (bytes < buffer.size()) {
+            break;
         }
     }
     read();
 }
 
-void caller_session::parse()
+auto caller_session::take_input(std::string_view bytes) -> bool
 {
-    if (in_.empty() || phase_ == phase::closed) {
-        return;
+    if (phase_ == phase::lingering) {
+        // Bounded: a caller may go on sending for as long as its connection accepts it.
+        discarded_ += bytes.size();
+        return discarded_ <= handler_.limits().header_bytes + handler_.limits().body_bytes;
     }
-    if (phase_ == phase::idle) {
-        phase_ = phase::reading;
+    if (phase_ == phase::responding) {
+        return reader_.receive_ahead(bytes);
+    }
+    continue_request(reader_.receive(bytes));
+    return true;
+}
+
+void caller_session::continue_request(request_state state)
+{
+    // Memory that this request claimed may have evicted others, but never itself.
+    if (phase_ == phase::idle && (reader_.has_begun() || state == request_state::complete)) {
+        enter(phase::reading);
+        request_began_ = runtime::now();
         set_timeout(handler_.limits().header_time);
     }
-    while (!in_.empty() && !parser_->is_done()) {
-        boost::beast::error_code failed;
-        const std::size_t used = parser_->put(asio::const_buffer(in_.data(), in_.size()), failed);
-        in_.erase(0, used);
-        if (failed == beast_http::error::need_more || (!failed && used == 0)) {
-            break;
+    switch (state) {
+    case request_state::incomplete:
+        if (reader_.is_head_done()) {
+            on_head_done();
         }
-        if (failed) {
-            reject_malformed(failed);
-            return;
-        }
-    }
-    if (parser_->is_done()) {
+        return;
+    case request_state::complete:
         dispatch();
         return;
+    case request_state::head_too_large:
+        reject(431, "Request Header Fields Too Large");
+        return;
+    case request_state::body_too_large:
+        reject(413, "Payload Too Large");
+        return;
+    case request_state::malformed:
+        reject(400, "Bad Request");
+        return;
+    case request_state::no_memory:
+        refuse_for_memory();
+        return;
+    case request_state::input_lost:
+        close();
+        return;
     }
-    if (parser_->is_header_done()) {
-        set_timeout(handler_.limits().idle_time);
-        const auto& head = parser_->get();
-        if (!continue_sent_ && boost::beast::iequals(head[beast_http::field::expect], "100-continue")) {
-            continue_sent_ = true;
-            write("HTTP/1.1 100 Continue\r\n\r\n");
-        }
+}
+
+void caller_session::on_head_done()
+{
+    const instant now = runtime::now();
+    const instant due = request_began_ + handler_.body_time(reader_);
+    set_timeout(std::clamp(due - now, duration::zero(), handler_.limits().idle_time));
+    if (!continue_sent_ && boost::beast::iequals(reader_.field("expect"), "100-continue")) {
+        continue_sent_ = true;
+        write("HTTP/1.1 100 Continue\r\n\r\n");
     }
 }
 
-void caller_session::reject_malformed(const boost::beast::error_code& failed)
+void caller_session::reject(unsigned status, std::string_view reason)
 {
     keep_alive_ = false;
-    phase_ = phase::responding;
-    if (failed == beast_http::error::header_limit) {
-        send_response(431, "Request Header Fields Too Large", {}, "");
-    }
-    else if (failed == beast_http::error::body_limit) {
-        send_response(413, "Payload Too Large", {}, "");
-    }
-    else {
-        send_response(400, "Bad Request", {}, "");
-    }
+    reader_.discard();
+    enter(phase::responding);
+    send_response(status, reason, {}, "");
 }
 
-auto caller_session::build_request(parser& complete) -> caller_request
+void caller_session::refuse_for_memory()
 {
-    auto message = complete.release();
-    caller_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message) {
-        request.fields.push_back({std::string(field.name_string()), std::string(field.value())});
+    keep_alive_ = false;
+    reader_.discard();
+    account_.release(std::exchange(request_claimed_, 0));
+    enter(phase::lingering);
+    // Written past the queue, as there may be no memory for it. The request hasn't run and never will.
+    const std::string body = boost::json::serialize(http::error_body(
+        to_string(refusal_code::overloaded), ran_state::no, retry_after_eviction, "come back"));
+    std::string text = head_text(503, "Service Unavailable",
+                                 {{"Content-Type", "application/json"},
+                                  {"Retry-After", std::to_string(retry_after_eviction / 1s)},
+                                  {"Content-Length", std::to_string(body.size())}});
+    text.append("\r\n").append(body);
+    boost::system::error_code failed;
+    const std::size_t written = socket_.write_some(asio::buffer(text), failed);
+    if (failed || written < text.size()) {
+        close();
+        return;
     }
-    request.keep_alive = message.keep_alive();
-    request.is_http_1_0 = message.version() < 11;
-    request.body = std::move(message.body());
-    return request;
+    close_gracefully();
 }
 
 void caller_session::dispatch()
 {
     const auto self = shared_from_this();
-    phase_ = phase::responding;
     if (timer_) {
         timers_.cancel(*timer_);
         timer_.reset();
     }
-    caller_request request = build_request(*parser_);
-    begin_parser();
+    http::read_request complete = reader_.take();
+    begin_request();
+    request_claimed_ = complete.held;
+    if (!account_.claim(call_bytes)) {
+        refuse_for_memory();
+        return;
+    }
+    request_claimed_ += call_bytes;
+    enter(phase::responding);
+    caller_request request;
+    request.method = std::move(complete.request.method);
+    request.target = std::move(complete.request.target);
+    request.fields = std::move(complete.request.fields);
+    request.body = std::move(complete.request.body);
+    request.keep_alive = complete.keep_alive;
+    request.is_http_1_0 = complete.is_http_1_0;
     keep_alive_ = request.keep_alive;
     is_http_1_0_ = request.is_http_1_0;
     is_head_request_ = request.method == "HEAD";
@@ -170,136 +249,15 @@
     }
 }
 
-auto caller_session::head_text(unsigned status, std::string_view reason,
-                               const std::vector<header_field>& fields) -> std::string
-{
-    if (closing_ || handler_.closing()) {
-        keep_alive_ = false;
-    }
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
-    text.append(reason).append("\r\n");
-    for (const header_field& field : fields) {
-        text.append(field.name).append(": ").append(field.value).append("\r\n");
-    }
-    if (!keep_alive_) {
-        text.append("Connection: close\r\n");
-    }
-    return text;
-}
-
-void caller_session::send_response(unsigned status, std::string_view reason,
-                                   const std::vector<header_field>& fields, std::string_view body)
-{
-    if (phase_ != phase::responding) {
-        return;
-    }
-    std::string text = head_text(status, reason, fields);
-    const bool no_length = status == 204 || status == 304;
-    if (!no_length) {
-        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
-    }
-    text.append("\r\n");
-    if (!is_head_request_) {
-        text.append(body);
-    }
-    write(text);
-    finish_response();
-}
-
-void caller_session::begin_response(unsigned status, std::string_view reason,
-                                    const std::vector<header_field>& fields)
-{
-    if (is_http_1_0_) {
-        keep_alive_ = false;
-    }
-    std::string text = head_text(status, reason, fields);
-    if (!is_http_1_0_) {
-        text.append("Transfer-Encoding: chunked\r\n");
-    }
-    text.append("\r\n");
-    write(text);
-}
-
-void caller_session::send_body_part(std::string_view bytes)
-{
-    if (bytes.empty() || phase_ != phase::responding) {
-        return;
-    }
-    if (is_http_1_0_) {
-        write(bytes);
-        return;
-    }
-    write(http::chunk_text(bytes));
-}
-
-void caller_session::end_response()
-{
-    if (phase_ != phase::responding) {
-        return;
-    }
-    if (!is_http_1_0_) {
-        write(http::last_chunk_text());
-    }
-    finish_response();
-}
-
-void caller_session::finish_response()
-{
-    if (phase_ != phase::responding) {
-        return;
-    }
-    current_.reset();
-    if (!keep_alive_) {
-        phase_ = phase::lingering;
-        if (out_.unsent_bytes() == 0) {
-            close_gracefully();
-        }
-        return;
-    }
-    phase_ = phase::idle;
-    set_timeout(handler_.limits().idle_time);
-    // Parses pipelined input in a new event, so that a caller which sends many requests can't starve others.
-    asio::post(socket_.get_executor(), [self = shared_from_this()] {
-        if (self->phase_ == phase::idle) {
-            self->parse();
-            self->read();
-        }
-    });
-}
-
-void caller_session::abort()
-{
-    current_.reset();
-    if (is_http_1_0_) {
-        // Without chunks, an orderly close would be the end of the response.
-        boost::system::error_code ignored; // the caller may already have closed the connection
-        // NOLINTNEXTLINE(bugprone-unused-return-value): the error is in `ignored`
-        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    }
-    close();
-}
-
 void caller_session::close_when_idle()
 {
     closing_ = true;
     if (phase_ == phase::idle) {
-        phase_ = phase::lingering;
+        enter(phase::lingering);
         close_gracefully();
     }
 }
 
-void caller_session::write(std::string_view bytes)
-{
-    if (phase_ == phase::closed) {
-        return;
-    }
-    const bool broken = !out_.send(bytes, shared_from_this());
-    if (broken || out_.unsent_bytes() > max_unsent_bytes) {
-        // Deferred: closing calls `on_caller_disconnected`, which must not run inside the request's own call.
-        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
-    }
-}
-
 void caller_session::set_timeout(duration timeout)
 {
     if (timer_) {
@@ -316,13 +274,11 @@
 void caller_session::on_timeout()
 {
     if (phase_ == phase::reading) {
-        keep_alive_ = false;
-        phase_ = phase::responding;
-        send_response(408, "Request Timeout", {}, "");
+        reject(408, "Request Timeout");
         return;
     }
     if (phase_ == phase::idle) {
-        phase_ = phase::lingering;
+        enter(phase::lingering);
         close_gracefully();
         return;
     }
@@ -353,6 +309,9 @@
     if (const auto request = std::exchange(current_, nullptr)) {
         request->on_caller_disconnected();
     }
+    reader_.discard();
+    out_.clear();
+    account_.close();
     handler_.session_ended(this);
 }
 
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -4,11 +4,10 @@
 #include "edge/caller_request.h"
 #include "edge/loop_timers.h"
 #include "edge/send_queue.h"
+#include "http/caller_account.h"
+#include "http/request_reader.h"
 
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -44,6 +43,10 @@
         -> std::shared_ptr<in_flight_request> = 0;
     /// Current size and time limits for callers.
     [[nodiscard]] virtual auto limits() const -> direct::caller_limits = 0;
+    /// Budget that the handler's sessions share.
+    [[nodiscard]] virtual auto budget() const -> const std::shared_ptr<caller_budget>& = 0;
+    /// Time from the first byte of a request in which its body must arrive; `head` is complete.
+    [[nodiscard]] virtual auto body_time(const http::request_reader& head) const -> duration = 0;
     /// Whether responses announce `Connection: close`.
     [[nodiscard]] virtual auto closing() const -> bool = 0;
     /// Called when a session has closed.
@@ -72,6 +75,10 @@
     void abort();
     /// Closes the connection now if it is idle, otherwise after the current response.
     void close_when_idle();
+    /// Claims memory for a part of a response that is kept for this caller; false if there is no room for it.
+    [[nodiscard]] auto claim_response(std::size_t bytes) -> bool;
+    /// Releases all that was claimed by `claim_response`; so does the end of the response.
+    void release_response();
     /// Bytes of responses that the connection hasn't accepted yet; they are lost if it is closed now.
     [[nodiscard]] auto unsent_bytes() const -> std::size_t { return out_.unsent_bytes(); }
     /// Whether no request is being read or handled.
@@ -87,17 +94,22 @@
         lingering,  ///< The last response is being flushed; further input is discarded.
         closed,     ///< The socket is closed.
     };
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    void enter(phase next);
+    void on_evicted();
+    void begin_request();
     void read();
-    void on_read(const boost::system::error_code& failed, std::size_t bytes);
-    void parse();
-    void begin_parser();
-    void reject_malformed(const boost::beast::error_code& failed);
+    void on_readable();
+    /// Takes bytes that were read; returns false if nothing more is to be read.
+    [[nodiscard]] auto take_input(std::string_view bytes) -> bool;
+    void continue_request(http::request_state state);
+    void on_head_done();
+    void reject(unsigned status, std::string_view reason);
+    void refuse_for_memory();
     void dispatch();
-    [[nodiscard]] auto build_request(parser& complete) -> caller_request;
     void finish_response();
     void write(std::string_view bytes);
+    [[nodiscard]] auto claim_output() -> bool;
     void set_timeout(duration timeout);
     void on_timeout();
     void close_gracefully();
@@ -105,9 +117,10 @@
     [[nodiscard]] auto head_text(unsigned status, std::string_view reason,
                                  const std::vector<header_field>& fields) -> std::string;
 
-    static constexpr std::size_t read_bytes = 16'384;
-    /// Pipelined input that is buffered; the rest stays in the socket until the current response is complete.
-    static constexpr std::size_t max_pipelined_bytes = 65'536;
+    /// Memory of a call besides its request: the exchange, its call to an upstream and their timers.
+    static constexpr std::size_t call_bytes = 24'576;
+    /// Reads in a row of a connection with much input, before others are served.
+    static constexpr int max_reads = 4;
     /// The connection to a slow reader is closed when more unsent bytes than this are queued.
     static constexpr std::size_t max_unsent_bytes = 4'194'304;
     /// Input is drained for this long after the last response: closing a socket with unread bytes resets the
@@ -118,11 +131,15 @@
     loop_timers& timers_;
     request_handler& handler_;
     send_queue out_;
-    std::array<char, read_bytes> buffer_{};
-    std::string in_;
-    std::optional<parser> parser_;
+    http::caller_account account_;
+    http::request_reader reader_{account_};
     std::shared_ptr<in_flight_request> current_;
     std::optional<timer_id> timer_;
+    instant request_began_{};
+    std::size_t request_claimed_ = 0;  // for the request that is being handled
+    std::size_t response_claimed_ = 0; // by `claim_response`
+    std::size_t output_claimed_ = 0;   // for what the socket hasn't accepted
+    std::size_t discarded_ = 0;        // input while lingering
     phase phase_ = phase::idle;
     bool keep_alive_ = true;
     bool is_http_1_0_ = false;
--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -1,6 +1,7 @@
 #include "edge/direct_gateway.h"
 
 #include "dragonflymill/core/stable_hash.h"
+#include "dragonflymill/core/units.h"
 #include "edge/upstream_metrics.h"
 #include "log/logger.h"
 #include "runtime/clock.h"
@@ -89,14 +90,14 @@
              [this](const std::string& why) {
                  ++fetches_failed_;
                  log_event(event::peer_fetch_failed, field("why", why));
-             }})
-    , callers_(loop, timers_, metrics_,
-               [this](tcp::socket socket) { start_session(std::move(socket), *this); })
-    , ready_listener_(loop)
-    , metrics_listener_(loop)
+             }},
+            settings_.capacity.peer_fetches)
+    , callers_(loop, timers_, metrics_, [this](tcp::socket socket) { start_session(std::move(socket)); })
+    , ready_port_(loop, timers_, {platform_.names.ready_path, [this] { return ready(); }, metrics_})
+    , metrics_port_(loop, timers_, {platform_.names.ready_path, [this] { return ready(); }, metrics_})
     , signals_(loop, SIGTERM, SIGINT, SIGHUP)
-    , status_({platform_.names.ready_path, [this] { return ready(); }, metrics_,
-               [this](caller_session* session) { session_ended(session); }})
+    , budget_(std::make_shared<caller_budget>(
+          caller_budget_limits{settings_.capacity.memory_bytes, settings_.capacity.connections}))
 {
     const auto started = runtime::wall_now().time_since_epoch().count();
     incarnation_name_ = settings_.name + "#" + std::to_string(started);
@@ -115,14 +116,14 @@
 
 auto direct_gateway::start() -> result<void>
 {
-    if (auto opened = listen(ready_listener_, settings_.ready, status_); !opened) {
+    if (auto opened = ready_port_.open(settings_.ready); !opened) {
         return opened;
     }
     if (auto opened = callers_.open(settings_.callers); !opened) {
         return opened;
     }
     if (!settings_.metrics.empty()) {
-        if (auto opened = listen(metrics_listener_, settings_.metrics, status_); !opened) {
+        if (auto opened = metrics_port_.open(settings_.metrics); !opened) {
             return opened;
         }
     }
@@ -143,37 +144,13 @@
     return success();
 }
 
-auto direct_gateway::listen(tcp::acceptor& acceptor, const socket_address& address, request_handler& handler)
-    -> result<void>
+void direct_gateway::start_session(tcp::socket socket)
 {
-    if (auto opened = open_logged(acceptor, address); !opened) {
-        return opened;
-    }
-    accept(acceptor, handler);
-    return success();
-}
-
-void direct_gateway::start_session(tcp::socket socket, request_handler& handler)
-{
-    auto session = std::make_shared<caller_session>(std::move(socket), timers_, handler);
+    auto session = std::make_shared<caller_session>(std::move(socket), timers_, *this);
     sessions_.insert(session);
     session->start();
 }
 
-void direct_gateway::accept(tcp::acceptor& acceptor, request_handler& handler)
-{
-    acceptor.async_accept(
-        [this, &acceptor, &handler](const boost::system::error_code& failed, tcp::socket socket) {
-            if (failed == asio::error::operation_aborted) {
-                return;
-            }
-            if (!failed) {
-                start_session(std::move(socket), handler);
-            }
-            accept(acceptor, handler);
-        });
-}
-
 void direct_gateway::session_ended(caller_session* session)
 {
     asio::post(loop_, [this, ended = session->shared_from_this()] {
@@ -187,6 +164,14 @@
     return fleet_.config() == nullptr ? direct::caller_limits{} : fleet_.config()->limits();
 }
 
+auto direct_gateway::body_time(const http::request_reader& head) const -> duration
+{
+    const auto stated = parse_count(head.field(platform_.names.time_left_ms));
+    // Compares in milliseconds, since a stated time may overflow microseconds.
+    const bool is_shorter = stated && stated.value() < settings_.capacity.body_time / 1ms;
+    return is_shorter ? duration(std::chrono::milliseconds(stated.value())) : settings_.capacity.body_time;
+}
+
 auto direct_gateway::begin(const std::shared_ptr<caller_session>& session, caller_request request)
     -> std::shared_ptr<in_flight_request>
 {
@@ -373,6 +358,7 @@
     update_statement_metrics(dispatcher_.availability(), metrics_, now);
     speed_log_.update(fleet_, dispatcher_.speeds(), metrics_, now);
     quarantine_log_.update(dispatcher_.quarantine(), metrics_, now);
+    budget_log_.update(*budget_, metrics_, now);
     if (!stopping_) {
         reports_->tick(now);
     }
@@ -449,6 +435,8 @@
     settings_.seeds = fresh->seeds;
     settings_.retries = fresh->retries;
     settings_.grace = fresh->grace;
+    settings_.capacity = fresh->capacity;
+    budget_->set_limits({settings_.capacity.memory_bytes, settings_.capacity.connections});
     settings_.drain_delivery_bound = fresh->drain_delivery_bound;
     fleet_.set_leave_bound(settings_.drain_delivery_bound);
     peers_.set_seeds(settings_.seeds);
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -10,6 +10,8 @@
 #include "dragonflymill/direct/peer_table.h"
 #include "dragonflymill/direct/source_outage.h"
 #include "dragonflymill/direct/upstream_list.h"
+#include "edge/caller_budget_log.h"
+#include "edge/caller_capacity.h"
 #include "edge/caller_listener.h"
 #include "edge/caller_session.h"
 #include "edge/exchange.h"
@@ -22,7 +24,7 @@
 #include "edge/report_poller.h"
 #include "edge/speed_log.h"
 #include "edge/statement_recorder.h"
-#include "edge/status_pages.h"
+#include "edge/status_port.h"
 #include "settings/socket_address.h"
 
 #include <boost/asio/io_context.hpp>
@@ -48,6 +50,7 @@
     socket_address metrics;              ///< Listening address for metrics; empty to serve none.
     std::vector<std::string> seeds;      ///< Peer addresses of gateways to contact first.
     direct::retry_budget_limits retries; ///< Limits of the retry budget.
+    caller_capacity capacity;            ///< What it may spend on callers and peers.
     int millicores = 0; ///< CPU share of the process, in thousandths of a core; 0 if unknown.
     /// Time after an upstream announces that it drains during which it may still receive work.
     duration drain_delivery_bound = 2s;
@@ -104,14 +107,13 @@
     auto begin(const std::shared_ptr<caller_session>& session, caller_request request)
         -> std::shared_ptr<in_flight_request> override;
     [[nodiscard]] auto limits() const -> direct::caller_limits override;
+    [[nodiscard]] auto budget() const -> const std::shared_ptr<caller_budget>& override { return budget_; }
+    [[nodiscard]] auto body_time(const http::request_reader& head) const -> duration override;
     [[nodiscard]] auto closing() const -> bool override { return stopping_; }
     void session_ended(caller_session* session) override;
 
 private:
-    [[nodiscard]] auto listen(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& address,
-                              request_handler& handler) -> result<void>;
-    void accept(boost::asio::ip::tcp::acceptor& acceptor, request_handler& handler);
-    void start_session(boost::asio::ip::tcp::socket socket, request_handler& handler);
+    void start_session(boost::asio::ip::tcp::socket socket);
     void start_source();
     void apply_records(const direct::records_update& update, const std::string& from);
     void apply_record(const direct::fleet_record& record, const std::string& from);
@@ -169,10 +171,11 @@
     speed_log speed_log_;
     quarantine_log quarantine_log_;
     caller_listener callers_;
-    boost::asio::ip::tcp::acceptor ready_listener_;
-    boost::asio::ip::tcp::acceptor metrics_listener_;
+    status_port ready_port_;
+    status_port metrics_port_;
     boost::asio::signal_set signals_;
-    status_pages status_;
+    std::shared_ptr<caller_budget> budget_;
+    caller_budget_log budget_log_;
     std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
     std::string incarnation_name_;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -137,7 +137,7 @@
     queued_call_.attempts.dispatched();
     mode_ = response_mode::none;
     head_ = {};
-    body_.clear();
+    discard_body();
     guard_->begin_attempt();
     attempt_events_ = 0;
     log_dispatched(assignment,
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -100,6 +100,8 @@
     void forward_events(const response::checked_body& checked);
     /// Buffers a part of a body that is no event stream, or forwards it if the body is too large to buffer.
     void forward_part(const std::string& bytes);
+    /// Drops what is buffered of an attempt's body.
+    void discard_body();
     void report_fault(response::response_fault fault, std::string_view faulty_bytes) const;
     /// Ends the attempt, as the upstream's bytes are no part of a valid response.
     void reject_response(response::response_fault fault);
--- a/src/edge/exchange_response.cpp
+++ b/src/edge/exchange_response.cpp
@@ -68,8 +68,10 @@
 
 void exchange::forward_part(const std::string& bytes)
 {
+    const auto session = session_.lock();
+    const bool has_room = session && session->claim_response(bytes.size());
     body_.append(bytes);
-    if (body_.size() <= max_buffered_bytes) {
+    if (body_.size() <= max_buffered_bytes && has_room) {
         return;
     }
     if (direct::says_not_run(head_.status)) {
@@ -78,10 +80,19 @@
     }
     // Too large to buffer: forwarded as it arrives. Another attempt can no longer replace it.
     forward_head();
-    if (const auto session = session_.lock()) {
+    if (session) {
+        session->release_response();
         session->send_body_part(body_);
     }
-    body_.clear();
+    std::string().swap(body_);
+}
+
+void exchange::discard_body()
+{
+    std::string().swap(body_);
+    if (const auto session = session_.lock()) {
+        session->release_response();
+    }
 }
 
 void exchange::report_fault(response_fault fault, std::string_view faulty_bytes) const
--- a/src/edge/gateway_metrics.cpp
+++ b/src/edge/gateway_metrics.cpp
@@ -7,6 +7,18 @@
     , requests(registry_->counter({"dragonflymill_requests_total", "Requests read from callers"}))
     , turned_away(registry_->counter({"dragonflymill_connections_turned_away_total",
                                       "Callers' connections closed unread, as the gateway was behind"}))
+    , caller_memory(registry_->gauge({"dragonflymill_caller_memory_bytes", "Memory held for callers"}))
+    , caller_connections(
+          registry_->gauge({"dragonflymill_caller_connections", "Open connections of callers"}))
+    , evicted_for_memory(registry_->counter({"dragonflymill_callers_evicted_for_memory_total",
+                                             "Connections whose memory was needed by others"}))
+    , evicted_for_connections(registry_->counter({"dragonflymill_callers_evicted_for_connections_total",
+                                                  "Connections closed to make place for others"}))
+    , refused_for_memory(registry_->counter({"dragonflymill_caller_claims_refused_total",
+                                             "Requests and responses for which there was no memory"}))
+    , refused_connections(
+          registry_->counter({"dragonflymill_caller_connections_refused_total",
+                              "Connections closed at once, as all others had calls under way"}))
     , answered(registry_->counter({"dragonflymill_answers_total", "Answers passed on whole"}))
     , refused(registry_->counter(
           {"dragonflymill_refusals_total", "Answers of this gateway's own that say \"not run\""}))
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "edge/peer_link.h"
 
+#include "edge/caller_listener.h"
 #include "edge/peer_codec.h"
 #include "edge/socket_options.h"
 #include "fleet.pb.h"
@@ -55,17 +56,22 @@
 class peer_link::fetch_responder : public std::enable_shared_from_this<peer_link::fetch_responder>
 {
 public:
-    fetch_responder(tcp::socket socket, loop_timers& timers, handlers& callbacks)
+    /// `serving` counts the responders that exist.
+    fetch_responder(tcp::socket socket, peer_link& link, std::shared_ptr<std::size_t> serving)
         : socket_(std::move(socket))
-        , timers_(timers)
-        , handlers_(callbacks)
+        , link_(link)
+        , serving_(std::move(serving))
     {
+        ++*serving_;
     }
+    ~fetch_responder() { --*serving_; }
+    fetch_responder(const fetch_responder&) = delete;
+    auto operator=(const fetch_responder&) -> fetch_responder& = delete;
 
     void start()
     {
         set_socket_options(socket_);
-        timer_ = timers_.at(runtime::now() + fetch_timeout, [weak = weak_from_this()] {
+        timer_ = link_.timers_.at(runtime::now() + fetch_timeout, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
                 boost::system::error_code ignored; // the peer retries with another gateway
                 self->socket_.close(ignored);
@@ -99,19 +105,22 @@
         if (!request) {
             return;
         }
-        reply_ = framed(encode_records_update(handlers_.records_since(request->after())));
-        asio::async_write(socket_, asio::buffer(reply_),
+        reply_ = link_.reply_to(request->after());
+        if (reply_ == nullptr) {
+            return;
+        }
+        asio::async_write(socket_, asio::buffer(*reply_),
                           [self = shared_from_this()](const boost::system::error_code&, std::size_t) {
-                              self->timers_.cancel(*self->timer_);
+                              self->link_.timers_.cancel(*self->timer_);
                           });
     }
 
     tcp::socket socket_;
-    loop_timers& timers_;
-    handlers& handlers_;
+    peer_link& link_;
+    std::shared_ptr<std::size_t> serving_;
     std::array<char, length_bytes> head_{};
     std::string request_;
-    std::string reply_;
+    std::shared_ptr<const std::string> reply_;
     std::optional<timer_id> timer_;
 };
 
@@ -207,12 +216,13 @@
     bool finished_ = false;
 };
 
-peer_link::peer_link(asio::io_context& loop, loop_timers& timers, handlers callbacks)
+peer_link::peer_link(asio::io_context& loop, loop_timers& timers, handlers callbacks, std::size_t max_serving)
     : loop_(loop)
     , timers_(timers)
     , handlers_(std::move(callbacks))
     , datagrams_(loop)
     , acceptor_(loop)
+    , max_serving_(max_serving)
 {
 }
 
@@ -267,13 +277,41 @@
         if (failed == asio::error::operation_aborted) {
             return;
         }
-        if (!failed) {
-            std::make_shared<fetch_responder>(std::move(socket), timers_, handlers_)->start();
+        if (failed) {
+            // Out of descriptors, as a rule; accepting again at once would fail again at once.
+            timers_.at(runtime::now() + accept_retry_delay, [this] { accept(); });
+            return;
+        }
+        if (*serving_ < max_serving_) {
+            std::make_shared<fetch_responder>(std::move(socket), *this, serving_)->start();
         }
         accept();
     });
 }
 
+auto peer_link::reply_to(std::uint64_t after) -> std::shared_ptr<const std::string>
+{
+    const direct::records_update update = handlers_.records_since(after);
+    if (auto same = last_reply_.lock();
+        same && last_reply_after_ == after && last_reply_revision_ == update.as_of) {
+        return same;
+    }
+    std::string bytes = framed(encode_records_update(update));
+    if (*reply_bytes_ > 0 && *reply_bytes_ + bytes.size() > max_reply_bytes) {
+        return nullptr;
+    }
+    *reply_bytes_ += bytes.size();
+    auto reply = std::shared_ptr<const std::string>(
+        new std::string(std::move(bytes)), [total = reply_bytes_](const std::string* sent) {
+            *total -= sent->size();
+            delete sent; // NOLINT(cppcoreguidelines-owning-memory)
+        });
+    last_reply_ = reply;
+    last_reply_after_ = after;
+    last_reply_revision_ = update.as_of;
+    return reply;
+}
+
 void peer_link::send(const direct::peer_datagram& datagram, const std::vector<std::string>& addresses)
 {
     if (addresses.empty()) {
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -33,7 +33,9 @@
         std::function<void(const std::string&)> on_fetch_failed; ///< A fetch failed: the reason.
     };
 
-    peer_link(boost::asio::io_context& loop, loop_timers& timers, handlers callbacks);
+    /// At most `max_serving` fetches of peers are served at once; the peers of others ask another gateway.
+    peer_link(boost::asio::io_context& loop, loop_timers& timers, handlers callbacks,
+              std::size_t max_serving);
     ~peer_link();
     peer_link(const peer_link&) = delete;
     auto operator=(const peer_link&) -> peer_link& = delete;
@@ -49,6 +51,8 @@
 
     /// A fetch that takes longer fails, and another peer is tried.
     static constexpr duration fetch_timeout = 800ms;
+    /// Memory of replies that are being sent, unless there is only one.
+    static constexpr std::size_t max_reply_bytes = 16'777'216;
 
 private:
     class fetch_responder;
@@ -56,6 +60,9 @@
 
     void receive();
     void accept();
+    /// The framed reply to a fetch, which peers that ask for the same share; null if replies that peers
+    /// haven't read yet take too much memory.
+    [[nodiscard]] auto reply_to(std::uint64_t after) -> std::shared_ptr<const std::string>;
 
     boost::asio::io_context& loop_;
     loop_timers& timers_;
@@ -64,6 +71,12 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 65'536> buffer_{};
+    std::size_t max_serving_;
+    std::shared_ptr<std::size_t> serving_ = std::make_shared<std::size_t>(0);
+    std::shared_ptr<std::size_t> reply_bytes_ = std::make_shared<std::size_t>(0); // of replies that are sent
+    std::uint64_t last_reply_after_ = 0;
+    std::uint64_t last_reply_revision_ = 0;
+    std::weak_ptr<const std::string> last_reply_;
     bool fetching_ = false;
 };
 
--- a/src/edge/send_queue.cpp
+++ b/src/edge/send_queue.cpp
@@ -44,13 +44,11 @@
                            if (broken == asio::error::would_block || broken == asio::error::try_again) {
                                broken = {};
                            }
-                           if (broken) {
-                               queue_.clear();
-                           }
-                           else if (!queue_.empty()) {
+                           if (!broken && !queue_.empty()) {
                                wait_until_writable(owner);
                                return;
                            }
+                           clear();
                            if (done_) {
                                done_(static_cast<bool>(broken));
                            }
--- a/src/edge/send_queue.h
+++ b/src/edge/send_queue.h
@@ -30,6 +30,10 @@
     void on_done(handler done) { done_ = std::move(done); }
     /// Number of queued bytes.
     [[nodiscard]] auto unsent_bytes() const -> std::size_t { return queue_.size(); }
+    /// Memory that is allocated for queued bytes.
+    [[nodiscard]] auto held_bytes() const -> std::size_t { return queue_.empty() ? 0 : queue_.capacity(); }
+    /// Drops all queued bytes.
+    void clear() { std::string().swap(queue_); }
     /// Whether the socket has accepted any byte.
     [[nodiscard]] auto any_sent() const -> bool { return sent_ > 0; }
 
--- a/src/edge/status_pages.cpp
+++ b/src/edge/status_pages.cpp
@@ -2,6 +2,18 @@
 
 namespace dragonflymill::edge {
 
+auto status_pages::limits() const -> direct::caller_limits
+{
+    direct::caller_limits limits;
+    limits.body_bytes = 0; // no page takes one
+    return limits;
+}
+
+auto status_pages::body_time(const http::request_reader& /*head*/) const -> duration
+{
+    return limits().header_time;
+}
+
 auto status_pages::begin(const std::shared_ptr<caller_session>& session, caller_request request)
     -> std::shared_ptr<in_flight_request>
 {
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -69,6 +69,30 @@
     cr_assert(read_node_settings(text + "reports.intervalMs=often\n").mistakes.size() == 1);
 }
 
+// Guards against a gateway that may hold more for callers than its machine has, and against settings that
+// are taken as they are.
+Test(settings_file, capacity_is_a_share_of_what_the_machine_has)
+{
+    const std::string text = good;
+    const auto capacity_of = [&](const std::string& lines) {
+        return read_node_settings(text + lines).settings.gateway.capacity;
+    };
+    cr_assert(capacity_of("") == edge::caller_capacity{});
+    const auto small = capacity_of("limits.memoryMb=160\nlimits.maxFds=4100\n");
+    cr_assert(small.memory_bytes == 80U << 20U);
+    cr_assert(2 * small.connections + small.peer_fetches < 3'900 && small.connections > 1'400,
+              "%zu connections", small.connections);
+    cr_assert(capacity_of("limits.maxFds=250\n").connections == 8);
+    const auto own = capacity_of("limits.memoryMb=160\ncallers.memoryMb=20\ncallers.connections=7\n"
+                                 "callers.bodyTimeMs=1500\n");
+    cr_assert(own.memory_bytes == 20U << 20U && own.connections == 7 && own.body_time == 1500ms);
+    for (const char* wrong :
+         {"limits.memoryMb=8", "limits.memoryMb=much", "limits.maxFds=100",
+          "limits.memoryMb=160\ncallers.memoryMb=161", "callers.connections=0", "callers.bodyTimeMs=5"}) {
+        cr_assert(read_node_settings(text + wrong + "\n").mistakes.size() == 1, "%s", wrong);
+    }
+}
+
 Test(replica_reports, pace_of_a_report_is_a_slowdown)
 {
     const auto reports = replica_reports();
