Bound what gateways with sidecars hold for callers by what has arrived

Six open bodies of one byte made a gateway refuse all others: a chunked or announced body claimed its largest size beforehand. Heads weren't counted, and a caller's leaving behind further input wasn't seen, so that engines worked on.

http_session reads with request_reader and claims from the server's caller_budget (limits.max_bodies, and room for the growth of one request of the largest size besides, so that settings which were valid stay so). Connections over limits.max_connections take the place of the longest idle one. A failed accept is tried again after 50 ms.

body_budget goes: it could only claim sizes beforehand. Its test of released claims is one of caller_account; the test bodies_together demanded that a body is refused before it is sent, which is the fault; it now demands that a stalled body gives way with 503 and ran=no to one that arrives, that announced and chunked ones take nothing beforehand, and, as before, that a small body is served and that large ones are once memory is free.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http/http_server.h"
 
 #include "log/logger.h"
+#include "runtime/clock.h"
 #include "settings/listening_socket.h"
 #include "settings/socket_endpoint.h"
 
@@ -12,12 +13,21 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+constexpr duration accept_retry_delay = 50ms;
+constexpr duration log_interval = 5s;
+
+} // namespace
+
 http_server::http_server(boost::asio::io_context& context, http_limits limits, request_handlers handlers)
     : context_(context)
     , limits_(limits)
     , handlers_(std::move(handlers))
     , acceptor_(context)
-    , bodies_(std::make_shared<body_budget>(limits.max_bodies_bytes))
+    , budget_(std::make_shared<caller_budget>(
+          caller_budget_limits{limits.max_bodies_bytes + limits.growth_bytes(), limits.max_connections}))
+    , accept_timer_(context)
 {
 }
 
@@ -64,28 +74,57 @@
         if (stopping_ || failure == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!failure) {
-            error_code ignored;
-            socket.set_option(tcp::no_delay(true),
-                              ignored); // NOLINT(bugprone-unused-return-value): best effort
-            const auto session =
-                std::make_shared<http_session>(std::move(socket), limits_, handlers_, numbers_, bodies_);
-            if (sessions_.size() >= limits_.max_connections) {
-                forget_closed();
-            }
-            if (sessions_.size() >= limits_.max_connections) {
-                log_event(event::connection_refused, field("open", sessions_.size()));
-                session->refuse_connection();
-            }
-            else {
-                sessions_.push_back(session);
-                session->start();
-            }
+        if (failure) {
+            // Out of descriptors, as a rule; accepting again at once would fail again at once.
+            accept_timer_.expires_after(accept_retry_delay);
+            accept_timer_.async_wait([this](error_code cancelled) {
+                if (!cancelled && !stopping_) {
+                    accept_next();
+                }
+            });
+            return;
         }
+        start_session(std::move(socket));
         accept_next();
     });
 }
 
+void http_server::start_session(tcp::socket socket)
+{
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored); // NOLINT(bugprone-unused-return-value): best effort
+    const auto session = std::make_shared<http_session>(std::move(socket), limits_, handlers_, numbers_);
+    if (!session->start(budget_)) {
+        session->refuse_connection();
+    }
+    else {
+        if (sessions_.size() >= limits_.max_connections) {
+            forget_closed();
+        }
+        sessions_.push_back(session);
+    }
+    log_evictions();
+}
+
+void http_server::log_evictions()
+{
+    const caller_budget_counts& counts = budget_->counts();
+    const instant now = runtime::now();
+    if (counts == logged_ || now - logged_at_ < log_interval) {
+        return;
+    }
+    if (counts.connections_refused != logged_.connections_refused) {
+        log_event(event::connection_refused, field("open", budget_->connections()));
+    }
+    log_event(event::callers_evicted, field("memory", counts.evicted_for_memory - logged_.evicted_for_memory),
+              field("connections", counts.evicted_for_connections - logged_.evicted_for_connections),
+              field("claims_refused", counts.claims_refused - logged_.claims_refused),
+              field("connections_refused", counts.connections_refused - logged_.connections_refused),
+              field("held_bytes", budget_->held()), field("open", budget_->connections()));
+    logged_ = counts;
+    logged_at_ = now;
+}
+
 void http_server::forget_closed()
 {
     const auto first_expired = std::remove_if(
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,15 +31,21 @@
 
 private:
     void accept_next();
+    void start_session(boost::asio::ip::tcp::socket socket);
     void forget_closed();
+    /// Logs what the budget has decided since the last line, once in an interval at most.
+    void log_evictions();
 
     boost::asio::io_context& context_;
     http_limits limits_;
     request_handlers handlers_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<std::uint64_t> numbers_ = std::make_shared<std::uint64_t>(0);
-    std::shared_ptr<body_budget> bodies_;
+    std::shared_ptr<caller_budget> budget_;
+    boost::asio::steady_timer accept_timer_;
     std::vector<std::weak_ptr<http_session>> sessions_;
+    caller_budget_counts logged_;
+    instant logged_at_{};
     bool stopping_ = false;
 };
 
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -1,178 +1,281 @@
 #include "http/http_session.h"
 
 #include "http/http_text.h"
+#include "http/shared_read_buffer.h"
 #include "log/logger.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
 #include <utility>
 
 namespace dragonflymill::http {
 
+namespace asio = boost::asio;
 namespace beast = boost::beast;
 using boost::system::error_code;
 
 namespace {
 
-constexpr std::size_t discard_chunk_bytes = 64 * 1024;
+/// Reads in a row of a connection with much input, before others are served.
+constexpr int max_reads = 4;
+/// Time in which the rest of a rejected request is read and discarded.
+constexpr duration discard_time = 2s;
 
 } // namespace
 
-http_session::http_session(boost::asio::ip::tcp::socket socket, const http_limits& limits,
-                           const request_handlers& handlers, std::shared_ptr<std::uint64_t> numbers,
-                           std::shared_ptr<body_budget> bodies)
+http_session::http_session(asio::ip::tcp::socket socket, const http_limits& limits,
+                           const request_handlers& handlers, std::shared_ptr<std::uint64_t> numbers)
     : stream_(std::move(socket))
     , comment_timer_(stream_.get_executor())
+    , read_timer_(stream_.get_executor())
     , limits_(limits)
     , handlers_(handlers)
     , numbers_(std::move(numbers))
-    , body_(std::move(bodies))
 {
 }
 
-void http_session::start()
+auto http_session::start(std::shared_ptr<caller_budget> budget) -> bool
 {
-    read_header();
+    error_code ignored;
+    // NOLINTNEXTLINE(bugprone-unused-return-value): a broken socket is noticed by the first read
+    stream_.socket().non_blocking(true, ignored);
+    const bool opened = account_.open(std::move(budget), [weak = weak_from_this()](caller_eviction) {
+        if (const auto self = weak.lock()) {
+            self->on_evicted();
+        }
+    });
+    if (opened) {
+        begin_request();
+        read();
+    }
+    return opened;
 }
 
 void http_session::refuse_connection()
 {
-    state_ = state::waiting;
-    keep_alive_ = false;
-    write_out(response_text(error_response(503, "too_many_connections", "come back in a second"), false),
-              true);
+    const std::string text =
+        response_text(error_response(503, "too_many_connections", "come back in a second"), false);
+    error_code ignored;
+    // NOLINTNEXTLINE(bugprone-unused-return-value): the connection is closed in any case
+    stream_.socket().write_some(asio::buffer(text), ignored);
+    shut();
+}
+
+void http_session::enter(state next)
+{
+    state_ = next;
+    switch (next) {
+    case state::reading:
+        account_.set_phase(reader_.has_begun() ? caller_phase::receiving : caller_phase::idle);
+        return;
+    case state::waiting:
+    case state::streaming:
+    case state::closing:
+        account_.set_phase(caller_phase::responding);
+        return;
+    case state::discarding:
+    case state::closed:
+        account_.set_phase(caller_phase::closing);
+        return;
+    }
 }
 
-void http_session::read_header()
+void http_session::on_evicted()
+{
+    if (state_ == state::reading && reader_.has_begun()) {
+        refuse_for_memory();
+        return;
+    }
+    shut();
+}
+
+void http_session::begin_request()
 {
     if (stopping_) {
         shut();
         return;
     }
-    state_ = state::reading;
-    body_.release();
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
-    parser_->body_limit(limits_.max_body_bytes);
-    stream_.expires_after(buffer_.size() > 0 || exchange_ == 0 ? limits_.header_timeout
-                                                               : limits_.idle_timeout);
-    beast::http::async_read_header(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](error_code failure, std::size_t /*bytes*/) { self->on_header(failure); });
+    account_.release(std::exchange(request_claimed_, 0));
+    reader_.begin({limits_.max_header_bytes, limits_.max_body_bytes});
+    head_seen_ = false;
+    enter(state::reading);
+    const bool awaits_header = reader_.has_input() || exchange_ == 0;
+    set_read_timeout(awaits_header ? limits_.header_timeout : limits_.idle_timeout);
 }
 
-void http_session::on_header(error_code failure)
+void http_session::read()
 {
-    if (failure) {
-        reject_unreadable(failure);
+    if (reading_ || state_ == state::closed) {
         return;
     }
-    if (!claim_body()) {
-        refuse_body();
+    reading_ = true;
+    stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                [self = shared_from_this()](error_code failure) {
+                                    self->reading_ = false;
+                                    if (failure) {
+                                        self->caller_left();
+                                        return;
+                                    }
+                                    self->on_readable();
+                                });
+}
+
+void http_session::on_readable()
+{
+    const auto buffer = shared_read_buffer();
+    for (int reads = 0; reads < max_reads && state_ != state::closed; ++reads) {
+        error_code failure;
+        const std::size_t bytes =
+            stream_.socket().read_some(asio::buffer(buffer.data(), buffer.size()), failure);
+        if (failure == asio::error::would_block || failure == asio::error::try_again) {
+            break;
+        }
+        if (failure) {
+            // A client that closes the connection or only its sending side has disconnected; its work is
+            // cancelled through to the engine.
+            caller_left();
+            return;
+        }
+        take_input({buffer.data(), bytes});
+        if (bytes < buffer.size()) {
+            break;
+        }
+    }
+    read();
+}
+
+void http_session::take_input(std::string_view bytes)
+{
+    if (state_ == state::reading) {
+        const bool first = !reader_.has_begun();
+        const request_state next = reader_.receive(bytes);
+        if (first && state_ == state::reading) {
+            account_.set_phase(caller_phase::receiving);
+        }
+        continue_request(next);
         return;
     }
-    if (beast::iequals(parser_->get()[beast::http::field::expect], "100-continue")) {
-        static const std::string continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
-        boost::asio::async_write(
-            stream_, boost::asio::buffer(continue_line),
-            [self = shared_from_this()](error_code /*failure*/, std::size_t /*bytes*/) {});
+    if (state_ == state::discarding || input_unread_) {
+        discarded_ += bytes.size();
+        if (discarded_ > limits_.max_header_bytes + limits_.max_body_bytes) {
+            shut();
+        }
+        return;
+    }
+    if (!reader_.receive_ahead(bytes)) {
+        caller_left();
     }
-    stream_.expires_after(limits_.body_timeout);
-    beast::http::async_read(stream_, buffer_, *parser_,
-                            [self = shared_from_this()](error_code read_failure, std::size_t /*bytes*/) {
-                                self->on_body(read_failure);
-                            });
 }
 
-auto http_session::claim_body() -> bool
+void http_session::continue_request(request_state found)
 {
-    // A chunked body has no declared length and claims the maximum; the excess is released after reading.
-    const auto length = parser_->content_length();
-    return body_.claim(length || !parser_->chunked() ? static_cast<std::size_t>(length.value_or(0))
-                                                     : limits_.max_body_bytes);
+    switch (found) {
+    case request_state::incomplete:
+        if (reader_.is_head_done() && !std::exchange(head_seen_, true)) {
+            on_head_done();
+        }
+        return;
+    case request_state::complete:
+        hand_over();
+        return;
+    case request_state::no_memory:
+        refuse_for_memory();
+        return;
+    case request_state::input_lost:
+        shut();
+        return;
+    case request_state::head_too_large:
+        reject(unreadable_response(beast::http::error::header_limit, limits_));
+        return;
+    case request_state::body_too_large:
+        reject(unreadable_response(beast::http::error::body_limit, limits_));
+        return;
+    case request_state::malformed:
+        reject(unreadable_response(reader_.failure(), limits_));
+        return;
+    }
 }
 
-void http_session::refuse_body()
+void http_session::on_head_done()
 {
-    state_ = state::waiting;
+    set_read_timeout(limits_.body_timeout);
+    if (beast::iequals(reader_.field("expect"), "100-continue")) {
+        write_out("HTTP/1.1 100 Continue\r\n\r\n", false);
+    }
+}
+
+void http_session::reject(const http_response& response)
+{
+    const bool timed_out = response.status == 408;
+    log_event(timed_out ? event::caller_timed_out : event::caller_malformed,
+              field("reason", timed_out ? "timeout" : reader_.failure().message()));
     keep_alive_ = false;
-    body_unread_ = true;
-    stream_.expires_never();
-    auto response = handlers_.on_no_room
-                        ? handlers_.on_no_room()
-                        : error_response(503, "overloaded", "send the request again a little later");
+    input_unread_ = true;
+    reader_.discard();
+    enter(state::closing);
     write_out(response_text(response, false), true);
 }
 
-void http_session::on_body(error_code failure)
+void http_session::refuse_for_memory()
 {
-    if (failure) {
-        reject_unreadable(failure);
+    keep_alive_ = false;
+    reader_.discard();
+    account_.release(std::exchange(request_claimed_, 0));
+    // Written past the queue, as there may be no memory for it. The request hasn't run and never will.
+    const std::string text = response_text(
+        handlers_.on_no_room ? handlers_.on_no_room()
+                             : error_response(503, "overloaded", "send the request again a little later"),
+        false);
+    error_code failure;
+    const std::size_t written = writing_ ? 0 : stream_.socket().write_some(asio::buffer(text), failure);
+    if (failure || written < text.size()) {
+        shut();
         return;
     }
-    hand_over();
+    discard_then_shut();
+}
+
+void http_session::set_read_timeout(duration timeout)
+{
+    read_timer_.expires_after(timeout);
+    read_timer_.async_wait([weak = weak_from_this()](error_code cancelled) {
+        if (const auto self = weak.lock(); self && !cancelled) {
+            self->on_read_timeout();
+        }
+    });
 }
 
-void http_session::reject_unreadable(error_code failure)
+void http_session::on_read_timeout()
 {
-    namespace http = beast::http;
-    const bool connection_ended =
-        failure == http::error::end_of_stream || failure == http::error::partial_message ||
-        failure == boost::asio::error::connection_reset || failure == boost::asio::error::operation_aborted;
-    const bool idle_timeout = failure == beast::error::timeout && !parser_->got_some();
-    if (connection_ended || idle_timeout || state_ != state::reading) {
+    if (state_ == state::discarding) {
         shut();
         return;
     }
-    const bool timed_out = failure == beast::error::timeout;
-    log_event(timed_out ? event::caller_timed_out : event::caller_malformed,
-              field("reason", failure.message()));
-    state_ = state::waiting;
-    keep_alive_ = false;
-    stream_.expires_never();
-    write_out(response_text(unreadable_response(failure, limits_), false), true);
+    if (state_ != state::reading || read_timer_.expiry() > std::chrono::steady_clock::now()) {
+        return;
+    }
+    if (!reader_.has_begun()) {
+        shut();
+        return;
+    }
+    reject(unreadable_response(beast::error::timeout, limits_));
 }
 
 void http_session::hand_over()
 {
-    auto message = parser_->release();
-    keep_alive_ = message.keep_alive();
-    http_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& f : message) {
-        request.fields.push_back({std::string(f.name_string()), std::string(f.value())});
-    }
-    request.body = std::move(message.body());
-    body_.shrink(request.body.size());
-    parser_.reset();
-    state_ = state::waiting;
+    read_request complete = reader_.take();
+    request_claimed_ = complete.held;
+    keep_alive_ = complete.keep_alive;
+    enter(state::waiting);
     last_queued_ = false;
     exchange_ = ++*numbers_;
-    stream_.expires_never();
-    watch_for_close();
-    handlers_.on_request(shared_from_this(), std::move(request));
-}
-
-void http_session::watch_for_close()
-{
-    // A client that closes the connection or only its sending side has disconnected; its work is cancelled
-    // through to the engine. Bytes that arrive instead belong to the next request and stay in the socket
-    // until the current response is sent.
-    const auto watched = exchange_;
-    stream_.socket().async_wait(
-        boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this(), watched](error_code failure) {
-            if (self->exchange_ != watched || self->state_ == state::reading) {
-                return;
-            }
-            error_code ignored;
-            const bool closed = failure || self->stream_.socket().available(ignored) == 0;
-            if (closed) {
-                self->caller_left();
-            }
-        });
+    read_timer_.cancel();
+    reader_.begin({limits_.max_header_bytes, limits_.max_body_bytes});
+    handlers_.on_request(shared_from_this(), std::move(complete.request));
 }
 
 void http_session::caller_left()
@@ -187,49 +290,49 @@
 
 void http_session::respond(std::uint64_t exchange, http_response response)
 {
-    boost::asio::dispatch(stream_.get_executor(),
-                          [self = shared_from_this(), exchange, response = std::move(response)]() mutable {
-                              if (self->exchange_ != exchange || self->state_ != state::waiting) {
-                                  return;
-                              }
-                              self->state_ = state::closing;
-                              const bool keep = self->keep_alive_ && !self->stopping_;
-                              self->write_out(response_text(response, keep), true);
-                          });
+    asio::dispatch(stream_.get_executor(),
+                   [self = shared_from_this(), exchange, response = std::move(response)]() mutable {
+                       if (self->exchange_ != exchange || self->state_ != state::waiting) {
+                           return;
+                       }
+                       self->enter(state::closing);
+                       const bool keep = self->keep_alive_ && !self->stopping_;
+                       self->write_out(response_text(response, keep), true);
+                   });
 }
 
 void http_session::open_events(std::uint64_t exchange, std::vector<header_field> fields)
 {
-    boost::asio::dispatch(stream_.get_executor(),
-                          [self = shared_from_this(), exchange, fields = std::move(fields)]() mutable {
-                              if (self->exchange_ != exchange || self->state_ != state::waiting) {
-                                  return;
-                              }
-                              self->state_ = state::streaming;
-                              const bool keep = self->keep_alive_ && !self->stopping_;
-                              self->write_out(event_stream_header(fields, keep), false);
-                              self->schedule_comment();
-                          });
+    asio::dispatch(stream_.get_executor(),
+                   [self = shared_from_this(), exchange, fields = std::move(fields)]() mutable {
+                       if (self->exchange_ != exchange || self->state_ != state::waiting) {
+                           return;
+                       }
+                       self->enter(state::streaming);
+                       const bool keep = self->keep_alive_ && !self->stopping_;
+                       self->write_out(event_stream_header(fields, keep), false);
+                       self->schedule_comment();
+                   });
 }
 
 void http_session::send_event(std::uint64_t exchange, std::string payload)
 {
-    boost::asio::dispatch(stream_.get_executor(),
-                          [self = shared_from_this(), exchange, payload = std::move(payload)]() mutable {
-                              if (self->exchange_ != exchange || self->state_ != state::streaming) {
-                                  return;
-                              }
-                              self->write_out(chunk_text("data: " + payload + "\n\n"), false);
-                          });
+    asio::dispatch(stream_.get_executor(),
+                   [self = shared_from_this(), exchange, payload = std::move(payload)]() mutable {
+                       if (self->exchange_ != exchange || self->state_ != state::streaming) {
+                           return;
+                       }
+                       self->write_out(chunk_text("data: " + payload + "\n\n"), false);
+                   });
 }
 
 void http_session::close_events(std::uint64_t exchange)
 {
-    boost::asio::dispatch(stream_.get_executor(), [self = shared_from_this(), exchange] {
+    asio::dispatch(stream_.get_executor(), [self = shared_from_this(), exchange] {
         if (self->exchange_ != exchange || self->state_ != state::streaming) {
             return;
         }
-        self->state_ = state::closing;
+        self->enter(state::closing);
         self->comment_timer_.cancel();
         self->write_out(last_chunk_text(), true);
     });
@@ -237,10 +340,9 @@
 
 void http_session::stop_when_idle()
 {
-    boost::asio::dispatch(stream_.get_executor(), [self = shared_from_this()] {
+    asio::dispatch(stream_.get_executor(), [self = shared_from_this()] {
         self->stopping_ = true;
-        const bool between_requests =
-            self->state_ == state::reading && self->parser_ && !self->parser_->got_some();
+        const bool between_requests = self->state_ == state::reading && !self->reader_.has_begun();
         if (between_requests) {
             self->shut();
         }
@@ -252,8 +354,9 @@
     if (state_ == state::closed) {
         return;
     }
-    unsent_bytes_ += bytes.size();
-    if (unsent_bytes_ > limits_.max_unsent_bytes && !last) {
+    const bool has_room = account_.claim(bytes.size());
+    unsent_bytes_ += has_room ? bytes.size() : 0;
+    if ((unsent_bytes_ > limits_.max_unsent_bytes && !last) || !has_room) {
         // Disconnects a client that reads too slowly, since its response would be buffered without limit. The
         // client sees a truncated stream.
         caller_left();
@@ -270,10 +373,10 @@
 {
     writing_ = true;
     stream_.expires_after(limits_.write_timeout);
-    boost::asio::async_write(stream_, boost::asio::buffer(unsent_.front()),
-                             [self = shared_from_this()](error_code failure, std::size_t /*bytes*/) {
-                                 self->on_written(failure);
-                             });
+    asio::async_write(stream_, asio::buffer(unsent_.front()),
+                      [self = shared_from_this()](error_code failure, std::size_t /*bytes*/) {
+                          self->on_written(failure);
+                      });
 }
 
 void http_session::on_written(error_code failure)
@@ -287,6 +390,7 @@
         return;
     }
     unsent_bytes_ -= unsent_.front().size();
+    account_.release(unsent_.front().size());
     unsent_.pop_front();
     if (!unsent_.empty()) {
         write_next();
@@ -300,7 +404,7 @@
 
 void http_session::exchange_done()
 {
-    if (body_unread_) {
+    if (input_unread_) {
         discard_then_shut();
         return;
     }
@@ -308,27 +412,21 @@
         shut();
         return;
     }
-    stream_.socket().cancel();
-    read_header();
+    begin_request();
+    if (reader_.has_input()) {
+        continue_request(reader_.parse());
+    }
 }
 
 void http_session::discard_then_shut()
 {
     // Closing a socket with unread bytes resets the connection, and the client may lose the response.
+    enter(state::discarding);
     error_code ignored;
     // NOLINTNEXTLINE(bugprone-unused-return-value): a disconnected client is detected by the next read
-    stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    buffer_.clear();
-    stream_.expires_after(limits_.write_timeout);
-    stream_.async_read_some(buffer_.prepare(discard_chunk_bytes),
-                            [self = shared_from_this()](error_code failure, std::size_t bytes) {
-                                self->discarded_ += bytes;
-                                if (failure || self->discarded_ > self->limits_.max_body_bytes) {
-                                    self->shut();
-                                    return;
-                                }
-                                self->discard_then_shut();
-                            });
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    set_read_timeout(discard_time);
+    read();
 }
 
 void http_session::schedule_comment()
@@ -347,11 +445,13 @@
 void http_session::shut()
 {
     state_ = state::closed;
-    body_.release();
     comment_timer_.cancel();
+    read_timer_.cancel();
+    reader_.discard();
+    account_.close();
     error_code ignored;
     // NOLINTNEXTLINE(bugprone-unused-return-value): the connection is closed in any case
-    stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     stream_.close();
 }
 
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -1,20 +1,18 @@
 #pragma once
 
-#include "http/body_budget.h"
+#include "http/caller_account.h"
 #include "http/http_limits.h"
 #include "http/http_request.h"
+#include "http/request_reader.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
+#include <string_view>
 
 namespace dragonflymill::http {
 
@@ -27,8 +25,8 @@
     std::function<void(const std::shared_ptr<http_session>&, http_request)> on_request;
     /// Called once for a request whose client disconnected before `respond` or `close_events` was called.
     std::function<void(std::uint64_t exchange)> on_caller_left;
-    /// Returns the response to a request whose body exceeds the body budget; if empty, a default 503 response
-    /// is sent.
+    /// Returns the response to a request for which there is no memory; if empty, a default 503 response is
+    /// sent.
     std::function<http_response()> on_no_room{};
 };
 
@@ -38,17 +36,15 @@
 class http_session : public std::enable_shared_from_this<http_session>
 {
 public:
-    /// Takes ownership of an accepted connection. `numbers` is the shared exchange counter of the server;
-    /// `bodies` is the shared body budget.
+    /// Takes ownership of an accepted connection. `numbers` is the shared exchange counter of the server.
     http_session(boost::asio::ip::tcp::socket socket, const http_limits& limits,
-                 const request_handlers& handlers, std::shared_ptr<std::uint64_t> numbers,
-                 std::shared_ptr<body_budget> bodies);
+                 const request_handlers& handlers, std::shared_ptr<std::uint64_t> numbers);
     ~http_session() = default;
     http_session(const http_session&) = delete;
     auto operator=(const http_session&) -> http_session& = delete;
 
-    /// Starts reading the first request.
-    void start();
+    /// Starts reading the first request. Returns false if `budget` has no place for the connection.
+    [[nodiscard]] auto start(std::shared_ptr<caller_budget> budget) -> bool;
     /// Sends 503 and closes without reading a request; used when too many connections are open.
     void refuse_connection();
 
@@ -74,18 +70,24 @@
         waiting,
         streaming,
         closing,
+        discarding,
         closed
     };
 
-    void read_header();
-    void on_header(boost::system::error_code failure);
-    void on_body(boost::system::error_code failure);
-    void reject_unreadable(boost::system::error_code failure);
-    [[nodiscard]] auto claim_body() -> bool;
-    void refuse_body();
+    void enter(state next);
+    void on_evicted();
+    void begin_request();
+    void read();
+    void on_readable();
+    void take_input(std::string_view bytes);
+    void continue_request(request_state found);
+    void on_head_done();
+    void reject(const http_response& response);
+    void refuse_for_memory();
+    void set_read_timeout(duration timeout);
+    void on_read_timeout();
     void discard_then_shut();
     void hand_over();
-    void watch_for_close();
     void caller_left();
     void write_out(std::string bytes, bool last);
     void write_next();
@@ -96,12 +98,13 @@
 
     boost::beast::tcp_stream stream_;
     boost::asio::steady_timer comment_timer_;
+    boost::asio::steady_timer read_timer_;
     const http_limits& limits_;
     const request_handlers& handlers_;
     std::shared_ptr<std::uint64_t> numbers_;
-    body_claim body_;
-    boost::beast::flat_buffer buffer_;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+    caller_account account_;
+    request_reader reader_{account_};
+    std::size_t request_claimed_ = 0; // for the request that is being handled
     std::deque<std::string> unsent_;
     std::size_t unsent_bytes_ = 0;
     std::uint64_t exchange_ = 0;
@@ -110,7 +113,9 @@
     bool last_queued_ = false;
     bool keep_alive_ = false;
     bool stopping_ = false;
-    bool body_unread_ = false; // discard the rest of the request before closing, see discard_then_shut
+    bool reading_ = false;
+    bool head_seen_ = false;
+    bool input_unread_ = false; // discard the rest of the request before closing, see discard_then_shut
     std::size_t discarded_ = 0;
 };
 
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -27,14 +27,16 @@
     schema.size({"limits", "max_header", "largest header of a request"}, target.max_header,
                 {kibibyte, mebibyte});
     schema.size({"limits", "max_body", "largest body of a request"}, target.max_body, {kibibyte, gibibyte});
-    schema.size(
-        {"limits", "max_bodies", "bodies of all requests in hand together; further requests are refused"},
-        target.max_bodies, {kibibyte, 64 * gibibyte});
+    schema.size({"limits", "max_bodies",
+                 "memory held for callers: heads, bodies, unsent answers, connections; incomplete requests "
+                 "give way, then further ones are refused"},
+                target.max_bodies, {kibibyte, 64 * gibibyte});
     schema.rule({"limits", "max_bodies", "a body of the largest size allowed would never be taken",
                  "make it at least limits.max_body",
                  [&target] { return target.max_bodies >= target.max_body; }});
-    schema.count({"limits", "max_connections", "open connections of callers"}, target.max_connections,
-                 {1, 1'000'000});
+    schema.count({"limits", "max_connections",
+                  "open connections of callers; the longest idle one gives way to another"},
+                 target.max_connections, {1, 1'000'000});
 }
 
 void bind_rings(settings_schema& schema, gateway_rings& target)
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -20,7 +20,7 @@
 {
     std::uint64_t max_header = 16U << 10U; ///< Maximum size of a request header in bytes.
     std::uint64_t max_body = 16U << 20U;   ///< Maximum size of a request body in bytes.
-    std::uint64_t max_bodies = 96U << 20U; ///< Maximum total size of the bodies of all requests in flight.
+    std::uint64_t max_bodies = 96U << 20U; ///< Maximum memory held for clients in bytes.
     std::uint64_t max_connections = 4096;  ///< Maximum number of open client connections.
 
     friend auto operator==(const caller_limits&, const caller_limits&) -> bool = default;
