Bound callers' connections by the descriptors that the process may open

limits.max_connections is 4,096 by default whatever the system allows the process; with fewer descriptors, callers took those of sidecars and the control plane. The bound is now the smaller of the setting and what the system allows less 512, or half of it. The allocator returns large blocks at once here too. Found by reading; not shown by a test.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -7,10 +7,13 @@
 #include "gateway/gateway_server.h"
 #include "http/http_server.h"
 #include "log/logger.h"
+#include "runtime/allocator.h"
 #include "runtime/clock.h"
+#include "runtime/descriptors.h"
 #include "runtime/io_thread.h"
 #include "runtime/text_file.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -35,7 +38,8 @@
     limits.max_header_bytes = settings.limits.max_header;
     limits.max_body_bytes = settings.limits.max_body;
     limits.max_bodies_bytes = settings.limits.max_bodies;
-    limits.max_connections = settings.limits.max_connections;
+    limits.max_connections =
+        std::min<std::size_t>(settings.limits.max_connections, runtime::descriptors_for_callers());
     limits.header_timeout = settings.timeouts.header;
     limits.body_timeout = settings.timeouts.body;
     limits.idle_timeout = settings.timeouts.idle;
@@ -231,6 +235,7 @@
         std::fprintf(stderr, "%s\n", failure.text().c_str());
         return exit_failed;
     };
+    runtime::return_large_blocks_at_once();
     const auto log = logger::start(settings.log);
     if (!log) {
         return fail(log.error());
