Send responses whole though their caller's connection can't go on

Found in the review of the sessions that claim memory: a connection whose input had been discarded was closed at once after its response, with what was unsent of it; and a complete response that its caller was slow to read counted as nothing to lose when another connection needed the place. Such a connection now ends once its response is sent, at the latest after the idle time, and gives way last. A refusal isn't written between the parts of a queued one.

--- a/include/dragonflymill/overload/caller_budget.h
+++ b/include/dragonflymill/overload/caller_budget.h
@@ -25,6 +25,7 @@
     idle,       ///< Between requests.
     receiving,  ///< Part of a request has arrived.
     responding, ///< A complete request is being handled.
+    flushing,   ///< Its response is complete, but the caller hasn't read all of it.
     closing,    ///< Its last response has been sent; what still arrives is discarded.
 };
 
@@ -74,7 +75,8 @@
     [[nodiscard]] auto limits() const -> const caller_budget_limits& { return limits_; }
 
     /// Adds a connection. When all places are taken, the connection that has been idle for longest gives way,
-    /// or without an idle one the incomplete request with least progress. Nothing: there is no place.
+    /// or without an idle one the incomplete request with least progress, or else the response that has been
+    /// unread for longest. Nothing: there is no place.
     [[nodiscard]] auto open(instant now, eviction_handler on_evicted) -> std::optional<caller_id>;
     /// Removes a connection and releases what it holds. Does nothing if it isn't known.
     void close(caller_id caller);
--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -38,6 +38,7 @@
     set_socket_options(socket_);
     out_.on_done([this](bool broken) {
         (void)claim_output();
+        update_account_phase();
         if (broken) {
             close();
         }
@@ -62,10 +63,20 @@
 void caller_session::enter(phase next)
 {
     phase_ = next;
-    account_.set_phase(next == phase::idle         ? caller_phase::idle
-                       : next == phase::reading    ? caller_phase::receiving
-                       : next == phase::responding ? caller_phase::responding
-                                                   : caller_phase::closing);
+    update_account_phase();
+}
+
+void caller_session::update_account_phase()
+{
+    const bool is_done = phase_ == phase::idle || phase_ == phase::lingering;
+    if (is_done && out_.unsent_bytes() > 0) {
+        account_.set_phase(caller_phase::flushing);
+        return;
+    }
+    account_.set_phase(phase_ == phase::idle         ? caller_phase::idle
+                       : phase_ == phase::reading    ? caller_phase::receiving
+                       : phase_ == phase::responding ? caller_phase::responding
+                                                     : caller_phase::closing);
 }
 
 void caller_session::on_evicted()
@@ -137,8 +148,7 @@
 
 void caller_session::continue_request(request_state state)
 {
-    // Memory that this request claimed may have evicted others, but never itself.
-    if (phase_ == phase::idle && (reader_.has_begun() || state == request_state::complete)) {
+    if (phase_ == phase::idle && state == request_state::incomplete && reader_.has_begun()) {
         enter(phase::reading);
         request_began_ = runtime::now();
         set_timeout(handler_.limits().header_time);
@@ -165,7 +175,7 @@
         refuse_for_memory();
         return;
     case request_state::input_lost:
-        close();
+        end_after_response();
         return;
     }
 }
@@ -204,7 +214,8 @@
                                   {"Content-Length", std::to_string(body.size())}});
     text.append("\r\n").append(body);
     boost::system::error_code failed;
-    const std::size_t written = socket_.write_some(asio::buffer(text), failed);
+    const bool can_write = out_.unsent_bytes() == 0;
+    const std::size_t written = can_write ? socket_.write_some(asio::buffer(text), failed) : 0;
     if (failed || written < text.size()) {
         close();
         return;
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -96,6 +96,8 @@
     };
 
     void enter(phase next);
+    /// Tells the account what the connection does, for the order in which connections give way.
+    void update_account_phase();
     void on_evicted();
     void begin_request();
     void read();
@@ -108,6 +110,8 @@
     void refuse_for_memory();
     void dispatch();
     void finish_response();
+    /// Closes the connection once its response is sent.
+    void end_after_response();
     void write(std::string_view bytes);
     [[nodiscard]] auto claim_output() -> bool;
     void set_timeout(duration timeout);
--- a/src/edge/caller_session_response.cpp
+++ b/src/edge/caller_session_response.cpp
@@ -91,11 +91,7 @@
     account_.release(std::exchange(request_claimed_, 0));
     release_response();
     if (!keep_alive_) {
-        reader_.discard();
-        enter(phase::lingering);
-        if (out_.unsent_bytes() == 0) {
-            close_gracefully();
-        }
+        end_after_response();
         return;
     }
     enter(phase::idle);
@@ -108,6 +104,17 @@
     });
 }
 
+void caller_session::end_after_response()
+{
+    reader_.discard();
+    enter(phase::lingering);
+    if (out_.unsent_bytes() == 0) {
+        close_gracefully();
+        return;
+    }
+    set_timeout(handler_.limits().idle_time); // a caller may never read its response
+}
+
 auto caller_session::claim_response(std::size_t bytes) -> bool
 {
     if (!account_.claim(bytes)) {
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -186,7 +186,7 @@
         refuse_for_memory();
         return;
     case request_state::input_lost:
-        shut();
+        discard_then_shut();
         return;
     case request_state::head_too_large:
         reject(unreadable_response(beast::http::error::header_limit, limits_));
--- a/src/overload/caller_budget.cpp
+++ b/src/overload/caller_budget.cpp
@@ -140,9 +140,19 @@
 
 auto caller_budget::next_for_connection(instant now) -> caller_map::iterator
 {
-    // Connections that are about to be closed go first, then idle ones: nothing is lost with them.
     const auto rank = [](caller_phase phase) {
-        return phase == caller_phase::closing ? 0 : phase == caller_phase::idle ? 1 : 2;
+        switch (phase) {
+        case caller_phase::closing:
+            return 0;
+        case caller_phase::idle:
+            return 1;
+        case caller_phase::receiving:
+            return 2;
+        case caller_phase::flushing:
+        case caller_phase::responding:
+            break;
+        }
+        return 3;
     };
     auto next = callers_.end();
     std::tuple<int, std::size_t, instant> next_key;
--- a/tests/overload/caller_budget_test.cpp
+++ b/tests/overload/caller_budget_test.cpp
@@ -156,6 +156,21 @@
     cr_assert(callers.evicted.empty() && callers.budget.counts().connections_refused == 1);
 }
 
+// Guards against callers who don't read their answers and take all places, and against the loss of such an
+// answer while another connection can give way.
+Test(caller_budget, unread_responses_give_way_last)
+{
+    recorded_budget callers({1'000 * kibibyte, 2});
+    const auto unread = callers.open_receiving(200 * kibibyte, start);
+    callers.budget.set_phase(unread, caller_phase::flushing, start);
+    const auto receiving = callers.open_receiving(kibibyte, start + 1s);
+    const auto late = callers.open(start + 2s);
+    cr_assert(callers.evicted == std::vector{receiving});
+    callers.budget.set_phase(late, caller_phase::responding, start + 2s);
+    cr_assert(callers.open(start + 3s) != 0);
+    cr_assert(callers.evicted.back() == unread);
+}
+
 // Guards against a count that differs from what is held, and against a total above the limit.
 Test(caller_budget, counts_what_is_held_and_stays_within_its_limits)
 {
@@ -219,7 +234,7 @@
                                 }
                                 else {
                                     const auto id = some();
-                                    phases[id] = static_cast<caller_phase>(random.below(4));
+                                    phases[id] = static_cast<caller_phase>(random.below(5));
                                     budget.set_phase(id, phases[id], now);
                                 }
                                 std::size_t total = 0;
