Read nothing behind a gap in a caller's input

Input that a caller sends ahead is kept up to 16 KiB and discarded beyond. Bytes that came between the end of the response and the next look at the kept input were appended to it, across the gap: a request could have been put together from what no caller sent as one. They are now discarded too, what was kept whole is served, and the connection ends.

request_reader/nothing_is_read_behind_a_gap fails without the change; test_http 18 of 18 with it.

--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -33,6 +33,10 @@
 auto request_reader::receive(std::string_view bytes) -> request_state
 {
     account_.received(bytes.size());
+    if (input_lost_) {
+        // What arrives behind a gap must not be joined to what was kept before it.
+        return receive_ahead(bytes) ? parse() : request_state::input_lost;
+    }
     if (!input_.empty()) {
         return keep_input(bytes) ? parse() : request_state::no_memory;
     }
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -146,6 +146,19 @@
     }
 }
 
+// Guards against bytes behind discarded input that are joined to those before it and read as a request.
+Test(request_reader, nothing_is_read_behind_a_gap)
+{
+    lone_reader one;
+    cr_assert(one.reader.receive(std::string(head) + "\r\n") == request_state::complete);
+    one.account.release(one.reader.take().held);
+    one.begin();
+    const std::string opening = std::string(head) + "Content-Length: 20000\r\n\r\n";
+    cr_assert(one.reader.receive_ahead(opening + std::string(20'000, 'x')));
+    cr_assert(one.reader.receive(std::string(head) + "\r\n") == request_state::input_lost);
+    cr_assert(one.reader.receive(std::string(20'000, 'y')) == request_state::input_lost);
+}
+
 // Guards against input sent ahead that is kept without a bound, or read as what it isn't behind a gap.
 Test(request_reader, keeps_little_of_what_is_sent_ahead)
 {
