Release an evicted connection's descriptor at once

An incomplete request that gave way to a new connection got 503 and then lingered for a second (two with sidecars), though its place was taken already: callers that open connections fast held more descriptors than the bound allows. It is now closed after the refusal, which the reset may overtake; a closed connection promises nothing.

--- a/src/edge/caller_session.cpp
+++ b/src/edge/caller_session.cpp
@@ -46,9 +46,9 @@
             close_gracefully();
         }
     });
-    const bool opened = account_.open(handler_.budget(), [weak = weak_from_this()](caller_eviction) {
+    const bool opened = account_.open(handler_.budget(), [weak = weak_from_this()](caller_eviction why) {
         if (const auto self = weak.lock()) {
-            self->on_evicted();
+            self->on_evicted(why);
         }
     });
     if (!opened) {
@@ -79,13 +79,19 @@
                                                      : caller_phase::closing);
 }
 
-void caller_session::on_evicted()
+void caller_session::on_evicted(caller_eviction why)
 {
-    if (phase_ == phase::reading) {
+    if (phase_ != phase::reading) {
+        close();
+    }
+    else if (why == caller_eviction::memory) {
         refuse_for_memory();
-        return;
     }
-    close();
+    else {
+        // Its descriptor is needed now: the refusal may be lost with the reset that unread input causes.
+        (void)write_refusal();
+        close();
+    }
 }
 
 void caller_session::begin_request()
@@ -205,6 +211,17 @@
     reader_.discard();
     account_.release(std::exchange(request_claimed_, 0));
     enter(phase::lingering);
+    if (write_refusal()) {
+        close_gracefully();
+    }
+    else {
+        close();
+    }
+}
+
+auto caller_session::write_refusal() -> bool
+{
+    keep_alive_ = false;
     // Written past the queue, as there may be no memory for it. The request hasn't run and never will.
     const std::string body = boost::json::serialize(http::error_body(
         to_string(refusal_code::overloaded), ran_state::no, retry_after_eviction, "come back"));
@@ -216,11 +233,7 @@
     boost::system::error_code failed;
     const bool can_write = out_.unsent_bytes() == 0;
     const std::size_t written = can_write ? socket_.write_some(asio::buffer(text), failed) : 0;
-    if (failed || written < text.size()) {
-        close();
-        return;
-    }
-    close_gracefully();
+    return !failed && written == text.size();
 }
 
 void caller_session::dispatch()
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -98,7 +98,7 @@
     void enter(phase next);
     /// Tells the account what the connection does, for the order in which connections give way.
     void update_account_phase();
-    void on_evicted();
+    void on_evicted(caller_eviction why);
     void begin_request();
     void read();
     void on_readable();
@@ -108,6 +108,8 @@
     void on_head_done();
     void reject(unsigned status, std::string_view reason);
     void refuse_for_memory();
+    /// Sends 503 if the socket takes it at once; returns whether it did.
+    [[nodiscard]] auto write_refusal() -> bool;
     void dispatch();
     void finish_response();
     /// Closes the connection once its response is sent.
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -43,9 +43,9 @@
     error_code ignored;
     // NOLINTNEXTLINE(bugprone-unused-return-value): a broken socket is noticed by the first read
     stream_.socket().non_blocking(true, ignored);
-    const bool opened = account_.open(std::move(budget), [weak = weak_from_this()](caller_eviction) {
+    const bool opened = account_.open(std::move(budget), [weak = weak_from_this()](caller_eviction why) {
         if (const auto self = weak.lock()) {
-            self->on_evicted();
+            self->on_evicted(why);
         }
     });
     if (opened) {
@@ -84,13 +84,19 @@
     }
 }
 
-void http_session::on_evicted()
+void http_session::on_evicted(caller_eviction why)
 {
-    if (state_ == state::reading && reader_.has_begun()) {
+    if (state_ != state::reading || !reader_.has_begun()) {
+        shut();
+    }
+    else if (why == caller_eviction::memory) {
         refuse_for_memory();
-        return;
     }
-    shut();
+    else {
+        // Its descriptor is needed now: the refusal may be lost with the reset that unread input causes.
+        (void)write_refusal();
+        shut();
+    }
 }
 
 void http_session::begin_request()
@@ -225,6 +231,16 @@
     keep_alive_ = false;
     reader_.discard();
     account_.release(std::exchange(request_claimed_, 0));
+    if (write_refusal()) {
+        discard_then_shut();
+    }
+    else {
+        shut();
+    }
+}
+
+auto http_session::write_refusal() -> bool
+{
     // Written past the queue, as there may be no memory for it. The request hasn't run and never will.
     const std::string text = response_text(
         handlers_.on_no_room ? handlers_.on_no_room()
@@ -232,11 +248,7 @@
         false);
     error_code failure;
     const std::size_t written = writing_ ? 0 : stream_.socket().write_some(asio::buffer(text), failure);
-    if (failure || written < text.size()) {
-        shut();
-        return;
-    }
-    discard_then_shut();
+    return !failure && written == text.size();
 }
 
 void http_session::set_read_timeout(duration timeout)
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -75,7 +75,7 @@
     };
 
     void enter(state next);
-    void on_evicted();
+    void on_evicted(caller_eviction why);
     void begin_request();
     void read();
     void on_readable();
@@ -84,6 +84,8 @@
     void on_head_done();
     void reject(const http_response& response);
     void refuse_for_memory();
+    /// Sends 503 if the socket takes it at once; returns whether it did.
+    [[nodiscard]] auto write_refusal() -> bool;
     void set_read_timeout(duration timeout);
     void on_read_timeout();
     void discard_then_shut();
--- a/tests/edge/caller_limits_test.cpp
+++ b/tests/edge/caller_limits_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway_fixture.h"
 
+#include <filesystem>
+
 using namespace dragonflymill;
 using namespace dragonflymill::edge;
 
@@ -13,6 +15,11 @@
            fields + "\r\n" + body;
 }
 
+auto own_descriptors() -> std::ptrdiff_t
+{
+    return std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {});
+}
+
 } // namespace
 
 // Guards against a body that is waited for byte by byte after the request's own deadline.
@@ -66,3 +73,26 @@
                   fixture.received.ends_with("\r\n\r\n" + answer),
               "%zu bytes", fixture.received.size());
 }
+
+// Guards against descriptors of evicted connections that stay open while new ones take their places.
+Test(caller_limits, evicted_connection_releases_its_descriptor)
+{
+    constexpr int callers = 40;
+    gateway_fixture fixture;
+    fixture.settings.capacity.connections = 2;
+    fixture.start();
+    const std::ptrdiff_t at_rest = own_descriptors();
+    std::vector<boost::asio::ip::tcp::socket> incomplete;
+    for (int count = 0; count < callers; ++count) {
+        auto& socket = incomplete.emplace_back(fixture.loop);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.gateway->caller_port()});
+        boost::asio::write(socket, boost::asio::buffer(request_of("Content-Length: 9\r\n", "x")));
+        const auto taken = [&] { return fixture.gateway->budget()->held() > 2 * 4 * kibibyte; };
+        fixture.run_until(taken);
+        fixture.loop.run_for(std::chrono::milliseconds(2));
+    }
+    const auto evicted = fixture.gateway->budget()->counts().evicted_for_connections;
+    cr_assert(evicted >= callers - 2, "%d evicted", static_cast<int>(evicted));
+    // The test holds the other end of each connection.
+    cr_assert(own_descriptors() - at_rest <= callers + 4, "%td descriptors", own_descriptors() - at_rest);
+}
