Count and log evictions of the readiness and metrics ports

Their budgets decided unseen: nothing read their counts. callers_evicted now names the port, and the counters hold the sums of all three. test_edge and the crowds at these ports pass.

--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -93,8 +93,10 @@
              }},
             settings_.capacity.peer_fetches)
     , callers_(loop, timers_, metrics_, [this](tcp::socket socket) { start_session(std::move(socket)); })
-    , ready_port_(loop, timers_, {platform_.names.ready_path, [this] { return ready(); }, metrics_})
-    , metrics_port_(loop, timers_, {platform_.names.ready_path, [this] { return ready(); }, metrics_})
+    , ready_port_("readiness", loop, timers_,
+                  {platform_.names.ready_path, [this] { return ready(); }, metrics_})
+    , metrics_port_("metrics", loop, timers_,
+                    {platform_.names.ready_path, [this] { return ready(); }, metrics_})
     , signals_(loop, SIGTERM, SIGINT, SIGHUP)
     , budget_(std::make_shared<caller_budget>(
           caller_budget_limits{settings_.capacity.memory_bytes, settings_.capacity.connections}))
@@ -359,6 +361,10 @@
     speed_log_.update(fleet_, dispatcher_.speeds(), metrics_, now);
     quarantine_log_.update(dispatcher_.quarantine(), metrics_, now);
     budget_log_.update(*budget_, metrics_, now);
+    metrics_.caller_memory.set(static_cast<std::int64_t>(budget_->held()));
+    metrics_.caller_connections.set(static_cast<std::int64_t>(budget_->connections()));
+    ready_port_.publish(metrics_, now);
+    metrics_port_.publish(metrics_, now);
     if (!stopping_) {
         reports_->tick(now);
     }
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -175,7 +175,7 @@
     status_port metrics_port_;
     boost::asio::signal_set signals_;
     std::shared_ptr<caller_budget> budget_;
-    caller_budget_log budget_log_;
+    caller_budget_log budget_log_{"callers"};
     std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
     std::string incarnation_name_;
--- a/src/edge/status_port.cpp
+++ b/src/edge/status_port.cpp
@@ -12,7 +12,8 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-status_port::status_port(asio::io_context& loop, loop_timers& timers, status_pages::sources shown)
+status_port::status_port(const char* name, asio::io_context& loop, loop_timers& timers,
+                         status_pages::sources shown)
     : loop_(loop)
     , timers_(timers)
     , pages_(std::move(shown),
@@ -20,6 +21,7 @@
                  // Deferred: the session that has ended is still on the call stack.
                  asio::post(loop_, [this, ended = session->shared_from_this()] { sessions_.erase(ended); });
              })
+    , log_(name)
     , acceptor_(loop)
 {
 }
--- a/src/edge/status_port.h
+++ b/src/edge/status_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/error.h"
+#include "edge/caller_budget_log.h"
 #include "edge/caller_session.h"
 #include "edge/loop_timers.h"
 #include "edge/status_pages.h"
@@ -18,12 +19,14 @@
 class status_port
 {
 public:
-    status_port(boost::asio::io_context& loop, loop_timers& timers, status_pages::sources shown);
+    /// `name` is that of the port in the log.
+    status_port(const char* name, boost::asio::io_context& loop, loop_timers& timers,
+                status_pages::sources shown);
 
     /// Listens on an address and starts to accept.
     [[nodiscard]] auto open(const socket_address& address) -> result<void>;
-    /// Counts of what the port's budget has decided.
-    [[nodiscard]] auto counts() const -> const caller_budget_counts& { return pages_.budget()->counts(); }
+    /// Publishes what the port's budget has decided.
+    void publish(gateway_metrics& metrics, instant now) { log_.update(*pages_.budget(), metrics, now); }
 
 private:
     void accept();
@@ -31,6 +34,7 @@
     boost::asio::io_context& loop_;
     loop_timers& timers_;
     status_pages pages_;
+    caller_budget_log log_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
 };
