Let the crowd of late bodies send a byte every half second

bodies_outlast_their_deadline sent one byte and stopped, so it didn't show what its name says: a body that still arrives after its request's deadline. It is stricter now; 20 members, the deadline and the check are as they were.

--- a/tests/crowd/caller_crowd.cpp
+++ b/tests/crowd/caller_crowd.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <string_view>
 
@@ -25,6 +26,7 @@
 public:
     member(boost::asio::io_context& loop, std::shared_ptr<const crowd_message> message)
         : socket_(loop)
+        , pause_(loop)
         , message_(std::move(message))
     {
     }
@@ -58,6 +60,7 @@
     {
         boost::system::error_code ignored;
         socket_.close(ignored);
+        ended_ = true;
     }
 
 private:
@@ -79,6 +82,10 @@
             }
             ++part_;
             offset_ = 0;
+            if (message_->pause.count() > 0) {
+                write_after_pause();
+                return;
+            }
         }
         const std::string_view bytes = rest();
         socket_.async_write_some(boost::asio::buffer(bytes.data(), bytes.size()),
@@ -93,6 +100,16 @@
                                  });
     }
 
+    void write_after_pause()
+    {
+        pause_.expires_after(message_->pause);
+        pause_.async_wait([self = shared_from_this()](const auto& cancelled) {
+            if (!cancelled && !self->ended_) {
+                self->write();
+            }
+        });
+    }
+
     void read()
     {
         socket_.async_read_some(boost::asio::buffer(buffer_),
@@ -106,6 +123,7 @@
     }
 
     tcp::socket socket_;
+    boost::asio::steady_timer pause_;
     std::shared_ptr<const crowd_message> message_;
     std::array<char, 4096> buffer_{};
     std::size_t part_ = 0;
--- a/tests/crowd/caller_crowd.h
+++ b/tests/crowd/caller_crowd.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,11 +17,12 @@
     std::string piece{};
     std::size_t pieces = 0;
     std::string tail{};
-    bool reads = true; ///< Whether the member reads what it receives.
+    bool reads = true;                  ///< Whether the member reads what it receives.
+    std::chrono::milliseconds pause{0}; ///< Time between two pieces.
 };
 
-/// Clients that send the same bytes on a connection each and stay until they are told to leave. Their writes
-/// don't block, so one whose server has stopped to read waits without holding up the others.
+/// Clients that send the same bytes on a connection each and stay connected until `leave`. Their writes don't
+/// block: one whose server doesn't read waits without delaying the others.
 class caller_crowd
 {
 public:
--- a/tests/crowd/crowd_gateway.cpp
+++ b/tests/crowd/crowd_gateway.cpp
@@ -26,7 +26,7 @@
 /// Descriptors by which a process at rest may differ: a watch of the store, a check of an upstream.
 constexpr std::size_t descriptor_slack = 16;
 
-/// A port of `ip` that is free; none of those that the system hands out by itself.
+/// A free port of `ip`, outside the range of ephemeral ports.
 auto free_port(boost::asio::io_context& loop, const boost::asio::ip::address& ip, std::uint16_t begin)
     -> std::uint16_t
 {
--- a/tests/crowd/direct_crowd_test.cpp
+++ b/tests/crowd/direct_crowd_test.cpp
@@ -135,12 +135,15 @@
                 {crowd_gateway::request_head() + chunked + "0\r\n", "x: yyyyyyyyyy\r\n", 13'000});
 }
 
-// Guards against a body that goes on arriving, byte by byte, when its own request has run out of time.
+// Guards against a body that still arrives byte by byte after the deadline of its request.
 Test(direct_crowd, bodies_outlast_their_deadline, .timeout = 250)
 {
     crowd_gateway gateway({});
     caller_crowd crowd(gateway.loop(), gateway.callers(), 20,
-                       {crowd_gateway::request_head("/book/x", "1000") + length_of(kibibyte), "x", 1});
+                       {.head = crowd_gateway::request_head("/book/x", "1000") + length_of(kibibyte),
+                        .piece = "x",
+                        .pieces = kibibyte - 1,
+                        .pause = std::chrono::milliseconds(500)});
     cr_assert(crowd.all_ended(), "bodies are waited for though nobody waits for their answers");
     gateway.check_released();
 }
