--- a/include/dragonflymill/overload/caller_budget.h
+++ b/include/dragonflymill/overload/caller_budget.h
@@ -62,7 +62,8 @@
 public:
     using caller_id = std::uint64_t;
     /// Called when a connection must give way. Everything that the connection holds counts as released, and
-    /// must be freed before the call returns. Must not call the budget, other than `release`.
+    /// must be freed before the call returns. May call `release`, `close` and `set_phase` of the budget,
+    /// and nothing else.
     using eviction_handler = std::function<void(caller_eviction)>;
 
     explicit caller_budget(caller_budget_limits limits)
@@ -103,7 +104,7 @@
 
     /// A connection that holds no more than this is small.
     static constexpr std::size_t small_bytes = 65'536;
-    /// One part in so many of the memory is left to small connections.
+    /// Divisor of the memory: this part of it can only be claimed by small connections.
     static constexpr std::size_t small_share = 8;
     /// Progress is what was received in the current interval of this length and the one before.
     static constexpr duration progress_interval = 1s;
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -96,7 +96,7 @@
     };
 
     void enter(phase next);
-    /// Tells the account what the connection does, for the order in which connections give way.
+    /// Sets the account's phase, which decides the order of evictions.
     void update_account_phase();
     void on_evicted(caller_eviction why);
     void begin_request();
