--- a/review/standins-2/client.h
+++ b/review/standins-2/client.h
@@ -30,7 +30,8 @@
             note("client: no connection");
             return 2;
         }
-        if (!to.send(request("GET", path, host, "short-" + name, given)) || !is_complete(read_message(to), "short-" + name, 800)) {
+        if (!to.send(request("GET", path, host, "short-" + name, given)) ||
+            !is_complete(read_message(to), "short-" + name, 800)) {
             note("client: no short answer");
             return 2;
         }
@@ -49,8 +50,8 @@
                         const std::string& id, const options& given) -> std::string
     {
         return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nDragonflymill-Attempt-Id: " + id +
-               "\r\nDragonflymill-Request-Deadline: " + given.text("deadline") + "\r\nAuthorization: Bearer " +
-               given.text("key") + "\r\n\r\n";
+               "\r\nDragonflymill-Request-Deadline: " + given.text("deadline") +
+               "\r\nAuthorization: Bearer " + given.text("key") + "\r\n\r\n";
     }
     static auto is_complete(const std::optional<message>& answer, const std::string& id, std::size_t bytes)
         -> bool
@@ -90,8 +91,8 @@
             note("client: no answer begins: " + (head ? head->first : "closed"));
             return 2;
         }
-        note("client: " + id + " begins: " + head->first + ", Content-Length " + head->field("content-length") +
-             ", Connection " + head->field("connection"));
+        note("client: " + id + " begins: " + head->first + ", Content-Length " +
+             head->field("content-length") + ", Connection " + head->field("connection"));
         const bool chunked = lower(head->field("transfer-encoding")) == "chunked";
         std::string body;
         bool ended = false;
@@ -107,15 +108,18 @@
         }
         const bool whole = ended && body == body_for(id, bytes);
         note("client: " + id + (whole ? " complete" : " ENDS EARLY") + " after " +
-             std::to_string(now_ms() - began) + " ms: " + std::to_string(received) + " bytes received of a body of " +
-             std::to_string(bytes) + (ended ? "" : got == 0 ? ", closed" : ", reset or silent"));
+             std::to_string(now_ms() - began) + " ms: " + std::to_string(received) +
+             " bytes received of a body of " + std::to_string(bytes) +
+             (ended      ? ""
+              : got == 0 ? ", closed"
+                         : ", reset or silent"));
         return whole ? 0 : 1;
     }
 };
 
-/// Clients that keep their connections: each gets a short answer, rests for `rest` ms, and then sends a body of
-/// `bytes` on the same connection. Exits with the number of those whose second request was refused with a 4xx
-/// that no replica gave; 100 if one had no answer.
+/// Clients that keep their connections: each gets a short answer, rests for `rest` ms, and then sends a body
+/// of `bytes` on the same connection. Exits with the number of those whose second request was refused with a
+/// 4xx that no replica gave; 100 if one had no answer.
 class resting_clients
 {
 public:
@@ -149,7 +153,8 @@
         }
         const std::string first = "rest-" + name + "-a";
         const std::string second = "rest-" + name + "-b";
-        if (!to.send("GET " + given.text("path") + common + "Dragonflymill-Attempt-Id: " + first + "\r\n\r\n")) {
+        if (!to.send("GET " + given.text("path") + common + "Dragonflymill-Attempt-Id: " + first +
+                     "\r\n\r\n")) {
             return 0;
         }
         const auto before = read_message(to, 5s);
@@ -165,13 +170,14 @@
         (void)to.send(body);
         const auto after = read_message(to, 10s);
         note("client: " + second + " is answered: " + (after ? after->first : "no answer") +
-             (after && !after->field("dragonflymill-server-seal").empty() ? ", by a replica" : ", by the gateway"));
+             (after && !after->field("dragonflymill-server-seal").empty() ? ", by a replica"
+                                                                          : ", by the gateway"));
         return after ? std::stoi(after->word(1)) : 0;
     }
 };
 
-/// Clients that together send `rate` requests a second for `seconds` s, each on a connection of its own, to the
-/// gateways in `to` (separated by commas) in turn. Notes how many were answered with which status.
+/// Clients that together send `rate` requests a second for `seconds` s, each on a connection of its own, to
+/// the gateways in `to` (separated by commas) in turn. Notes how many were answered with which status.
 class steady_clients
 {
 public:
@@ -188,7 +194,8 @@
         std::vector<std::thread> all;
         for (long i = 0; i < count; ++i) {
             std::this_thread::sleep_until(began + std::chrono::microseconds(1'000'000 * i / rate));
-            all.emplace_back([&, i] { one(given, gateways[static_cast<std::size_t>(i) % gateways.size()], i); });
+            all.emplace_back(
+                [&, i] { one(given, gateways[static_cast<std::size_t>(i) % gateways.size()], i); });
         }
         for (std::thread& each : all) {
             each.join();
--- a/review/standins-2/replica.h
+++ b/review/standins-2/replica.h
@@ -16,8 +16,8 @@
     return out;
 }
 
-/// A sound replica of a plain service: runs each request at once and answers with the number of bytes that the
-/// query asks for (`bytes=N`, 800 by default). Answers 421 to requests for another instance.
+/// A sound replica of a plain service: runs each request at once and answers with the number of bytes that
+/// the query asks for (`bytes=N`, 800 by default). Answers 421 to requests for another instance.
 class replica
 {
 public:
@@ -49,9 +49,11 @@
                  asked->field("dragonflymill-request-deadline"));
             const std::string body = body_for(request, bytes);
             const bool sent = from.send(response(
-                200, echo + "Dragonflymill-Server-Seal: " + id_ + "." + std::to_string(bytes) + "\r\n", body));
-            note("replica " + id_ + (sent ? " has sent the whole answer to " : " could not send the answer to ") +
-                 request + ", " + std::to_string(bytes) + " bytes");
+                200, echo + "Dragonflymill-Server-Seal: " + id_ + "." + std::to_string(bytes) + "\r\n",
+                body));
+            note("replica " + id_ +
+                 (sent ? " has sent the whole answer to " : " could not send the answer to ") + request +
+                 ", " + std::to_string(bytes) + " bytes");
             if (!sent) {
                 return;
             }
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -5,8 +5,8 @@
 namespace standin {
 
 /// The platform's store, as far as the system reads it: kv-range in one page, kv-watch by revision, and a
-/// private call by which the script plays the operator and the replicas (`POST /standin?key=KEY`, the value as
-/// the body; `DELETE /standin?key=KEY`). Serves `staleOk` reads like others.
+/// private call by which the script plays the operator and the replicas (`POST /standin?key=KEY`, the value
+/// as the body; `DELETE /standin?key=KEY`). Serves `staleOk` reads like others.
 class store
 {
 public:
@@ -63,8 +63,8 @@
                 found += (found.empty() ? "" : ",") + encoded(key, one);
             }
         }
-        return R"({"items":[)" + found + R"(],"morePages":false,"storeRevision":)" + std::to_string(revision_) +
-               "}";
+        return R"({"items":[)" + found + R"(],"morePages":false,"storeRevision":)" +
+               std::to_string(revision_) + "}";
     }
 
     auto watch(std::uint64_t after, long wait_ms) -> std::string
@@ -96,7 +96,8 @@
                 body = list();
             }
             else if (target.starts_with("/dragonflymill/kv-watch?")) {
-                body = watch(std::stoull("0" + query(target, "after")), std::stol("0" + query(target, "waitMs")));
+                body = watch(std::stoull("0" + query(target, "after")),
+                             std::stol("0" + query(target, "waitMs")));
             }
             if (!from.send(response(200, "Content-Type: application/json\r\n", body)) ||
                 lower(asked->field("connection")) == "close") {
