--- a/review/standins-2/common.sh
+++ b/review/standins-2/common.sh
@@ -11,13 +11,11 @@
 work=$(mktemp -d)
 record=$case_dir/record.txt
 : > "$record"
-started=()
 
 # Ends all processes that this script started.
 end_all() {
-    for pid in "${started[@]:-}"; do
-        [ -n "$pid" ] && kill -CONT "$pid" 2> /dev/null
-        [ -n "$pid" ] && kill -KILL "$pid" 2> /dev/null
+    for pid in $(jobs -rp); do
+        kill -KILL "$pid" 2> /dev/null
     done
     wait 2> /dev/null
     rm -rf "$work"
@@ -58,7 +56,6 @@
 # Starts a stand-in in the background; its lines go to the record.
 play() {
     "$standin" "$@" >> "$record" 2>&1 &
-    started+=($!)
 }
 
 # Writes an item to the store: KEY, and its value from the standard input.
@@ -141,7 +138,6 @@
     run=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$repository/deploy/system.toml")
     # shellcheck disable=SC2086  # split at spaces, as the platform does
     (cd "$repository" && DRAGONFLYMILL_NODE_FILE=$work/gateway-$1.conf exec $run >> "$work/gateway-$1.log" 2>&1) &
-    started+=($!)
     eval "gateway_$1=$!"
 }
 
