--- a/review/standins-2/client.h
+++ b/review/standins-2/client.h
@@ -30,6 +30,7 @@
             note("client: no connection");
             return 2;
         }
+        note("client: short-" + name + " sent");
         if (!to.send(request("GET", path, host, "short-" + name, given)) ||
             !is_complete(read_message(to), "short-" + name, 800)) {
             note("client: no short answer");
@@ -157,11 +158,13 @@
                      "\r\n\r\n")) {
             return 0;
         }
+        note("client: " + first + " sent");
         const auto before = read_message(to, 5s);
         if (!before || before->word(1) != "200") {
             note("client: " + first + " had no answer to begin with");
             return 0;
         }
+        note("client: " + first + " is answered: " + before->first);
         std::this_thread::sleep_for(std::chrono::milliseconds(given.number("rest")));
         const std::string body(static_cast<std::size_t>(given.number("bytes")), 'b');
         note("client: " + second + " sends a body of " + std::to_string(body.size()));
@@ -213,6 +216,7 @@
     {
         connection to;
         std::string status = "none";
+        note("client: s" + std::to_string(number) + " sent to " + gateway);
         if (to.connect(gateway) &&
             to.send("GET " + given.text("path") + " HTTP/1.1\r\nHost: " + given.text("host") +
                     "\r\nDragonflymill-Attempt-Id: s" + std::to_string(number) +
@@ -221,6 +225,7 @@
             const auto answer = read_message(to, 10s);
             status = answer ? answer->word(1) : "none";
         }
+        note("client: s" + std::to_string(number) + " is answered: " + status);
         const std::lock_guard<std::mutex> lock(mutex_);
         ++answers_[status];
     }
--- a/review/standins-2/common.sh
+++ b/review/standins-2/common.sh
@@ -1,16 +1,14 @@
 # Parts that the scripts of the second review share; sourced by review/N/run.sh.
 #
-# Each script: plays the store, the replicas and the clients with stand-ins, starts the project's own program with
-# the command of the deploy file, and writes what was sent, answered and run to record.txt in its folder.
+# Each script plays the store, the replicas and the clients with stand-ins, and starts the project's own program with
+# the command of the deploy file. Before it sources this file it sets `case_dir`, its folder, and `record`, the file
+# there to which the script and its stand-ins write what was sent, answered and run.
 
 set -u
-case_dir=$(cd "$(dirname "$0")" && pwd)
 repository=$(cd "$case_dir/../.." && pwd)
 trouble=${TROUBLE:-1}
 standin=$repository/target/review-2/standin-2
 work=$(mktemp -d)
-record=$case_dir/record.txt
-: > "$record"
 
 # Ends all processes that this script started.
 end_all() {
