Don't take a failed connection for the end of a response without a length

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the system reports the reset of a connection once, to the call that comes first. send_queue writes on the socket that upstream_call reads. Where the reset is seen in the turn of the loop in which a write is due, that write gets ECONNRESET, which on_done passed over, and the next read gets an end of file, which ends a response without a length. The same holds for the end of TCP_USER_TIMEOUT and of keep-alive, and for a reset behind an orderly end, which no read reports. An orderly end while the request is still being sent was taken for the end of the response, too; in http_call as well, which has written the request into the socket's buffer by then.

Fix: the end of a connection ends a response only if the request was delivered: no write failed, none is left to do, the peer's host has acknowledged each byte (SIOCOUTQ) and no error is pending (SO_ERROR). An upstream that has taken the request acknowledges it with its last segment at the latest, so that a sound response is never withheld. A failed write no longer ends an attempt before what has already arrived is read: a response that states its end is forwarded.

--- a/src/edge/send_queue.cpp
+++ b/src/edge/send_queue.cpp
@@ -15,6 +15,7 @@
         sent_ += written;
         bytes.remove_prefix(written);
         if (failed && failed != asio::error::would_block && failed != asio::error::try_again) {
+            record_error(failed);
             return false;
         }
     }
@@ -25,6 +26,13 @@
     return true;
 }
 
+void send_queue::record_error(const boost::system::error_code& failed)
+{
+    if (!write_error_) {
+        write_error_ = failed;
+    }
+}
+
 void send_queue::wait_until_writable(const std::shared_ptr<void>& owner)
 {
     if (writing_) {
@@ -49,6 +57,7 @@
                                return;
                            }
                            clear();
+                           record_error(broken);
                            if (done_) {
                                done_(static_cast<bool>(broken));
                            }
--- a/src/edge/send_queue.h
+++ b/src/edge/send_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -34,15 +35,20 @@
     [[nodiscard]] auto held_bytes() const -> std::size_t { return queue_.empty() ? 0 : queue_.capacity(); }
     /// Drops all queued bytes.
     void clear() { std::string().swap(queue_); }
+    /// Error of the first write that failed; no error before. The system reports the end of a connection
+    /// once, so that a read may not see what a write has got.
+    [[nodiscard]] auto write_error() const -> const boost::system::error_code& { return write_error_; }
     /// Whether the socket has accepted any byte.
     [[nodiscard]] auto any_sent() const -> bool { return sent_ > 0; }
 
 private:
     void wait_until_writable(const std::shared_ptr<void>& owner);
+    void record_error(const boost::system::error_code& failed);
 
     boost::asio::ip::tcp::socket& socket_;
     std::string queue_;
     handler done_;
+    boost::system::error_code write_error_;
     std::size_t sent_ = 0;
     bool writing_ = false;
 };
--- a/src/edge/upstream_call.cpp
+++ b/src/edge/upstream_call.cpp
@@ -1,6 +1,7 @@
 #include "edge/upstream_call.h"
 
 #include "edge/socket_options.h"
+#include "http/socket_state.h"
 #include "runtime/clock.h"
 #include "settings/socket_endpoint.h"
 
@@ -60,16 +61,19 @@
     }
     set_socket_options(socket_);
     out_.on_done([this](bool broken) {
-        // The upstream may have responded before it closed its receiving side: the response is still read.
         if (broken || !send_body()) {
             request_.body = {};
         }
     });
     const std::string head = std::exchange(request_.head, {});
     if (!out_.send(head, shared_from_this()) || !send_body()) {
-        fail(out_.any_sent() ? attempt_end::broken : attempt_end::not_sent, "the request could not be sent");
-        return;
+        request_.body = {};
+        if (!out_.any_sent()) {
+            fail(attempt_end::not_sent, "the request could not be sent: " + out_.write_error().message());
+            return;
+        }
     }
+    // Also after a failed write: the upstream may have sent a complete response before it closed.
     read();
 }
 
@@ -85,6 +89,12 @@
     return true;
 }
 
+auto upstream_call::request_delivered() -> bool
+{
+    const bool all_written = request_.body.empty() && out_.unsent_bytes() == 0;
+    return all_written && !out_.write_error() && http::is_all_acknowledged(socket_);
+}
+
 void upstream_call::read()
 {
     socket_.async_read_some(asio::buffer(buffer_),
@@ -141,8 +151,12 @@
 
 void upstream_call::on_read_error(const boost::system::error_code& failed)
 {
-    const bool orderly_close = failed == asio::error::eof;
-    const bool is_complete = orderly_close && parser_->take_eof() == response_state::complete && head_passed_;
+    // After a failed write, a read gets an end of file even if the connection was reset.
+    const boost::system::error_code cause = out_.write_error() ? out_.write_error() : failed;
+    const bool orderly_close = cause == asio::error::eof;
+    const bool delivered = request_delivered();
+    const bool is_complete =
+        orderly_close && delivered && head_passed_ && parser_->take_eof() == response_state::complete;
     // An upstream that crashes after the head closes its connection like one that has sent all.
     if (is_complete && body_received_) {
         response_handler* receiver = std::exchange(receiver_, nullptr);
@@ -150,9 +164,11 @@
         receiver->on_response_complete();
         return;
     }
-    const bool closed = orderly_close || failed == asio::error::connection_reset;
+    const bool closed =
+        orderly_close || cause == asio::error::connection_reset || cause == asio::error::broken_pipe;
     fail(closed ? attempt_end::disconnected : attempt_end::broken,
-         "the connection ended before the answer: " + failed.message());
+         std::string("the connection ended before the ") +
+             (delivered ? "answer: " : "request was delivered: ") + cause.message());
 }
 
 void upstream_call::fail(attempt_end end, const std::string& why)
--- a/src/edge/upstream_call.h
+++ b/src/edge/upstream_call.h
@@ -66,6 +66,8 @@
 private:
     /// Sends as much of the request's body as the socket accepts, and a slice more; false if it is broken.
     [[nodiscard]] auto send_body() -> bool;
+    /// Whether the upstream's host has received the whole request over a connection that hasn't failed.
+    [[nodiscard]] auto request_delivered() -> bool;
     void on_connected(const boost::system::error_code& failed);
     void read();
     void on_read(const boost::system::error_code& failed, std::size_t bytes);
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -1,5 +1,6 @@
 #include "http/http_call.h"
 
+#include "http/socket_state.h"
 #include "runtime/clock.h"
 #include "settings/socket_endpoint.h"
 
@@ -189,9 +190,10 @@
 
 void http_call::on_complete()
 {
-    // Without a length or chunks, a server that crashes after the header closes its connection like one that
-    // has sent all.
-    end(parser_->need_eof() && !body_received_ ? call_end::broken : call_end::whole);
+    // Without a length or chunks, a server that crashes after the header, or while it still receives the
+    // request, closes its connection like one that has sent all.
+    const bool is_proven = !parser_->need_eof() || (body_received_ && is_all_acknowledged(stream_.socket()));
+    end(is_proven ? call_end::whole : call_end::broken);
 }
 
 void http_call::end(call_end how)
--- /dev/null
+++ b/tests/crowd/broken_response_test.cpp
@@ -0,0 +1,77 @@
+#include "crowd/crowd_gateway.h"
+#include "support/early_responder.h"
+
+#include <criterion/criterion.h>
+
+using namespace dragonflymill::crowd;
+using dragonflymill::test_support::early_responder;
+using dragonflymill::test_support::early_response;
+using ending = early_response::ending;
+
+namespace {
+
+constexpr std::size_t mebibyte = 1U << 20U;
+/// More than the socket buffers of both sides hold.
+constexpr std::size_t long_upload = 6 * mebibyte;
+constexpr std::size_t part_bytes = 20'000;
+constexpr int uploads = 20;
+
+auto bounds() -> gateway_bounds
+{
+    return {.memory_mb = 160, .body_bytes = 2 * long_upload};
+}
+
+auto head_of(const std::string& status_line, const std::string& fields) -> std::string
+{
+    return "HTTP/1.1 " + status_line +
+           "\r\nDragonflymill-Attempt-Id: c\r\nDragonflymill-Server-Seal: o1\r\n" + fields + "\r\n";
+}
+
+auto request_with(std::size_t body_bytes) -> std::string
+{
+    return crowd_gateway::request_head("/custom/x", "25000") +
+           "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'u');
+}
+
+/// Number of complete responses with `status` to `uploads` long uploads, each answered with `response`.
+auto complete_responses(const early_response& response, unsigned status) -> int
+{
+    crowd_gateway gateway(bounds());
+    early_responder upstream(gateway.loop(), response);
+    gateway.add_custom_upstream(upstream.address());
+    int complete = 0;
+    for (int count = 0; count < uploads; ++count) {
+        const received_response received = gateway.whole_response_to(request_with(long_upload));
+        complete += received.complete && received.status == status ? 1 : 0;
+    }
+    gateway.check_bounds();
+    return complete;
+}
+
+} // namespace
+
+// Guards against a part of a response without a length that reaches callers as the whole, after a reset while
+// the gateway is still sending the request.
+Test(broken_response, after_a_reset_is_never_complete, .timeout = 250)
+{
+    for (const char* status_line : {"200 OK", "404 Not Found"}) {
+        const std::string part = head_of(status_line, "") + std::string(part_bytes, 'p');
+        const auto status = static_cast<unsigned>(std::stoi(status_line));
+        const std::string first_half = part.substr(0, part_bytes / 2);
+        const std::string second_half = part.substr(part_bytes / 2);
+        for (const early_response& response :
+             {early_response{{part}}, early_response{{part}, ending::reset, mebibyte},
+              early_response{{first_half, second_half}}}) {
+            const int complete = complete_responses(response, status);
+            cr_expect(complete == 0, "%d of %d with status %u", complete, uploads, status);
+        }
+    }
+}
+
+// Guards against the loss of a response that shows its own end, though its connection is reset behind it.
+Test(broken_response, with_a_length_is_complete, .timeout = 250)
+{
+    const std::string whole = head_of("200 OK", "Content-Length: " + std::to_string(part_bytes) + "\r\n") +
+                              std::string(part_bytes, 'p');
+    cr_assert(complete_responses({{whole}}, 200) == uploads);
+}
--- a/tests/crowd/crowd_gateway.cpp
+++ b/tests/crowd/crowd_gateway.cpp
@@ -1,6 +1,7 @@
 #include "crowd/crowd_gateway.h"
 
 #include "crowd/process_memory.h"
+#include "edge/response_parser.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -48,6 +49,13 @@
                                          std::to_string(1 + getpid() % hosts) + ".1");
 }
 
+auto upstream_record(const std::string& service, const std::string& address, int slots) -> std::string
+{
+    return R"({"service":")" + service + R"(","address":")" + address +
+           R"(","zone":"a","state":"ready","version":"v1","slots":)" + std::to_string(slots) +
+           R"(,"coldLeftMs":0,"sequence":0,"born":1})";
+}
+
 auto field_of(const std::string& request, const std::string& name) -> std::string
 {
     const auto at = request.find("\r\n" + name + ": ");
@@ -74,13 +82,14 @@
     store_.put("op/config",
                R"({"version":2,"routes":[{"name":"book","host":"h.example","pathPrefix":"/book/",)"
                R"("kind":"non_idempotent","service":"bookings","timeoutMs":120000,"latencyGoalMs":8000,)"
-               R"("maxAttempts":2}],"services":[{"name":"bookings"}],"limits":{"maxHeaderBytes":)" +
+               R"("maxAttempts":2},{"name":"custom","host":"h.example","pathPrefix":"/custom/",)"
+               R"("kind":"non_idempotent","service":"custom","timeoutMs":120000,"latencyGoalMs":8000,)"
+               R"("maxAttempts":2}],"services":[{"name":"bookings"},{"name":"custom"}],)"
+               R"("limits":{"maxHeaderBytes":)" +
                    std::to_string(bounds_.header_bytes) + R"(,"maxBodyBytes":)" +
                    std::to_string(bounds_.body_bytes) +
                    R"(,"headerTimeoutMs":120000,"idleTimeoutMs":120000}})");
-    store_.put("servers/b1", R"({"service":"bookings","address":")" + upstream_.address() +
-                                 R"(","zone":"a","state":"ready","version":"v1","slots":)" +
-                                 std::to_string(bounds_.slots) + R"(,"coldLeftMs":0,"sequence":0,"born":1})");
+    store_.put("servers/b1", upstream_record("bookings", upstream_.address(), bounds_.slots));
     write_settings();
     const std::string descriptors = std::to_string(bounds_.descriptors);
     const std::string program = DRAGONFLYMILL_BINARY_DIR "/dragonflymill";
@@ -131,7 +140,19 @@
                              [kept = call.shared_from_this(), response](const auto&, std::size_t) {});
 }
 
-auto crowd_gateway::response_to(const tcp::endpoint& server, const std::string& request) -> std::string
+void crowd_gateway::add_custom_upstream(const std::string& address)
+{
+    store_.put("servers/o1", upstream_record("custom", address, bounds_.slots));
+    const auto is_known = [this] {
+        // A request to a service without upstreams is rejected.
+        return !response_to(callers(), request_head("/custom/probe", "1000") + "Content-Length: 0\r\n\r\n")
+                    .starts_with("HTTP/1.1 503 ");
+    };
+    cr_assert(comes_true(is_known), "the gateway doesn't know the upstream");
+}
+
+void crowd_gateway::exchange_with(const tcp::endpoint& server, const std::string& request,
+                                  const std::function<bool(std::string_view received)>& done)
 {
     tcp::socket socket(loop_);
     std::string received;
@@ -154,7 +175,7 @@
         boost::asio::async_write(socket, boost::asio::buffer(request), [](const auto&, std::size_t) {});
         read();
     });
-    (void)comes_true([&] { return ended || received.find("\r\n\r\n") != std::string::npos; });
+    (void)comes_true([&] { return done(received) || ended; });
     boost::system::error_code ignored;
     socket.close(ignored);
     // The handlers refer to what ends here.
@@ -162,7 +183,33 @@
     while (std::chrono::steady_clock::now() < end) {
         loop_.run_one_for(poll_interval);
     }
-    return received;
+}
+
+auto crowd_gateway::response_to(const tcp::endpoint& server, const std::string& request) -> std::string
+{
+    std::string response;
+    exchange_with(server, request, [&](std::string_view received) {
+        response = received;
+        return received.find("\r\n\r\n") != std::string_view::npos;
+    });
+    return response;
+}
+
+auto crowd_gateway::whole_response_to(const std::string& request) -> received_response
+{
+    received_response response;
+    edge::response_parser parser(false);
+    std::size_t parsed = 0;
+    exchange_with(callers(), request, [&](std::string_view received) {
+        if (received.size() > parsed) {
+            response.complete =
+                parser.take(received.substr(parsed), response.body) == edge::response_state::complete;
+            parsed = received.size();
+        }
+        return response.complete;
+    });
+    response.status = parser.head().status;
+    return response;
 }
 
 auto crowd_gateway::answers() -> bool
--- a/tests/crowd/crowd_gateway.h
+++ b/tests/crowd/crowd_gateway.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace dragonflymill::crowd {
 
@@ -25,6 +27,14 @@
     int slots = 400;                       ///< Calls that its upstream takes at once.
 };
 
+/// What came of a response until it was complete or its connection ended.
+struct received_response
+{
+    bool complete = false;
+    unsigned status = 0;
+    std::string body;
+};
+
 /// A real gateway process that reaches upstreams directly, between a stand-in store, one stand-in upstream
 /// and the callers of a test, on loopback.
 class crowd_gateway
@@ -50,6 +60,10 @@
     /// Sends a request and returns the response, empty if none has come within 30 s.
     [[nodiscard]] auto response_to(const boost::asio::ip::tcp::endpoint& server, const std::string& request)
         -> std::string;
+    /// Registers an upstream that the test runs itself; it gets all requests to `/custom/`.
+    void add_custom_upstream(const std::string& address);
+    /// Sends a request on a new connection and reads the response; not complete if it isn't within 30 s.
+    [[nodiscard]] auto whole_response_to(const std::string& request) -> received_response;
     /// Whether one ordinary request on a new connection is answered.
     [[nodiscard]] auto answers() -> bool;
     /// Whether a check of readiness on a new connection is answered.
@@ -57,6 +71,17 @@
     /// Runs the loop until `done`; false if it isn't within 30 s.
     [[nodiscard]] auto comes_true(const std::function<bool()>& done) -> bool;
 
+    /// The store that it reads.
+    [[nodiscard]] auto store() -> soak::store_standin& { return store_; }
+    /// The gateway.
+    [[nodiscard]] auto process() -> test_support::child_process& { return *process_; }
+    /// Requests that its own upstream has received, in order.
+    [[nodiscard]] auto upstream_requests() const
+        -> const std::vector<std::shared_ptr<test_support::taken_connection>>&
+    {
+        return upstream_.requests;
+    }
+
     /// Checks that the process lives and that its memory has never been above what its settings state.
     void check_bounds();
     /// Checks, after all callers have left, that the process has released what it held for them: that its
@@ -67,6 +92,10 @@
 private:
     void answer(test_support::taken_connection& call);
     void write_settings() const;
+    /// Sends a request on a new connection and reads until `done` returns true for what has come so far, or
+    /// the connection has ended, or for 30 s.
+    void exchange_with(const boost::asio::ip::tcp::endpoint& server, const std::string& request,
+                       const std::function<bool(std::string_view received)>& done);
 
     static constexpr std::uint16_t metrics_port = 9464;
 
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -81,14 +81,19 @@
     auto add_upstream(const std::string& name, standin_upstream::script script) -> standin_upstream&
     {
         upstreams_.push_back(std::make_unique<standin_upstream>(loop, std::move(script)));
+        add_upstream_at(name, upstreams_.back()->address());
+        return *upstreams_.back();
+    }
+    /// Adds an upstream that the test runs itself at `address`.
+    void add_upstream_at(const std::string& name, const std::string& address)
+    {
         direct::upstream_entry entry;
-        entry.id = name + "-" + std::to_string(upstreams_.size());
+        entry.id = name + "-" + std::to_string(source.decoded_records.size() + 1);
         entry.service = name;
-        entry.address = upstreams_.back()->address();
+        entry.address = address;
         entry.failure_domain = "a";
         entry.slots = 8;
         source.decoded_records["upstream/" + entry.id] = entry;
-        return *upstreams_.back();
     }
 
     /// Starts the gateway with four routes: `/book/` for non-idempotent calls, `/find/` for idempotent ones,
