Parse all responses with one parser

http_call used Beast's own response parser beside the response_parser of upstream_call, so that each rule about what is a valid response had to be written twice. response_parser moves from edge/ to http/, and http_call reads with it. Its limits are a parameter: calls behind sidecars keep 16 KiB for a head, now also for all interim responses before it (there were 16 of them), and their limit of the body. What stands between two chunks counts towards the same 16 KiB.

--- a/src/edge/caller_request.h
+++ b/src/edge/caller_request.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/error.h"
-#include "edge/response_parser.h"
+#include "http/response_parser.h"
 
 #include <string>
 #include <string_view>
@@ -9,6 +9,8 @@
 
 namespace dragonflymill::edge {
 
+using http::header_field;
+
 /// A complete request of a caller.
 struct caller_request
 {
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -184,8 +184,8 @@
 auto exchange::order_response_recorder() const -> memory_reservation::response_observer
 {
     // Outlives the attempt: releases are answered after it.
-    return [&statements = context_.statements, engines = assignment_->prefill_engines,
-            request = request_id_](const std::string& address, const response_head& head, instant sent_at) {
+    return [&statements = context_.statements, engines = assignment_->prefill_engines, request = request_id_](
+               const std::string& address, const http::response_head& head, instant sent_at) {
         const auto answers = [&](const direct::prefill_engine& engine) {
             return engine.upstream.address == address;
         };
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -65,7 +65,7 @@
 
     void on_caller_disconnected() override;
     auto on_connected() -> bool override;
-    auto on_response_head(const response_head& head) -> bool override;
+    auto on_response_head(const http::response_head& head) -> bool override;
     void on_response_body(const std::string& bytes) override;
     void on_response_complete() override;
     void on_response_failed(direct::attempt_end end, const std::string& why) override;
@@ -156,7 +156,7 @@
     instant last_byte_at_{};
 
     response_mode mode_ = response_mode::none;
-    response_head head_;
+    http::response_head head_;
     std::string body_;
     std::optional<response::response_guard> guard_; // from the choice of a route on
     bool response_started_ = false;
--- a/src/edge/exchange_response.cpp
+++ b/src/edge/exchange_response.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-auto exchange::on_response_head(const response_head& head) -> bool
+auto exchange::on_response_head(const http::response_head& head) -> bool
 {
     last_byte_at_ = runtime::now();
     const header_names& names = context_.names;
--- a/src/edge/memory_reservation.cpp
+++ b/src/edge/memory_reservation.cpp
@@ -37,7 +37,7 @@
         call_->start(address, {std::move(request), {}}, false);
     }
 
-    auto on_response_head(const response_head& head) -> bool override
+    auto on_response_head(const http::response_head& head) -> bool override
     {
         on_response_(address_, head, sent_at_);
         status_ = head.status;
--- a/src/edge/memory_reservation.h
+++ b/src/edge/memory_reservation.h
@@ -39,7 +39,7 @@
     using handler = std::function<void(const outcome&)>;
     /// Called with the head of each response of the engine at an address to an order sent at `sent_at`.
     using response_observer =
-        std::function<void(const std::string& address, const response_head& head, instant sent_at)>;
+        std::function<void(const std::string& address, const http::response_head& head, instant sent_at)>;
 
     memory_reservation(boost::asio::io_context& loop, loop_timers& timers, const upstream_orders& orders,
                        std::string name, std::vector<piece> pieces, response_observer on_response);
--- a/src/edge/report_poller.cpp
+++ b/src/edge/report_poller.cpp
@@ -48,7 +48,7 @@
         }
     }
 
-    auto on_response_head(const response_head& head) -> bool override
+    auto on_response_head(const http::response_head& head) -> bool override
     {
         poller_->context_.statements.record_order_response(head, upstream_, report_request_name, sent_at_,
                                                            runtime::now());
--- a/src/edge/response_summary.cpp
+++ b/src/edge/response_summary.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t max_logged_bytes = 32;
 
 /// Value of a field that the response has once, or several times with the same value; otherwise empty.
-auto unambiguous_value(const response_head& head, std::string_view name) -> std::string_view
+auto unambiguous_value(const http::response_head& head, std::string_view name) -> std::string_view
 {
     const std::string_view first = head.value_of(name);
     const bool agree = std::all_of(head.fields.begin(), head.fields.end(), [&](const header_field& field) {
@@ -37,20 +37,20 @@
     return !coding.empty() && !boost::beast::iequals(coding, "identity");
 }
 
-auto is_event_stream(const response_head& head) -> bool
+auto is_event_stream(const http::response_head& head) -> bool
 {
     const std::string_view type = unambiguous_value(head, "content-type");
     return boost::beast::iequals(trimmed(type.substr(0, type.find(';'))), "text/event-stream");
 }
 
-auto is_encoded(const response_head& head) -> bool
+auto is_encoded(const http::response_head& head) -> bool
 {
     return std::any_of(head.fields.begin(), head.fields.end(), [](const header_field& field) {
         return boost::beast::iequals(field.name, "content-encoding") && names_coding(field.value);
     });
 }
 
-auto framing_of(const response_head& head) -> response::body_framing
+auto framing_of(const http::response_head& head) -> response::body_framing
 {
     using response::body_framing;
     const bool chunked = to_lower(head.value_of("transfer-encoding")).find("chunked") != std::string::npos;
@@ -75,7 +75,7 @@
     return expected;
 }
 
-auto summarize(const response_head& head, const header_names& names) -> response::response_summary
+auto summarize(const http::response_head& head, const header_names& names) -> response::response_summary
 {
     response::response_summary summary;
     summary.status = head.status;
--- a/src/edge/response_summary.h
+++ b/src/edge/response_summary.h
@@ -4,7 +4,7 @@
 #include "dragonflymill/response/response_guard.h"
 #include "edge/caller_request.h"
 #include "edge/header_names.h"
-#include "edge/response_parser.h"
+#include "http/response_parser.h"
 
 namespace dragonflymill::edge {
 
@@ -13,7 +13,7 @@
                                            const direct::route_rule& route) -> response::response_expectation;
 
 /// Returns what decides how the body behind a head is used; refers to the head's fields.
-[[nodiscard]] auto summarize(const response_head& head, const header_names& names)
+[[nodiscard]] auto summarize(const http::response_head& head, const header_names& names)
     -> response::response_summary;
 
 /// Returns the first of an upstream's bytes for a log line, without what isn't printable.
--- a/src/edge/statement_recorder.cpp
+++ b/src/edge/statement_recorder.cpp
@@ -18,8 +18,9 @@
 {
 }
 
-void statement_recorder::record_response(const response_head& head, const direct::upstream_entry& upstream,
-                                         const std::string& request, instant sent_at, instant now)
+void statement_recorder::record_response(const http::response_head& head,
+                                         const direct::upstream_entry& upstream, const std::string& request,
+                                         instant sent_at, instant now)
 {
     if (head.status == misdirected) {
         // The response of another upstream.
@@ -35,7 +36,7 @@
     }
 }
 
-void statement_recorder::record_order_response(const response_head& head,
+void statement_recorder::record_order_response(const http::response_head& head,
                                                const direct::upstream_entry& upstream,
                                                const std::string& request, instant sent_at, instant now)
 {
--- a/src/edge/statement_recorder.h
+++ b/src/edge/statement_recorder.h
@@ -20,12 +20,12 @@
                        std::function<void()> announce_rate_limits);
 
     /// Records the response to a call that was sent to `upstream` at `sent_at`; `request` is for the log.
-    void record_response(const response_head& head, const direct::upstream_entry& upstream,
+    void record_response(const http::response_head& head, const direct::upstream_entry& upstream,
                          const std::string& request, instant sent_at, instant now);
 
     /// Records the response to an order. It need not state a rate limit, and the order may have belonged to a
     /// call that was sent earlier.
-    void record_order_response(const response_head& head, const direct::upstream_entry& upstream,
+    void record_order_response(const http::response_head& head, const direct::upstream_entry& upstream,
                                const std::string& request, instant sent_at, instant now);
 
 private:
--- a/src/edge/upstream_call.cpp
+++ b/src/edge/upstream_call.cpp
@@ -125,11 +125,11 @@
     const auto self = shared_from_this();
     std::string body;
     const auto state = parser_->take(bytes, body);
-    if (state == response_state::invalid) {
+    if (state == http::response_state::invalid) {
         fail(attempt_end::invalid, "the answer isn't one in the protocol");
         return;
     }
-    if (state == response_state::head) {
+    if (state == http::response_state::head) {
         return;
     }
     if (!head_passed_) {
@@ -142,7 +142,7 @@
     if (receiver_ != nullptr && !body.empty()) {
         receiver_->on_response_body(body);
     }
-    if (receiver_ != nullptr && state == response_state::complete) {
+    if (receiver_ != nullptr && state == http::response_state::complete) {
         response_handler* receiver = std::exchange(receiver_, nullptr);
         close();
         receiver->on_response_complete();
@@ -156,7 +156,7 @@
     const bool orderly_close = cause == asio::error::eof;
     const bool delivered = request_delivered();
     const bool is_complete =
-        orderly_close && delivered && head_passed_ && parser_->take_eof() == response_state::complete;
+        orderly_close && delivered && head_passed_ && parser_->take_eof() == http::response_state::complete;
     // An upstream that crashes after the head closes its connection like one that has sent all.
     if (is_complete && body_received_) {
         response_handler* receiver = std::exchange(receiver_, nullptr);
--- a/src/edge/upstream_call.h
+++ b/src/edge/upstream_call.h
@@ -2,9 +2,9 @@
 
 #include "dragonflymill/direct/attempt_rules.h"
 #include "edge/loop_timers.h"
-#include "edge/response_parser.h"
 #include "edge/send_queue.h"
 #include "edge/upstream_request.h"
+#include "http/response_parser.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,7 +26,7 @@
     /// Called before the request is sent; returns false if the receiver has cancelled the call.
     virtual auto on_connected() -> bool { return true; }
     /// Called with the head; returns false if the receiver has cancelled the call.
-    virtual auto on_response_head(const response_head& head) -> bool = 0;
+    virtual auto on_response_head(const http::response_head& head) -> bool = 0;
     /// Called with decoded bytes of the body.
     virtual void on_response_body(const std::string& bytes) = 0;
     /// Called when the response is complete.
@@ -85,7 +85,7 @@
     response_handler* receiver_;
     send_queue out_;
     encoded_request request_;
-    std::optional<response_parser> parser_;
+    std::optional<http::response_parser> parser_;
     std::array<char, read_bytes> buffer_{};
     std::optional<timer_id> connect_timer_;
     bool head_passed_ = false;
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -6,10 +6,9 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <utility>
 
 namespace dragonflymill::http {
@@ -18,19 +17,13 @@
 
 namespace {
 
-/// Status codes below this one are interim responses.
-constexpr unsigned first_final_status = 200;
-
 /// Whether a body can't be passed on as received: calls ask for no coding.
-auto is_coded(const boost::beast::http::fields& header) -> bool
+auto has_content_coding(const response_head& head) -> bool
 {
     using boost::beast::iequals;
-    using boost::beast::http::field;
-    return std::any_of(header.begin(), header.end(), [](const auto& line) {
-        const bool is_content = line.name() == field::content_encoding;
-        const bool is_transfer = line.name() == field::transfer_encoding;
-        return (is_content && !line.value().empty() && !iequals(line.value(), "identity")) ||
-               (is_transfer && !iequals(line.value(), "chunked"));
+    return std::any_of(head.fields.begin(), head.fields.end(), [](const header_field& field) {
+        return iequals(field.name, "content-encoding") && !field.value.empty() &&
+               !iequals(field.value, "identity");
     });
 }
 
@@ -52,6 +45,7 @@
     : stream_(context)
     , server_(std::move(server))
     , limits_(limits)
+    , parser_(false, {static_cast<std::uint32_t>(limits.max_header_bytes), limits.max_body_bytes})
 {
 }
 
@@ -111,7 +105,7 @@
     head_.clear();
     body_ = {};
     expire_after(limits_.first_byte_timeout);
-    read_header();
+    read();
 }
 
 void http_call::expire_after(duration timeout)
@@ -120,80 +114,73 @@
     stream_.expires_after(std::max(std::min(timeout, left), duration::zero()));
 }
 
-void http_call::read_header()
+void http_call::read()
 {
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
-    parser_->body_limit(limits_.max_body_bytes);
-    boost::beast::http::async_read_header(
-        stream_, buffer_, *parser_, [self = shared_from_this()](error_code read_failure, std::size_t /*n*/) {
-            self->on_header(read_failure);
-        });
+    stream_.async_read_some(boost::asio::buffer(piece_),
+                            [self = shared_from_this()](error_code failure, std::size_t bytes) {
+                                self->on_read(failure, bytes);
+                            });
 }
 
-void http_call::on_header(error_code failure)
+void http_call::on_read(error_code failure, std::size_t bytes)
 {
     if (over_) {
         return;
     }
-    if (failure) {
-        end(call_end::broken);
-        return;
-    }
-    const auto& header = parser_->get();
-    if (header.result_int() < first_final_status) {
-        ++interim_responses_ <= max_interim_responses ? read_header() : end(call_end::broken);
-        return;
+    if (failure == boost::asio::error::eof) {
+        on_closed();
     }
-    if (is_coded(header)) {
+    else if (failure) {
         end(call_end::broken);
-        return;
     }
-    handlers_.on_header(header.result_int(), std::string(header[boost::beast::http::field::content_type]));
-    if (!over_) {
-        read_piece();
+    else {
+        consume({piece_.data(), bytes});
     }
 }
 
-void http_call::read_piece()
+void http_call::consume(std::string_view bytes)
 {
-    if (parser_->is_done()) {
-        on_complete();
+    std::string body;
+    const response_state state = parser_.take(bytes, body);
+    if (state == response_state::invalid) {
+        end(call_end::broken);
         return;
     }
-    parser_->get().body().data = piece_.data();
-    parser_->get().body().size = piece_.size();
-    expire_after(limits_.silence_timeout);
-    boost::beast::http::async_read_some(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](error_code failure, std::size_t /*bytes*/) { self->on_piece(failure); });
-}
-
-void http_call::on_piece(error_code failure)
-{
-    if (over_) {
+    if (state == response_state::head) {
+        read();
         return;
     }
-    if (failure && failure != boost::beast::http::error::need_buffer) {
-        end(call_end::broken);
-        return;
+    if (!header_passed_) {
+        header_passed_ = true;
+        const response_head& head = parser_.head();
+        if (has_content_coding(head)) {
+            end(call_end::broken);
+            return;
+        }
+        handlers_.on_header(head.status, std::string(head.value_of("content-type")));
     }
-    const auto length = piece_.size() - parser_->get().body().size;
-    if (length > 0) {
+    if (!over_ && !body.empty()) {
         body_received_ = true;
-        handlers_.on_bytes(std::string_view(piece_.data(), length));
+        handlers_.on_bytes(body);
     }
-    if (!over_) {
-        read_piece();
+    if (over_) {
+        return;
     }
+    if (state == response_state::complete) {
+        end(call_end::whole);
+        return;
+    }
+    expire_after(limits_.silence_timeout);
+    read();
 }
 
-void http_call::on_complete()
+void http_call::on_closed()
 {
     // Without a length or chunks, a server that crashes after the header, or while it still receives the
     // request, closes its connection like one that has sent all.
-    const bool is_proven = !parser_->need_eof() || (body_received_ && is_all_acknowledged(stream_.socket()));
-    end(is_proven ? call_end::whole : call_end::broken);
+    const bool is_end = body_received_ && is_all_acknowledged(stream_.socket());
+    const bool is_whole = is_end && parser_.take_eof() == response_state::complete;
+    end(is_whole ? call_end::whole : call_end::broken);
 }
 
 void http_call::end(call_end how)
--- a/src/http/http_call.h
+++ b/src/http/http_call.h
@@ -2,14 +2,12 @@
 
 #include "dragonflymill/core/time.h"
 #include "http/http_request.h"
+#include "http/response_parser.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -35,7 +33,8 @@
     duration silence_timeout = 10s;     ///< Between two reads of the response body.
     /// From the connection to the end of the response; zero for none.
     duration total_timeout{};
-    std::size_t max_header_bytes = 16 * 1024;      ///< Size of the response header.
+    /// Size of the response header, and of all interim responses before it.
+    std::size_t max_header_bytes = 16 * 1024;
     std::size_t max_body_bytes = 64 * 1024 * 1024; ///< Size of the response body.
 };
 
@@ -68,30 +67,24 @@
     void on_connected(boost::system::error_code failure, instant not_after);
     /// Sets the timeout of the next step; the end of the whole call may come first.
     void expire_after(duration timeout);
-    void read_header();
     void on_written(boost::system::error_code failure);
-    void on_header(boost::system::error_code failure);
-    void read_piece();
-    void on_piece(boost::system::error_code failure);
-    void on_complete();
+    void read();
+    void on_read(boost::system::error_code failure, std::size_t bytes);
+    /// Parses received bytes and passes on what they complete.
+    void consume(std::string_view bytes);
+    void on_closed();
     void end(call_end how);
 
-    /// Bytes that are kept until they can be parsed.
-    static constexpr std::size_t max_buffered_bytes = 128 * 1024;
-    /// More interim (1xx) responses are no valid response.
-    static constexpr int max_interim_responses = 16;
-
     boost::beast::tcp_stream stream_;
     boost::asio::ip::tcp::endpoint server_;
     call_limits limits_;
     call_handlers handlers_;
     std::string head_;
     std::string body_;
-    boost::beast::flat_buffer buffer_{max_buffered_bytes};
-    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
+    response_parser parser_;
     std::array<char, 16 * 1024> piece_{};
     std::optional<instant> ends_by_;
-    int interim_responses_ = 0;
+    bool header_passed_ = false;
     bool body_received_ = false;
     bool over_ = false;
 };
--- a/src/edge/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -1,11 +1,11 @@
-#include "edge/response_parser.h"
+#include "http/response_parser.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
-namespace dragonflymill::edge {
+namespace dragonflymill::http {
 
 namespace beast_http = boost::beast::http;
 
@@ -24,11 +24,12 @@
 
 auto response_head::value_of(std::string_view name) const -> std::string_view
 {
-    return http::first_value(fields, name);
+    return first_value(fields, name);
 }
 
-response_parser::response_parser(bool no_body)
+response_parser::response_parser(bool no_body, const response_limits& limits)
     : no_body_(no_body)
+    , limits_(limits)
 {
     begin();
 }
@@ -39,8 +40,9 @@
     parser_.emplace();
     parser_->eager(true);
     parser_->skip(no_body_);
-    parser_->header_limit(max_head_bytes);
-    parser_->body_limit(boost::none);
+    parser_->header_limit(limits_.head_bytes);
+    parser_->body_limit(limits_.body_bytes ? boost::optional<std::uint64_t>(*limits_.body_bytes)
+                                           : boost::none);
 }
 
 auto response_parser::take(std::string_view bytes, std::string& body) -> response_state
@@ -55,7 +57,7 @@
     }
     rest_.erase(0, used);
     const bool is_partial = state_ == response_state::head || state_ == response_state::body;
-    if (is_partial && std::max(interim_bytes_, rest_.size()) > max_head_bytes) {
+    if (is_partial && std::max(interim_bytes_, rest_.size()) > limits_.head_bytes) {
         state_ = response_state::invalid;
     }
     return state_;
@@ -164,4 +166,4 @@
     failed = {};
 }
 
-} // namespace dragonflymill::edge
+} // namespace dragonflymill::http
--- a/src/edge/response_parser.h
+++ b/src/http/response_parser.h
@@ -11,9 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace dragonflymill::edge {
-
-using http::header_field;
+namespace dragonflymill::http {
 
 /// Status line and header fields of an upstream's response.
 struct response_head
@@ -28,13 +26,21 @@
     friend auto operator==(const response_head&, const response_head&) -> bool = default;
 };
 
+/// Size limits of a response.
+struct response_limits
+{
+    /// Bytes of a head, of all interim responses before it, and between two chunks. Bounds what is kept.
+    std::uint32_t head_bytes = 65'536;
+    std::optional<std::uint64_t> body_bytes; ///< Bytes of the body; no limit by default.
+};
+
 /// Progress of parsing a response.
 enum class response_state
 {
     head,     ///< The head is incomplete.
     body,     ///< The head is complete, the body isn't.
     complete, ///< The response is complete according to its framing.
-    invalid,  ///< Not valid HTTP/1.1, or truncated.
+    invalid,  ///< Not valid HTTP/1.1, over a size limit, or truncated.
 };
 
 /// Incremental parser of a single HTTP/1.1 response, which skips interim (1xx) responses before it. Does no
@@ -43,7 +49,7 @@
 {
 public:
     /// `no_body` is set for the response to a HEAD request, which has no body whatever its framing says.
-    explicit response_parser(bool no_body);
+    explicit response_parser(bool no_body, const response_limits& limits = {});
 
     /// Parses the next bytes and appends decoded body bytes to `body`.
     auto take(std::string_view bytes, std::string& body) -> response_state;
@@ -59,10 +65,6 @@
     /// Bytes received after the end of a complete response, or from what is invalid on.
     [[nodiscard]] auto unparsed_bytes() const -> const std::string& { return rest_; }
 
-    /// Responses with a longer head, more bytes of interim responses before it, or as much between two chunks
-    /// are invalid. Bounds the bytes that are kept.
-    static constexpr std::uint32_t max_head_bytes = 65'536;
-
 private:
     /// Beast's parser, collecting the head and appending body bytes to `body`.
     class parser : public boost::beast::http::basic_parser<false>
@@ -104,6 +106,7 @@
     static constexpr unsigned first_final_status = 200;
 
     bool no_body_;
+    response_limits limits_;
     std::optional<parser> parser_;
     std::string rest_;
     std::size_t interim_bytes_ = 0;
@@ -111,4 +114,4 @@
     bool is_close_delimited_ = false;
 };
 
-} // namespace dragonflymill::edge
+} // namespace dragonflymill::http
--- a/tests/crowd/crowd_gateway.cpp
+++ b/tests/crowd/crowd_gateway.cpp
@@ -1,7 +1,7 @@
 #include "crowd/crowd_gateway.h"
 
 #include "crowd/process_memory.h"
-#include "edge/response_parser.h"
+#include "http/response_parser.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -198,12 +198,12 @@
 auto crowd_gateway::whole_response_to(const std::string& request) -> received_response
 {
     received_response response;
-    edge::response_parser parser(false);
+    http::response_parser parser(false);
     std::size_t parsed = 0;
     exchange_with(callers(), request, [&](std::string_view received) {
         if (received.size() > parsed) {
             response.complete =
-                parser.take(received.substr(parsed), response.body) == edge::response_state::complete;
+                parser.take(received.substr(parsed), response.body) == http::response_state::complete;
             parsed = received.size();
         }
         return response.complete;
--- a/tests/edge/endless_response_test.cpp
+++ b/tests/edge/endless_response_test.cpp
@@ -86,17 +86,17 @@
 // Guards against an upstream whose head never ends: memory, and a caller that waits for its whole time limit.
 Test(endless_response, is_rejected_in_its_head)
 {
-    check_rejected("HTTP/1.1 200 OK\r\n", "x: y\r\n", response_parser::max_head_bytes);
-    check_rejected("HTTP/1.1 200 OK\r\nx: ", std::string(1'000, 'y'), response_parser::max_head_bytes);
-    check_rejected("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", response_parser::max_head_bytes);
+    check_rejected("HTTP/1.1 200 OK\r\n", "x: y\r\n", http::response_limits{}.head_bytes);
+    check_rejected("HTTP/1.1 200 OK\r\nx: ", std::string(1'000, 'y'), http::response_limits{}.head_bytes);
+    check_rejected("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", http::response_limits{}.head_bytes);
 }
 
 // Guards against bytes without end where chunks are framed, which the parser has to keep.
 Test(endless_response, is_rejected_in_the_framing_of_its_chunks)
 {
     const std::string head = std::string(status_line) + "Transfer-Encoding: chunked\r\n\r\n";
-    check_rejected(head + "1;x=", std::string(1'000, 'y'), response_parser::max_head_bytes);
-    check_rejected(head + "1\r\na\r\n0\r\n", "x: y\r\n", response_parser::max_head_bytes);
+    check_rejected(head + "1;x=", std::string(1'000, 'y'), http::response_limits{}.head_bytes);
+    check_rejected(head + "1\r\na\r\n0\r\n", "x: y\r\n", http::response_limits{}.head_bytes);
 }
 
 // Guards against a stream that holds its caller with bytes that never become an event.
--- a/tests/edge/gateway_fixture.h
+++ b/tests/edge/gateway_fixture.h
@@ -123,7 +123,7 @@
         names.account_key = "Authorization";
         names.auth_scheme = "Bearer ";
         names.ready_path = "/ready";
-        const auto read_statement = [](const response_head& head) -> direct::upstream_statement {
+        const auto read_statement = [](const http::response_head& head) -> direct::upstream_statement {
             const auto number = [&](const char* name) {
                 const std::string text(head.value_of(name));
                 return text.empty() ? std::nullopt : std::optional(std::stod(text));
--- a/tests/edge/memory_reservation_test.cpp
+++ b/tests/edge/memory_reservation_test.cpp
@@ -34,7 +34,7 @@
     std::optional<memory_reservation::outcome> reported;
     const auto memory = std::make_shared<memory_reservation>(
         loop, timers, orders, "r1", std::vector<memory_reservation::piece>{{unreachable, 1000}},
-        [](const std::string&, const response_head&, instant) {});
+        [](const std::string&, const http::response_head&, instant) {});
     memory->start([&](const memory_reservation::outcome& outcome) { reported = outcome; });
     loop.run();
     const memory_reservation::outcome expected{false, {unreachable}};
--- a/tests/edge/reset_during_upload_test.cpp
+++ b/tests/edge/reset_during_upload_test.cpp
@@ -63,13 +63,13 @@
     boost::asio::async_write(fixture.caller, boost::asio::buffer(request),
                              [](const auto& /*failed*/, std::size_t /*bytes*/) {});
     upload_result result;
-    response_parser parser(false);
+    http::response_parser parser(false);
     std::size_t parsed = 0;
     fixture.run_until([&] {
         if (fixture.received.size() > parsed) {
             const auto unparsed = std::string_view(fixture.received).substr(parsed);
             parsed = fixture.received.size();
-            result.complete = parser.take(unparsed, result.body) == response_state::complete;
+            result.complete = parser.take(unparsed, result.body) == http::response_state::complete;
         }
         return result.complete || fixture.caller_ended;
     });
--- a/tests/edge/stream_exchange.h
+++ b/tests/edge/stream_exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "edge/response_parser.h"
 #include "gateway_fixture.h"
+#include "http/response_parser.h"
 
 #include <cstdio>
 #include <string>
@@ -69,9 +69,9 @@
     fixture.send("POST", path, "Tokens: 100,10\r\n" + fields, "hello");
     received_stream received;
     fixture.run_until([&] {
-        response_parser parser(false);
+        http::response_parser parser(false);
         received.body.clear();
-        const bool complete = parser.take(fixture.received, received.body) == response_state::complete;
+        const bool complete = parser.take(fixture.received, received.body) == http::response_state::complete;
         received.complete = complete && parser.head().status == 200;
         if (complete && !received.complete) {
             received.body.clear();
--- a/tests/edge/truncated_response_test.cpp
+++ b/tests/edge/truncated_response_test.cpp
@@ -1,6 +1,6 @@
 #include "gateway_fixture.h"
 
-#include "edge/response_parser.h"
+#include "http/response_parser.h"
 
 using namespace dragonflymill;
 using namespace dragonflymill::edge;
@@ -66,9 +66,9 @@
     fixture.send("POST", path, service == "engines" ? "Tokens: 100,10\r\n" : "", "hello");
     received_response received;
     fixture.run_until([&] {
-        response_parser parser(false);
+        http::response_parser parser(false);
         received.body.clear();
-        received.complete = parser.take(fixture.received, received.body) == response_state::complete;
+        received.complete = parser.take(fixture.received, received.body) == http::response_state::complete;
         received.status = parser.head().status;
         return received.complete || fixture.caller_ended;
     });
--- a/tests/edge/response_parser_test.cpp
+++ b/tests/http/response_parser_test.cpp
@@ -1,9 +1,9 @@
-#include "edge/response_parser.h"
+#include "http/response_parser.h"
 
 #include <criterion/criterion.h>
 #include <string>
 
-using namespace dragonflymill::edge;
+using namespace dragonflymill::http;
 
 namespace {
 
@@ -106,7 +106,7 @@
         while (state != response_state::invalid) {
             state = parser.take(part, body);
             fed += part.size();
-            cr_assert(fed <= 2 * response_parser::max_head_bytes, "%s%s", begin.c_str(), part.c_str());
+            cr_assert(fed <= 2 * response_limits{}.head_bytes, "%s%s", begin.c_str(), part.c_str());
         }
     }
 }
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -57,7 +57,7 @@
 
 void soak_world::caller::note_drain()
 {
-    const edge::response_head& head = parser_.head();
+    const http::response_head& head = parser_.head();
     if (!head.value_of("Server-Leaving").empty()) {
         world_.statements_.passed_on_drain(std::string(head.value_of("Dragonflymill-Server-Seal")),
                                            world_.requests_.at(call_.request).gateway);
@@ -71,23 +71,23 @@
             auto state = self->parser_.take({self->buffer_.data(), bytes}, self->body_);
             if (failed) {
                 state = failed == boost::asio::error::eof ? self->parser_.take_eof()
-                                                          : edge::response_state::invalid;
+                                                          : http::response_state::invalid;
             }
-            if (state == edge::response_state::body || state == edge::response_state::complete) {
+            if (state == http::response_state::body || state == http::response_state::complete) {
                 self->note_drain();
             }
             const bool over =
-                failed || state == edge::response_state::complete || state == edge::response_state::invalid;
+                failed || state == http::response_state::complete || state == http::response_state::invalid;
             over ? self->end(state) : self->read();
         });
 }
 
-void soak_world::caller::end(edge::response_state state)
+void soak_world::caller::end(http::response_state state)
 {
     const std::string expected = expected_answer(call_.request, call_.is_stream());
     promises& kept = world_.promises_;
     const unsigned status = parser_.head().status;
-    const bool complete = state == edge::response_state::complete && status == 200;
+    const bool complete = state == http::response_state::complete && status == 200;
     if (complete) {
         kept.answered(call_.request, body_, expected);
         world_.calm_answers_ += call_.calm ? 1 : 0;
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "edge/response_parser.h"
+#include "http/response_parser.h"
 #include "soak/soak_world.h"
 
 #include <array>
@@ -38,14 +38,14 @@
     void send_request();
     void note_drain();
     void read();
-    void end(edge::response_state state);
+    void end(http::response_state state);
     /// Ends without a complete response.
     void fail();
 
     soak_world& world_;
     boost::asio::ip::tcp::socket socket_;
     soak_call call_;
-    edge::response_parser parser_{false};
+    http::response_parser parser_{false};
     std::string body_;
     std::array<char, 4096> buffer_{};
 };
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dragonflymill/core/random_source.h"
-#include "edge/response_parser.h"
+#include "http/response_parser.h"
 #include "soak/crash_watch.h"
 #include "soak/fatal_watch.h"
 #include "soak/limit_watch.h"
