Reject responses with a status that doesn't exist

What callers saw: an answer with status 600 or 999 as it was; for 000, 001, 099 and 101 nothing until their time was over, then a 504.

Cause: the parser took any three digits. Each number under 200 was read as an interim response, whose final one the call went on waiting for; each above 599 was passed on as a response. http_call did the same.

Fix: a status is from 100 to 599 (RFC 9110, section 15), and not 101, which answers only a request for another protocol. Any other ends the attempt as invalid when its head is read, in both forms and for the store, reports and orders: a booking gets 502 at once and isn't sent again, a lookup or a stream is repeated at another upstream. It counts for the upstream's health like any malformed response. 1xx numbers that aren't assigned stay interim responses, as the RFC asks.

--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -11,6 +11,17 @@
 
 namespace {
 
+constexpr int first_status = 100;
+constexpr int last_status = 599;
+constexpr int switching_protocols = 101;
+
+/// Whether a response may have this status (RFC 9110, section 15). Requests ask for no other protocol, so
+/// that none may switch to one.
+auto is_valid_status(int code) -> bool
+{
+    return code >= first_status && code <= last_status && code != switching_protocols;
+}
+
 /// Whether a body can't be decoded; Beast reads one up to the end of its connection.
 auto has_unknown_transfer_coding(const response_head& head) -> bool
 {
@@ -113,7 +124,8 @@
 void response_parser::parser::on_response_impl(int code, string_view reason, int /*version*/,
                                                error_code& failed)
 {
-    failed = {};
+    failed =
+        is_valid_status(code) ? error_code() : beast_http::make_error_code(beast_http::error::bad_status);
     head.status = static_cast<unsigned>(code);
     head.reason.assign(reason.data(), reason.size());
 }
--- a/tests/crowd/broken_response_test.cpp
+++ b/tests/crowd/broken_response_test.cpp
@@ -48,6 +48,15 @@
     return complete;
 }
 
+/// Checks that a request that is answered with `bytes`, on a connection that stays open, fails at once.
+void check_failed(crowd_gateway& gateway, const std::string& bytes)
+{
+    early_responder upstream(gateway.loop(), {{bytes}, ending::stay_open, 1, 0, false});
+    gateway.add_custom_upstream(upstream.address());
+    const received_response received = gateway.whole_response_to(request_with(2));
+    cr_assert(received.complete && received.status == 502, "%s: status %u", bytes.c_str(), received.status);
+}
+
 } // namespace
 
 // Guards against a part of a response without a length that reaches callers as the whole, after a reset while
@@ -75,3 +84,14 @@
                               std::string(part_bytes, 'p');
     cr_assert(complete_responses({{whole}}, 200) == uploads);
 }
+
+// Guards against statuses that don't exist, which reach callers or hold them until their deadline.
+Test(broken_response, with_a_status_that_does_not_exist_fails_at_once, .timeout = 250)
+{
+    crowd_gateway gateway(bounds());
+    for (const char* status_line :
+         {"000 Trouble", "099 Trouble", "101 Trouble", "600 Trouble", "999 Trouble"}) {
+        check_failed(gateway, head_of(status_line, "Content-Length: 2\r\n") + "ok");
+        check_failed(gateway, std::string("HTTP/1.1 ") + status_line + "\r\nContent-Length: 2\r\n\r\nok");
+    }
+}
--- a/tests/http/http_call_test.cpp
+++ b/tests/http/http_call_test.cpp
@@ -136,3 +136,16 @@
         cr_assert(call(script, limits).end == call_end::broken, "%s%s", begin.c_str(), part.c_str());
     }
 }
+
+// Guards against a response with a status that doesn't exist, which is passed on or taken for that of an
+// interim response.
+Test(http_call, is_not_whole_with_a_status_that_does_not_exist)
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        // The connection stays open, so that a call which waits for another response doesn't end.
+        const ended_call ended = call([&](taken_connection& connection) {
+            connection.send("HTTP/1.1 " + status + " X\r\nContent-Length: 5\r\n\r\nfound");
+        });
+        cr_assert(ended.end == call_end::broken, "%s", status.c_str());
+    }
+}
--- a/tests/http/response_parser_test.cpp
+++ b/tests/http/response_parser_test.cpp
@@ -1,6 +1,8 @@
 #include "http/response_parser.h"
 
+#include <array>
 #include <criterion/criterion.h>
+#include <cstdio>
 #include <string>
 
 using namespace dragonflymill::http;
@@ -144,3 +146,21 @@
         cr_assert(parsed.parser.head().fields.size() == 1, "in steps of %zu", step);
     }
 }
+
+// Guards against a status that doesn't exist, which is passed on or taken for that of an interim response.
+Test(response_parser, rejects_statuses_that_do_not_exist)
+{
+    constexpr int statuses = 1'000;
+    for (int status = 0; status < statuses; ++status) {
+        std::array<char, 8> text{};
+        (void)std::snprintf(text.data(), text.size(), "%03d", status);
+        const parsed_response parsed(
+            "HTTP/1.1 " + std::string(text.data()) + " X\r\nContent-Length: 0\r\n\r\n", 1'000);
+        const bool is_final = status >= 200 && status <= 599;
+        const bool is_interim = status >= 100 && status <= 199 && status != 101;
+        const auto expected = is_final     ? response_state::complete
+                              : is_interim ? response_state::head
+                                           : response_state::invalid;
+        cr_assert(parsed.parser.state() == expected, "%s", text.data());
+    }
+}
