Reject response heads with folded lines

What callers saw: an upstream's head in which the name of a field began with a blank or a tab was passed on as a success. Where the field was Transfer-Encoding, the body reached the caller with the framing of its chunks; where it was Content-Length, with whatever followed the body.

Cause: a line that begins with a blank continues the field before it (RFC 9112, section 5.2), and was unfolded. A name with a spoiled first byte looks the same, so that the field disappears and no longer frames the body.

Fix: a folded line ends the attempt as invalid; the RFC leaves a proxy the choice between that and unfolding. Beast's parser hands over values already unfolded, so response_parser looks at the bytes that it has taken for the head.

--- a/src/http/response_parser.cpp
+++ b/src/http/response_parser.cpp
@@ -22,6 +22,18 @@
     return code >= first_status && code <= last_status && code != switching_protocols;
 }
 
+/// Whether one of the lines of a head continues the one before it; `bytes` begins with a line of the head or
+/// with the empty line behind it. RFC 9112, section 5.2 lets a proxy reject such a head. A field whose name
+/// has got a blank as its first byte looks the same, and may be the one that frames the body.
+auto has_folded_line(std::string_view bytes) -> bool
+{
+    if (bytes.starts_with("\r\n")) {
+        return false;
+    }
+    const std::string_view lines = bytes.substr(0, bytes.find("\r\n\r\n"));
+    return lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
+}
+
 /// Whether a body can't be decoded; Beast reads one up to the end of its connection.
 auto has_unknown_transfer_coding(const response_head& head) -> bool
 {
@@ -58,6 +70,9 @@
 
 auto response_parser::take(std::string_view bytes, std::string& body) -> response_state
 {
+    if (state_ == response_state::invalid) {
+        return state_;
+    }
     rest_.append(bytes);
     std::size_t used = parse(rest_, body);
     while (state_ == response_state::complete && is_interim()) {
@@ -77,6 +92,7 @@
 auto response_parser::parse(std::string_view bytes, std::string& body) -> std::size_t
 {
     parser_->body = &body;
+    const bool begins_in_head = !parser_->is_header_done();
     std::size_t used = 0;
     while (used < bytes.size() && !parser_->is_done()) {
         boost::beast::error_code failed;
@@ -91,7 +107,9 @@
             break;
         }
     }
-    if (parser_->is_header_done() && has_unknown_transfer_coding(head())) {
+    // A line is taken together with those that continue it.
+    const bool is_folded = begins_in_head && has_folded_line(bytes.substr(0, used));
+    if (is_folded || (parser_->is_header_done() && has_unknown_transfer_coding(head()))) {
         state_ = response_state::invalid;
     }
     else if (parser_->is_done()) {
--- a/tests/crowd/broken_response_test.cpp
+++ b/tests/crowd/broken_response_test.cpp
@@ -95,3 +95,13 @@
         check_failed(gateway, std::string("HTTP/1.1 ") + status_line + "\r\nContent-Length: 2\r\n\r\nok");
     }
 }
+
+// Guards against a head with a spoiled field name that reaches callers, or frames the body.
+Test(broken_response, with_a_spoiled_field_name_fails_at_once, .timeout = 250)
+{
+    crowd_gateway gateway(bounds());
+    for (const char* field : {"Content Length: 2", "Content\x01Length: 2", " Content-Length: 2",
+                              "\tContent-Length: 2", "X\x7f: 1", "X : 1"}) {
+        check_failed(gateway, head_of("200 OK", std::string(field) + "\r\n") + "ok");
+    }
+}
--- a/tests/http/response_parser_test.cpp
+++ b/tests/http/response_parser_test.cpp
@@ -164,3 +164,50 @@
         cr_assert(parsed.parser.state() == expected, "%s", text.data());
     }
 }
+
+// Guards against each byte that may not stand in the name of a field, wherever it stands.
+Test(response_parser, rejects_bytes_that_may_not_stand_in_a_name)
+{
+    const std::string allowed =
+        "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+    constexpr int bytes = 256;
+    const std::string name = "Content-Length";
+    for (int value = 0; value < bytes; ++value) {
+        const char byte = static_cast<char>(value);
+        for (const std::size_t at : {std::size_t{0}, name.size() / 2, name.size()}) {
+            // A colon ends the name; without any byte before it there is none.
+            if (allowed.find(byte) != std::string::npos || (byte == ':' && at > 0)) {
+                continue;
+            }
+            std::string spoiled = name;
+            spoiled.insert(at, 1, byte);
+            const parsed_response parsed("HTTP/1.1 200 OK\r\nX: y\r\n" + spoiled + ": 2\r\n\r\nok", 1'000);
+            cr_assert(parsed.parser.state() == response_state::invalid, "byte %d at %zu", value, at);
+        }
+    }
+}
+
+// Guards against a field that is taken for the rest of the one before it, as its name begins with a blank.
+Test(response_parser, rejects_folded_lines)
+{
+    for (const std::string fold : {"\r\n ", "\r\n\t"}) {
+        const std::string response = "HTTP/1.1 200 OK\r\nX: y" + fold + "Content-Length: 2\r\n\r\nok";
+        for (std::size_t step = 1; step <= response.size(); ++step) {
+            const parsed_response parsed(response, step);
+            cr_assert(parsed.parser.state() == response_state::invalid, "step %zu", step);
+        }
+        const parsed_response interim("HTTP/1.1 103 Early Hints\r\nX: y" + fold +
+                                          "z\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                                      1'000);
+        cr_assert(interim.parser.state() == response_state::invalid);
+    }
+    const std::string blank_body = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n ok\r\n";
+    const std::string blank_line_body = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n\r\n ok";
+    for (const std::string& response : {blank_body, blank_line_body}) {
+        for (std::size_t step = 1; step <= response.size(); ++step) {
+            const parsed_response parsed(response, step);
+            cr_assert(parsed.parser.state() == response_state::complete, "step %zu", step);
+            cr_assert(parsed.body == response.substr(response.size() - 5));
+        }
+    }
+}
