Bound the answers of engines to short calls

What could happen: a sidecar kept what an engine sent in answer to an order, a cancellation, an import or a release, up to 64 MiB for each call and for up to 10 s (orders: 30 s). Each stream that a caller leaves makes such a call, so that an engine that sends without end uses up the memory of its sidecar, with the requests of all other callers there.

Cause: these calls had the default limit of a body, and their whole body is gathered, though the answer is a status and a few fields.

Fix: 64 KiB each; a longer answer ends the call as broken, like one that doesn't end in time.

Evidence: endless_answer/to_a_control_call_is_not_kept, an engine that sends 64 KiB again and again: before, 71.5 MB were taken from it by each of release, order and import; now below 1 MiB and what the sockets hold. The answers of services (4 MiB each) were bounded before; their test is kept.

--- a/src/upstream/engine_client.cpp
+++ b/src/upstream/engine_client.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t max_event_bytes = 64 * 1024;
 constexpr std::size_t max_state_bytes = 4 * 1024 * 1024;
+/// Of the answer to an order, a cancellation, an import or a release, which is a status and a few fields.
+constexpr std::size_t max_control_answer_bytes = 64 * 1024;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_conflict = 409;
@@ -167,6 +169,7 @@
     limits.connect_timeout = options_.connect_timeout;
     limits.first_byte_timeout = control_call_timeout;
     limits.total_timeout = control_call_total_timeout;
+    limits.max_body_bytes = max_control_answer_bytes;
     return std::make_shared<http::http_call>(context_, server_, limits);
 }
 
@@ -294,6 +297,7 @@
     limits.connect_timeout = options_.connect_timeout;
     limits.first_byte_timeout = order_timeout;
     limits.total_timeout = order_timeout;
+    limits.max_body_bytes = max_control_answer_bytes;
     const auto call = std::make_shared<http::http_call>(context_, server_, limits);
     const auto answer = std::make_shared<sidecar_input::order_answered>();
     answer->number = what.number;
