--- a/tests/crowd/broken_response_test.cpp
+++ b/tests/crowd/broken_response_test.cpp
@@ -1,3 +1,4 @@
+#include "crowd/caller_crowd.h"
 #include "crowd/crowd_gateway.h"
 #include "support/early_responder.h"
 
@@ -105,3 +106,41 @@
         check_failed(gateway, head_of("200 OK", std::string(field) + "\r\n") + "ok");
     }
 }
+
+// Guards against memory that grows with what upstreams send without end, and requests of others that end with
+// the process.
+Test(broken_response, without_end_does_not_use_up_memory, .timeout = 250)
+{
+    const std::string filler(65'536, 'x');
+    const std::string chunks = head_of("200 OK", "Transfer-Encoding: chunked\r\n");
+    const std::vector<std::vector<std::string>> endless = {
+        {"HTTP/1.1 200 OK\r\nX: ", filler},      {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+        {head_of("200 OK", ""), filler},         {head_of("500 Trouble", ""), filler},
+        {chunks, "10000\r\n" + filler + "\r\n"}, {chunks + "1;x=", filler},
+    };
+    constexpr std::size_t members = 60;
+    for (const auto& parts : endless) {
+        crowd_gateway gateway({});
+        early_responder upstream(gateway.loop(), {parts, ending::repeat, 1, 0, false});
+        gateway.add_custom_upstream(upstream.address());
+        caller_crowd crowd(gateway.loop(), gateway.callers(), members, {request_with(2), "", 0, "", false});
+        crowd.run_until_sent();
+        cr_expect(gateway.comes_true([&] { return upstream.connections() >= members; }));
+        cr_expect(gateway.answers(), "no ordinary request is answered beside %s", parts.front().c_str());
+        gateway.check_bounds();
+        crowd.leave();
+        gateway.check_released();
+    }
+}
+
+// Guards against memory that is used up by a store whose answer doesn't end.
+Test(broken_response, of_the_store_without_end_does_not_use_up_memory, .timeout = 250)
+{
+    crowd_gateway gateway({});
+    gateway.store().set_mood(dragonflymill::soak::store_standin::mood::endless);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(12);
+    while (std::chrono::steady_clock::now() < end) {
+        cr_assert(gateway.answers(), "no ordinary request is answered");
+    }
+    gateway.check_bounds();
+}
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -79,6 +79,13 @@
     cr_assert(process("sidecar-" + name).read_line(generous).has_value());
 }
 
+void process_fleet::use_upstream(const std::string& name, const std::string& address)
+{
+    kill("sidecar-" + name);
+    upstreams_[name] = address;
+    start_sidecar(name);
+}
+
 void process_fleet::revive_sidecar(const std::string& name)
 {
     const auto admin = files_.listener(name, 1);
--- a/tests/process/process_fleet.h
+++ b/tests/process/process_fleet.h
@@ -37,6 +37,8 @@
     void start_sidecar(const std::string& name);
     /// Restarts the sidecar if it has exited, as a service manager would, and waits until it answers.
     void revive_sidecar(const std::string& name);
+    /// Restarts the sidecar of `name` beside an upstream of the test at `address`.
+    void use_upstream(const std::string& name, const std::string& address);
     /// Starts or restarts a gateway.
     void start_gateway(const std::string& name);
 
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -79,6 +79,13 @@
         reply(call, 503, "");
         return;
     }
+    if (mood_ == mood::endless) {
+        boost::system::error_code ignored;
+        boost::asio::write(call.socket,
+                           boost::asio::buffer(std::string("HTTP/1.1 200 S\r\n\r\n{\"items\":[")), ignored);
+        send_without_end(call.shared_from_this());
+        return;
+    }
     if (call.received.find("kv-watch") != std::string::npos) {
         answer_watch(call.shared_from_this(), query(call.received, "after"));
         return;
@@ -95,6 +102,17 @@
         json::serialize(json::object{{"items", items}, {"morePages", false}, {"storeRevision", revision_}}));
 }
 
+void store_standin::send_without_end(const std::shared_ptr<taken_connection>& call)
+{
+    static const std::string filler(65'536, ' ');
+    boost::asio::async_write(call->socket, boost::asio::buffer(filler),
+                             [this, call](const auto& failed, std::size_t /*bytes*/) {
+                                 if (!failed) {
+                                     send_without_end(call);
+                                 }
+                             });
+}
+
 void store_standin::answer_watch(const std::shared_ptr<taken_connection>& call, std::uint64_t after)
 {
     if (mood_ != mood::well || call->ended) {
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -20,9 +20,10 @@
     /// How the store responds to calls.
     enum class mood
     {
-        well,   ///< Normally.
-        busy,   ///< With 503.
-        silent, ///< Never.
+        well,    ///< Normally.
+        busy,    ///< With 503.
+        silent,  ///< Never.
+        endless, ///< With a listing without end.
     };
 
     explicit store_standin(boost::asio::io_context& loop);
@@ -54,6 +55,7 @@
     };
 
     void answer(test_support::taken_connection& call);
+    void send_without_end(const std::shared_ptr<test_support::taken_connection>& call);
     void answer_watch(const std::shared_ptr<test_support::taken_connection>& call, std::uint64_t after);
     [[nodiscard]] auto changes(std::uint64_t after) const -> std::string;
     void changed();
