Refuse requests whose body ends after a gateway with sidecars has stopped accepting

What callers saw: in a planned stop, a booking whose body arrived after drain_lag was passed on to its service and cut without an answer when the process ended, five seconds after its last request.

Cause: a session that has begun to read a request reads on while the gateway stops. The core reports that all is done when nothing is in flight; a request that comes later was still admitted, and the process ended after the time that is meant for unsent bytes.

Fix: from the moment at which the gateway stops accepting connections, requests are refused with 503, ran "no" and a Retry-After of 100 ms: the balancer has had drain_lag to find another gateway. Admission and the end of accepting run on one thread, so that each request is either in flight before the core is told to stop, or refused.

--- a/src/gateway/caller_admission.cpp
+++ b/src/gateway/caller_admission.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t max_idempotency_key_length = 256;
 constexpr duration ring_full_retry_after = 500ms;
 constexpr duration body_limit_retry_after = 2s;
+/// Other gateways can serve the caller at once: the load balancer has had time to notice that this one stops.
+constexpr duration stopping_retry_after = 100ms;
 
 auto find_model(const bundle& current, const std::string& name) -> const model_entry*
 {
@@ -130,6 +132,11 @@
         return;
     }
     const auto id = next_request_id();
+    if (refuses_requests_) {
+        session->respond(session->exchange(), refusal_response(id, {refusal_code::stopping, ran_state::no,
+                                                                    stopping_retry_after, "come back"}));
+        return;
+    }
     const auto current = in_force();
     if (!current) {
         session->respond(session->exchange(),
--- a/src/gateway/caller_admission.h
+++ b/src/gateway/caller_admission.h
@@ -48,6 +48,8 @@
     void set_bundle(std::shared_ptr<const bundle> in_force);
     /// Sets whether a graceful shutdown has begun. `/readyz` then returns 503; requests are still accepted.
     void set_stopping(bool stopping) { stopping_ = stopping; }
+    /// Refuses all requests from now on, as the core no longer waits for their answers.
+    void refuse_requests() { refuses_requests_ = true; }
 
 private:
     using session_ptr = std::shared_ptr<http::http_session>;
@@ -71,6 +73,7 @@
     mutable std::mutex mutex_;
     std::shared_ptr<const bundle> in_force_;
     std::atomic<bool> stopping_{false};
+    bool refuses_requests_ = false;
     std::uint64_t requests_ = 0;
 };
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -199,6 +199,8 @@
 {
     boost::asio::post(http_thread_.context(), [this] {
         http_server_.stop_accepting();
+        // Bodies of open requests may still arrive.
+        admission_.refuse_requests();
         gateway_server_.stop();
     });
 }
