Keep half of a short grace time for requests that were accepted

What callers would see: in a planned stop with a grace time under 3.4 s, requests that came until its very end were accepted and passed on, and cut without an answer when the process was killed, bookings among them.

Cause: callers are served for 3 s after SIGTERM, until the balancer sends no more. The end of the grace time was taken as not before that, whatever the grace time was; under 3 s the process was killed while it still accepted.

Fix: callers are served for half of the grace time at most. Nothing changes from 6 s on; with 8 s, the default, requests are refused after 3 s as before.

Evidence: planned_stop/answers_each_booking_within_a_short_grace_time (real process, grace time 2 s, a booking every 50 ms that its upstream never answers, SIGKILL at the end): before, all 40 were passed on and none was answered; now each one that was passed on is answered and the process exits 0 before it is killed. answers_each_booking_that_was_passed_on, the same with 8 s, passed before as well.

--- a/src/edge/direct_gateway.cpp
+++ b/src/edge/direct_gateway.cpp
@@ -461,8 +461,10 @@
     log_event(event::gateway_stopping, field("requests", exchanges_.size()));
     update_readiness();
     send_gossip(true);
-    timers_.at(shutdown_started_at_ + settings_.deregistration_delay, [this] { stop_accepting_requests(); });
-    timers_.at(shutdown_started_at_ + std::max(settings_.grace - kill_margin, settings_.deregistration_delay),
+    // Where the grace time is short, half of it is left for the requests that were accepted.
+    const duration accept_time = std::min(settings_.deregistration_delay, settings_.grace / 2);
+    timers_.at(shutdown_started_at_ + accept_time, [this] { stop_accepting_requests(); });
+    timers_.at(shutdown_started_at_ + std::max(settings_.grace - kill_margin, accept_time),
                [this] { finish_shutdown(); });
 }
 
--- a/src/edge/direct_gateway.h
+++ b/src/edge/direct_gateway.h
@@ -56,9 +56,9 @@
     duration drain_delivery_bound = 2s;
     /// Time from SIGTERM until the process is killed.
     duration grace = 8s;
-    /// Time from SIGTERM during which callers are still served. The load balancer checks readiness once a
-    /// second, removes a gateway after the second failed check, and connections that it opened before that
-    /// arrive slightly later.
+    /// Time from SIGTERM during which callers are still served, at most half of the grace time. The load
+    /// balancer checks readiness once a second, removes a gateway after the second failed check, and
+    /// connections that it opened before that arrive slightly later.
     duration deregistration_delay = 3s;
     /// Time between two requests for an upstream's report; 0: none is asked.
     duration report_interval = 1s;
--- a/tests/crowd/crowd_gateway.cpp
+++ b/tests/crowd/crowd_gateway.cpp
@@ -115,6 +115,7 @@
                                   << "\ninternalPorts=" << peer_port_ << "\nseeds=" << ip
                                   << ":1\nlimits.memoryMb=" << bounds_.memory_mb
                                   << "\nlimits.maxFds=" << bounds_.descriptors
+                                  << "\nbounds.graceS=" << bounds_.grace_s
                                   << "\nplatform.address=" << store_.address() << '\n';
 }
 
--- a/tests/crowd/crowd_gateway.h
+++ b/tests/crowd/crowd_gateway.h
@@ -25,6 +25,7 @@
     std::size_t body_bytes = 1U << 20U; ///< Largest body, in the operator's configuration.
     std::size_t header_bytes = 16U << 10U; ///< Largest head, likewise.
     int slots = 400;                       ///< Calls that its upstream takes at once.
+    int grace_s = 8;                       ///< Seconds from SIGTERM to SIGKILL, as its settings state them.
 };
 
 /// What came of a response until it was complete or its connection ended.
