--- a/tests/edge/upstream_report_test.cpp
+++ b/tests/edge/upstream_report_test.cpp
@@ -91,7 +91,11 @@
          {complete_response("no report"), complete_response("slowdown 5" + too_long),
           std::string("HTTP/1.1 500 Failed\r\nContent-Length: 10\r\n\r\nslowdown 5"),
           std::string("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nslowdown 5"), std::string("\r\n\r\n"),
-          std::string("HTTP/1.1 421 Other\r\nContent-Length: 10\r\n\r\nslowdown 5"), std::string()}) {
+          std::string("HTTP/1.1 421 Other\r\nContent-Length: 10\r\n\r\nslowdown 5"), std::string(),
+          std::string("HTTP/1.1 000 X\r\nContent-Length: 10\r\n\r\nslowdown 5"),
+          std::string("HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 10\r\n\r\nslowdown 5"),
+          std::string("HTTP/1.1 200 OK\r\n\r\nslowdown 5" + too_long),
+          "HTTP/1.1 200 OK\r\nX: " + std::string(http::response_limits{}.head_bytes, 'x')}) {
         report_fixture fixture;
         fixture.first_answer = bad;
         fixture.start();
