--- a/src/edge/upstream_call.h
+++ b/src/edge/upstream_call.h
@@ -66,7 +66,7 @@
 private:
     /// Sends as much of the request's body as the socket accepts, and a slice more; false if it is broken.
     [[nodiscard]] auto send_body() -> bool;
-    /// Whether the upstream's host has received the whole request over a connection that hasn't failed.
+    /// Whether the upstream's host has received the complete request over a connection that hasn't failed.
     [[nodiscard]] auto request_delivered() -> bool;
     void on_connected(const boost::system::error_code& failed);
     void read();
--- a/tests/crowd/broken_response_test.cpp
+++ b/tests/crowd/broken_response_test.cpp
@@ -60,7 +60,7 @@
 
 } // namespace
 
-// Guards against a part of a response without a length that reaches callers as the whole, after a reset while
+// Guards against a part of a response without a length that reaches callers as complete, after a reset while
 // the gateway is still sending the request.
 Test(broken_response, after_a_reset_is_never_complete, .timeout = 250)
 {
--- a/tests/edge/reset_during_upload_test.cpp
+++ b/tests/edge/reset_during_upload_test.cpp
@@ -88,7 +88,7 @@
 
 } // namespace
 
-// Guards against a part of a response without a length that is passed on as the whole, after a reset that a
+// Guards against a part of a response without a length that is passed on as complete, after a reset that a
 // write of the upload has reported.
 Test(reset_during_upload, leaves_no_complete_response)
 {
--- a/tests/http/http_call_upload_test.cpp
+++ b/tests/http/http_call_upload_test.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-// Guards against a part of a response without a length that is taken for the whole after a reset.
+// Guards against a part of a response without a length that is taken for complete after a reset.
 Test(http_call_upload, is_not_whole_after_a_reset)
 {
     for (const std::size_t bytes : {short_upload, long_upload}) {
