--- a/src/upstream/engine_client.cpp
+++ b/src/upstream/engine_client.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t max_event_bytes = 64 * 1024;
 constexpr std::size_t max_state_bytes = 4 * 1024 * 1024;
-/// Of the answer to an order, a cancellation, an import or a release, which is a status and a few fields.
+/// Size of the answer to an order, a cancellation, an import or a release: a status and a few fields.
 constexpr std::size_t max_control_answer_bytes = 64 * 1024;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
--- a/tests/edge/reset_during_upload_test.cpp
+++ b/tests/edge/reset_during_upload_test.cpp
@@ -116,7 +116,7 @@
 
 // Guards against an orderly end that is taken for that of the response, though the upstream hasn't taken the
 // request: it may have closed for any reason.
-Test(reset_during_upload, is_like_a_close_before_the_request_is_taken)
+Test(reset_during_upload, or_a_close_leaves_no_complete_response)
 {
     check_unknown(upload({{unframed_part()}, ending::half_close}), "half closed, nothing taken");
     check_unknown(upload({{unframed_part()}, ending::half_close, mebibyte}), "half closed, a part taken");
@@ -145,7 +145,7 @@
 }
 
 // Guards against a response without a length that is withheld though its upstream has taken the request.
-Test(reset_during_upload, is_none_if_the_request_was_taken)
+Test(reset_during_upload, is_not_assumed_if_the_request_was_delivered)
 {
     const auto result = upload({{unframed_part()}, ending::half_close_read, long_upload, 0, false});
     cr_assert(result.complete && result.status == 200 && result.body.size() == part_bytes, "status %u",
