--- a/tests/crowd/broken_response_test.cpp
+++ b/tests/crowd/broken_response_test.cpp
@@ -133,10 +133,16 @@
     }
 }
 
-// Guards against memory that is used up by a store whose answer doesn't end.
+// Guards against memory that is used up by a store whose answer doesn't end, beside callers that fill theirs.
 Test(broken_response, of_the_store_without_end_does_not_use_up_memory, .timeout = 250)
 {
     crowd_gateway gateway({});
+    constexpr std::size_t members = 28;
+    caller_crowd crowd(gateway.loop(), gateway.callers(), members,
+                       {crowd_gateway::request_head("/book/hang") +
+                            "Content-Length: " + std::to_string(mebibyte) + "\r\n\r\n",
+                        std::string(mebibyte, 'u'), 1});
+    crowd.run_until_sent();
     gateway.store().set_mood(dragonflymill::soak::store_standin::mood::endless);
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(12);
     while (std::chrono::steady_clock::now() < end) {
--- a/tests/platform/store_source_test.cpp
+++ b/tests/platform/store_source_test.cpp
@@ -127,3 +127,35 @@
         cr_assert(usable == expected, "%s", entry.substr(0, 80).c_str());
     }
 }
+
+// Guards against changes that are too long for one answer and are asked for again and again.
+Test(store_source, lists_again_after_changes_that_are_too_long)
+{
+    boost::asio::io_context loop{1};
+    edge::loop_timers timers(loop);
+    std::size_t parts = 0;
+    std::vector<std::string> listings;
+    standin_upstream store(loop, [&](taken_connection& connection) {
+        if (connection.received.find("kv-range") != std::string::npos) {
+            listings.push_back(connection.received);
+            const std::string revision = listings.size() == 1 ? "6" : "9";
+            connection.send(respond(R"({"items":[)" + item("a", good_entry(), 6) +
+                                    R"(],"morePages":false,"storeRevision":)" + revision + "}"));
+        }
+        else if (connection.received.find("after=6&") != std::string::npos) {
+            connection.send("HTTP/1.1 200 OK\r\n\r\n{");
+            send_endlessly(connection.shared_from_this(), parts);
+        }
+    });
+    store_source source(loop, timers, store.address());
+    std::uint64_t revision = 0;
+    source.start({[&](const direct::records_update& update) { revision = update.as_of; },
+                  [](const std::string&) {}, [] {}, [&] { return revision; }, [] { return true; }});
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (revision < 9 && std::chrono::steady_clock::now() < end) {
+        loop.run_one_for(std::chrono::milliseconds(20));
+    }
+    source.stop();
+    cr_assert(revision == 9, "still at revision %d", static_cast<int>(revision));
+    cr_assert(listings.back().find("staleOk") == std::string::npos, "a stale listing may lack the changes");
+}
--- a/tests/soak/store_standin.cpp
+++ b/tests/soak/store_standin.cpp
@@ -80,10 +80,8 @@
         return;
     }
     if (mood_ == mood::endless) {
-        boost::system::error_code ignored;
-        boost::asio::write(call.socket,
-                           boost::asio::buffer(std::string("HTTP/1.1 200 S\r\n\r\n{\"items\":[")), ignored);
-        send_without_end(call.shared_from_this());
+        // The head shares a write with the first part of the body, so that no read ends between them.
+        send_without_end(call.shared_from_this(), "HTTP/1.1 200 S\r\n\r\n{\"items\":[");
         return;
     }
     if (call.received.find("kv-watch") != std::string::npos) {
@@ -102,13 +100,14 @@
         json::serialize(json::object{{"items", items}, {"morePages", false}, {"storeRevision", revision_}}));
 }
 
-void store_standin::send_without_end(const std::shared_ptr<taken_connection>& call)
+void store_standin::send_without_end(const std::shared_ptr<taken_connection>& call, const std::string& head)
 {
-    static const std::string filler(65'536, ' ');
-    boost::asio::async_write(call->socket, boost::asio::buffer(filler),
-                             [this, call](const auto& failed, std::size_t /*bytes*/) {
+    constexpr std::size_t part_bytes = 65'536;
+    const auto part = std::make_shared<const std::string>(head + std::string(part_bytes, ' '));
+    boost::asio::async_write(call->socket, boost::asio::buffer(*part),
+                             [this, call, part](const auto& failed, std::size_t /*bytes*/) {
                                  if (!failed) {
-                                     send_without_end(call);
+                                     send_without_end(call, "");
                                  }
                              });
 }
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -55,7 +55,8 @@
     };
 
     void answer(test_support::taken_connection& call);
-    void send_without_end(const std::shared_ptr<test_support::taken_connection>& call);
+    void send_without_end(const std::shared_ptr<test_support::taken_connection>& call,
+                          const std::string& head);
     void answer_watch(const std::shared_ptr<test_support::taken_connection>& call, std::uint64_t after);
     [[nodiscard]] auto changes(std::uint64_t after) const -> std::string;
     void changed();
