Bound the memory of a service's answers that are received at once

What callers would see: a sidecar holds up to 4 MiB of each answer until its call's time is over. A service that stalls, or sends slowly and without end, in all the calls that its warm sidecar lets through (64 in the bundle of the process tests) takes 256 MiB of a host of 256 (worked out): the process ends, with all its calls and what it remembers of calls that may not be repeated.

Cause: the length of each answer was bounded, but not that of all together.

Fix: the sidecar's client counts the bytes of all answers that are being received and gives up the longest beyond 64 MiB. The longest is the least likely one to end; ending the newest instead would fail sound calls beside the broken ones. The call is reported as sent, so that one that may not be repeated isn't. 64 MiB is a quarter of the host, and sixteen answers of the largest size.

--- a/src/upstream/service_client.cpp
+++ b/src/upstream/service_client.cpp
@@ -3,7 +3,9 @@
 #include "http/whole_answer.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 namespace dragonflymill::upstream {
@@ -44,17 +46,67 @@
     limits.silence_timeout = what.remaining;
     limits.total_timeout = what.remaining;
     limits.max_body_bytes = max_answer_bytes;
-    auto handlers = http::gather_answer(
-        [this, number = what.call](http::call_end how, const http::http_response& answer) {
-            if (how == http::call_end::whole) {
+    const call_number number = what.call;
+    auto handlers =
+        http::gather_answer([this, number](http::call_end how, const http::http_response& answer) {
+            const bool was_kept = release(number);
+            if (was_kept && how == http::call_end::whole) {
                 events_(sidecar_input::service_answered{
                     number, {static_cast<int>(answer.status), answer.content_type, answer.body}});
                 return;
             }
             events_(sidecar_input::service_failed{number, how != http::call_end::not_sent});
         });
+    handlers.on_bytes = [this, number, keep = std::move(handlers.on_bytes)](std::string_view bytes) {
+        if (claim(number, bytes.size())) {
+            keep(bytes);
+        }
+    };
     const auto call = std::make_shared<http::http_call>(context_, server_, limits);
+    running_.insert_or_assign(number, running_call{call});
     call->start(request_of(what.spec), what.not_after, std::move(handlers));
 }
 
+auto service_client::claim(call_number number, std::size_t bytes) -> bool
+{
+    running_call& running = running_.at(number);
+    if (running.given_up) {
+        return false;
+    }
+    running.bytes += bytes;
+    held_bytes_ += bytes;
+    if (held_bytes_ > max_held_bytes) {
+        give_up_longest();
+    }
+    return !running.given_up;
+}
+
+auto service_client::release(call_number number) -> bool
+{
+    const auto ended = running_.find(number);
+    const bool was_kept = !ended->second.given_up;
+    held_bytes_ -= ended->second.bytes;
+    running_.erase(ended);
+    return was_kept;
+}
+
+void service_client::give_up_longest()
+{
+    const auto longest = std::max_element(running_.begin(), running_.end(), [](const auto& a, const auto& b) {
+        return a.second.bytes < b.second.bytes;
+    });
+    const call_number number = longest->first;
+    running_call& running = longest->second;
+    running.given_up = true;
+    held_bytes_ -= std::exchange(running.bytes, 0);
+    // The call may be the one whose bytes are being handled, so that its handlers can't be dropped yet.
+    boost::asio::post(context_, [this, number, call = running.call] {
+        if (running_.contains(number)) {
+            call->drop();
+            running_.erase(number);
+            events_(sidecar_input::service_failed{number, true});
+        }
+    });
+}
+
 } // namespace dragonflymill::upstream
--- a/src/upstream/service_client.h
+++ b/src/upstream/service_client.h
@@ -5,7 +5,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <functional>
+#include <map>
+#include <memory>
 
 namespace dragonflymill::upstream {
 
@@ -20,14 +23,34 @@
     service_client(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint server,
                    duration connect_timeout, sink events);
 
-    /// Sends the call and reports its answer, or its failure and whether the call was sent.
+    /// Sends the call and reports its answer, or its failure and whether the call was sent. Runs on the
+    /// context's thread.
     void run(const sidecar_output::run_service& what);
 
+    /// Memory of all answers that are being received: a quarter of the host's in docs/CAPACITY.md. Beyond it
+    /// the longest answer is given up, which is the least likely one to end.
+    static constexpr std::size_t max_held_bytes = std::size_t{64} * 1024 * 1024;
+
 private:
+    struct running_call
+    {
+        std::shared_ptr<http::http_call> call;
+        std::size_t bytes = 0;
+        bool given_up = false;
+    };
+
+    /// Accounts for bytes of an answer; returns false if the answer is given up.
+    [[nodiscard]] auto claim(call_number number, std::size_t bytes) -> bool;
+    /// Forgets a call that has ended; returns false if its answer was given up.
+    [[nodiscard]] auto release(call_number number) -> bool;
+    void give_up_longest();
+
     boost::asio::io_context& context_;
     boost::asio::ip::tcp::endpoint server_;
     duration connect_timeout_;
     sink events_;
+    std::map<call_number, running_call> running_;
+    std::size_t held_bytes_ = 0;
 };
 
 } // namespace dragonflymill::upstream
