Bound a peer's answer by the smallest host's memory

What callers would see: nothing until a gateway receives a long answer of a broken peer while callers fill the half of its memory that is set aside for them. Then it exceeds its host's limit and is killed with all their requests.

Cause: a fetch of records takes the memory of its answer as soon as its length has arrived, and a length of up to 16 MiB was accepted.

Fix: 4 MiB, as for the store's answers. All records of a fleet fit: some thousand of a few hundred bytes and a configuration of 1 MiB.

--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -24,8 +24,9 @@
 
 /// Frames between gateways consist of a big-endian length of four bytes and a message.
 constexpr std::size_t length_bytes = 4;
-/// Allows for some thousand records of a few hundred bytes and a configuration of a megabyte.
-constexpr std::uint32_t max_frame_bytes = 16'777'216;
+/// Allows for some thousand records of a few hundred bytes and a configuration of a megabyte. A frame takes
+/// memory from its first byte on, of the half of a small host's that isn't for callers.
+constexpr std::uint32_t max_frame_bytes = 4'194'304;
 
 auto framed(const std::string& message) -> std::string
 {
