Count the memory of incomplete events among what callers may use

What callers would see: a faulty upstream that begins a long event in each of its streams and stalls, or sends it slowly and without end, uses up its gateway's memory; the process is killed with all its requests.

Cause: a body that isn't a stream is claimed from the memory set aside for callers, but an event that isn't complete was bounded by its own size only, 1 MiB in each stream. What a complete event had taken was kept for as long as its stream went on.

Fix: a stream claims the memory of its events, less three buffers of 8 KiB, so that usual streams claim nothing. One for whose event there is no room ends as invalid, and goes on at another upstream if it can. Buffers larger than 8 KiB are released when what they hold has been passed on.

--- a/include/dragonflymill/response/event_parser.h
+++ b/include/dragonflymill/response/event_parser.h
@@ -67,9 +67,17 @@
     /// ascend without it.
     [[nodiscard]] auto is_last_id_doubtful() const -> bool { return last_id_doubtful_; }
 
+    /// Memory that the parser's buffers take, in bytes.
+    [[nodiscard]] auto held_bytes() const -> std::size_t
+    {
+        return buffer_.capacity() + text_.capacity() + event_text_.capacity();
+    }
+
     /// Maximum size of an event, and of what stands between two events, in bytes. Bounds the gateway's
     /// memory.
     static constexpr std::size_t max_event_bytes = 1'048'576;
+    /// Memory that each of three buffers may keep although it isn't in use, in bytes.
+    static constexpr std::size_t retained_bytes = 8'192;
 
 private:
     void take_line(std::string_view line);
@@ -80,6 +88,7 @@
     void append_field(std::string_view name, std::string_view value);
     /// Checks the event that a blank line has completed; returns whether there was one.
     [[nodiscard]] auto complete_event() -> bool;
+    void discard_complete_events();
     /// Makes the text of a complete event, with lines that end like those of the first one.
     void write_event();
     void check_order(std::uint64_t id);
--- a/include/dragonflymill/response/response_guard.h
+++ b/include/dragonflymill/response/response_guard.h
@@ -93,6 +93,8 @@
     [[nodiscard]] auto framing() const -> body_framing { return framing_; }
     /// Bytes of the body so far.
     [[nodiscard]] auto body_bytes() const -> std::size_t { return body_bytes_; }
+    /// Memory that the body's events take, in bytes.
+    [[nodiscard]] auto held_bytes() const -> std::size_t { return events_.held_bytes(); }
     /// What was received from the fault on.
     [[nodiscard]] auto faulty_bytes() const -> std::string_view;
 
--- a/src/edge/caller_session.h
+++ b/src/edge/caller_session.h
@@ -77,6 +77,8 @@
     void close_when_idle();
     /// Claims memory for a part of a response that is kept for this caller; false if there is no room for it.
     [[nodiscard]] auto claim_response(std::size_t bytes) -> bool;
+    /// Changes what is claimed in total to `bytes`; false if there is no room for it.
+    [[nodiscard]] auto resize_response_claim(std::size_t bytes) -> bool;
     /// Releases all that was claimed by `claim_response`; so does the end of the response.
     void release_response();
     /// Bytes of responses that the connection hasn't accepted yet; they are lost if it is closed now.
--- a/src/edge/caller_session_response.cpp
+++ b/src/edge/caller_session_response.cpp
@@ -124,6 +124,15 @@
     return true;
 }
 
+auto caller_session::resize_response_claim(std::size_t bytes) -> bool
+{
+    if (bytes > response_claimed_) {
+        return claim_response(bytes - response_claimed_);
+    }
+    account_.release(std::exchange(response_claimed_, bytes) - bytes);
+    return true;
+}
+
 void caller_session::release_response()
 {
     account_.release(std::exchange(response_claimed_, 0));
--- a/src/edge/exchange_response.cpp
+++ b/src/edge/exchange_response.cpp
@@ -16,6 +16,9 @@
 
 /// Responses up to this size are buffered until complete, so that another attempt can still replace them.
 constexpr std::size_t max_buffered_bytes = 1'048'576;
+
+/// Memory of a stream's events that isn't claimed, so that usual events always have room.
+constexpr std::size_t unclaimed_event_bytes = 3 * response::event_parser::retained_bytes;
 constexpr double us_per_s = 1e6;
 
 } // namespace
@@ -64,6 +67,16 @@
     if (checked.fault != response_fault::none) {
         reject_response(checked.fault);
     }
+    else if (mode_ == response_mode::events && !claim_events()) {
+        end_attempt(attempt_end::invalid, "no memory for a long event");
+    }
+}
+
+auto exchange::claim_events() -> bool
+{
+    const auto session = session_.lock();
+    const std::size_t held = guard_->held_bytes();
+    return !session || session->resize_response_claim(held - std::min(held, unclaimed_event_bytes));
 }
 
 void exchange::forward_part(const std::string& bytes)
--- a/src/response/event_parser.cpp
+++ b/src/response/event_parser.cpp
@@ -11,6 +11,15 @@
 
 constexpr std::string_view status_line_prefix = "HTTP/1.";
 
+/// Releases what a long event or a burst of events took.
+void release_unused(std::string& buffer)
+{
+    if (buffer.capacity() > event_parser::retained_bytes &&
+        buffer.size() <= event_parser::retained_bytes / 2) {
+        buffer.shrink_to_fit();
+    }
+}
+
 } // namespace
 
 auto parse_event_id(std::string_view text) -> std::optional<std::uint64_t>
@@ -36,10 +45,6 @@
     if (fault_ != response_fault::none) {
         return;
     }
-    buffer_.erase(0, event_begin_);
-    line_begin_ -= event_begin_;
-    scanned_ -= event_begin_;
-    event_begin_ = 0;
     buffer_.append(bytes);
 }
 
@@ -49,6 +54,7 @@
         const std::size_t line_end = buffer_.find('\n', scanned_);
         if (line_end == std::string::npos) {
             scanned_ = buffer_.size();
+            discard_complete_events();
             check_size();
             return std::nullopt;
         }
@@ -178,6 +184,18 @@
     return is_event;
 }
 
+void event_parser::discard_complete_events()
+{
+    buffer_.erase(0, event_begin_);
+    line_begin_ -= event_begin_;
+    scanned_ -= event_begin_;
+    event_begin_ = 0;
+    event_text_.clear();
+    release_unused(buffer_);
+    release_unused(text_);
+    release_unused(event_text_);
+}
+
 void event_parser::write_event()
 {
     event_text_ = text_.append(line_end_);
--- a/tests/crowd/broken_response_test.cpp
+++ b/tests/crowd/broken_response_test.cpp
@@ -133,6 +133,27 @@
     }
 }
 
+// Guards against memory for many streams, each of which stalls in an event just short of the size allowed.
+Test(broken_response, that_stalls_in_a_long_event_does_not_use_up_memory, .timeout = 250)
+{
+    crowd_gateway gateway({});
+    const std::string head = head_of("200 OK", "Content-Type: text/event-stream\r\n");
+    early_responder upstream(
+        gateway.loop(),
+        {{head + "data: " + std::string(mebibyte - 20'000, 'x')}, ending::stay_open, 1, 0, false});
+    gateway.add_custom_upstream(upstream.address());
+    constexpr std::size_t members = 200;
+    caller_crowd crowd(gateway.loop(), gateway.callers(), members,
+                       {crowd_gateway::request_head("/stream/x", "25000") + "Content-Length: 2\r\n\r\nhi", "",
+                        0, "", false});
+    crowd.run_until_sent();
+    cr_expect(gateway.comes_true([&] { return upstream.connections() >= members; }));
+    cr_expect(gateway.answers(), "no ordinary request is answered");
+    gateway.check_bounds();
+    crowd.leave();
+    gateway.check_released();
+}
+
 // Guards against memory that is used up by a store whose answer doesn't end, beside callers that fill theirs.
 Test(broken_response, of_the_store_without_end_does_not_use_up_memory, .timeout = 250)
 {
--- a/tests/crowd/crowd_gateway.cpp
+++ b/tests/crowd/crowd_gateway.cpp
@@ -84,6 +84,8 @@
                R"("kind":"non_idempotent","service":"bookings","timeoutMs":120000,"latencyGoalMs":8000,)"
                R"("maxAttempts":2},{"name":"custom","host":"h.example","pathPrefix":"/custom/",)"
                R"("kind":"non_idempotent","service":"custom","timeoutMs":120000,"latencyGoalMs":8000,)"
+               R"("maxAttempts":2},{"name":"stream","host":"h.example","pathPrefix":"/stream/",)"
+               R"("kind":"streaming","service":"custom","timeoutMs":120000,"latencyGoalMs":8000,)"
                R"("maxAttempts":2}],"services":[{"name":"bookings"},{"name":"custom"}],)"
                R"("limits":{"maxHeaderBytes":)" +
                    std::to_string(bounds_.header_bytes) + R"(,"maxBodyBytes":)" +
--- a/tests/response/event_parser_test.cpp
+++ b/tests/response/event_parser_test.cpp
@@ -204,3 +204,15 @@
     const auto event = parser.next();
     cr_assert(event && event->id == 2 && parser.fault() == response_fault::none);
 }
+
+// Guards against streams that keep the memory of a long event or of a burst until their response ends.
+Test(event_parser, releases_the_memory_of_long_events)
+{
+    const std::string long_event = "id: 1\ndata: " + std::string(500'000, 'x') + "\n\n";
+    for (const std::string& body : {long_event, events(1, 10'000)}) {
+        parsed_body parsed(body, 16'384);
+        cr_assert(parsed.parser.fault() == response_fault::none && parsed.events == body);
+        cr_assert(parsed.parser.held_bytes() <= 3 * event_parser::retained_bytes, "%zu bytes",
+                  parsed.parser.held_bytes());
+    }
+}
