Look up no account when a stream's claim stays the same

Each part of a stream released 0 bytes, for which the budget looks up its caller. Usual streams claim nothing, so this is all they needed of it.

--- a/src/edge/caller_session_response.cpp
+++ b/src/edge/caller_session_response.cpp
@@ -129,7 +129,9 @@
     if (bytes > response_claimed_) {
         return claim_response(bytes - response_claimed_);
     }
-    account_.release(std::exchange(response_claimed_, bytes) - bytes);
+    if (bytes < response_claimed_) {
+        account_.release(std::exchange(response_claimed_, bytes) - bytes);
+    }
     return true;
 }
 
