--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -98,7 +98,7 @@
         -> gateway_fields;
     void record_sign_of_life();
     void forward_events(const response::checked_body& checked);
-    /// Claims the memory of events that are incomplete; false if there is no room for it.
+    /// Claims the memory of the events that are held; false if there is no room for it.
     [[nodiscard]] auto claim_events() -> bool;
     /// Buffers a part of a body that is no event stream, or forwards it if the body is too large to buffer.
     void forward_part(const std::string& bytes);
--- a/src/upstream/service_client.cpp
+++ b/src/upstream/service_client.cpp
@@ -70,34 +70,34 @@
 auto service_client::claim(call_number number, std::size_t bytes) -> bool
 {
     running_call& running = running_.at(number);
-    if (running.given_up) {
+    if (running.aborted) {
         return false;
     }
     running.bytes += bytes;
     held_bytes_ += bytes;
     if (held_bytes_ > max_held_bytes) {
-        give_up_longest();
+        abort_longest();
     }
-    return !running.given_up;
+    return !running.aborted;
 }
 
 auto service_client::release(call_number number) -> bool
 {
     const auto ended = running_.find(number);
-    const bool was_kept = !ended->second.given_up;
+    const bool was_kept = !ended->second.aborted;
     held_bytes_ -= ended->second.bytes;
     running_.erase(ended);
     return was_kept;
 }
 
-void service_client::give_up_longest()
+void service_client::abort_longest()
 {
     const auto longest = std::max_element(running_.begin(), running_.end(), [](const auto& a, const auto& b) {
         return a.second.bytes < b.second.bytes;
     });
     const call_number number = longest->first;
     running_call& running = longest->second;
-    running.given_up = true;
+    running.aborted = true;
     held_bytes_ -= std::exchange(running.bytes, 0);
     // The call may be the one whose bytes are being handled, so that its handlers can't be dropped yet.
     boost::asio::post(context_, [this, number, call = running.call] {
--- a/src/upstream/service_client.h
+++ b/src/upstream/service_client.h
@@ -28,7 +28,7 @@
     void run(const sidecar_output::run_service& what);
 
     /// Memory of all answers that are being received: a quarter of the host's in docs/CAPACITY.md. Beyond it
-    /// the longest answer is given up, which is the least likely one to end.
+    /// the longest answer is aborted, which is the least likely one to end.
     static constexpr std::size_t max_held_bytes = std::size_t{64} * 1024 * 1024;
 
 private:
@@ -36,14 +36,14 @@
     {
         std::shared_ptr<http::http_call> call;
         std::size_t bytes = 0;
-        bool given_up = false;
+        bool aborted = false;
     };
 
-    /// Accounts for bytes of an answer; returns false if the answer is given up.
+    /// Accounts for bytes of an answer; returns false if the answer is aborted.
     [[nodiscard]] auto claim(call_number number, std::size_t bytes) -> bool;
-    /// Forgets a call that has ended; returns false if its answer was given up.
+    /// Forgets a call that has ended; returns false if its answer was aborted.
     [[nodiscard]] auto release(call_number number) -> bool;
-    void give_up_longest();
+    void abort_longest();
 
     boost::asio::io_context& context_;
     boost::asio::ip::tcp::endpoint server_;
